Lay the workspace: core messages, commands, rows, settings, manifest, links

The contracts come first so that the packages above can be built side by side. Checked by formatter, linter, import rule and 7 tests (settings errors named in one go, 2,000 frames in order over a socket, a malformed frame costs one connection).

--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Guard one endpoint: its orders and its requests."""
--- /dev/null
+++ b/packages/hemlockdock-cli/hemlockdock_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Drive hemlockdock as an operator."""
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the replicated state and decide replicas."""
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/__init__.py
@@ -0,0 +1,1 @@
+"""Provide what every hemlockdock process shares."""
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/__init__.py
@@ -0,0 +1,45 @@
+"""Define the commands that the quorum commits, and their results."""
+
+from hemlockdock_core.commands.crashes import RecordCrash, ReleaseQuarantine
+from hemlockdock_core.commands.decisions import (
+    AdapterLoaded,
+    DecideAdapter,
+    DecideLoad,
+    DecideUnload,
+    DropAdapter,
+    ReplicaGone,
+    ReplicaReady,
+)
+from hemlockdock_core.commands.jobs import ClaimJob, FinishJob, ReadJob, SubmitJob
+from hemlockdock_core.commands.manifests import SubmitManifest
+from hemlockdock_core.commands.membership import NodeLeaving, NodeLost, RegisterNode
+from hemlockdock_core.commands.result import CommandResult
+from hemlockdock_core.commands.run_once import ClaimRun, FinishRun, RunState
+from hemlockdock_core.commands.tick import ExpireRecords
+from hemlockdock_core.commands.union import Command
+
+__all__ = [
+    "AdapterLoaded",
+    "ClaimJob",
+    "ClaimRun",
+    "Command",
+    "CommandResult",
+    "DecideAdapter",
+    "DecideLoad",
+    "DecideUnload",
+    "DropAdapter",
+    "ExpireRecords",
+    "FinishJob",
+    "FinishRun",
+    "NodeLeaving",
+    "NodeLost",
+    "ReadJob",
+    "RecordCrash",
+    "RegisterNode",
+    "ReleaseQuarantine",
+    "ReplicaGone",
+    "ReplicaReady",
+    "RunState",
+    "SubmitJob",
+    "SubmitManifest",
+]
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/union.py
@@ -0,0 +1,40 @@
+"""Close the set of commands."""
+
+from hemlockdock_core.commands.crashes import RecordCrash, ReleaseQuarantine
+from hemlockdock_core.commands.decisions import (
+    AdapterLoaded,
+    DecideAdapter,
+    DecideLoad,
+    DecideUnload,
+    DropAdapter,
+    ReplicaGone,
+    ReplicaReady,
+)
+from hemlockdock_core.commands.jobs import ClaimJob, FinishJob, ReadJob, SubmitJob
+from hemlockdock_core.commands.manifests import SubmitManifest
+from hemlockdock_core.commands.membership import NodeLeaving, NodeLost, RegisterNode
+from hemlockdock_core.commands.run_once import ClaimRun, FinishRun
+from hemlockdock_core.commands.tick import ExpireRecords
+
+Command = (
+    SubmitManifest
+    | RegisterNode
+    | NodeLeaving
+    | NodeLost
+    | DecideLoad
+    | DecideUnload
+    | ReplicaReady
+    | ReplicaGone
+    | DecideAdapter
+    | AdapterLoaded
+    | DropAdapter
+    | ClaimRun
+    | FinishRun
+    | SubmitJob
+    | ClaimJob
+    | FinishJob
+    | ReadJob
+    | RecordCrash
+    | ReleaseQuarantine
+    | ExpireRecords
+)
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/kind.py
@@ -0,0 +1,35 @@
+"""Define the closed list of error kinds."""
+
+from enum import StrEnum
+
+
+class ErrorKind(StrEnum):
+    """Name one way a request is refused or ends without its answer."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_STREAM = "unknown_stream"
+    UNKNOWN_JOB = "unknown_job"
+    KEY_REUSED = "key_reused"
+    ALREADY_RAN = "already_ran"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CONFLICT = "conflict"
+    STALE_REVISION = "stale_revision"
+    RATE_LIMITED = "rate_limited"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_CAPACITY = "no_capacity"
+    QUARANTINED = "quarantined"
+    DRAINING = "draining"
+    NO_CONTROL = "no_control"
+    ENDPOINT_LOST = "endpoint_lost"
+    ENGINE_REFUSED = "engine_refused"
+    ENGINE_FAILED = "engine_failed"
+    STREAM_STALLED = "stream_stalled"
+    CALLER_GONE = "caller_gone"
+    STORAGE_FAILED = "storage_failed"
+    INTERNAL = "internal"
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/not_run.py
@@ -0,0 +1,11 @@
+"""Say whether a refused request may have run."""
+
+from enum import StrEnum
+
+
+class NotRun(StrEnum):
+    """State whether a request is known not to have run."""
+
+    TRUE = "true"
+    FALSE = "false"
+    UNKNOWN = "unknown"
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/links/__init__.py
@@ -0,0 +1,8 @@
+"""Carry frames between processes over pynng sockets watched by the reactor."""
+
+from hemlockdock_core.links.mailbox import Mailbox
+from hemlockdock_core.links.outbox import Outbox
+from hemlockdock_core.links.post_office import PostOffice
+from hemlockdock_core.links.watched_socket import WatchedDescriptor
+
+__all__ = ["Mailbox", "Outbox", "PostOffice", "WatchedDescriptor"]
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/links/post_office.py
@@ -0,0 +1,75 @@
+"""Send and receive a process's frames."""
+
+from hemlockdock_core.links.mailbox import Mailbox
+from hemlockdock_core.links.outbox import Outbox
+from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
+
+
+class PostOffice:
+    """Own a process's mailbox and its outboxes, one for each peer address.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    node_id : str
+    incarnation : int
+    codec : Codec
+    listen : str
+        Address to listen at.
+    on_frame : callable
+        Takes a Frame.
+    tls : LinkTls, optional
+        With ``server_config()`` and ``client_config()``.
+    """
+
+    def __init__(self, reactor, node_id, incarnation, codec, listen, on_frame, tls=None):
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self._reactor = reactor
+        self._codec = codec
+        self._tls = tls
+        self._outbox_by_address = {}
+        server_config = tls.server_config() if tls else None
+        self._mailbox = Mailbox(reactor, listen, codec, on_frame, server_config)
+
+    @property
+    def address(self):
+        """Return the mailbox's address."""
+        return self._mailbox.address
+
+    def send(self, address, message):
+        """Send a message to a peer's mailbox.
+
+        Parameters
+        ----------
+        address : str
+        message : Message
+        """
+        frame = Frame(PROTOCOL_VERSION, self.node_id, self.incarnation, self.address, message)
+        self._outbox(address).send(self._codec.encode(frame))
+
+    def forget(self, address):
+        """Close the outbox to a peer that is gone.
+
+        Parameters
+        ----------
+        address : str
+        """
+        outbox = self._outbox_by_address.pop(address, None)
+        if outbox is not None:
+            outbox.close()
+
+    def close(self):
+        """Close the mailbox and every outbox."""
+        self._mailbox.close()
+        for outbox in self._outbox_by_address.values():
+            outbox.close()
+        self._outbox_by_address.clear()
+
+    def _outbox(self, address):
+        outbox = self._outbox_by_address.get(address)
+        if outbox is None:
+            client_config = self._tls.client_config() if self._tls else None
+            outbox = Outbox(self._reactor, address, client_config)
+            self._outbox_by_address[address] = outbox
+        return outbox
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/manifest/manifest.py
@@ -0,0 +1,50 @@
+"""Describe everything that one deployment serves."""
+
+from pydantic import Field, model_validator
+
+from hemlockdock_core.manifest.adapter import Adapter
+from hemlockdock_core.manifest.base import ManifestPart, Name
+from hemlockdock_core.manifest.endpoint_group import EndpointGroup
+from hemlockdock_core.manifest.model import Model
+from hemlockdock_core.manifest.policy_weights import PolicyWeights
+from hemlockdock_core.manifest.references import reference_errors
+from hemlockdock_core.manifest.request_class import RequestClass
+from hemlockdock_core.manifest.service import Service
+
+
+class Manifest(ManifestPart):
+    """Describe everything that one deployment serves.
+
+    Attributes
+    ----------
+    format_version : int
+        Format of this document; 1.
+    number : int
+        The operators' own number; each accepted manifest has a higher one.
+    deployment : str
+    weights : PolicyWeights
+    failure_domains : list of str
+    request_classes : list of RequestClass
+    endpoint_groups : list of EndpointGroup
+    models : list of Model
+    adapters : list of Adapter
+    services : list of Service
+    """
+
+    format_version: int = Field(ge=1, le=1)
+    number: int = Field(ge=1, le=2**53)
+    deployment: Name
+    weights: PolicyWeights = Field(default_factory=PolicyWeights)
+    failure_domains: list[Name] = Field(min_length=1)
+    request_classes: list[RequestClass] = Field(min_length=1)
+    endpoint_groups: list[EndpointGroup] = Field(min_length=1)
+    models: list[Model] = Field(default_factory=list)
+    adapters: list[Adapter] = Field(default_factory=list)
+    services: list[Service] = Field(default_factory=list)
+
+    @model_validator(mode="after")
+    def _check_references(self):
+        problems = reference_errors(self)
+        if problems:
+            raise ValueError("\n".join(f"{path}: {expected}" for path, expected in problems))
+        return self
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/manifest/service.py
@@ -0,0 +1,27 @@
+"""Describe one plain service."""
+
+from pydantic import Field, HttpUrl
+
+from hemlockdock_core.manifest.base import ManifestPart, Name
+
+
+class Service(ManifestPart):
+    """Describe a plain service beside the engines.
+
+    Attributes
+    ----------
+    name : str
+    urls : list of pydantic.HttpUrl
+        Base URLs of its instances.
+    request_class : str
+    repeatable_methods : list of str
+        HTTP methods whose calls may be repeated.
+    most_in_flight : int
+        Calls to all instances at once, per entry process.
+    """
+
+    name: Name
+    urls: list[HttpUrl] = Field(min_length=1)
+    request_class: Name
+    repeatable_methods: list[str] = Field(default_factory=lambda: ["GET", "HEAD"])
+    most_in_flight: int = Field(default=64, ge=1, le=100_000)
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -0,0 +1,64 @@
+"""Define the typed messages between hemlockdock's processes."""
+
+from hemlockdock_core.messages.answer_chunk import AnswerChunk
+from hemlockdock_core.messages.answer_end import AnswerEnd
+from hemlockdock_core.messages.answer_head import AnswerHead
+from hemlockdock_core.messages.cancel import Cancel
+from hemlockdock_core.messages.codec import Codec, MalformedFrameError
+from hemlockdock_core.messages.crash_report import CrashReport
+from hemlockdock_core.messages.dispatch import Dispatch
+from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
+from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
+from hemlockdock_core.messages.inventory import Inventory, LoadedModel
+from hemlockdock_core.messages.leaving import Leaving
+from hemlockdock_core.messages.orders import (
+    LoadAdapterOrder,
+    LoadOrder,
+    OrderOutcome,
+    OrderResult,
+    UnloadAdapterOrder,
+    UnloadOrder,
+)
+from hemlockdock_core.messages.proposals import Proposal, ProposalResult
+from hemlockdock_core.messages.refused import Refused
+from hemlockdock_core.messages.resume import Resume
+from hemlockdock_core.messages.table import TableChunk, TableDelta, WatchTable
+from hemlockdock_core.messages.union import NODE_CODEC, NodeMessage
+from hemlockdock_core.messages.wish import ModelLoad, Wish
+from hemlockdock_core.node_info import NodeInfo
+
+__all__ = [
+    "NODE_CODEC",
+    "PROTOCOL_VERSION",
+    "AnswerChunk",
+    "AnswerEnd",
+    "AnswerHead",
+    "Cancel",
+    "Codec",
+    "CrashReport",
+    "Dispatch",
+    "Frame",
+    "Heartbeat",
+    "HeartbeatAck",
+    "Inventory",
+    "Leaving",
+    "LoadAdapterOrder",
+    "LoadOrder",
+    "LoadedModel",
+    "MalformedFrameError",
+    "ModelLoad",
+    "NodeInfo",
+    "NodeMessage",
+    "OrderOutcome",
+    "OrderResult",
+    "Proposal",
+    "ProposalResult",
+    "Refused",
+    "Resume",
+    "TableChunk",
+    "TableDelta",
+    "UnloadAdapterOrder",
+    "UnloadOrder",
+    "WatchTable",
+    "Wish",
+]
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/message.py
@@ -0,0 +1,7 @@
+"""Give all messages their common base."""
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Encode as a compact array whose first item names the type."""
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/metrics/exposition.py
@@ -0,0 +1,69 @@
+"""Write metrics in the Prometheus text format."""
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, SummaryMetricFamily
+
+from hemlockdock_core.metrics.latencies import MICROSECONDS_PER_SECOND
+
+PREFIX = "hemlockdock_"
+QUANTILES = (0.5, 0.95, 0.99)
+
+
+class _Collector:
+    def __init__(self, counters, latencies, gauges):
+        self._counters = counters
+        self._latencies = latencies
+        self._gauges = gauges
+
+    def collect(self):
+        """Yield the metric families of one exposition."""
+        yield from self._counter_families()
+        for name, value in sorted(self._gauges.items()):
+            yield GaugeMetricFamily(PREFIX + name, name, value=value)
+        yield from self._latency_families()
+
+    def _counter_families(self):
+        family_by_name = {}
+        for (name, labels), value in sorted(self._counters.value_by_key.items()):
+            family = family_by_name.get(name)
+            if family is None:
+                label_names = [label for label, _ in labels]
+                family = CounterMetricFamily(PREFIX + name, name, labels=label_names)
+                family_by_name[name] = family
+            family.add_metric([str(item) for _, item in labels], value)
+        yield from family_by_name.values()
+
+    def _latency_families(self):
+        for (name, request_class), histogram in sorted(self._latencies.histogram_by_key.items()):
+            summary = SummaryMetricFamily(f"{PREFIX}{name}_seconds", name, labels=["request_class"])
+            count = histogram.get_total_count()
+            total = histogram.get_mean_value() * count / MICROSECONDS_PER_SECOND
+            summary.add_metric([request_class], count, total)
+            yield summary
+            quantiles = GaugeMetricFamily(
+                f"{PREFIX}{name}_quantile_seconds", name, labels=["request_class", "quantile"]
+            )
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile * 100)
+                quantiles.add_metric(
+                    [request_class, str(quantile)], value / MICROSECONDS_PER_SECOND
+                )
+            yield quantiles
+
+
+def exposition(counters, latencies, gauges):
+    """Return metrics in the Prometheus text format.
+
+    Parameters
+    ----------
+    counters : Counters
+    latencies : Latencies
+    gauges : dict of str to float
+
+    Returns
+    -------
+    bytes
+    """
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_Collector(counters, latencies, gauges))
+    return generate_latest(registry)
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/__init__.py
@@ -0,0 +1,28 @@
+"""Define the rows of the routing table that every node holds a copy of."""
+
+from hemlockdock_core.rows.adapter_row import AdapterRow
+from hemlockdock_core.rows.class_row import ClassRow
+from hemlockdock_core.rows.job_row import JobRow
+from hemlockdock_core.rows.manifest_row import ManifestRow
+from hemlockdock_core.rows.model_row import ModelRow
+from hemlockdock_core.rows.node_row import NodeRow
+from hemlockdock_core.rows.quarantine_row import QuarantineRow
+from hemlockdock_core.rows.replica_row import ReplicaRow, ReplicaState
+from hemlockdock_core.rows.service_row import ServiceRow
+from hemlockdock_core.rows.table import RoutingTable
+from hemlockdock_core.rows.union import Row
+
+__all__ = [
+    "AdapterRow",
+    "ClassRow",
+    "JobRow",
+    "ManifestRow",
+    "ModelRow",
+    "NodeRow",
+    "QuarantineRow",
+    "ReplicaRow",
+    "ReplicaState",
+    "RoutingTable",
+    "Row",
+    "ServiceRow",
+]
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/table.py
@@ -0,0 +1,155 @@
+"""Hold a node's copy of the routing table."""
+
+from functools import singledispatchmethod
+
+from hemlockdock_core.rows.adapter_row import AdapterRow
+from hemlockdock_core.rows.class_row import ClassRow
+from hemlockdock_core.rows.job_row import JobRow
+from hemlockdock_core.rows.manifest_row import ManifestRow
+from hemlockdock_core.rows.model_row import ModelRow
+from hemlockdock_core.rows.node_row import NodeRow
+from hemlockdock_core.rows.quarantine_row import QuarantineRow
+from hemlockdock_core.rows.replica_row import ReplicaRow
+from hemlockdock_core.rows.service_row import ServiceRow
+
+
+class RoutingTable:
+    """Hold rows by what the routing looks them up by.
+
+    Attributes
+    ----------
+    epoch, revision : int
+    manifest : ManifestRow or None
+    class_by_name, model_by_name, adapter_by_name, service_by_name : dict
+    node_by_id, replica_by_id, quarantine_by_fingerprint, job_by_id : dict
+    replica_ids_by_model : dict of str to set of str
+    """
+
+    def __init__(self):
+        self.epoch = 0
+        self.revision = 0
+        self.clear()
+
+    def clear(self):
+        """Drop all rows; epoch and revision stay."""
+        self.manifest = None
+        self.class_by_name = {}
+        self.model_by_name = {}
+        self.adapter_by_name = {}
+        self.service_by_name = {}
+        self.node_by_id = {}
+        self.replica_by_id = {}
+        self.quarantine_by_fingerprint = {}
+        self.job_by_id = {}
+        self.replica_ids_by_model = {}
+
+    def put(self, row):
+        """Insert or replace a row.
+
+        Parameters
+        ----------
+        row : Row
+        """
+        if isinstance(row, ManifestRow):
+            self.manifest = row
+            return
+        collection, name = self._place(row)
+        collection[name] = row
+        if isinstance(row, ReplicaRow):
+            self.replica_ids_by_model.setdefault(row.model, set()).add(row.replica_id)
+
+    def delete(self, key):
+        """Remove the row with a key; a key that is not there is passed over.
+
+        Parameters
+        ----------
+        key : str
+        """
+        prefix, _, name = key.partition("/")
+        if prefix == "manifest":
+            self.manifest = None
+            return
+        row = self._collection(prefix).pop(name, None)
+        if isinstance(row, ReplicaRow):
+            ids = self.replica_ids_by_model[row.model]
+            ids.discard(name)
+            if not ids:
+                del self.replica_ids_by_model[row.model]
+
+    def rows(self):
+        """Yield every row."""
+        if self.manifest is not None:
+            yield self.manifest
+        for prefix in (
+            "class",
+            "model",
+            "adapter",
+            "service",
+            "node",
+            "replica",
+            "quarantine",
+            "job",
+        ):
+            yield from self._collection(prefix).values()
+
+    def replicas_of(self, model):
+        """Return the rows of a model's replicas.
+
+        Parameters
+        ----------
+        model : str
+
+        Returns
+        -------
+        list of ReplicaRow
+        """
+        ids = self.replica_ids_by_model.get(model, ())
+        return [self.replica_by_id[replica_id] for replica_id in sorted(ids)]
+
+    def _collection(self, prefix):
+        return {
+            "class": self.class_by_name,
+            "model": self.model_by_name,
+            "adapter": self.adapter_by_name,
+            "service": self.service_by_name,
+            "node": self.node_by_id,
+            "replica": self.replica_by_id,
+            "quarantine": self.quarantine_by_fingerprint,
+            "job": self.job_by_id,
+        }[prefix]
+
+    @singledispatchmethod
+    def _place(self, row):
+        raise TypeError(f"no place for {type(row).__name__}")
+
+    @_place.register
+    def _(self, row: ClassRow):
+        return self.class_by_name, row.name
+
+    @_place.register
+    def _(self, row: ModelRow):
+        return self.model_by_name, row.name
+
+    @_place.register
+    def _(self, row: AdapterRow):
+        return self.adapter_by_name, row.name
+
+    @_place.register
+    def _(self, row: ServiceRow):
+        return self.service_by_name, row.name
+
+    @_place.register
+    def _(self, row: NodeRow):
+        return self.node_by_id, row.node_id
+
+    @_place.register
+    def _(self, row: ReplicaRow):
+        return self.replica_by_id, row.replica_id
+
+    @_place.register
+    def _(self, row: QuarantineRow):
+        return self.quarantine_by_fingerprint, row.fingerprint
+
+    @_place.register
+    def _(self, row: JobRow):
+        return self.job_by_id, row.job_id
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/settings.py
@@ -0,0 +1,105 @@
+"""Hold all settings of one process."""
+
+from pathlib import Path
+
+from pydantic import Field
+
+from hemlockdock_core.settings.member_address import MemberAddress
+from hemlockdock_core.settings.sections import (
+    AgentSection,
+    ControlSection,
+    EntrySection,
+    ListenSection,
+    MembershipSection,
+    ProcessSection,
+    Role,
+    Section,
+    StoreSection,
+    TlsSection,
+)
+
+
+class Settings(Section):
+    """Hold all settings of one process; passed whole to what it is built from.
+
+    Attributes
+    ----------
+    process : ProcessSection
+    listen : ListenSection
+    control : ControlSection
+    membership : MembershipSection
+    entry : EntrySection
+    agent : AgentSection
+    store : StoreSection
+    tls : TlsSection
+    """
+
+    process: ProcessSection
+    listen: ListenSection = Field(default_factory=ListenSection)
+    control: ControlSection = Field(default_factory=ControlSection)
+    membership: MembershipSection = Field(default_factory=MembershipSection)
+    entry: EntrySection = Field(default_factory=EntrySection)
+    agent: AgentSection = Field(default_factory=AgentSection)
+    store: StoreSection = Field(default_factory=StoreSection)
+    tls: TlsSection = Field(default_factory=TlsSection)
+
+    @property
+    def members(self):
+        """Return the control members as a list of MemberAddress."""
+        return [MemberAddress.parse(text) for text in self.control.members]
+
+    def has_role(self, role):
+        """Tell whether the process has a role.
+
+        Parameters
+        ----------
+        role : Role
+
+        Returns
+        -------
+        bool
+        """
+        return role in self.process.roles
+
+    def contradictions(self):
+        """Yield (section, key, expected) for keys that contradict each other."""
+        roles = self.process.roles
+        if len(set(roles)) != len(roles):
+            yield "process", "roles", "each role once"
+        if Role.AGENT in roles and len(set(roles)) > 1:
+            yield "process", "roles", "agent alone: an endpoint host has one slot for it"
+        if Role.AGENT in roles and not self.agent.engine_url:
+            yield "agent", "engine_url", "the engine's URL, since roles has agent"
+        yield from self._member_contradictions()
+        yield from self._folder_contradictions()
+        yield from self._tls_contradictions()
+
+    def _member_contradictions(self):
+        member_ids = []
+        for text in self.control.members:
+            try:
+                member_ids.append(MemberAddress.parse(text).member_id)
+            except ValueError as error:
+                yield "control", "members", str(error)
+        if not self.control.members:
+            yield "control", "members", "at least one id@node-address@peer-address"
+        if len(set(member_ids)) != len(member_ids):
+            yield "control", "members", "each member id once"
+        if self.has_role(Role.CONTROL) and self.process.node_id not in member_ids:
+            yield "control", "members", f"{self.process.node_id!r} among them, since it is control"
+
+    def _folder_contradictions(self):
+        folder = self.process.data_folder
+        if self.has_role(Role.CONTROL) and not folder:
+            yield "process", "data_folder", "a folder, since roles has control"
+            return
+        if folder and not Path(folder).is_dir():
+            yield "process", "data_folder", f"an existing folder, got {folder!r}"
+
+    def _tls_contradictions(self):
+        if bool(self.tls.certificate) != bool(self.tls.authority):
+            yield "tls", "certificate", "certificate and authority both, or neither"
+        for name in ("certificate", "authority"):
+            path = getattr(self.tls, name)
+            if path and not Path(path).is_file():
+                yield "tls", name, f"an existing file, got {path!r}"
--- /dev/null
+++ b/packages/hemlockdock-core/tests/test_links.py
@@ -0,0 +1,62 @@
+"""Test that frames cross sockets whole, in order, and that bad ones cost one connection."""
+
+import unittest
+
+import pynng
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.trial.unittest import TestCase
+
+from hemlockdock_core.links import PostOffice
+from hemlockdock_core.messages import NODE_CODEC, AnswerChunk
+from hemlockdock_core.metrics import COUNTERS
+
+WAIT_S = 20
+
+
+class PostOfficeTest(TestCase):
+    timeout = WAIT_S
+
+    def open(self, node_id, on_frame):
+        office = PostOffice(reactor, node_id, 1, NODE_CODEC, "tcp://127.0.0.1:0", on_frame)
+        self.addCleanup(office.close)
+        return office
+
+    def test_many_frames_arrive_in_order(self):
+        received = []
+        done = Deferred()
+
+        def collect(frame):
+            received.append(frame.body.offset)
+            if len(received) == 2_000:
+                done.callback(None)
+
+        receiver = self.open("receiver", collect)
+        sender = self.open("sender", lambda frame: None)
+        for offset in range(2_000):
+            sender.send(receiver.address, AnswerChunk("r", 1, offset, b"x" * 200))
+        done.addCallback(lambda _: self.assertEqual(received, list(range(2_000))))
+        return done
+
+    def test_a_malformed_frame_is_counted_and_others_go_on(self):
+        done = Deferred()
+        receiver = self.open("receiver", lambda frame: done.callback(frame))
+        before = COUNTERS.value("link_malformed_frames")
+        stranger = pynng.Push0(dial=receiver.address, block_on_dial=True)
+        self.addCleanup(stranger.close)
+        stranger.send(b"not a frame")
+        sender = self.open("sender", lambda frame: None)
+
+        def send_good_frame():
+            if COUNTERS.value("link_malformed_frames") == before:
+                reactor.callLater(0.01, send_good_frame)
+                return
+            sender.send(receiver.address, AnswerChunk("r", 1, 0, b""))
+
+        send_good_frame()
+        done.addCallback(lambda frame: self.assertEqual(frame.sender, "sender"))
+        return done
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/hemlockdock-daemon/hemlockdock_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Assemble a process from its settings."""
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Accept, admit, route and answer callers' requests."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,70 @@
+"""Run each package's tests in a process of its own and sum up the outcome."""
+
+import re
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+PARALLEL_RUNS = 4
+RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
+BAD = re.compile(r"(?:failures|errors|unexpected successes)=(\d+)")
+KNOWN_RED = Path("KNOWN-RED.txt")
+
+
+def run_folder(folder):
+    """Run unittest's discovery in one folder.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+
+    Returns
+    -------
+    subprocess.CompletedProcess
+    """
+    command = [sys.executable, "-W", "ignore", "-m", "unittest", "discover", "-s", str(folder)]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+def closing_lines(output):
+    """Return unittest's last lines, or the whole output where it failed.
+
+    Parameters
+    ----------
+    output : str
+
+    Returns
+    -------
+    str
+    """
+    position = output.rfind("Ran ")
+    return output[position:].strip() if position >= 0 else output.strip()
+
+
+def main():
+    """Run all folders, print closing lines, exit with 1 on any failure."""
+    folders = sorted(p for p in Path("packages").glob("*/tests") if any(p.glob("test_*.py")))
+    folders += [p for p in [Path("tools/tests")] if p.is_dir()]
+    with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
+        results = list(pool.map(run_folder, folders))
+    ran = 0
+    failed = 0
+    broken = False
+    for folder, result in zip(folders, results, strict=True):
+        output = result.stderr + result.stdout
+        counts = RAN.search(output)
+        ran += int(counts.group(1)) if counts else 0
+        if result.returncode != 0:
+            broken = True
+            failed += sum(int(n) for n in BAD.findall(output)) or 1
+            print(output)
+        print(f"{folder}: {closing_lines(output)}")
+    if KNOWN_RED.exists():
+        print(KNOWN_RED.read_text())
+    print(f"{max(ran - failed, 0)} passed, {failed} failed")
+    sys.exit(1 if broken or ran == 0 else 0)
+
+
+if __name__ == "__main__":
+    main()
