--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,11 @@
 	    $(foreach p,$(PACKAGES),--editable packages/hemlockdock-$(p))
 	touch $@
 
+ifdef NOSETUP  # a second work tree that shares an environment
+setup:
+else
 setup: $(VENV)/.ready ## make the environment
+endif
 
 test: setup ## formatter, linter, import rule and all tests
 	$(PYTHON) -m black --quiet --check packages tools samples
