--- /dev/null
+++ b/tools/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of hemlockdock."""
--- /dev/null
+++ b/tools/mutants/__init__.py
@@ -0,0 +1,1 @@
+"""Deliberate faults, by package."""
