--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -0,0 +1,253 @@
+"""Keep a node joined to control."""
+
+import logging
+from functools import singledispatchmethod
+
+from twisted.internet.task import LoopingCall
+
+from hemlockdock_core.errors import ErrorKind
+from hemlockdock_core.messages import (
+    Heartbeat,
+    HeartbeatAck,
+    ProposalResult,
+    TableChunk,
+    TableDelta,
+    WatchTable,
+)
+from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.node.member_choice import MemberChoice
+from hemlockdock_core.node.pending_proposals import PendingProposals
+from hemlockdock_core.node.table_copy import TableCopy
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1_000
+SILENT_HEARTBEATS = 3
+PROPOSAL_REPEAT_S = 0.4
+TICK_S = 0.1
+
+
+class ControlLink:
+    """Keep a node joined to control.
+
+    It sends heartbeats to one control member and moves to the next when that one is silent,
+    watches the routing table and repairs gaps, and repeats proposals until they are answered.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : Settings
+    post_office : PostOffice
+    info : NodeInfo
+    on_table : callable, optional
+        Called without arguments after each change of the table.
+
+    Attributes
+    ----------
+    incarnation : int
+    """
+
+    def __init__(self, reactor, settings, post_office, info, on_table=None):
+        self._reactor = reactor
+        self._settings = settings
+        self._office = post_office
+        self._info = info
+        self._on_table = on_table
+        self._copy = TableCopy()
+        self._leaving = False
+        self._sequence = 0
+        self._info_known = False
+        self._fresh_s = None
+        self._changed_load_by_model = {}
+        self._sent_loads_by_sequence = {}
+        self._heartbeat_s = settings.membership.heartbeat_ms / MS_PER_S
+        self._choice = MemberChoice(
+            settings.members,
+            info.node_id,
+            SILENT_HEARTBEATS * self._heartbeat_s,
+            reactor.seconds(),
+        )
+        self.incarnation = post_office.incarnation
+        self._proposals = PendingProposals(f"{info.node_id}-{self.incarnation}", PROPOSAL_REPEAT_S)
+        self._heartbeats = LoopingCall(self._beat)
+        self._ticks = LoopingCall(self._tick)
+        for loop in (self._heartbeats, self._ticks):
+            loop.clock = reactor
+
+    @property
+    def table(self):
+        """Return the node's RoutingTable; its rows change in place."""
+        return self._copy.table
+
+    @property
+    def fresh(self):
+        """Tell whether control was heard within ``membership.stale_after_ms``."""
+        if self._fresh_s is None:
+            return False
+        limit_s = self._settings.membership.stale_after_ms / MS_PER_S
+        return self._reactor.seconds() - self._fresh_s <= limit_s
+
+    @property
+    def silent_s(self):
+        """Return the seconds since control was last heard, or None if never."""
+        if self._fresh_s is None:
+            return None
+        return self._reactor.seconds() - self._fresh_s
+
+    def start(self):
+        """Join control."""
+        self._heartbeats.start(self._heartbeat_s)
+        self._ticks.start(TICK_S, now=False)
+
+    def stop(self):
+        """Stop heartbeats and give up all proposals."""
+        for loop in (self._heartbeats, self._ticks):
+            if loop.running:
+                loop.stop()
+        self._proposals.close()
+
+    def send(self, message):
+        """Send a message to the current control member.
+
+        Parameters
+        ----------
+        message : Message
+        """
+        self._office.send(self._choice.current.node_address, message)
+
+    def propose(self, command, timeout_ms):
+        """Ask for a command to be committed.
+
+        Parameters
+        ----------
+        command : Command
+        timeout_ms : int
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred
+            Fires with a CommandResult, or fails with ControlUnavailableError where the outcome
+            is unknown.
+        """
+        now_s = self._reactor.seconds()
+        proposal, answered = self._proposals.add(command, now_s, timeout_ms / MS_PER_S)
+        self.send(proposal)
+        return answered
+
+    def report_load(self, load):
+        """Report a model's traffic with the next heartbeat.
+
+        Parameters
+        ----------
+        load : ModelLoad
+        """
+        self._changed_load_by_model[load.model] = load
+
+    def set_leaving(self):
+        """Tell control that this node takes no new work."""
+        self._leaving = True
+        self._beat()
+
+    def handle(self, frame):
+        """Take a frame if it is control's.
+
+        Parameters
+        ----------
+        frame : Frame
+
+        Returns
+        -------
+        bool
+            Whether the frame was taken.
+        """
+        return self._take(frame.body, frame)
+
+    @singledispatchmethod
+    def _take(self, body, frame):
+        return False
+
+    @_take.register
+    def _(self, body: HeartbeatAck, frame):
+        now_s = self._reactor.seconds()
+        self._choice.heard(frame.sender, now_s)
+        self._info_known = body.known
+        self._forget_sent_loads(body.sequence)
+        if body.fresh:
+            self._fresh_s = now_s
+        if body.table_revision > self._copy.table.revision:
+            self._watch()
+        return True
+
+    @_take.register
+    def _(self, body: TableChunk, frame):
+        self._choice.heard(frame.sender, self._reactor.seconds())
+        if self._copy.take_chunk(body):
+            self._table_changed()
+        return True
+
+    @_take.register
+    def _(self, body: TableDelta, frame):
+        self._choice.heard(frame.sender, self._reactor.seconds())
+        changed = self._copy.take_delta(body)
+        if changed is None:
+            COUNTERS.increment("table_gaps")
+            self._watch()
+        elif changed:
+            self._table_changed()
+        return True
+
+    @_take.register
+    def _(self, body: ProposalResult, frame):
+        refusal = body.result.refusal
+        if refusal is not None and refusal.kind is ErrorKind.NO_CONTROL:
+            # The member found no leader; the proposal is repeated until its time is over.
+            return True
+        self._proposals.answer(body)
+        return True
+
+    def _beat(self):
+        if self._choice.check(self._reactor.seconds()):
+            self._moved()
+        self._sequence += 1
+        loads = list(self._changed_load_by_model.values())
+        self._sent_loads_by_sequence[self._sequence] = loads
+        epoch, revision = self._copy.position
+        self.send(
+            Heartbeat(
+                self._sequence,
+                epoch,
+                revision,
+                self._leaving,
+                None if self._info_known else self._info,
+                loads,
+            )
+        )
+
+    def _moved(self):
+        logger.info("control member chosen", extra={"member": self._choice.current.member_id})
+        COUNTERS.increment("control_member_changes")
+        self._info_known = False
+        self._watch()
+        for proposal in self._proposals.all():
+            self.send(proposal)
+
+    def _tick(self):
+        for proposal in self._proposals.due(self._reactor.seconds()):
+            self.send(proposal)
+        if self._copy.table.revision == 0:
+            self._watch()
+
+    def _watch(self):
+        epoch, revision = self._copy.position
+        self.send(WatchTable(epoch, revision))
+
+    def _forget_sent_loads(self, sequence):
+        for load in self._sent_loads_by_sequence.pop(sequence, ()):
+            if self._changed_load_by_model.get(load.model) == load:
+                del self._changed_load_by_model[load.model]
+        for older in [key for key in self._sent_loads_by_sequence if key < sequence]:
+            del self._sent_loads_by_sequence[older]
+
+    def _table_changed(self):
+        if self._on_table is not None:
+            self._on_table()
--- /dev/null
+++ b/packages/hemlockdock-core/tests/test_node.py
@@ -0,0 +1,146 @@
+"""Test how a node stays joined to control."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from hemlockdock_core.commands import CommandResult, ReadJob
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.messages import (
+    Frame,
+    Heartbeat,
+    HeartbeatAck,
+    NodeInfo,
+    Proposal,
+    ProposalResult,
+    TableChunk,
+    TableDelta,
+    WatchTable,
+)
+from hemlockdock_core.node import ControlLink, ControlUnavailableError, TableCopy
+from hemlockdock_core.rows import AdapterRow
+from hemlockdock_core.settings import parse_settings
+
+TEXT = """
+[process]
+node_id = entry-1
+roles = entry
+host = host-1
+failure_domain = domain-a
+[control]
+members = c1@tcp://127.0.0.1:1@tcp://127.0.0.1:2, c2@tcp://127.0.0.1:3@tcp://127.0.0.1:4
+"""
+
+
+class RecordingOffice:
+    """Record what is sent in place of sending it."""
+
+    incarnation = 7
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, address, message):
+        """Record a message."""
+        self.sent.append((address, message))
+
+    def of(self, kind):
+        """Return the recorded (address, message) pairs of one type."""
+        return [pair for pair in self.sent if isinstance(pair[1], kind)]
+
+
+class ControlLinkTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.office = RecordingOffice()
+        info = NodeInfo("entry-1", "entry", "host-1", "domain-a", "tcp://127.0.0.1:9")
+        self.link = ControlLink(self.clock, parse_settings(TEXT, "t"), self.office, info)
+        self.link.start()
+
+    def receive(self, body):
+        member = self.link._choice.current.member_id
+        return self.link.handle(Frame(1, member, 1, "", body))
+
+    def test_a_silent_member_is_left_and_proposals_go_to_the_next(self):
+        first = self.office.sent[0][0]
+        self.link.propose(ReadJob("j", "c"), 60_000)
+        self.clock.pump([0.5] * 5)
+        addresses = {address for address, _ in self.office.of(Proposal)}
+        self.assertEqual(len(addresses), 2)
+        self.assertNotEqual(self.office.of(Heartbeat)[-1][0], first)
+
+    def test_an_unanswered_proposal_fails_as_unknown_after_its_time(self):
+        answered = self.link.propose(ReadJob("j", "c"), 1_000)
+        no_leader = CommandResult(0, Refusal.of(ErrorKind.NO_CONTROL, "no leader"))
+        proposal = self.office.of(Proposal)[0][1]
+        self.receive(ProposalResult(proposal.proposal_id, no_leader))
+        failures = []
+        answered.addErrback(failures.append)
+        self.clock.pump([0.1] * 9)
+        self.assertEqual(failures, [])
+        self.clock.pump([0.1] * 3)
+        self.assertTrue(failures[0].check(ControlUnavailableError))
+
+    def test_freshness_ends_when_control_has_no_leader(self):
+        self.receive(HeartbeatAck(1, 0, True, True))
+        self.assertTrue(self.link.fresh)
+        for _ in range(11):
+            self.clock.advance(1.0)
+            self.receive(HeartbeatAck(1, 0, True, False))
+        self.assertFalse(self.link.fresh)
+
+    def test_a_gap_in_the_table_asks_for_what_is_missing(self):
+        self.receive(TableChunk(1, 5, 0, 1, [AdapterRow("a", "m")]))
+        before = len(self.office.of(WatchTable))
+        self.receive(TableDelta(1, 7, 8, [AdapterRow("b", "m")], []))
+        self.assertEqual(self.office.of(WatchTable)[before:][0][1], WatchTable(1, 5))
+        self.receive(TableDelta(1, 5, 8, [AdapterRow("b", "m")], ["adapter/a"]))
+        self.assertEqual(set(self.link.table.adapter_by_name), {"b"})
+
+    def test_info_is_sent_until_it_is_known(self):
+        self.clock.advance(0.5)
+        self.assertIsNotNone(self.office.of(Heartbeat)[-1][1].info)
+        self.receive(HeartbeatAck(1, 0, True, True))
+        self.clock.advance(0.5)
+        self.assertIsNone(self.office.of(Heartbeat)[-1][1].info)
+
+
+class TableCopyTest(unittest.TestCase):
+    @settings(derandomize=True, database=None, deadline=None, max_examples=200)
+    @given(st.data())
+    def test_any_order_of_messages_gives_a_state_that_was_once_true(self, data):
+        """Deliver whole tables and deltas late, twice and out of order against a history."""
+        history = [{}]
+        for revision in range(1, 12):
+            rows = dict(history[-1])
+            name = data.draw(st.sampled_from("abcd"))
+            if name in rows and data.draw(st.booleans()):
+                del rows[name]
+            else:
+                rows[name] = AdapterRow(name, f"m{revision}")
+            history.append(rows)
+        copy = TableCopy()
+        last = 0
+        for _ in range(30):
+            start, end = sorted(data.draw(st.tuples(st.integers(0, 11), st.integers(1, 11))))
+            if data.draw(st.booleans()):
+                rows = list(history[end].values())
+                half = len(rows) // 2
+                for index in data.draw(st.permutations([0, 1])):
+                    part = rows[:half] if index == 0 else rows[half:]
+                    copy.take_chunk(TableChunk(1, end, index, 2, part))
+            else:
+                old, new = history[start], history[end]
+                puts = [row for name, row in new.items() if old.get(name) != row]
+                deletes = [f"adapter/{name}" for name in old if name not in new]
+                copy.take_delta(TableDelta(1, start, end, puts, deletes))
+            revision = copy.table.revision
+            self.assertGreaterEqual(revision, last)
+            self.assertEqual(copy.table.adapter_by_name, history[revision])
+            last = revision
+
+
+if __name__ == "__main__":
+    unittest.main()
