--- /dev/null
+++ b/packages/hemlockdock-cli/hemlockdock_cli/check.py
@@ -0,0 +1,62 @@
+"""Check input files without a running system."""
+
+from pathlib import Path
+
+from hemlockdock_cli.command_error import CommandError
+from hemlockdock_cli.exit_codes import ExitCode
+from hemlockdock_core.errors import InvalidInputError
+from hemlockdock_core.manifest import manifest_digest, parse_manifest
+from hemlockdock_core.settings import load_settings
+
+
+class Check:
+    """Check input files without a running system."""
+
+    def settings(self, file):
+        """Check a settings file and name every problem.
+
+        Parameters
+        ----------
+        file : str
+        """
+        try:
+            checked = load_settings(file)
+        except InvalidInputError as error:
+            raise CommandError(ExitCode.BAD_INPUT, _lines(error)) from None
+        print(f"{file}: settings of {checked.process.node_id} are valid")
+
+    def manifest(self, file):
+        """Check a manifest and name every bad field.
+
+        Parameters
+        ----------
+        file : str
+        """
+        manifest = self.parse(file)
+        print(f"{file}: manifest {manifest.number} is valid, digest {manifest_digest(manifest)}")
+
+    def parse(self, file):
+        """Return a validated manifest.
+
+        Parameters
+        ----------
+        file : str
+
+        Returns
+        -------
+        Manifest
+
+        Raises
+        ------
+        CommandError
+        """
+        try:
+            return parse_manifest(Path(file).read_bytes(), str(file))
+        except OSError as error:
+            raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from None
+        except InvalidInputError as error:
+            raise CommandError(ExitCode.BAD_INPUT, _lines(error)) from None
+
+
+def _lines(error):
+    return "\n".join(str(problem) for problem in error.errors)
--- /dev/null
+++ b/packages/hemlockdock-cli/hemlockdock_cli/commands.py
@@ -0,0 +1,127 @@
+"""Offer the operator's commands."""
+
+import json
+import sys
+from pathlib import Path
+
+from hemlockdock_cli.admin_client import AdminClient
+from hemlockdock_cli.check import Check
+from hemlockdock_cli.command_error import CommandError
+from hemlockdock_cli.exit_codes import ExitCode
+from hemlockdock_cli.tables import section_lines
+from hemlockdock_core.manifest import Manifest
+
+
+class Commands:
+    """Submit manifests to hemlockdock and read what it reports.
+
+    Parameters
+    ----------
+    admin : str, optional
+        ``ip:port`` of control members, separated by commas.
+    token : str, optional
+        Operator's token.
+    """
+
+    def __init__(self, admin=None, token=None):
+        self._client = AdminClient(admin, token)
+        self.check = Check()
+
+    def submit(self, file, json=False):
+        """Submit a manifest and show where it is in force.
+
+        Parameters
+        ----------
+        file : str
+        json : bool, optional
+        """
+        self.check.parse(file)
+        print("submitting ...", file=sys.stderr)
+        body = Path(file).read_bytes()
+        show(self._client.call("POST", "/v1/manifest", body), json)
+
+    def status(self, json=False):
+        """Show hosts, replicas, loads, queues, quarantines and who is behind.
+
+        Parameters
+        ----------
+        json : bool, optional
+        """
+        show(self._client.call("GET", "/v1/status"), json)
+
+    def audit(self, since_ms=None, kind=None, subject=None, json=False):
+        """Show the audit trail.
+
+        Parameters
+        ----------
+        since_ms : int, optional
+            Milliseconds since 1970.
+        kind : str, optional
+        subject : str, optional
+        json : bool, optional
+        """
+        wanted = {"since_ms": since_ms, "kind": kind, "subject": subject}
+        params = {name: str(value) for name, value in wanted.items() if value is not None}
+        show(self._client.call("GET", "/v1/audit", params=params), json)
+
+    def explain(self, model, json=False):
+        """Show why a model is where it is, or why it is not.
+
+        Parameters
+        ----------
+        model : str
+        json : bool, optional
+        """
+        show(self._client.call("GET", f"/v1/explain/{model}"), json)
+
+    def jobs(self, json=False):
+        """Show the jobs that are kept.
+
+        Parameters
+        ----------
+        json : bool, optional
+        """
+        show(self._client.call("GET", "/v1/jobs"), json)
+
+    def release(self, fingerprint, json=False):
+        """Let a quarantined request run again.
+
+        Parameters
+        ----------
+        fingerprint : str
+        json : bool, optional
+        """
+        path = f"/v1/quarantines/{fingerprint}/release"
+        show(self._client.call("POST", path, b""), json)
+
+    def schema(self):
+        """Print the JSON Schema of manifests."""
+        show(Manifest.model_json_schema(), True)
+
+    def demo(self, serve=False):
+        """Run the main job in one process, with stand-ins, over real HTTP.
+
+        Parameters
+        ----------
+        serve : bool, optional
+            Leave it running.
+        """
+        from hemlockdock_cli.demo import run_demo
+
+        if not run_demo(serve):
+            raise CommandError(ExitCode.FAILED, "a line of the demo is not as it should be")
+
+
+def show(document, as_json):
+    """Print a document for a person or a program.
+
+    Parameters
+    ----------
+    document : dict
+    as_json : bool
+    """
+    if as_json:
+        print(json.dumps(document, indent=2))
+        return
+    for line in section_lines(document):
+        print(line)
--- /dev/null
+++ b/packages/hemlockdock-cli/hemlockdock_cli/demo/__init__.py
@@ -0,0 +1,6 @@
+"""Show the main job in one process."""
+
+from hemlockdock_cli.demo.cluster import DemoCluster
+from hemlockdock_cli.demo.run import run_demo
+
+__all__ = ["DemoCluster", "run_demo"]
--- /dev/null
+++ b/packages/hemlockdock-daemon/hemlockdock_daemon/main.py
@@ -0,0 +1,76 @@
+"""Run one process of hemlockdock until it is told to stop."""
+
+import signal
+import sys
+
+import fire
+
+from hemlockdock_core.errors import InvalidInputError
+from hemlockdock_core.logs import configure_logs
+from hemlockdock_core.settings import load_settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FAILED_START = 3
+
+
+def run(settings):
+    """Run one process until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the INI file.
+    """
+    try:
+        checked = load_settings(settings)
+    except InvalidInputError as error:
+        for problem in error.errors:
+            print(problem, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    configure_logs(checked.process.log_level)
+    sys.exit(run_until_signal(checked))
+
+
+def run_until_signal(settings):
+    """Start the process and return its exit code once it has stopped.
+
+    Parameters
+    ----------
+    settings : Settings
+
+    Returns
+    -------
+    int
+    """
+    from twisted.internet import reactor
+
+    from hemlockdock_daemon.process import Process
+
+    process = Process(reactor, settings)
+    exit_codes = [0]
+
+    def fail(failure):
+        exit_codes[0] = EXIT_FAILED_START
+        print(f"hemlockdockd: {failure.value}", file=sys.stderr)
+        leave()
+
+    def leave(*_):
+        process.stop().addBoth(lambda _: reactor.stop())
+
+    def start():
+        process.start().addErrback(fail)
+
+    reactor.callWhenRunning(start)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(leave))
+    reactor.run(installSignalHandlers=False)
+    return exit_codes[0]
+
+
+def main():
+    """Read the command line and run the process."""
+    fire.Fire(run, name="hemlockdockd")
+
+
+if __name__ == "__main__":
+    main()
