Name bad references beside bad fields in one go

Cause: references were checked only after every field was valid, so an operator saw the errors in two rounds.

--- a/packages/hemlockdock-core/hemlockdock_core/manifest/manifest.py
+++ b/packages/hemlockdock-core/hemlockdock_core/manifest/manifest.py
@@ -1,13 +1,12 @@
 """Describe everything that one deployment serves."""
 
-from pydantic import Field, model_validator
+from pydantic import Field
 
 from hemlockdock_core.manifest.adapter import Adapter
 from hemlockdock_core.manifest.base import ManifestPart, Name
 from hemlockdock_core.manifest.endpoint_group import EndpointGroup
 from hemlockdock_core.manifest.model import Model
 from hemlockdock_core.manifest.policy_weights import PolicyWeights
-from hemlockdock_core.manifest.references import reference_errors
 from hemlockdock_core.manifest.request_class import RequestClass
 from hemlockdock_core.manifest.service import Service
 
@@ -41,10 +40,3 @@
     models: list[Model] = Field(default_factory=list)
     adapters: list[Adapter] = Field(default_factory=list)
     services: list[Service] = Field(default_factory=list)
-
-    @model_validator(mode="after")
-    def _check_references(self):
-        problems = reference_errors(self)
-        if problems:
-            raise ValueError("\n".join(f"{path}: {expected}" for path, expected in problems))
-        return self
--- a/packages/hemlockdock-core/hemlockdock_core/manifest/parse.py
+++ b/packages/hemlockdock-core/hemlockdock_core/manifest/parse.py
@@ -1,11 +1,11 @@
 """Turn a manifest file's bytes into a validated manifest."""
 
+import msgspec
 from pydantic import ValidationError
 
 from hemlockdock_core.errors.field_error import FieldError, InvalidInputError
 from hemlockdock_core.manifest.manifest import Manifest
-
-PREFIX = "Value error, "
+from hemlockdock_core.manifest.references import reference_errors
 
 
 def parse_manifest(data, source):
@@ -27,23 +27,32 @@
     InvalidInputError
         Where any field is bad.
     """
+    errors = []
+    manifest = None
     try:
-        return Manifest.model_validate_json(data)
+        manifest = Manifest.model_validate_json(data)
     except ValidationError as error:
-        raise InvalidInputError(_field_errors(error, source)) from None
+        errors.extend(_field_errors(error, source))
+    for path, expected in reference_errors(_document(data)):
+        errors.append(FieldError(source, path, expected))
+    if errors:
+        raise InvalidInputError(errors)
+    return manifest
+
+
+def _document(data):
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        # The models have reported that this is no JSON.
+        return None
 
 
 def _field_errors(error, source):
     errors = []
     for detail in error.errors(include_url=False):
-        path = _path(detail["loc"])
-        message = detail["msg"]
-        if path:
-            errors.append(FieldError(source, path, message))
-            continue
-        for line in message.removeprefix(PREFIX).splitlines():
-            where, _, expected = line.partition(": ")
-            errors.append(FieldError(source, where if expected else "(whole)", expected or line))
+        path = _path(detail["loc"]) or "(whole)"
+        errors.append(FieldError(source, path, detail["msg"]))
     return errors
 
 
--- a/packages/hemlockdock-core/hemlockdock_core/manifest/references.py
+++ b/packages/hemlockdock-core/hemlockdock_core/manifest/references.py
@@ -1,64 +1,84 @@
-"""Check that the names inside a manifest agree with each other."""
+"""Check that the names inside a manifest agree with each other.
 
+The check reads the plain JSON document, so that it finds what it can beside fields that are bad
+in themselves; whatever has the wrong shape is left to the models.
+"""
 
-def reference_errors(manifest):
+
+def reference_errors(document):
     """List duplicate names and names that nothing defines.
 
     Parameters
     ----------
-    manifest : hemlockdock_core.manifest.Manifest
+    document : object
+        Decoded JSON.
 
     Returns
     -------
     list of tuple of (str, str)
         Path of the field and what was expected there.
     """
+    if not isinstance(document, dict):
+        return []
     problems = []
-    problems.extend(_duplicates("request_classes", manifest.request_classes))
-    problems.extend(_duplicates("endpoint_groups", manifest.endpoint_groups))
-    problems.extend(_duplicates("services", manifest.services))
-    problems.extend(_duplicate_targets(manifest))
-    problems.extend(_model_errors(manifest))
-    problems.extend(_unknown_classes("services", manifest.services, manifest))
-    model_names = {model.name for model in manifest.models}
-    for index, adapter in enumerate(manifest.adapters):
-        if adapter.model not in model_names:
-            problems.append((f"adapters[{index}].model", f"unknown model {adapter.model!r}"))
+    for field in ("request_classes", "endpoint_groups", "services"):
+        problems.extend(_duplicates(document, [field]))
+    # Callers name models and adapters in the same field, so the two share one name space.
+    problems.extend(_duplicates(document, ["models", "adapters"]))
+    for field in ("models", "services"):
+        problems.extend(_unknown(document, field, "request_class", "request_classes", "class"))
+    problems.extend(_unknown(document, "adapters", "model", "models", "model"))
+    for index, model in _items(document, "models"):
+        problems.extend(_model_errors(document, f"models[{index}]", model))
     return problems
 
 
-def _duplicates(field, items):
-    seen = set()
-    for index, item in enumerate(items):
-        if item.name in seen:
-            yield f"{field}[{index}].name", f"duplicate name {item.name!r}"
-        seen.add(item.name)
+def _items(holder, field):
+    values = holder.get(field)
+    if not isinstance(values, list):
+        return
+    for index, item in enumerate(values):
+        if isinstance(item, dict):
+            yield index, item
 
 
-def _duplicate_targets(manifest):
-    # Callers name models and adapters in the same field, so the two share one name space.
+def _names(holder, field):
+    return {item.get("name") for _, item in _items(holder, field) if _is_name(item.get("name"))}
+
+
+def _is_name(value):
+    return isinstance(value, str)
+
+
+def _duplicates(holder, fields, prefix=""):
     seen = set()
-    for field in ("models", "adapters"):
-        for index, item in enumerate(getattr(manifest, field)):
-            if item.name in seen:
-                yield f"{field}[{index}].name", f"duplicate name {item.name!r}"
-            seen.add(item.name)
-
-
-def _unknown_classes(field, items, manifest):
-    classes = {item.name for item in manifest.request_classes}
-    for index, item in enumerate(items):
-        if item.request_class not in classes:
-            yield f"{field}[{index}].request_class", f"unknown class {item.request_class!r}"
-
-
-def _model_errors(manifest):
-    groups = {group.name for group in manifest.endpoint_groups}
-    yield from _unknown_classes("models", manifest.models, manifest)
-    for index, model in enumerate(manifest.models):
-        yield from _duplicates(f"models[{index}].versions", model.versions)
-        if model.serve not in {version.name for version in model.versions}:
-            yield f"models[{index}].serve", f"unknown version {model.serve!r}"
-        for position, group in enumerate(model.endpoint_groups):
-            if group not in groups:
-                yield f"models[{index}].endpoint_groups[{position}]", f"unknown group {group!r}"
+    for field in fields:
+        for index, item in _items(holder, field):
+            name = item.get("name")
+            if not _is_name(name):
+                continue
+            if name in seen:
+                yield f"{prefix}{field}[{index}].name", f"duplicate name {name!r}"
+            seen.add(name)
+
+
+def _unknown(document, field, key, defined_in, what):
+    known = _names(document, defined_in)
+    for index, item in _items(document, field):
+        name = item.get(key)
+        if _is_name(name) and name not in known:
+            yield f"{field}[{index}].{key}", f"unknown {what} {name!r}"
+
+
+def _model_errors(document, path, model):
+    yield from _duplicates(model, ["versions"], prefix=f"{path}.")
+    serve = model.get("serve")
+    if _is_name(serve) and serve not in _names(model, "versions"):
+        yield f"{path}.serve", f"unknown version {serve!r}"
+    groups = model.get("endpoint_groups")
+    if not isinstance(groups, list):
+        return
+    known = _names(document, "endpoint_groups")
+    for position, group in enumerate(groups):
+        if _is_name(group) and group not in known:
+            yield f"{path}.endpoint_groups[{position}]", f"unknown group {group!r}"
