--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
@@ -0,0 +1,296 @@
+"""Apply committed commands to the replicated state."""
+
+from functools import singledispatchmethod
+
+import msgspec
+from hemlockdock_core.commands import (
+    AdapterLoaded,
+    ClaimJob,
+    ClaimRun,
+    CommandResult,
+    DecideAdapter,
+    DecideLoad,
+    DecideUnload,
+    DropAdapter,
+    ExpireRecords,
+    FinishJob,
+    FinishRun,
+    NodeInventoried,
+    NodeLeaving,
+    NodeLost,
+    ReadJob,
+    RecordCrash,
+    RegisterNode,
+    ReleaseQuarantine,
+    ReplicaGone,
+    ReplicaReady,
+    SubmitJob,
+    SubmitManifest,
+)
+
+from hemlockdock_control.state.context import StateContext
+from hemlockdock_control.state.crashes import Crashes
+from hemlockdock_control.state.image import IMAGE_FORMAT, StateImage
+from hemlockdock_control.state.jobs import Jobs
+from hemlockdock_control.state.manifest_rows import manifest_rows
+from hemlockdock_control.state.manifests import Manifests
+from hemlockdock_control.state.nodes import Nodes
+from hemlockdock_control.state.replicas import Replicas
+from hemlockdock_control.state.run_once import RunOnce
+
+
+class ClusterState:
+    """Hold the replicated state; the same commands always give the same state.
+
+    Parameters
+    ----------
+    settings : hemlockdock_core.settings.Settings
+        Only ``control.audit_entries`` is read, which changes no decision.
+
+    Attributes
+    ----------
+    manifests : Manifests
+    nodes : Nodes
+    replicas : Replicas
+    run_once : RunOnce
+    jobs : Jobs
+    crashes : Crashes
+    """
+
+    def __init__(self, settings):
+        self._context = StateContext(settings.control.audit_entries)
+        self.manifests = Manifests(self._context)
+        self.nodes = Nodes(self._context)
+        self.replicas = Replicas(self._context, self.manifests, self.nodes)
+        self.run_once = RunOnce(self._context, self.nodes)
+        self.jobs = Jobs(self._context, self.nodes)
+        self.crashes = Crashes(self._context)
+
+    @property
+    def index(self):
+        """Return the log index of the last command applied."""
+        return self._context.index
+
+    @property
+    def now_ms(self):
+        """Return the committed wall clock, in milliseconds since 1970."""
+        return self._context.now_ms
+
+    @property
+    def epoch(self):
+        """Return the epoch of the routing table; 0 before the first command."""
+        return self._context.epoch
+
+    @property
+    def changes(self):
+        """Return the routing table's rows and their change log."""
+        return self._context.changes
+
+    @property
+    def audit(self):
+        """Return the audit trail."""
+        return self._context.audit
+
+    def apply(self, index, command):
+        """Apply one committed command.
+
+        Parameters
+        ----------
+        index : int
+            Log index; also the table revision of what the command changes.
+        command : Command
+
+        Returns
+        -------
+        CommandResult
+        """
+        self._context.advance(index, getattr(command, "at_ms", 0))
+        return self._apply(command)
+
+    def has_due(self, now_ms):
+        """Tell whether any record's time is over.
+
+        Parameters
+        ----------
+        now_ms : int
+            Wall clock, in milliseconds since 1970.
+
+        Returns
+        -------
+        bool
+        """
+        ledgers = (self.run_once, self.jobs, self.crashes)
+        return any(ledger.has_due(now_ms) for ledger in ledgers)
+
+    def snapshot(self):
+        """Return the state's bytes."""
+        context = self._context
+        image = StateImage(
+            IMAGE_FORMAT,
+            context.index,
+            context.now_ms,
+            context.epoch,
+            context.changes.revision,
+            self.manifests.body,
+            self.manifests.revision,
+            list(self.manifests.accepted_by_number.values()),
+            self.manifests.load_ms_by_version,
+            list(self.nodes.record_by_id.values()),
+            list(self.replicas.record_by_id.values()),
+            list(self.run_once.record_by_key.values()),
+            list(self.jobs.record_by_id.values()),
+            list(self.crashes.suspect_by_fingerprint.values()),
+            self.crashes.seen_until_ms_by_crash,
+            context.audit.all(),
+        )
+        return msgspec.msgpack.encode(image)
+
+    def restore(self, data):
+        """Replace the state with a snapshot's.
+
+        Parameters
+        ----------
+        data : bytes
+
+        Raises
+        ------
+        ValueError
+            Where the bytes are no snapshot of this format.
+        """
+        image = msgspec.msgpack.decode(data, type=StateImage)
+        if image.format != IMAGE_FORMAT:
+            raise ValueError(f"snapshot format {image.format}, expected {IMAGE_FORMAT}")
+        context = self._context
+        context.index = image.index
+        context.now_ms = image.now_ms
+        context.epoch = image.epoch
+        context.audit.restore(image.audit)
+        self.manifests.restore(
+            image.manifest, image.manifest_revision, image.accepted, image.load_ms_by_version
+        )
+        self.nodes.record_by_id = {item.info.node_id: item for item in image.nodes}
+        self.replicas.record_by_id = {item.replica_id: item for item in image.replicas}
+        self.run_once.record_by_key = {item.key_hash: item for item in image.runs}
+        self.jobs.record_by_id = {item.job_id: item for item in image.jobs}
+        self.crashes.suspect_by_fingerprint = {item.fingerprint: item for item in image.suspects}
+        self.crashes.seen_until_ms_by_crash = image.seen_until_ms_by_crash
+        context.changes.restore(image.table_revision, self._rows())
+
+    def _rows(self):
+        current = self.manifests.current
+        if current is not None:
+            digest = self.manifests.accepted_by_number[current.number].digest
+            yield from manifest_rows(current, digest, self.manifests.load_ms_by_version)
+        for record in self.nodes.record_by_id.values():
+            yield record.row()
+        for record in self.replicas.record_by_id.values():
+            yield record.row()
+        for record in self.crashes.suspect_by_fingerprint.values():
+            yield record.row()
+        for record in self.jobs.record_by_id.values():
+            if not record.ended:
+                yield record.row()
+
+    @singledispatchmethod
+    def _apply(self, command):
+        raise TypeError(f"no command {type(command).__name__}")
+
+    @_apply.register
+    def _(self, command: SubmitManifest):
+        result = self.manifests.submit(command)
+        if result.revision == self.index:
+            self.replicas.follow_manifest()
+        return result
+
+    @_apply.register
+    def _(self, command: RegisterNode):
+        result = self.nodes.register(command)
+        self._end_owner(command.info.node_id)
+        return result
+
+    @_apply.register
+    def _(self, command: NodeLeaving):
+        return self.nodes.leave(command)
+
+    @_apply.register
+    def _(self, command: NodeLost):
+        result = self.nodes.lose(command)
+        if result.refusal is None and command.certain:
+            self.replicas.forget_node(command.node_id)
+        self._end_owner(command.node_id)
+        return result
+
+    @_apply.register
+    def _(self, command: NodeInventoried):
+        return self.nodes.inventory(command)
+
+    @_apply.register
+    def _(self, command: DecideLoad):
+        return self.replicas.decide_load(command)
+
+    @_apply.register
+    def _(self, command: DecideUnload):
+        return self.replicas.decide_unload(command)
+
+    @_apply.register
+    def _(self, command: ReplicaReady):
+        return self.replicas.ready(command)
+
+    @_apply.register
+    def _(self, command: ReplicaGone):
+        return self.replicas.gone(command)
+
+    @_apply.register
+    def _(self, command: DecideAdapter):
+        return self.replicas.decide_adapter(command)
+
+    @_apply.register
+    def _(self, command: AdapterLoaded):
+        return self.replicas.adapter_loaded(command)
+
+    @_apply.register
+    def _(self, command: DropAdapter):
+        return self.replicas.drop_adapter(command)
+
+    @_apply.register
+    def _(self, command: ClaimRun):
+        return self.run_once.claim(command)
+
+    @_apply.register
+    def _(self, command: FinishRun):
+        return self.run_once.finish(command)
+
+    @_apply.register
+    def _(self, command: SubmitJob):
+        return self.jobs.submit(command)
+
+    @_apply.register
+    def _(self, command: ClaimJob):
+        return self.jobs.claim(command)
+
+    @_apply.register
+    def _(self, command: FinishJob):
+        return self.jobs.finish(command)
+
+    @_apply.register
+    def _(self, command: ReadJob):
+        return self.jobs.read(command)
+
+    @_apply.register
+    def _(self, command: RecordCrash):
+        return self.crashes.record(command)
+
+    @_apply.register
+    def _(self, command: ReleaseQuarantine):
+        return self.crashes.release(command)
+
+    @_apply.register
+    def _(self, command: ExpireRecords):
+        self.run_once.expire()
+        self.jobs.expire()
+        self.crashes.expire()
+        return CommandResult(self.index)
+
+    def _end_owner(self, node_id):
+        self.run_once.end_owner(node_id)
+        self.jobs.end_owner(node_id)
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/context.py
@@ -0,0 +1,74 @@
+"""Carry what the parts of the state share while one command is applied."""
+
+from hemlockdock_control.state.audit import AuditRecord, AuditTrail
+from hemlockdock_control.state.change_log import ChangeLog
+
+
+class StateContext:
+    """Hold the index, the clock, the rows and the audit trail.
+
+    Parameters
+    ----------
+    audit_entries : int
+
+    Attributes
+    ----------
+    index : int
+        Log index of the command being applied.
+    now_ms : int
+        Committed wall clock, in milliseconds since 1970; never goes back.
+    epoch : int
+        Time of the first command; tells tables of different clusters apart.
+    changes : ChangeLog
+    audit : AuditTrail
+    """
+
+    def __init__(self, audit_entries):
+        self.index = 0
+        self.now_ms = 0
+        self.epoch = 0
+        self.changes = ChangeLog()
+        self.audit = AuditTrail(audit_entries)
+
+    def advance(self, index, at_ms):
+        """Move on to the next command.
+
+        Parameters
+        ----------
+        index : int
+        at_ms : int
+        """
+        self.index = index
+        self.now_ms = max(self.now_ms, at_ms)
+        if not self.epoch and self.now_ms:
+            self.epoch = self.now_ms
+
+    def put(self, row):
+        """Put a row at the current index.
+
+        Parameters
+        ----------
+        row : Row
+        """
+        self.changes.put(self.index, row)
+
+    def delete(self, key):
+        """Delete a row at the current index.
+
+        Parameters
+        ----------
+        key : str
+        """
+        self.changes.delete(self.index, key)
+
+    def record(self, who, kind, subject, before, after):
+        """Append to the audit trail.
+
+        Parameters
+        ----------
+        who, kind, subject : str
+        before, after : object
+        """
+        self.audit.add(
+            AuditRecord(self.index, self.now_ms, who, kind, subject, str(before), str(after))
+        )
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/image.py
@@ -0,0 +1,53 @@
+"""Define what a snapshot of the state holds."""
+
+from dataclasses import dataclass
+
+from hemlockdock_control.state.audit import AuditRecord
+from hemlockdock_control.state.job_record import JobRecord
+from hemlockdock_control.state.manifests import Acceptance
+from hemlockdock_control.state.node_record import NodeRecord
+from hemlockdock_control.state.replica_record import ReplicaRecord
+from hemlockdock_control.state.run_record import RunRecord
+from hemlockdock_control.state.suspect_record import SuspectRecord
+
+IMAGE_FORMAT = 1
+
+
+@dataclass(slots=True)
+class StateImage:
+    """Hold the whole state; rows follow from it.
+
+    Attributes
+    ----------
+    format : int
+    index, now_ms, epoch, table_revision : int
+    manifest : bytes
+        Canonical JSON; empty where none is in force.
+    manifest_revision : int
+    accepted : list of Acceptance
+    load_ms_by_version : dict of str to int
+    nodes : list of NodeRecord
+    replicas : list of ReplicaRecord
+    runs : list of RunRecord
+    jobs : list of JobRecord
+    suspects : list of SuspectRecord
+    seen_until_ms_by_crash : dict of str to int
+    audit : list of AuditRecord
+    """
+
+    format: int
+    index: int
+    now_ms: int
+    epoch: int
+    table_revision: int
+    manifest: bytes
+    manifest_revision: int
+    accepted: list[Acceptance]
+    load_ms_by_version: dict[str, int]
+    nodes: list[NodeRecord]
+    replicas: list[ReplicaRecord]
+    runs: list[RunRecord]
+    jobs: list[JobRecord]
+    suspects: list[SuspectRecord]
+    seen_until_ms_by_crash: dict[str, int]
+    audit: list[AuditRecord]
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/manifests.py
@@ -0,0 +1,180 @@
+"""Keep the manifest in force, and which numbers were accepted before."""
+
+from dataclasses import dataclass
+
+from hemlockdock_core.commands import CommandResult
+from hemlockdock_core.errors import ErrorKind, InvalidInputError
+from hemlockdock_core.manifest import manifest_digest, parse_manifest
+
+from hemlockdock_control.state.manifest_rows import manifest_rows, model_row
+from hemlockdock_control.state.refusals import conflict, refused
+
+REMEMBERED_NUMBERS = 10_000
+MANIFEST_PREFIXES = ("manifest", "class", "model", "adapter", "service")
+
+
+@dataclass(frozen=True, slots=True)
+class Acceptance:
+    """Remember one accepted manifest.
+
+    Attributes
+    ----------
+    number : int
+    digest : str
+    revision : int
+    """
+
+    number: int
+    digest: str
+    revision: int
+
+
+class Manifests:
+    """Compare and set the manifest by its number.
+
+    Parameters
+    ----------
+    context : StateContext
+
+    Attributes
+    ----------
+    current : hemlockdock_core.manifest.Manifest or None
+    revision : int
+        Revision at which the current manifest was accepted.
+    accepted_by_number : dict of int to Acceptance
+    load_ms_by_version : dict of str to int
+        What loads of ``model/version`` took lately, in milliseconds.
+    """
+
+    def __init__(self, context):
+        self._context = context
+        self.current = None
+        self.body = b""
+        self.revision = 0
+        self.accepted_by_number = {}
+        self.load_ms_by_version = {}
+        self._index_current()
+
+    def submit(self, command):
+        """Put a manifest in force if its number is new and higher.
+
+        Parameters
+        ----------
+        command : SubmitManifest
+
+        Returns
+        -------
+        CommandResult
+            The same for each repeat of an accepted manifest.
+        """
+        index = self._context.index
+        earlier = self.accepted_by_number.get(command.number)
+        if earlier is not None:
+            return self._repeated(earlier, command)
+        if self.current is not None and command.number < self.current.number:
+            message = f"number {command.number} is older than {self.current.number} in force"
+            return conflict(index, message)
+        try:
+            manifest = parse_manifest(command.body, "manifest")
+        except InvalidInputError as error:
+            return refused(index, ErrorKind.BAD_REQUEST, str(error))
+        if manifest.number != command.number or manifest_digest(manifest) != command.digest:
+            return refused(index, ErrorKind.BAD_REQUEST, "number and digest of the very body")
+        self._accept(manifest, command)
+        return CommandResult(index, state="accepted")
+
+    def restore(self, body, revision, accepted, load_ms_by_version):
+        """Replace everything with what a snapshot holds.
+
+        Parameters
+        ----------
+        body : bytes
+            Empty where no manifest is in force.
+        revision : int
+        accepted : list of Acceptance
+        load_ms_by_version : dict of str to int
+        """
+        self.body = body
+        self.current = parse_manifest(body, "snapshot") if body else None
+        self.revision = revision
+        self.accepted_by_number = {item.number: item for item in accepted}
+        self.load_ms_by_version = dict(load_ms_by_version)
+        self._index_current()
+
+    def record_load(self, model, version, took_ms):
+        """Remember how long a load took.
+
+        Parameters
+        ----------
+        model, version : str
+        took_ms : int
+        """
+        name = f"{model}/{version}"
+        before = self.load_ms_by_version.get(name, took_ms)
+        self.load_ms_by_version[name] = (before + took_ms) // 2
+        in_force = self.model_by_name.get(model)
+        if in_force is not None:
+            self._context.put(model_row(in_force, self.load_ms_by_version))
+
+    def version(self, model, version):
+        """Return a version of a model in the manifest in force, or None.
+
+        Parameters
+        ----------
+        model, version : str
+
+        Returns
+        -------
+        hemlockdock_core.manifest.Version or None
+        """
+        return self.version_by_name.get((model, version))
+
+    def _repeated(self, earlier, command):
+        if earlier.digest == command.digest:
+            return CommandResult(earlier.revision, state="accepted")
+        message = f"number {command.number} was accepted with digest {earlier.digest}"
+        return conflict(self._context.index, message)
+
+    def _accept(self, manifest, command):
+        context = self._context
+        before = self.current
+        self.current = manifest
+        self.body = command.body
+        self.revision = context.index
+        self._remember(Acceptance(command.number, command.digest, context.index))
+        self._index_current()
+        self._put_rows(manifest, command.digest)
+        before_text = f"number {before.number}" if before else "none"
+        after_text = f"number {command.number} digest {command.digest}"
+        context.record(command.who, "manifest", manifest.deployment, before_text, after_text)
+
+    def _remember(self, acceptance):
+        self.accepted_by_number[acceptance.number] = acceptance
+        while len(self.accepted_by_number) > REMEMBERED_NUMBERS:
+            # Numbers only grow, so the first key is the lowest one.
+            del self.accepted_by_number[next(iter(self.accepted_by_number))]
+
+    def _put_rows(self, manifest, digest):
+        rows = manifest_rows(manifest, digest, self.load_ms_by_version)
+        keys = {row.key for row in rows}
+        for key in list(self._context.changes.row_by_key):
+            if key.partition("/")[0] in MANIFEST_PREFIXES and key not in keys:
+                self._context.delete(key)
+        for row in rows:
+            self._context.put(row)
+
+    def _index_current(self):
+        self.model_by_name = {}
+        self.adapter_by_name = {}
+        self.version_by_name = {}
+        self.class_by_name = {}
+        self.group_by_name = {}
+        if self.current is None:
+            return
+        self.adapter_by_name = {item.name: item for item in self.current.adapters}
+        self.class_by_name = {item.name: item for item in self.current.request_classes}
+        self.group_by_name = {item.name: item for item in self.current.endpoint_groups}
+        for model in self.current.models:
+            self.model_by_name[model.name] = model
+            for version in model.versions:
+                self.version_by_name[(model.name, version.name)] = version
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/run_once.py
@@ -0,0 +1,155 @@
+"""Keep requests that may run at most once from running twice."""
+
+from hemlockdock_core.commands import CommandResult, RunState
+from hemlockdock_core.errors import ErrorKind
+
+from hemlockdock_control.state.refusals import conflict, refused, stale
+from hemlockdock_control.state.run_record import RunRecord
+
+MS_PER_S = 1_000
+# No request lives longer than the longest deadline that a manifest may give.
+LONGEST_RUN_MS = 7 * 86_400_000
+
+
+class RunOnce:
+    """Keep one record for each key until its retention ends.
+
+    Parameters
+    ----------
+    context : StateContext
+    nodes : Nodes
+
+    Attributes
+    ----------
+    record_by_key : dict of str to RunRecord
+    """
+
+    def __init__(self, context, nodes):
+        self._context = context
+        self._nodes = nodes
+        self.record_by_key = {}
+
+    def claim(self, command):
+        """Claim the one run of a key, or tell what became of it.
+
+        A repeat of the very claim is answered like the first one.
+
+        Parameters
+        ----------
+        command : ClaimRun
+
+        Returns
+        -------
+        CommandResult
+        """
+        if self._nodes.superseded(command.owner, command.incarnation):
+            return stale(self._context.index, f"incarnation {command.incarnation} has ended")
+        record = self.record_by_key.get(command.key_hash)
+        if record is not None and not self._freed(record, command):
+            return self._existing(record, command)
+        record = RunRecord(
+            command.key_hash,
+            command.body_hash,
+            command.owner,
+            command.incarnation,
+            command.request_id,
+            command.stream_id,
+            RunState.CLAIMED,
+            b"",
+            command.retention_s * MS_PER_S,
+            self._context.now_ms + LONGEST_RUN_MS,
+        )
+        self.record_by_key[command.key_hash] = record
+        self._record_change(record, "none")
+        return self._result(record)
+
+    def finish(self, command):
+        """Record how a claimed run ended.
+
+        Parameters
+        ----------
+        command : FinishRun
+
+        Returns
+        -------
+        CommandResult
+        """
+        index = self._context.index
+        record = self.record_by_key.get(command.key_hash)
+        if record is None or record.request_id != command.request_id:
+            return conflict(index, f"no claim of request {command.request_id!r}")
+        if record.state in (RunState.RAN, RunState.NOT_RUN):
+            if record.state is command.state:
+                return self._result(record)
+            return conflict(index, f"the request is known as {record.state.value}")
+        if command.state is RunState.CLAIMED:
+            return refused(index, ErrorKind.BAD_REQUEST, "an end state")
+        before = record.state.value
+        record.answer = command.answer
+        self._end(record, command.state, before)
+        return self._result(record)
+
+    def end_owner(self, node_id):
+        """Take the outcome of an ended incarnation's claims for unknown.
+
+        Parameters
+        ----------
+        node_id : str
+        """
+        for record in self.record_by_key.values():
+            if record.owner != node_id or record.state is not RunState.CLAIMED:
+                continue
+            if self._nodes.superseded(node_id, record.incarnation):
+                self._end(record, RunState.UNKNOWN, "claimed")
+
+    def has_due(self, now_ms):
+        """Tell whether any record's time is over.
+
+        Parameters
+        ----------
+        now_ms : int
+
+        Returns
+        -------
+        bool
+        """
+        return any(item.expires_at_ms <= now_ms for item in self.record_by_key.values())
+
+    def expire(self):
+        """End the records whose time is over."""
+        now_ms = self._context.now_ms
+        due = [item for item in self.record_by_key.values() if item.expires_at_ms <= now_ms]
+        for record in due:
+            if record.state is RunState.CLAIMED:
+                self._end(record, RunState.UNKNOWN, "claimed")
+                continue
+            del self.record_by_key[record.key_hash]
+
+    def _freed(self, record, command):
+        # A late copy of the claim that did not run must not bring that claim back.
+        return record.state is RunState.NOT_RUN and record.request_id != command.request_id
+
+    def _existing(self, record, command):
+        if record.body_hash != command.body_hash:
+            message = "the key stands for another body"
+            return refused(self._context.index, ErrorKind.KEY_REUSED, message)
+        return self._result(record)
+
+    def _end(self, record, state, before):
+        record.state = state
+        record.expires_at_ms = self._context.now_ms + record.retention_ms
+        self._record_change(record, before)
+
+    def _result(self, record):
+        return CommandResult(
+            self._context.index,
+            state=record.state.value,
+            payload=record.answer,
+            owner=record.owner,
+            stream_id=record.stream_id,
+        )
+
+    def _record_change(self, record, before):
+        self._context.record(
+            record.owner, "run_once", record.key_hash, before, record.state.value
+        )
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/run_record.py
@@ -0,0 +1,35 @@
+"""Hold what is committed about one request that may run at most once."""
+
+from dataclasses import dataclass
+
+from hemlockdock_core.commands import RunState
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """Hold what is committed about one request that may run at most once.
+
+    Attributes
+    ----------
+    key_hash, body_hash : str
+    owner : str
+        Node id of the claiming entry.
+    incarnation : int
+    request_id, stream_id : str
+    state : RunState
+    answer : bytes
+    retention_ms : int
+    expires_at_ms : int
+        When the record ends; while it is claimed, when its outcome is taken for unknown.
+    """
+
+    key_hash: str
+    body_hash: str
+    owner: str
+    incarnation: int
+    request_id: str
+    stream_id: str
+    state: RunState
+    answer: bytes
+    retention_ms: int
+    expires_at_ms: int
--- a/packages/hemlockdock-core/hemlockdock_core/commands/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/__init__.py
@@ -12,7 +12,7 @@
 )
 from hemlockdock_core.commands.jobs import ClaimJob, FinishJob, ReadJob, SubmitJob
 from hemlockdock_core.commands.manifests import SubmitManifest
-from hemlockdock_core.commands.membership import NodeLeaving, NodeLost, RegisterNode
+from hemlockdock_core.commands.membership import NodeInventoried, NodeLeaving, NodeLost, RegisterNode
 from hemlockdock_core.commands.result import CommandResult
 from hemlockdock_core.commands.run_once import ClaimRun, FinishRun, RunState
 from hemlockdock_core.commands.tick import ExpireRecords
@@ -31,6 +31,7 @@
     "ExpireRecords",
     "FinishJob",
     "FinishRun",
+    "NodeInventoried",
     "NodeLeaving",
     "NodeLost",
     "ReadJob",
--- a/packages/hemlockdock-core/hemlockdock_core/commands/membership.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/membership.py
@@ -52,3 +52,23 @@
     incarnation: int
     at_ms: int
     certain: bool
+
+
+class NodeInventoried(BaseCommand, frozen=True):
+    """Record that an agent's incarnation has reported what its engine holds.
+
+    Nothing is decided for an incarnation before this.
+
+    Attributes
+    ----------
+    node_id : str
+    incarnation : int
+    undecided_mb : int
+        Memory of what is loaded without a decision, in MB; it counts as reserved.
+    at_ms : int
+    """
+
+    node_id: str
+    incarnation: int
+    undecided_mb: int
+    at_ms: int
