Give the planner its interface and a simple policy

Core gains DecideAdapterUnload: without it the adapters of a replica that is always busy would fill its memory for good.

--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/loading/__init__.py
@@ -0,0 +1,7 @@
+"""Keep loads within the weight store's limits and learn how long they take."""
+
+from hemlockdock_control.loading.load_times import LoadTimes
+from hemlockdock_control.loading.store_budget import StoreBudget
+from hemlockdock_control.loading.tier import Tier
+
+__all__ = ["LoadTimes", "StoreBudget", "Tier"]
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/round.py
@@ -0,0 +1,218 @@
+"""Hold the working state of one round of decisions."""
+
+from hemlockdock_control.loading import StoreBudget, Tier
+from hemlockdock_control.placement.demand import demand_by_model
+from hemlockdock_core.commands import DecideAdapter, DecideLoad, DecideUnload
+from hemlockdock_core.rows import ReplicaState
+
+
+def checkpoint_tier(endpoint, model, version):
+    """Return the fastest tier from which an endpoint can load a checkpoint.
+
+    Parameters
+    ----------
+    endpoint : hemlockdock_control.placement.view.EndpointView
+    model, version : str
+
+    Returns
+    -------
+    Tier
+    """
+    name = f"{model}/{version}"
+    if name in endpoint.cached_in_memory:
+        return Tier.MEMORY
+    if name in endpoint.cached_on_disk:
+        return Tier.DISK
+    return Tier.REMOTE
+
+
+class Round:
+    """Hold the view together with what this round has already decided.
+
+    Attributes
+    ----------
+    view : PlannerView
+    now_ms : int
+    settings : hemlockdock_core.settings.Settings
+    commands : list of Command
+        Decided so far, in order.
+    demand_by_model : dict of str to Demand
+    replicas_by_model : dict of str to list of ReplicaView
+    replicas_by_node : dict of str to list of ReplicaView
+    decided_by_model : dict of str to list of DecideLoad
+    freed_by_node : dict of str to int
+        Memory that unloads under way will free, less what waiting models claimed of it.
+    taken_by_node : dict of str to int
+        Memory taken by this round's decisions.
+    unloading_ids : set of str
+        Replicas that are going, by earlier decisions or this round's.
+    budget : StoreBudget
+    adapter_room : int
+        Adapter loads that may still start.
+    """
+
+    def __init__(self, view, settings, recent_starts_ms, now_ms):
+        """Index the view.
+
+        Parameters
+        ----------
+        view : PlannerView
+        settings : hemlockdock_core.settings.Settings
+        recent_starts_ms : iterable of int
+            Store loads that this planner decided lately; the view's own are added.
+        now_ms : int
+        """
+        self.view = view
+        self.settings = settings
+        self.now_ms = now_ms
+        self.commands = []
+        self.demand_by_model = demand_by_model(view)
+        self.replicas_by_model = {}
+        self.replicas_by_node = {}
+        self.decided_by_model = {}
+        self.freed_by_node = {}
+        self.taken_by_node = {}
+        self.unloading_ids = set()
+        self.adapter_room = settings.store.adapters_in_flight
+        starts_ms = list(recent_starts_ms)
+        in_flight = 0
+        for replica in view.replica_by_id.values():
+            self.replicas_by_model.setdefault(replica.model, []).append(replica)
+            self.replicas_by_node.setdefault(replica.node_id, []).append(replica)
+            self.adapter_room -= len(replica.adapters_loading)
+            if replica.state is ReplicaState.UNLOADING:
+                self._count_unloading(replica)
+            if self._reads_from_store(replica):
+                in_flight += 1
+                starts_ms.append(replica.decided_at_ms)
+        self.budget = StoreBudget(settings.store, in_flight, starts_ms, now_ms)
+
+    def is_usable(self, node_id):
+        """Tell whether an endpoint takes new work.
+
+        Parameters
+        ----------
+        node_id : str
+
+        Returns
+        -------
+        bool
+        """
+        endpoint = self.view.endpoint_by_id.get(node_id)
+        if endpoint is None or endpoint.leaving or endpoint.lost:
+            return False
+        return endpoint.inventory_known
+
+    def free_mb(self, node_id):
+        """Return an endpoint's memory that is neither reserved nor taken by this round.
+
+        Parameters
+        ----------
+        node_id : str
+
+        Returns
+        -------
+        int
+        """
+        endpoint = self.view.endpoint_by_id[node_id]
+        return endpoint.memory_mb - endpoint.reserved_mb - self.taken_by_node.get(node_id, 0)
+
+    def replica_memory_mb(self, replica):
+        """Return what a replica's end will free: its version and its adapters, as far as known.
+
+        Parameters
+        ----------
+        replica : ReplicaView
+
+        Returns
+        -------
+        int
+        """
+        memory_mb = 0
+        model = self.view.model_by_name.get(replica.model)
+        version = model.version_by_name.get(replica.version) if model else None
+        if version is not None:
+            memory_mb += version.memory_mb
+        for name in replica.adapters | replica.adapters_loading:
+            adapter = self.view.adapter_by_name.get(name)
+            memory_mb += adapter.memory_mb if adapter else 0
+        return memory_mb
+
+    def count(self, model):
+        """Return how many replicas of a model count against its most replicas.
+
+        Parameters
+        ----------
+        model : str
+
+        Returns
+        -------
+        int
+        """
+        held = len(self.replicas_by_model.get(model, ()))
+        return held + len(self.decided_by_model.get(model, ()))
+
+    def load(self, model, version, endpoint, reason):
+        """Decide a load.
+
+        Parameters
+        ----------
+        model : ModelView
+        version : VersionView
+        endpoint : EndpointView
+        reason : str
+        """
+        command = DecideLoad(
+            model=model.name,
+            version=version.name,
+            node_id=endpoint.node_id,
+            incarnation=endpoint.incarnation,
+            at_ms=self.now_ms,
+            reason=reason,
+        )
+        self.commands.append(command)
+        self.decided_by_model.setdefault(model.name, []).append(command)
+        self._take(endpoint.node_id, version.memory_mb)
+        if checkpoint_tier(endpoint, model.name, version.name) is Tier.REMOTE:
+            self.budget.take(self.now_ms)
+
+    def unload(self, replica, reason):
+        """Decide an unload; a replica that is going already is passed over.
+
+        Parameters
+        ----------
+        replica : ReplicaView
+        reason : str
+        """
+        if replica.replica_id in self.unloading_ids:
+            return
+        self.commands.append(DecideUnload(replica.replica_id, self.now_ms, reason))
+        self._count_unloading(replica)
+
+    def load_adapter(self, replica, adapter):
+        """Decide an adapter onto a replica.
+
+        Parameters
+        ----------
+        replica : ReplicaView
+        adapter : AdapterView
+        """
+        self.commands.append(DecideAdapter(replica.replica_id, adapter.name, self.now_ms))
+        self._take(replica.node_id, adapter.memory_mb)
+        self.adapter_room -= 1
+
+    def _take(self, node_id, memory_mb):
+        self.taken_by_node[node_id] = self.taken_by_node.get(node_id, 0) + memory_mb
+
+    def _count_unloading(self, replica):
+        self.unloading_ids.add(replica.replica_id)
+        freed_mb = self.freed_by_node.get(replica.node_id, 0)
+        self.freed_by_node[replica.node_id] = freed_mb + self.replica_memory_mb(replica)
+
+    def _reads_from_store(self, replica):
+        if replica.state is not ReplicaState.LOADING:
+            return False
+        endpoint = self.view.endpoint_by_id.get(replica.node_id)
+        if endpoint is None or endpoint.lost:
+            return False
+        return checkpoint_tier(endpoint, replica.model, replica.version) is Tier.REMOTE
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/view/planner_view.py
@@ -0,0 +1,41 @@
+"""Hold everything that one round of decisions is made from."""
+
+from dataclasses import dataclass, field
+
+from hemlockdock_control.placement.view.adapter_view import AdapterView
+from hemlockdock_control.placement.view.endpoint_view import EndpointView
+from hemlockdock_control.placement.view.model_view import ModelView
+from hemlockdock_control.placement.view.replica_view import ReplicaView
+from hemlockdock_control.placement.view.wish_view import WishView
+
+
+@dataclass(slots=True)
+class PlannerView:
+    """Hold everything that one round of decisions is made from.
+
+    All times are wall-clock milliseconds since 1970. Loads in flight are the replicas in
+    state ``loading``, and their ``adapters_loading``.
+
+    Attributes
+    ----------
+    model_by_name : dict of str to ModelView
+        Models of the manifest in force.
+    adapter_by_name : dict of str to AdapterView
+        At least those that are wished for.
+    endpoint_by_id : dict of str to EndpointView
+    replica_by_id : dict of str to ReplicaView
+        Every replica that counts, in any state.
+    wishes : list of WishView
+    tail_cold_start : float
+        The manifest's weight, from 0 (idle hours only) to 1 (the tail only).
+    credits_expire_ms : int
+        End of the day on which credits expire; 0 for never.
+    """
+
+    model_by_name: dict[str, ModelView] = field(default_factory=dict)
+    adapter_by_name: dict[str, AdapterView] = field(default_factory=dict)
+    endpoint_by_id: dict[str, EndpointView] = field(default_factory=dict)
+    replica_by_id: dict[str, ReplicaView] = field(default_factory=dict)
+    wishes: list[WishView] = field(default_factory=list)
+    tail_cold_start: float = 0.5
+    credits_expire_ms: int = 0
--- a/packages/hemlockdock-core/hemlockdock_core/commands/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/__init__.py
@@ -4,6 +4,7 @@
 from hemlockdock_core.commands.decisions import (
     AdapterLoaded,
     DecideAdapter,
+    DecideAdapterUnload,
     DecideLoad,
     DecideUnload,
     DropAdapter,
@@ -25,6 +26,7 @@
     "Command",
     "CommandResult",
     "DecideAdapter",
+    "DecideAdapterUnload",
     "DecideLoad",
     "DecideUnload",
     "DropAdapter",
--- a/packages/hemlockdock-core/hemlockdock_core/commands/decisions.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/decisions.py
@@ -92,6 +92,21 @@
     at_ms: int
 
 
+class DecideAdapterUnload(BaseCommand, frozen=True):
+    """Decide that an adapter goes; its memory stays reserved until it is dropped.
+
+    Attributes
+    ----------
+    replica_id : str
+    adapter : str
+    at_ms : int
+    """
+
+    replica_id: str
+    adapter: str
+    at_ms: int
+
+
 class AdapterLoaded(BaseCommand, frozen=True):
     """Record that an adapter is usable.
 
--- a/packages/hemlockdock-core/hemlockdock_core/commands/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/union.py
@@ -4,6 +4,7 @@
 from hemlockdock_core.commands.decisions import (
     AdapterLoaded,
     DecideAdapter,
+    DecideAdapterUnload,
     DecideLoad,
     DecideUnload,
     DropAdapter,
@@ -26,6 +27,7 @@
     | ReplicaReady
     | ReplicaGone
     | DecideAdapter
+    | DecideAdapterUnload
     | AdapterLoaded
     | DropAdapter
     | ClaimRun
