--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/__init__.py
@@ -0,0 +1,16 @@
+"""Find out which nodes are alive, leaving or lost."""
+
+from hemlockdock_control.membership.beats import Beats
+from hemlockdock_control.membership.detector import membership_commands
+from hemlockdock_control.membership.node_beat import NodeBeat
+from hemlockdock_control.membership.platform_list import HostState, PlatformList
+from hemlockdock_control.membership.silence_clock import SilenceClock
+
+__all__ = [
+    "Beats",
+    "HostState",
+    "NodeBeat",
+    "PlatformList",
+    "SilenceClock",
+    "membership_commands",
+]
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
@@ -0,0 +1,120 @@
+"""Read the platform's list of live and leaving hosts."""
+
+import logging
+from enum import StrEnum
+
+import msgspec
+import treq
+from hemlockdock_core.metrics import COUNTERS
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import LoopingCall
+
+logger = logging.getLogger(__name__)
+
+LIST_TIMEOUT_S = 5
+MAX_LIST_BYTES = 4 * 1024 * 1024
+
+
+class HostState(StrEnum):
+    """Name what the platform says of a host."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class ListedHost(msgspec.Struct, frozen=True):
+    """Describe one host of the list.
+
+    Attributes
+    ----------
+    host : str
+    state : HostState
+    """
+
+    host: str
+    state: HostState
+
+
+class HostList(msgspec.Struct, frozen=True):
+    """Hold the platform's answer.
+
+    Attributes
+    ----------
+    hosts : list of ListedHost
+    """
+
+    hosts: list[ListedHost]
+
+
+class PlatformList:
+    """Poll the list while this member leads.
+
+    A list that cannot be read changes nothing: the last one is dropped, and heartbeats decide
+    alone.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : hemlockdock_core.settings.Settings
+    is_leader : callable
+        Returns whether to poll.
+
+    Attributes
+    ----------
+    state_by_host : dict of str to HostState
+    """
+
+    def __init__(self, reactor, settings, is_leader):
+        self._settings = settings.membership
+        self._is_leader = is_leader
+        self._reading = None
+        self._loop = LoopingCall(self._poll)
+        self._loop.clock = reactor
+        self._reactor = reactor
+        self.state_by_host = {}
+
+    def start(self):
+        """Begin to poll, where a list is configured."""
+        if self._settings.platform_list:
+            self._loop.start(self._settings.platform_poll_ms / 1_000)
+
+    def stop(self):
+        """Stop polling; can be called again."""
+        if self._loop.running:
+            self._loop.stop()
+        if self._reading is not None:
+            self._reading.cancel()
+
+    def _poll(self):
+        if not self._is_leader():
+            self.state_by_host = {}
+            return
+        if self._reading is not None:
+            return
+        self._reading = self._read()
+        self._reading.addErrback(self._failed)
+        self._reading.addBoth(self._done)
+
+    @inlineCallbacks
+    def _read(self):
+        response = yield treq.get(
+            self._settings.platform_list, reactor=self._reactor, timeout=LIST_TIMEOUT_S
+        )
+        data = yield treq.content(response)
+        if response.code != 200 or len(data) > MAX_LIST_BYTES:
+            raise ValueError(f"status {response.code}, {len(data)} bytes")
+        listed = msgspec.json.decode(data, type=HostList)
+        self.state_by_host = {item.host: item.state for item in listed.hosts}
+        COUNTERS.increment("platform_list_reads")
+
+    def _failed(self, failure):
+        if not self.state_by_host and COUNTERS.value("platform_list_failures"):
+            COUNTERS.increment("platform_list_failures")
+            return
+        COUNTERS.increment("platform_list_failures")
+        logger.warning("platform list unreadable", extra={"problem": failure.getErrorMessage()})
+        self.state_by_host = {}
+
+    def _done(self, _):
+        self._reading = None
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/orders/inventories.py
@@ -0,0 +1,122 @@
+"""Learn from what an engine holds."""
+
+from dataclasses import dataclass
+
+from hemlockdock_core.commands import (
+    AdapterLoaded,
+    DropAdapter,
+    NodeInventoried,
+    ReplicaGone,
+    ReplicaReady,
+)
+from hemlockdock_core.messages import Inventory
+from hemlockdock_core.rows import ReplicaState
+
+
+@dataclass(frozen=True, slots=True)
+class InventoryReport:
+    """Hold an agent's latest inventory.
+
+    Attributes
+    ----------
+    node_id : str
+    incarnation : int
+    state_index : int
+        Log index that the leader had applied when it received it.
+    inventory : Inventory
+    """
+
+    node_id: str
+    incarnation: int
+    state_index: int
+    inventory: Inventory
+
+    def undecided(self, state):
+        """Return what is loaded here without a decision.
+
+        Parameters
+        ----------
+        state : ClusterState
+
+        Returns
+        -------
+        list of LoadedModel
+        """
+        return [item for item in self.inventory.loaded if not self._decided(state, item)]
+
+    def _decided(self, state, item):
+        replica = state.replicas.record_by_id.get(item.replica_id)
+        return (
+            replica is not None
+            and replica.node_id == self.node_id
+            and (replica.model, replica.version) == (item.model, item.version)
+        )
+
+
+def inventory_commands(report, state, at_ms):
+    """Return the commands that bring the committed state up to an inventory.
+
+    Parameters
+    ----------
+    report : InventoryReport
+    state : ClusterState
+    at_ms : int
+
+    Returns
+    -------
+    list of Command
+    """
+    node = state.nodes.record_by_id.get(report.node_id)
+    if node is None or node.incarnation != report.incarnation or node.gone:
+        return []
+    commands = []
+    undecided_mb = sum(item.memory_mb for item in report.undecided(state))
+    loaded_by_id = {item.replica_id: item for item in report.inventory.loaded}
+    for replica in state.replicas.of_node(report.node_id):
+        item = loaded_by_id.get(replica.replica_id)
+        if item is None:
+            commands.extend(_absent(replica, report, at_ms))
+        else:
+            commands.extend(_present(replica, item, report, at_ms))
+    # Last, so that nothing is decided before what was lost has been recorded.
+    if not node.inventoried or node.undecided_mb != undecided_mb:
+        commands.append(
+            NodeInventoried(report.node_id, report.incarnation, undecided_mb, at_ms)
+        )
+    return commands
+
+
+def _absent(replica, report, at_ms):
+    inventory = report.inventory
+    if replica.state is not ReplicaState.READY:
+        # Its order may yet be obeyed: it goes by an unload order only.
+        return
+    if replica.fence in inventory.orders_in_flight:
+        return
+    if not _newer_than(replica, report):
+        return
+    yield ReplicaGone(replica.replica_id, report.incarnation, at_ms, "not in the inventory")
+
+
+def _newer_than(replica, report):
+    if report.incarnation > replica.ready_incarnation:
+        return True
+    return report.inventory.highest_fence >= replica.fence
+
+
+def _present(replica, item, report, at_ms):
+    if replica.state is ReplicaState.LOADING and item.fence == replica.fence:
+        if replica.fence not in report.inventory.orders_in_flight:
+            yield ReplicaReady(
+                replica.replica_id, replica.fence, report.incarnation, at_ms, took_ms=0
+            )
+        return
+    if replica.state is not ReplicaState.READY:
+        return
+    for name, adapter in replica.adapter_by_name.items():
+        if adapter.fence in report.inventory.orders_in_flight:
+            continue
+        if name in item.adapters and not adapter.loaded:
+            yield AdapterLoaded(replica.replica_id, name, report.incarnation, at_ms)
+        if name not in item.adapters and adapter.loaded:
+            yield DropAdapter(replica.replica_id, name, report.incarnation, at_ms)
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/service/__init__.py
@@ -0,0 +1,5 @@
+"""Run a control member: the replicated state, the nodes' mailbox and the operators' API."""
+
+from hemlockdock_control.service.control_service import ControlService
+
+__all__ = ["ControlService"]
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/service/load_board.py
@@ -0,0 +1,149 @@
+"""Keep the volatile reports of load and the wishes that nodes send."""
+
+from dataclasses import dataclass
+
+from hemlockdock_control.placement import WishView
+
+WISH_REPEATS_MISSED = 5
+SHORTEST_WISH_KEEP_MS = 1_000
+
+
+@dataclass(slots=True)
+class StandingWish:
+    """Hold a wish that an entry repeats while requests wait.
+
+    Attributes
+    ----------
+    wish : Wish
+    since_ms : int
+    heard_ms : int
+        Wall clock, in milliseconds since 1970.
+    """
+
+    wish: object
+    since_ms: int
+    heard_ms: int
+
+
+@dataclass(slots=True)
+class ModelUse:
+    """Hold what one node last reported of one model.
+
+    Attributes
+    ----------
+    incarnation : int
+    arrivals, in_flight : int
+    used_ms : int
+        Wall clock of the last report that showed use; 0 for never.
+    """
+
+    incarnation: int
+    arrivals: int
+    in_flight: int
+    used_ms: int
+
+
+class LoadBoard:
+    """Keep reports of load by node and model, and standing wishes.
+
+    Parameters
+    ----------
+    settings : hemlockdock_core.settings.Settings
+    on_arrivals : callable
+        Takes a model, a count and a wall-clock time; called for entries' new arrivals.
+    """
+
+    def __init__(self, settings, on_arrivals):
+        self._keep_ms = max(settings.entry.wish_ms * WISH_REPEATS_MISSED, SHORTEST_WISH_KEEP_MS)
+        self._on_arrivals = on_arrivals
+        self._wish_by_key = {}
+        self._use_by_key = {}
+
+    def wish(self, sender, wish, at_ms):
+        """Take in a wish; a repeat keeps its first time.
+
+        Parameters
+        ----------
+        sender : str
+        wish : Wish
+        at_ms : int
+        """
+        key = (sender, wish.model, wish.adapter)
+        standing = self._wish_by_key.get(key)
+        since_ms = standing.since_ms if standing is not None else at_ms
+        self._wish_by_key[key] = StandingWish(wish, since_ms, at_ms)
+
+    def report(self, heard, at_ms, from_entry):
+        """Take in a node's report of load.
+
+        Parameters
+        ----------
+        heard : HeardNode
+        at_ms : int
+        from_entry : bool
+            Whether its arrivals are callers' requests.
+        """
+        for load in heard.load_by_model.values():
+            key = (heard.node_id, load.model)
+            use = self._use_by_key.get(key)
+            before = 0
+            if use is not None and use.incarnation == heard.incarnation:
+                before = use.arrivals
+            new_arrivals = max(load.arrivals - before, 0)
+            if new_arrivals and from_entry:
+                self._on_arrivals(load.model, new_arrivals, at_ms)
+            used = new_arrivals > 0 or load.in_flight > 0 or load.waiting > 0
+            used_ms = at_ms if used else (use.used_ms if use is not None else 0)
+            self._use_by_key[key] = ModelUse(
+                heard.incarnation, load.arrivals, load.in_flight, used_ms
+            )
+
+    def use(self, node_id, model):
+        """Return what a node last reported of a model, or None.
+
+        Parameters
+        ----------
+        node_id, model : str
+
+        Returns
+        -------
+        ModelUse or None
+        """
+        return self._use_by_key.get((node_id, model))
+
+    def wishes(self, at_ms):
+        """Return the wishes that still stand.
+
+        Parameters
+        ----------
+        at_ms : int
+
+        Returns
+        -------
+        list of WishView
+        """
+        views = []
+        for key, standing in list(self._wish_by_key.items()):
+            if at_ms - standing.heard_ms > self._keep_ms:
+                del self._wish_by_key[key]
+                continue
+            wish = standing.wish
+            if wish.waiting <= 0:
+                continue
+            deadline_at_ms = standing.heard_ms + wish.earliest_deadline_ms
+            views.append(
+                WishView(
+                    wish.model,
+                    wish.adapter,
+                    wish.waiting,
+                    deadline_at_ms,
+                    wish.priority,
+                    standing.since_ms,
+                )
+            )
+        return views
+
+    def forget(self):
+        """Forget everything, as a member does that no longer leads."""
+        self._wish_by_key.clear()
+        self._use_by_key.clear()
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/service/peer_messages.py
@@ -0,0 +1,103 @@
+"""Define what followers forward to the leader."""
+
+import msgspec
+from hemlockdock_core.commands import Command
+from hemlockdock_core.messages import CrashReport, Inventory, Leaving, OrderResult, Wish
+from hemlockdock_core.messages.message import Message
+
+from hemlockdock_control.membership import NodeBeat
+
+Relayed = Wish | OrderResult | Inventory | Leaving | CrashReport
+
+
+class BeatDigest(Message, frozen=True):
+    """Carry what a follower heard from nodes since its last digest.
+
+    Attributes
+    ----------
+    beats : list of NodeBeat
+    """
+
+    beats: list[NodeBeat]
+
+
+class RelayedMessage(Message, frozen=True):
+    """Carry a node's message on to the leader.
+
+    Attributes
+    ----------
+    sender : str
+    incarnation : int
+    body : Relayed
+    """
+
+    sender: str
+    incarnation: int
+    body: Relayed
+
+
+class RelayedCommand(Message, frozen=True):
+    """Ask the leader to commit a command.
+
+    Attributes
+    ----------
+    ticket : str
+        Names the answer, which comes as a ProposalResult to the member's node address.
+    command : Command
+    """
+
+    ticket: str
+    command: Command
+
+
+class RelayedQuery(Message, frozen=True):
+    """Ask the leader for a page of the operators' API.
+
+    Attributes
+    ----------
+    ticket : str
+    name : str
+    arguments : dict of str to str
+    """
+
+    ticket: str
+    name: str
+    arguments: dict[str, str]
+
+
+PeerBody = BeatDigest | RelayedMessage | RelayedCommand | RelayedQuery
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(PeerBody)
+
+
+def encode_peer(body):
+    """Return a forwarded message's bytes.
+
+    Parameters
+    ----------
+    body : PeerBody
+
+    Returns
+    -------
+    bytes
+    """
+    return _ENCODER.encode(body)
+
+
+def decode_peer(data):
+    """Return the message that the bytes hold.
+
+    Parameters
+    ----------
+    data : bytes
+
+    Returns
+    -------
+    PeerBody
+
+    Raises
+    ------
+    msgspec.DecodeError
+    """
+    return _DECODER.decode(data)
--- a/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
@@ -9,6 +9,7 @@
     ClaimRun,
     CommandResult,
     DecideAdapter,
+    DecideAdapterUnload,
     DecideLoad,
     DecideUnload,
     DropAdapter,
@@ -107,6 +108,19 @@
         self._context.advance(index, getattr(command, "at_ms", 0))
         return self._apply(command)
 
+    def read_job(self, command):
+        """Return a job's state and result without a log entry.
+
+        Parameters
+        ----------
+        command : ReadJob
+
+        Returns
+        -------
+        CommandResult
+        """
+        return self.jobs.read(command)
+
     def has_due(self, now_ms):
         """Tell whether any record's time is over.
 
@@ -244,6 +258,10 @@
     def _(self, command: DecideAdapter):
         return self.replicas.decide_adapter(command)
 
+    @_apply.register
+    def _(self, command: DecideAdapterUnload):
+        return self.replicas.decide_adapter_unload(command)
+
     @_apply.register
     def _(self, command: AdapterLoaded):
         return self.replicas.adapter_loaded(command)
--- a/packages/hemlockdock-control/hemlockdock_control/state/replica_record.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/replica_record.py
@@ -15,11 +15,19 @@
     fence : int
         Of the order that loads it.
     loaded : bool
+    unload_fence : int
+        Of the order that unloads it; 0 where none was decided.
     """
 
     memory_mb: int
     fence: int
     loaded: bool = False
+    unload_fence: int = 0
+
+    @property
+    def usable(self):
+        """Tell whether requests may be sent to it."""
+        return self.loaded and not self.unload_fence
 
 
 @dataclass(slots=True)
@@ -38,6 +46,8 @@
     requests_per_replica : int
     decided_at_ms : int
     ready_at_ms : int
+    ready_incarnation : int
+        Of the agent that reported the load.
     adapter_by_name : dict of str to AdapterRecord
     """
 
@@ -52,6 +62,7 @@
     requests_per_replica: int
     decided_at_ms: int
     ready_at_ms: int = 0
+    ready_incarnation: int = 0
     adapter_by_name: dict[str, AdapterRecord] = field(default_factory=dict)
 
     @property
@@ -61,7 +72,7 @@
 
     def row(self):
         """Return the row that nodes see."""
-        usable = sorted(name for name, item in self.adapter_by_name.items() if item.loaded)
+        usable = sorted(name for name, item in self.adapter_by_name.items() if item.usable)
         return ReplicaRow(
             self.replica_id,
             self.model,
--- a/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
@@ -145,6 +145,7 @@
             return conflict(index, f"replica {command.replica_id!r} is being unloaded")
         record.state = ReplicaState.READY
         record.ready_at_ms = self._context.now_ms
+        record.ready_incarnation = command.incarnation
         self._manifests.record_load(record.model, record.version, command.took_ms)
         self._changed(record, "loading", f"ready after {command.took_ms} ms")
         return CommandResult(index)
@@ -221,6 +222,26 @@
         self._changed(record, "none", f"loading adapter {command.adapter}")
         return CommandResult(index)
 
+    def decide_adapter_unload(self, command):
+        """Decide that an adapter goes; a repeat gives its unload a newer fence.
+
+        Parameters
+        ----------
+        command : DecideAdapterUnload
+
+        Returns
+        -------
+        CommandResult
+        """
+        index = self._context.index
+        record = self.record_by_id.get(command.replica_id)
+        if record is None or command.adapter not in record.adapter_by_name:
+            message = f"no adapter {command.adapter!r} on {command.replica_id!r}"
+            return conflict(index, message)
+        record.adapter_by_name[command.adapter].unload_fence = index
+        self._changed(record, f"adapter {command.adapter}", f"unloading {command.adapter}")
+        return CommandResult(index)
+
     def adapter_loaded(self, command):
         """Record that an adapter is usable.
 
--- a/packages/hemlockdock-core/hemlockdock_core/messages/orders.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/orders.py
@@ -28,6 +28,8 @@
     memory_mb : int
     requests_per_replica : int
     timeout_ms : int
+    incarnation : int
+        Of the agent it is meant for; another one refuses it. 0 where any may obey.
     """
 
     replica_id: str
@@ -37,6 +39,7 @@
     memory_mb: int
     requests_per_replica: int
     timeout_ms: int
+    incarnation: int = 0
 
 
 class UnloadOrder(Message, frozen=True):
@@ -46,10 +49,13 @@
     ----------
     replica_id : str
     fence : int
+    incarnation : int
+        Of the agent it is meant for; another one refuses it. 0 where any may obey.
     """
 
     replica_id: str
     fence: int
+    incarnation: int = 0
 
 
 class LoadAdapterOrder(Message, frozen=True):
@@ -62,6 +68,8 @@
     adapter : str
     memory_mb : int
     timeout_ms : int
+    incarnation : int
+        Of the agent it is meant for; another one refuses it. 0 where any may obey.
     """
 
     replica_id: str
@@ -69,6 +77,7 @@
     adapter: str
     memory_mb: int
     timeout_ms: int
+    incarnation: int = 0
 
 
 class UnloadAdapterOrder(Message, frozen=True):
@@ -79,11 +88,14 @@
     replica_id : str
     fence : int
     adapter : str
+    incarnation : int
+        Of the agent it is meant for; another one refuses it. 0 where any may obey.
     """
 
     replica_id: str
     fence: int
     adapter: str
+    incarnation: int = 0
 
 
 class OrderResult(Message, frozen=True):
