--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/elections.py
@@ -0,0 +1,163 @@
+"""Decide elections: pre-votes, votes and who leads."""
+
+from hemlockdock_control.consensus import replication
+from hemlockdock_control.consensus.entry import EntryKind
+from hemlockdock_control.consensus.member_state import NEVER_MS, MemberRole
+from hemlockdock_control.consensus.messages import VoteReply, VoteRequest
+from hemlockdock_control.consensus.progress import Progress
+
+
+def start_pre_vote(state, now_ms):
+    """Ask the voters whether they would vote for this member, promising nothing.
+
+    Parameters
+    ----------
+    state : MemberState
+    now_ms : float
+    """
+    state.become_follower(state.term, "", now_ms)
+    state.role = MemberRole.PRE_CANDIDATE
+    state.transfer = False
+    state.votes = {state.member_id}
+    state.reset_election_timer(now_ms)
+    _ask_for_votes(state, state.term + 1, pre=True)
+    _count_votes(state, now_ms)
+
+
+def start_election(state, now_ms, transfer=False):
+    """Stand for election in the next term.
+
+    Parameters
+    ----------
+    state : MemberState
+    now_ms : float
+    transfer : bool, optional
+        Whether the leader asked for it.
+    """
+    state.become_follower(state.term, "", now_ms)
+    state.role = MemberRole.CANDIDATE
+    state.transfer = transfer
+    state.votes = set()
+    state.set_vote(state.term + 1, state.member_id)
+    state.reset_election_timer(now_ms)
+    _ask_for_votes(state, state.term, pre=False)
+
+
+def on_synced(state, now_ms):
+    """Count a candidate's own vote once it is durable.
+
+    Parameters
+    ----------
+    state : MemberState
+    now_ms : float
+    """
+    if state.role is not MemberRole.CANDIDATE or not state.vote_is_synced():
+        return
+    state.votes.add(state.member_id)
+    _count_votes(state, now_ms)
+
+
+def on_request(state, sender, request, now_ms):
+    """Answer a vote request.
+
+    Parameters
+    ----------
+    state : MemberState
+    sender : str
+    request : VoteRequest
+    now_ms : float
+    """
+    granted = _may_vote(state, sender, request, now_ms)
+    if granted and not request.pre:
+        state.become_follower(request.term, "", now_ms)
+        if state.voted_for != sender:
+            state.set_vote(request.term, sender)
+        state.reset_election_timer(now_ms)
+    elif not request.pre and request.term > state.term and not _is_loyal(state, request, now_ms):
+        state.become_follower(request.term, "", now_ms)
+    state.send(sender, VoteReply(state.term, request.term, request.pre, granted))
+
+
+def on_reply(state, sender, reply, now_ms):
+    """Count a vote.
+
+    Parameters
+    ----------
+    state : MemberState
+    sender : str
+    reply : VoteReply
+    now_ms : float
+    """
+    if reply.term > state.term:
+        state.become_follower(reply.term, "", now_ms)
+        return
+    if not reply.granted:
+        return
+    if reply.pre:
+        wanted = state.role is MemberRole.PRE_CANDIDATE and reply.request_term == state.term + 1
+    else:
+        wanted = state.role is MemberRole.CANDIDATE and reply.request_term == state.term
+    if not wanted:
+        return
+    state.votes.add(sender)
+    _count_votes(state, now_ms)
+
+
+def _ask_for_votes(state, term, pre):
+    request = VoteRequest(term, pre, state.log.last_index, state.log.last_term, state.transfer)
+    for voter_id in state.configuration.voter_ids:
+        if voter_id != state.member_id:
+            state.send(voter_id, request)
+
+
+def _count_votes(state, now_ms):
+    granted = [m for m in state.configuration.voter_ids if m in state.votes]
+    if len(granted) < state.configuration.quorum:
+        return
+    if state.role is MemberRole.PRE_CANDIDATE:
+        start_election(state, now_ms)
+        return
+    _become_leader(state, now_ms)
+
+
+def _become_leader(state, now_ms):
+    state.role = MemberRole.LEADER
+    state.leader_id = state.member_id
+    state.votes.clear()
+    state.leading_since_ms = now_ms
+    state.lease_given_up = False
+    state.transfer_due_ms = NEVER_MS
+    state.incoming = None
+    next_index = state.log.last_index + 1
+    state.progress_by_id = {peer_id: Progress(next_index) for peer_id in state.peer_ids}
+    state.term_start_index = next_index
+    state.append(EntryKind.EMPTY, [b""])
+    replication.broadcast_heartbeat(state, now_ms)
+
+
+def _may_vote(state, sender, request, now_ms):
+    if not state.is_voter:
+        return False
+    if _is_loyal(state, request, now_ms):
+        return False
+    if not _is_up_to_date(state, request):
+        return False
+    if request.pre:
+        return request.term > state.term
+    if request.term > state.term:
+        return True
+    return request.term == state.term and state.voted_for in ("", sender)
+
+
+def _is_loyal(state, request, now_ms):
+    """Tell whether a leader was heard too recently to help another one."""
+    if request.transfer:
+        return False
+    if state.is_leader:
+        return True
+    return now_ms - state.contact_ms < state.timing.election_ms
+
+
+def _is_up_to_date(state, request):
+    mine = (state.log.last_term, state.log.last_index)
+    return (request.last_term, request.last_index) >= mine
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/errors.py
@@ -0,0 +1,35 @@
+"""Define the errors of consensus."""
+
+
+class NotLeaderError(Exception):
+    """Raise where a command was certainly not appended, so that it can be sent elsewhere.
+
+    Parameters
+    ----------
+    leader_id : str
+        Empty where it isn't known.
+    """
+
+    def __init__(self, leader_id):
+        super().__init__(f"not the leader; the leader is {leader_id or 'not known'}")
+        self.leader_id = leader_id
+
+
+class UnknownOutcomeError(Exception):
+    """Raise where a command may or may not be committed, so that only an idempotent retry helps."""
+
+    def __init__(self):
+        super().__init__("the command may or may not be committed")
+
+
+class ChangeRefusedError(Exception):
+    """Raise where a change of members can't be begun now.
+
+    Parameters
+    ----------
+    reason : ChangeRefusal
+    """
+
+    def __init__(self, reason):
+        super().__init__(reason.value)
+        self.reason = reason
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/formation.py
@@ -0,0 +1,115 @@
+"""Decide how a member with an unused folder comes to its cluster.
+
+A cluster forms once all members named in the settings have been heard, each with an unused
+folder or with founders that include this very folder. A member that finds a cluster without it
+joins as a non-voter. One whose folder was emptied after the cluster formed has forgotten its
+votes, and is refused.
+"""
+
+from enum import Enum
+
+from hemlockdock_control.consensus.configuration import Configuration, Member
+from hemlockdock_control.consensus.messages import Hello
+from hemlockdock_control.storage.identity import Standing
+
+
+class FormationOutcome(Enum):
+    """Say what a member found out."""
+
+    WAITING = "waiting"
+    FOUNDED = "founded"
+    JOINING = "joining"
+    REFUSED = "refused"
+
+
+class Formation:
+    """Collect what the other members say.
+
+    Parameters
+    ----------
+    identity : Identity
+    addresses : list of MemberAddress
+        All members named in the settings.
+    """
+
+    def __init__(self, identity, addresses):
+        self._identity = identity
+        self._addresses = addresses
+        self._hello_by_id = {}
+
+    def hear(self, sender, hello):
+        """Take what another member says.
+
+        Parameters
+        ----------
+        sender : str
+        hello : Hello
+        """
+        is_named = any(address.member_id == sender for address in self._addresses)
+        if is_named and hello.cluster == self._identity.cluster:
+            self._hello_by_id[sender] = hello
+
+    def named(self):
+        """Return the members named in the settings, with no folder known yet.
+
+        Returns
+        -------
+        Configuration
+        """
+        members = [Member(a.member_id, "", a.peer_address, True) for a in self._addresses]
+        return Configuration(tuple(members))
+
+    def outcome(self):
+        """Return what is known now.
+
+        Returns
+        -------
+        FormationOutcome
+        """
+        standings = [self._judge(hello) for hello in self._hello_by_id.values()]
+        for found in (FormationOutcome.REFUSED, FormationOutcome.JOINING):
+            if found in standings:
+                return found
+        if FormationOutcome.WAITING in standings:
+            return FormationOutcome.WAITING
+        for address in self._addresses:
+            if address.member_id == self._identity.member_id:
+                continue
+            if address.member_id not in self._hello_by_id:
+                return FormationOutcome.WAITING
+        return FormationOutcome.FOUNDED
+
+    def founders(self):
+        """Return the founding members, once the outcome is that the cluster is founded.
+
+        Returns
+        -------
+        Configuration
+        """
+        for hello in self._hello_by_id.values():
+            if hello.standing is Standing.FOUNDER:
+                return hello.founders
+        members = []
+        for address in self._addresses:
+            folder_id = self._folder_id(address.member_id)
+            members.append(Member(address.member_id, folder_id, address.peer_address, True))
+        return Configuration(tuple(members))
+
+    def _folder_id(self, member_id):
+        if member_id == self._identity.member_id:
+            return self._identity.folder_id
+        return self._hello_by_id[member_id].folder_id
+
+    def _judge(self, hello: Hello):
+        if hello.standing is Standing.FRESH:
+            # Members that name different founders would form two clusters.
+            agrees = set(hello.founders.voter_ids) == set(self.named().voter_ids)
+            return FormationOutcome.FOUNDED if agrees else FormationOutcome.WAITING
+        if hello.standing is Standing.JOINER:
+            return FormationOutcome.JOINING
+        member = hello.founders.find(self._identity.member_id)
+        if member is None:
+            return FormationOutcome.JOINING
+        if member.folder_id != self._identity.folder_id:
+            return FormationOutcome.REFUSED
+        return FormationOutcome.FOUNDED
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
@@ -0,0 +1,319 @@
+"""Hold one member's state, and the steps that every part of the algorithm shares."""
+
+from collections import deque
+from enum import Enum
+
+from hemlockdock_control.consensus.configuration import Configuration
+from hemlockdock_control.consensus.effects import (
+    ApplyEntries,
+    LeadershipChanged,
+    Send,
+    WriteEntries,
+    WriteVote,
+)
+from hemlockdock_control.consensus.entry import EntryKind, LogEntry
+from hemlockdock_control.consensus.entry_log import EntryLog
+
+NEVER_MS = float("-inf")
+
+
+class MemberRole(Enum):
+    """Name the part that a member plays."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    FAILED = "failed"
+
+
+class MemberState:
+    """Hold one member's state.
+
+    Parameters
+    ----------
+    timing : Timing
+    member_id : str
+    folder_id : str
+    random : random.Random
+    durable : DurableState
+        What the disk holds.
+    now_ms : float
+
+    Attributes
+    ----------
+    term : int
+    voted_for : str
+    role : MemberRole
+    leader_id : str
+        Empty where none is known.
+    log : EntryLog
+    snapshot : Snapshot
+    commit_index : int
+    synced_index : int
+        Last index that is durable on this member's disk.
+    contact_ms : float
+        When a leader was last heard.
+    election_due_ms : float
+    votes : set of str
+    transfer : bool
+        Whether the election under way was asked for by the leader.
+    progress_by_id : dict of str to Progress
+    term_start_index : int
+        Index of the leader's first entry in its term.
+    announced : bool
+        Whether this member leads and has applied all that was committed before its term.
+    leading_since_ms : float
+    heartbeat_due_ms : float
+    lease_given_up : bool
+        Whether leadership was handed over in this term.
+    transfer_due_ms : float
+        When a handover under way is given up; never for none.
+    incoming : IncomingSnapshot or None
+    effects : list
+        Filled by one step, in order.
+    """
+
+    def __init__(self, timing, member_id, folder_id, random, durable, now_ms):
+        self.timing = timing
+        self.member_id = member_id
+        self.folder_id = folder_id
+        self.random = random
+        self.term = durable.term
+        self.voted_for = durable.voted_for
+        self.snapshot = durable.snapshot
+        self.role = MemberRole.FOLLOWER
+        self.leader_id = ""
+        self.log = EntryLog(self.snapshot.index, self.snapshot.term)
+        self.configurations = [(self.snapshot.index, self.snapshot.configuration)]
+        for entry in durable.entries:
+            self._add(entry)
+        self.commit_index = self.snapshot.index
+        self.synced_index = self.log.last_index
+        # A restarted member may have acknowledged a leader just before, and so holds back its
+        # vote as if it had heard the leader now.
+        self.contact_ms = now_ms if self.term > 0 else NEVER_MS
+        self.election_due_ms = NEVER_MS
+        self.votes = set()
+        self.transfer = False
+        self.progress_by_id = {}
+        self.term_start_index = 0
+        self.announced = False
+        self.leading_since_ms = NEVER_MS
+        self.heartbeat_due_ms = NEVER_MS
+        self.lease_given_up = False
+        self.transfer_due_ms = NEVER_MS
+        self.incoming = None
+        self.effects = []
+        self.write_count = 0
+        self._unsynced = deque()
+        self.reset_election_timer(now_ms)
+
+    @property
+    def configuration(self):
+        """Return the latest configuration in the log, committed or not."""
+        return self.configurations[-1][1]
+
+    @property
+    def configuration_index(self):
+        """Return the index of that configuration's entry."""
+        return self.configurations[-1][0]
+
+    @property
+    def is_leader(self):
+        """Tell whether this member leads."""
+        return self.role is MemberRole.LEADER
+
+    @property
+    def is_voter(self):
+        """Tell whether this member, with this very folder, may vote."""
+        return self.configuration.has_voter(self.member_id, self.folder_id)
+
+    @property
+    def peer_ids(self):
+        """Return the ids of all other members."""
+        members = self.configuration.members
+        return [m.member_id for m in members if m.member_id != self.member_id]
+
+    def configuration_at(self, index):
+        """Return the configuration as of an index that is held.
+
+        Parameters
+        ----------
+        index : int
+
+        Returns
+        -------
+        Configuration
+        """
+        found = self.configurations[0][1]
+        for configuration_index, configuration in self.configurations:
+            if configuration_index <= index:
+                found = configuration
+        return found
+
+    def reset_election_timer(self, now_ms):
+        """Draw the next election timeout.
+
+        Parameters
+        ----------
+        now_ms : float
+        """
+        span = self.timing.election_ms
+        self.election_due_ms = now_ms + span + self.random.uniform(0.0, span)
+
+    def send(self, member_id, message, after_sync=True):
+        """Send a message to a member.
+
+        Parameters
+        ----------
+        member_id : str
+        message : PeerMessage
+        after_sync : bool, optional
+        """
+        self.effects.append(Send(member_id, message, after_sync))
+
+    def write(self, effect):
+        """Ask for a write.
+
+        Parameters
+        ----------
+        effect : WriteVote, WriteEntries, TruncateLog or WriteSnapshot
+        """
+        self.write_count += 1
+        self.effects.append(effect)
+
+    def set_vote(self, term, voted_for):
+        """Record the term and the vote given in it.
+
+        Parameters
+        ----------
+        term : int
+        voted_for : str
+        """
+        self.term = term
+        self.voted_for = voted_for
+        self.write(WriteVote(term, voted_for))
+        self._unsynced.append((self.write_count, 0, 0))
+
+    def append(self, kind, commands):
+        """Append entries of this term to the leader's own log.
+
+        Parameters
+        ----------
+        kind : EntryKind
+        commands : iterable of bytes
+        """
+        entries = []
+        for data in commands:
+            entries.append(LogEntry(self.log.last_index + 1, self.term, kind, data))
+            self._add(entries[-1])
+        self._write_entries(tuple(entries))
+
+    def append_received(self, entries):
+        """Append entries that came from the leader.
+
+        Parameters
+        ----------
+        entries : tuple of LogEntry
+        """
+        for entry in entries:
+            self._add(entry)
+        self._write_entries(entries)
+
+    def truncate_from(self, index):
+        """Drop the entries from an index on.
+
+        Parameters
+        ----------
+        index : int
+        """
+        if index <= self.commit_index:
+            raise AssertionError(f"entry {index} is committed and cannot be dropped")
+        self.log.truncate_from(index)
+        self.synced_index = min(self.synced_index, index - 1)
+        while self.configuration_index >= index:
+            self.configurations.pop()
+
+    def replace_log(self, snapshot):
+        """Start the log anew after a snapshot.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+        """
+        self.snapshot = snapshot
+        self.log = EntryLog(snapshot.index, snapshot.term)
+        self.configurations = [(snapshot.index, snapshot.configuration)]
+        self.commit_index = snapshot.index
+        self.synced_index = snapshot.index
+
+    def note_synced(self, write_count):
+        """Note that writes are durable.
+
+        Parameters
+        ----------
+        write_count : int
+        """
+        while self._unsynced and self._unsynced[0][0] <= write_count:
+            _, index, term = self._unsynced.popleft()
+            if index > self.synced_index and self.log.term_at(index) == term:
+                self.synced_index = index
+
+    def vote_is_synced(self):
+        """Tell whether the vote last recorded is durable."""
+        return all(index for _, index, _ in self._unsynced)
+
+    def commit_to(self, index):
+        """Commit and apply all entries up to an index.
+
+        Parameters
+        ----------
+        index : int
+        """
+        if index <= self.commit_index:
+            return
+        entries = self.log.slice(self.commit_index + 1, index)
+        self.commit_index = index
+        self.effects.append(ApplyEntries(entries))
+
+    def become_follower(self, term, leader_id, now_ms):
+        """Follow in a term; a newer term is recorded first.
+
+        Parameters
+        ----------
+        term : int
+        leader_id : str
+            Empty where it isn't known.
+        now_ms : float
+        """
+        if term > self.term:
+            self.set_vote(term, "")
+        if self.is_leader:
+            self.reset_election_timer(now_ms)
+        if self.announced:
+            self.announced = False
+            self.effects.append(LeadershipChanged(False, self.term))
+        if self.role is not MemberRole.FOLLOWER:
+            self.votes.clear()
+            self.progress_by_id.clear()
+        self.role = MemberRole.FOLLOWER
+        self.leader_id = leader_id
+
+    def announce_leadership(self):
+        """Note that this member leads, once an entry of its term is committed and applied."""
+        if self.announced or self.commit_index < self.term_start_index:
+            return
+        self.announced = True
+        self.effects.append(LeadershipChanged(True, self.term))
+
+    def _add(self, entry):
+        self.log.append(entry)
+        if entry.kind is EntryKind.CONFIGURATION:
+            self.configurations.append((entry.index, Configuration.decode(entry.data)))
+
+    def _write_entries(self, entries):
+        if not entries:
+            return
+        self.write(WriteEntries(entries))
+        self._unsynced.append((self.write_count, entries[-1].index, entries[-1].term))
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
@@ -0,0 +1,261 @@
+"""Run one member: feed events to the core and carry out its effects."""
+
+import logging
+from collections import deque
+from functools import singledispatchmethod
+
+from twisted.internet.defer import Deferred, fail
+
+from hemlockdock_control.consensus.effects import (
+    WRITES,
+    ApplyEntries,
+    LeadershipChanged,
+    RestoreMachine,
+    Send,
+)
+from hemlockdock_control.consensus.entry import EntryKind
+from hemlockdock_control.consensus.errors import NotLeaderError
+from hemlockdock_control.consensus.events import (
+    ConfigurationProposed,
+    Proposed,
+    SnapshotTaken,
+    StorageFailed,
+    Synced,
+)
+from hemlockdock_control.consensus.pending_proposals import PendingProposals
+from hemlockdock_control.storage.errors import StorageFailedError
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+
+class MemberTask:
+    """Run one member.
+
+    What arrives within one turn of the reactor is taken together: its entries go out in one
+    request and are made durable by one sync.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    now_ms : callable
+        Returns a time that never goes back.
+    core : Core
+    storage : MemberStorage
+    links : PeerLinks
+    machine : object
+        With ``apply``, ``snapshot`` and ``restore``.
+    snapshot_entries : int
+    on_leadership : callable
+        Takes whether this member leads.
+    """
+
+    def __init__(
+        self, reactor, now_ms, core, storage, links, machine, snapshot_entries, on_leadership
+    ):
+        self.core = core
+        self.failure = None
+        self.applied_index = 0
+        self._reactor = reactor
+        self._now_ms = now_ms
+        self._storage = storage
+        self._links = links
+        self._machine = machine
+        self._snapshot_entries = snapshot_entries
+        self._on_leadership = on_leadership
+        self._events = deque()
+        self._commands = []
+        self._changes = []
+        self._held = []
+        self._pending = PendingProposals()
+        self._turn_call = None
+
+    def begin(self):
+        """Bring the machine to the state that the disk holds."""
+        snapshot = self.core.state.snapshot
+        if snapshot.data:
+            self._machine.restore(snapshot.index, snapshot.data)
+        self.applied_index = snapshot.index
+        self._links.learn(self.core.state.configuration)
+
+    def stop(self):
+        """Take no more events; proposers are told that the outcome is not known."""
+        if self._turn_call is not None:
+            self._turn_call.cancel()
+            self._turn_call = None
+        self._fail_commands()
+        self._pending.fail_all()
+
+    def post(self, event):
+        """Take an event with the next turn.
+
+        Parameters
+        ----------
+        event : one of hemlockdock_control.consensus.events
+        """
+        self._events.append(event)
+        self._schedule()
+
+    def propose(self, command):
+        """Replicate a command.
+
+        Parameters
+        ----------
+        command : bytes
+
+        Returns
+        -------
+        Deferred
+            Fires with the machine's result.
+        """
+        if not self.core.takes_proposals or self.failure is not None:
+            return fail(NotLeaderError(self.core.state.leader_id))
+        deferred = Deferred()
+        self._commands.append((command, deferred))
+        self._schedule()
+        return deferred
+
+    def change(self, configuration):
+        """Replicate a change of members.
+
+        Parameters
+        ----------
+        configuration : Configuration
+
+        Returns
+        -------
+        Deferred
+            Fires with None once the change is committed.
+        """
+        deferred = Deferred()
+        self._changes.append((configuration, deferred))
+        self._schedule()
+        return deferred
+
+    def _schedule(self):
+        if self._turn_call is None and self.failure is None:
+            self._turn_call = self._reactor.callLater(0, self._turn)
+
+    def _turn(self):
+        self._turn_call = None
+        try:
+            self._take_events()
+            self._sync()
+        except StorageFailedError as error:
+            self._fail(error)
+        except Exception as error:
+            logger.exception("member failed")
+            self._fail(error)
+
+    def _take_events(self):
+        while self._events:
+            self._step(self._events.popleft())
+        if self._commands:
+            self._take_commands()
+        while self._changes:
+            self._take_change(*self._changes.pop(0))
+
+    def _take_commands(self):
+        if not self.core.takes_proposals:
+            self._fail_commands()
+            return
+        taken = self._commands
+        self._commands = []
+        state = self.core.state
+        for offset, (_, deferred) in enumerate(taken, start=1):
+            self._pending.add(state.log.last_index + offset, state.term, deferred)
+        COUNTERS.increment("consensus_proposals", len(taken))
+        self._step(Proposed(tuple(command for command, _ in taken)))
+
+    def _take_change(self, configuration, deferred):
+        state = self.core.state
+        if not self.core.takes_proposals:
+            deferred.errback(NotLeaderError(state.leader_id))
+            return
+        self._pending.add(state.log.last_index + 1, state.term, deferred)
+        self._step(ConfigurationProposed(configuration))
+
+    def _sync(self):
+        while self._storage.has_waiting:
+            self._storage.sync()
+            COUNTERS.increment("consensus_syncs")
+            self._release_held()
+            self._step(Synced(self.core.state.write_count))
+        self._release_held()
+        self._take_snapshot()
+
+    def _release_held(self):
+        held = self._held
+        self._held = []
+        for effect in held:
+            self._links.send(effect.member_id, effect.message)
+
+    def _step(self, event):
+        for effect in self.core.step(event, self._now_ms()):
+            if isinstance(effect, WRITES):
+                self._storage.write(effect)
+                continue
+            self._run(effect)
+
+    @singledispatchmethod
+    def _run(self, effect):
+        raise TypeError(f"no such effect: {effect!r}")
+
+    @_run.register
+    def _(self, effect: Send):
+        if effect.after_sync:
+            self._held.append(effect)
+            return
+        self._links.send(effect.member_id, effect.message)
+
+    @_run.register
+    def _(self, effect: ApplyEntries):
+        for entry in effect.entries:
+            result = None
+            if entry.kind is EntryKind.COMMAND:
+                result = self._machine.apply(entry.index, entry.data)
+            if entry.kind is EntryKind.CONFIGURATION:
+                self._links.learn(self.core.state.configuration)
+            self.applied_index = entry.index
+            self._pending.resolve(entry, result)
+
+    @_run.register
+    def _(self, effect: RestoreMachine):
+        self._machine.restore(effect.snapshot.index, effect.snapshot.data)
+        self.applied_index = effect.snapshot.index
+        self._links.learn(effect.snapshot.configuration)
+
+    @_run.register
+    def _(self, effect: LeadershipChanged):
+        COUNTERS.increment("consensus_leadership_changes")
+        logger.info("leadership changed", extra={"leads": effect.leads, "term": effect.term})
+        if not effect.leads:
+            self._pending.fail_all()
+        self._on_leadership(effect.leads)
+
+    def _take_snapshot(self):
+        if self.applied_index - self.core.state.snapshot.index < self._snapshot_entries:
+            return
+        COUNTERS.increment("consensus_snapshots")
+        self._step(SnapshotTaken(self.applied_index, self._machine.snapshot()))
+
+    def _fail_commands(self):
+        commands = self._commands
+        self._commands = []
+        for _, deferred in commands:
+            deferred.errback(NotLeaderError(self.core.state.leader_id))
+        changes = self._changes
+        self._changes = []
+        for _, deferred in changes:
+            deferred.errback(NotLeaderError(self.core.state.leader_id))
+
+    def _fail(self, error):
+        self.failure = error
+        COUNTERS.increment("consensus_failures")
+        logger.error("member stopped", extra={"problem": str(error)})
+        self._held.clear()
+        for effect in self.core.step(StorageFailed(), self._now_ms()):
+            if isinstance(effect, LeadershipChanged):
+                self._on_leadership(effect.leads)
+        self._fail_commands()
+        self._pending.fail_all()
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
@@ -0,0 +1,73 @@
+"""Carry messages between members."""
+
+from hemlockdock_control.consensus.messages import PEER_CODEC
+from hemlockdock_core.links import PostOffice
+
+
+class PeerLinks:
+    """Own the socket for other members and know their addresses.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : Settings
+    incarnation : int
+    on_message : callable
+        Takes a member id and a message.
+    tls : LinkTls, optional
+    """
+
+    def __init__(self, reactor, settings, incarnation, on_message, tls=None):
+        self._member_id = settings.process.node_id
+        self._on_message = on_message
+        self._address_by_id = {m.member_id: m.peer_address for m in settings.members}
+        self.address = self._address_by_id[self._member_id]
+        self._office = PostOffice(
+            reactor, self._member_id, incarnation, PEER_CODEC, self.address, self._receive, tls
+        )
+
+    def learn_address(self, member_id, address):
+        """Note where a member is reached.
+
+        Parameters
+        ----------
+        member_id : str
+        address : str
+        """
+        known = self._address_by_id.get(member_id)
+        if known == address:
+            return
+        if known is not None:
+            self._office.forget(known)
+        self._address_by_id[member_id] = address
+
+    def learn(self, configuration):
+        """Note where the members of a configuration are reached.
+
+        Parameters
+        ----------
+        configuration : Configuration
+        """
+        for member in configuration.members:
+            if member.member_id != self._member_id:
+                self.learn_address(member.member_id, member.address)
+
+    def send(self, member_id, message):
+        """Send a message; one to a member without a known address is dropped.
+
+        Parameters
+        ----------
+        member_id : str
+        message : PeerMessage
+        """
+        address = self._address_by_id.get(member_id)
+        if address is not None:
+            self._office.send(address, message)
+
+    def close(self):
+        """Close all sockets."""
+        self._office.close()
+
+    def _receive(self, frame):
+        if frame.sender != self._member_id:
+            self._on_message(frame.sender, frame.body)
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -0,0 +1,396 @@
+"""Replicate commands among the control members."""
+
+import logging
+import random
+import time
+
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.task import LoopingCall
+
+from hemlockdock_control.consensus import member_changes
+from hemlockdock_control.consensus.configuration import Configuration
+from hemlockdock_control.consensus.core import Core
+from hemlockdock_control.consensus.errors import ChangeRefusedError, NotLeaderError
+from hemlockdock_control.consensus.events import Received, Tick, TransferRequested
+from hemlockdock_control.consensus.formation import Formation, FormationOutcome
+from hemlockdock_control.consensus.member_changes import ChangeRefusal
+from hemlockdock_control.consensus.member_task import MemberTask
+from hemlockdock_control.consensus.messages import Forward, Hello
+from hemlockdock_control.consensus.peer_links import PeerLinks
+from hemlockdock_control.consensus.timing import Timing
+from hemlockdock_control.storage.disk import Disk
+from hemlockdock_control.storage.identity import Standing
+from hemlockdock_control.storage.member_storage import MemberStorage
+
+logger = logging.getLogger(__name__)
+
+TICKS_PER_HEARTBEAT = 2
+MS_PER_S = 1_000.0
+
+
+def clock_ms():
+    """Return a time in ms that never goes back, and goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
+
+class Replicator:
+    """Replicate commands among the control members, each of which applies them in one order.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : Settings
+    machine : object
+        ``apply(index, data)`` returns what the proposer is handed, ``snapshot()`` returns the
+        state as bytes, ``restore(index, data)`` replaces the state.
+    tls : LinkTls, optional
+    now_ms : callable, optional
+        Returns a time that never goes back.
+    """
+
+    def __init__(self, reactor, settings, machine, tls=None, now_ms=clock_ms):
+        self._reactor = reactor
+        self._settings = settings
+        self._machine = machine
+        self._tls = tls
+        self._now_ms = now_ms
+        self._member_id = settings.process.node_id
+        self._timing = Timing.of(settings.control)
+        self._storage = None
+        self._links = None
+        self._formation = None
+        self._task = None
+        self._ticks = None
+        self._hello_by_id = {}
+        self._hello_due_ms = 0.0
+        self._leadership_callbacks = []
+        self._forward_callbacks = []
+        self._stopping = None
+        self._refused = False
+        self._close_call = None
+
+    @property
+    def is_leader(self):
+        """Tell whether this member leads and has applied all that was committed before."""
+        return self._task is not None and self._task.core.state.announced
+
+    @property
+    def leader_id(self):
+        """Return the leader's id, empty where it isn't known."""
+        return self._task.core.state.leader_id if self._task is not None else ""
+
+    @property
+    def term(self):
+        """Return the current term."""
+        return self._task.core.state.term if self._task is not None else 0
+
+    @property
+    def configuration(self):
+        """Return the members as a Configuration."""
+        return self._task.core.state.configuration if self._task is not None else Configuration()
+
+    @property
+    def applied_index(self):
+        """Return the index of the last entry applied here."""
+        return self._task.applied_index if self._task is not None else 0
+
+    @property
+    def failure(self):
+        """Return the error that stopped this member, None while it works."""
+        return self._task.failure if self._task is not None else None
+
+    @property
+    def last_leader_contact_s(self):
+        """Return how many seconds ago the leader was heard, or by the leader, its quorum."""
+        if self._task is None:
+            return float("inf")
+        return self._task.core.silence_ms(self._now_ms()) / MS_PER_S
+
+    def start(self):
+        """Open the data folder and join the other members.
+
+        Raises
+        ------
+        StorageError
+            Where the folder can't be trusted or used.
+        """
+        settings = self._settings
+        disk = Disk(settings.process.data_folder)
+        try:
+            self._storage = MemberStorage(disk, settings.control.cluster, self._member_id)
+        except BaseException:
+            disk.close()
+            raise
+        incarnation = int(time.time() * MS_PER_S)
+        self._links = PeerLinks(self._reactor, settings, incarnation, self._receive, self._tls)
+        self._formation = Formation(self._storage.identity, settings.members)
+        if self._storage.identity.standing is not Standing.FRESH:
+            self._begin()
+        self._ticks = LoopingCall(self._tick)
+        self._ticks.clock = self._reactor
+        self._ticks.start(self._timing.heartbeat_ms / TICKS_PER_HEARTBEAT / MS_PER_S)
+
+    def stop(self):
+        """Hand leadership over where this member leads, then stop.
+
+        Returns
+        -------
+        Deferred
+            Fires with None.
+        """
+        if self._stopping is not None:
+            return succeed(None)
+        self._stopping = Deferred()
+        if self._task is None or not self._task.core.state.is_leader or len(self.configuration.voter_ids) == 1:
+            self._close()
+        else:
+            self._task.post(TransferRequested())
+            delay_s = self._timing.election_ms / MS_PER_S
+            self._close_call = self._reactor.callLater(delay_s, self._close)
+        return self._stopping
+
+    def propose(self, data):
+        """Replicate a command.
+
+        Parameters
+        ----------
+        data : bytes
+
+        Returns
+        -------
+        Deferred
+            Fires with what the machine returned once the command is committed and applied here;
+            fails with NotLeaderError where it was certainly not committed, with
+            UnknownOutcomeError where it may be.
+        """
+        if self._task is None or self._stopping is not None:
+            return fail(NotLeaderError(self.leader_id))
+        return self._task.propose(data)
+
+    def read_barrier(self):
+        """Check that what is applied here is all that was committed anywhere.
+
+        Returns
+        -------
+        Deferred
+            Fires with None, or fails with NotLeaderError.
+        """
+        if self._task is None or not self._task.core.has_lease(self._now_ms()):
+            return fail(NotLeaderError(self.leader_id))
+        return succeed(None)
+
+    def on_leadership(self, callback):
+        """Call back whenever this member begins or ceases to lead.
+
+        Parameters
+        ----------
+        callback : callable
+            Takes whether it leads.
+        """
+        self._leadership_callbacks.append(callback)
+
+    def on_forward(self, callback):
+        """Call back with bytes that another member sent.
+
+        Parameters
+        ----------
+        callback : callable
+            Takes the sender's member id and the bytes.
+        """
+        self._forward_callbacks.append(callback)
+
+    def send_to_leader(self, data):
+        """Send bytes to the leader, which may be this member; they may get lost.
+
+        Parameters
+        ----------
+        data : bytes
+
+        Returns
+        -------
+        bool
+            False where no leader is known.
+        """
+        if not self.leader_id:
+            return False
+        self.send_to_member(self.leader_id, data)
+        return True
+
+    def send_to_member(self, member_id, data):
+        """Send bytes to a member, which may be this one; they may get lost.
+
+        Parameters
+        ----------
+        member_id : str
+        data : bytes
+        """
+        if member_id == self._member_id:
+            self._reactor.callLater(0, self._hand_over, member_id, data)
+            return
+        self._links.send(member_id, Forward(data))
+
+    def add_member(self, member_id):
+        """Add a member that runs and says hello, as a non-voter.
+
+        Parameters
+        ----------
+        member_id : str
+
+        Returns
+        -------
+        Deferred
+            Fires with None once committed; fails with ChangeRefusedError, NotLeaderError or
+            UnknownOutcomeError.
+        """
+        hello = self._hello_by_id.get(member_id)
+        if hello is None:
+            return fail(ChangeRefusedError(ChangeRefusal.NOT_HEARD))
+        return self._change(member_changes.add_non_voter, member_id, hello.folder_id, hello.address)
+
+    def promote_member(self, member_id):
+        """Make a non-voter that has caught up a voter.
+
+        Parameters
+        ----------
+        member_id : str
+
+        Returns
+        -------
+        Deferred
+            As for ``add_member``.
+        """
+        return self._change(member_changes.promote, member_id, self._now_ms())
+
+    def remove_member(self, member_id):
+        """Remove a member.
+
+        Parameters
+        ----------
+        member_id : str
+
+        Returns
+        -------
+        Deferred
+            As for ``add_member``.
+        """
+        return self._change(member_changes.remove, member_id, self._now_ms())
+
+    def _change(self, decide, *arguments):
+        if self._task is None or self._stopping is not None:
+            return fail(NotLeaderError(self.leader_id))
+        decided = decide(self._task.core.state, *arguments)
+        if decided.is_err():
+            return fail(ChangeRefusedError(decided.err()))
+        return self._task.change(decided.ok())
+
+    def _tick(self):
+        if self._task is not None:
+            self._task.post(Tick())
+        now_ms = self._now_ms()
+        if now_ms >= self._hello_due_ms and not self._is_member():
+            self._hello_due_ms = now_ms + self._timing.election_ms / 2
+            self._say_hello()
+
+    def _is_member(self):
+        member = self.configuration.find(self._member_id)
+        return member is not None
+
+    def _say_hello(self):
+        for address in self._settings.members:
+            if address.member_id != self._member_id:
+                self._links.send(address.member_id, self._hello(want_reply=True))
+        if self._task is None:
+            self._form()
+
+    def _hello(self, want_reply):
+        identity = self._storage.identity
+        founders = identity.founders
+        if identity.standing is Standing.FRESH:
+            founders = self._formation.named()
+        return Hello(
+            identity.cluster,
+            identity.folder_id,
+            self._links.address,
+            identity.standing,
+            founders,
+            want_reply,
+        )
+
+    def _receive(self, sender, message):
+        if isinstance(message, Hello):
+            self._take_hello(sender, message)
+            return
+        if isinstance(message, Forward):
+            self._hand_over(sender, message.data)
+            return
+        if self._task is not None:
+            self._task.post(Received(sender, message))
+
+    def _take_hello(self, sender, hello):
+        if hello.cluster != self._settings.control.cluster:
+            return
+        if self.configuration.find(sender) is None:
+            self._hello_by_id[sender] = hello
+            self._links.learn_address(sender, hello.address)
+        if hello.want_reply:
+            self._links.send(sender, self._hello(want_reply=False))
+        if self._task is None:
+            self._formation.hear(sender, hello)
+            self._form()
+
+    def _form(self):
+        outcome = self._formation.outcome()
+        if outcome is FormationOutcome.FOUNDED:
+            self._storage.set_standing(Standing.FOUNDER, self._formation.founders())
+            self._begin()
+        if outcome is FormationOutcome.JOINING:
+            self._storage.set_standing(Standing.JOINER, Configuration())
+            self._begin()
+        if outcome is FormationOutcome.REFUSED and not self._refused:
+            self._refused = True
+            logger.error("the data folder was emptied; rejoin under a new member id")
+
+    def _begin(self):
+        durable = self._storage.founded_durable()
+        core = Core(
+            self._timing,
+            self._member_id,
+            self._storage.identity.folder_id,
+            random.Random(),
+            durable,
+            self._now_ms(),
+        )
+        self._task = MemberTask(
+            self._reactor,
+            self._now_ms,
+            core,
+            self._storage,
+            self._links,
+            self._machine,
+            self._settings.control.snapshot_entries,
+            self._leadership_changed,
+        )
+        self._task.begin()
+
+    def _leadership_changed(self, leads):
+        for callback in self._leadership_callbacks:
+            callback(leads)
+        if not leads and self._close_call is not None and self._close_call.active():
+            self._close_call.reset(0)
+
+    def _hand_over(self, sender, data):
+        for callback in self._forward_callbacks:
+            callback(sender, data)
+
+    def _close(self):
+        if self._ticks is None:
+            return
+        self._ticks.stop()
+        self._ticks = None
+        if self._close_call is not None and self._close_call.active():
+            self._close_call.cancel()
+        if self._task is not None:
+            self._task.stop()
+        self._links.close()
+        self._storage.close()
+        self._stopping.callback(None)
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Keep a member's promises on its disk."""
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/identity_file.py
@@ -0,0 +1,98 @@
+"""Read and write the file that says whose folder it is."""
+
+import msgspec
+
+from hemlockdock_control.storage.errors import (
+    DamagedStorageError,
+    ForeignFolderError,
+    NewerFormatError,
+)
+from hemlockdock_control.storage.frames import Ending, decode_frames, encode_frame
+from hemlockdock_control.storage.identity import FORMAT, Identity
+from hemlockdock_control.storage.wal import SUFFIX, segment_name, segment_names
+
+NAME = "identity"
+
+
+class FormatOnly(msgspec.Struct):
+    """Read the format of an identity, whatever else a later release put there.
+
+    Attributes
+    ----------
+    format : int
+    """
+
+    format: int
+
+
+def load(disk, cluster, member_id):
+    """Return the folder's identity, None where the folder was never used.
+
+    Parameters
+    ----------
+    disk : Disk
+    cluster : str
+    member_id : str
+
+    Returns
+    -------
+    Identity or None
+
+    Raises
+    ------
+    DamagedStorageError
+    ForeignFolderError
+    NewerFormatError
+    """
+    if NAME not in disk.names():
+        return None
+    frames = decode_frames(disk.read(NAME))
+    if frames.ending is not Ending.CLEAN or len(frames.payloads) != 1:
+        raise DamagedStorageError(NAME, "the checksum is wrong")
+    found_format = msgspec.json.decode(frames.payloads[0], type=FormatOnly).format
+    if found_format > FORMAT:
+        raise NewerFormatError(NAME, found_format, FORMAT)
+    identity = msgspec.json.decode(frames.payloads[0], type=Identity)
+    if (identity.cluster, identity.member_id) != (cluster, member_id):
+        found = f"member {identity.member_id} of cluster {identity.cluster}"
+        raise ForeignFolderError("the data folder", found, f"member {member_id} of {cluster}")
+    return identity
+
+
+def prepare(disk, cluster, member_id):
+    """Clear what a crash left of an earlier first use, and draw an identity.
+
+    Parameters
+    ----------
+    disk : Disk
+    cluster : str
+    member_id : str
+
+    Returns
+    -------
+    Identity
+
+    Raises
+    ------
+    DamagedStorageError
+        Where the folder was in use, and its identity is gone.
+    """
+    first = segment_name(1)
+    for name in disk.names():
+        is_log = name.endswith(SUFFIX) or name.endswith(".snapshot")
+        if is_log and (name != first or len(decode_frames(disk.read(name)).payloads) > 1):
+            raise DamagedStorageError(NAME, f"it is missing, but there is {name}")
+    for name in segment_names(disk):
+        disk.remove(name)
+    return Identity.draw(cluster, member_id)
+
+
+def save(disk, identity):
+    """Write the folder's identity durably.
+
+    Parameters
+    ----------
+    disk : Disk
+    identity : Identity
+    """
+    disk.replace(NAME, encode_frame(msgspec.json.encode(identity)))
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/replay.py
@@ -0,0 +1,109 @@
+"""Rebuild a member's durable state from the records of its write-ahead log."""
+
+from functools import singledispatchmethod
+
+from hemlockdock_control.storage.errors import DamagedStorageError
+from hemlockdock_control.storage.records import (
+    EntriesRecord,
+    ResetRecord,
+    SegmentStart,
+    TruncateRecord,
+    VoteRecord,
+)
+
+PLACE = "write-ahead log"
+
+
+class Replay:
+    """Take records in order.
+
+    Attributes
+    ----------
+    term : int
+    voted_for : str
+    entries : list of LogEntry
+    """
+
+    def __init__(self):
+        self.term = 0
+        self.voted_for = ""
+        self.entries = []
+        self._next_index = None
+
+    @singledispatchmethod
+    def take(self, record):
+        """Take one record.
+
+        Parameters
+        ----------
+        record : Record
+
+        Raises
+        ------
+        DamagedStorageError
+            Where the record cannot follow the earlier ones.
+        """
+        raise TypeError(f"no such record: {record!r}")
+
+    @take.register
+    def _(self, record: SegmentStart):
+        self._set_vote(record.term, record.voted_for)
+
+    @take.register
+    def _(self, record: VoteRecord):
+        self._set_vote(record.term, record.voted_for)
+
+    @take.register
+    def _(self, record: EntriesRecord):
+        for entry in record.entries:
+            if self._next_index is not None and entry.index != self._next_index:
+                found = f"entry {entry.index} follows entry {self._next_index - 1}"
+                raise DamagedStorageError(PLACE, found)
+            self.entries.append(entry)
+            self._next_index = entry.index + 1
+
+    @take.register
+    def _(self, record: TruncateRecord):
+        while self.entries and self.entries[-1].index >= record.from_index:
+            self.entries.pop()
+        self._next_index = record.from_index
+
+    @take.register
+    def _(self, record: ResetRecord):
+        self.entries.clear()
+        self._next_index = record.index + 1
+
+    def entries_after(self, snapshot):
+        """Return the entries that go on from a snapshot.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+
+        Returns
+        -------
+        list of LogEntry or None
+            None where the log does not hold the snapshot's last entry, and so must begin anew.
+
+        Raises
+        ------
+        DamagedStorageError
+            Where entries between the snapshot and the log are missing.
+        """
+        if not self.entries:
+            return [] if self._next_index in (None, snapshot.index + 1) else None
+        if self.entries[0].index > snapshot.index + 1:
+            found = f"it begins at entry {self.entries[0].index}, the snapshot ends at entry "
+            raise DamagedStorageError(PLACE, found + str(snapshot.index))
+        if self.entries[-1].index < snapshot.index:
+            return None
+        position = snapshot.index - self.entries[0].index
+        if position >= 0 and self.entries[position].term != snapshot.term:
+            return None
+        return self.entries[position + 1 :]
+
+    def _set_vote(self, term, voted_for):
+        if term < self.term:
+            raise DamagedStorageError(PLACE, f"term {term} follows term {self.term}")
+        self.term = term
+        self.voted_for = voted_for
