--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/api.py
@@ -0,0 +1,262 @@
+"""Route operators' requests."""
+
+import logging
+
+import msgspec
+from klein import Klein
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
+from twisted.internet.task import deferLater
+
+from hemlockdock_control.admin.operators import Operators
+from hemlockdock_control.admin.rate_limiter import RateLimiter
+from hemlockdock_core.commands import ReleaseQuarantine, SubmitManifest
+from hemlockdock_core.errors import ErrorKind, InvalidInputError, Refusal
+from hemlockdock_core.manifest import manifest_digest, parse_manifest
+from hemlockdock_core.metrics import COUNTERS, LATENCIES, exposition
+
+logger = logging.getLogger(__name__)
+
+REQUESTS_PER_S = 50
+BURST_REQUESTS = 200
+IN_FORCE_WAIT_MS = 2_000
+LONGEST_WAIT_MS = 18_000
+IN_FORCE_POLL_S = 0.1
+STOP_TIMEOUT_S = 5
+MAX_FINGERPRINT = 256
+
+
+class AdminApi:
+    """Answer operators' requests at any member.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : hemlockdock_core.settings.Settings
+    replicator : Replicator
+    proposer : Proposer
+    pages : AdminPages
+    """
+
+    app = Klein()
+
+    def __init__(self, reactor, settings, replicator, proposer, pages):
+        self._reactor = reactor
+        self._settings = settings
+        self._replicator = replicator
+        self._proposer = proposer
+        self._pages = pages
+        self._operators = Operators(settings)
+        self._limiter = RateLimiter(REQUESTS_PER_S, BURST_REQUESTS)
+        self._under_way = 0
+        self._idle = None
+
+    def idle(self):
+        """Return a Deferred that fires once no request is under way.
+
+        Returns
+        -------
+        Deferred
+        """
+        if not self._under_way:
+            return succeed(None)
+        self._idle = Deferred()
+        self._idle.addTimeout(STOP_TIMEOUT_S, self._reactor)
+        self._idle.addErrback(lambda _: logger.warning("operators' requests cut off"))
+        return self._idle
+
+    @app.route("/v1/manifest", methods=["POST"])
+    def manifest(self, request):
+        """Submit a manifest."""
+        return self._answer(request, self._submit)
+
+    @app.route("/v1/status", methods=["GET"])
+    def status(self, request):
+        """Say how the cluster is."""
+        return self._answer(request, lambda who, req: self._page("status", {}, or_own=True))
+
+    @app.route("/v1/audit", methods=["GET"])
+    def audit(self, request):
+        """List changes."""
+        names = ("since_ms", "kind", "subject")
+        return self._answer(request, lambda who, req: self._page("audit", _arguments(req, names)))
+
+    @app.route("/v1/explain/<model>", methods=["GET"])
+    def explain(self, request, model):
+        """Say why a model is, or is not, loaded."""
+        arguments = {"model": model}
+        return self._answer(request, lambda who, req: self._page("explain", arguments))
+
+    @app.route("/v1/jobs", methods=["GET"])
+    def jobs(self, request):
+        """List jobs."""
+        return self._answer(request, lambda who, req: self._page("jobs", {}))
+
+    @app.route("/v1/quarantines/<fingerprint>/release", methods=["POST"])
+    def release(self, request, fingerprint):
+        """Let a quarantined fingerprint run again."""
+        if len(fingerprint) > MAX_FINGERPRINT:
+            return _refuse(request, Refusal.of(ErrorKind.BAD_REQUEST, "a fingerprint"))
+        return self._answer(request, lambda who, req: self._release(who, fingerprint))
+
+    @app.route("/healthz", methods=["GET"])
+    def healthz(self, request):
+        """Say whether the process works."""
+        if self._replicator.failure is None:
+            return _json(request, {"healthy": True})
+        refusal = Refusal.of(ErrorKind.STORAGE_FAILED, str(self._replicator.failure))
+        return _refuse(request, refusal)
+
+    @app.route("/readyz", methods=["GET"])
+    def readyz(self, request):
+        """Say whether the member hears from a leader."""
+        lease_s = 2 * self._settings.control.election_ms / 1_000
+        if self._replicator.leader_id and self._replicator.last_leader_contact_s <= lease_s:
+            return _json(request, {"ready": True, "leader_id": self._replicator.leader_id})
+        return _refuse(request, Refusal.of(ErrorKind.NO_CONTROL, "no leader was heard lately"))
+
+    @app.route("/metrics", methods=["GET"])
+    def metrics(self, request):
+        """Write metrics in the Prometheus text format."""
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return exposition(COUNTERS, LATENCIES, self._pages.gauges())
+
+    def _answer(self, request, work):
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return _refuse(request, refusal)
+        who = self._operator(request)
+        if who.is_err():
+            COUNTERS.increment("admin_unauthorized")
+            return _refuse(request, who.err())
+        self._under_way += 1
+        outcome = work(who.ok(), request)
+        outcome.addCallback(_write, request)
+        outcome.addErrback(_failed, request)
+        outcome.addBoth(self._settled)
+        return outcome
+
+    def _refusal(self, request):
+        client = request.getClientAddress().host
+        if not self._limiter.allow(client, self._reactor.seconds()):
+            COUNTERS.increment("admin_rate_limited")
+            return Refusal.of(ErrorKind.RATE_LIMITED, f"at most {REQUESTS_PER_S} requests a second")
+        return None
+
+    def _operator(self, request):
+        header = request.getHeader("Authorization") or ""
+        return self._operators.identify(header, request.getClientAddress().host)
+
+    def _settled(self, result):
+        self._under_way -= 1
+        if not self._under_way and self._idle is not None and not self._idle.called:
+            self._idle.callback(None)
+        return result
+
+    @inlineCallbacks
+    def _page(self, name, arguments, or_own=False):
+        if self._replicator.is_leader:
+            result = yield self._pages.strict(name, arguments)
+        else:
+            result = yield self._proposer.query(name, arguments)
+        if result.refusal is None:
+            return msgspec.json.decode(result.payload) | {"strict": True}
+        if not or_own:
+            return result.refusal
+        # An operator needs this page most where no leader answers.
+        result = self._pages.own(name, arguments)
+        return msgspec.json.decode(result.payload) | {"strict": False}
+
+    @inlineCallbacks
+    def _submit(self, who, request):
+        wait_ms = _wait_ms(request)
+        try:
+            manifest = parse_manifest(request.content.read(), "manifest")
+        except InvalidInputError as error:
+            return _invalid(error)
+        if wait_ms is None:
+            return Refusal.of(ErrorKind.BAD_REQUEST, f"wait_ms from 0 to {LONGEST_WAIT_MS}")
+        body = msgspec.json.encode(manifest.model_dump(mode="json"), order="sorted")
+        digest = manifest_digest(manifest)
+        command = SubmitManifest(manifest.number, digest, body, who, 0)
+        result = yield self._proposer.propose(command)
+        if result.refusal is not None:
+            return result.refusal
+        reached = yield self._wait_in_force(result.revision, wait_ms)
+        return {
+            "number": manifest.number,
+            "digest": digest,
+            "revision": result.revision,
+            "in_force": reached,
+        }
+
+    @inlineCallbacks
+    def _wait_in_force(self, revision, wait_ms):
+        until_s = self._reactor.seconds() + wait_ms / 1_000
+        while True:
+            page = yield self._page("in_force", {"revision": str(revision)})
+            known = not isinstance(page, Refusal)
+            if known and not page["missing"]:
+                return page
+            if self._reactor.seconds() >= until_s:
+                # Accepted it is, whatever may be known of where it is in force.
+                return page if known else None
+            yield deferLater(self._reactor, IN_FORCE_POLL_S)
+
+    @inlineCallbacks
+    def _release(self, who, fingerprint):
+        result = yield self._proposer.propose(ReleaseQuarantine(fingerprint, who, 0))
+        if result.refusal is not None:
+            return result.refusal
+        return {"fingerprint": fingerprint, "revision": result.revision}
+
+
+def _wait_ms(request):
+    text = request.args.get(b"wait_ms", [str(IN_FORCE_WAIT_MS).encode()])[0]
+    if not text.isdigit() or int(text) > LONGEST_WAIT_MS:
+        return None
+    return int(text)
+
+
+def _arguments(request, names):
+    arguments = {}
+    for name in names:
+        values = request.args.get(name.encode())
+        if values:
+            arguments[name] = values[0].decode(errors="replace")
+    return arguments
+
+
+def _invalid(error):
+    refusal = Refusal.of(ErrorKind.BAD_REQUEST, "the manifest has bad fields")
+    fields = [{"path": item.path, "expected": item.expected} for item in error.errors]
+    return refusal, fields
+
+
+def _write(page, request):
+    if isinstance(page, Refusal):
+        return _refuse(request, page)
+    if isinstance(page, tuple):
+        refusal, fields = page
+        return _refuse(request, refusal, fields)
+    return _json(request, page)
+
+
+def _failed(failure, request):
+    COUNTERS.increment("admin_failures")
+    logger.error("operator's request failed", extra={"problem": failure.getTraceback()})
+    return _refuse(request, Refusal.of(ErrorKind.INTERNAL, "see this member's log"))
+
+
+def _refuse(request, refusal, fields=None):
+    request.setResponseCode(refusal.status)
+    if refusal.retry_after_ms is not None:
+        request.setHeader("Retry-After", str(max(1, refusal.retry_after_ms // 1_000)))
+    body = refusal.body()
+    if fields is not None:
+        body["error"]["fields"] = fields
+    return _json(request, body)
+
+
+def _json(request, body):
+    request.setHeader("Content-Type", "application/json")
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/in_force.py
@@ -0,0 +1,41 @@
+"""Count the nodes at which a revision is in force."""
+
+MAX_NAMED = 100
+
+
+def in_force(service, revision):
+    """Return how many nodes have a table revision, and which do not.
+
+    Parameters
+    ----------
+    service : ControlService
+    revision : int
+
+    Returns
+    -------
+    dict
+        ``nodes`` counts those that are there, ``reached`` those of them that have it;
+        ``missing`` and ``lost`` name some of the others.
+    """
+    reached = 0
+    missing = []
+    lost = []
+    heard_by_id = service.volatile.beats.heard_by_id
+    for node_id, record in service.machine.state.nodes.record_by_id.items():
+        if record.gone:
+            continue
+        if record.lost:
+            lost.append(node_id)
+            continue
+        heard = heard_by_id.get(node_id)
+        current = heard is not None and heard.incarnation == record.incarnation
+        if current and heard.table_revision >= revision:
+            reached += 1
+            continue
+        missing.append(node_id)
+    return {
+        "nodes": reached + len(missing),
+        "reached": reached,
+        "missing": sorted(missing)[:MAX_NAMED],
+        "lost": sorted(lost)[:MAX_NAMED],
+    }
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/limited_site.py
@@ -0,0 +1,107 @@
+"""Bound what one connection, and all together, may cost."""
+
+from twisted.web.server import Request, Site
+
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.metrics import COUNTERS
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_CONNECTIONS = 128
+IDLE_TIMEOUT_S = 30
+
+
+class LimitedRequest(Request):
+    """Refuse a body beyond the limit as soon as that is known."""
+
+    _received_bytes = 0
+    _refused = False
+
+    def gotLength(self, length):
+        """Check the length that the client announced.
+
+        Parameters
+        ----------
+        length : int or None
+        """
+        if length is not None and length > MAX_BODY_BYTES:
+            self._refuse()
+            return
+        super().gotLength(length)
+
+    def handleContentChunk(self, data):
+        """Count what arrives, since a chunked body announces no length.
+
+        Parameters
+        ----------
+        data : bytes
+        """
+        if self._refused:
+            return
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_BODY_BYTES:
+            self._refuse()
+            return
+        super().handleContentChunk(data)
+
+    def requestReceived(self, command, path, version):
+        """Pass the request on, unless it was refused.
+
+        Parameters
+        ----------
+        command, path, version : bytes
+        """
+        if not self._refused:
+            super().requestReceived(command, path, version)
+
+    def _refuse(self):
+        self._refused = True
+        COUNTERS.increment("admin_bodies_refused")
+        refusal = Refusal.of(ErrorKind.TOO_LARGE, f"at most {MAX_BODY_BYTES} bytes")
+        head = f"HTTP/1.1 {refusal.status} Too Large\r\nConnection: close\r\n\r\n"
+        self.channel.transport.write(head.encode())
+        self.channel.loseConnection()
+
+
+class LimitedSite(Site):
+    """Accept a bounded number of connections.
+
+    Parameters
+    ----------
+    resource : IResource
+    reactor : twisted reactor
+    """
+
+    def __init__(self, resource, reactor):
+        super().__init__(
+            resource, requestFactory=LimitedRequest, timeout=IDLE_TIMEOUT_S, reactor=reactor
+        )
+        self.displayTracebacks = False
+        self._connections = 0
+
+    def buildProtocol(self, addr):
+        """Return a protocol for a connection, or None where there are too many.
+
+        Parameters
+        ----------
+        addr : IAddress
+
+        Returns
+        -------
+        IProtocol or None
+        """
+        if self._connections >= MAX_CONNECTIONS:
+            COUNTERS.increment("admin_connections_refused")
+            return None
+        protocol = super().buildProtocol(addr)
+        self._connections += 1
+        lost = protocol.connectionLost
+
+        def count_down(reason):
+            self._connections -= 1
+            lost(reason)
+
+        protocol.connectionLost = count_down
+        return protocol
+
+    def log(self, request):
+        """Write no access log; counters tell what was asked."""
--- a/packages/hemlockdock-control/hemlockdock_control/hub/table_feed.py
+++ b/packages/hemlockdock-control/hemlockdock_control/hub/table_feed.py
@@ -1,10 +1,10 @@
 """Decide which parts of the routing table go to which watcher."""
 
 import msgspec
-from hemlockdock_core.messages import TableChunk, TableDelta
-from hemlockdock_core.metrics import COUNTERS
 
 from hemlockdock_control.hub.watcher import Watcher
+from hemlockdock_core.messages import TableChunk, TableDelta
+from hemlockdock_core.metrics import COUNTERS
 
 ROWS_PER_CHUNK = 500
 MAX_WATCHERS = 4_096
--- a/packages/hemlockdock-control/hemlockdock_control/membership/beats.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/beats.py
@@ -2,11 +2,10 @@
 
 from dataclasses import dataclass, field
 
+from hemlockdock_control.membership.node_beat import NodeBeat
 from hemlockdock_core.messages import ModelLoad
 from hemlockdock_core.node_info import NodeInfo
 
-from hemlockdock_control.membership.node_beat import NodeBeat
-
 
 @dataclass(slots=True)
 class HeardNode:
--- a/packages/hemlockdock-control/hemlockdock_control/membership/detector.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/detector.py
@@ -2,10 +2,9 @@
 
 from dataclasses import dataclass
 
-from hemlockdock_core.commands import NodeLeaving, NodeLost, RegisterNode
-
 from hemlockdock_control.membership.platform_list import HostState
 from hemlockdock_control.state.nodes import PLATFORM
+from hemlockdock_core.commands import NodeLeaving, NodeLost, RegisterNode
 
 AGENT = "agent"
 
--- a/packages/hemlockdock-control/hemlockdock_control/membership/node_beat.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/node_beat.py
@@ -1,6 +1,7 @@
 """Carry what one member last heard from one node."""
 
 import msgspec
+
 from hemlockdock_core.messages import ModelLoad
 from hemlockdock_core.node_info import NodeInfo
 
--- a/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
@@ -5,10 +5,11 @@
 
 import msgspec
 import treq
-from hemlockdock_core.metrics import COUNTERS
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import LoopingCall
 
+from hemlockdock_core.metrics import COUNTERS
+
 logger = logging.getLogger(__name__)
 
 LIST_TIMEOUT_S = 5
--- a/packages/hemlockdock-control/hemlockdock_control/orders/inventories.py
+++ b/packages/hemlockdock-control/hemlockdock_control/orders/inventories.py
@@ -80,9 +80,7 @@
             commands.extend(_present(replica, item, report, at_ms))
     # Last, so that nothing is decided before what was lost has been recorded.
     if not node.inventoried or node.undecided_mb != undecided_mb:
-        commands.append(
-            NodeInventoried(report.node_id, report.incarnation, undecided_mb, at_ms)
-        )
+        commands.append(NodeInventoried(report.node_id, report.incarnation, undecided_mb, at_ms))
     return commands
 
 
--- a/packages/hemlockdock-control/hemlockdock_control/orders/outcomes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/orders/outcomes.py
@@ -12,7 +12,7 @@
 from hemlockdock_core.rows import ReplicaState
 
 
-def outcome_commands(result, incarnation, state, at_ms):
+def outcome_commands(result, sender, incarnation, state, at_ms):
     """Return the commands that an order's result calls for.
 
     A result whose fence is not the one that the state waits for changes nothing.
@@ -20,8 +20,9 @@
     Parameters
     ----------
     result : OrderResult
+    sender : str
+        Node id of the reporting agent.
     incarnation : int
-        Of the reporting agent.
     state : ClusterState
     at_ms : int
 
@@ -30,7 +31,9 @@
     list of Command
     """
     replica = state.replicas.record_by_id.get(result.replica_id)
-    if replica is None or not state.nodes.current(replica.node_id, incarnation):
+    if replica is None or replica.node_id != sender:
+        return []
+    if not state.nodes.current(sender, incarnation):
         return []
     if replica.state is ReplicaState.UNLOADING:
         return _unload_outcome(replica, result, incarnation, at_ms)
@@ -48,9 +51,7 @@
     if result.fence != replica.fence:
         return []
     if result.outcome is OrderOutcome.DONE:
-        return [
-            ReplicaReady(replica.replica_id, result.fence, incarnation, at_ms, result.took_ms)
-        ]
+        return [ReplicaReady(replica.replica_id, result.fence, incarnation, at_ms, result.took_ms)]
     # Whatever a failed load left behind, an unload with a newer fence clears it for certain.
     reason = f"load {result.outcome.value}: {result.detail}"
     return [DecideUnload(replica.replica_id, at_ms, reason)]
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -0,0 +1,215 @@
+"""Assemble a control member."""
+
+import logging
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import LoopingCall
+
+from hemlockdock_control.admin import AdminListener, AdminPages
+from hemlockdock_control.consensus import Replicator
+from hemlockdock_control.hub import TableFeed
+from hemlockdock_control.membership import Beats, PlatformList, SilenceClock
+from hemlockdock_control.placement import Planner
+from hemlockdock_control.service.leader_round import LeaderRound
+from hemlockdock_control.service.load_board import LoadBoard
+from hemlockdock_control.service.member_front import MemberFront
+from hemlockdock_control.service.node_front import NodeFront
+from hemlockdock_control.service.proposer import Proposer
+from hemlockdock_control.service.volatile import Volatile
+from hemlockdock_control.state import ClusterMachine
+from hemlockdock_core.links import PostOffice
+from hemlockdock_core.messages import NODE_CODEC
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+PUSH_MS = 25
+DIGEST_MS = 200
+DIGESTS_PER_COPY = 25
+FORGET_FACTOR = 4
+
+
+class ControlService:
+    """Run one control member.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : hemlockdock_core.settings.Settings
+    tls : LinkTls, optional
+        Keys for the links to nodes and members.
+    replicator_factory : callable, optional
+        Takes the reactor, the settings, the machine and the keys.
+
+    Attributes
+    ----------
+    replicator : Replicator
+    machine : ClusterMachine
+    volatile : Volatile
+    """
+
+    def __init__(self, reactor, settings, tls=None, replicator_factory=Replicator):
+        self._reactor = reactor
+        self._settings = settings
+        self._tls = tls
+        self._office = None
+        self._clock = SilenceClock(reactor)
+        self._led_by = ""
+        self._digests = 0
+        self.machine = ClusterMachine(settings)
+        self.replicator = replicator_factory(reactor, settings, self.machine, tls)
+        self._planner = Planner(settings)
+        platform = PlatformList(reactor, settings, lambda: self.replicator.is_leader)
+        board = LoadBoard(settings, self._planner.observe_arrivals)
+        self.volatile = Volatile(Beats(), board, platform)
+        self._feed = TableFeed(self._send)
+        self._proposer = Proposer(reactor, self.replicator, self.machine)
+        self._round = LeaderRound(
+            settings, self.machine, self._planner, self._proposer, self.volatile, self._send
+        )
+        self._nodes = NodeFront(
+            settings,
+            self.replicator,
+            self.machine,
+            self._proposer,
+            self.volatile,
+            self._feed,
+            self._clock,
+            self.wall_ms,
+            self._send,
+        )
+        pages = AdminPages(settings, self)
+        self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages)
+        self._admin = AdminListener(reactor, settings, self.replicator, self._proposer, pages)
+        self._loops = []
+
+    @property
+    def planner(self):
+        """Return the planner."""
+        return self._planner
+
+    @property
+    def feed(self):
+        """Return what serves the watchers."""
+        return self._feed
+
+    @property
+    def node_address(self):
+        """Return the address of the nodes' mailbox."""
+        return self._office.address
+
+    @property
+    def admin_address(self):
+        """Return ``ip:port`` of the operators' API."""
+        return self._admin.address
+
+    def start(self):
+        """Open the data folder, join the other members and listen."""
+        self.replicator.on_leadership(self._leadership_changed)
+        self.replicator.on_forward(self._members.on_forward)
+        incarnation = self.wall_ms()
+        self._office = PostOffice(
+            self._reactor,
+            self._settings.process.node_id,
+            incarnation,
+            NODE_CODEC,
+            self._node_listen_address(),
+            self._nodes.on_frame,
+            self._tls,
+        )
+        self.replicator.start()
+        self._admin.start()
+        self.volatile.platform.start()
+        self._every(PUSH_MS, self._push)
+        self._every(DIGEST_MS, self._digest)
+        self._every(self._settings.control.decide_ms, self._decide)
+        logger.info("control started", extra={"node_address": self.node_address})
+
+    @inlineCallbacks
+    def stop(self):
+        """Hand over, finish what is under way, and close.
+
+        Returns
+        -------
+        Deferred
+        """
+        yield self._admin.stop()
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        self.volatile.platform.stop()
+        yield self.replicator.stop()
+        self._proposer.stop()
+        self._office.close()
+        logger.info("control stopped")
+
+    def wall_ms(self):
+        """Return the wall clock, in milliseconds since 1970."""
+        return int(self._reactor.seconds() * 1_000)
+
+    def _every(self, period_ms, work):
+        loop = LoopingCall(_guarded(work))
+        loop.clock = self._reactor
+        loop.start(period_ms / 1_000, now=False)
+        self._loops.append(loop)
+
+    def _push(self):
+        state = self.machine.state
+        self._feed.push(state.epoch, state.changes)
+
+    def _digest(self):
+        leader_id = self.replicator.leader_id
+        self._digests += 1
+        # The copy is repeated now and then, since a forward may be lost or come too early.
+        if leader_id and (leader_id != self._led_by or self._digests % DIGESTS_PER_COPY == 0):
+            self._nodes.tell_leader_all()
+        self._led_by = leader_id
+        self._nodes.push_digest()
+        now_ms = self._clock.now_ms()
+        silent_ms = self._settings.membership.certain_after_ms * FORGET_FACTOR
+        self._nodes.forget_silent(now_ms, silent_ms)
+        for address in self._feed.forget_silent(now_ms, silent_ms):
+            self._office.forget(address)
+
+    def _decide(self):
+        if self.replicator.is_leader:
+            self._round.run(self._clock.now_ms(), self.wall_ms())
+
+    def _leadership_changed(self, leads):
+        if leads:
+            COUNTERS.increment("control_leaderships")
+            self._round.begin(self._clock.now_ms())
+            self.volatile.board.begin(self.wall_ms())
+            self._nodes.tell_leader_all()
+            logger.info("leads")
+            return
+        self.volatile.report_by_id.clear()
+        self._drop_agent_links()
+        logger.info("no longer leads")
+
+    def _drop_agent_links(self):
+        # Orders that still wait to be sent must not arrive once another member leads.
+        for record in self.machine.state.nodes.record_by_id.values():
+            if record.info.memory_mb:
+                self._office.forget(record.info.address)
+
+    def _send(self, address, message):
+        self._office.send(address, message)
+
+    def _node_listen_address(self):
+        for member in self._settings.members:
+            if member.member_id == self._settings.process.node_id:
+                return member.node_address
+        raise ValueError(f"{self._settings.process.node_id!r} is no member")
+
+
+def _guarded(work):
+    def run():
+        try:
+            work()
+        except Exception:
+            # One bad turn must not end the loop; the next one starts from the state anew.
+            COUNTERS.increment("control_loop_failures")
+            logger.exception("loop failed", extra={"loop": work.__name__})
+
+    return run
--- a/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
@@ -2,13 +2,13 @@
 
 import logging
 
-from hemlockdock_core.commands import ExpireRecords
-from hemlockdock_core.metrics import COUNTERS
 from twisted.internet.defer import gatherResults
 
 from hemlockdock_control.membership.detector import MembershipView, membership_commands
 from hemlockdock_control.orders import OrderBook, inventory_commands
 from hemlockdock_control.service.planner_view import build_view
+from hemlockdock_core.commands import ExpireRecords
+from hemlockdock_core.metrics import COUNTERS
 
 logger = logging.getLogger(__name__)
 
--- a/packages/hemlockdock-control/hemlockdock_control/service/load_board.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/load_board.py
@@ -6,6 +6,8 @@
 
 WISH_REPEATS_MISSED = 5
 SHORTEST_WISH_KEEP_MS = 1_000
+# Longer than members take to tell a new leader all that they heard.
+LEARNING_MS = 10_000
 
 
 @dataclass(slots=True)
@@ -58,6 +60,18 @@
         self._on_arrivals = on_arrivals
         self._wish_by_key = {}
         self._use_by_key = {}
+        self._begun_ms = 0
+
+    def begin(self, at_ms):
+        """Start to learn, as a member does that begins to lead.
+
+        Parameters
+        ----------
+        at_ms : int
+        """
+        self._wish_by_key.clear()
+        self._use_by_key.clear()
+        self._begun_ms = at_ms
 
     def wish(self, sender, wish, at_ms):
         """Take in a wish; a repeat keeps its first time.
@@ -73,23 +87,22 @@
         since_ms = standing.since_ms if standing is not None else at_ms
         self._wish_by_key[key] = StandingWish(wish, since_ms, at_ms)
 
-    def report(self, heard, at_ms, from_entry):
+    def report(self, heard, loads, at_ms, from_entry):
         """Take in a node's report of load.
 
         Parameters
         ----------
         heard : HeardNode
+        loads : list of ModelLoad
+            What is new in this report.
         at_ms : int
         from_entry : bool
             Whether its arrivals are callers' requests.
         """
-        for load in heard.load_by_model.values():
+        for load in loads:
             key = (heard.node_id, load.model)
             use = self._use_by_key.get(key)
-            before = 0
-            if use is not None and use.incarnation == heard.incarnation:
-                before = use.arrivals
-            new_arrivals = max(load.arrivals - before, 0)
+            new_arrivals = self._new_arrivals(use, heard.incarnation, load, at_ms)
             if new_arrivals and from_entry:
                 self._on_arrivals(load.model, new_arrivals, at_ms)
             used = new_arrivals > 0 or load.in_flight > 0 or load.waiting > 0
@@ -143,7 +156,10 @@
             )
         return views
 
-    def forget(self):
-        """Forget everything, as a member does that no longer leads."""
-        self._wish_by_key.clear()
-        self._use_by_key.clear()
+    def _new_arrivals(self, use, incarnation, load, at_ms):
+        if use is not None and use.incarnation == incarnation:
+            return max(load.arrivals - use.arrivals, 0)
+        if use is None and at_ms - self._begun_ms < LEARNING_MS:
+            # To a new leader, what a node counted long ago would look like a burst.
+            return 0
+        return load.arrivals
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/service/member_front.py
@@ -0,0 +1,93 @@
+"""Answer what other members forward."""
+
+import logging
+from functools import singledispatchmethod
+
+import msgspec
+
+from hemlockdock_control.service.peer_messages import (
+    BeatDigest,
+    RelayedAnswer,
+    RelayedCommand,
+    RelayedMessage,
+    RelayedQuery,
+    decode_peer,
+    encode_peer,
+)
+from hemlockdock_core.commands import CommandResult
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+
+class MemberFront:
+    """Take in what other members forward.
+
+    Parameters
+    ----------
+    replicator : Replicator
+    proposer : Proposer
+    node_front : NodeFront
+    pages : AdminPages
+    """
+
+    def __init__(self, replicator, proposer, node_front, pages):
+        self._replicator = replicator
+        self._proposer = proposer
+        self._node_front = node_front
+        self._pages = pages
+
+    def on_forward(self, member_id, data):
+        """Take in forwarded bytes.
+
+        Parameters
+        ----------
+        member_id : str
+        data : bytes
+        """
+        try:
+            body = decode_peer(data)
+        except msgspec.DecodeError as error:
+            COUNTERS.increment("control_malformed_forwards")
+            logger.warning("malformed forward", extra={"problem": str(error)})
+            return
+        if not isinstance(body, RelayedAnswer) and not self._replicator.is_leader:
+            self._refuse(body, member_id)
+            return
+        self._on_body(body, member_id)
+
+    @singledispatchmethod
+    def _on_body(self, body, member_id):
+        raise TypeError(type(body).__name__)
+
+    @_on_body.register
+    def _(self, body: BeatDigest, member_id):
+        self._node_front.on_digest(body.beats)
+
+    @_on_body.register
+    def _(self, body: RelayedMessage, member_id):
+        self._node_front.on_relayed(body)
+
+    @_on_body.register
+    def _(self, body: RelayedCommand, member_id):
+        outcome = self._proposer.commit(body.command)
+        outcome.addCallback(self._answer, body.ticket, member_id)
+
+    @_on_body.register
+    def _(self, body: RelayedQuery, member_id):
+        outcome = self._pages.strict(body.name, body.arguments)
+        outcome.addCallback(self._answer, body.ticket, member_id)
+
+    @_on_body.register
+    def _(self, body: RelayedAnswer, member_id):
+        self._proposer.answer(body)
+
+    def _refuse(self, body, member_id):
+        COUNTERS.increment("control_forwards_refused")
+        if isinstance(body, RelayedCommand | RelayedQuery):
+            refusal = Refusal.of(ErrorKind.NO_CONTROL, "this member does not lead")
+            self._answer(CommandResult(0, refusal), body.ticket, member_id)
+
+    def _answer(self, result, ticket, member_id):
+        self._replicator.send_to_member(member_id, encode_peer(RelayedAnswer(ticket, result)))
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -0,0 +1,251 @@
+"""Answer the nodes' messages at any member."""
+
+import logging
+from functools import singledispatchmethod
+
+from hemlockdock_control.membership import NodeBeat
+from hemlockdock_control.orders import InventoryReport, outcome_commands
+from hemlockdock_control.service.peer_messages import (
+    BeatDigest,
+    Relayed,
+    RelayedMessage,
+    encode_peer,
+)
+from hemlockdock_core.commands import (
+    ClaimJob,
+    ClaimRun,
+    CommandResult,
+    FinishJob,
+    FinishRun,
+    NodeLeaving,
+    ReadJob,
+    RecordCrash,
+    SubmitJob,
+)
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.messages import (
+    CrashReport,
+    Heartbeat,
+    HeartbeatAck,
+    Inventory,
+    Leaving,
+    OrderResult,
+    Proposal,
+    ProposalResult,
+    WatchTable,
+    Wish,
+)
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+# Nodes may not decide for the cluster; only control members and operators do.
+PROPOSABLE = (ClaimRun, FinishRun, SubmitJob, ClaimJob, FinishJob, ReadJob)
+ENTRY = "entry"
+
+
+class NodeFront:
+    """Take in what nodes say, here or by way of another member.
+
+    Parameters
+    ----------
+    settings : hemlockdock_core.settings.Settings
+    replicator : Replicator
+    machine : ClusterMachine
+    proposer : Proposer
+    volatile : Volatile
+    feed : TableFeed
+    clock : SilenceClock
+    wall_ms : callable
+    send : callable
+        Takes an address and a message.
+    """
+
+    def __init__(
+        self, settings, replicator, machine, proposer, volatile, feed, clock, wall_ms, send
+    ):
+        self._settings = settings
+        self._replicator = replicator
+        self._machine = machine
+        self._proposer = proposer
+        self._volatile = volatile
+        self._feed = feed
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._send = send
+        self._inventory_by_id = {}
+
+    def on_frame(self, frame):
+        """Take in a frame from a node.
+
+        Parameters
+        ----------
+        frame : Frame
+        """
+        self._on_message(frame.body, frame)
+
+    def on_relayed(self, message):
+        """Take in, as the leader, a message that another member relayed.
+
+        Parameters
+        ----------
+        message : RelayedMessage
+        """
+        self._on_leader(message.body, message.sender, message.incarnation)
+
+    def on_digest(self, beats):
+        """Take in, as the leader, what another member heard.
+
+        Parameters
+        ----------
+        beats : list of NodeBeat
+        """
+        now_ms = self._clock.now_ms()
+        for beat in beats:
+            self._record(beat, now_ms)
+
+    def push_digest(self):
+        """Tell the leader what was heard here."""
+        beats = self._volatile.beats.take_digest(self._clock.now_ms())
+        if beats and not self._replicator.is_leader:
+            self._replicator.send_to_leader(encode_peer(BeatDigest(beats)))
+
+    def tell_leader_all(self):
+        """Tell a leader that knows nothing yet all that this member heard."""
+        self._volatile.beats.resend_all()
+        for (sender, incarnation), inventory in self._inventory_by_id.items():
+            self._relay(inventory, sender, incarnation)
+
+    def forget_silent(self, now_ms, silent_ms):
+        """Drop what was heard from nodes that fell silent long ago.
+
+        Parameters
+        ----------
+        now_ms, silent_ms : float
+        """
+        silent_ids = set(self._volatile.beats.forget_silent(now_ms, silent_ms))
+        for sender, incarnation in list(self._inventory_by_id):
+            if sender in silent_ids:
+                del self._inventory_by_id[(sender, incarnation)]
+        for node_id in silent_ids:
+            self._volatile.report_by_id.pop(node_id, None)
+
+    @singledispatchmethod
+    def _on_message(self, body, frame):
+        COUNTERS.increment("control_unexpected_messages", message=type(body).__name__)
+
+    @_on_message.register
+    def _(self, body: Heartbeat, frame):
+        now_ms = self._clock.now_ms()
+        beat = NodeBeat(
+            frame.sender,
+            frame.incarnation,
+            body.sequence,
+            0,
+            body.table_revision,
+            body.leaving,
+            body.info,
+            body.loads,
+        )
+        self._record(beat, now_ms)
+        self._feed.touch(frame.reply_to, now_ms)
+        if not frame.reply_to:
+            return
+        ack = HeartbeatAck(
+            body.sequence,
+            self._machine.state.changes.revision,
+            self._known(frame.sender, frame.incarnation),
+            self._fresh(),
+        )
+        self._send(frame.reply_to, ack)
+
+    @_on_message.register
+    def _(self, body: WatchTable, frame):
+        if self._feed.watch(frame.sender, frame.reply_to, body, self._clock.now_ms()):
+            self._feed.push(self._machine.state.epoch, self._machine.state.changes)
+
+    @_on_message.register
+    def _(self, body: Proposal, frame):
+        if not isinstance(body.command, PROPOSABLE):
+            refusal = Refusal.of(ErrorKind.BAD_REQUEST, "nodes may not propose this command")
+            self._answer(CommandResult(0, refusal), body.proposal_id, frame.reply_to)
+            return
+        outcome = self._proposer.propose(body.command)
+        outcome.addCallback(self._answer, body.proposal_id, frame.reply_to)
+
+    @_on_message.register
+    def _(self, body: Relayed, frame):
+        if isinstance(body, Inventory):
+            self._keep_inventory(body, frame)
+        self._relay(body, frame.sender, frame.incarnation)
+
+    @singledispatchmethod
+    def _on_leader(self, body, sender, incarnation):
+        COUNTERS.increment("control_unexpected_messages", message=type(body).__name__)
+
+    @_on_leader.register
+    def _(self, body: Wish, sender, incarnation):
+        self._volatile.board.wish(sender, body, self._wall_ms())
+
+    @_on_leader.register
+    def _(self, body: OrderResult, sender, incarnation):
+        commands = outcome_commands(body, sender, incarnation, self._machine.state, self._wall_ms())
+        for command in commands:
+            self._proposer.commit(command)
+
+    @_on_leader.register
+    def _(self, body: Inventory, sender, incarnation):
+        known = self._volatile.report_by_id.get(sender)
+        if known is not None and incarnation < known.incarnation:
+            return
+        report = InventoryReport(sender, incarnation, self._machine.state.index, body)
+        self._volatile.report_by_id[sender] = report
+
+    @_on_leader.register
+    def _(self, body: Leaving, sender, incarnation):
+        node = self._machine.state.nodes.record_by_id.get(body.node_id)
+        if body.node_id != sender or node is None or node.incarnation != incarnation:
+            return
+        if not node.leaving:
+            self._proposer.commit(NodeLeaving(sender, self._wall_ms(), "agent"))
+
+    @_on_leader.register
+    def _(self, body: CrashReport, sender, incarnation):
+        command = RecordCrash(body.crash_id, sender, body.fingerprints, self._wall_ms())
+        self._proposer.commit(command)
+
+    def _relay(self, body, sender, incarnation):
+        if self._replicator.is_leader:
+            self._on_leader(body, sender, incarnation)
+            return
+        message = RelayedMessage(sender, incarnation, body)
+        if not self._replicator.send_to_leader(encode_peer(message)):
+            COUNTERS.increment("control_relays_without_leader")
+
+    def _record(self, beat, now_ms):
+        heard = self._volatile.beats.record(beat, now_ms)
+        if heard is None or not self._replicator.is_leader:
+            return
+        if beat.loads:
+            from_entry = heard.info is not None and heard.info.role == ENTRY
+            self._volatile.board.report(heard, beat.loads, self._wall_ms(), from_entry)
+
+    def _keep_inventory(self, inventory, frame):
+        for sender, incarnation in list(self._inventory_by_id):
+            if sender == frame.sender and incarnation <= frame.incarnation:
+                del self._inventory_by_id[(sender, incarnation)]
+        self._inventory_by_id[(frame.sender, frame.incarnation)] = inventory
+
+    def _known(self, node_id, incarnation):
+        record = self._machine.state.nodes.record_by_id.get(node_id)
+        if record is None or record.incarnation != incarnation or record.lost:
+            return False
+        return record.info.role == ENTRY or record.inventoried
+
+    def _fresh(self):
+        lease_s = 2 * self._settings.control.election_ms / 1_000
+        return self._replicator.last_leader_contact_s <= lease_s
+
+    def _answer(self, result, proposal_id, reply_to):
+        if reply_to:
+            self._send(reply_to, ProposalResult(proposal_id, result))
--- a/packages/hemlockdock-control/hemlockdock_control/service/peer_messages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/peer_messages.py
@@ -1,11 +1,11 @@
-"""Define what followers forward to the leader."""
+"""Define what members say to each other beside the replicated log."""
 
 import msgspec
-from hemlockdock_core.commands import Command
-from hemlockdock_core.messages import CrashReport, Inventory, Leaving, OrderResult, Wish
-from hemlockdock_core.messages.message import Message
 
 from hemlockdock_control.membership import NodeBeat
+from hemlockdock_core.commands import Command, CommandResult
+from hemlockdock_core.messages import CrashReport, Inventory, Leaving, OrderResult, Wish
+from hemlockdock_core.messages.message import Message
 
 Relayed = Wish | OrderResult | Inventory | Leaving | CrashReport
 
@@ -42,7 +42,7 @@
     Attributes
     ----------
     ticket : str
-        Names the answer, which comes as a ProposalResult to the member's node address.
+        Names the answer.
     command : Command
     """
 
@@ -65,7 +65,21 @@
     arguments: dict[str, str]
 
 
-PeerBody = BeatDigest | RelayedMessage | RelayedCommand | RelayedQuery
+class RelayedAnswer(Message, frozen=True):
+    """Answer a relayed command or query.
+
+    Attributes
+    ----------
+    ticket : str
+    result : CommandResult
+        Of a query, with the page's JSON as payload.
+    """
+
+    ticket: str
+    result: CommandResult
+
+
+PeerBody = BeatDigest | RelayedMessage | RelayedCommand | RelayedQuery | RelayedAnswer
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerBody)
--- a/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
@@ -3,14 +3,14 @@
 import secrets
 
 import msgspec
-from hemlockdock_core.commands import CommandResult, ReadJob
-from hemlockdock_core.errors import ErrorKind, Refusal
-from hemlockdock_core.metrics import COUNTERS
 from twisted.internet.defer import Deferred, succeed
 
 from hemlockdock_control.consensus import NotLeaderError
 from hemlockdock_control.service.peer_messages import RelayedCommand, RelayedQuery, encode_peer
 from hemlockdock_control.state import encode_command
+from hemlockdock_core.commands import CommandResult, ReadJob
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.metrics import COUNTERS
 
 RELAY_TIMEOUT_S = 2.5
 MAX_IN_FLIGHT = 4_096
@@ -89,18 +89,18 @@
         outcome.addBoth(self._settled)
         return outcome
 
-    def answer(self, result):
+    def answer(self, answer):
         """Take in the leader's answer to something relayed.
 
         Parameters
         ----------
-        result : ProposalResult
+        answer : RelayedAnswer
         """
-        waiting = self._waiting_by_ticket.pop(result.proposal_id, None)
+        waiting = self._waiting_by_ticket.pop(answer.ticket, None)
         if waiting is None:
             COUNTERS.increment("control_late_answers")
             return
-        waiting.callback(result.result)
+        waiting.callback(answer.result)
 
     def stop(self):
         """End everything that waits for a leader."""
--- a/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
@@ -3,6 +3,16 @@
 from functools import singledispatchmethod
 
 import msgspec
+
+from hemlockdock_control.state.context import StateContext
+from hemlockdock_control.state.crashes import Crashes
+from hemlockdock_control.state.image import IMAGE_FORMAT, StateImage
+from hemlockdock_control.state.jobs import Jobs
+from hemlockdock_control.state.manifest_rows import manifest_rows
+from hemlockdock_control.state.manifests import Manifests
+from hemlockdock_control.state.nodes import Nodes
+from hemlockdock_control.state.replicas import Replicas
+from hemlockdock_control.state.run_once import RunOnce
 from hemlockdock_core.commands import (
     AdapterLoaded,
     ClaimJob,
@@ -29,16 +39,6 @@
     SubmitManifest,
 )
 
-from hemlockdock_control.state.context import StateContext
-from hemlockdock_control.state.crashes import Crashes
-from hemlockdock_control.state.image import IMAGE_FORMAT, StateImage
-from hemlockdock_control.state.jobs import Jobs
-from hemlockdock_control.state.manifest_rows import manifest_rows
-from hemlockdock_control.state.manifests import Manifests
-from hemlockdock_control.state.nodes import Nodes
-from hemlockdock_control.state.replicas import Replicas
-from hemlockdock_control.state.run_once import RunOnce
-
 
 class ClusterState:
     """Hold the replicated state; the same commands always give the same state.
@@ -147,6 +147,7 @@
             context.changes.revision,
             self.manifests.body,
             self.manifests.revision,
+            self.manifests.accepted_at_ms,
             list(self.manifests.accepted_by_number.values()),
             self.manifests.load_ms_by_version,
             list(self.nodes.record_by_id.values()),
@@ -180,7 +181,11 @@
         context.epoch = image.epoch
         context.audit.restore(image.audit)
         self.manifests.restore(
-            image.manifest, image.manifest_revision, image.accepted, image.load_ms_by_version
+            image.manifest,
+            image.manifest_revision,
+            image.manifest_at_ms,
+            image.accepted,
+            image.load_ms_by_version,
         )
         self.nodes.record_by_id = {item.info.node_id: item for item in image.nodes}
         self.replicas.record_by_id = {item.replica_id: item for item in image.replicas}
--- a/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
@@ -1,10 +1,9 @@
 """Find the requests that crash endpoints, and refuse them for a time."""
 
-from hemlockdock_core.commands import CommandResult
-from hemlockdock_core.errors import ErrorKind
-
 from hemlockdock_control.state.refusals import refused
 from hemlockdock_control.state.suspect_record import SuspectRecord
+from hemlockdock_core.commands import CommandResult
+from hemlockdock_core.errors import ErrorKind
 
 QUARANTINE_MS = 600_000
 SUSPICION_MS = 600_000
--- a/packages/hemlockdock-control/hemlockdock_control/state/image.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/image.py
@@ -24,6 +24,7 @@
     manifest : bytes
         Canonical JSON; empty where none is in force.
     manifest_revision : int
+    manifest_at_ms : int
     accepted : list of Acceptance
     load_ms_by_version : dict of str to int
     nodes : list of NodeRecord
@@ -42,6 +43,7 @@
     table_revision: int
     manifest: bytes
     manifest_revision: int
+    manifest_at_ms: int
     accepted: list[Acceptance]
     load_ms_by_version: dict[str, int]
     nodes: list[NodeRecord]
--- a/packages/hemlockdock-control/hemlockdock_control/state/jobs.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/jobs.py
@@ -3,11 +3,11 @@
 import hashlib
 
 import msgspec
-from hemlockdock_core.commands import CommandResult
-from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 
 from hemlockdock_control.state.job_record import DONE, FAILED, RUNNING, WAITING, JobRecord
 from hemlockdock_control.state.refusals import conflict, refused, stale
+from hemlockdock_core.commands import CommandResult
+from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 
 MS_PER_S = 1_000
 FINISH_STATES = frozenset({DONE, FAILED, WAITING})
--- a/packages/hemlockdock-control/hemlockdock_control/state/load_check.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/load_check.py
@@ -1,8 +1,7 @@
 """Check a replica decision against the manifest, the endpoint and its memory."""
 
-from hemlockdock_core.errors import ErrorKind, Refusal
-
 from hemlockdock_control.state.nodes import AGENT_ROLE
+from hemlockdock_core.errors import ErrorKind, Refusal
 
 
 def load_refusal(command, manifests, nodes, replicas):
--- a/packages/hemlockdock-control/hemlockdock_control/state/machine.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/machine.py
@@ -3,12 +3,12 @@
 import logging
 
 import msgspec
+
+from hemlockdock_control.state.cluster_state import ClusterState
 from hemlockdock_core.commands import Command, CommandResult
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
 
-from hemlockdock_control.state.cluster_state import ClusterState
-
 logger = logging.getLogger(__name__)
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/hemlockdock-control/hemlockdock_control/state/manifests.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/manifests.py
@@ -2,13 +2,12 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_control.state.manifest_rows import manifest_rows, model_row
+from hemlockdock_control.state.refusals import conflict, refused
 from hemlockdock_core.commands import CommandResult
 from hemlockdock_core.errors import ErrorKind, InvalidInputError
 from hemlockdock_core.manifest import manifest_digest, parse_manifest
 
-from hemlockdock_control.state.manifest_rows import manifest_rows, model_row
-from hemlockdock_control.state.refusals import conflict, refused
-
 REMEMBERED_NUMBERS = 10_000
 MANIFEST_PREFIXES = ("manifest", "class", "model", "adapter", "service")
 
@@ -41,6 +40,7 @@
     current : hemlockdock_core.manifest.Manifest or None
     revision : int
         Revision at which the current manifest was accepted.
+    accepted_at_ms : int
     accepted_by_number : dict of int to Acceptance
     load_ms_by_version : dict of str to int
         What loads of ``model/version`` took lately, in milliseconds.
@@ -51,6 +51,7 @@
         self.current = None
         self.body = b""
         self.revision = 0
+        self.accepted_at_ms = 0
         self.accepted_by_number = {}
         self.load_ms_by_version = {}
         self._index_current()
@@ -83,7 +84,7 @@
         self._accept(manifest, command)
         return CommandResult(index, state="accepted")
 
-    def restore(self, body, revision, accepted, load_ms_by_version):
+    def restore(self, body, revision, accepted_at_ms, accepted, load_ms_by_version):
         """Replace everything with what a snapshot holds.
 
         Parameters
@@ -91,12 +92,14 @@
         body : bytes
             Empty where no manifest is in force.
         revision : int
+        accepted_at_ms : int
         accepted : list of Acceptance
         load_ms_by_version : dict of str to int
         """
         self.body = body
         self.current = parse_manifest(body, "snapshot") if body else None
         self.revision = revision
+        self.accepted_at_ms = accepted_at_ms
         self.accepted_by_number = {item.number: item for item in accepted}
         self.load_ms_by_version = dict(load_ms_by_version)
         self._index_current()
@@ -141,6 +144,7 @@
         self.current = manifest
         self.body = command.body
         self.revision = context.index
+        self.accepted_at_ms = context.now_ms
         self._remember(Acceptance(command.number, command.digest, context.index))
         self._index_current()
         self._put_rows(manifest, command.digest)
--- a/packages/hemlockdock-control/hemlockdock_control/state/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/nodes.py
@@ -1,9 +1,8 @@
 """Keep which nodes are there, leaving or lost."""
 
-from hemlockdock_core.commands import CommandResult
-
 from hemlockdock_control.state.node_record import NodeRecord
 from hemlockdock_control.state.refusals import conflict, stale
+from hemlockdock_core.commands import CommandResult
 
 AGENT_ROLE = "agent"
 PLATFORM = "platform"
--- a/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
@@ -1,12 +1,11 @@
 """Keep decided replicas and the memory that they reserve."""
 
-from hemlockdock_core.commands import CommandResult
-from hemlockdock_core.errors import ErrorKind
-from hemlockdock_core.rows import ReplicaState
-
 from hemlockdock_control.state.load_check import load_refusal
 from hemlockdock_control.state.refusals import conflict, refused, stale
 from hemlockdock_control.state.replica_record import AdapterRecord, ReplicaRecord
+from hemlockdock_core.commands import CommandResult
+from hemlockdock_core.errors import ErrorKind
+from hemlockdock_core.rows import ReplicaState
 
 
 class Replicas:
--- a/packages/hemlockdock-control/hemlockdock_control/state/run_once.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/run_once.py
@@ -1,10 +1,9 @@
 """Keep requests that may run at most once from running twice."""
 
-from hemlockdock_core.commands import CommandResult, RunState
-from hemlockdock_core.errors import ErrorKind
-
 from hemlockdock_control.state.refusals import conflict, refused, stale
 from hemlockdock_control.state.run_record import RunRecord
+from hemlockdock_core.commands import CommandResult, RunState
+from hemlockdock_core.errors import ErrorKind
 
 MS_PER_S = 1_000
 # No request lives longer than the longest deadline that a manifest may give.
@@ -150,6 +149,4 @@
         )
 
     def _record_change(self, record, before):
-        self._context.record(
-            record.owner, "run_once", record.key_hash, before, record.state.value
-        )
+        self._context.record(record.owner, "run_once", record.key_hash, before, record.state.value)
--- a/packages/hemlockdock-core/hemlockdock_core/commands/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/__init__.py
@@ -13,7 +13,12 @@
 )
 from hemlockdock_core.commands.jobs import ClaimJob, FinishJob, ReadJob, SubmitJob
 from hemlockdock_core.commands.manifests import SubmitManifest
-from hemlockdock_core.commands.membership import NodeInventoried, NodeLeaving, NodeLost, RegisterNode
+from hemlockdock_core.commands.membership import (
+    NodeInventoried,
+    NodeLeaving,
+    NodeLost,
+    RegisterNode,
+)
 from hemlockdock_core.commands.result import CommandResult
 from hemlockdock_core.commands.run_once import ClaimRun, FinishRun, RunState
 from hemlockdock_core.commands.tick import ExpireRecords
