--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -141,7 +141,11 @@
         if self._stopping is not None:
             return succeed(None)
         self._stopping = Deferred()
-        if self._task is None or not self._task.core.state.is_leader or len(self.configuration.voter_ids) == 1:
+        if (
+            self._task is None
+            or not self._task.core.state.is_leader
+            or len(self.configuration.voter_ids) == 1
+        ):
             self._close()
         else:
             self._task.post(TransferRequested())
