--- a/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
@@ -16,7 +16,6 @@
 TOKEN_VARIABLE = "HEMLOCKDOCK_TOKEN"
 DEFAULT_ADMIN = "127.0.0.1:7080"
 TIMEOUT_S = 30
-MAX_LEADER_HOPS = 3
 HTTP_BAD = 400
 
 
@@ -72,7 +71,7 @@
         return outcome[0]
 
     async def request(self, method, path, body=None, params=None):
-        """Call on a running reactor; try each address, and go to the leader where told to.
+        """Call on a running reactor; try the addresses in turn.
 
         Parameters
         ----------
@@ -90,10 +89,7 @@
         CommandError
         """
         problem = "no address given"
-        waiting = list(self._addresses)
-        hops = 0
-        while waiting:
-            address = waiting.pop(0)
+        for address in self._addresses:
             try:
                 status, document = await self._once(address, method, path, body, params)
             except (ConnectError, ResponseNeverReceived, TimeoutError) as error:
@@ -101,11 +97,6 @@
                 continue
             if status < HTTP_BAD:
                 return document
-            leader = document.get("leader")
-            if leader and hops < MAX_LEADER_HOPS:
-                hops += 1
-                waiting.insert(0, leader)
-                continue
             raise CommandError(_code(status), _message(status, document))
         raise CommandError(ExitCode.UNREACHABLE, f"control cannot be reached: {problem}")
 
--- a/samples/checks.py
+++ b/samples/checks.py
@@ -45,7 +45,7 @@
             raise UnmetItemError(str(what))
 
     def admin(self, method, path, body=None):
-        """Call any control member that answers, following the leader.
+        """Call the control members in turn until one answers.
 
         Parameters
         ----------
@@ -100,7 +100,7 @@
 
     def behind(self):
         """Return the nodes that do not have the latest manifest in force."""
-        return self.admin("GET", "/v1/status").json()["behind"]
+        return self.admin("GET", "/v1/status").json()["manifest"]["in_force"]["missing"]
 
     def chat(self, entry, model, text, headers=None, stream=False, tokens=24):
         """Send one chat request.
@@ -223,7 +223,7 @@
 
     def replace_leader(self):
         """Kill the leader; a manifest must be accepted, and all must have it in force."""
-        leader = self.admin("GET", "/v1/status").json()["leader"]
+        leader = self.admin("GET", "/v1/status").json()["leader_id"]
         self.run.end_node(leader, self.run.KILL)
         self.submit(2)
         self.run.start_node(leader)
