--- /dev/null
+++ b/tools/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measure slopes that docs/CAPACITY.md works from."""
--- /dev/null
+++ b/tools/tests/test_pages.py
@@ -0,0 +1,71 @@
+"""Test that pages agree with the code and with each other."""
+
+import json
+import re
+import sys
+import unittest
+from pathlib import Path
+
+TOOLS = Path(__file__).parent.parent
+ROOT = TOOLS.parent
+sys.path.insert(0, str(TOOLS))
+
+import generate_pages  # noqa: E402
+
+from hemlockdock_cli.commands import Commands  # noqa: E402
+from hemlockdock_core.manifest import parse_manifest  # noqa: E402
+from hemlockdock_core.settings.settings import Settings  # noqa: E402
+
+LINK = re.compile(r"\]\(([^)#]+)(?:#[^)]*)?\)")
+COMMAND = re.compile(r"(?:^    |`)hemlockdock (?:--\S+ \S+ )*([a-z]+)", re.MULTILINE)
+MACHINE_PATH = re.compile(r"(?<![\w.])/(?:work|root|home|tmp)/")
+
+
+def pages():
+    """Return every Markdown page."""
+    return [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+
+
+class PagesTest(unittest.TestCase):
+    def test_generated_pages_are_up_to_date(self):
+        for name, make in generate_pages.PAGE_BY_NAME.items():
+            self.assertEqual((ROOT / "docs" / name).read_text(), make(), name)
+
+    def test_links_lead_somewhere(self):
+        for page in pages():
+            for target in LINK.findall(page.read_text()):
+                if "://" in target:
+                    continue
+                self.assertTrue((page.parent / target).exists(), f"{page.name}: {target}")
+
+    def test_commands_on_pages_are_there(self):
+        for page in pages():
+            for name in COMMAND.findall(page.read_text()):
+                known = hasattr(Commands, name) or name == "check"
+                self.assertTrue(known, f"{page.name}: hemlockdock {name}")
+
+    def test_no_page_names_a_path_of_a_machine(self):
+        for page in pages():
+            self.assertIsNone(MACHINE_PATH.search(page.read_text()), page.name)
+
+
+class SamplesTest(unittest.TestCase):
+    def test_manifests_are_valid_and_of_the_stated_size(self):
+        for name, models, adapters in (("gt-altiplano", 60, 100), ("mct", 40, 100)):
+            text = (ROOT / "samples" / name / "manifest.json").read_text()
+            manifest = parse_manifest(text, name)
+            self.assertEqual((len(manifest.models), len(manifest.adapters)), (models, adapters))
+
+    def test_settings_have_only_known_sections_and_keys(self):
+        import configparser
+
+        for path in sorted((ROOT / "samples").glob("*/*.ini")):
+            parser = configparser.ConfigParser(interpolation=None)
+            parser.read(path)
+            for section in parser.sections():
+                fields = Settings.model_fields[section].annotation.model_fields
+                self.assertLessEqual(set(parser[section]), set(fields), json.dumps(str(path.name)))
+
+
+if __name__ == "__main__":
+    unittest.main()
