--- a/packages/hemlockdock-control/hemlockdock_control/consensus/core.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/core.py
@@ -72,7 +72,7 @@
     @property
     def takes_proposals(self):
         """Tell whether commands are appended now."""
-        return self.state.is_leader and not handover.is_under_way(self.state)
+        return self.state.announced and not handover.is_under_way(self.state)
 
     def has_lease(self, now_ms):
         """Tell whether what is applied here is all that was committed anywhere.
@@ -160,6 +160,7 @@
         state.snapshot = Snapshot(event.index, term, configuration, event.data)
         state.write(WriteSnapshot(state.snapshot, installed=False))
         state.log.compact_to(event.index - state.timing.kept_entries)
+        state.forget_configurations_before(event.index)
 
     @_on_event.register
     def _(self, event: TransferRequested, now_ms):
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/errors.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/errors.py
@@ -15,6 +15,10 @@
         self.leader_id = leader_id
 
 
+class BacklogFullError(NotLeaderError):
+    """Raise where too many commands wait already; this one was certainly not appended."""
+
+
 class UnknownOutcomeError(Exception):
     """Raise where a command may or may not be committed, so that only an idempotent retry helps."""
 
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/handover.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/handover.py
@@ -57,7 +57,7 @@
 
 
 def give_up_if_due(state, now_ms):
-    """Lead on where nobody took over in time.
+    """Lead on where nobody was asked in time, and stop leading where one was but did not.
 
     Parameters
     ----------
@@ -67,3 +67,6 @@
     if not is_under_way(state) or now_ms < state.transfer_due_ms:
         return
     state.transfer_due_ms = NEVER_MS
+    if state.lease_given_up:
+        # Without a lease for the rest of the term, a new term serves reads sooner.
+        state.become_follower(state.term, "", now_ms)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_changes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_changes.py
@@ -1,13 +1,55 @@
 """Decide changes of members, one member at a time."""
 
+from dataclasses import dataclass
 from enum import StrEnum
+from functools import singledispatch
 
 from result import Err, Ok
 
-from hemlockdock_control.consensus.configuration import Configuration, Member
+from hemlockdock_control.consensus.configuration import Member
 from hemlockdock_control.consensus.progress import ProgressMode
 
 
+@dataclass(frozen=True, slots=True)
+class AddNonVoter:
+    """Add a member that counts towards no quorum.
+
+    Attributes
+    ----------
+    member_id : str
+    folder_id : str
+    address : str
+    """
+
+    member_id: str
+    folder_id: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Promote:
+    """Make a non-voter that holds all that is committed a voter.
+
+    Attributes
+    ----------
+    member_id : str
+    """
+
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Remove:
+    """Remove a member.
+
+    Attributes
+    ----------
+    member_id : str
+    """
+
+    member_id: str
+
+
 class ChangeRefusal(StrEnum):
     """Say why a change of members is refused."""
 
@@ -22,85 +64,68 @@
     QUORUM_LOST = "too few of the remaining voters reply"
 
 
-def add_non_voter(state, member_id, folder_id, address):
-    """Decide whether a member may be added that counts towards no quorum.
+@singledispatch
+def decide(change, state, now_ms):
+    """Decide whether a change of members may begin now.
+
+    A change is refused while another is under way, and until the leader has committed in its
+    own term. Those that alter the voters are refused, too, where the voters that reply would
+    make no quorum.
 
     Parameters
     ----------
+    change : AddNonVoter, Promote or Remove
     state : MemberState
-    member_id : str
-    folder_id : str
-    address : str
+    now_ms : float
 
     Returns
     -------
     result.Result of Configuration or ChangeRefusal
     """
+    raise TypeError(f"no such change: {change!r}")
+
+
+@decide.register
+def _(change: AddNonVoter, state, now_ms):
     refusal = _refusal(state)
     if refusal is not None:
         return Err(refusal)
-    if state.configuration.find(member_id) is not None:
+    if state.configuration.find(change.member_id) is not None:
         return Err(ChangeRefusal.KNOWN_MEMBER)
-    return Ok(state.configuration.with_member(Member(member_id, folder_id, address, False)))
+    member = Member(change.member_id, change.folder_id, change.address, False)
+    return Ok(state.configuration.with_member(member))
 
 
-def promote(state, member_id, now_ms):
-    """Decide whether a non-voter may become a voter.
-
-    It must hold all that is committed, and with it a quorum must reply: else the loss of one
-    more host right after would stop the cluster.
-
-    Parameters
-    ----------
-    state : MemberState
-    member_id : str
-    now_ms : float
-
-    Returns
-    -------
-    result.Result of Configuration or ChangeRefusal
-    """
+@decide.register
+def _(change: Promote, state, now_ms):
     refusal = _refusal(state)
     if refusal is not None:
         return Err(refusal)
-    member = state.configuration.find(member_id)
+    member = state.configuration.find(change.member_id)
     if member is None:
         return Err(ChangeRefusal.UNKNOWN_MEMBER)
     if member.voter:
         return Err(ChangeRefusal.NO_NON_VOTER)
-    if not _has_caught_up(state, member_id, now_ms):
+    if not _has_caught_up(state, change.member_id, now_ms):
         return Err(ChangeRefusal.CATCHING_UP)
-    voter = Member(member_id, member.folder_id, member.address, True)
-    configuration = state.configuration.with_member(voter)
-    if not _quorum_replies(state, configuration, now_ms):
-        return Err(ChangeRefusal.QUORUM_LOST)
-    return Ok(configuration)
-
+    voter = Member(change.member_id, member.folder_id, member.address, True)
+    return _with_quorum(state, state.configuration.with_member(voter), now_ms)
 
-def remove(state, member_id, now_ms):
-    """Decide whether a member may be removed.
 
-    Parameters
-    ----------
-    state : MemberState
-    member_id : str
-    now_ms : float
-
-    Returns
-    -------
-    result.Result of Configuration or ChangeRefusal
-    """
+@decide.register
+def _(change: Remove, state, now_ms):
     refusal = _refusal(state)
     if refusal is not None:
         return Err(refusal)
-    if state.configuration.find(member_id) is None:
+    member = state.configuration.find(change.member_id)
+    if member is None:
         return Err(ChangeRefusal.UNKNOWN_MEMBER)
-    configuration = state.configuration.without(member_id)
+    configuration = state.configuration.without(change.member_id)
     if not configuration.voter_ids:
         return Err(ChangeRefusal.LAST_VOTER)
-    if not _quorum_replies(state, configuration, now_ms):
-        return Err(ChangeRefusal.QUORUM_LOST)
-    return Ok(configuration)
+    if not member.voter:
+        return Ok(configuration)
+    return _with_quorum(state, configuration, now_ms)
 
 
 def _refusal(state):
@@ -120,9 +145,11 @@
     return _replies(state, member_id, now_ms)
 
 
-def _quorum_replies(state, configuration: Configuration, now_ms):
+def _with_quorum(state, configuration, now_ms):
     replying = [m for m in configuration.voter_ids if _replies(state, m, now_ms)]
-    return len(replying) >= configuration.quorum
+    if len(replying) < configuration.quorum:
+        return Err(ChangeRefusal.QUORUM_LOST)
+    return Ok(configuration)
 
 
 def _replies(state, member_id, now_ms):
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
@@ -152,6 +152,16 @@
                 found = configuration
         return found
 
+    def forget_configurations_before(self, index):
+        """Drop the configurations that were superseded at or before an index.
+
+        Parameters
+        ----------
+        index : int
+        """
+        while len(self.configurations) > 1 and self.configurations[1][0] <= index:
+            self.configurations.pop(0)
+
     def reset_election_timer(self, now_ms):
         """Draw the next election timeout.
 
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred, fail
 
+from hemlockdock_control.consensus import member_changes
 from hemlockdock_control.consensus.effects import (
     WRITES,
     ApplyEntries,
@@ -14,7 +15,11 @@
     Send,
 )
 from hemlockdock_control.consensus.entry import EntryKind
-from hemlockdock_control.consensus.errors import NotLeaderError
+from hemlockdock_control.consensus.errors import (
+    BacklogFullError,
+    ChangeRefusedError,
+    NotLeaderError,
+)
 from hemlockdock_control.consensus.events import (
     ConfigurationProposed,
     Proposed,
@@ -28,6 +33,8 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_WAITING_COMMANDS = 10_000
+
 
 class MemberTask:
     """Run one member.
@@ -110,25 +117,29 @@
         """
         if not self.core.takes_proposals or self.failure is not None:
             return fail(NotLeaderError(self.core.state.leader_id))
+        if len(self._pending) + len(self._commands) >= MAX_WAITING_COMMANDS:
+            return fail(BacklogFullError(self.core.state.leader_id))
         deferred = Deferred()
         self._commands.append((command, deferred))
         self._schedule()
         return deferred
 
-    def change(self, configuration):
+    def change(self, change):
         """Replicate a change of members.
 
         Parameters
         ----------
-        configuration : Configuration
+        change : AddNonVoter, Promote or Remove
 
         Returns
         -------
         Deferred
             Fires with None once the change is committed.
         """
+        if self.failure is not None:
+            return fail(NotLeaderError(""))
         deferred = Deferred()
-        self._changes.append((configuration, deferred))
+        self._changes.append((change, deferred))
         self._schedule()
         return deferred
 
@@ -167,13 +178,17 @@
         COUNTERS.increment("consensus_proposals", len(taken))
         self._step(Proposed(tuple(command for command, _ in taken)))
 
-    def _take_change(self, configuration, deferred):
+    def _take_change(self, change, deferred):
         state = self.core.state
         if not self.core.takes_proposals:
             deferred.errback(NotLeaderError(state.leader_id))
             return
+        decided = member_changes.decide(change, state, self._now_ms())
+        if decided.is_err():
+            deferred.errback(ChangeRefusedError(decided.err()))
+            return
         self._pending.add(state.log.last_index + 1, state.term, deferred)
-        self._step(ConfigurationProposed(configuration))
+        self._step(ConfigurationProposed(decided.ok()))
 
     def _sync(self):
         while self._storage.has_waiting:
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
@@ -1,7 +1,14 @@
-"""Carry messages between members."""
+"""Carry messages between members.
+
+The sender's name in each frame begins with the cluster's name, so that a member of another
+cluster, met by a mistaken address, is not heard.
+"""
 
 from hemlockdock_control.consensus.messages import PEER_CODEC
 from hemlockdock_core.links import PostOffice
+from hemlockdock_core.metrics import COUNTERS
+
+SEPARATOR = "/"
 
 
 class PeerLinks:
@@ -22,8 +29,10 @@
         self._on_message = on_message
         self._address_by_id = {m.member_id: m.peer_address for m in settings.members}
         self.address = self._address_by_id[self._member_id]
+        self._cluster = settings.control.cluster
+        sender = self._cluster + SEPARATOR + self._member_id
         self._office = PostOffice(
-            reactor, self._member_id, incarnation, PEER_CODEC, self.address, self._receive, tls
+            reactor, sender, incarnation, PEER_CODEC, self.address, self._receive, tls
         )
 
     def learn_address(self, member_id, address):
@@ -69,5 +78,8 @@
         self._office.close()
 
     def _receive(self, frame):
-        if frame.sender != self._member_id:
-            self._on_message(frame.sender, frame.body)
+        cluster, _, member_id = frame.sender.rpartition(SEPARATOR)
+        if cluster != self._cluster or member_id == self._member_id:
+            COUNTERS.increment("consensus_foreign_frames")
+            return
+        self._on_message(member_id, frame.body)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -7,13 +7,17 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import LoopingCall
 
-from hemlockdock_control.consensus import member_changes
 from hemlockdock_control.consensus.configuration import Configuration
 from hemlockdock_control.consensus.core import Core
 from hemlockdock_control.consensus.errors import ChangeRefusedError, NotLeaderError
 from hemlockdock_control.consensus.events import Received, Tick, TransferRequested
 from hemlockdock_control.consensus.formation import Formation, FormationOutcome
-from hemlockdock_control.consensus.member_changes import ChangeRefusal
+from hemlockdock_control.consensus.member_changes import (
+    AddNonVoter,
+    ChangeRefusal,
+    Promote,
+    Remove,
+)
 from hemlockdock_control.consensus.member_task import MemberTask
 from hemlockdock_control.consensus.messages import Forward, Hello
 from hemlockdock_control.consensus.peer_links import PeerLinks
@@ -141,7 +145,11 @@
         if self._stopping is not None:
             return succeed(None)
         self._stopping = Deferred()
-        if self._task is None or not self._task.core.state.is_leader or len(self.configuration.voter_ids) == 1:
+        if (
+            self._task is None
+            or not self._task.core.state.is_leader
+            or len(self.configuration.voter_ids) == 1
+        ):
             self._close()
         else:
             self._task.post(TransferRequested())
@@ -245,7 +253,7 @@
         hello = self._hello_by_id.get(member_id)
         if hello is None:
             return fail(ChangeRefusedError(ChangeRefusal.NOT_HEARD))
-        return self._change(member_changes.add_non_voter, member_id, hello.folder_id, hello.address)
+        return self._change(AddNonVoter(member_id, hello.folder_id, hello.address))
 
     def promote_member(self, member_id):
         """Make a non-voter that has caught up a voter.
@@ -259,7 +267,7 @@
         Deferred
             As for ``add_member``.
         """
-        return self._change(member_changes.promote, member_id, self._now_ms())
+        return self._change(Promote(member_id))
 
     def remove_member(self, member_id):
         """Remove a member.
@@ -273,15 +281,31 @@
         Deferred
             As for ``add_member``.
         """
-        return self._change(member_changes.remove, member_id, self._now_ms())
+        return self._change(Remove(member_id))
 
-    def _change(self, decide, *arguments):
+    def replace_member(self, old_id, new_id):
+        """Promote a non-voter that has caught up, and remove a member right after.
+
+        In between, one voter more must reply, so the two follow each other at once.
+
+        Parameters
+        ----------
+        old_id : str
+        new_id : str
+
+        Returns
+        -------
+        Deferred
+            As for ``add_member``.
+        """
+        promoted = self.promote_member(new_id)
+        promoted.addCallback(lambda _: self.remove_member(old_id))
+        return promoted
+
+    def _change(self, change):
         if self._task is None or self._stopping is not None:
             return fail(NotLeaderError(self.leader_id))
-        decided = decide(self._task.core.state, *arguments)
-        if decided.is_err():
-            return fail(ChangeRefusedError(decided.err()))
-        return self._task.change(decided.ok())
+        return self._task.change(change)
 
     def _tick(self):
         if self._task is not None:
--- a/packages/hemlockdock-control/hemlockdock_control/storage/identity_file.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/identity_file.py
@@ -79,7 +79,7 @@
     """
     first = segment_name(1)
     for name in disk.names():
-        is_log = name.endswith(SUFFIX) or name.endswith(".snapshot")
+        is_log = name.endswith((SUFFIX, ".snapshot"))
         if is_log and (name != first or len(decode_frames(disk.read(name)).payloads) > 1):
             raise DamagedStorageError(NAME, f"it is missing, but there is {name}")
     for name in segment_names(disk):
--- a/packages/hemlockdock-control/hemlockdock_control/storage/replay.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/replay.py
@@ -90,11 +90,12 @@
         DamagedStorageError
             Where entries between the snapshot and the log are missing.
         """
+        first = self.entries[0].index if self.entries else self._next_index
+        if first is not None and first > snapshot.index + 1:
+            found = f"it begins at entry {first}, the snapshot ends at entry {snapshot.index}"
+            raise DamagedStorageError(PLACE, found)
         if not self.entries:
-            return [] if self._next_index in (None, snapshot.index + 1) else None
-        if self.entries[0].index > snapshot.index + 1:
-            found = f"it begins at entry {self.entries[0].index}, the snapshot ends at entry "
-            raise DamagedStorageError(PLACE, found + str(snapshot.index))
+            return [] if first in (None, snapshot.index + 1) else None
         if self.entries[-1].index < snapshot.index:
             return None
         position = snapshot.index - self.entries[0].index
