--- a/packages/hemlockdock-control/hemlockdock_control/orders/inventories.py
+++ b/packages/hemlockdock-control/hemlockdock_control/orders/inventories.py
@@ -1,6 +1,8 @@
 """Learn from what an engine holds."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from msgspec import structs
 
 from hemlockdock_core.commands import (
     AdapterLoaded,
@@ -9,7 +11,7 @@
     ReplicaGone,
     ReplicaReady,
 )
-from hemlockdock_core.messages import Inventory
+from hemlockdock_core.messages import Inventory, OrderOutcome
 from hemlockdock_core.rows import ReplicaState
 
 
@@ -44,6 +46,63 @@
         """
         return [item for item in self.inventory.loaded if not self._decided(state, item)]
 
+    def follows(self, fence, incarnation):
+        """Tell whether it was taken after an order was obeyed, so that absence means gone.
+
+        Parameters
+        ----------
+        fence : int
+            Of the order.
+        incarnation : int
+            Of the agent that obeyed it.
+
+        Returns
+        -------
+        bool
+        """
+        return self.incarnation > incarnation or self.inventory.highest_fence >= fence
+
+    def replaces(self, known):
+        """Tell whether it is no older than another report of the same node.
+
+        Parameters
+        ----------
+        known : InventoryReport or None
+
+        Returns
+        -------
+        bool
+        """
+        if known is None:
+            return True
+        mine = (self.incarnation, self.inventory.highest_fence)
+        return mine >= (known.incarnation, known.inventory.highest_fence)
+
+    def after_result(self, result, state):
+        """Return the report without what an unload took away since.
+
+        Parameters
+        ----------
+        result : OrderResult
+        state : ClusterState
+
+        Returns
+        -------
+        InventoryReport
+        """
+        replica = state.replicas.record_by_id.get(result.replica_id)
+        if result.outcome is not OrderOutcome.DONE:
+            return self
+        if replica is not None and result.fence != replica.unload_fence:
+            return self
+        # Only an unload has a fence beyond the one that the thing was loaded by.
+        left = [
+            item
+            for item in self.inventory.loaded
+            if item.replica_id != result.replica_id or result.fence <= item.fence
+        ]
+        return replace(self, inventory=structs.replace(self.inventory, loaded=left))
+
     def _decided(self, state, item):
         replica = state.replicas.record_by_id.get(item.replica_id)
         return (
@@ -91,17 +150,11 @@
         return
     if replica.fence in inventory.orders_in_flight:
         return
-    if not _newer_than(replica, report):
+    if not report.follows(replica.fence, replica.ready_incarnation):
         return
     yield ReplicaGone(replica.replica_id, report.incarnation, at_ms, "not in the inventory")
 
 
-def _newer_than(replica, report):
-    if report.incarnation > replica.ready_incarnation:
-        return True
-    return report.inventory.highest_fence >= replica.fence
-
-
 def _present(replica, item, report, at_ms):
     if replica.state is ReplicaState.LOADING and item.fence == replica.fence:
         if replica.fence not in report.inventory.orders_in_flight:
@@ -116,5 +169,7 @@
             continue
         if name in item.adapters and not adapter.loaded:
             yield AdapterLoaded(replica.replica_id, name, report.incarnation, at_ms)
-        if name not in item.adapters and adapter.loaded:
+        if name in item.adapters or not adapter.loaded:
+            continue
+        if report.follows(adapter.fence, adapter.loaded_incarnation):
             yield DropAdapter(replica.replica_id, name, report.incarnation, at_ms)
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -189,17 +189,19 @@
 
     @_on_leader.register
     def _(self, body: OrderResult, sender, incarnation):
+        report = self._volatile.report_by_id.get(sender)
+        if report is not None and report.incarnation == incarnation:
+            report = report.after_result(body, self._machine.state)
+            self._volatile.report_by_id[sender] = report
         commands = outcome_commands(body, sender, incarnation, self._machine.state, self._wall_ms())
         for command in commands:
             self._proposer.commit(command)
 
     @_on_leader.register
     def _(self, body: Inventory, sender, incarnation):
-        known = self._volatile.report_by_id.get(sender)
-        if known is not None and incarnation < known.incarnation:
-            return
         report = InventoryReport(sender, incarnation, self._machine.state.index, body)
-        self._volatile.report_by_id[sender] = report
+        if report.replaces(self._volatile.report_by_id.get(sender)):
+            self._volatile.report_by_id[sender] = report
 
     @_on_leader.register
     def _(self, body: Leaving, sender, incarnation):
--- a/packages/hemlockdock-control/hemlockdock_control/state/replica_record.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/replica_record.py
@@ -15,6 +15,8 @@
     fence : int
         Of the order that loads it.
     loaded : bool
+    loaded_incarnation : int
+        Of the agent that reported the load.
     unload_fence : int
         Of the order that unloads it; 0 where none was decided.
     """
@@ -22,6 +24,7 @@
     memory_mb: int
     fence: int
     loaded: bool = False
+    loaded_incarnation: int = 0
     unload_fence: int = 0
 
     @property
--- a/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
@@ -278,7 +278,9 @@
         if outcome == "dropped":
             del record.adapter_by_name[command.adapter]
         else:
-            record.adapter_by_name[command.adapter].loaded = True
+            adapter = record.adapter_by_name[command.adapter]
+            adapter.loaded = True
+            adapter.loaded_incarnation = command.incarnation
         self._changed(record, f"adapter {command.adapter}", f"{outcome} {command.adapter}")
         return CommandResult(index)
 
--- a/packages/hemlockdock-control/tests/support.py
+++ b/packages/hemlockdock-control/tests/support.py
@@ -1,7 +1,9 @@
 """Build settings, manifests and fakes for the tests of this package."""
 
+import os
 import tempfile
 
+import hypothesis
 import msgspec
 from twisted.internet.defer import fail, succeed
 
@@ -143,3 +145,28 @@
 
     def send_to_member(self, member_id, data):
         """Drop the bytes."""
+
+
+def fuzz(machine, examples, steps):
+    """Return a unittest case that runs a state machine.
+
+    It is the same on each run, unless ``FUZZ_EXAMPLES`` asks for a longer, seeded search.
+
+    Parameters
+    ----------
+    machine : type
+        A RuleBasedStateMachine.
+    examples, steps : int
+    """
+    asked = os.environ.get("FUZZ_EXAMPLES")
+    machine.TestCase.settings = hypothesis.settings(
+        max_examples=int(asked or examples),
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        derandomize=asked is None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    if asked is None:
+        return machine.TestCase
+    return hypothesis.seed(int(os.environ["FUZZ_SEED"]))(machine).TestCase
