--- a/packages/hemlockdock-control/hemlockdock_control/loading/load_times.py
+++ b/packages/hemlockdock-control/hemlockdock_control/loading/load_times.py
@@ -17,6 +17,8 @@
 
     def __init__(self):
         self.factor_by_tier = dict.fromkeys(Tier, 1.0)
+        self._typical_ms_by_tier = dict.fromkeys(Tier, 0.0)
+        self._last_start_ended_ms = dict.fromkeys(Tier, 0)
 
     def observe(self, tier, checkpoint_mb, took_ms):
         """Learn from one load that ended well.
@@ -30,6 +32,44 @@
         measured = took_ms / nominal_load_ms(tier, checkpoint_mb)
         step = LEARNING_RATE * (measured - self.factor_by_tier[tier])
         self.factor_by_tier[tier] += step
+        typical_ms = self._typical_ms_by_tier[tier]
+        self._typical_ms_by_tier[tier] += LEARNING_RATE * (took_ms - typical_ms)
+
+    def note_end(self, tier, started_ms):
+        """Remember that a load ended, by when it started.
+
+        Parameters
+        ----------
+        tier : Tier
+        started_ms : int
+        """
+        self._last_start_ended_ms[tier] = max(self._last_start_ended_ms[tier], started_ms)
+
+    def last_start_ended_ms(self, tier):
+        """Return the latest start among the loads that ended well; 0 for none.
+
+        Parameters
+        ----------
+        tier : Tier
+
+        Returns
+        -------
+        int
+        """
+        return self._last_start_ended_ms[tier]
+
+    def typical_ms(self, tier):
+        """Return a moving average of load times.
+
+        Parameters
+        ----------
+        tier : Tier
+
+        Returns
+        -------
+        float
+        """
+        return self._typical_ms_by_tier[tier]
 
     def expected_ms(self, tier, checkpoint_mb):
         """Return the time that a load is expected to take, in milliseconds.
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/checkpoints.py
@@ -0,0 +1,86 @@
+"""Index which usable endpoints hold which checkpoints."""
+
+from hemlockdock_control.loading import Tier
+
+
+def checkpoint_tier(endpoint, model, version):
+    """Return the fastest tier from which an endpoint can load a checkpoint.
+
+    Parameters
+    ----------
+    endpoint : hemlockdock_control.placement.view.EndpointView
+    model, version : str
+
+    Returns
+    -------
+    Tier
+    """
+    name = f"{model}/{version}"
+    if name in endpoint.cached_in_memory:
+        return Tier.MEMORY
+    if name in endpoint.cached_on_disk:
+        return Tier.DISK
+    return Tier.REMOTE
+
+
+class CheckpointIndex:
+    """Hold how many usable endpoints have each checkpoint in memory and on disk.
+
+    Endpoints that did not change since the last update cost one comparison each.
+
+    Attributes
+    ----------
+    count_by_tier : dict of Tier to dict of str to int
+        Counts by ``model/version`` name.
+    """
+
+    def __init__(self):
+        self.count_by_tier = {Tier.MEMORY: {}, Tier.DISK: {}}
+        self._seen_by_id = {}
+
+    def update(self, endpoint_by_id):
+        """Take in what changed.
+
+        Parameters
+        ----------
+        endpoint_by_id : dict of str to EndpointView
+        """
+        seen_by_id = self._seen_by_id
+        for node_id, endpoint in endpoint_by_id.items():
+            seen = seen_by_id.get(node_id)
+            if seen is endpoint:
+                continue
+            if seen is not None:
+                self._count(seen, -1)
+            self._count(endpoint, 1)
+            seen_by_id[node_id] = endpoint
+        if len(seen_by_id) == len(endpoint_by_id):
+            return
+        for node_id in [node_id for node_id in seen_by_id if node_id not in endpoint_by_id]:
+            self._count(seen_by_id.pop(node_id), -1)
+
+    def best_tier(self, model, version):
+        """Return the fastest tier at any usable endpoint.
+
+        Parameters
+        ----------
+        model, version : str
+
+        Returns
+        -------
+        Tier
+        """
+        name = f"{model}/{version}"
+        for tier in (Tier.MEMORY, Tier.DISK):
+            if self.count_by_tier[tier].get(name, 0) > 0:
+                return tier
+        return Tier.REMOTE
+
+    def _count(self, endpoint, change):
+        if not endpoint.takes_work:
+            return
+        cached = ((Tier.MEMORY, endpoint.cached_in_memory), (Tier.DISK, endpoint.cached_on_disk))
+        for tier, names in cached:
+            counts = self.count_by_tier[tier]
+            for name in names:
+                counts[name] = counts.get(name, 0) + change
--- a/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
@@ -1,8 +1,9 @@
 """Choose the endpoint for a load, and what goes to make room for it."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from hemlockdock_control.placement.round import checkpoint_tier
+from hemlockdock_control.placement.checkpoints import checkpoint_tier
+from hemlockdock_control.placement.retention import UNLOAD_MS
 from hemlockdock_control.placement.view import EndpointView, ReplicaView
 from hemlockdock_core.rows import ReplicaState
 
@@ -14,54 +15,62 @@
     Attributes
     ----------
     endpoint : EndpointView
-    load_ms : int
-    victims : list of ReplicaView
-        Idle replicas that have to go first.
+    wait_ms : int
+        Until it is ready.
+    victims : tuple of ReplicaView
+        Replicas that have to go first.
+    lost_ms : float
+        What holding the victims would have gained.
     must_wait : bool
-        Whether unloads under way will make enough room.
+        Whether unloads have to end first.
     """
 
     endpoint: EndpointView
-    load_ms: int
-    victims: list[ReplicaView] = field(default_factory=list)
+    wait_ms: int
+    victims: tuple[ReplicaView, ...] = ()
+    lost_ms: float = 0.0
     must_wait: bool = False
 
 
-def choose_endpoint(plan, model, version, load_times, may_evict, avoided=frozenset()):
+def choose_endpoint(plan, model, version, victims_on, deadline_at_ms):
     """Choose the endpoint for one more replica of a model.
 
+    Endpoints where a load of the model failed lately come last; then count whether the
+    deadline can be met, how many replicas of the model the failure domain has, and what the
+    wait and the evicted replicas cost.
+
     Parameters
     ----------
     plan : hemlockdock_control.placement.round.Round
     model : ModelView
     version : VersionView
-    load_times : LoadTimes
-    may_evict : callable of ReplicaView to bool
-        Whether an idle replica may go for this load.
-    avoided : frozenset of str
-        Endpoints where a load of this model failed lately; taken only where no other fits.
+    victims_on : callable of str to list of (ReplicaView, float)
+        Replicas on an endpoint that may go, in the order to evict, with the gain lost.
+    deadline_at_ms : int
 
     Returns
     -------
     Choice or None
     """
-    domains = _domains_in_use(plan, model.name)
+    avoided = plan.knowledge.avoided(model.name, plan.now_ms)
+    count_by_domain = _count_by_domain(plan, model.name)
+    holders = _holders(plan, model.name)
     best = None
     best_key = None
     for endpoint in plan.view.endpoint_by_id.values():
-        if model.endpoint_groups and endpoint.group not in model.endpoint_groups:
+        if not endpoint.takes_work or endpoint.node_id in holders:
             continue
-        if not plan.is_usable(endpoint.node_id) or _holds(plan, model.name, endpoint.node_id):
+        if model.endpoint_groups and endpoint.group not in model.endpoint_groups:
             continue
-        choice = _choice_on(plan, model, version, load_times, may_evict, endpoint)
+        choice = _choice_on(plan, model, version, victims_on, endpoint)
         if choice is None:
             continue
         key = (
             endpoint.node_id in avoided,
+            plan.now_ms + choice.wait_ms > deadline_at_ms,
+            count_by_domain.get(endpoint.failure_domain, 0),
+            plan.prices.cold_start_ms(choice.wait_ms) + choice.lost_ms,
             len(choice.victims),
-            domains.get(endpoint.failure_domain, 0),
-            choice.load_ms,
-            choice.must_wait,
             -plan.free_mb(endpoint.node_id),
             endpoint.node_id,
         )
@@ -70,51 +79,48 @@
     return best
 
 
-def _choice_on(plan, model, version, load_times, may_evict, endpoint):
+def _choice_on(plan, model, version, victims_on, endpoint):
+    node_id = endpoint.node_id
+    if version.memory_mb > endpoint.memory_mb:
+        return None
     tier = checkpoint_tier(endpoint, model.name, version.name)
-    load_ms = load_times.expected_ms(tier, version.checkpoint_mb)
-    missing_mb = version.memory_mb - plan.free_mb(endpoint.node_id)
+    load_ms = plan.knowledge.load_times.expected_ms(tier, version.checkpoint_mb)
+    missing_mb = version.memory_mb - plan.free_mb(node_id)
     if missing_mb <= 0:
         return Choice(endpoint, load_ms)
-    missing_mb -= plan.freed_by_node.get(endpoint.node_id, 0)
+    wait_ms = load_ms + UNLOAD_MS
+    missing_mb -= plan.freed_by_node.get(node_id, 0)
     if missing_mb <= 0:
-        return Choice(endpoint, load_ms, must_wait=True)
+        return Choice(endpoint, wait_ms, must_wait=True)
     victims = []
-    for replica in _idle_replicas(plan, endpoint.node_id):
-        if replica.model == model.name or not may_evict(replica):
+    lost_ms = 0.0
+    for replica, gain_ms in victims_on(node_id):
+        if replica.model == model.name:
             continue
         victims.append(replica)
+        lost_ms += max(gain_ms, 0.0)
         missing_mb -= plan.replica_memory_mb(replica)
         if missing_mb <= 0:
-            return Choice(endpoint, load_ms, victims, must_wait=True)
+            return Choice(endpoint, wait_ms, tuple(victims), lost_ms, must_wait=True)
     return None
 
 
-def _idle_replicas(plan, node_id):
-    idle = []
-    for replica in plan.replicas_by_node.get(node_id, ()):
-        if replica.state is not ReplicaState.READY or replica.in_flight > 0:
-            continue
-        if replica.replica_id in plan.unloading_ids:
-            continue
-        idle.append(replica)
-    return sorted(idle, key=lambda replica: (replica.last_used_ms, replica.replica_id))
-
-
-def _domains_in_use(plan, model_name):
+def _count_by_domain(plan, model_name):
     count_by_domain = {}
+    node_ids = [command.node_id for command in plan.decided_by_model.get(model_name, ())]
     for replica in plan.replicas_by_model.get(model_name, ()):
-        endpoint = plan.view.endpoint_by_id.get(replica.node_id)
-        if endpoint is None or replica.state is ReplicaState.UNLOADING:
+        if replica.state is not ReplicaState.UNLOADING:
+            node_ids.append(replica.node_id)
+    for node_id in node_ids:
+        endpoint = plan.view.endpoint_by_id.get(node_id)
+        if endpoint is None:
             continue
         domain = endpoint.failure_domain
         count_by_domain[domain] = count_by_domain.get(domain, 0) + 1
     return count_by_domain
 
 
-def _holds(plan, model_name, node_id):
-    for command in plan.decided_by_model.get(model_name, ()):
-        if command.node_id == node_id:
-            return True
-    replicas = plan.replicas_by_model.get(model_name, ())
-    return any(replica.node_id == node_id for replica in replicas)
+def _holders(plan, model_name):
+    holders = {command.node_id for command in plan.decided_by_model.get(model_name, ())}
+    holders.update(replica.node_id for replica in plan.replicas_by_model.get(model_name, ()))
+    return holders
--- a/packages/hemlockdock-control/hemlockdock_control/placement/round.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/round.py
@@ -1,39 +1,22 @@
 """Hold the working state of one round of decisions."""
 
 from hemlockdock_control.loading import StoreBudget, Tier
+from hemlockdock_control.placement.checkpoints import checkpoint_tier
 from hemlockdock_control.placement.demand import demand_by_model
-from hemlockdock_core.commands import DecideAdapter, DecideLoad, DecideUnload
+from hemlockdock_control.placement.prices import Prices
+from hemlockdock_core.commands import DecideAdapter, DecideAdapterUnload, DecideLoad, DecideUnload
 from hemlockdock_core.rows import ReplicaState
 
 
-def checkpoint_tier(endpoint, model, version):
-    """Return the fastest tier from which an endpoint can load a checkpoint.
-
-    Parameters
-    ----------
-    endpoint : hemlockdock_control.placement.view.EndpointView
-    model, version : str
-
-    Returns
-    -------
-    Tier
-    """
-    name = f"{model}/{version}"
-    if name in endpoint.cached_in_memory:
-        return Tier.MEMORY
-    if name in endpoint.cached_on_disk:
-        return Tier.DISK
-    return Tier.REMOTE
-
-
 class Round:
     """Hold the view together with what this round has already decided.
 
     Attributes
     ----------
     view : PlannerView
+    knowledge : Knowledge
     now_ms : int
-    settings : hemlockdock_core.settings.Settings
+    prices : Prices
     commands : list of Command
         Decided so far, in order.
     demand_by_model : dict of str to Demand
@@ -43,28 +26,30 @@
     freed_by_node : dict of str to int
         Memory that unloads under way will free, less what waiting models claimed of it.
     taken_by_node : dict of str to int
-        Memory taken by this round's decisions.
+        Memory taken or claimed by this round's decisions.
     unloading_ids : set of str
         Replicas that are going, by earlier decisions or this round's.
+    reason_by_model : dict of str to str
+        Why a model that is asked for was not loaded.
     budget : StoreBudget
     adapter_room : int
         Adapter loads that may still start.
     """
 
-    def __init__(self, view, settings, recent_starts_ms, now_ms):
+    def __init__(self, view, settings, knowledge, now_ms):
         """Index the view.
 
         Parameters
         ----------
         view : PlannerView
         settings : hemlockdock_core.settings.Settings
-        recent_starts_ms : iterable of int
-            Store loads that this planner decided lately; the view's own are added.
+        knowledge : Knowledge
         now_ms : int
         """
         self.view = view
-        self.settings = settings
+        self.knowledge = knowledge
         self.now_ms = now_ms
+        self.prices = Prices(view.tail_cold_start, view.credits_expire_ms, now_ms)
         self.commands = []
         self.demand_by_model = demand_by_model(view)
         self.replicas_by_model = {}
@@ -73,8 +58,9 @@
         self.freed_by_node = {}
         self.taken_by_node = {}
         self.unloading_ids = set()
+        self.reason_by_model = {}
         self.adapter_room = settings.store.adapters_in_flight
-        starts_ms = list(recent_starts_ms)
+        starts_ms = []
         in_flight = 0
         for replica in view.replica_by_id.values():
             self.replicas_by_model.setdefault(replica.model, []).append(replica)
@@ -82,10 +68,12 @@
             self.adapter_room -= len(replica.adapters_loading)
             if replica.state is ReplicaState.UNLOADING:
                 self._count_unloading(replica)
-            if self._reads_from_store(replica):
-                in_flight += 1
+                continue
+            if now_ms - replica.decided_at_ms < StoreBudget.WINDOW_MS:
                 starts_ms.append(replica.decided_at_ms)
-        self.budget = StoreBudget(settings.store, in_flight, starts_ms, now_ms)
+            if replica.state is ReplicaState.LOADING and self._reads_from_store(replica):
+                in_flight += 1
+        self.budget = StoreBudget(settings.store, in_flight, starts_ms)
 
     def is_usable(self, node_id):
         """Tell whether an endpoint takes new work.
@@ -99,9 +87,7 @@
         bool
         """
         endpoint = self.view.endpoint_by_id.get(node_id)
-        if endpoint is None or endpoint.leaving or endpoint.lost:
-            return False
-        return endpoint.inventory_known
+        return endpoint is not None and endpoint.takes_work
 
     def free_mb(self, node_id):
         """Return an endpoint's memory that is neither reserved nor taken by this round.
@@ -133,7 +119,7 @@
         version = model.version_by_name.get(replica.version) if model else None
         if version is not None:
             memory_mb += version.memory_mb
-        for name in replica.adapters | replica.adapters_loading:
+        for name in replica.adapters | replica.adapters_loading | replica.adapters_unloading:
             adapter = self.view.adapter_by_name.get(name)
             memory_mb += adapter.memory_mb if adapter else 0
         return memory_mb
@@ -152,6 +138,25 @@
         held = len(self.replicas_by_model.get(model, ()))
         return held + len(self.decided_by_model.get(model, ()))
 
+    def serving(self, model):
+        """Return the replicas of a model's served version that are loading or ready, and usable.
+
+        Parameters
+        ----------
+        model : ModelView
+
+        Returns
+        -------
+        list of ReplicaView
+        """
+        serving = []
+        for replica in self.replicas_by_model.get(model.name, ()):
+            if replica.version != model.serve or replica.replica_id in self.unloading_ids:
+                continue
+            if self.is_usable(replica.node_id):
+                serving.append(replica)
+        return serving
+
     def load(self, model, version, endpoint, reason):
         """Decide a load.
 
@@ -176,6 +181,19 @@
         if checkpoint_tier(endpoint, model.name, version.name) is Tier.REMOTE:
             self.budget.take(self.now_ms)
 
+    def claim(self, node_id, memory_mb):
+        """Keep an endpoint's memory for a load that waits for unloads there.
+
+        Parameters
+        ----------
+        node_id : str
+        memory_mb : int
+        """
+        free_mb = self.free_mb(node_id)
+        self._take(node_id, free_mb)
+        left_mb = self.freed_by_node.get(node_id, 0) - (memory_mb - free_mb)
+        self.freed_by_node[node_id] = left_mb
+
     def unload(self, replica, reason):
         """Decide an unload; a replica that is going already is passed over.
 
@@ -201,6 +219,16 @@
         self._take(replica.node_id, adapter.memory_mb)
         self.adapter_room -= 1
 
+    def unload_adapter(self, replica, adapter_name):
+        """Decide an adapter off a replica.
+
+        Parameters
+        ----------
+        replica : ReplicaView
+        adapter_name : str
+        """
+        self.commands.append(DecideAdapterUnload(replica.replica_id, adapter_name, self.now_ms))
+
     def _take(self, node_id, memory_mb):
         self.taken_by_node[node_id] = self.taken_by_node.get(node_id, 0) + memory_mb
 
@@ -210,8 +238,7 @@
         self.freed_by_node[replica.node_id] = freed_mb + self.replica_memory_mb(replica)
 
     def _reads_from_store(self, replica):
-        if replica.state is not ReplicaState.LOADING:
-            return False
+        # A load whose host is lost reads nothing any more, so that its slot is free again.
         endpoint = self.view.endpoint_by_id.get(replica.node_id)
         if endpoint is None or endpoint.lost:
             return False
--- a/packages/hemlockdock-control/hemlockdock_control/placement/view/endpoint_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/view/endpoint_view.py
@@ -43,3 +43,8 @@
     cached_in_memory: frozenset[str] = frozenset()
     cached_on_disk: frozenset[str] = frozenset()
     lost_at_ms: int = 0
+
+    @property
+    def takes_work(self):
+        """Tell whether something may be loaded onto it, and its replicas serve."""
+        return self.inventory_known and not self.leaving and not self.lost
--- a/packages/hemlockdock-control/tests/test_placement_planner.py
+++ b/packages/hemlockdock-control/tests/test_placement_planner.py
@@ -32,8 +32,10 @@
         models = [model_view("m", memory_mb=60_000), model_view("old", memory_mb=60_000)]
         endpoints = [endpoint_view("a", reserved_mb=60_000)]
         replicas = [ready_replica("r1", "old", "a")]
+        planner = Planner(SETTINGS)
+        planner.decide(small_view(models, endpoints, replicas), NOW_MS - 2_000)
         view = small_view(models, endpoints, replicas, [wish("m")])
-        commands = Planner(SETTINGS).decide(view, NOW_MS)
+        commands = planner.decide(view, NOW_MS)
         self.assertEqual([type(command) for command in commands], [DecideUnload])
 
     def test_adapter_rides_on_a_ready_replica(self):
--- /dev/null
+++ b/tools/benchmarks/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded request traces of the two deployments, and their replay in virtual time."""
--- /dev/null
+++ b/tools/benchmarks/traces/shape.py
@@ -0,0 +1,100 @@
+"""Describe what a deployment's trace looks like."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Hold the parameters that a trace is made from.
+
+    Attributes
+    ----------
+    name : str
+    weight : float
+        The deployment's ``tail_cold_start``.
+    endpoints_by_group : dict of str to int
+    busy_models, grouped_models, nightly_models, rare_models : int
+        Models by how they are called.
+    group_size : int
+        Models that one crew or desk uses together.
+    sessions_a_day : float
+        Of one crew or desk, on a working day.
+    work_hours : tuple of (float, float)
+    rush : bool
+        Whether a festival rush falls on the second judged day.
+    lost_hour : float
+        Hour of the second judged day in which a failure domain is lost.
+    deadline_ms : int
+        Of requests by day.
+    job_deadline_ms : int
+        Of nightly requests.
+    adapter_ms : tuple of (int, int)
+        Shortest and longest adapter load.
+    """
+
+    name: str
+    weight: float
+    endpoints_by_group: dict[str, int]
+    busy_models: int
+    grouped_models: int
+    nightly_models: int
+    rare_models: int
+    group_size: int
+    sessions_a_day: float
+    work_hours: tuple[float, float]
+    rush: bool
+    lost_hour: float
+    deadline_ms: int
+    job_deadline_ms: int
+    adapter_ms: tuple[int, int]
+
+    @property
+    def model_count(self):
+        """Return how many models there are."""
+        return self.busy_models + self.grouped_models + self.nightly_models + self.rare_models
+
+
+CONSULTORA = Shape(
+    name="consultora",
+    weight=0.8,
+    endpoints_by_group={"survey": 9, "field": 3},
+    busy_models=4,
+    grouped_models=36,
+    nightly_models=2,
+    rare_models=18,
+    group_size=3,
+    sessions_a_day=2.0,
+    work_hours=(6.5, 17.0),
+    rush=False,
+    lost_hour=7.25,
+    deadline_ms=120_000,
+    job_deadline_ms=3_600_000,
+    adapter_ms=(5, 7),
+)
+
+QALAM = Shape(
+    name="qalam",
+    weight=0.2,
+    endpoints_by_group={"pool": 9, "forms": 3},
+    busy_models=3,
+    grouped_models=15,
+    nightly_models=10,
+    rare_models=12,
+    group_size=3,
+    sessions_a_day=2.0,
+    work_hours=(8.0, 17.5),
+    rush=True,
+    lost_hour=18.5,
+    deadline_ms=120_000,
+    job_deadline_ms=3_600_000,
+    adapter_ms=(5, 10),
+)
+
+SHAPES = (CONSULTORA, QALAM)
+DAYS = 6
+JUDGED_FROM_DAY = 3
+EVENT_DAY = 4
+ADAPTERS = 100
+ENTRIES = 3
+TUNING_SEEDS = (101, 102)
+PROVING_SEEDS = (7001, 7002)
