--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/caller_api.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/caller_api.py
@@ -4,11 +4,16 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES, exposition
-from hemlockdock_entry.callers.http_reply import HttpReply
+from hemlockdock_entry.callers.job_calls import JobCalls
+from hemlockdock_entry.callers.model_calls import ModelCalls
+from hemlockdock_entry.callers.plain_calls import PlainCalls
+from hemlockdock_entry.callers.stream_calls import StreamCalls
 from hemlockdock_entry.callers.write import json_answer, refusal_answer
-from hemlockdock_entry.intake import parse_options, parse_request
 
-MS_PER_S = 1_000
+CHAT_PATH = "/v1/chat/completions"
+COMPLETION_PATH = "/v1/completions"
+SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+METRICS_TYPE = b"text/plain; version=0.0.4"
 
 
 class CallerApi:
@@ -17,25 +22,50 @@
     Parameters
     ----------
     desk : Desk
+    services : Services
     mint : callable
         Returns a new request id.
     """
 
     app = Klein()
 
-    def __init__(self, desk, mint):
+    def __init__(self, desk, services, mint):
         self._desk = desk
-        self._mint = mint
+        self._models = ModelCalls(desk, mint)
+        self._streams = StreamCalls(desk, mint)
+        self._jobs = JobCalls(desk, mint)
+        self._plain = PlainCalls(desk, services, mint)
 
-    @app.route("/v1/chat/completions", methods=["POST"])
+    @app.route(CHAT_PATH, methods=["POST"])
     def chat_completions(self, http_request):
         """Run one chat request."""
-        return self._run(http_request, "/v1/chat/completions")
+        return self._models.run(http_request, CHAT_PATH)
 
-    @app.route("/v1/completions", methods=["POST"])
+    @app.route(COMPLETION_PATH, methods=["POST"])
     def completions(self, http_request):
         """Run one completion request."""
-        return self._run(http_request, "/v1/completions")
+        return self._models.run(http_request, COMPLETION_PATH)
+
+    @app.route("/v1/streams/<stream_id>", methods=["GET"])
+    def stream(self, http_request, stream_id):
+        """Pass on the rest of an answer."""
+        return self._streams.resume(http_request, stream_id)
+
+    @app.route("/v1/jobs", methods=["POST"])
+    def submit_job(self, http_request):
+        """Accept a job."""
+        return self._jobs.submit(http_request)
+
+    @app.route("/v1/jobs/<job_id>", methods=["GET"])
+    def read_job(self, http_request, job_id):
+        """Tell a job's state and result."""
+        return self._jobs.read(http_request, job_id)
+
+    @app.route("/services/<name>", methods=SERVICE_METHODS, defaults={"path": ""})
+    @app.route("/services/<name>/<path:path>", methods=SERVICE_METHODS)
+    def service(self, http_request, name, path):
+        """Pass a call on to a plain service."""
+        return self._plain.call(http_request, name)
 
     @app.route("/healthz", methods=["GET"])
     def health(self, http_request):
@@ -53,67 +83,15 @@
     def metrics(self, http_request):
         """Write the metrics."""
         gauges = {"entry_in_progress": self._desk.in_progress}
-        http_request.setHeader(b"content-type", b"text/plain; version=0.0.4")
+        http_request.setHeader(b"content-type", METRICS_TYPE)
         return exposition(COUNTERS, LATENCIES, gauges)
 
     @app.handle_errors(Exception)
     def failed(self, http_request, failure):
-        """Answer a call that this code failed on."""
-        return self._failed(http_request, failure)
-
-    def _failed(self, http_request, failure):
-        status = getattr(failure.value, "code", 500)
-        if status == 500:
-            refusal = Refusal.of(ErrorKind.INTERNAL, "internal error")
-        else:
-            refusal = Refusal.of(ErrorKind.BAD_REQUEST, f"no such call ({status})")
-        return refusal_answer(http_request, refusal)
-
-    def _run(self, http_request, path):
-        options = parse_options(header_map(http_request))
-        if options.is_err():
-            return refusal_answer(http_request, options.err())
-        body = http_request.content.read()
-        now = self._desk.clock.seconds()
-        table = self._desk.link.table
-        parsed = parse_request(table, path, body, options.ok(), self._mint(), now)
-        if parsed.is_err():
-            return refusal_answer(http_request, parsed.err())
-        request = parsed.ok()
-        stall_s = self._desk.settings.entry.stall_ms / MS_PER_S
-        reply = HttpReply(http_request, self._desk.clock, request.request_id, stall_s)
-        finished = when_finished(http_request)
-        exchange = self._desk.submit(request, reply)
-        reply.on_gone = exchange.caller_gone
-        return finished
-
-
-def header_map(http_request):
-    """Return a call's headers by lower-case name, the last of each.
-
-    Parameters
-    ----------
-    http_request : twisted.web.server.Request
-
-    Returns
-    -------
-    dict of str to str
-    """
-    headers = {}
-    for name, values in http_request.requestHeaders.getAllRawHeaders():
-        headers[name.decode("latin-1").lower()] = values[-1].decode("latin-1")
-    return headers
-
-
-def when_finished(http_request):
-    """Return a Deferred that fires when a call is over, whichever way.
-
-    Parameters
-    ----------
-    http_request : twisted.web.server.Request
-
-    Returns
-    -------
-    twisted.internet.defer.Deferred
-    """
-    return http_request.notifyFinish().addErrback(lambda failure: None)
+        """Answer a call that no route takes, or that this code failed on."""
+        status = getattr(failure.value, "code", None)
+        if status is None:
+            self._desk.report_fault(failure)
+            return refusal_answer(http_request, Refusal.of(ErrorKind.INTERNAL, "internal error"))
+        message = f"no such call ({status})"
+        return refusal_answer(http_request, Refusal.of(ErrorKind.BAD_REQUEST, message))
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/model_calls.py
@@ -0,0 +1,68 @@
+"""Run callers' model requests."""
+
+from hemlockdock_core.errors import NotRun, Refusal
+from hemlockdock_entry.callers.call_reader import read_options, when_finished
+from hemlockdock_entry.callers.http_reply import HttpReply
+from hemlockdock_entry.callers.write import refusal_answer
+from hemlockdock_entry.intake import parse_request
+from hemlockdock_entry.tasks.exchange import Exchange
+from hemlockdock_entry.tasks.once_exchange import OnceExchange
+
+MS_PER_S = 1_000
+
+
+class ModelCalls:
+    """Run callers' model requests.
+
+    Parameters
+    ----------
+    desk : Desk
+    mint : callable
+        Returns a new request id.
+    """
+
+    def __init__(self, desk, mint):
+        self._desk = desk
+        self._mint = mint
+
+    def run(self, http_request, path):
+        """Run one request.
+
+        Parameters
+        ----------
+        http_request : twisted.web.server.Request
+        path : str
+
+        Returns
+        -------
+        bytes or twisted.internet.defer.Deferred
+        """
+        options = read_options(http_request)
+        if options.is_err():
+            return refusal_answer(http_request, options.err())
+        parsed = parse_request(
+            self._desk.link.table,
+            path,
+            http_request.content.read(),
+            options.ok(),
+            self._mint(),
+            self._desk.clock.seconds(),
+        )
+        if parsed.is_err():
+            return refusal_answer(http_request, _for_key(parsed.err(), options.ok().key))
+        request = parsed.ok()
+        finished = when_finished(http_request)
+        stall_s = self._desk.settings.entry.stall_ms / MS_PER_S
+        reply = HttpReply(http_request, self._desk.clock, request.request_id, stall_s)
+        exchange_type = OnceExchange if request.once else Exchange
+        exchange = exchange_type(self._desk, request, reply)
+        reply.on_gone = exchange.caller_gone
+        self._desk.submit(exchange)
+        return finished
+
+
+def _for_key(refusal, key):
+    if not key:
+        return refusal
+    # An earlier call with this key may have run when the table was another one.
+    return Refusal.of(refusal.kind, refusal.message, NotRun.UNKNOWN, refusal.retry_after_ms)
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/plain_calls.py
@@ -0,0 +1,90 @@
+"""Pass callers' calls on to plain services."""
+
+from hemlockdock_core.errors import NotRun, Refusal
+from hemlockdock_entry.callers.call_reader import read_options, when_finished
+from hemlockdock_entry.callers.service_reply import ServiceReply
+from hemlockdock_entry.callers.write import refusal_answer
+from hemlockdock_entry.intake import parse_service_request
+from hemlockdock_entry.services import ServiceCall
+from hemlockdock_entry.services.headers import passed_headers
+
+PREFIX_SEGMENTS = 3
+
+
+class PlainCalls:
+    """Pass callers' calls on to plain services.
+
+    Parameters
+    ----------
+    desk : Desk
+    services : Services
+    mint : callable
+        Returns a new request id.
+    """
+
+    def __init__(self, desk, services, mint):
+        self._desk = desk
+        self._services = services
+        self._mint = mint
+
+    def call(self, http_request, name):
+        """Pass on one call.
+
+        Parameters
+        ----------
+        http_request : twisted.web.server.Request
+        name : str
+
+        Returns
+        -------
+        bytes or twisted.internet.defer.Deferred
+        """
+        options = read_options(http_request)
+        if options.is_err():
+            return refusal_answer(http_request, options.err())
+        method = http_request.method.decode("ascii", "replace")
+        target = service_target(http_request.uri.decode("latin-1"))
+        parsed = parse_service_request(
+            self._desk.link.table,
+            name,
+            method,
+            target,
+            http_request.content.read(),
+            options.ok(),
+            self._mint(),
+            self._desk.clock.seconds(),
+        )
+        if parsed.is_err():
+            refusal = parsed.err()
+            if options.ok().key:
+                refusal = Refusal.of(refusal.kind, refusal.message, NotRun.UNKNOWN)
+            return refusal_answer(http_request, refusal)
+        request = parsed.ok()
+        finished = when_finished(http_request)
+        reply = ServiceReply(http_request, request.request_id)
+        headers = passed_headers(http_request.requestHeaders)
+        call = ServiceCall(
+            self._desk, self._services, name, request, method, target, headers, reply
+        )
+        reply.on_gone = call.caller_gone
+        self._desk.submit(call)
+        return finished
+
+
+def service_target(uri):
+    """Return what follows ``/services/name`` in a call's URI.
+
+    Parameters
+    ----------
+    uri : str
+
+    Returns
+    -------
+    str
+        Path and query, as the caller wrote them.
+    """
+    parts = uri.split("/", PREFIX_SEGMENTS)
+    if len(parts) > PREFIX_SEGMENTS:
+        return "/" + parts[PREFIX_SEGMENTS]
+    _, mark, query = uri.partition("?")
+    return mark + query
--- a/packages/hemlockdock-entry/hemlockdock_entry/intake/__init__.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/intake/__init__.py
@@ -3,6 +3,7 @@
 from hemlockdock_entry.intake.call_options import CallOptions, caller_name, parse_options
 from hemlockdock_entry.intake.intake import fingerprint_of, parse_request
 from hemlockdock_entry.intake.request import Request
+from hemlockdock_entry.intake.service_request import parse_service_request
 
 __all__ = [
     "CallOptions",
@@ -11,4 +12,5 @@
     "fingerprint_of",
     "parse_options",
     "parse_request",
+    "parse_service_request",
 ]
--- a/packages/hemlockdock-entry/hemlockdock_entry/lifecycle/machine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/lifecycle/machine.py
@@ -92,8 +92,10 @@
 def _build():
     for state in (_received, _claimed, _dispatched):
         state.upon(RequestInputs.wait).to(_waiting)(_enter_waiting)
-    _waiting.upon(RequestInputs.claim).to(_claimed)(_enter_claimed)
-    for state in (_waiting, _claimed):
+    for state in (_received, _waiting, _dispatched):
+        state.upon(RequestInputs.claim).to(_claimed)(_enter_claimed)
+    # The resumption of a stream goes to its agent without waiting for room.
+    for state in (_received, _waiting, _claimed):
         state.upon(RequestInputs.dispatch).to(_dispatched)(_enter_dispatched)
     # A run-once request that joins another's run streams without a dispatch of its own.
     for state in (_claimed, _dispatched):
--- a/packages/hemlockdock-entry/hemlockdock_entry/routing/__init__.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/routing/__init__.py
@@ -1,5 +1,6 @@
 """Choose where a request runs, and whether it runs again."""
 
+from hemlockdock_entry.routing.endpoint_record import EndpointRecord
 from hemlockdock_entry.routing.outcome import Outcome
 from hemlockdock_entry.routing.retry import FAULT_KINDS, FULL_KINDS, NextStep, next_step
 from hemlockdock_entry.routing.retry_budget import RetryBudget
@@ -9,6 +10,7 @@
 __all__ = [
     "FAULT_KINDS",
     "FULL_KINDS",
+    "EndpointRecord",
     "NextStep",
     "Outcome",
     "RetryBudget",
--- a/packages/hemlockdock-entry/hemlockdock_entry/routing/router.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/routing/router.py
@@ -5,11 +5,7 @@
 from hemlockdock_entry.routing.endpoint_record import EndpointRecord
 from hemlockdock_entry.routing.outcome import Outcome
 
-FAILURES_BEFORE_EJECTION = 3
-EJECTION_S = 5.0
-MAX_EJECTION_S = 60.0
 MAX_EJECTED_FRACTION = 0.5
-FULL_BACKOFF_S = 0.1
 SLOW_START_S = 5.0
 SLOW_START_FRACTION = 0.25
 
@@ -175,14 +171,13 @@
         record.in_flight -= 1
         record.suspects -= suspect
         if outcome is Outcome.ANSWERED:
-            record.failures = 0
-            record.ejections = 0
+            record.answered()
             return
         if outcome is Outcome.FULL:
-            record.full_until = now + FULL_BACKOFF_S
+            record.full(now)
             return
-        if outcome is Outcome.FAILED:
-            self._failed(record, replica, now)
+        if outcome is Outcome.FAILED and record.failed(now):
+            COUNTERS.increment("entry_ejections", node=replica.node_id)
 
     def forget_gone(self, table):
         """Drop the records of replicas that the table no longer has.
@@ -205,15 +200,6 @@
             self._record_by_id[replica.replica_id] = record
         return record
 
-    def _failed(self, record, replica, now):
-        record.failures += 1
-        if record.failures % FAILURES_BEFORE_EJECTION:
-            return
-        span = min(MAX_EJECTION_S, EJECTION_S * 2**record.ejections)
-        record.ejections += 1
-        record.ejected_until = now + span
-        COUNTERS.increment("entry_ejections", node=replica.node_id)
-
     def _without_ejected(self, usable, now):
         accepted = [row for row in usable if self._record(row, now).ejected_until <= now]
         if len(accepted) >= len(usable) * (1 - MAX_EJECTED_FRACTION):
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/run_once/decision.py
@@ -0,0 +1,74 @@
+"""Decide what a run-once record means for the request that met it."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from hemlockdock_core.commands import RunState
+from hemlockdock_core.errors import Refusal
+from hemlockdock_entry.run_once.stored_answer import StoredAnswer
+from hemlockdock_entry.streams import StreamPlace
+
+
+class ClaimStep(Enum):
+    """Name what a request does after its claim."""
+
+    RUN = "run"
+    JOIN = "join"
+    ANSWER = "answer"
+    RECOVER_RAN = "recover_ran"
+    RECOVER_UNKNOWN = "recover_unknown"
+    CLAIM_AGAIN = "claim_again"
+    REFUSE = "refuse"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimOutcome:
+    """Hold what a request does after its claim.
+
+    Attributes
+    ----------
+    step : ClaimStep
+    place : StreamPlace or None
+        Where the answer can be read, if anywhere.
+    answer : StoredAnswer or None
+    refusal : Refusal or None
+    """
+
+    step: ClaimStep
+    place: StreamPlace | None = None
+    answer: StoredAnswer | None = None
+    refusal: Refusal | None = None
+
+
+def decide_claim(result, owner, stream_id):
+    """Decide what a claim's result means.
+
+    Parameters
+    ----------
+    result : CommandResult
+    owner : str
+        Node id of this entry.
+    stream_id : str
+        Of this very claim; unique to it.
+
+    Returns
+    -------
+    ClaimOutcome
+    """
+    if result.refusal is not None:
+        return ClaimOutcome(ClaimStep.REFUSE, refusal=result.refusal)
+    place = StreamPlace.parse(result.stream_id)
+    if result.state == RunState.CLAIMED:
+        if result.owner == owner and result.stream_id == stream_id:
+            return ClaimOutcome(ClaimStep.RUN)
+        return ClaimOutcome(ClaimStep.JOIN, place)
+    if result.state == RunState.RAN:
+        if result.payload:
+            answer = msgspec.msgpack.decode(result.payload, type=StoredAnswer)
+            return ClaimOutcome(ClaimStep.ANSWER, place, answer)
+        return ClaimOutcome(ClaimStep.RECOVER_RAN, place)
+    if result.state == RunState.UNKNOWN:
+        return ClaimOutcome(ClaimStep.RECOVER_UNKNOWN, place)
+    return ClaimOutcome(ClaimStep.CLAIM_AGAIN)
--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -22,6 +22,8 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import ControlLink
 from hemlockdock_entry.callers import CallerApi, CallerSite
+from hemlockdock_entry.jobs import JobRunner
+from hemlockdock_entry.services import ServiceClient, Services
 from hemlockdock_entry.tasks.desk import Desk
 
 logger = logging.getLogger(__name__)
@@ -61,6 +63,8 @@
         self._desk = None
         self._port = None
         self._site = None
+        self._client = None
+        self._jobs = None
 
     @property
     def desk(self):
@@ -147,10 +151,15 @@
             self._office.send,
             random.Random(secrets.randbits(64)),
             lambda: int(time.time() * MS_PER_S),
+            self._office.incarnation,
         )
-        self._site.serve(CallerApi(self._desk, mint_request_id).app.resource())
+        self._client = ServiceClient(self._reactor)
+        services = Services(self._desk, self._client, self._desk.random)
+        self._jobs = JobRunner(self._desk, mint_request_id)
+        self._site.serve(CallerApi(self._desk, services, mint_request_id).app.resource())
         self._link.start()
         self._desk.start()
+        self._jobs.start()
         logger.info("entry started", extra={"http": self.http_address})
 
     def _table_changed(self):
@@ -173,8 +182,8 @@
     def _(self, body, frame):
         self._desk.attempts.handle(body, frame.sender)
 
-    @_take.register
-    def _(self, body: Leaving, frame):
+    @_take.register(Leaving)
+    def _(self, body, frame):
         self._desk.router.node_leaving(body.node_id, frame.incarnation)
 
     def _close(self):
@@ -183,10 +192,12 @@
         port, self._port = self._port, None
         closed = maybeDeferred(port.stopListening)
         closed.addCallback(lambda _: self._site.close_connections())
+        closed.addCallback(lambda _: self._client.close())
         return closed.addCallback(self._closed)
 
     def _closed(self, _):
         if self._desk is not None:
+            self._jobs.stop()
             self._desk.stop()
             self._link.stop()
             self._desk = None
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/__init__.py
@@ -0,0 +1,8 @@
+"""Route calls to the plain services beside the engines."""
+
+from hemlockdock_entry.services.service_answer import ServiceAnswer
+from hemlockdock_entry.services.service_call import ServiceCall
+from hemlockdock_entry.services.service_client import ServiceClient, ServiceFailedError
+from hemlockdock_entry.services.services import Services
+
+__all__ = ["ServiceAnswer", "ServiceCall", "ServiceClient", "ServiceFailedError", "Services"]
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/instance_picker.py
@@ -0,0 +1,70 @@
+"""Choose which instance of a plain service takes a call."""
+
+from hemlockdock_entry.routing import EndpointRecord, Outcome
+
+MAX_EJECTED_FRACTION = 0.5
+
+
+class InstancePicker:
+    """Choose instances by own calls in flight, and eject those that keep failing.
+
+    Parameters
+    ----------
+    random_source : random.Random
+    """
+
+    def __init__(self, random_source):
+        self._random = random_source
+        self._record_by_url = {}
+
+    def choose(self, urls, now, avoided=()):
+        """Choose an instance.
+
+        Parameters
+        ----------
+        urls : list of str
+        now : float
+        avoided : collection of str, optional
+            Instances to pass over where there are others.
+
+        Returns
+        -------
+        str
+        """
+        accepted = [url for url in urls if self._record(url, now).ejected_until <= now]
+        if len(accepted) < len(urls) * (1 - MAX_EJECTED_FRACTION):
+            accepted = urls
+        others = [url for url in accepted if url not in avoided]
+        return min(
+            others or accepted,
+            key=lambda url: (self._record(url, now).in_flight, self._random.random()),
+        )
+
+    def taken(self, url, now):
+        """Count a call onto an instance.
+
+        Parameters
+        ----------
+        url : str
+        now : float
+        """
+        self._record(url, now).in_flight += 1
+
+    def released(self, url, outcome, now):
+        """Count a call off an instance and learn from how it ended.
+
+        Parameters
+        ----------
+        url : str
+        outcome : Outcome
+        now : float
+        """
+        record = self._record(url, now)
+        record.in_flight -= 1
+        if outcome is Outcome.ANSWERED:
+            record.answered()
+        if outcome is Outcome.FAILED:
+            record.failed(now)
+
+    def _record(self, url, now):
+        return self._record_by_url.setdefault(url, EndpointRecord(now))
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_answer.py
@@ -0,0 +1,24 @@
+"""Hold a plain service's answer."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """Hold a plain service's answer.
+
+    Attributes
+    ----------
+    status : int
+    headers : dict of str to list of str
+    body : bytes
+    """
+
+    status: int
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+
+    @property
+    def content_type(self):
+        """Return the answer's content type, empty where it names none."""
+        return self.headers.get("content-type", [""])[0]
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_call.py
@@ -0,0 +1,268 @@
+"""Own one call to a plain service."""
+
+import msgspec
+
+from hemlockdock_core.commands import RunState
+from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.metrics import COUNTERS, LATENCIES
+from hemlockdock_entry.lifecycle import start_life
+from hemlockdock_entry.routing import NextStep, Outcome, next_step
+from hemlockdock_entry.run_once import ClaimStep, StoredAnswer
+from hemlockdock_entry.services.service_answer import ServiceAnswer
+from hemlockdock_entry.tasks.once_claim import OnceClaim
+
+BYTES_PER_KB = 1_024
+MS_PER_S = 1_000
+JOIN_POLL_S = 0.05
+RETRY_DELAY_S = 0.05
+LOOKUP_KIND = "lookup"
+
+
+class ServiceCall:
+    """Own one call to a plain service: its state, deadline, tries and hedge.
+
+    Parameters
+    ----------
+    desk : Desk
+    services : Services
+    service : str
+    request : Request
+    method, target : str
+        Target is path and query below the instance's base URL.
+    headers : dict of str to list of str
+    reply : ServiceReply
+    """
+
+    def __init__(self, desk, services, service, request, method, target, headers, reply):
+        self.service = service
+        self.request = request
+        self.attempt = None
+        self.suspect = False
+        self.life, self.core = start_life(desk.ledger)
+        self._desk = desk
+        self._services = services
+        self._method = method
+        self._target = target
+        self._headers = headers
+        self._reply = reply
+        self._claim = OnceClaim(desk, request) if request.once else None
+        self._runs = {}
+        self._tries = 0
+        self._tried_urls = set()
+        self._calls = set()
+        left_s = max(0.0, request.deadline_at - desk.clock.seconds())
+        self._later(left_s, self._deadline_passed)
+
+    def begin(self):
+        """Start on the way to an answer."""
+        if self._claim is None or self._claim.held:
+            self._services.enqueue(self)
+            return
+        self._claim.claim().addCallback(self._claimed).addErrback(self._broken)
+
+    def run(self):
+        """Send the call to an instance, since there is room for it."""
+        if self._tries == 0:
+            self.life.dispatch()
+            self._desk.budget.first_try()
+        self._try()
+        hedge_ms = self._desk.settings.entry.hedge_after_ms
+        if hedge_ms and self.request.repeatable and self.request.kind == LOOKUP_KIND:
+            self._later(hedge_ms / MS_PER_S, self._hedge)
+
+    def refuse(self, refusal):
+        """Give the final refusal; nothing happens where the caller has its answer.
+
+        Parameters
+        ----------
+        refusal : Refusal
+        """
+        if self.core.ended:
+            return
+        held = self._claim is not None and self._claim.held
+        if held and refusal.not_run is NotRun.TRUE:
+            self._claim.finish(RunState.NOT_RUN)
+        if refusal.not_run is NotRun.TRUE and self._claim is not None and not held:
+            known = refusal.kind is ErrorKind.KEY_REUSED
+            not_run = NotRun.TRUE if known else NotRun.UNKNOWN
+            retry_ms = refusal.retry_after_ms
+            refusal = Refusal.of(refusal.kind, refusal.message, not_run, retry_ms)
+        self.life.refuse()
+        COUNTERS.increment("entry_refusals", kind=refusal.kind.value)
+        self._end()
+        self._reply.refuse(refusal)
+
+    def caller_gone(self):
+        """Take that nobody waits for the answer any more."""
+        if self.core.ended:
+            return
+        self._stop_runs()
+        self.refuse(Refusal.of(ErrorKind.CALLER_GONE, "the caller went away"))
+
+    def shut_down(self):
+        """Give the final refusal because the process ends."""
+        self._stop_runs()
+        not_run = self._not_run_so_far()
+        self.refuse(Refusal.of(ErrorKind.DRAINING, "this entry has shut down", not_run))
+
+    def _claimed(self, outcome):
+        if self.core.ended:
+            if self._claim.held:
+                self._claim.finish(RunState.NOT_RUN)
+            return
+        if outcome.step is ClaimStep.RUN:
+            self._services.enqueue(self)
+            return
+        if outcome.step is ClaimStep.ANSWER:
+            self.life.claim()
+            answer = outcome.answer
+            headers = {"content-type": [answer.content_type]} if answer.content_type else {}
+            # The stored answer is that of the run which the key stands for.
+            self._answer(ServiceAnswer(answer.status, headers, answer.body))
+            return
+        if outcome.step in (ClaimStep.JOIN, ClaimStep.CLAIM_AGAIN):
+            self._later(JOIN_POLL_S, self.begin)
+            return
+        self.refuse(_refusal_for(outcome))
+
+    def _try(self):
+        now = self._desk.clock.seconds()
+        lane, url = self._services.take_instance(self.service, self._tried_urls)
+        self._tries += 1
+        self._tried_urls.add(url)
+        target = url.rstrip("/") + self._target
+        COUNTERS.increment("entry_service_calls")
+        running = self._services.client.call(self._method, target, self._headers, self.request.body)
+        self._runs[running] = (lane, url, now)
+        running.addCallbacks(
+            self._succeeded, self._failed, callbackArgs=(running,), errbackArgs=(running,)
+        )
+        running.addErrback(self._broken)
+
+    def _hedge(self):
+        if self.core.ended or len(self._runs) != 1:
+            return
+        if not self._services.has_room(self.service) or not self._desk.budget.take():
+            return
+        COUNTERS.increment("entry_hedges")
+        self._try()
+
+    def _succeeded(self, answer, running):
+        lane, url, started = self._runs.pop(running)
+        now = self._desk.clock.seconds()
+        lane.times.record(self.service, now - started)
+        self._services.release(self.service, lane, url, Outcome.ANSWERED)
+        if self._claim is not None:
+            self._claim.finish(RunState.RAN, self._stored(answer))
+        if self.core.ended:
+            self._desk.closed(self)
+            return
+        self._stop_runs()
+        self._answer(answer)
+
+    def _failed(self, failure, running):
+        run = self._runs.pop(running, None)
+        if run is None:
+            return
+        lane, url, _ = run
+        self._services.release(self.service, lane, url, Outcome.FAILED)
+        refusal = getattr(failure.value, "refusal", None)
+        if refusal is None:
+            failure.raiseException()
+        if self._runs:
+            # The hedge may still answer.
+            return
+        if self.core.ended:
+            self._finish_unknown(refusal)
+            self._desk.closed(self)
+            return
+        step = next_step(
+            self.request,
+            refusal,
+            self._tries,
+            0,
+            False,
+            self._desk.budget,
+            self._desk.clock.seconds(),
+        )
+        if step is NextStep.REFUSE:
+            if refusal.not_run is not NotRun.TRUE:
+                self._finish_unknown(refusal)
+            self.refuse(refusal)
+            return
+        COUNTERS.increment("entry_retries", kind=refusal.kind.value)
+        self._later(RETRY_DELAY_S, self._requeue)
+
+    def _requeue(self):
+        if not self.core.ended:
+            self._services.enqueue(self)
+
+    def _finish_unknown(self, refusal):
+        if self._claim is None:
+            return
+        unrun = refusal.not_run is NotRun.TRUE
+        self._claim.finish(RunState.NOT_RUN if unrun else RunState.UNKNOWN)
+
+    def _stored(self, answer):
+        limit = self._desk.settings.entry.stored_answer_kb * BYTES_PER_KB
+        if len(answer.body) > limit:
+            return b""
+        stored = StoredAnswer(answer.status, answer.content_type, answer.body)
+        return msgspec.msgpack.encode(stored)
+
+    def _answer(self, answer):
+        self.life.answer()
+        elapsed_s = self._desk.clock.seconds() - self.request.admitted_at
+        LATENCIES.record("answer", self.request.class_name, elapsed_s)
+        self._end()
+        self._reply.answer(answer)
+
+    def _deadline_passed(self):
+        if self.core.ended:
+            return
+        not_run = self._not_run_so_far()
+        self._stop_runs()
+        message = "the deadline passed before the service answered"
+        self.refuse(Refusal.of(ErrorKind.DEADLINE_PASSED, message, not_run))
+
+    def _not_run_so_far(self):
+        return NotRun.TRUE if self._tries == 0 else NotRun.UNKNOWN
+
+    def _stop_runs(self):
+        self._services.leave(self)
+        if self._claim is not None:
+            # A run that may happen once goes on, so that its outcome can be recorded.
+            return
+        for running, (lane, url, _) in list(self._runs.items()):
+            del self._runs[running]
+            self._services.release(self.service, lane, url, Outcome.NEUTRAL)
+            running.cancel()
+
+    def _end(self):
+        for call in self._calls:
+            if call.active():
+                call.cancel()
+        self._calls.clear()
+        self.attempt = self._runs or None
+        if self._claim is not None and self._claim.held and not self._runs:
+            # No try is left that could tell more.
+            self._claim.finish(RunState.UNKNOWN)
+        self._desk.answered(self)
+
+    def _later(self, seconds, callback):
+        self._calls = {call for call in self._calls if call.active()}
+        self._calls.add(self._desk.clock.callLater(seconds, callback))
+
+    def _broken(self, failure):
+        self._desk.report_fault(failure)
+        self.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"))
+
+
+def _refusal_for(outcome):
+    if outcome.step is ClaimStep.REFUSE:
+        return outcome.refusal
+    if outcome.step is ClaimStep.RECOVER_RAN:
+        message = "the request ran before; its answer is no longer kept"
+        return Refusal.of(ErrorKind.ALREADY_RAN, message)
+    message = "whether the request ran before cannot be told"
+    return Refusal.of(ErrorKind.OUTCOME_UNKNOWN, message)
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_client.py
@@ -0,0 +1,86 @@
+"""Send calls to plain services."""
+
+import treq
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_entry.services.headers import passed_headers
+from hemlockdock_entry.services.service_answer import ServiceAnswer
+
+CONNECTIONS_PER_INSTANCE = 256
+CONNECT_TIMEOUT_S = 2.0
+
+
+class ServiceFailedError(Exception):
+    """Raise where a call brought no answer.
+
+    Parameters
+    ----------
+    refusal : Refusal
+    """
+
+    def __init__(self, refusal):
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class ServiceClient:
+    """Send calls to plain services.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    """
+
+    def __init__(self, reactor):
+        self._pool = HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = CONNECTIONS_PER_INSTANCE
+        # The library's own retry would repeat calls behind the back of the retry budget.
+        self._pool.retryAutomatically = False
+        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._client = treq.client.HTTPClient(agent)
+
+    def call(self, method, url, headers, body):
+        """Send one call.
+
+        Parameters
+        ----------
+        method, url : str
+        headers : dict of str to list of str
+        body : bytes
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred of ServiceAnswer
+            Fails with ServiceFailedError.
+        """
+        answered = self._client.request(
+            method, url, headers=headers, data=body, allow_redirects=False, unbuffered=True
+        )
+        answered.addCallback(_read)
+        answered.addErrback(_failed)
+        return answered
+
+    def close(self):
+        """Close idle connections.
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred
+        """
+        return self._pool.closeCachedConnections()
+
+
+def _read(response):
+    headers = passed_headers(response.headers)
+    body = response.content()
+    return body.addCallback(lambda data: ServiceAnswer(response.code, headers, data))
+
+
+def _failed(failure):
+    if failure.check(ConnectError):
+        message = "no connection to the service"
+        raise ServiceFailedError(Refusal.of(ErrorKind.ENDPOINT_LOST, message, NotRun.TRUE))
+    message = "the service broke off the call"
+    raise ServiceFailedError(Refusal.of(ErrorKind.ENDPOINT_LOST, message, NotRun.UNKNOWN))
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/services.py
@@ -0,0 +1,122 @@
+"""Let calls to plain services wait and run, apart from the models."""
+
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_entry.services.lane import Lane
+
+
+class Services:
+    """Let calls to plain services wait and run, apart from the models.
+
+    Parameters
+    ----------
+    desk : Desk
+    client : ServiceClient
+    random_source : random.Random
+
+    Attributes
+    ----------
+    client : ServiceClient
+    """
+
+    def __init__(self, desk, client, random_source):
+        self.client = client
+        self._desk = desk
+        self._random = random_source
+        self._lane_by_name = {}
+
+    def enqueue(self, call):
+        """Let a call wait for room, or refuse it.
+
+        Parameters
+        ----------
+        call : ServiceCall
+        """
+        row = self._row(call.service)
+        if row is None:
+            call.refuse(Refusal.of(ErrorKind.UNKNOWN_SERVICE, f"no service {call.service!r}"))
+            return
+        lane = self._lane(call.service)
+        refusal = lane.admit(row, call.request, self._desk.clock.seconds())
+        if refusal is not None:
+            call.refuse(refusal)
+            return
+        if call.core.state == "received":
+            call.life.wait()
+        self._pump(call.service)
+
+    def leave(self, call):
+        """Take a call out of its queue; nothing happens where it does not wait.
+
+        Parameters
+        ----------
+        call : ServiceCall
+        """
+        self._lane(call.service).leave(call.request)
+
+    def has_room(self, service):
+        """Tell whether one more call may be in flight.
+
+        Parameters
+        ----------
+        service : str
+
+        Returns
+        -------
+        bool
+        """
+        row = self._row(service)
+        return row is not None and self._lane(service).in_flight < row.most_in_flight
+
+    def take_instance(self, service, avoided):
+        """Choose an instance and count a call onto it.
+
+        Parameters
+        ----------
+        service : str
+        avoided : set of str
+
+        Returns
+        -------
+        tuple of (Lane, str)
+            The lane, and the instance's base URL.
+        """
+        now = self._desk.clock.seconds()
+        lane = self._lane(service)
+        url = lane.picker.choose(self._row(service).urls, now, avoided)
+        lane.picker.taken(url, now)
+        lane.in_flight += 1
+        return lane, url
+
+    def release(self, service, lane, url, outcome):
+        """Count a call off its instance and start what waits for the room.
+
+        Parameters
+        ----------
+        service : str
+        lane : Lane
+        url : str
+        outcome : Outcome
+        """
+        lane.in_flight -= 1
+        lane.picker.released(url, outcome, self._desk.clock.seconds())
+        self._pump(service)
+
+    def _pump(self, service):
+        row = self._row(service)
+        if row is None:
+            return
+        lane = self._lane(service)
+        request = lane.next(row)
+        while request is not None:
+            self._desk.exchange(request.request_id).run()
+            request = lane.next(row)
+
+    def _row(self, service):
+        return self._desk.link.table.service_by_name.get(service)
+
+    def _lane(self, service):
+        lane = self._lane_by_name.get(service)
+        if lane is None:
+            lane = Lane(self._desk.settings, self._random)
+            self._lane_by_name[service] = lane
+        return lane
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
@@ -5,14 +5,16 @@
 from twisted.internet.task import LoopingCall
 
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
-from hemlockdock_core.messages import ModelLoad, Wish
+from hemlockdock_core.messages import Wish
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_core.rows import ReplicaState
 from hemlockdock_entry.lifecycle import Ledger
 from hemlockdock_entry.routing import RetryBudget, Router, Standing, Suspects
 from hemlockdock_entry.tasks.attempts import Attempts
-from hemlockdock_entry.tasks.exchange import LIVE_KIND, Exchange
-from hemlockdock_entry.waiting import ModelQueues, ServiceTimes, Supply, expected_answer_s
+from hemlockdock_entry.tasks.background import Background
+from hemlockdock_entry.tasks.exchange import LIVE_KIND
+from hemlockdock_entry.tasks.load_reports import LoadReports
+from hemlockdock_entry.tasks.supply_view import SupplyView
+from hemlockdock_entry.waiting import ModelQueues, ServiceTimes, expected_answer_s
 
 logger = logging.getLogger(__name__)
 
@@ -32,30 +34,33 @@
     random_source : random.Random
     wall_ms : callable
         Returns milliseconds since 1970.
+    incarnation : int, optional
+        Of this process.
     """
 
-    def __init__(self, clock, settings, link, send, random_source, wall_ms):
+    def __init__(self, clock, settings, link, send, random_source, wall_ms, incarnation=1):
         self.clock = clock
         self.settings = settings
         self.link = link
         self.send = send
         self.wall_ms = wall_ms
         self.random = random_source
+        self.incarnation = incarnation
+        self.node_id = settings.process.node_id
+        self.draining = False
         self.ledger = Ledger()
         self.attempts = Attempts()
         self.budget = RetryBudget(settings.entry.retry_budget)
         self.router = Router(settings.process.failure_domain, random_source)
         self.suspects = Suspects()
         self.service_times = ServiceTimes()
-        self.draining = False
+        self.background = Background(clock, link, self._check_idle)
+        self.loads = LoadReports(link)
+        self._supply = SupplyView(clock, link, self.router, self.loads)
         self._queues_by_model = {}
         self._exchange_by_id = {}
         self._unanswered = set()
         self._suspect_in_flight = None
-        self._loading_since_by_id = {}
-        self._arrivals_by_model = {}
-        self._reported_by_model = {}
-        self._in_flight_by_model = {}
         self._on_idle = None
         self._ticks = LoopingCall(self.tick)
         self._ticks.clock = clock
@@ -73,31 +78,38 @@
         """End the periodic work."""
         if self._ticks.running:
             self._ticks.stop()
+        self.background.stop()
 
-    def submit(self, request, reply, exchange_type=Exchange):
+    def submit(self, exchange):
         """Take a request.
 
         Parameters
         ----------
-        request : Request
-        reply : Reply
-        exchange_type : type, optional
-
-        Returns
-        -------
-        Exchange
+        exchange : Exchange
         """
-        exchange = exchange_type(self, request, reply)
+        request = exchange.request
         self._exchange_by_id[request.request_id] = exchange
         self._unanswered.add(request.request_id)
-        arrivals = self._arrivals_by_model.get(request.model, 0)
-        self._arrivals_by_model[request.model] = arrivals + 1
         refusal = self._refusal_at_admission(request)
         if refusal is not None:
             exchange.refuse(refusal)
-            return exchange
+            return
+        if request.model:
+            self.loads.arrived(request.model)
         exchange.begin()
-        return exchange
+
+    def exchange(self, request_id):
+        """Return the open exchange with an id, or None.
+
+        Parameters
+        ----------
+        request_id : str
+
+        Returns
+        -------
+        Exchange or None
+        """
+        return self._exchange_by_id.get(request_id)
 
     def enqueue(self, exchange):
         """Put a request in its queue, or refuse it where it cannot be answered in time.
@@ -115,17 +127,18 @@
         if refusal is None:
             refusal = queues.add(request).err()
         if refusal is not None:
-            if not self._slots(request):
+            if not self._supply.slots(request):
+                # The caller may ask again once the model is there.
                 self._wish_for(request, 1)
             exchange.refuse(refusal)
             return
         exchange.life.wait()
         self.pump(request.model)
-        if exchange.core.state == "waiting" and not self._slots(request):
+        if exchange.core.state == "waiting" and not self._supply.slots(request):
             self._wish_for(request, len(queues))
 
     def leave_queue(self, exchange):
-        """Take a request out of its queue; nothing happens where it is in none.
+        """Take a request out of its queue; tell whether it waited.
 
         Parameters
         ----------
@@ -134,11 +147,62 @@
         Returns
         -------
         bool
-            Whether it waited.
         """
         queues = self._queues_by_model.get(exchange.request.model)
         return queues is not None and queues.remove(exchange.request)
 
+    def has_room(self, request):
+        """Tell whether a request could start at once.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        bool
+        """
+        return self.idle_room(request) > 0
+
+    def idle_room(self, request):
+        """Return how many requests could start at once, 0 where others wait for the room.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        int
+        """
+        if len(self._queues_by_model.get(request.model, ())):
+            return 0
+        return self._supply.supply(request).free
+
+    def wish_if_cold(self, request):
+        """Ask control for a replica where none runs such requests.
+
+        Parameters
+        ----------
+        request : Request
+        """
+        if not self._supply.slots(request):
+            self._wish_for(request, 1)
+
+    def is_usable(self, replica):
+        """Tell whether a replica still takes new work.
+
+        Parameters
+        ----------
+        replica : ReplicaRow
+
+        Returns
+        -------
+        bool
+        """
+        usable = self.router.usable(self.link.table, replica.model, "")
+        return any(row.replica_id == replica.replica_id for row in usable)
+
     def pump(self, model):
         """Start what can be started of a model's waiting requests.
 
@@ -149,47 +213,14 @@
         queues = self._queues_by_model.get(model)
         if queues is None:
             return
-        moved = True
-        while moved and len(queues):
-            moved = False
-            for request in queues.heads():
-                if self._start(request):
-                    moved = True
-                    break
+        while any(self._start(request) for request in queues.heads()):
+            pass
 
     def pump_all(self):
         """Start what can be started of all waiting requests."""
         for model in list(self._queues_by_model):
             self.pump(model)
 
-    def unreachable(self, request, ahead):
-        """Return the refusal of a request that cannot be answered in time, or None.
-
-        Parameters
-        ----------
-        request : Request
-        ahead : int
-            Waiting requests that go first.
-
-        Returns
-        -------
-        Refusal or None
-        """
-        now = self.clock.seconds()
-        supply = self._supply(request, now)
-        needed_s = expected_answer_s(
-            supply,
-            ahead,
-            self.service_times.expected_s(request.model),
-            request.kind == LIVE_KIND and request.streaming,
-        )
-        if now + needed_s <= request.deadline_at:
-            return None
-        retry_ms = int(supply.load_left_s * MS_PER_S) or None
-        message = f"an answer would take about {int(needed_s * MS_PER_S)} ms"
-        kind = ErrorKind.DEADLINE_UNREACHABLE
-        return Refusal.of(kind, message, NotRun.TRUE, retry_ms)
-
     def release(self, exchange, replica, outcome):
         """Count a request off its replica and start what waits for the room.
 
@@ -200,14 +231,13 @@
         outcome : Outcome
         """
         self.router.released(replica, outcome, self.clock.seconds(), exchange.suspect)
-        model = exchange.request.model
-        self._in_flight_by_model[model] -= 1
+        self.loads.ended(exchange.request.model)
         if self._suspect_in_flight is exchange:
             self._suspect_in_flight = None
             exchange.suspect = False
             self.pump_all()
             return
-        self.pump(model)
+        self.pump(exchange.request.model)
 
     def answered(self, exchange):
         """Take that a caller has its final answer.
@@ -228,9 +258,7 @@
         exchange : Exchange
         """
         self._exchange_by_id.pop(exchange.request.request_id, None)
-        if self._on_idle is not None and not self._exchange_by_id:
-            on_idle, self._on_idle = self._on_idle, None
-            on_idle()
+        self._check_idle()
 
     def when_idle(self, on_idle):
         """Call back once no request is in progress.
@@ -239,16 +267,16 @@
         ----------
         on_idle : callable
         """
-        if not self._exchange_by_id:
-            on_idle()
-            return
         self._on_idle = on_idle
+        self._check_idle()
 
     def refuse_all(self):
         """Give every request in progress its final refusal, at the end of a shutdown."""
+        self.background.pending = 0
         for exchange in list(self._exchange_by_id.values()):
-            exchange.caller_gone()
+            exchange.shut_down()
             self.closed(exchange)
+        self._check_idle()
 
     def table_changed(self):
         """Act on a change of the routing table."""
@@ -258,7 +286,7 @@
             gone = node is None or node.lost or node.incarnation != attempt.node.incarnation
             if gone:
                 attempt.fail(ErrorKind.ENDPOINT_LOST, "the endpoint was lost")
-        self._note_loading()
+        self._supply.table_changed()
         self.router.forget_gone(table)
         self.pump_all()
 
@@ -272,38 +300,44 @@
                 del self._queues_by_model[model]
                 continue
             self._wish_for(queues.requests()[0], len(queues))
-        self._report_loads()
+        self.loads.report({model: len(held) for model, held in self._queues_by_model.items()})
         if not self.ledger.balanced(self.in_progress):
             COUNTERS.increment("entry_ledger_errors")
             logger.error("requests in do not equal answers, refusals and requests in progress")
 
-    def standing(self, request):
-        """Tell how far a request is trusted.
+    def report_fault(self, failure):
+        """Log a failure of this code itself.
 
         Parameters
         ----------
-        request : Request
-
-        Returns
-        -------
-        Standing
+        failure : twisted.python.failure.Failure
         """
-        now = self.clock.seconds()
-        return self.suspects.standing(self.link.table, request.fingerprint, now, self.wall_ms())
+        COUNTERS.increment("entry_faults")
+        logger.error("request failed inside the entry", exc_info=failure.value)
+
+    def _check_idle(self):
+        if self._on_idle is None or self._exchange_by_id or self.background.pending:
+            return
+        on_idle, self._on_idle = self._on_idle, None
+        on_idle()
 
     def _refusal_at_admission(self, request):
         if self.draining:
             return Refusal.of(ErrorKind.DRAINING, "this entry is shutting down")
         if not self.link.fresh:
             return Refusal.of(ErrorKind.NO_CONTROL, "no word from control for too long")
-        if self.standing(request) is Standing.REFUSED:
+        if self._standing(request) is Standing.REFUSED:
             return _quarantined()
         return None
 
+    def _standing(self, request):
+        now = self.clock.seconds()
+        return self.suspects.standing(self.link.table, request.fingerprint, now, self.wall_ms())
+
     def _start(self, request):
         """Start one request; tell whether it left its queue."""
         exchange = self._exchange_by_id[request.request_id]
-        standing = self.standing(request)
+        standing = self._standing(request)
         if standing is Standing.REFUSED:
             self.leave_queue(exchange)
             exchange.refuse(_quarantined())
@@ -311,10 +345,7 @@
         suspect = standing is Standing.SUSPECT
         if suspect and self._suspect_in_flight is not None:
             return False
-        now = self.clock.seconds()
-        replica = self.router.choose(
-            self.link.table, request, now, exchange.avoided_nodes, suspect
-        ) or self._choose_avoided(exchange, now, suspect)
+        replica = self._choose(exchange, suspect)
         if replica is None:
             return False
         self.leave_queue(exchange)
@@ -325,19 +356,46 @@
         exchange.suspect = suspect
         if suspect:
             self._suspect_in_flight = exchange
-        self.router.taken(replica, now, suspect)
-        in_flight = self._in_flight_by_model.get(request.model, 0)
-        self._in_flight_by_model[request.model] = in_flight + 1
+        self.router.taken(replica, self.clock.seconds(), suspect)
+        self.loads.started(request.model)
         exchange.run_on(replica)
         return True
 
-    def _choose_avoided(self, exchange, now, suspect):
-        # An agent that failed the request before is taken again where it is the only kind left.
+    def _choose(self, exchange, suspect):
         request = exchange.request
-        usable = self.router.usable(self.link.table, request.model, request.adapter)
-        if any(row.node_id not in exchange.avoided_nodes for row in usable):
+        now = self.clock.seconds()
+        table = self.link.table
+        avoided = exchange.avoided_nodes
+        usable = self.router.usable(table, request.model, request.adapter)
+        if all(row.node_id in avoided for row in usable):
+            # An agent that failed the request before is taken again where no other is left.
+            avoided = ()
+        return self.router.choose(table, request, now, avoided, suspect)
+
+    def unreachable(self, request, ahead):
+        """Return the refusal of a request that cannot be answered in time, or None.
+
+        Parameters
+        ----------
+        request : Request
+        ahead : int
+            Waiting requests that go first.
+
+        Returns
+        -------
+        Refusal or None
+        """
+        needed_s = expected_answer_s(
+            self._supply.supply(request),
+            ahead,
+            self.service_times.expected_s(request.model),
+            request.kind == LIVE_KIND and request.streaming,
+        )
+        if self.clock.seconds() + needed_s <= request.deadline_at:
             return None
-        return self.router.choose(self.link.table, request, now, (), suspect)
+        needed_ms = int(needed_s * MS_PER_S)
+        message = f"an answer would take about {needed_ms} ms"
+        return Refusal.of(ErrorKind.DEADLINE_UNREACHABLE, message, NotRun.TRUE, needed_ms)
 
     def _refuse_unreachable(self, queues):
         ahead = 0
@@ -349,53 +407,11 @@
             queues.remove(request)
             self._exchange_by_id[request.request_id].refuse(refusal)
 
-    def _slots(self, request):
-        return self.router.slots(self.link.table, request.model, request.adapter)
-
-    def _supply(self, request, now):
-        table = self.link.table
-        model = table.model_by_name.get(request.model)
-        slots = self._slots(request)
-        load_left_s = 0.0
-        if not slots and model is not None:
-            load_left_s = self._load_left_s(model, now)
-        used = self._in_flight_by_model.get(request.model, 0)
-        per_replica = model.requests_per_replica if model is not None else 1
-        return Supply(slots, max(0, slots - used), load_left_s, per_replica)
-
-    def _load_left_s(self, model, now):
-        load_s = model.load_ms / MS_PER_S
-        left_s = load_s
-        for replica in self.link.table.replicas_of(model.name):
-            since = self._loading_since_by_id.get(replica.replica_id)
-            if since is not None:
-                left_s = min(left_s, max(0.0, since + load_s - now))
-        return left_s
-
-    def _note_loading(self):
-        now = self.clock.seconds()
-        loading = {}
-        for replica in self.link.table.replica_by_id.values():
-            if replica.state == ReplicaState.LOADING:
-                since = self._loading_since_by_id.get(replica.replica_id, now)
-                loading[replica.replica_id] = since
-        self._loading_since_by_id = loading
-
     def _wish_for(self, request, waiting):
         left_ms = request.left_ms(self.clock.seconds())
-        wish = Wish(request.model, request.adapter, waiting, left_ms, request.priority)
-        self.link.send(wish)
+        self.link.send(Wish(request.model, request.adapter, waiting, left_ms, request.priority))
         COUNTERS.increment("entry_wishes")
 
-    def _report_loads(self):
-        for model, arrivals in self._arrivals_by_model.items():
-            queues = self._queues_by_model.get(model, ())
-            in_flight = self._in_flight_by_model.get(model, 0)
-            load = ModelLoad(model, arrivals, len(queues), in_flight)
-            if self._reported_by_model.get(model) != load:
-                self._reported_by_model[model] = load
-                self.link.report_load(load)
-
 
 def _quarantined():
     message = "this request crashed the endpoints that ran it"
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -15,6 +15,7 @@
 LIVE_KIND = "live"
 LIVE_STREAM_MS = 600_000
 REQUEUE_DELAY_S = 0.2
+RECONNECT_GRACE_S = 10.0
 
 
 class Exchange:
@@ -40,6 +41,7 @@
         self.suspect = False
         self._dispatched_at = 0.0
         self._delay_call = None
+        self._grace_call = None
         left_s = max(0.0, request.deadline_at - desk.clock.seconds())
         self._deadline_call = desk.clock.callLater(left_s, self._deadline_passed)
 
@@ -83,8 +85,9 @@
             return
         if self.core.state != "streaming":
             self.life.stream()
-        node_id = self.attempt.node.node_id
-        self.reply.head(status, content_type, StreamPlace(self.request.request_id, node_id))
+        attempt = self.attempt
+        place = StreamPlace(attempt.request_id, attempt.node.node_id, attempt.offset)
+        self.reply.head(status, content_type, place)
 
     def on_data(self, data):
         """Take the next bytes of the answer."""
@@ -154,9 +157,26 @@
         """Take that nobody waits for the answer any more."""
         if self.core.ended:
             return
-        self._stop_run()
+        if self.reply.passed and self.attempt is not None and not self.run_may_outlive_reply:
+            # The caller may reconnect for the rest of its stream.
+            self._grace_call = self.desk.clock.callLater(RECONNECT_GRACE_S, self._stop_run)
+        else:
+            self._stop_run()
         self.refuse(Refusal.of(ErrorKind.CALLER_GONE, "the caller went away"))
 
+    def reader_returned(self):
+        """Let the run go on, since its caller reads the rest by another connection."""
+        if self._grace_call is not None:
+            self._grace_call.cancel()
+            self._grace_call = None
+
+    def shut_down(self):
+        """Give the final refusal because the process ends."""
+        has_head = self.attempt is not None and self.attempt.has_head
+        not_run = self._not_run_so_far(has_head)
+        self._stop_run()
+        self.refuse(Refusal.of(ErrorKind.DRAINING, "this entry has shut down", not_run))
+
     def _queue_now(self):
         self._delay_call = None
         self.begin()
@@ -217,6 +237,8 @@
         return NotRun.TRUE if self.tries == 0 else NotRun.UNKNOWN
 
     def _stop_run(self):
+        if self._grace_call is not None and not self._grace_call.active():
+            self._grace_call = None
         self.desk.leave_queue(self)
         if self._delay_call is not None:
             self._delay_call.cancel()
@@ -225,8 +247,11 @@
             return
         self.attempt.cancel()
         self._release(Outcome.NEUTRAL)
+        if self.core.ended:
+            self.desk.closed(self)
 
     def _release(self, outcome):
+        self.reader_returned()
         self.attempt = None
         if self.replica is None:
             return
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_exchange.py
@@ -0,0 +1,228 @@
+"""Own one request that may run at most once."""
+
+from hemlockdock_core.commands import RunState
+from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_entry.routing import Outcome
+from hemlockdock_entry.run_once import AnswerRecorder, ClaimStep
+from hemlockdock_entry.streams import StreamPlace
+from hemlockdock_entry.tasks.attempt import Attempt
+from hemlockdock_entry.tasks.exchange import Exchange
+from hemlockdock_entry.tasks.once_claim import OnceClaim
+
+BYTES_PER_KB = 1_024
+JOIN_POLL_S = 0.1
+
+
+class OnceExchange(Exchange):
+    """Own one request that may run at most once.
+
+    Its run is claimed from the quorum before its first byte leaves. Where another entry holds
+    or held the claim, the request reads that run's answer in place of running itself.
+    """
+
+    def __init__(self, desk, request, reply):
+        super().__init__(desk, request, reply)
+        self._claim = OnceClaim(desk, request)
+        self._recorder = AnswerRecorder(desk.settings.entry.stored_answer_kb * BYTES_PER_KB)
+        self._runs = False
+        self._refusal_after_join = None
+        self._known_free = False
+
+    @property
+    def run_may_outlive_reply(self):
+        """Tell whether the run goes on when its caller is answered or gone."""
+        return self._runs
+
+    def begin(self):
+        """Claim the run, or first wait for room where that comes at once."""
+        if self._claim.held or self.desk.has_room(self.request):
+            self.desk.enqueue(self)
+            return
+        # Without room this may wait long; a resend must learn of an earlier run before that.
+        self._when(self._claim.claim(), self._claimed_without_place)
+
+    def run_on(self, replica):
+        """Claim the run with the place of its answer, then send it."""
+        self.replica = replica
+        self.life.claim()
+        place = StreamPlace(self.request.request_id, replica.node_id)
+        if not self._claim.held:
+            self._when(self._claim.claim(place), self._claimed)
+            return
+        freed = self._claim.finish(RunState.NOT_RUN)
+        self._when(freed, lambda _: self._when(self._claim.claim(place), self._claimed))
+
+    def on_head(self, status, content_type):
+        """Take the start of the answer."""
+        self._recorder.head(status, content_type)
+        super().on_head(status, content_type)
+
+    def on_data(self, data):
+        """Take the next bytes of the answer."""
+        self._recorder.data(data)
+        super().on_data(data)
+
+    def on_end(self):
+        """Take the end of the answer, and record it where the run was this one's own."""
+        if not self._runs:
+            self._end_joined()
+            return
+        self._runs = False
+        self._claim.finish(RunState.RAN, self._recorder.payload())
+        super().on_end()
+
+    def on_failed(self, refusal):
+        """Take the failure of a try."""
+        if not self._runs:
+            self._join_failed(refusal)
+            return
+        self._runs = False
+        if refusal.not_run is not NotRun.TRUE:
+            ran = refusal.not_run is NotRun.FALSE
+            self._claim.finish(RunState.RAN if ran else RunState.UNKNOWN)
+            super().on_failed(refusal)
+            return
+        freed = self._claim.finish(RunState.NOT_RUN)
+        # Until the claim is free again, nothing can claim it anew.
+        self._when(freed, lambda _: self._failed_unrun(refusal))
+
+    def refuse(self, refusal):
+        """Give the final refusal; say not run only where that holds for the key as a whole."""
+        if self.core.ended:
+            return
+        held = self._claim.held
+        if held and not self._runs:
+            self._claim.finish(RunState.NOT_RUN)
+        if refusal.not_run is NotRun.TRUE and not self._is_certain(refusal, held):
+            refusal = Refusal.of(
+                refusal.kind, refusal.message, NotRun.UNKNOWN, refusal.retry_after_ms
+            )
+        super().refuse(refusal)
+
+    def _is_certain(self, refusal, held):
+        return held or self._known_free or refusal.kind is ErrorKind.KEY_REUSED
+
+    def _failed_unrun(self, refusal):
+        self._known_free = True
+        super().on_failed(refusal)
+        self._known_free = False
+
+    def _claimed_without_place(self, outcome):
+        if self.core.ended:
+            self._free()
+            return
+        if outcome.step is ClaimStep.RUN:
+            self.desk.enqueue(self)
+            return
+        self._follow(outcome)
+
+    def _claimed(self, outcome):
+        usable = self.desk.is_usable(self.replica)
+        if outcome.step is ClaimStep.RUN and not self.core.ended and usable:
+            self._runs = True
+            self.send_to_agent()
+            return
+        self._release(Outcome.NEUTRAL)
+        if self.core.ended:
+            self._free()
+            self.desk.closed(self)
+            return
+        if outcome.step is ClaimStep.RUN:
+            freed = self._claim.finish(RunState.NOT_RUN)
+            self._when(freed, lambda _: self._queue_unless_ended())
+            return
+        self._follow(outcome)
+
+    def _queue_unless_ended(self):
+        if not self.core.ended:
+            self.queue_again(0.0)
+
+    def _free(self):
+        if self._claim.held:
+            self._claim.finish(RunState.NOT_RUN)
+
+    def _follow(self, outcome):
+        COUNTERS.increment("entry_claims_met", step=outcome.step.value)
+        if outcome.step is ClaimStep.REFUSE:
+            self.refuse(outcome.refusal)
+            return
+        if outcome.step is ClaimStep.ANSWER:
+            self._give_stored(outcome.answer)
+            return
+        if outcome.step is ClaimStep.RECOVER_RAN:
+            message = "the request ran before; its answer is no longer kept"
+            self._refusal_after_join = Refusal.of(ErrorKind.ALREADY_RAN, message)
+        if outcome.step is ClaimStep.RECOVER_UNKNOWN:
+            message = "whether the request ran before cannot be told"
+            self._refusal_after_join = Refusal.of(ErrorKind.OUTCOME_UNKNOWN, message)
+        if not self._join(outcome.place):
+            self._join_failed(None)
+
+    def _give_stored(self, answer):
+        self._enter_claimed()
+        place = StreamPlace(self.request.request_id, "")
+        self.reply.head(answer.status, answer.content_type, place)
+        self.reply.data(answer.body)
+        self._end_joined()
+
+    def _enter_claimed(self):
+        if self.core.state in ("received", "waiting", "dispatched"):
+            self.life.claim()
+
+    def _join(self, place):
+        """Read the answer of the run that holds the claim; tell whether that can be tried."""
+        node = self.desk.link.table.node_by_id.get(place.node_id) if place else None
+        if node is None or node.lost:
+            return False
+        self._enter_claimed()
+        self.attempt = Attempt(self.desk, place.request_id, node, self, resumable=True)
+        self.attempt.resume()
+        return True
+
+    def _join_failed(self, refusal):
+        self.attempt = None
+        if self.core.ended:
+            self.desk.closed(self)
+            return
+        if self.reply.passed:
+            self.refuse(refusal)
+            return
+        if self._refusal_after_join is not None:
+            self.refuse(self._refusal_after_join)
+            return
+        self.reply.reset()
+        self._delay_call = self.desk.clock.callLater(JOIN_POLL_S, self._claim_again)
+
+    def _claim_again(self):
+        self._delay_call = None
+        self._when(self._claim.claim(), self._claimed_without_place)
+
+    def _end_joined(self):
+        self.attempt = None
+        if self.core.ended:
+            self.desk.closed(self)
+            return
+        self.life.answer()
+        self._end()
+        self.reply.end()
+
+    def _stop_run(self):
+        if self.attempt is not None and not self._runs:
+            # The run is another's: stop reading it, but let it go on.
+            self.attempt.close()
+            self.attempt = None
+        super()._stop_run()
+
+    def _not_run_so_far(self, has_head):
+        if has_head:
+            return NotRun.FALSE
+        return NotRun.TRUE if self._claim.held and not self._runs else NotRun.UNKNOWN
+
+    def _when(self, deferred, callback):
+        deferred.addCallback(callback)
+        deferred.addErrback(self._broken)
+
+    def _broken(self, failure):
+        self.desk.report_fault(failure)
+        self.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"))
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/resume_exchange.py
@@ -0,0 +1,95 @@
+"""Own one caller's reconnection to an answer."""
+
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_entry.intake import Request
+from hemlockdock_entry.tasks.attempt import Attempt
+from hemlockdock_entry.tasks.exchange import LIVE_KIND, Exchange
+
+RESUME_DEADLINE_S = 30.0
+CLASS_NAME = "resume"
+
+
+def resume_request(request_id, caller, now):
+    """Return the request that stands for a reconnection.
+
+    Parameters
+    ----------
+    request_id : str
+        Of the reconnection itself.
+    caller : str
+    now : float
+
+    Returns
+    -------
+    Request
+    """
+    return Request(
+        request_id=request_id,
+        caller=caller,
+        model="",
+        adapter="",
+        path="",
+        body=b"",
+        streaming=True,
+        class_name=CLASS_NAME,
+        kind=LIVE_KIND,
+        repeatable=False,
+        key="",
+        priority=0,
+        retention_s=0,
+        admitted_at=now,
+        deadline_at=now + RESUME_DEADLINE_S,
+        fingerprint="",
+    )
+
+
+class ResumeExchange(Exchange):
+    """Own one caller's reconnection to an answer that an agent keeps.
+
+    Parameters
+    ----------
+    desk : Desk
+    request : Request
+        From ``resume_request``.
+    reply : Reply
+    place : StreamPlace
+        Where the caller goes on.
+    """
+
+    def __init__(self, desk, request, reply, place):
+        super().__init__(desk, request, reply)
+        self._place = place
+
+    def begin(self):
+        """Ask the agent for the rest."""
+        place = self._place
+        node = self.desk.link.table.node_by_id.get(place.node_id)
+        if node is None or node.lost:
+            message = f"agent {place.node_id!r} is not there any more"
+            self.refuse(Refusal.of(ErrorKind.UNKNOWN_STREAM, message))
+            return
+        earlier = self.desk.exchange(place.request_id)
+        if earlier is not None:
+            earlier.reader_returned()
+        self.life.dispatch()
+        self.attempt = Attempt(self.desk, place.request_id, node, self, True, place.offset)
+        self.attempt.resume()
+
+    def on_end(self):
+        """Take the end of the answer."""
+        self.attempt = None
+        self.life.answer()
+        self._end()
+        self.reply.end()
+
+    def on_failed(self, refusal):
+        """Take that the rest cannot be had."""
+        self.attempt = None
+        self.refuse(refusal)
+
+    def _stop_run(self):
+        # The run is the first connection's: stop reading it, but let it go on.
+        if self.attempt is not None:
+            self.attempt.close()
+            self.attempt = None
+        super()._stop_run()
