--- a/tools/benchmarks/traces/replay.py
+++ b/tools/benchmarks/traces/replay.py
@@ -4,6 +4,9 @@
 import itertools
 import random
 
+from benchmarks.traces.score import Score
+from benchmarks.traces.state import Host, Replica
+from benchmarks.traces.store import SharedStore
 from hemlockdock_control.loading import Tier
 from hemlockdock_control.loading.load_times import nominal_load_ms
 from hemlockdock_control.placement import PlannerView, WishView
@@ -16,10 +19,6 @@
 )
 from hemlockdock_core.rows import ReplicaState
 
-from benchmarks.traces.score import Score
-from benchmarks.traces.state import Host, Replica
-from benchmarks.traces.store import SharedStore
-
 ROUND_MS = 100
 TIMER_MS = 5_000
 UNLOAD_MS = 1_000
