--- /dev/null
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
@@ -0,0 +1,143 @@
+"""Run a stand-in engine in a process."""
+
+import itertools
+
+from twisted.internet.defer import maybeDeferred, succeed
+from twisted.web.server import Site
+
+from hemlockdock_standins.engine.ledger import StandInLedger
+from hemlockdock_standins.engine.options import EngineOptions
+from hemlockdock_standins.engine.orders import EngineOrders
+from hemlockdock_standins.engine.reports import EngineReports
+from hemlockdock_standins.engine.requests import EngineRequests
+from hemlockdock_standins.engine.routes import EngineRoutes
+from hemlockdock_standins.engine.state import EngineState
+from hemlockdock_standins.weight_store import StandInWeightStore
+
+LOOPBACK = "127.0.0.1"
+MS_PER_S = 1_000.0
+BACKLOG = 256
+
+_boot_numbers = itertools.count(1)
+
+
+class TrackingSite(Site):
+    """Remember open connections, so that a crash can drop them."""
+
+    noisy = False
+
+    def __init__(self, resource):
+        super().__init__(resource)
+        self.displayTracebacks = False
+        self.channels = set()
+
+    def buildProtocol(self, address):
+        """Build a connection's protocol and remember it."""
+        channel = super().buildProtocol(address)
+        self.channels.add(channel)
+        return channel
+
+    def log(self, request):
+        """Write no access log."""
+
+    def abort_connections(self):
+        """Drop every connection at once."""
+        for channel in self.channels:
+            transport = channel.transport
+            if transport is not None:
+                transport.abortConnection()
+        self.channels.clear()
+
+
+class StandInEngine:
+    """Serve a model engine's HTTP interface on a loopback port.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    options : EngineOptions, optional
+    store : StandInWeightStore, optional
+        One of its own where it is not given.
+    ledger : StandInLedger, optional
+        Shared with other engines to count over all of them.
+
+    Attributes
+    ----------
+    url : str
+        Base URL, once started.
+    boot_id : str
+        Changes with every start and crash.
+    crashes : int
+    """
+
+    def __init__(self, reactor, options=None, store=None, ledger=None):
+        self._reactor = reactor
+        self._owns_store = store is None
+        self._port = None
+        self._restart_call = None
+        self.options = options or EngineOptions()
+        self.ledger = ledger or StandInLedger()
+        self.store = store or StandInWeightStore(reactor)
+        self.state = EngineState(self.options, self.ledger)
+        self.reports = EngineReports(reactor, self.options)
+        self.orders = EngineOrders(reactor, self.options, self.state, self.store, self.ledger)
+        self.requests = EngineRequests(
+            reactor, self.options, self.state, self.ledger, self.crash
+        )
+        self._site = TrackingSite(EngineRoutes(self).app.resource())
+        self.url = ""
+        self.boot_id = ""
+        self.crashes = 0
+
+    def start(self):
+        """Listen.
+
+        Returns
+        -------
+        Deferred
+        """
+        self._listen()
+        return succeed(None)
+
+    def stop(self):
+        """Drop all connections and stop listening.
+
+        Returns
+        -------
+        Deferred
+        """
+        if self._restart_call is not None:
+            self._restart_call.cancel()
+            self._restart_call = None
+        if self._owns_store:
+            self.store.close()
+        return self._close()
+
+    def crash(self):
+        """Drop all connections and all that is loaded; listen again after a while."""
+        if self._port is None:
+            return
+        self.crashes += 1
+        self._close()
+        self._restart_call = self._reactor.callLater(
+            self.options.restart_ms / MS_PER_S, self._listen
+        )
+
+    def _listen(self):
+        self._restart_call = None
+        self.boot_id = f"boot-{next(_boot_numbers)}"
+        self._port = self._reactor.listenTCP(
+            self.options.port, self._site, backlog=BACKLOG, interface=LOOPBACK
+        )
+        self.options.port = self._port.getHost().port
+        self.url = f"http://{LOOPBACK}:{self.options.port}"
+
+    def _close(self):
+        self._site.abort_connections()
+        self.state.clear()
+        self.orders.crash()
+        self.requests.crash()
+        if self._port is None:
+            return succeed(None)
+        port, self._port = self._port, None
+        return maybeDeferred(port.stopListening)
--- /dev/null
+++ b/packages/hemlockdock-standins/hemlockdock_standins/service.py
@@ -0,0 +1,97 @@
+"""Stand in for a plain service with lookups and bookings."""
+
+import json
+from collections import Counter
+
+from klein import Klein
+from twisted.internet.defer import inlineCallbacks, maybeDeferred, succeed
+from twisted.internet.task import deferLater
+from twisted.web.server import Site
+
+LOOPBACK = "127.0.0.1"
+MS_PER_S = 1_000.0
+
+
+class StandInService:
+    """Answer lookups, and count the executions of bookings.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    lookup_ms, booking_ms : float, optional
+
+    Attributes
+    ----------
+    url : str
+    lookups : int
+    bookings_by_key : collections.Counter
+        Executions by ``Idempotency-Key``, or by body where there is none.
+    drop_bookings : int
+        So many of the next bookings are executed, but left unanswered.
+    """
+
+    app = Klein()
+
+    def __init__(self, reactor, lookup_ms=0.0, booking_ms=0.0):
+        self._reactor = reactor
+        self.lookup_ms = lookup_ms
+        self.booking_ms = booking_ms
+        self._port = None
+        self.url = ""
+        self.lookups = 0
+        self.bookings_by_key = Counter()
+        self.drop_bookings = 0
+
+    def start(self):
+        """Listen.
+
+        Returns
+        -------
+        Deferred
+        """
+        site = Site(self.app.resource())
+        site.noisy = False
+        site.log = lambda request: None
+        self._port = self._reactor.listenTCP(0, site, interface=LOOPBACK)
+        self.url = f"http://{LOOPBACK}:{self._port.getHost().port}"
+        return succeed(None)
+
+    def stop(self):
+        """Stop listening.
+
+        Returns
+        -------
+        Deferred
+        """
+        if self._port is None:
+            return succeed(None)
+        port, self._port = self._port, None
+        return maybeDeferred(port.stopListening)
+
+    @app.route("/<path:path>", methods=["GET"])
+    @inlineCallbacks
+    def look_up(self, request, path):
+        """Answer a lookup."""
+        self.lookups += 1
+        yield self._sleep(self.lookup_ms)
+        return self._json(request, {"path": path, "found": True})
+
+    @app.route("/<path:path>", methods=["POST"])
+    @inlineCallbacks
+    def book(self, request, path):
+        """Execute a booking."""
+        body = request.content.read()
+        key = request.getHeader("idempotency-key") or body.decode("utf-8", "replace")
+        yield self._sleep(self.booking_ms)
+        self.bookings_by_key[key] += 1
+        if self.drop_bookings > 0:
+            self.drop_bookings -= 1
+            request.transport.abortConnection()
+        return self._json(request, {"path": path, "booked": self.bookings_by_key[key]})
+
+    def _json(self, request, value):
+        request.setHeader(b"content-type", b"application/json")
+        return json.dumps(value).encode()
+
+    def _sleep(self, duration_ms):
+        return deferLater(self._reactor, duration_ms / MS_PER_S, lambda: None)
