--- a/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
@@ -81,9 +81,7 @@
         self.state = EngineState(self.options, self.ledger)
         self.reports = EngineReports(reactor, self.options)
         self.orders = EngineOrders(reactor, self.options, self.state, self.store, self.ledger)
-        self.requests = EngineRequests(
-            reactor, self.options, self.state, self.ledger, self.crash
-        )
+        self.requests = EngineRequests(reactor, self.options, self.state, self.ledger, self.crash)
         self._site = TrackingSite(EngineRoutes(self).app.resource())
         self.url = ""
         self.boot_id = ""
--- a/packages/hemlockdock-standins/hemlockdock_standins/platform.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/platform.py
@@ -17,6 +17,8 @@
     ----------
     reactor : twisted reactor
     lag_ms : float, optional
+    port : int, optional
+        0 lets the system choose.
 
     Attributes
     ----------
@@ -26,8 +28,9 @@
 
     app = Klein()
 
-    def __init__(self, reactor, lag_ms=1_000.0):
+    def __init__(self, reactor, lag_ms=1_000.0, port=0):
         self._reactor = reactor
+        self._wanted_port = port
         self._lag_s = lag_ms / MS_PER_S
         self._changes_by_host = {}
         self._port = None
@@ -43,7 +46,7 @@
         site = Site(self.app.resource())
         site.noisy = False
         site.log = lambda request: None
-        self._port = self._reactor.listenTCP(0, site, interface=LOOPBACK)
+        self._port = self._reactor.listenTCP(self._wanted_port, site, interface=LOOPBACK)
         self.url = f"http://{LOOPBACK}:{self._port.getHost().port}/hosts"
         return succeed(None)
 
--- a/packages/hemlockdock-standins/hemlockdock_standins/service.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/service.py
@@ -19,6 +19,8 @@
     ----------
     reactor : twisted reactor
     lookup_ms, booking_ms : float, optional
+    port : int, optional
+        0 lets the system choose.
 
     Attributes
     ----------
@@ -32,8 +34,9 @@
 
     app = Klein()
 
-    def __init__(self, reactor, lookup_ms=0.0, booking_ms=0.0):
+    def __init__(self, reactor, lookup_ms=0.0, booking_ms=0.0, port=0):
         self._reactor = reactor
+        self._wanted_port = port
         self.lookup_ms = lookup_ms
         self.booking_ms = booking_ms
         self._port = None
@@ -52,7 +55,7 @@
         site = Site(self.app.resource())
         site.noisy = False
         site.log = lambda request: None
-        self._port = self._reactor.listenTCP(0, site, interface=LOOPBACK)
+        self._port = self._reactor.listenTCP(self._wanted_port, site, interface=LOOPBACK)
         self.url = f"http://{LOOPBACK}:{self._port.getHost().port}"
         return succeed(None)
 
