--- a/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
@@ -3,6 +3,7 @@
 import itertools
 
 from twisted.internet.defer import maybeDeferred, succeed
+from twisted.protocols.policies import WrappingFactory
 from twisted.web.server import Site
 
 from hemlockdock_standins.engine.ledger import StandInLedger
@@ -21,32 +22,15 @@
 _boot_numbers = itertools.count(1)
 
 
-class TrackingSite(Site):
+class TrackingFactory(WrappingFactory):
     """Remember open connections, so that a crash can drop them."""
 
     noisy = False
 
-    def __init__(self, resource):
-        super().__init__(resource)
-        self.displayTracebacks = False
-        self.channels = set()
-
-    def buildProtocol(self, address):
-        """Build a connection's protocol and remember it."""
-        channel = super().buildProtocol(address)
-        self.channels.add(channel)
-        return channel
-
-    def log(self, request):
-        """Write no access log."""
-
     def abort_connections(self):
         """Drop every connection at once."""
-        for channel in self.channels:
-            transport = channel.transport
-            if transport is not None:
-                transport.abortConnection()
-        self.channels.clear()
+        for wrapper in list(self.protocols):
+            wrapper.transport.abortConnection()
 
 
 class StandInEngine:
@@ -84,7 +68,10 @@
         self.requests = EngineRequests(
             reactor, self.options, self.state, self.ledger, self.crash
         )
-        self._site = TrackingSite(EngineRoutes(self).app.resource())
+        site = Site(EngineRoutes(self).app.resource())
+        site.log = lambda request: None
+        site.displayTracebacks = False
+        self._factory = TrackingFactory(site)
         self.url = ""
         self.boot_id = ""
         self.crashes = 0
@@ -127,13 +114,13 @@
         self._restart_call = None
         self.boot_id = f"boot-{next(_boot_numbers)}"
         self._port = self._reactor.listenTCP(
-            self.options.port, self._site, backlog=BACKLOG, interface=LOOPBACK
+            self.options.port, self._factory, backlog=BACKLOG, interface=LOOPBACK
         )
         self.options.port = self._port.getHost().port
         self.url = f"http://{LOOPBACK}:{self.options.port}"
 
     def _close(self):
-        self._site.abort_connections()
+        self._factory.abort_connections()
         self.state.clear()
         self.orders.crash()
         self.requests.crash()
