--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
@@ -0,0 +1,126 @@
+"""Choose the endpoint for a load, and what goes to make room for it."""
+
+from dataclasses import dataclass
+
+from hemlockdock_control.placement.checkpoints import checkpoint_tier
+from hemlockdock_control.placement.retention import UNLOAD_MS
+from hemlockdock_control.placement.view import EndpointView, ReplicaView
+from hemlockdock_core.rows import ReplicaState
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Describe where a model could be loaded.
+
+    Attributes
+    ----------
+    endpoint : EndpointView
+    wait_ms : int
+        Until it is ready.
+    victims : tuple of ReplicaView
+        Replicas that have to go first.
+    lost_ms : float
+        What holding the victims would have gained.
+    must_wait : bool
+        Whether unloads have to end first.
+    """
+
+    endpoint: EndpointView
+    wait_ms: int
+    victims: tuple[ReplicaView, ...] = ()
+    lost_ms: float = 0.0
+    must_wait: bool = False
+
+
+def choose_endpoint(plan, model, version, victims_on, deadline_at_ms):
+    """Choose the endpoint for one more replica of a model.
+
+    Endpoints where a load of the model failed lately come last; then count whether the
+    deadline can be met, how many replicas of the model the failure domain has, and what the
+    wait and the evicted replicas cost.
+
+    Parameters
+    ----------
+    plan : hemlockdock_control.placement.round.Round
+    model : ModelView
+    version : VersionView
+    victims_on : callable of str to list of (ReplicaView, float)
+        Replicas on an endpoint that may go, in the order to evict, with the gain lost.
+    deadline_at_ms : int
+
+    Returns
+    -------
+    Choice or None
+    """
+    avoided = plan.knowledge.avoided(model.name, plan.now_ms)
+    count_by_domain = _count_by_domain(plan, model.name)
+    holders = _holders(plan, model.name)
+    best = None
+    best_key = None
+    for endpoint in plan.view.endpoint_by_id.values():
+        if not endpoint.takes_work or endpoint.node_id in holders:
+            continue
+        if model.endpoint_groups and endpoint.group not in model.endpoint_groups:
+            continue
+        choice = _choice_on(plan, model, version, victims_on, endpoint)
+        if choice is None:
+            continue
+        key = (
+            endpoint.node_id in avoided,
+            plan.now_ms + choice.wait_ms > deadline_at_ms,
+            count_by_domain.get(endpoint.failure_domain, 0),
+            plan.prices.cold_start_ms(choice.wait_ms) + choice.lost_ms,
+            len(choice.victims),
+            -plan.free_mb(endpoint.node_id),
+            endpoint.node_id,
+        )
+        if best_key is None or key < best_key:
+            best, best_key = choice, key
+    return best
+
+
+def _choice_on(plan, model, version, victims_on, endpoint):
+    node_id = endpoint.node_id
+    if version.memory_mb > endpoint.memory_mb:
+        return None
+    tier = checkpoint_tier(endpoint, model.name, version.name)
+    load_ms = plan.knowledge.load_times.expected_ms(tier, version.checkpoint_mb)
+    missing_mb = version.memory_mb - plan.free_mb(node_id)
+    if missing_mb <= 0:
+        return Choice(endpoint, load_ms)
+    wait_ms = load_ms + UNLOAD_MS
+    missing_mb -= plan.freed_by_node.get(node_id, 0)
+    if missing_mb <= 0:
+        return Choice(endpoint, wait_ms, must_wait=True)
+    victims = []
+    lost_ms = 0.0
+    for replica, gain_ms in victims_on(node_id):
+        if replica.model == model.name:
+            continue
+        victims.append(replica)
+        lost_ms += max(gain_ms, 0.0)
+        missing_mb -= plan.replica_memory_mb(replica)
+        if missing_mb <= 0:
+            return Choice(endpoint, wait_ms, tuple(victims), lost_ms, must_wait=True)
+    return None
+
+
+def _count_by_domain(plan, model_name):
+    count_by_domain = {}
+    node_ids = [command.node_id for command in plan.decided_by_model.get(model_name, ())]
+    for replica in plan.replicas_by_model.get(model_name, ()):
+        if replica.state is not ReplicaState.UNLOADING:
+            node_ids.append(replica.node_id)
+    for node_id in node_ids:
+        endpoint = plan.view.endpoint_by_id.get(node_id)
+        if endpoint is None:
+            continue
+        domain = endpoint.failure_domain
+        count_by_domain[domain] = count_by_domain.get(domain, 0) + 1
+    return count_by_domain
+
+
+def _holders(plan, model_name):
+    holders = {command.node_id for command in plan.decided_by_model.get(model_name, ())}
+    holders.update(replica.node_id for replica in plan.replicas_by_model.get(model_name, ()))
+    return holders
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/planner.py
@@ -0,0 +1,164 @@
+"""Decide loads and unloads from a view of the deployment."""
+
+from hemlockdock_control.loading import Tier
+from hemlockdock_control.placement.adapters import load_adapters
+from hemlockdock_control.placement.ahead import Ahead
+from hemlockdock_control.placement.checkpoints import checkpoint_tier
+from hemlockdock_control.placement.explain import explain_model
+from hemlockdock_control.placement.hangs import drop_hung
+from hemlockdock_control.placement.knowledge import Knowledge
+from hemlockdock_control.placement.retention import Retention
+from hemlockdock_control.placement.round import Round
+from hemlockdock_control.placement.versions import drop_unwanted, replace_versions
+from hemlockdock_control.placement.waking import wake
+
+
+class Planner:
+    """Decide which models are loaded where.
+
+    ``decide`` depends on nothing but its arguments, the settings and what ``observe_*`` and
+    earlier rounds were told; with nothing learnt it decides from defaults.
+
+    Attributes
+    ----------
+    settings : hemlockdock_core.settings.Settings
+    knowledge : Knowledge
+    """
+
+    def __init__(self, settings, retention=None, ahead=None):
+        """Start with nothing learnt.
+
+        Parameters
+        ----------
+        settings : hemlockdock_core.settings.Settings
+        retention : Retention, optional
+        ahead : Ahead, optional
+        """
+        self.settings = settings
+        self.knowledge = Knowledge()
+        self._retention = retention or Retention()
+        self._ahead = ahead or Ahead()
+        self._reason_by_model = {}
+
+    def observe_arrivals(self, model, count, at_ms):
+        """Learn that requests for a model arrived, at all entries together.
+
+        Parameters
+        ----------
+        model : str
+        count : int
+            New arrivals since the last call.
+        at_ms : int
+        """
+        if count > 0:
+            self.knowledge.arrivals.observe(model, at_ms)
+
+    def observe_load(self, view, replica_id, took_ms):
+        """Learn from a load that ended well; call it while the view still has it as loading.
+
+        Parameters
+        ----------
+        view : PlannerView
+        replica_id : str
+        took_ms : int
+        """
+        replica = view.replica_by_id.get(replica_id)
+        if replica is None or replica.model not in view.model_by_name:
+            return
+        version = view.model_by_name[replica.model].version_by_name.get(replica.version)
+        endpoint = view.endpoint_by_id.get(replica.node_id)
+        if version is None or endpoint is None:
+            return
+        tier = checkpoint_tier(endpoint, replica.model, replica.version)
+        self.knowledge.load_times.observe(tier, version.checkpoint_mb, took_ms)
+        self.knowledge.load_times.note_end(tier, replica.decided_at_ms)
+
+    def observe_failure(self, model, node_id, at_ms):
+        """Learn that a load failed, hung or was lost, so that it is tried elsewhere first.
+
+        Parameters
+        ----------
+        model : str
+        node_id : str
+        at_ms : int
+        """
+        self.knowledge.add_failure(model, node_id, at_ms)
+
+    def decide(self, view, now_ms):
+        """Make one round of decisions.
+
+        Parameters
+        ----------
+        view : PlannerView
+        now_ms : int
+            Wall clock, in milliseconds since 1970.
+
+        Returns
+        -------
+        list of Command
+            In the order to be committed.
+        """
+        plan = self._plan(view, now_ms)
+        drop_unwanted(plan)
+        drop_hung(plan)
+        unmet = wake(plan, self._retention)
+        load_adapters(plan)
+        replace_versions(plan, unmet)
+        self._retention.drop_idle(plan)
+        if unmet == 0:
+            self._ahead.load(plan)
+        self._reason_by_model = plan.reason_by_model
+        self.knowledge.store_wait_ms = self._store_wait_ms(plan, unmet)
+        return plan.commands
+
+    def expected_load_ms(self, view, model_name):
+        """Return how long a cold start of a model is expected to take now, in milliseconds.
+
+        Parameters
+        ----------
+        view : PlannerView
+        model_name : str
+
+        Returns
+        -------
+        int
+        """
+        model = view.model_by_name[model_name]
+        version = model.version_by_name[model.serve]
+        self.knowledge.checkpoints.update(view.endpoint_by_id)
+        tier = self.knowledge.checkpoints.best_tier(model_name, model.serve)
+        load_ms = self.knowledge.load_times.expected_ms(tier, version.checkpoint_mb)
+        if tier is not Tier.REMOTE:
+            return load_ms
+        return load_ms + self.knowledge.store_wait_ms
+
+    def explain(self, view, model_name, now_ms):
+        """Say why a model is, or is not, loaded.
+
+        Parameters
+        ----------
+        view : PlannerView
+        model_name : str
+        now_ms : int
+
+        Returns
+        -------
+        list of str
+            One reason a line.
+        """
+        lines = explain_model(self._plan(view, now_ms), model_name, self._retention)
+        if model_name in self._reason_by_model:
+            lines.append(self._reason_by_model[model_name])
+        return lines
+
+    def _store_wait_ms(self, plan, unmet):
+        if plan.budget.has_room:
+            return 0
+        ahead = (unmet + 1) / plan.budget.most_at_once
+        return round(ahead * self.knowledge.load_times.typical_ms(Tier.REMOTE))
+
+    def _plan(self, view, now_ms):
+        if self.knowledge.first_round_ms is None:
+            self.knowledge.first_round_ms = now_ms
+        self.knowledge.checkpoints.update(view.endpoint_by_id)
+        return Round(view, self.settings, self.knowledge, now_ms)
--- a/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
@@ -65,9 +65,7 @@
         self.state = EngineState(self.options, self.ledger)
         self.reports = EngineReports(reactor, self.options)
         self.orders = EngineOrders(reactor, self.options, self.state, self.store, self.ledger)
-        self.requests = EngineRequests(
-            reactor, self.options, self.state, self.ledger, self.crash
-        )
+        self.requests = EngineRequests(reactor, self.options, self.state, self.ledger, self.crash)
         site = Site(EngineRoutes(self).app.resource())
         site.log = lambda request: None
         site.displayTracebacks = False
