--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/lifecycle/__init__.py
@@ -0,0 +1,6 @@
+"""Give each start of an agent its number, and each engine one agent."""
+
+from hemlockdock_agent.lifecycle.engine_lock import EngineLock, EngineLockedError
+from hemlockdock_agent.lifecycle.incarnation import next_incarnation
+
+__all__ = ["EngineLock", "EngineLockedError", "next_incarnation"]
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/acknowledgement.py
@@ -0,0 +1,52 @@
+"""Tell from the routing table whether control knows an order's result."""
+
+from functools import singledispatch
+
+from hemlockdock_core.messages import (
+    LoadAdapterOrder,
+    LoadOrder,
+    OrderOutcome,
+    UnloadAdapterOrder,
+    UnloadOrder,
+)
+from hemlockdock_core.rows import ReplicaState
+
+
+@singledispatch
+def shown(order, outcome, row):
+    """Tell whether a replica's row shows that control knows how an order ended.
+
+    Parameters
+    ----------
+    order : LoadOrder, UnloadOrder, LoadAdapterOrder or UnloadAdapterOrder
+    outcome : OrderOutcome
+    row : ReplicaRow
+        The replica's row, which is there.
+
+    Returns
+    -------
+    bool
+    """
+    raise TypeError(f"no order: {type(order).__name__}")
+
+
+@shown.register
+def _(order: LoadOrder, outcome, row):
+    if outcome is OrderOutcome.DONE:
+        return row.state is not ReplicaState.LOADING
+    return row.state is ReplicaState.UNLOADING
+
+
+@shown.register
+def _(order: UnloadOrder, outcome, row):
+    return False
+
+
+@shown.register
+def _(order: LoadAdapterOrder, outcome, row):
+    return row.state is ReplicaState.UNLOADING or order.adapter in row.adapters
+
+
+@shown.register
+def _(order: UnloadAdapterOrder, outcome, row):
+    return row.state is ReplicaState.UNLOADING
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/holdings.py
@@ -0,0 +1,147 @@
+"""Account for what one engine holds."""
+
+from hemlockdock_agent.orders.held_replica import HeldReplica
+from hemlockdock_core.messages import LoadedModel
+
+
+class Holdings:
+    """Account for replicas and memory at one engine.
+
+    A replica counts from before its load order goes out until the engine certainly lost it.
+
+    Parameters
+    ----------
+    memory_mb : int
+        Accelerator memory by the settings.
+
+    Attributes
+    ----------
+    replica_by_id : dict of str to HeldReplica
+    changed_at_by_id : dict of str to int
+        Count of changes at which an order last touched a replica.
+    changes : int
+    """
+
+    def __init__(self, memory_mb):
+        self._settings_mb = memory_mb
+        self._engine_mb = memory_mb
+        self._unaccounted_mb = 0
+        self.replica_by_id = {}
+        self.changed_at_by_id = {}
+        self.changes = 0
+
+    @property
+    def reserved_mb(self):
+        """Return the memory that is taken or promised, in MB."""
+        held_mb = sum(replica.total_mb for replica in self.replica_by_id.values())
+        return held_mb + self._unaccounted_mb
+
+    def fits(self, memory_mb):
+        """Tell whether so much memory is free, by the settings and by the engine.
+
+        Parameters
+        ----------
+        memory_mb : int
+
+        Returns
+        -------
+        bool
+        """
+        return self.reserved_mb + memory_mb <= min(self._settings_mb, self._engine_mb)
+
+    def touch(self, replica_id):
+        """Note that inventories asked for before now say nothing about a replica.
+
+        Parameters
+        ----------
+        replica_id : str
+        """
+        self.changes += 1
+        self.changed_at_by_id[replica_id] = self.changes
+
+    def clear(self):
+        """Forget everything, as after an engine's restart."""
+        for replica_id in list(self.replica_by_id):
+            self.touch(replica_id)
+        self.replica_by_id.clear()
+        self._unaccounted_mb = 0
+
+    def reconcile(self, inventory, asked_at, open_ids):
+        """Take over what the engine reports, except where orders have moved on since.
+
+        Parameters
+        ----------
+        inventory : EngineInventory
+        asked_at : int
+        open_ids : set of str
+            Replicas with orders that have not ended.
+
+        Returns
+        -------
+        bool
+            Whether anything changed.
+        """
+        self._engine_mb = inventory.memory_mb
+        settled = {
+            replica_id
+            for replica_id in [*self.replica_by_id, *(item.replica_id for item in inventory.loaded)]
+            if replica_id not in open_ids and self.changed_at_by_id.get(replica_id, 0) <= asked_at
+        }
+        changed = False
+        reported_ids = set()
+        for item in inventory.loaded:
+            reported_ids.add(item.replica_id)
+            if item.replica_id in settled:
+                changed |= self._adopt(item)
+        for replica_id in settled - reported_ids:
+            del self.replica_by_id[replica_id]
+            changed = True
+        if asked_at == self.changes and not open_ids:
+            self._account(inventory)
+            self.changed_at_by_id.clear()
+        return changed
+
+    def loaded_models(self):
+        """Return what the engine holds, for control.
+
+        Returns
+        -------
+        list of LoadedModel
+        """
+        models = []
+        for replica in self.replica_by_id.values():
+            models.append(
+                LoadedModel(
+                    replica.replica_id,
+                    replica.model,
+                    replica.version,
+                    replica.total_mb,
+                    replica.fence,
+                    sorted(replica.adapters),
+                )
+            )
+        return models
+
+    def _adopt(self, item):
+        replica = self.replica_by_id.get(item.replica_id)
+        if replica is None:
+            replica = HeldReplica(
+                item.replica_id, item.model, item.version, item.memory_mb, item.fence, 0, item.ready
+            )
+            replica.adapters = set(item.adapters)
+            replica.memory_by_adapter = dict.fromkeys(item.adapters, 0)
+            self.replica_by_id[item.replica_id] = replica
+            return True
+        adapters = set(item.adapters)
+        if replica.ready == item.ready and replica.adapters == adapters:
+            return False
+        replica.ready = item.ready
+        replica.adapters = adapters
+        known = replica.memory_by_adapter
+        replica.memory_by_adapter = {name: known.get(name, 0) for name in adapters}
+        return True
+
+    def _account(self, inventory):
+        # Adapters found after a restart have no known size, and engines hold memory of their own.
+        held_mb = sum(replica.total_mb for replica in self.replica_by_id.values())
+        self._unaccounted_mb = max(inventory.used_mb - held_mb, 0)
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/task.py
@@ -0,0 +1,127 @@
+"""Carry the order gate's effects out."""
+
+import logging
+from functools import singledispatchmethod
+
+from hemlockdock_agent.orders.effects import (
+    AskInventory,
+    ReportInventory,
+    ReportResult,
+    SendOrder,
+)
+from hemlockdock_core.messages import OrderOutcome
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+
+class OrderTask:
+    """Carry the order gate's effects out; the only sender of orders to the engine.
+
+    Parameters
+    ----------
+    gate : OrderGate
+    engine : EngineClient
+    send : callable
+        Takes a message for control.
+    is_busy : callable
+        Takes a replica id.
+    now_ms : callable
+    """
+
+    def __init__(self, gate, engine, send, is_busy, now_ms):
+        self._gate = gate
+        self._engine = engine
+        self._send = send
+        self._is_busy = is_busy
+        self._now_ms = now_ms
+        self._stopped = False
+
+    @property
+    def gate(self):
+        """Return the OrderGate."""
+        return self._gate
+
+    def stop(self):
+        """Take no more answers."""
+        self._stopped = True
+
+    def receive(self, order):
+        """Take an order from control.
+
+        Parameters
+        ----------
+        order : LoadOrder, UnloadOrder, LoadAdapterOrder or UnloadAdapterOrder
+        """
+        self._run(self._gate.receive(order, self._now_ms()))
+        self.advance()
+
+    def advance(self):
+        """Let the gate go on."""
+        self._run(self._gate.advance(self._now_ms(), self._is_busy))
+
+    def poll(self):
+        """Ask the engine what it holds.
+
+        Returns
+        -------
+        Deferred of EngineInventory or None
+        """
+        return self._ask(self._gate.ask(self._now_ms()))
+
+    def lapse(self):
+        """Unload everything."""
+        self._gate.lapse(self._now_ms())
+        self.advance()
+
+    def send_inventory(self):
+        """Send control the inventory, once the engine has been asked."""
+        if self._gate.boot_id:
+            self._send(self._gate.inventory())
+
+    def _run(self, effects):
+        if self._stopped:
+            return
+        for effect in effects:
+            self._carry_out(effect)
+
+    @singledispatchmethod
+    def _carry_out(self, effect):
+        raise TypeError(f"no effect: {type(effect).__name__}")
+
+    @_carry_out.register
+    def _(self, effect: SendOrder):
+        COUNTERS.increment("agent_orders_sent", kind=effect.kind)
+        logger.info("order sent", extra={"kind": effect.kind, "order": effect.body})
+        answered = self._engine.order(effect.kind, effect.body, effect.timeout_ms)
+        answered.addCallback(self._replied, effect.key)
+
+    @_carry_out.register
+    def _(self, effect: AskInventory):
+        self._ask(effect)
+
+    @_carry_out.register
+    def _(self, effect: ReportResult):
+        if effect.result.outcome is not OrderOutcome.DONE:
+            COUNTERS.increment("agent_orders_failed", outcome=effect.result.outcome.value)
+        self._send(effect.result)
+
+    @_carry_out.register
+    def _(self, effect: ReportInventory):
+        self._send(self._gate.inventory())
+
+    def _replied(self, reply, key):
+        if self._stopped:
+            return
+        self._run(self._gate.replied(key, reply, self._now_ms()))
+        self.advance()
+
+    def _ask(self, effect):
+        answered = self._engine.inventory()
+        return answered.addCallback(self._take_inventory, effect.asked_at)
+
+    def _take_inventory(self, inventory, asked_at):
+        if not self._stopped:
+            self._run(self._gate.take_inventory(inventory, asked_at, self._now_ms()))
+            self._run(self._gate.advance(self._now_ms(), self._is_busy))
+        return inventory
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/crash_watch.py
@@ -0,0 +1,122 @@
+"""Tell an engine's crash from a broken connection, and report crashes."""
+
+import logging
+from functools import partial
+
+from hemlockdock_agent.requests.crash_record import CrashRecord
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.messages import CrashReport
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+PROBES = 3
+PROBE_INTERVAL_S = 0.1
+REPORT_REPEAT_MS = 500
+MOST_RESUMPTIONS = 3
+
+
+class CrashWatch:
+    """Tell an engine's crash from a broken connection, and report crashes.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    name : str
+        Unique for each start of the agent; crash ids begin with it.
+    runs : RequestGate
+    poll : callable
+        Asks for the engine's inventory, returns a Deferred.
+    send : callable
+        Takes a message for control.
+    now_ms : callable
+    """
+
+    def __init__(self, reactor, name, runs, poll, send, now_ms):
+        self._reactor = reactor
+        self._name = name
+        self._runs = runs
+        self._poll = poll
+        self._send = send
+        self._now_ms = now_ms
+        self._broken = []
+        self._call = None
+        self._probing = False
+        self._stopped = False
+        self._record_by_boot = {}
+        self.requests = None
+
+    def stop(self):
+        """Probe no more."""
+        self._stopped = True
+        if self._call is not None:
+            self._call.cancel()
+            self._call = None
+
+    def broken(self, run):
+        """Take that a run's connection broke.
+
+        Parameters
+        ----------
+        run : Run
+        """
+        self._broken.append(run)
+        if not self._probing:
+            self._probing = True
+            # Taken now, since the other connections of a crashed engine break one by one.
+            in_flight = list(self._runs.run_by_key.values())
+            self._probe(PROBES, in_flight)
+
+    def repeat(self, table):
+        """Send again the reports that the table does not show yet.
+
+        Parameters
+        ----------
+        table : RoutingTable
+        """
+        now_ms = self._now_ms()
+        for record in self._record_by_boot.values():
+            if not record.shown(table) and now_ms >= record.repeat_ms:
+                record.sent(now_ms + REPORT_REPEAT_MS)
+                self._send(record.report)
+
+    def _probe(self, left, in_flight):
+        self._call = None
+        answered = self._poll()
+        answered.addCallback(partial(self._judge, left, in_flight))
+
+    def _judge(self, left, in_flight, inventory):
+        if self._stopped:
+            return
+        if inventory is None and left > 1:
+            self._call = self._reactor.callLater(PROBE_INTERVAL_S, self._probe, left - 1, in_flight)
+            return
+        self._probing = False
+        broken, self._broken = self._broken, []
+        boot_id = inventory.boot_id if inventory is not None else ""
+        crashed = [run for run in in_flight if run.boot_id != boot_id]
+        if crashed:
+            self._report(crashed)
+        for run in broken:
+            if run.boot_id == boot_id:
+                self._go_on(run)
+        for run in crashed:
+            refusal = Refusal.of(ErrorKind.ENDPOINT_LOST, "the engine crashed")
+            self.requests.fail(run, refusal)
+
+    def _go_on(self, run):
+        if run.streaming and run.status and run.resumptions < MOST_RESUMPTIONS:
+            self.requests.resume_run(run)
+            return
+        refusal = Refusal.of(ErrorKind.ENGINE_FAILED, "the engine broke the connection")
+        self.requests.fail(run, refusal)
+
+    def _report(self, crashed):
+        boot_id = crashed[0].boot_id
+        if boot_id in self._record_by_boot:
+            return
+        fingerprints = sorted({run.dispatch.fingerprint for run in crashed} - {""})
+        COUNTERS.increment("agent_engine_crashes")
+        logger.warning("engine crashed", extra={"boot": boot_id, "in_flight": len(crashed)})
+        report = CrashReport(f"{self._name}-{boot_id}", fingerprints)
+        self._record_by_boot[boot_id] = CrashRecord(report, self._now_ms())
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/outlet.py
@@ -0,0 +1,125 @@
+"""Send an answer to whoever reads it, and keep it where it can be read again."""
+
+from hemlockdock_agent.requests.consumer import Consumer
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.messages import AnswerChunk, AnswerEnd, AnswerHead, Refused
+
+
+class Outlet:
+    """Send an answer to whoever reads it, and keep it where it can be read again.
+
+    Parameters
+    ----------
+    send : callable
+        Takes an address and a message.
+    store : AnswerStore
+    """
+
+    def __init__(self, send, store):
+        self._send = send
+        self._store = store
+
+    def open(self, run):
+        """Prepare for a run's answer.
+
+        Parameters
+        ----------
+        run : Run
+        """
+        if run.dispatch.resumable:
+            run.buffer = self._store.open(run.request_id)
+
+    def head(self, run, status, content_type):
+        """Pass the start of an answer on.
+
+        Parameters
+        ----------
+        run : Run
+        status : int
+        content_type : str
+        """
+        run.status = status
+        run.content_type = content_type
+        if run.buffer is not None:
+            run.buffer.status = status
+            run.buffer.content_type = content_type
+        reader = run.consumer
+        if reader is not None:
+            head = AnswerHead(run.request_id, reader.attempt, status, content_type)
+            self._send(reader.address, head)
+
+    def data(self, run, data):
+        """Pass bytes of an answer on.
+
+        Parameters
+        ----------
+        run : Run
+        data : bytes
+        """
+        if run.buffer is not None and not self._store.append(run.buffer, data):
+            run.buffer = None
+        reader = run.consumer
+        if reader is not None:
+            chunk = AnswerChunk(run.dispatch.request_id, reader.attempt, run.offset, data)
+            self._send(reader.address, chunk)
+        run.offset += len(data)
+
+    def end(self, run, refusal, now_ms):
+        """Pass the end of an answer on.
+
+        Parameters
+        ----------
+        run : Run
+        refusal : Refusal or None
+        now_ms : float
+        """
+        if run.buffer is not None:
+            self._store.end(run.buffer, refusal, now_ms)
+        reader = run.consumer
+        if reader is not None:
+            self._send(reader.address, _last_frame(run.request_id, reader, run.offset, refusal))
+
+    def refuse(self, request_id, reader, refusal):
+        """Send a refusal.
+
+        Parameters
+        ----------
+        request_id : str
+        reader : Consumer
+        refusal : Refusal
+        """
+        self._send(reader.address, Refused(request_id, reader.attempt, refusal))
+
+    def resume(self, resume, run, frame):
+        """Send the rest of an answer, and what follows to the same reader.
+
+        Parameters
+        ----------
+        resume : Resume
+        run : Run or None
+            Where it still runs; its earlier reader gets nothing more.
+        frame : Frame
+        """
+        reader = Consumer(frame.sender, frame.reply_to, resume.attempt)
+        buffer = self._store.buffer_by_id.get(resume.request_id)
+        if buffer is None or resume.offset > buffer.length or resume.offset < 0:
+            refusal = Refusal.of(ErrorKind.UNKNOWN_STREAM, "the answer is not kept here")
+            self.refuse(resume.request_id, reader, refusal)
+            return
+        if run is not None:
+            run.consumer = reader
+        if buffer.status:
+            head = AnswerHead(resume.request_id, reader.attempt, buffer.status, buffer.content_type)
+            self._send(reader.address, head)
+        for offset, data in buffer.parts_from(resume.offset):
+            chunk = AnswerChunk(resume.request_id, reader.attempt, offset, data)
+            self._send(reader.address, chunk)
+        if buffer.ended:
+            last = _last_frame(resume.request_id, reader, buffer.length, buffer.refusal)
+            self._send(reader.address, last)
+
+
+def _last_frame(request_id, reader, length, refusal):
+    if refusal is None:
+        return AnswerEnd(request_id, reader.attempt, length)
+    return Refused(request_id, reader.attempt, refusal)
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/task.py
@@ -0,0 +1,285 @@
+"""Run admitted requests at the engine."""
+
+import logging
+
+from twisted.internet.error import ConnectError
+from twisted.web.client import RequestNotSent
+
+from hemlockdock_agent.requests.consumer import Consumer
+from hemlockdock_agent.requests.relay import Relay
+from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+MOST_RESUMPTIONS = 3
+DEADLINE_GRACE_MS = 2_000
+HTTP_OK = 200
+HTTP_SERVER_ERROR = 500
+# With these the engine says that it did not run the request.
+REFUSING_STATUSES = frozenset((404, 409, 429, 503))
+
+
+class RequestTask:
+    """Run admitted requests at the engine, and own the connections to it.
+
+    Parameters
+    ----------
+    settings : Settings
+    gate : RequestGate
+    outlet : Outlet
+    engine : EngineClient
+    view_of : callable
+        Takes a Dispatch, returns a GateView.
+    on_broken : callable
+        Takes a Run whose connection broke; finds out whether the engine crashed, and answers
+        by ``resume`` or ``fail``.
+    now_ms : callable
+        Returns monotonic milliseconds.
+    """
+
+    def __init__(self, settings, gate, outlet, engine, view_of, on_broken, now_ms):
+        self._settings = settings
+        self._gate = gate
+        self._outlet = outlet
+        self._engine = engine
+        self._view_of = view_of
+        self._on_broken = on_broken
+        self._now_ms = now_ms
+        self._relay_by_run = {}
+        self._calls_by_run = {}
+        self._on_idle = None
+
+    def dispatch(self, dispatch, frame):
+        """Take one try of a request.
+
+        Parameters
+        ----------
+        dispatch : Dispatch
+        frame : Frame
+        """
+        reader = Consumer(frame.sender, frame.reply_to, dispatch.attempt)
+        key = (dispatch.request_id, dispatch.attempt)
+        if self._gate.knows(key):
+            COUNTERS.increment("agent_repeated_dispatches")
+            refusal = self._gate.repeated(key)
+            if refusal is not None:
+                self._outlet.refuse(dispatch.request_id, reader, refusal)
+            return
+        admitted = self._gate.admit(dispatch, reader, self._view_of(dispatch), self._now_ms())
+        if admitted.is_err():
+            refusal = admitted.unwrap_err()
+            COUNTERS.increment("agent_refusals", kind=refusal.kind.value)
+            self._outlet.refuse(dispatch.request_id, reader, refusal)
+            return
+        COUNTERS.increment("agent_admitted")
+        self._start(admitted.unwrap())
+
+    def cancel(self, cancel):
+        """Give up a try that its reader does not want any more.
+
+        Parameters
+        ----------
+        cancel : Cancel
+        """
+        run = self._reading(cancel.request_id, cancel.attempt)
+        if run is None:
+            return
+        run.consumer = None
+        if run.dispatch.run_once:
+            return
+        self.fail(run, Refusal.of(ErrorKind.CALLER_GONE, "the request was given up"))
+
+    def resume_answer(self, resume, frame):
+        """Send a kept answer from an offset on.
+
+        Parameters
+        ----------
+        resume : Resume
+        frame : Frame
+        """
+        run = None
+        for candidate in self._gate.run_by_key.values():
+            if candidate.request_id == resume.request_id and candidate.buffer is not None:
+                run = candidate
+        self._outlet.resume(resume, run, frame)
+
+    def resume_run(self, run):
+        """Ask the engine for the rest of a run's answer.
+
+        Parameters
+        ----------
+        run : Run
+        """
+        if run.ended:
+            return
+        self._close_connection(run)
+        run.resumptions += 1
+        run.heard_ms = self._now_ms()
+        COUNTERS.increment("agent_engine_resumptions")
+        call = self._engine.resume(run.request_id, run.offset)
+        self._calls_by_run[run] = call
+        call.addCallbacks(self._resumed, self._resume_failed, (run,), None, (run,))
+
+    def fail(self, run, refusal):
+        """End a run without its whole answer.
+
+        Parameters
+        ----------
+        run : Run
+        refusal : Refusal
+        """
+        if not self._gate.end(run, refusal):
+            return
+        COUNTERS.increment("agent_broken_runs", kind=refusal.kind.value)
+        self._close_connection(run)
+        self._engine.cancel(run.request_id)
+        self._outlet.end(run, refusal, self._now_ms())
+        self._check_idle()
+
+    def scan(self, lost_entries):
+        """Look for stalled streams, passed deadlines and readers that are gone.
+
+        Parameters
+        ----------
+        lost_entries : set of str
+            Node ids.
+        """
+        now_ms = self._now_ms()
+        stall_ms = self._settings.entry.stall_ms
+        for run in list(self._gate.run_by_key.values()):
+            if run.consumer is not None and run.consumer.node_id in lost_entries:
+                self._lose_reader(run)
+            if run.ended or run.dispatch.run_once:
+                continue
+            waited_ms = now_ms - run.admitted_ms
+            if not run.offset and waited_ms > run.dispatch.deadline_ms + DEADLINE_GRACE_MS:
+                self.fail(run, Refusal.of(ErrorKind.DEADLINE_PASSED, "the engine was too slow"))
+                continue
+            if run.offset and run.streaming and now_ms - run.heard_ms > stall_ms:
+                self._stalled(run)
+
+    def when_idle(self, callback):
+        """Call back once no request is in progress.
+
+        Parameters
+        ----------
+        callback : callable
+        """
+        self._on_idle = callback
+        self._check_idle()
+
+    def _start(self, run):
+        self._outlet.open(run)
+        call = self._engine.run(run.dispatch)
+        self._calls_by_run[run] = call
+        call.addCallbacks(self._answered, self._unanswered, (run,), None, (run,))
+
+    def _answered(self, response, run):
+        self._calls_by_run.pop(run, None)
+        if run.ended:
+            response.deliverBody(Relay(_ignore, _ignore))
+            return
+        if response.code in REFUSING_STATUSES:
+            response.deliverBody(Relay(_ignore, _ignore))
+            refusal = Refusal.of(ErrorKind.ENGINE_REFUSED, f"the engine answered {response.code}")
+            self.fail(run, refusal)
+            return
+        if response.code >= HTTP_SERVER_ERROR:
+            response.deliverBody(Relay(_ignore, _ignore))
+            refusal = Refusal.of(ErrorKind.ENGINE_FAILED, f"the engine answered {response.code}")
+            self.fail(run, refusal)
+            return
+        content_type = response.headers.getRawHeaders("content-type", ["application/json"])[0]
+        self._outlet.head(run, response.code, content_type)
+        self._receive(response, run)
+
+    def _unanswered(self, failure, run):
+        self._calls_by_run.pop(run, None)
+        if run.ended:
+            return
+        if failure.check(ConnectError, RequestNotSent):
+            # No byte of the request has left.
+            refusal = Refusal.of(ErrorKind.ENDPOINT_LOST, "the engine is away", NotRun.TRUE)
+            self.fail(run, refusal)
+            return
+        self._on_broken(run)
+
+    def _receive(self, response, run):
+        relay = Relay(
+            lambda data: self._take_data(run, data), lambda whole: self._body_ended(run, whole)
+        )
+        self._relay_by_run[run] = relay
+        response.deliverBody(relay)
+
+    def _take_data(self, run, data):
+        run.heard_ms = self._now_ms()
+        run.resumptions = 0
+        self._outlet.data(run, data)
+
+    def _body_ended(self, run, whole):
+        self._relay_by_run.pop(run, None)
+        if run.ended:
+            return
+        if not whole:
+            self._on_broken(run)
+            return
+        if not self._gate.end(run, None):
+            return
+        COUNTERS.increment("agent_whole_answers")
+        self._outlet.end(run, None, self._now_ms())
+        self._check_idle()
+
+    def _resumed(self, response, run):
+        self._calls_by_run.pop(run, None)
+        if run.ended:
+            response.deliverBody(Relay(_ignore, _ignore))
+            return
+        if response.code != HTTP_OK:
+            response.deliverBody(Relay(_ignore, _ignore))
+            refusal = Refusal.of(ErrorKind.STREAM_STALLED, "the engine has lost the answer's rest")
+            self.fail(run, refusal)
+            return
+        self._receive(response, run)
+
+    def _resume_failed(self, failure, run):
+        self._calls_by_run.pop(run, None)
+        if not run.ended:
+            self._on_broken(run)
+
+    def _stalled(self, run):
+        COUNTERS.increment("agent_stalls")
+        if run.resumptions >= MOST_RESUMPTIONS:
+            self.fail(run, Refusal.of(ErrorKind.STREAM_STALLED, "the engine sends no more bytes"))
+            return
+        self.resume_run(run)
+
+    def _lose_reader(self, run):
+        run.consumer = None
+        if run.buffer is None and not run.dispatch.run_once:
+            self.fail(run, Refusal.of(ErrorKind.CALLER_GONE, "the entry is lost"))
+
+    def _reading(self, request_id, attempt):
+        for run in self._gate.run_by_key.values():
+            reader = run.consumer
+            if run.request_id == request_id and reader is not None and reader.attempt == attempt:
+                return run
+        return None
+
+    def _close_connection(self, run):
+        call = self._calls_by_run.pop(run, None)
+        if call is not None:
+            call.addErrback(_ignore)
+            call.cancel()
+        relay = self._relay_by_run.pop(run, None)
+        if relay is not None:
+            relay.close()
+
+    def _check_idle(self):
+        if self._on_idle is not None and not self._gate.run_by_key:
+            callback, self._on_idle = self._on_idle, None
+            callback()
+
+
+def _ignore(_):
+    """Do nothing."""
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/service.py
@@ -0,0 +1,138 @@
+"""Guard one engine: its orders and its requests."""
+
+import logging
+import time
+
+from twisted.internet.defer import inlineCallbacks, maybeDeferred
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.web.server import Site
+
+from hemlockdock_agent.engine import EngineClient
+from hemlockdock_agent.lifecycle import EngineLock, next_incarnation
+from hemlockdock_agent.session import AgentSession
+from hemlockdock_agent.status_pages import StatusPages
+from hemlockdock_core.node import ControlLink
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1_000
+
+
+class AgentService:
+    """Guard one engine: its orders and its requests.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : Settings
+    link_type : type, optional
+        Makes the link to control.
+    tls : LinkTls, optional
+
+    Attributes
+    ----------
+    http_address : str
+        ``ip:port`` of health and metrics, once started.
+    node_address : str
+        Mailbox for frames, once started.
+    """
+
+    def __init__(self, reactor, settings, link_type=ControlLink, tls=None):
+        self._reactor = reactor
+        self._settings = settings
+        self._link_type = link_type
+        self._tls = tls
+        self._lock = EngineLock(settings.agent.engine_url)
+        self._engine = None
+        self._session = None
+        self._port = None
+        self.http_address = ""
+        self.node_address = ""
+
+    @property
+    def session(self):
+        """Return the AgentSession, None before start and after stop."""
+        return self._session
+
+    @inlineCallbacks
+    def start(self):
+        """Take the engine's lock, listen, and join control.
+
+        Returns
+        -------
+        Deferred
+
+        Raises
+        ------
+        EngineLockedError
+            Where another agent on the host guards the engine.
+        """
+        self._lock.acquire()
+        self._engine = EngineClient(self._reactor, self._settings)
+        yield self._listen()
+        self._join(self._settings.listen.links, 0)
+        logger.info("agent started", extra={"engine": self._settings.agent.engine_url})
+
+    @inlineCallbacks
+    def stop(self):
+        """Take no new requests, finish those in progress, then leave.
+
+        Returns
+        -------
+        Deferred
+        """
+        if self._session is not None:
+            yield self._session.leave()
+            self._session.close()
+            self._session = None
+        if self._port is not None:
+            port, self._port = self._port, None
+            yield maybeDeferred(port.stopListening)
+        if self._engine is not None:
+            yield self._engine.close()
+            self._engine = None
+        self._lock.release()
+
+    def _join(self, listen, floor):
+        wall_ms = int(time.time() * MS_PER_S)
+        folder = self._settings.process.data_folder
+        self._session = AgentSession(
+            self._reactor,
+            self._settings,
+            self._engine,
+            next_incarnation(folder, wall_ms, floor),
+            listen,
+            self.http_address,
+            self._link_type,
+            self._tls,
+            self._join_again,
+        )
+        self.node_address = self._session.address
+        self._session.start()
+
+    def _join_again(self):
+        # Control may have written off all that this incarnation was ordered: a new number makes
+        # orders void that are still on their way.
+        old = self._session
+        logger.warning("agent joins anew", extra={"incarnation": old.incarnation})
+        old.close()
+        self._join(old.address, old.incarnation)
+
+    def _listen(self):
+        host, _, port = self._settings.listen.http.rpartition(":")
+        site = Site(StatusPages(self._problem, self._gauges).app.resource())
+        site.noisy = False
+        site.log = lambda request: None
+        endpoint = TCP4ServerEndpoint(self._reactor, int(port), interface=host.strip("[]"))
+        return endpoint.listen(site).addCallback(self._listening)
+
+    def _listening(self, port):
+        self._port = port
+        address = port.getHost()
+        self.http_address = f"{address.host}:{address.port}"
+
+    def _problem(self):
+        return "stopped" if self._session is None else self._session.problem()
+
+    def _gauges(self):
+        return {} if self._session is None else self._session.gauges()
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -0,0 +1,281 @@
+"""Run an agent under one incarnation number."""
+
+import logging
+import time
+from functools import singledispatchmethod
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from hemlockdock_agent.answers import AnswerStore
+from hemlockdock_agent.orders import OrderGate
+from hemlockdock_agent.orders.task import OrderTask
+from hemlockdock_agent.requests import GateView, RequestGate
+from hemlockdock_agent.requests.crash_watch import CrashWatch
+from hemlockdock_agent.requests.outlet import Outlet
+from hemlockdock_agent.requests.task import RequestTask
+from hemlockdock_agent.table_watch import TableWatch
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.links import PostOffice
+from hemlockdock_core.messages import (
+    NODE_CODEC,
+    Cancel,
+    Dispatch,
+    Leaving,
+    LoadAdapterOrder,
+    LoadOrder,
+    NodeInfo,
+    Resume,
+    UnloadAdapterOrder,
+    UnloadOrder,
+)
+from hemlockdock_core.metrics import COUNTERS
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1_000
+TICK_S = 0.05
+INVENTORY_REPEAT_MS = 2_000
+FLUSH_S = 0.1
+# Parts of membership.certain_after_ms, after which control counts on everything being unloaded.
+UNLOAD_IDLE_AFTER = 0.5
+UNLOAD_ALL_AFTER = 0.75
+
+
+class AgentSession:
+    """Run an agent under one incarnation number.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : Settings
+    engine : EngineClient
+    incarnation : int
+    listen : str
+        Address for frames.
+    http_address : str
+    link_type : type
+    tls : LinkTls or None
+    on_lapsed : callable
+        Called once everything was unloaded because control has not heard from the agent.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        settings,
+        engine,
+        incarnation,
+        listen,
+        http_address,
+        link_type,
+        tls,
+        on_lapsed,
+    ):
+        self._reactor = reactor
+        self._settings = settings
+        self._on_lapsed = on_lapsed
+        self._started_s = reactor.seconds()
+        self._inventory_ms = 0.0
+        self._watch = TableWatch()
+        process = settings.process
+        self._office = PostOffice(
+            reactor, process.node_id, incarnation, NODE_CODEC, listen, self._on_frame, tls
+        )
+        info = NodeInfo(
+            process.node_id,
+            "agent",
+            process.host,
+            process.failure_domain,
+            self._office.address,
+            http_address,
+            settings.agent.group,
+            settings.agent.memory_mb,
+        )
+        self.link = link_type(reactor, settings, self._office, info, on_table=self._table_changed)
+        self.store = AnswerStore(settings)
+        self.runs = RequestGate()
+        gate = OrderGate(settings, incarnation, self._now_ms())
+        self.orders = OrderTask(gate, engine, self.link.send, self._is_busy, self._now_ms)
+        self._crashes = CrashWatch(
+            reactor,
+            f"{process.node_id}-{incarnation}",
+            self.runs,
+            self.orders.poll,
+            self.link.send,
+            self._now_ms,
+        )
+        self.requests = RequestTask(
+            settings,
+            self.runs,
+            Outlet(self._office.send, self.store),
+            engine,
+            self._view_of,
+            self._crashes.broken,
+            self._now_ms,
+        )
+        self._crashes.requests = self.requests
+        self._ticks = LoopingCall(self._tick)
+        self._polls = LoopingCall(self.orders.poll)
+        for loop in (self._ticks, self._polls):
+            loop.clock = reactor
+
+    @property
+    def address(self):
+        """Return the mailbox's address."""
+        return self._office.address
+
+    @property
+    def incarnation(self):
+        """Return the incarnation number."""
+        return self._office.incarnation
+
+    def start(self):
+        """Join control and ask the engine what it holds."""
+        self.link.start()
+        self._polls.start(self._settings.agent.poll_ms / MS_PER_S)
+        self._ticks.start(TICK_S)
+
+    def leave(self):
+        """Take no new requests, and tell everybody.
+
+        Returns
+        -------
+        Deferred
+            Fires once no request is in progress and its frames had time to go out.
+        """
+        self.runs.draining = True
+        self.link.set_leaving()
+        leaving = Leaving(self._settings.process.node_id)
+        self.link.send(leaving)
+        for row in self.link.table.node_by_id.values():
+            if row.role == "entry" and not row.lost:
+                self._office.send(row.address, leaving)
+        left = Deferred()
+        self.requests.when_idle(lambda: self._reactor.callLater(FLUSH_S, left.callback, None))
+        return left
+
+    def close(self):
+        """Close everything at once."""
+        for loop in (self._ticks, self._polls):
+            if loop.running:
+                loop.stop()
+        self.orders.stop()
+        self._crashes.stop()
+        self.link.stop()
+        self._office.close()
+
+    def problem(self):
+        """Return why no requests are taken, empty where they are."""
+        if self.runs.draining:
+            return "draining"
+        if not self.link.fresh:
+            return "control was not heard"
+        if not self.orders.gate.boot_id:
+            return "the engine has not answered"
+        return ""
+
+    def gauges(self):
+        """Return the gauges for the metrics page."""
+        holdings = self.orders.gate.holdings
+        return {
+            "agent_replicas_held": len(holdings.replica_by_id),
+            "agent_reserved_mb": holdings.reserved_mb,
+            "agent_requests_in_progress": len(self.runs.run_by_key),
+            "agent_answer_bytes_held": self.store.bytes_held,
+        }
+
+    def _on_frame(self, frame):
+        if not self.link.handle(frame):
+            self._take(frame.body, frame)
+
+    @singledispatchmethod
+    def _take(self, body, frame):
+        COUNTERS.increment("agent_frames_discarded")
+
+    @_take.register(LoadOrder)
+    @_take.register(UnloadOrder)
+    @_take.register(LoadAdapterOrder)
+    @_take.register(UnloadAdapterOrder)
+    def _(self, body, frame):
+        self.orders.receive(body)
+
+    @_take.register
+    def _(self, body: Dispatch, frame):
+        self.requests.dispatch(body, frame)
+
+    @_take.register
+    def _(self, body: Cancel, frame):
+        self.requests.cancel(body)
+
+    @_take.register
+    def _(self, body: Resume, frame):
+        self.requests.resume_answer(body, frame)
+
+    def _tick(self):
+        now_ms = self._now_ms()
+        nodes = self.link.table.node_by_id.values()
+        self.requests.scan({row.node_id for row in nodes if row.role == "entry" and row.lost})
+        self.store.expire(now_ms)
+        self.orders.advance()
+        self._crashes.repeat(self.link.table)
+        if now_ms - self._inventory_ms >= INVENTORY_REPEAT_MS:
+            self._inventory_ms = now_ms
+            self.orders.send_inventory()
+        self._check_silence()
+
+    def _check_silence(self):
+        """Unload what control will soon not count any more."""
+        gate = self.orders.gate
+        if gate.lapsed:
+            if gate.empty:
+                self._on_lapsed()
+            elif self._silent_ms() >= self._certain_ms() * UNLOAD_ALL_AFTER:
+                self._cut_all()
+            return
+        if gate.empty or self._silent_ms() < self._certain_ms() * UNLOAD_IDLE_AFTER:
+            return
+        COUNTERS.increment("agent_lapses")
+        logger.warning("control was not heard for too long", extra={"ms": self._silent_ms()})
+        self.orders.lapse()
+
+    def _cut_all(self):
+        for run in list(self.runs.run_by_key.values()):
+            refusal = Refusal.of(ErrorKind.ENDPOINT_LOST, "the endpoint is cut off from control")
+            self.requests.fail(run, refusal)
+
+    def _certain_ms(self):
+        return self._settings.membership.certain_after_ms
+
+    def _silent_ms(self):
+        silent_s = self.link.silent_s
+        if silent_s is None:
+            silent_s = self._reactor.seconds() - self._started_s
+        return silent_s * MS_PER_S
+
+    def _table_changed(self):
+        held = self.orders.gate.holdings.replica_by_id.values()
+        self._watch.see(self.link.table, {replica.model for replica in held})
+        self.orders.gate.see_table(self.link.table)
+
+    def _view_of(self, dispatch):
+        table = self.link.table
+        gate = self.orders.gate
+        return GateView(
+            self.link.fresh and not gate.lapsed,
+            table.revision,
+            self._watch.changed_revision(dispatch.model),
+            table.replica_by_id.get(dispatch.replica_id),
+            gate.holdings.replica_by_id.get(dispatch.replica_id),
+            gate.unloading(dispatch.replica_id),
+            table.quarantine_by_fingerprint.get(dispatch.fingerprint),
+            self._watch.suspects,
+            gate.boot_id,
+            int(time.time() * MS_PER_S),
+        )
+
+    def _is_busy(self, replica_id):
+        return self.runs.in_flight(replica_id) > 0
+
+    def _now_ms(self):
+        return self._reactor.seconds() * MS_PER_S
