--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -0,0 +1,205 @@
+"""Send requests to one engine over HTTP."""
+
+import json
+import logging
+
+import msgspec
+import treq
+from twisted.internet.defer import inlineCallbacks, succeed
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+from hemlockdock_agent.engine.inventory import EngineInventory
+from hemlockdock_agent.engine.order_reply import OrderReply
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 2.0
+MOST_CONNECTIONS = 512
+MS_PER_S = 1_000.0
+INVENTORY_DECODER = msgspec.json.Decoder(EngineInventory)
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """Write a request's body in one piece.
+
+    Parameters
+    ----------
+    body : bytes
+    """
+
+    def __init__(self, body):
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer):
+        """Write the body."""
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self):
+        """Do nothing: the body is written already."""
+
+    def resumeProducing(self):
+        """Do nothing: the body is written already."""
+
+    def stopProducing(self):
+        """Do nothing: the body is written already."""
+
+
+class EngineClient:
+    """Send requests to one engine.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : Settings
+    """
+
+    def __init__(self, reactor, settings):
+        self._reactor = reactor
+        self._url = settings.agent.engine_url.rstrip("/")
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = MOST_CONNECTIONS
+        # A request that met a closed connection may have run, so it is never sent again here.
+        self._pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+
+    def close(self):
+        """Close idle connections.
+
+        Returns
+        -------
+        Deferred
+        """
+        return self._pool.closeCachedConnections()
+
+    @inlineCallbacks
+    def order(self, kind, order, timeout_ms):
+        """Send an order.
+
+        Parameters
+        ----------
+        kind : str
+            Last part of the path.
+        order : dict
+        timeout_ms : int
+
+        Returns
+        -------
+        Deferred of OrderReply
+        """
+        try:
+            response = yield treq.post(
+                f"{self._url}/orders/{kind}",
+                json.dumps(order).encode(),
+                agent=self._agent,
+                timeout=timeout_ms / MS_PER_S,
+            )
+            content = yield treq.content(response)
+        except Exception as error:
+            return OrderReply(None, type(error).__name__)
+        return OrderReply.of_status(response.code, content.decode("utf-8", "replace"))
+
+    @inlineCallbacks
+    def inventory(self):
+        """Ask what the engine holds.
+
+        Returns
+        -------
+        Deferred of EngineInventory or None
+            None where no answer came.
+        """
+        try:
+            response = yield treq.get(
+                f"{self._url}/inventory", agent=self._agent, timeout=PROBE_TIMEOUT_S
+            )
+            content = yield treq.content(response)
+            return INVENTORY_DECODER.decode(content)
+        except Exception as error:
+            logger.debug("no inventory", extra={"problem": type(error).__name__})
+            return None
+
+    @inlineCallbacks
+    def load(self):
+        """Ask for the engine's own report of its load.
+
+        Returns
+        -------
+        Deferred of int or None
+            Requests running, as of a while ago.
+        """
+        try:
+            response = yield treq.get(
+                f"{self._url}/load", agent=self._agent, timeout=PROBE_TIMEOUT_S
+            )
+            report = yield treq.json_content(response)
+            return int(report["requests_running"])
+        except Exception as error:
+            logger.debug("no load report", extra={"problem": type(error).__name__})
+            return None
+
+    @inlineCallbacks
+    def cancel(self, request_id):
+        """Ask the engine to stop generating for a request.
+
+        Parameters
+        ----------
+        request_id : str
+
+        Returns
+        -------
+        Deferred
+        """
+        try:
+            response = yield treq.post(
+                f"{self._url}/cancel",
+                json.dumps({"request_id": request_id}).encode(),
+                agent=self._agent,
+                timeout=PROBE_TIMEOUT_S,
+            )
+            yield treq.content(response)
+        except Exception as error:
+            logger.debug("cancel unanswered", extra={"problem": type(error).__name__})
+
+    def run(self, dispatch):
+        """Send one request.
+
+        Parameters
+        ----------
+        dispatch : Dispatch
+
+        Returns
+        -------
+        Deferred of twisted.web.iweb.IResponse
+        """
+        headers = {
+            "Content-Type": ["application/json"],
+            "X-Request-Id": [dispatch.request_id],
+            "X-Replica-Id": [dispatch.replica_id],
+            "X-Priority": [str(dispatch.priority)],
+        }
+        if dispatch.adapter:
+            headers["X-Adapter"] = [dispatch.adapter]
+        url = (self._url + dispatch.path).encode()
+        return self._agent.request(b"POST", url, Headers(headers), BytesProducer(dispatch.body))
+
+    def resume(self, request_id, offset):
+        """Ask for the rest of an answer whose connection broke.
+
+        Parameters
+        ----------
+        request_id : str
+        offset : int
+            Bytes received so far.
+
+        Returns
+        -------
+        Deferred of twisted.web.iweb.IResponse
+        """
+        url = f"{self._url}/streams/{request_id}?offset={offset}"
+        return self._agent.request(b"GET", url.encode())
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/inventory.py
@@ -0,0 +1,52 @@
+"""Describe what an engine reports that it holds."""
+
+import msgspec
+
+
+class EngineModel(msgspec.Struct, frozen=True):
+    """Describe one replica that an engine holds.
+
+    Attributes
+    ----------
+    replica_id, model, version : str
+    memory_mb : int
+        Without its adapters.
+    fence : int
+    ready : bool
+        False while it loads.
+    adapters : list of str
+    """
+
+    replica_id: str
+    model: str
+    version: str
+    memory_mb: int
+    fence: int = 0
+    ready: bool = True
+    adapters: list[str] = []
+
+
+class EngineInventory(msgspec.Struct, frozen=True):
+    """Describe what an engine holds.
+
+    Attributes
+    ----------
+    boot_id : str
+        Changes whenever the engine's process starts anew.
+    memory_mb, used_mb : int
+    loaded : list of EngineModel
+    highest_fence : int
+        0 where the engine keeps none.
+    orders_in_flight : list of int
+    cached_on_disk, cached_in_memory : list of str
+        ``model/version`` names.
+    """
+
+    boot_id: str
+    memory_mb: int
+    used_mb: int
+    loaded: list[EngineModel] = []
+    highest_fence: int = 0
+    orders_in_flight: list[int] = []
+    cached_on_disk: list[str] = []
+    cached_in_memory: list[str] = []
