--- /dev/null
+++ b/packages/hemlockdock-control/tests/support_consensus.py
@@ -0,0 +1,437 @@
+"""Run the consensus code on a disk, a network and clocks that fail on demand."""
+
+import random
+
+from twisted.internet.task import Clock
+
+from hemlockdock_control.consensus.configuration import Configuration, Member
+from hemlockdock_control.consensus.core import Core
+from hemlockdock_control.consensus.events import Received, Tick, TransferRequested
+from hemlockdock_control.consensus.member_changes import AddNonVoter, Promote, Remove
+from hemlockdock_control.consensus.member_task import MemberTask
+from hemlockdock_control.consensus.messages import AppendReply, VoteReply, VoteRequest
+from hemlockdock_control.consensus.timing import Timing
+from hemlockdock_control.storage.errors import StorageFailedError
+from hemlockdock_control.storage.identity import Standing
+from hemlockdock_control.storage.member_storage import MemberStorage
+
+HEARTBEAT_MS = 10.0
+ELECTION_MS = 100.0
+SNAPSHOT_ENTRIES = 12
+SEGMENT_BYTES = 400
+CLOCK_RATES = (0.9, 1.0, 1.1)
+TIMING = Timing(
+    HEARTBEAT_MS,
+    ELECTION_MS,
+    entries_per_request=4,
+    requests_in_flight=3,
+    snapshot_chunk_bytes=300,
+    kept_entries=4,
+)
+
+
+class Crash(BaseException):
+    """End a member in the middle of a step."""
+
+
+class MemoryFile:
+    def __init__(self):
+        self.data = b""
+        self.durable = b""
+
+
+class MemoryDisk:
+    """Lose what was not synced, as a host that loses power does."""
+
+    def __init__(self):
+        self.file_by_name = {}
+        self.durable_file_by_name = {}
+        self.name_changes = []
+        self.fault = None
+
+    def names(self):
+        return sorted(self.file_by_name)
+
+    def read(self, name):
+        return self.file_by_name[name].data
+
+    def append(self, name, data):
+        self._fail("append")
+        if name not in self.file_by_name:
+            self._rename(name, MemoryFile())
+        self.file_by_name[name].data += data
+
+    def sync(self, name):
+        self._fail("sync")
+        file = self.file_by_name[name]
+        file.durable = file.data
+        self._fail("after sync")
+
+    def sync_folder(self):
+        self._fail("sync folder")
+        for name, file in self.name_changes:
+            self._set(self.durable_file_by_name, name, file)
+        self.name_changes.clear()
+
+    def replace(self, name, data):
+        file = MemoryFile()
+        file.data = file.durable = data
+        self._fail("append")
+        self._rename(name, file)
+        self.sync_folder()
+
+    def truncate(self, name, length):
+        file = self.file_by_name[name]
+        file.data = file.durable = file.data[:length]
+
+    def remove(self, name):
+        if name in self.file_by_name:
+            self._rename(name, None)
+
+    def close_file(self, name):
+        pass
+
+    def close(self):
+        pass
+
+    @property
+    def has_unsynced(self):
+        return any(f.data != f.durable for n, f in self.file_by_name.items() if n.endswith("wal"))
+
+    def crash(self, rng):
+        """Keep what was synced, and a torn part of the rest."""
+        self.fault = None
+        kept = rng.randint(0, len(self.name_changes))
+        for name, file in self.name_changes[:kept]:
+            self._set(self.durable_file_by_name, name, file)
+        self.name_changes.clear()
+        self.file_by_name = dict(self.durable_file_by_name)
+        for file in self.file_by_name.values():
+            torn = file.data[len(file.durable) :]
+            file.data = file.durable + torn[: rng.randint(0, len(torn))]
+            file.durable = file.data
+
+    def _rename(self, name, file):
+        self._set(self.file_by_name, name, file)
+        self.name_changes.append((name, file))
+
+    def _set(self, file_by_name, name, file):
+        if file is None:
+            file_by_name.pop(name, None)
+        else:
+            file_by_name[name] = file
+
+    def _fail(self, place):
+        if self.fault is not None and self.fault[0] == place:
+            error = self.fault[1]
+            self.fault = None
+            raise error
+
+
+class ListMachine:
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, data):
+        self.commands.append(data)
+        return len(self.commands)
+
+    def snapshot(self):
+        return b"\n".join(self.commands) or b"\n"
+
+    def restore(self, index, data):
+        self.commands = [command for command in data.split(b"\n") if command]
+
+
+class CheckedMachine(ListMachine):
+    """Report each applied entry to the oracle."""
+
+    def __init__(self, member):
+        super().__init__()
+        self.member = member
+
+    def apply(self, index, data):
+        self.member.cluster.check_applied(index, data)
+        return super().apply(index, data)
+
+
+class SimulatedMember:
+    """Run the real core, task and storage of one member."""
+
+    def __init__(self, cluster, member_id):
+        self.cluster = cluster
+        self.member_id = member_id
+        self.disk = MemoryDisk()
+        self.rate = cluster.rate_by_id.get(member_id) or cluster.rng.choice(CLOCK_RATES)
+        self.clock = Clock()
+        self.task = None
+        self.storage = MemberStorage(self.disk, "c", member_id, SEGMENT_BYTES)
+        self.folder_id = self.storage.identity.folder_id
+
+    def found(self, founders, standing):
+        self.storage.set_standing(standing, founders)
+        self.start()
+
+    def start(self):
+        if self.storage is None:
+            self.storage = MemberStorage(self.disk, "c", self.member_id, SEGMENT_BYTES)
+        durable = self.storage.founded_durable()
+        core = Core(TIMING, self.member_id, self.folder_id, self.cluster.rng, durable, self.now_ms())
+        machine = CheckedMachine(self)
+        self.task = MemberTask(
+            self.clock, self.now_ms, core, self.storage, self, machine, SNAPSHOT_ENTRIES, self.lead
+        )
+        self.task.begin()
+        self.machine = machine
+
+    @property
+    def is_up(self):
+        return self.task is not None
+
+    @property
+    def state(self):
+        return self.task.core.state
+
+    def now_ms(self):
+        return self.cluster.now_ms * self.rate
+
+    def lead(self, leads):
+        pass
+
+    def learn(self, configuration):
+        pass
+
+    def send(self, receiver, message):
+        self.check_promise(message)
+        self.cluster.in_flight.append((self.member_id, receiver, message))
+
+    def check_promise(self, message):
+        """Fail where something is promised that a crash could still take back."""
+        promises = isinstance(message, VoteRequest) and not message.pre
+        promises = promises or (isinstance(message, VoteReply) and message.granted)
+        promises = promises or (isinstance(message, AppendReply) and message.accepted)
+        if promises:
+            assert not self.storage.has_waiting, f"{message} precedes its write"
+            assert not self.disk.has_unsynced, f"{message} precedes its sync"
+
+    def post(self, event):
+        self.task.post(event)
+
+    def turn(self):
+        """Let the task take what was posted; a planned crash ends it half-way."""
+        if not self.is_up:
+            return
+        try:
+            self.clock.advance(0)
+        except Crash:
+            self.crash()
+
+    def crash(self):
+        if self.task is None:
+            return
+        self.task.stop()
+        self.task = None
+        self.storage = None
+        self.disk.crash(self.cluster.rng)
+
+
+class SimulatedCluster:
+    """Run members and judge them by an oracle: the list of what was committed."""
+
+    def __init__(self, seed, founder_count=3, rate_by_id=None):
+        self.rng = random.Random(seed)
+        self.now_ms = 1_000.0
+        self.in_flight = []
+        self.cut_links = set()
+        self.committed_by_index = {}
+        self.leader_by_term = {}
+        self.acknowledged = []
+        self.proposed = 0
+        self.emptied = set()
+        ids = "abcde"[:founder_count]
+        self.rate_by_id = rate_by_id or {}
+        self.member_by_id = {m: SimulatedMember(self, m) for m in ids}
+        members = [Member(m, self.member_by_id[m].folder_id, m, True) for m in ids]
+        self.founders = Configuration(tuple(members))
+        for member in self.member_by_id.values():
+            member.found(self.founders, Standing.FOUNDER)
+
+    @property
+    def up(self):
+        return [member for member in self.member_by_id.values() if member.is_up]
+
+    def leader(self):
+        leaders = [member for member in self.up if member.state.is_leader]
+        return max(leaders, key=lambda member: member.state.term, default=None)
+
+    def check_applied(self, index, data):
+        known = self.committed_by_index.setdefault(index, data)
+        assert known == data, f"entry {index} was {known}, and is now {data}"
+
+    def check(self):
+        """Check all invariants."""
+        history = [self.committed_by_index[index] for index in sorted(self.committed_by_index)]
+        for member in self.up:
+            failure = member.task.failure
+            assert failure is None or isinstance(failure, StorageFailedError), repr(failure)
+            commands = member.machine.commands
+            assert commands == history[: len(commands)], f"{member.member_id} differs"
+            self._check_leader(member, history)
+        for command in self.acknowledged:
+            assert command in history, f"{command} was acknowledged and is lost"
+
+    def _check_leader(self, member, history):
+        state = member.state
+        if not state.is_leader:
+            return
+        first = self.leader_by_term.setdefault(state.term, member.member_id)
+        assert first == member.member_id, f"{first} and {member.member_id} lead {state.term}"
+        assert state.configuration.voter_ids, "no voter is left"
+        if member.task.core.has_lease(member.now_ms()):
+            missed = len(history) - len(member.machine.commands)
+            assert missed == 0, f"{member.member_id} reads stale by {missed}"
+
+    def advance(self, ms):
+        self.now_ms += ms
+        for member in self.up:
+            member.post(Tick())
+            member.turn()
+
+    def deliver(self, position):
+        sender, receiver, message = self.in_flight.pop(position)
+        if frozenset((sender, receiver)) in self.cut_links:
+            return
+        member = self.member_by_id.get(receiver)
+        if member is not None and member.is_up:
+            member.post(Received(sender, message))
+
+    def turn_all(self):
+        for member in self.up:
+            member.turn()
+
+    def cut_off(self, member_id):
+        """Cut all links of a member."""
+        for other_id in self.member_by_id:
+            if other_id != member_id:
+                self.cut_links.add(frozenset((member_id, other_id)))
+
+    def run(self, rounds, loss=0.0, duplicates=0.0, disorder=0.0, step_ms=None, busy=False):
+        """Let time pass and messages arrive, some of them late, twice or never."""
+        for _ in range(rounds):
+            self.advance(step_ms or self.rng.choice((1.0, 3.0, HEARTBEAT_MS)))
+            for _ in range(len(self.in_flight)):
+                self._deliver_some(loss, duplicates, disorder)
+            self.turn_all()
+            if busy:
+                self.propose_at_leaders(1)
+            self.check()
+
+    def propose_at_leaders(self, count):
+        for member in self.up:
+            if member.state.is_leader:
+                self.propose(member, count)
+
+    def _deliver_some(self, loss, duplicates, disorder):
+        draw = self.rng.random()
+        position = 0
+        if self.rng.random() < disorder:
+            position = self.rng.randrange(len(self.in_flight))
+        if draw < loss:
+            self.in_flight.pop(position)
+            return
+        if draw < loss + duplicates:
+            self.in_flight.append(self.in_flight[position])
+        self.deliver(position)
+        if self.rng.random() < 0.7:
+            self.turn_all()
+
+    def settle(self, rounds=400):
+        """Heal all, and run until one leader has everything applied everywhere."""
+        self.cut_links.clear()
+        for _ in range(rounds):
+            self.restart_stopped()
+            self.run(1)
+            leader = self.leader()
+            if leader is not None and leader.state.announced and self._is_level(leader):
+                return leader
+        raise AssertionError("no leader after all was healed")
+
+    def _is_level(self, leader):
+        for member_id in leader.state.configuration.voter_ids:
+            member = self.member_by_id[member_id]
+            if member.task.applied_index != leader.task.applied_index:
+                return False
+        return True
+
+    def restart_stopped(self):
+        """Restart members that crashed or whose disk failed, on disks that work."""
+        for member in self.member_by_id.values():
+            member.disk.fault = None
+            if member.is_up and member.task.failure is not None:
+                member.crash()
+            if not member.is_up:
+                member.start()
+
+    def propose(self, member, count):
+        for _ in range(count):
+            self.proposed += 1
+            command = b"command %d" % self.proposed
+            deferred = member.task.propose(command)
+            deferred.addCallbacks(
+                lambda _, command=command: self.acknowledged.append(command), lambda _: None
+            )
+        member.turn()
+
+    def change(self, change):
+        """Ask the leader for a change of members; return what comes of it."""
+        leader = self.leader()
+        if leader is None:
+            return []
+        outcomes = []
+        leader.task.change(change).addBoth(outcomes.append)
+        leader.turn()
+        return outcomes
+
+    def add(self, member_id):
+        member = self.member_by_id.get(member_id)
+        if member is None:
+            member = SimulatedMember(self, member_id)
+            self.member_by_id[member_id] = member
+            member.found(Configuration(), Standing.JOINER)
+        return self.change(AddNonVoter(member_id, member.folder_id, member_id))
+
+    def promote(self, member_id):
+        return self.change(Promote(member_id))
+
+    def remove(self, member_id):
+        return self.change(Remove(member_id))
+
+    def lead(self, member_id):
+        """Run until a member leads."""
+        for _ in range(100):
+            self.run(10)
+            leader = self.leader()
+            if leader is not None and leader.member_id == member_id and leader.state.announced:
+                return leader
+            self.transfer()
+        raise AssertionError(f"{member_id} does not lead")
+
+    def take(self, kind, receiver=None):
+        """Take the messages of a type out of the network."""
+        taken = [m for m in self.in_flight if isinstance(m[2], kind) and receiver in (None, m[1])]
+        self.in_flight = [m for m in self.in_flight if m not in taken]
+        return taken
+
+    def transfer(self):
+        leader = self.leader()
+        if leader is not None:
+            leader.post(TransferRequested())
+            leader.turn()
+
+    def empty_folder(self, member_id):
+        """Lose a member's disk; it comes back under the same id with an unused folder."""
+        self.member_by_id[member_id].crash()
+        self.emptied.add(member_id)
+        member = SimulatedMember(self, member_id)
+        self.member_by_id[member_id] = member
+        member.found(Configuration(), Standing.JOINER)
--- /dev/null
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -0,0 +1,194 @@
+"""Test focused failures: leases under drift, handovers, repairs, lost disks."""
+
+import unittest
+
+from support_consensus import ELECTION_MS, HEARTBEAT_MS, SimulatedCluster
+
+from hemlockdock_control.consensus.errors import ChangeRefusedError, NotLeaderError
+from hemlockdock_control.consensus.member_changes import ChangeRefusal
+from hemlockdock_control.consensus.messages import AppendReply, AppendRequest, TimeoutNow
+from hemlockdock_control.storage.errors import StorageFailedError
+
+SEEDS = range(12)
+SLOW_LEADER = {"a": 0.9, "b": 1.1, "c": 1.1}
+
+
+def cut_off_rounds(cluster):
+    cluster.run(150, step_ms=1.0, busy=True)
+
+
+class LeaseTest(unittest.TestCase):
+    """The invariants checked after each round include that no lease read is stale."""
+
+    def test_a_slow_clock_does_not_outlast_the_others(self):
+        for seed in SEEDS:
+            cluster = SimulatedCluster(seed, 3, SLOW_LEADER)
+            cluster.lead("a")
+            cluster.run(10)
+            cluster.cut_off("a")
+            cut_off_rounds(cluster)
+
+    def test_a_lease_counts_from_when_its_heartbeat_was_sent(self):
+        for seed in SEEDS:
+            cluster = SimulatedCluster(seed, 3, SLOW_LEADER)
+            leader = cluster.lead("a")
+            cluster.run(10)
+            late = cluster.take(AppendReply, "a")
+            cluster.cut_off("a")
+            cluster.run(60, step_ms=1.0)
+            cluster.cut_links.clear()
+            cluster.in_flight = late
+            for _ in late:
+                cluster.deliver(0)
+            leader.turn()
+            cluster.cut_off("a")
+            cut_off_rounds(cluster)
+
+    def test_a_restarted_voter_holds_back_its_vote(self):
+        for seed in SEEDS:
+            cluster = SimulatedCluster(seed, 3, SLOW_LEADER)
+            cluster.lead("a")
+            cluster.run(10)
+            cluster.cut_links.add(frozenset("ac"))
+            cluster.run(50, step_ms=1.0)
+            cluster.cut_off("a")
+            cluster.member_by_id["b"].crash()
+            cluster.restart_stopped()
+            cut_off_rounds(cluster)
+
+    def test_a_late_handover_finds_no_lease(self):
+        for seed in SEEDS:
+            cluster = SimulatedCluster(seed, 3, SLOW_LEADER)
+            cluster.lead("a")
+            cluster.run(10)
+            cluster.transfer()
+            late = cluster.take(TimeoutNow)
+            self.assertTrue(late)
+            cluster.run(30, step_ms=1.0)
+            cluster.cut_off("a")
+            _, receiver, message = late[0]
+            cluster.in_flight.append(("c" if receiver == "b" else "b", receiver, message))
+            cut_off_rounds(cluster)
+
+    def test_a_leader_cut_off_for_long_neither_answers_nor_disturbs(self):
+        cluster = SimulatedCluster(1)
+        old = cluster.lead("a")
+        cluster.cut_off("a")
+        cluster.run(200, busy=True)
+        self.assertFalse(old.task.core.has_lease(old.now_ms()))
+        self.assertFalse(old.state.is_leader)
+        term = cluster.leader().state.term
+        cluster.cut_links.clear()
+        cluster.run(200, busy=True)
+        self.assertEqual(cluster.leader().state.term, term)
+        cluster.settle()
+
+
+class HandoverTest(unittest.TestCase):
+    def test_another_member_leads_at_once_and_nothing_is_lost(self):
+        cluster = SimulatedCluster(2)
+        cluster.lead("a")
+        cluster.propose_at_leaders(20)
+        started_ms = cluster.now_ms
+        cluster.transfer()
+        while cluster.leader() is None or cluster.leader().member_id == "a":
+            cluster.run(1, step_ms=1.0)
+        self.assertLess(cluster.now_ms - started_ms, ELECTION_MS / 2)
+        cluster.settle()
+        self.assertEqual(len(cluster.acknowledged), 20)
+
+
+class RepairTest(unittest.TestCase):
+    def replace(self, cluster):
+        """Lose member c, and put d in its place."""
+        cluster.member_by_id["c"].crash()
+        cluster.run(10, busy=True)
+        cluster.add("d")
+        cluster.run(30, step_ms=HEARTBEAT_MS)
+        self.assertEqual(cluster.promote("d"), [])
+        cluster.run(5)
+        self.assertEqual(cluster.remove("c"), [])
+        cluster.run(5)
+
+    def test_a_second_host_is_lost_right_after_a_repair(self):
+        for lost in "ab":
+            cluster = SimulatedCluster(3)
+            cluster.lead("a")
+            cluster.propose_at_leaders(40)
+            self.replace(cluster)
+            cluster.member_by_id[lost].crash()
+            before = len(cluster.acknowledged)
+            cluster.run(200, busy=True)
+            self.assertGreater(len(cluster.acknowledged), before)
+
+    def test_a_member_that_cannot_be_reached_is_not_promoted(self):
+        cluster = SimulatedCluster(3)
+        cluster.lead("a")
+        cluster.propose_at_leaders(40)
+        cluster.run(10)
+        cluster.add("d")
+        cluster.cut_off("d")
+        cluster.run(30)
+        refused = cluster.promote("d")[0].value
+        self.assertIsInstance(refused, ChangeRefusedError)
+        self.assertIs(refused.reason, ChangeRefusal.CATCHING_UP)
+
+    def test_a_removed_leader_stops_leading(self):
+        cluster = SimulatedCluster(4)
+        cluster.lead("a")
+        cluster.remove("a")
+        cluster.run(200)
+        self.assertIn(cluster.leader().member_id, "bc")
+        self.assertEqual(sorted(cluster.leader().state.configuration.voter_ids), ["b", "c"])
+
+    def test_an_emptied_folder_takes_no_committed_entry_with_it(self):
+        for seed in SEEDS:
+            cluster = SimulatedCluster(seed)
+            cluster.lead("a")
+            cluster.cut_off("b")
+            cluster.propose_at_leaders(3)
+            cluster.run(20, step_ms=1.0)
+            cluster.empty_folder("c")
+            cluster.run(8, step_ms=1.0)
+            cluster.member_by_id["a"].crash()
+            cluster.cut_links.clear()
+            cluster.run(150)
+            self.assertIsNone(cluster.leader())
+            cluster.member_by_id["a"].start()
+            cluster.run(150, busy=True)
+            self.assertGreater(len(cluster.acknowledged), 3)
+
+
+class FailedDiskTest(unittest.TestCase):
+    def test_a_full_disk_ends_leadership_until_a_restart(self):
+        for place in ("append", "sync"):
+            cluster = SimulatedCluster(5)
+            leader = cluster.lead("a")
+            leader.disk.fault = (place, OSError("no space left on device"))
+            cluster.propose_at_leaders(1)
+            self.assertIsInstance(leader.task.failure, StorageFailedError)
+            self.assertFalse(leader.state.is_leader)
+            cluster.in_flight.clear()
+            cluster.run(100, busy=True)
+            self.assertNotIn("a", {sender for sender, _, _ in cluster.in_flight})
+            self.assertIsInstance(leader.task.failure, StorageFailedError)
+            failures = []
+            leader.task.propose(b"x").addErrback(lambda f, seen=failures: seen.append(f.value))
+            self.assertIsInstance(failures[0], NotLeaderError)
+            cluster.settle()
+
+    def test_a_late_member_catches_up_by_a_snapshot_in_chunks(self):
+        cluster = SimulatedCluster(6)
+        cluster.lead("a")
+        cluster.cut_off("c")
+        for _ in range(20):
+            cluster.propose_at_leaders(10)
+            cluster.run(5)
+        self.assertGreater(cluster.leader().state.log.base_index, 100)
+        cluster.settle()
+        self.assertEqual(len(cluster.member_by_id["c"].machine.commands), 200)
+        cluster.take(AppendRequest)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/hemlockdock-control/tests/test_consensus_fuzz.py
@@ -0,0 +1,167 @@
+"""Fuzz members on failing disks, networks and clocks against the list of what was committed."""
+
+import os
+import unittest
+
+import hypothesis
+from hypothesis import Phase, settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from support_consensus import ELECTION_MS, Crash, SimulatedCluster
+
+EXAMPLES = 60
+STEPS = 40
+FOUNDERS = ("a", "b", "c")
+JOINERS = ("d", "e", "f")
+ids = strategies.sampled_from(FOUNDERS + JOINERS)
+seeds = strategies.integers(0, 2**16)
+
+
+class ConsensusMachine(RuleBasedStateMachine):
+    @initialize(seed=seeds, count=strategies.sampled_from((3, 3, 5, 1)))
+    def begin(self, seed, count):
+        self.cluster = SimulatedCluster(seed, count)
+        self.cluster.run(30)
+
+    @rule(rounds=strategies.integers(1, 25), busy=strategies.booleans())
+    def run_well(self, rounds, busy):
+        self.cluster.run(rounds, busy=busy)
+
+    @rule(rounds=strategies.integers(1, 25), seed=seeds)
+    def run_badly(self, rounds, seed):
+        rng = self.cluster.rng
+        rng.seed(seed)
+        loss = rng.choice((0, 0.1, 0.4))
+        self.cluster.run(rounds, loss, rng.choice((0, 0.2)), rng.random(), busy=True)
+
+    @rule(position=strategies.integers(0, 50))
+    def deliver_one(self, position):
+        if self.cluster.in_flight:
+            self.cluster.deliver(position % len(self.cluster.in_flight))
+            self.cluster.turn_all()
+
+    @rule(ms=strategies.sampled_from((1.0, 20.0, ELECTION_MS, 3 * ELECTION_MS)))
+    def advance(self, ms):
+        self.cluster.advance(ms)
+
+    @rule(count=strategies.integers(1, 15), bursts=strategies.integers(1, 4))
+    def work(self, count, bursts):
+        for _ in range(bursts):
+            self.cluster.run(20)
+            self.cluster.propose_at_leaders(count)
+        self.cluster.run(5)
+
+    @rule(first=ids, second=ids)
+    def cut_link(self, first, second):
+        self.cluster.cut_links.add(frozenset((first, second)))
+
+    @rule(before=strategies.integers(0, 5), restarts=strategies.sets(ids, max_size=2))
+    def depose(self, before, restarts):
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        self.cluster.cut_off(leader.member_id)
+        self.cluster.propose_at_leaders(before)
+        self.cluster.run(40, step_ms=4.0, busy=True)
+        for member_id in restarts:
+            self.crash(member_id)
+        self.restart_stopped()
+        self.cluster.run(20, busy=True)
+        self.heal()
+
+    @rule()
+    def heal(self):
+        self.cluster.cut_links.clear()
+
+    @rule(member_id=ids)
+    def crash(self, member_id):
+        member = self.cluster.member_by_id.get(member_id)
+        if member is not None:
+            member.crash()
+
+    @rule(first=ids, second=ids)
+    def lose_two(self, first, second):
+        self.crash(first)
+        self.crash(second)
+        self.cluster.run(10)
+
+    @rule(
+        member_id=ids,
+        place=strategies.sampled_from(("append", "sync", "after sync", "sync folder")),
+        error=strategies.sampled_from((Crash(), OSError("disk full"))),
+    )
+    def plan_fault(self, member_id, place, error):
+        member = self.cluster.member_by_id.get(member_id)
+        if member is not None:
+            member.disk.fault = (place, error)
+
+    @rule()
+    def restart_stopped(self):
+        self.cluster.restart_stopped()
+
+    @rule(member_id=strategies.sampled_from(JOINERS))
+    def join(self, member_id):
+        self.cluster.add(member_id)
+        self.cluster.run(12)
+        self.cluster.promote(member_id)
+        self.cluster.run(3)
+
+    @rule(member_id=ids)
+    def promote(self, member_id):
+        self.cluster.promote(member_id)
+
+    @rule(member_id=ids)
+    def remove(self, member_id):
+        self.cluster.remove(member_id)
+
+    @rule()
+    def transfer(self):
+        self.cluster.transfer()
+
+    @precondition(lambda self: len(self.cluster.founders.members) > 1)
+    @rule(member_id=strategies.sampled_from(FOUNDERS))
+    def empty_folder(self, member_id):
+        # More lost disks than a minority may take what was committed with them.
+        if not self.cluster.emptied:
+            self.cluster.empty_folder(member_id)
+
+    @rule()
+    def settle(self):
+        if not self.cluster.emptied:
+            self.cluster.settle()
+
+    @invariant()
+    def holds(self):
+        if hasattr(self, "cluster"):
+            self.cluster.check()
+
+
+def fuzz_settings():
+    examples = os.environ.get("FUZZ_EXAMPLES")
+    if examples is None:
+        return settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            phases=(Phase.explicit, Phase.generate),
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )
+    return settings(
+        max_examples=int(examples),
+        stateful_step_count=STEPS,
+        database=None,
+        deadline=None,
+        print_blob=True,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+ConsensusFuzzTest = ConsensusMachine.TestCase
+ConsensusFuzzTest.settings = fuzz_settings()
+if "FUZZ_SEED" in os.environ:
+    ConsensusFuzzTest = hypothesis.seed(int(os.environ["FUZZ_SEED"]))(ConsensusFuzzTest)
+
+
+if __name__ == "__main__":
+    unittest.main()
