--- a/packages/hemlockdock-control/hemlockdock_control/membership/beats.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/beats.py
@@ -65,7 +65,8 @@
         if heard is not None and order < (heard.incarnation, heard.sequence):
             return None
         if heard is None or heard.incarnation < beat.incarnation:
-            heard = HeardNode(beat.node_id, beat.incarnation, beat.sequence, now_ms)
+            heard_ms = now_ms - beat.age_ms
+            heard = HeardNode(beat.node_id, beat.incarnation, beat.sequence, heard_ms)
             self.heard_by_id[beat.node_id] = heard
         heard.sequence = beat.sequence
         heard.heard_ms = max(heard.heard_ms, now_ms - beat.age_ms)
--- a/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
@@ -100,7 +100,10 @@
     @inlineCallbacks
     def _read(self):
         response = yield treq.get(
-            self._settings.platform_list, reactor=self._reactor, timeout=LIST_TIMEOUT_S
+            self._settings.platform_list,
+            reactor=self._reactor,
+            timeout=LIST_TIMEOUT_S,
+            persistent=False,
         )
         data = yield treq.content(response)
         if response.code != 200 or len(data) > MAX_LIST_BYTES:
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import pynng
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import LoopingCall
 
@@ -10,6 +11,7 @@
 from hemlockdock_control.hub import TableFeed
 from hemlockdock_control.membership import Beats, PlatformList, SilenceClock
 from hemlockdock_control.placement import Planner
+from hemlockdock_control.service.address_book import AddressBook
 from hemlockdock_control.service.leader_round import LeaderRound
 from hemlockdock_control.service.load_board import LoadBoard
 from hemlockdock_control.service.member_front import MemberFront
@@ -17,7 +19,7 @@
 from hemlockdock_control.service.proposer import Proposer
 from hemlockdock_control.service.volatile import Volatile
 from hemlockdock_control.state import ClusterMachine
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import LinkTls, PostOffice
 from hemlockdock_core.messages import NODE_CODEC
 from hemlockdock_core.metrics import COUNTERS
 
@@ -37,7 +39,7 @@
     reactor : twisted reactor
     settings : hemlockdock_core.settings.Settings
     tls : LinkTls, optional
-        Keys for the links to nodes and members.
+        Keys for the links to nodes and members; by default those that the settings name.
     replicator_factory : callable, optional
         Takes the reactor, the settings, the machine and the keys.
 
@@ -51,13 +53,14 @@
     def __init__(self, reactor, settings, tls=None, replicator_factory=Replicator):
         self._reactor = reactor
         self._settings = settings
-        self._tls = tls
+        self._tls = tls or LinkTls.of(settings)
         self._office = None
         self._clock = SilenceClock(reactor)
+        self._addresses = AddressBook()
         self._led_by = ""
         self._digests = 0
         self.machine = ClusterMachine(settings)
-        self.replicator = replicator_factory(reactor, settings, self.machine, tls)
+        self.replicator = replicator_factory(reactor, settings, self.machine, self._tls)
         self._planner = Planner(settings)
         platform = PlatformList(reactor, settings, lambda: self.replicator.is_leader)
         board = LoadBoard(settings, self._planner.observe_arrivals)
@@ -114,7 +117,7 @@
             incarnation,
             NODE_CODEC,
             self._node_listen_address(),
-            self._nodes.on_frame,
+            self._on_frame,
             self._tls,
         )
         self.replicator.start()
@@ -168,7 +171,8 @@
         now_ms = self._clock.now_ms()
         silent_ms = self._settings.membership.certain_after_ms * FORGET_FACTOR
         self._nodes.forget_silent(now_ms, silent_ms)
-        for address in self._feed.forget_silent(now_ms, silent_ms):
+        self._feed.forget_silent(now_ms, silent_ms)
+        for address in self._addresses.forget_silent(now_ms, silent_ms):
             self._office.forget(address)
 
     def _decide(self):
@@ -193,8 +197,22 @@
             if record.info.memory_mb:
                 self._office.forget(record.info.address)
 
+    def _on_frame(self, frame):
+        if frame.reply_to and not self._addresses.touch(frame.reply_to, self._clock.now_ms()):
+            COUNTERS.increment("control_senders_refused")
+            return
+        self._nodes.on_frame(frame)
+
     def _send(self, address, message):
-        self._office.send(address, message)
+        if not self._addresses.touch(address, self._clock.now_ms()):
+            COUNTERS.increment("control_senders_refused")
+            return
+        try:
+            self._office.send(address, message)
+        except (ValueError, pynng.NNGException) as error:
+            # An address that a node made up must not stop the work for the others.
+            COUNTERS.increment("control_bad_addresses")
+            logger.warning("bad address", extra={"address": address, "problem": str(error)})
 
     def _node_listen_address(self):
         for member in self._settings.members:
--- a/packages/hemlockdock-core/hemlockdock_core/links/post_office.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/post_office.py
@@ -1,8 +1,10 @@
 """Send and receive a process's frames."""
 
+from hemlockdock_core.links.link_tls import check_scheme
 from hemlockdock_core.links.mailbox import Mailbox
 from hemlockdock_core.links.outbox import Outbox
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
+from hemlockdock_core.settings.types import check_link
 
 
 class PostOffice:
@@ -19,7 +21,7 @@
     on_frame : callable
         Takes a Frame.
     tls : LinkTls, optional
-        With ``server_config()`` and ``client_config()``.
+        With ``server_config()`` and ``client_config(address)``.
     """
 
     def __init__(self, reactor, node_id, incarnation, codec, listen, on_frame, tls=None):
@@ -29,6 +31,7 @@
         self._codec = codec
         self._tls = tls
         self._outbox_by_address = {}
+        check_scheme(listen, tls)
         server_config = tls.server_config() if tls else None
         self._mailbox = Mailbox(reactor, listen, codec, on_frame, server_config)
 
@@ -44,6 +47,11 @@
         ----------
         address : str
         message : Message
+
+        Raises
+        ------
+        ValueError
+            Where the address is no link, or a plain one although there are keys.
         """
         frame = Frame(PROTOCOL_VERSION, self.node_id, self.incarnation, self.address, message)
         self._outbox(address).send(self._codec.encode(frame))
@@ -69,7 +77,11 @@
     def _outbox(self, address):
         outbox = self._outbox_by_address.get(address)
         if outbox is None:
-            client_config = self._tls.client_config() if self._tls else None
+            if not address:
+                raise ValueError("expected an address")
+            check_link(address)
+            check_scheme(address, self._tls)
+            client_config = self._tls.client_config(address) if self._tls else None
             outbox = Outbox(self._reactor, address, client_config)
             self._outbox_by_address[address] = outbox
         return outbox
