--- a/packages/hemlockdock-control/hemlockdock_control/admin/pages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/pages.py
@@ -5,7 +5,6 @@
 from hemlockdock_control.admin.alarms import alarms
 from hemlockdock_control.admin.in_force import in_force
 from hemlockdock_control.consensus import NotLeaderError
-from hemlockdock_control.service.planner_view import build_view
 from hemlockdock_core.commands import CommandResult
 from hemlockdock_core.errors import ErrorKind, Refusal
 
@@ -165,12 +164,7 @@
         return {"records": records}
 
     def _explain(self, arguments):
-        service = self._service
-        state = service.machine.state
-        view = build_view(
-            state, service.volatile.report_by_id, service.volatile.board, service.wall_ms()
-        )
-        lines = service.planner.explain(view, arguments["model"], service.wall_ms())
+        lines = self._service.explain(arguments["model"])
         return {"model": arguments["model"], "reasons": lines}
 
     def _jobs(self, arguments):
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -16,6 +16,7 @@
 from hemlockdock_control.service.load_board import LoadBoard
 from hemlockdock_control.service.member_front import MemberFront
 from hemlockdock_control.service.node_front import NodeFront
+from hemlockdock_control.service.planner_view import build_view
 from hemlockdock_control.service.proposer import Proposer
 from hemlockdock_control.service.volatile import Volatile
 from hemlockdock_control.state import ClusterMachine
@@ -86,11 +87,6 @@
         self._admin = AdminListener(reactor, settings, self.replicator, self._proposer, pages)
         self._loops = []
 
-    @property
-    def planner(self):
-        """Return the planner."""
-        return self._planner
-
     @property
     def feed(self):
         """Return what serves the watchers."""
@@ -106,6 +102,22 @@
         """Return ``ip:port`` of the operators' API."""
         return self._admin.address
 
+    def explain(self, model):
+        """Say why a model is, or is not, loaded.
+
+        Parameters
+        ----------
+        model : str
+
+        Returns
+        -------
+        list of str
+        """
+        at_ms = self.wall_ms()
+        volatile = self.volatile
+        view = build_view(self.machine.state, volatile.report_by_id, volatile.board, at_ms)
+        return self._planner.explain(view, model, at_ms)
+
     def start(self):
         """Open the data folder, join the other members and listen."""
         self.replicator.on_leadership(self._leadership_changed)
--- a/packages/hemlockdock-control/tests/test_orders_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_orders_fuzz.py
@@ -39,6 +39,8 @@
 ADAPTER_MB = 10
 
 agents = st.sampled_from(AGENTS)
+# What undoes much is tried less often, so that there is something to undo.
+seldom = st.integers(0, 5).map(lambda number: number == 0)
 
 
 @dataclass
@@ -162,10 +164,12 @@
         agent = self.agent_by_id[node_id]
         self.replies.append((node_id, agent.incarnation, agent.inventory()))
 
-    @rule(model=st.just("m1"), node_id=agents)
-    def decide_load(self, model, node_id):
-        record = self.state.nodes.record_by_id[node_id]
-        self.apply(DecideLoad(model, "v1", node_id, record.incarnation, 1, "fuzz"))
+    @rule(node_ids=st.lists(agents, min_size=1, max_size=2))
+    def decide_loads(self, node_ids):
+        for node_id in node_ids:
+            record = self.state.nodes.record_by_id[node_id]
+            self.apply(DecideLoad("m1", "v1", node_id, record.incarnation, 1, "fuzz"))
+        self.send_orders(lost=False)
 
     @rule(data=st.data(), adapter=st.sampled_from(("a1", "a2")), what=st.integers(0, 3))
     def decide(self, data, adapter, what):
@@ -180,7 +184,7 @@
         )[what]
         self.apply(command)
 
-    @rule(lost=st.booleans())
+    @rule(lost=seldom)
     def send_orders(self, lost):
         self.now_ms += REPEAT_MS
         letters = self.book.due(self.state, self.report_by_id, self.now_ms)
@@ -189,14 +193,16 @@
             assert len(targets) == len(set(targets)), "one order at a time"
         self.letters.extend([] if lost else letters)
 
-    @rule(data=st.data(), again=st.booleans())
-    def deliver_order(self, data, again):
+    @rule(data=st.data(), again=seldom, load_ends=st.booleans())
+    def deliver_order(self, data, again, load_ends):
         if not self.letters:
             return
         position = data.draw(st.integers(0, len(self.letters) - 1))
         letter = self.letters[position] if again else self.letters.pop(position)
         agent = self.agent_by_id[letter.node_id]
         self.reply(agent, agent.obey(letter.order))
+        if load_ends and letter.order.replica_id in agent.loading:
+            self.reply(agent, agent.finish(letter.order.replica_id, OrderOutcome.DONE, keep=True))
 
     @rule(node_id=agents, data=st.data(), done=st.booleans(), keep=st.booleans())
     def finish_load(self, node_id, data, done, keep):
@@ -211,7 +217,7 @@
         if result is not None:
             self.replies.append((agent.node_id, agent.incarnation, result))
 
-    @rule(data=st.data(), again=st.booleans(), lost=st.booleans())
+    @rule(data=st.data(), again=seldom, lost=seldom)
     def deliver_reply(self, data, again, lost):
         if not self.replies:
             return
@@ -244,19 +250,24 @@
             for command in inventory_commands(report, self.state, 1):
                 self.apply(command)
 
-    @rule(node_id=agents, engine_too=st.booleans())
-    def restart_agent(self, node_id, engine_too):
-        self.agent_by_id[node_id].restart(engine_too)
+    @rule(node_id=agents, engine_too=st.booleans(), now=seldom)
+    def restart_agent(self, node_id, engine_too, now):
+        if now:
+            self.agent_by_id[node_id].restart(engine_too)
 
-    @rule(node_id=agents)
-    def crash_engine(self, node_id):
+    @rule(node_id=agents, now=seldom)
+    def crash_engine(self, node_id, now):
+        if not now:
+            return
         agent = self.agent_by_id[node_id]
         for replica_id in list(agent.loading):
             self.reply(agent, agent.finish(replica_id, OrderOutcome.FAILED, keep=False))
         agent.loaded.clear()
 
-    @rule(node_id=agents, certain=st.booleans())
-    def lose(self, node_id, certain):
+    @rule(node_id=agents, certain=st.booleans(), now=seldom)
+    def lose(self, node_id, certain, now):
+        if not now:
+            return
         agent = self.agent_by_id[node_id]
         incarnation = self.state.nodes.record_by_id[node_id].incarnation
         if certain:
@@ -269,8 +280,7 @@
         self.book.forget()
         self.report_by_id.clear()
 
-    @rule()
-    def settle(self):
+    def teardown(self):
         """Let everything arrive in order until nothing changes; no order stays open for ever."""
         for node_id in AGENTS:
             self.register(node_id)
--- a/packages/hemlockdock-control/tests/test_state_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_state_fuzz.py
@@ -46,11 +46,13 @@
 entries = st.sampled_from(ENTRIES)
 nodes = st.sampled_from(AGENTS + ENTRIES)
 incarnations = st.sampled_from((1, 1, 1, 1, 2, 3))
-models = st.sampled_from(MODELS)
+models = st.sampled_from(("m1", "m1", "m1", "m2", "m3"))
 keys = st.sampled_from(("key-1", "key-2"))
 requests = st.integers(1, 4)
 job_ids = st.sampled_from(("job-1", "job-2"))
 memories = st.sampled_from((60, 100))
+# What ends all that a node does is tried less often, so that there is something to end.
+seldom = st.integers(0, 5).map(lambda number: number == 0)
 
 
 class StateFuzz(RuleBasedStateMachine):
@@ -117,22 +119,28 @@
         self.first_result_by_number[number] = (command.digest, result)
         self.highest_number = number
 
-    @rule(node_id=nodes, incarnation=incarnations, memory_mb=memories)
-    def register(self, node_id, incarnation, memory_mb):
+    @rule(node_id=nodes, incarnation=incarnations, memory_mb=memories, now=seldom)
+    def register(self, node_id, incarnation, memory_mb, now):
+        if not now:
+            return
         before = self.state.nodes.record_by_id.get(node_id)
         info = node_info(node_id, node_id.split("-")[0], memory_mb)
         result = self.apply(RegisterNode(info, incarnation, self.driver.now_ms))
         if before is not None and incarnation < before.incarnation:
             assert result.refusal is not None
 
-    @rule(node_id=nodes, incarnation=incarnations, certain=st.booleans())
-    def lose(self, node_id, incarnation, certain):
+    @rule(node_id=nodes, incarnation=incarnations, certain=st.booleans(), now=seldom)
+    def lose(self, node_id, incarnation, certain, now):
+        if not now:
+            return
         result = self.apply(NodeLost(node_id, incarnation, self.driver.now_ms, certain))
         if result.refusal is None and certain:
             self.decided = {k: v for k, v in self.decided.items() if v[1] != node_id}
 
-    @rule(node_id=nodes, source=st.sampled_from(("agent", "platform")))
-    def leave(self, node_id, source):
+    @rule(node_id=nodes, source=st.sampled_from(("agent", "platform")), now=seldom)
+    def leave(self, node_id, source, now):
+        if not now:
+            return
         self.apply(NodeLeaving(node_id, self.driver.now_ms, source))
 
     @rule(node_id=agents, incarnation=incarnations, undecided_mb=st.sampled_from((0, 0, 40)))
