--- a/packages/hemlockdock-control/hemlockdock_control/placement/ahead.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/ahead.py
@@ -5,7 +5,7 @@
 from hemlockdock_control.placement.hosts import choose_endpoint
 from hemlockdock_control.placement.retention import GRACE_MS, UNLOAD_MS, priority_part
 
-CHECK_MS = 20_000
+CHECK_MS = 60_000
 PRIME_AGAIN_MS = 12 * 3_600_000
 
 
@@ -75,7 +75,7 @@
                 best = (gain_ms, model)
         if best is None:
             return
-        if self._load(plan, best[1], "ahead: puts the checkpoint on a disk"):
+        if self._load(plan, best[1], "ahead: puts the checkpoint on a disk", for_disk=True):
             plan.knowledge.primed_at_ms[best[1].name] = plan.now_ms
 
     def _prime_gain_ms(self, plan, model):
@@ -94,11 +94,13 @@
         cost_ms = plan.prices.hold_price * (remote_ms + UNLOAD_MS)
         return chance * priority_part(model) * saved_ms - cost_ms
 
-    def _load(self, plan, model, reason):
+    def _load(self, plan, model, reason, for_disk=False):
         version = model.version_by_name[model.serve]
         choice = choose_endpoint(plan, model, version, lambda node_id: [], 0)
         if choice is None or choice.must_wait:
             return False
+        if for_disk and choice.endpoint.node_id in plan.knowledge.diskless_ids:
+            return False
         tier = checkpoint_tier(choice.endpoint, model.name, version.name)
         if tier is Tier.REMOTE and not (plan.budget.is_quiet and plan.budget.has_room):
             return False
--- a/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_control.loading import Tier
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
 from hemlockdock_control.placement.retention import UNLOAD_MS
 from hemlockdock_control.placement.view import EndpointView, ReplicaView
@@ -55,6 +56,7 @@
     avoided = plan.knowledge.avoided(model.name, plan.now_ms)
     count_by_domain = _count_by_domain(plan, model.name)
     holders = _holders(plan, model.name)
+    later_ms = _uncached_ms(plan, model, version)
     best = None
     best_key = None
     for endpoint in plan.view.endpoint_by_id.values():
@@ -65,11 +67,12 @@
         choice = _choice_on(plan, model, version, victims_on, endpoint)
         if choice is None:
             continue
+        uncached_ms = later_ms if endpoint.node_id in plan.knowledge.diskless_ids else 0.0
         key = (
             endpoint.node_id in avoided,
             plan.now_ms + choice.wait_ms > deadline_at_ms,
             count_by_domain.get(endpoint.failure_domain, 0),
-            plan.prices.cold_start_ms(choice.wait_ms) + choice.lost_ms,
+            plan.prices.cold_start_ms(choice.wait_ms) + choice.lost_ms + uncached_ms,
             len(choice.victims),
             -plan.free_mb(endpoint.node_id),
             endpoint.node_id,
@@ -79,6 +82,16 @@
     return best
 
 
+def _uncached_ms(plan, model, version):
+    # What it costs later that the only copy ends up on a host that does not keep it.
+    if plan.knowledge.checkpoints.best_tier(model.name, version.name) is not Tier.REMOTE:
+        return 0.0
+    load_times = plan.knowledge.load_times
+    remote_ms = load_times.expected_ms(Tier.REMOTE, version.checkpoint_mb)
+    disk_ms = load_times.expected_ms(Tier.DISK, version.checkpoint_mb)
+    return plan.prices.cold_start_ms(remote_ms) - plan.prices.cold_start_ms(disk_ms)
+
+
 def _choice_on(plan, model, version, victims_on, endpoint):
     node_id = endpoint.node_id
     if version.memory_mb > endpoint.memory_mb:
--- a/packages/hemlockdock-control/hemlockdock_control/placement/knowledge.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/knowledge.py
@@ -3,8 +3,10 @@
 from hemlockdock_control.loading import LoadTimes
 from hemlockdock_control.placement.arrivals import Arrivals
 from hemlockdock_control.placement.checkpoints import CheckpointIndex
+from hemlockdock_core.rows import ReplicaState
 
 AVOID_AFTER_FAILURE_MS = 60_000
+INVENTORY_DELAY_MS = 3_000
 
 
 class Knowledge:
@@ -19,6 +21,8 @@
         When this planner first decided.
     primed_at_ms : dict of str to int
         When a checkpoint was last loaded for the sake of a disk copy, by model.
+    diskless_ids : set of str
+        Endpoints whose hosts did not keep the last checkpoint loaded there on a disk.
     store_wait_ms : int
         Expected wait for one of the weight store's slots.
     """
@@ -30,8 +34,30 @@
         self.first_round_ms = None
         self.primed_at_ms = {}
         self.store_wait_ms = 0
+        self.diskless_ids = set()
         self._failed_at_ms = {}
 
+    def learn_disks(self, view, now_ms):
+        """Learn which hosts keep what is loaded on them on a disk.
+
+        Parameters
+        ----------
+        view : PlannerView
+        now_ms : int
+        """
+        for replica in view.replica_by_id.values():
+            if replica.state is not ReplicaState.READY:
+                continue
+            if now_ms - replica.ready_at_ms < INVENTORY_DELAY_MS:
+                continue
+            endpoint = view.endpoint_by_id.get(replica.node_id)
+            if endpoint is None:
+                continue
+            if f"{replica.model}/{replica.version}" in endpoint.cached_on_disk:
+                self.diskless_ids.discard(replica.node_id)
+            elif not endpoint.cached_on_disk:
+                self.diskless_ids.add(replica.node_id)
+
     def add_failure(self, model, node_id, at_ms):
         """Remember that a load failed.
 
--- a/packages/hemlockdock-control/hemlockdock_control/placement/planner.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/planner.py
@@ -161,4 +161,5 @@
         if self.knowledge.first_round_ms is None:
             self.knowledge.first_round_ms = now_ms
         self.knowledge.checkpoints.update(view.endpoint_by_id)
+        self.knowledge.learn_disks(view, now_ms)
         return Round(view, self.settings, self.knowledge, now_ms)
--- a/tools/benchmarks/traces/baselines.py
+++ b/tools/benchmarks/traces/baselines.py
@@ -177,7 +177,9 @@
     def _pick(self, plan, endpoints):
         if self._random is not None:
             return self._random.choice(endpoints)
-        return max(endpoints, key=lambda endpoint: (plan.free_mb(endpoint.node_id), endpoint.node_id))
+        return max(
+            endpoints, key=lambda endpoint: (plan.free_mb(endpoint.node_id), endpoint.node_id)
+        )
 
     def _evict(self, plan, usable, version):
         if plan.unloading_ids:
--- a/tools/benchmarks/traces/generate.py
+++ b/tools/benchmarks/traces/generate.py
@@ -2,10 +2,9 @@
 
 import random
 
-from hemlockdock_control.placement import AdapterView, ModelView, VersionView
-
 from benchmarks.traces.shape import ADAPTERS, DAYS, ENTRIES, EVENT_DAY, JUDGED_FROM_DAY
 from benchmarks.traces.trace import Arrival, HostSpec, Trace
+from hemlockdock_control.placement import AdapterView, ModelView, VersionView
 
 MINUTE_MS = 60_000
 HOUR_MS = 60 * MINUTE_MS
--- a/tools/benchmarks/traces/state.py
+++ b/tools/benchmarks/traces/state.py
@@ -2,11 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from hemlockdock_control.placement import EndpointView, ReplicaView
-from hemlockdock_core.rows import ReplicaState
-
 from benchmarks.traces.cache import CheckpointCache
 from benchmarks.traces.trace import HostSpec
+from hemlockdock_control.placement import EndpointView, ReplicaView
+from hemlockdock_core.rows import ReplicaState
 
 
 @dataclass(slots=True)
--- a/tools/benchmarks/traces/trace.py
+++ b/tools/benchmarks/traces/trace.py
@@ -2,9 +2,8 @@
 
 from dataclasses import dataclass
 
-from hemlockdock_control.placement import AdapterView, ModelView
-
 from benchmarks.traces.shape import Shape
+from hemlockdock_control.placement import AdapterView, ModelView
 
 
 @dataclass(frozen=True, slots=True)
