--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -137,7 +137,8 @@
     Mutant(
         "go on after a failed sync",
         STORAGE + "member_storage.py",
-        "            self._failure = StorageFailedError(error)\n            raise self._failure from error\n",
+        "            self._failure = StorageFailedError(error)\n"
+        "            raise self._failure from error\n",
         "            return\n",
         FUZZ,
     ),
