--- a/samples/generate.py
+++ b/samples/generate.py
@@ -10,6 +10,7 @@
 MEMORY_CHOICES_MB = (8_000, 12_000, 16_000, 24_000, 40_000)
 ADAPTER_CHOICES_MB = (64, 128, 256)
 FIRST_MANIFEST = 1
+ORDER_TIMEOUT_MS = 10_000
 
 
 def manifest(deployment):
@@ -120,6 +121,7 @@
     if role == "agent":
         engine = f"http://127.0.0.1:{deployment.engine_ports[index]}"
         lines += ["", "[agent]", f"engine_url = {engine}", f"fencing = {deployment.fencing}"]
+        lines.append(f"order_timeout_ms = {ORDER_TIMEOUT_MS}")
     return "\n".join(lines) + "\n"
 
 
--- /dev/null
+++ b/tools/benchmarks/bench_memory.py
@@ -0,0 +1,50 @@
+"""Measure the memory of an entry and an agent that know every adapter."""
+
+import tempfile
+import time
+from pathlib import Path
+
+import psutil
+
+from benchmarks.figure import Figure
+from benchmarks.processes import Processes
+from benchmarks.sized_manifest import sized_manifest
+
+BOUND_MB = 128.0
+MODELS = 110
+ADAPTERS = 11_000
+SETTLE_S = 5.0
+BYTES_PER_MB = 1_000_000
+NOTHING_LISTENS = "http://127.0.0.1:9"
+
+
+def measure():
+    """Yield the larger resident size of an entry and an agent."""
+    with tempfile.TemporaryDirectory(prefix="hemlockdock-") as folder:
+        processes = Processes(Path(folder), 1)
+        try:
+            processes.start_members()
+            processes.start_node("entry-1", "entry")
+            processes.start_node("agent-1", "agent", {"agent": {"engine_url": NOTHING_LISTENS}})
+            body = sized_manifest(1, MODELS, ADAPTERS)
+            processes.wait(lambda: processes.call("control-1", "POST", "/v1/manifest", body))
+            processes.wait(lambda: in_force(processes))
+            time.sleep(SETTLE_S)
+            sizes = [resident_mb(processes, node_id) for node_id in ("entry-1", "agent-1")]
+        finally:
+            processes.stop()
+    yield Figure("node.resident_mb", max(sizes), "MB", "", None, None, BOUND_MB, "lower", 0)
+
+
+def in_force(processes):
+    """Tell whether both nodes have the manifest."""
+    status = processes.call("control-1", "GET", "/v1/status")
+    if not status or not status["manifest"]:
+        return False
+    return status["manifest"]["in_force"]["reached"] == 2
+
+
+def resident_mb(processes, node_id):
+    """Return a process's resident size in MB."""
+    process = psutil.Process(processes.process_by_id[node_id].pid)
+    return process.memory_info().rss / BYTES_PER_MB
--- /dev/null
+++ b/tools/benchmarks/processes.py
@@ -0,0 +1,188 @@
+"""Run processes of hemlockdock for benchmarks that need real ones."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+LOOPBACK = "127.0.0.1"
+START_LIMIT_S = 30
+CALL_LIMIT_S = 5
+POLL_S = 0.02
+CLUSTER = "benchmark"
+
+
+class Processes:
+    """Run control members and nodes on loopback, and end only these.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+    members : int
+
+    Attributes
+    ----------
+    process_by_id : dict of str to subprocess.Popen
+    admin_port_by_id : dict of str to int
+    """
+
+    def __init__(self, folder, members):
+        self._folder = folder
+        self._ports = iter(free_ports(3 * members + 8))
+        self._member_ids = [f"control-{index + 1}" for index in range(members)]
+        addresses = [f"{item}@{self._link()}@{self._link()}" for item in self._member_ids]
+        self._members = ", ".join(addresses)
+        self.admin_port_by_id = {item: next(self._ports) for item in self._member_ids}
+        self.process_by_id = {}
+
+    def start_members(self):
+        """Start every control member and wait for a leader."""
+        for member_id, port in self.admin_port_by_id.items():
+            self.start_member(member_id, port)
+        self.wait(lambda: self.leader() is not None)
+
+    def start_member(self, member_id, port):
+        """Start one control member.
+
+        Parameters
+        ----------
+        member_id : str
+        port : int
+        """
+        data = self._folder / member_id
+        data.mkdir(exist_ok=True)
+        extra = {"listen": {"admin": f"{LOOPBACK}:{port}"}}
+        self._start(member_id, "control", extra, f"data_folder = {data}")
+
+    def start_node(self, node_id, role, extra=None):
+        """Start an entry or agent.
+
+        Parameters
+        ----------
+        node_id, role : str
+        extra : dict of str to dict, optional
+            More settings by section.
+        """
+        self._start(node_id, role, extra or {}, "")
+
+    def send_signal(self, node_id, number):
+        """Send a signal to one process.
+
+        Parameters
+        ----------
+        node_id : str
+        number : signal.Signals
+        """
+        self.process_by_id[node_id].send_signal(number)
+        if number == signal.SIGKILL:
+            self.process_by_id.pop(node_id).wait()
+
+    def stop(self):
+        """End every process."""
+        for process in self.process_by_id.values():
+            process.kill()
+        for process in self.process_by_id.values():
+            process.wait()
+
+    def call(self, member_id, method, path, body=None):
+        """Call a member's administration API.
+
+        Parameters
+        ----------
+        member_id, method, path : str
+        body : bytes, optional
+
+        Returns
+        -------
+        dict or None
+            None where it refused or did not answer.
+        """
+        url = f"http://{LOOPBACK}:{self.admin_port_by_id[member_id]}{path}"
+        request = urllib.request.Request(url, data=body, method=method)
+        try:
+            with urllib.request.urlopen(request, timeout=CALL_LIMIT_S) as response:
+                return json.loads(response.read())
+        except (OSError, urllib.error.URLError, ValueError):
+            return None
+
+    def leader(self):
+        """Return the id of the member that leads, or None."""
+        for member_id in self.admin_port_by_id:
+            if member_id not in self.process_by_id:
+                continue
+            status = self.call(member_id, "GET", "/v1/status")
+            if status and status["leads"]:
+                return member_id
+        return None
+
+    def wait(self, check, limit_s=START_LIMIT_S):
+        """Wait until a check holds.
+
+        Parameters
+        ----------
+        check : callable
+        limit_s : float, optional
+
+        Returns
+        -------
+        float
+            Seconds it took.
+
+        Raises
+        ------
+        TimeoutError
+        """
+        started = time.monotonic()
+        while not check():
+            if time.monotonic() - started > limit_s:
+                raise TimeoutError(f"not within {limit_s} s")
+            time.sleep(POLL_S)
+        return time.monotonic() - started
+
+    def _link(self):
+        return f"tcp://{LOOPBACK}:{next(self._ports)}"
+
+    def _start(self, node_id, role, extra, process_line):
+        lines = ["[process]", f"node_id = {node_id}", f"roles = {role}"]
+        lines += [f"host = host-{node_id}", "failure_domain = domain-1", process_line]
+        lines += ["[control]", f"cluster = {CLUSTER}", f"members = {self._members}"]
+        for section, values in extra.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in values.items()]
+        path = self._folder / f"{node_id}.ini"
+        path.write_text("\n".join(lines) + "\n")
+        packages = [str(item) for item in (ROOT / "packages").iterdir()]
+        with (self._folder / f"{node_id}.log").open("ab") as log:
+            self.process_by_id[node_id] = subprocess.Popen(
+                [sys.executable, "-m", "hemlockdock_daemon", "--settings", str(path)],
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(packages)},
+                stdout=log,
+                stderr=log,
+            )
+
+
+def free_ports(count):
+    """Return loopback ports that nothing listens at now.
+
+    Parameters
+    ----------
+    count : int
+
+    Returns
+    -------
+    list of int
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((LOOPBACK, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
