Count silence from when the acknowledged heartbeat was sent

Cause: an acknowledgement that was long on its way renewed a node's freshness, though control had counted its silence since long before; an agent would have unloaded too late. Conclusion: freshness and silence count from the sending of the acknowledged heartbeat, and a repeated acknowledgement renews nothing.

--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -25,6 +25,7 @@
 SILENT_HEARTBEATS = 3
 PROPOSAL_REPEAT_S = 0.4
 TICK_S = 0.1
+MOST_UNACKNOWLEDGED = 256
 
 
 class ControlLink:
@@ -60,6 +61,7 @@
         self._fresh_s = None
         self._changed_load_by_model = {}
         self._sent_loads_by_sequence = {}
+        self._sent_s_by_sequence = {}
         self._heartbeat_s = settings.membership.heartbeat_ms / MS_PER_S
         self._choice = MemberChoice(
             settings.members,
@@ -89,7 +91,7 @@
 
     @property
     def silent_s(self):
-        """Return the seconds since control was last heard, or None if never."""
+        """Return the seconds since the latest acknowledged heartbeat was sent, None if none was."""
         if self._fresh_s is None:
             return None
         return self._reactor.seconds() - self._fresh_s
@@ -171,9 +173,12 @@
         now_s = self._reactor.seconds()
         self._choice.heard(frame.sender, now_s)
         self._info_known = body.known
+        # Counted from the sending: control's own count of silence starts later than that, also
+        # where the acknowledgement was long on its way.
+        sent_s = self._sent_s_by_sequence.get(body.sequence)
         self._forget_sent_loads(body.sequence)
-        if body.fresh:
-            self._fresh_s = now_s
+        if body.fresh and sent_s is not None:
+            self._fresh_s = max(sent_s, self._fresh_s or sent_s)
         if body.table_revision > self._copy.table.revision:
             self._watch()
         return True
@@ -211,6 +216,8 @@
         self._sequence += 1
         loads = list(self._changed_load_by_model.values())
         self._sent_loads_by_sequence[self._sequence] = loads
+        self._sent_s_by_sequence[self._sequence] = self._reactor.seconds()
+        self._sent_s_by_sequence.pop(self._sequence - MOST_UNACKNOWLEDGED, None)
         epoch, revision = self._copy.position
         self.send(
             Heartbeat(
@@ -247,6 +254,8 @@
                 del self._changed_load_by_model[load.model]
         for older in [key for key in self._sent_loads_by_sequence if key < sequence]:
             del self._sent_loads_by_sequence[older]
+        for older in [key for key in self._sent_s_by_sequence if key <= sequence]:
+            del self._sent_s_by_sequence[older]
 
     def _table_changed(self):
         if self._on_table is not None:
--- a/packages/hemlockdock-core/tests/test_node.py
+++ b/packages/hemlockdock-core/tests/test_node.py
@@ -91,6 +91,16 @@
             self.receive(HeartbeatAck(1, 0, True, False))
         self.assertFalse(self.link.fresh)
 
+    def test_a_late_acknowledgement_counts_from_when_its_heartbeat_was_sent(self):
+        self.clock.pump([0.5] * 20)
+        self.receive(HeartbeatAck(1, 0, True, True))
+        self.assertGreaterEqual(self.link.silent_s, 10.0)
+        self.receive(HeartbeatAck(self.office.of(Heartbeat)[-1][1].sequence, 0, True, True))
+        self.assertLess(self.link.silent_s, 0.5)
+        self.clock.advance(30.0)
+        self.receive(HeartbeatAck(1, 0, True, True))
+        self.assertFalse(self.link.fresh)
+
     def test_a_gap_in_the_table_asks_for_what_is_missing(self):
         self.receive(TableChunk(1, 5, 0, 1, [AdapterRow("a", "m")]))
         before = len(self.office.of(WatchTable))
