--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/inventory.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/inventory.py
@@ -50,3 +50,19 @@
     orders_in_flight: list[int] = []
     cached_on_disk: list[str] = []
     cached_in_memory: list[str] = []
+
+    def item(self, replica_id):
+        """Return what is reported of a replica.
+
+        Parameters
+        ----------
+        replica_id : str
+
+        Returns
+        -------
+        EngineModel or None
+        """
+        for item in self.loaded:
+            if item.replica_id == replica_id:
+                return item
+        return None
--- a/packages/hemlockdock-agent/hemlockdock_agent/orders/effects.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/effects.py
@@ -31,11 +31,14 @@
 
     Attributes
     ----------
-    asked_at : int
-        Count of the gate's changes at the time of asking.
+    number : int
+        Grows with every question.
+    changes : int
+        Count of the holdings' changes at the time of asking.
     """
 
-    asked_at: int
+    number: int
+    changes: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hemlockdock-agent/hemlockdock_agent/orders/holdings.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/holdings.py
@@ -59,13 +59,6 @@
         self.changes += 1
         self.changed_at_by_id[replica_id] = self.changes
 
-    def clear(self):
-        """Forget everything, as after an engine's restart."""
-        for replica_id in list(self.replica_by_id):
-            self.touch(replica_id)
-        self.replica_by_id.clear()
-        self._unaccounted_mb = 0
-
     def reconcile(self, inventory, asked_at, open_ids):
         """Take over what the engine reports, except where orders have moved on since.
 
@@ -98,7 +91,10 @@
             changed = True
         if asked_at == self.changes and not open_ids:
             self._account(inventory)
-            self.changed_at_by_id.clear()
+        # Later inventories were asked for later, so that these entries say nothing more.
+        for replica_id, changed_at in list(self.changed_at_by_id.items()):
+            if changed_at <= asked_at:
+                del self.changed_at_by_id[replica_id]
         return changed
 
     def loaded_models(self):
--- /dev/null
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/order_log.py
@@ -0,0 +1,92 @@
+"""Keep the orders of one incarnation and their results."""
+
+from hemlockdock_agent.orders.acknowledgement import shown
+from hemlockdock_agent.orders.effects import ReportResult
+from hemlockdock_agent.orders.order_record import OrderPhase
+
+RESULT_REPEAT_MS = 500
+MOST_RESULT_REPEATS = 40
+MOST_RECORDS = 4_096
+
+
+class OrderLog:
+    """Keep the orders of one incarnation and their results, the latest ones.
+
+    Attributes
+    ----------
+    record_by_key : dict of tuple to OrderRecord
+        In the order in which they were accepted.
+    """
+
+    def __init__(self):
+        self.record_by_key = {}
+
+    def open(self):
+        """Return the records of orders that have not ended.
+
+        Returns
+        -------
+        list of OrderRecord
+        """
+        return [
+            record for record in self.record_by_key.values() if record.phase is not OrderPhase.ENDED
+        ]
+
+    def keep(self, record):
+        """Add a record; the oldest ended one goes where there are too many.
+
+        Parameters
+        ----------
+        record : OrderRecord
+        """
+        self.record_by_key[record.key] = record
+        if len(self.record_by_key) <= MOST_RECORDS:
+            return
+        for key, old in self.record_by_key.items():
+            if old.phase is OrderPhase.ENDED:
+                del self.record_by_key[key]
+                return
+
+    def drop_waiting(self):
+        """Forget the orders that have not been sent."""
+        for key, record in list(self.record_by_key.items()):
+            if record.phase is OrderPhase.WAITING:
+                del self.record_by_key[key]
+
+    def due_results(self, now_ms):
+        """Return the results to report again.
+
+        Parameters
+        ----------
+        now_ms : float
+
+        Returns
+        -------
+        list of ReportResult
+        """
+        effects = []
+        for record in self.record_by_key.values():
+            if record.acknowledged or record.result is None or now_ms < record.repeat_ms:
+                continue
+            record.repeat_ms = now_ms + RESULT_REPEAT_MS
+            record.repeats += 1
+            record.acknowledged = record.repeats >= MOST_RESULT_REPEATS
+            effects.append(ReportResult(record.result))
+        return effects
+
+    def see_table(self, table):
+        """Stop repeating results that the table shows.
+
+        Parameters
+        ----------
+        table : RoutingTable
+        """
+        for record in self.record_by_key.values():
+            if record.acknowledged or record.result is None:
+                continue
+            row = table.replica_by_id.get(record.order.replica_id)
+            if row is None:
+                # Gone, or not there yet: the repeats in between tell the two apart.
+                record.acknowledged = record.repeats > 1
+                continue
+            record.acknowledged = shown(record.order, record.result.outcome, row)
--- a/packages/hemlockdock-agent/hemlockdock_agent/orders/task.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/task.py
@@ -118,10 +118,10 @@
 
     def _ask(self, effect):
         answered = self._engine.inventory()
-        return answered.addCallback(self._take_inventory, effect.asked_at)
+        return answered.addCallback(self._take_inventory, effect)
 
-    def _take_inventory(self, inventory, asked_at):
+    def _take_inventory(self, inventory, ask):
         if not self._stopped:
-            self._run(self._gate.take_inventory(inventory, asked_at, self._now_ms()))
+            self._run(self._gate.take_inventory(inventory, ask, self._now_ms()))
             self._run(self._gate.advance(self._now_ms(), self._is_busy))
         return inventory
