--- a/packages/hemlockdock-control/tests/support_consensus.py
+++ b/packages/hemlockdock-control/tests/support_consensus.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_control.consensus.configuration import Configuration, Member
 from hemlockdock_control.consensus.core import Core
+from hemlockdock_control.consensus.errors import NotLeaderError, UnknownOutcomeError
 from hemlockdock_control.consensus.events import Received, Tick, TransferRequested
 from hemlockdock_control.consensus.member_changes import AddNonVoter, Promote, Remove
 from hemlockdock_control.consensus.member_task import MemberTask
@@ -246,6 +247,8 @@
         self.committed_by_index = {}
         self.leader_by_term = {}
         self.acknowledged = []
+        self.refused = set()
+        self.uncertain = set()
         self.proposed = 0
         self.emptied = set()
         ids = "abcde"[:founder_count]
@@ -277,8 +280,11 @@
             commands = member.machine.commands
             assert commands == history[: len(commands)], f"{member.member_id} differs"
             self._check_leader(member, history)
-        for command in self.acknowledged:
-            assert command in history, f"{command} was acknowledged and is lost"
+        lost = set(self.acknowledged).difference(history)
+        assert not lost, f"{lost} were acknowledged and are lost"
+        wrong = self.refused.intersection(history)
+        assert not wrong, f"{wrong} were refused and are committed"
+        assert len(history) == len(set(history)), "a command was committed twice"
 
     def _check_leader(self, member, history):
         state = member.state
@@ -378,10 +384,18 @@
             command = b"command %d" % self.proposed
             deferred = member.task.propose(command)
             deferred.addCallbacks(
-                lambda _, command=command: self.acknowledged.append(command), lambda _: None
+                lambda _, command=command: self.acknowledged.append(command),
+                lambda failure, command=command: self._note_failure(failure, command),
             )
         member.turn()
 
+    def _note_failure(self, failure, command):
+        if failure.check(NotLeaderError):
+            self.refused.add(command)
+            return
+        failure.trap(UnknownOutcomeError)
+        self.uncertain.add(command)
+
     def change(self, change):
         """Ask the leader for a change of members; return what comes of it."""
         leader = self.leader()
--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -84,6 +84,20 @@
         cluster.settle()
 
 
+    def test_a_deposed_leader_says_that_it_does_not_know(self):
+        cluster = SimulatedCluster(7)
+        leader = cluster.lead("a")
+        cluster.run(10)
+        cluster.propose(leader, 2)
+        cluster.take(AppendRequest)
+        cluster.cut_off("a")
+        cluster.propose(leader, 3)
+        cluster.run(100, step_ms=2.0)
+        self.assertEqual(len(cluster.uncertain), 5)
+        cluster.settle()
+        self.assertEqual(cluster.acknowledged, [])
+
+
 class HandoverTest(unittest.TestCase):
     def test_another_member_leads_at_once_and_nothing_is_lost(self):
         cluster = SimulatedCluster(2)
@@ -145,8 +159,10 @@
         for seed in SEEDS:
             cluster = SimulatedCluster(seed)
             cluster.lead("a")
+            cluster.add("d")
+            cluster.run(20)
             cluster.cut_off("b")
-            cluster.propose_at_leaders(3)
+            cluster.propose_at_leaders(6)
             cluster.run(20, step_ms=1.0)
             cluster.empty_folder("c")
             cluster.run(8, step_ms=1.0)
@@ -156,7 +172,7 @@
             self.assertIsNone(cluster.leader())
             cluster.member_by_id["a"].start()
             cluster.run(150, busy=True)
-            self.assertGreater(len(cluster.acknowledged), 3)
+            self.assertGreater(len(cluster.acknowledged), 6)
 
 
 class FailedDiskTest(unittest.TestCase):
