--- a/packages/hemlockdock-control/tests/support_consensus.py
+++ b/packages/hemlockdock-control/tests/support_consensus.py
@@ -177,7 +177,9 @@
         if self.storage is None:
             self.storage = MemberStorage(self.disk, "c", self.member_id, SEGMENT_BYTES)
         durable = self.storage.founded_durable()
-        core = Core(TIMING, self.member_id, self.folder_id, self.cluster.rng, durable, self.now_ms())
+        core = Core(
+            TIMING, self.member_id, self.folder_id, self.cluster.rng, durable, self.now_ms()
+        )
         machine = CheckedMachine(self)
         self.task = MemberTask(
             self.clock, self.now_ms, core, self.storage, self, machine, SNAPSHOT_ENTRIES, self.lead
--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -83,7 +83,6 @@
         self.assertEqual(cluster.leader().state.term, term)
         cluster.settle()
 
-
     def test_a_deposed_leader_says_that_it_does_not_know(self):
         cluster = SimulatedCluster(7)
         leader = cluster.lead("a")
