Alternate commits with their baseline in the benchmark

The machine's disk changed its speed by a factor of 40 between the baseline and the commits (median sync 0.08 ms, minutes later 4 ms), so the ratio said nothing.

--- a/tools/benchmarks/bench_control_log.py
+++ b/tools/benchmarks/bench_control_log.py
@@ -1,25 +1,18 @@
 """Measure durable commits by three members, each in a process of its own, on loopback."""
 
 import json
-import os
 import selectors
 import socket
-import statistics
 import subprocess
 import sys
 import tempfile
-import time
 from contextlib import ExitStack, closing
 from pathlib import Path
 
-import pynng
-
 from tools.benchmarks.figure import Figure
 
 VIRTUAL_TIME = False
 MEMBER_IDS = ("a", "b", "c")
-FRAME = b"x" * 200
-ROUNDS = 1_000
 LATENCY_RATIO_BOUND = 4.0
 COMMITS_PER_S_BOUND = 1_000.0
 SEED = 0
@@ -56,46 +49,6 @@
     return process
 
 
-def sync_median_s(folder):
-    """Return the median time of writing and syncing 200 bytes.
-
-    Parameters
-    ----------
-    folder : str
-
-    Returns
-    -------
-    float
-    """
-    descriptor = os.open(Path(folder) / "probe", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
-    times = []
-    for _ in range(ROUNDS):
-        started = time.perf_counter()
-        os.write(descriptor, FRAME)
-        os.fdatasync(descriptor)
-        times.append(time.perf_counter() - started)
-    os.close(descriptor)
-    return statistics.median(times)
-
-
-def round_trip_median_s():
-    """Return the median time of a blocking request and reply with another process."""
-    address = f"tcp://127.0.0.1:{free_port()}"
-    times = []
-    with ExitStack() as stack:
-        echo = start(stack, "echo", address)
-        echo.stdout.readline()
-        with pynng.Req0(dial=address, block_on_dial=True) as requests:
-            for _ in range(ROUNDS):
-                started = time.perf_counter()
-                requests.send(FRAME)
-                requests.recv()
-                times.append(time.perf_counter() - started)
-            requests.send(b"end")
-        echo.wait()
-    return statistics.median(times)
-
-
 def run_members(folder):
     """Run three members and return what their leader measured.
 
@@ -108,7 +61,10 @@
     dict of str to float
     """
     addresses = [f"{m}@tcp://127.0.0.1:1@tcp://127.0.0.1:{free_port()}" for m in MEMBER_IDS]
+    echo_address = f"tcp://127.0.0.1:{free_port()}"
     with ExitStack() as stack:
+        echo = start(stack, "echo", echo_address)
+        echo.stdout.readline()
         processes = []
         for member_id in MEMBER_IDS:
             data = Path(folder) / member_id
@@ -119,7 +75,7 @@
                 f"failure_domain = d\ndata_folder = {data}\n"
                 f"[control]\nmembers = {', '.join(addresses)}\n"
             )
-            processes.append(start(stack, "member", str(path)))
+            processes.append(start(stack, "member", str(path), echo_address))
         return json.loads(first_line(processes))
 
 
@@ -153,15 +109,15 @@
     Figure
     """
     with tempfile.TemporaryDirectory() as folder:
-        base_s = sync_median_s(folder) + round_trip_median_s()
         found = run_members(folder)
+    base_s = found["sync_s"] + found["round_trip_s"]
     yield Figure(
         "control.commit_latency_ratio",
-        found["median_s"] * 1_000,
+        found["commit_s"] * 1_000,
         "ms",
         "one fdatasync and one pynng round trip",
         base_s * 1_000,
-        found["median_s"] / base_s,
+        found["commit_s"] / base_s,
         LATENCY_RATIO_BOUND,
         "lower",
         SEED,
--- a/tools/benchmarks/control_member.py
+++ b/tools/benchmarks/control_member.py
@@ -1,13 +1,17 @@
 """Run one control member, or one echo, as a process of its own for benchmarks.
 
-Usage: ``control_member.py member SETTINGS`` or ``control_member.py echo ADDRESS``. A member that
-comes to lead runs the load and prints one JSON object; all end when their input closes.
+Usage: ``control_member.py member SETTINGS ECHO`` or ``control_member.py echo ADDRESS``. A member
+that comes to lead runs the load and prints one JSON object; all end when their input closes.
 """
 
+import contextlib
 import json
+import os
 import statistics
 import sys
+import threading
 import time
+from pathlib import Path
 
 import pynng
 from twisted.internet import reactor, stdio
@@ -54,26 +58,61 @@
             reactor.stop()
 
 
+class Baseline:
+    """Time one sync and one round trip.
+
+    Parameters
+    ----------
+    folder : str
+    address : str
+        Of an echo.
+    """
+
+    def __init__(self, folder, address):
+        path = Path(folder) / "probe"
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        self._socket = pynng.Req0(dial=address, block_on_dial=True)
+
+    def time_sync(self):
+        """Return the time in seconds of writing and syncing a command."""
+        started = time.perf_counter()
+        os.write(self._descriptor, COMMAND)
+        os.fdatasync(self._descriptor)
+        return time.perf_counter() - started
+
+    def time_round_trip(self):
+        """Return the time in seconds of a blocking request and its reply."""
+        started = time.perf_counter()
+        self._socket.send(COMMAND)
+        self._socket.recv()
+        return time.perf_counter() - started
+
+
 @inlineCallbacks
-def measure_latency(replicator, commits):
-    """Commit one command after another.
+def measure_latency(replicator, baseline, rounds):
+    """Alternate commits with the baseline, so that both meet the same machine.
 
     Parameters
     ----------
     replicator : Replicator
-    commits : int
+    baseline : Baseline
+    rounds : int
 
     Returns
     -------
     Deferred
-        Fires with the times in seconds as a list.
+        Fires with three lists of times in seconds: commits, syncs, round trips.
     """
-    times = []
-    for _ in range(commits):
+    commits = []
+    syncs = []
+    round_trips = []
+    for _ in range(rounds):
+        syncs.append(baseline.time_sync())
+        round_trips.append(baseline.time_round_trip())
         started = time.perf_counter()
         yield replicator.propose(COMMAND)
-        times.append(time.perf_counter() - started)
-    return times
+        commits.append(time.perf_counter() - started)
+    return commits, syncs, round_trips
 
 
 @inlineCallbacks
@@ -105,38 +144,42 @@
 
 
 @inlineCallbacks
-def run_load(replicator):
+def run_load(replicator, baseline):
     """Run the load and print what was measured.
 
     Parameters
     ----------
     replicator : Replicator
+    baseline : Baseline
     """
     yield deferLater(reactor, 0.5, lambda: None)
-    yield measure_latency(replicator, WARM_UP_COMMITS)
-    times = yield measure_latency(replicator, LATENCY_COMMITS)
+    yield measure_latency(replicator, baseline, WARM_UP_COMMITS)
+    commits, syncs, round_trips = yield measure_latency(replicator, baseline, LATENCY_COMMITS)
     rate = yield measure_throughput(replicator)
-    times.sort()
     found = {
-        "median_s": statistics.median(times),
-        "p99_s": times[int(len(times) * 0.99)],
+        "commit_s": statistics.median(commits),
+        "sync_s": statistics.median(syncs),
+        "round_trip_s": statistics.median(round_trips),
         "commits_per_s": rate,
     }
     print(json.dumps(found), flush=True)
 
 
-def run_member(path):
+def run_member(path, echo_address):
     """Run a member until the input closes.
 
     Parameters
     ----------
     path : str
+    echo_address : str
     """
-    replicator = Replicator(reactor, load_settings(path), CountingMachine())
+    settings = load_settings(path)
+    replicator = Replicator(reactor, settings, CountingMachine())
 
     def lead(leads):
         if leads:
-            run_load(replicator).addErrback(lambda failure: failure.printTraceback())
+            baseline = Baseline(settings.process.data_folder, echo_address)
+            run_load(replicator, baseline).addErrback(lambda failure: failure.printTraceback())
 
     replicator.on_leadership(lead)
     reactor.callWhenRunning(replicator.start)
@@ -145,7 +188,7 @@
 
 
 def run_echo(address):
-    """Send back each frame until the other side closes.
+    """Send back each frame until the input closes.
 
     Parameters
     ----------
@@ -153,15 +196,24 @@
     """
     with pynng.Rep0(listen=address) as socket:
         print("ready", flush=True)
+        threading.Thread(target=echo_frames, args=(socket,), daemon=True).start()
+        sys.stdin.read()
+
+
+def echo_frames(socket):
+    """Send back each frame until the socket closes.
+
+    Parameters
+    ----------
+    socket : pynng.Rep0
+    """
+    with contextlib.suppress(pynng.Closed):
         while True:
-            frame = socket.recv()
-            if frame == b"end":
-                return
-            socket.send(frame)
+            socket.send(socket.recv())
 
 
 if __name__ == "__main__":
     if sys.argv[1] == "echo":
         run_echo(sys.argv[2])
     else:
-        run_member(sys.argv[2])
+        run_member(sys.argv[2], sys.argv[3])
