Send a silent member neither entries nor chunks again and again

The outbox keeps 4,096 frames for a peer that is away; probes with up to 1 MB of entries and chunks of 256 KB, repeated by each heartbeat, could have filled memory.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/core.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/core.py
@@ -1,6 +1,6 @@
 """Run the algorithm: an event and the time go in, effects come out."""
 
-from hemlockdock_control.consensus import handover, replication
+from hemlockdock_control.consensus import handover, quorums
 from hemlockdock_control.consensus.event_handlers import take_event
 from hemlockdock_control.consensus.member_state import MemberRole, MemberState
 
@@ -65,7 +65,7 @@
         state = self.state
         if not state.is_leader or state.commit_index < state.term_start_index:
             return False
-        return now_ms < replication.lease_until_ms(state, now_ms)
+        return now_ms < quorums.lease_until_ms(state, now_ms)
 
     def silence_ms(self, now_ms):
         """Return how long ago the leader was heard, or by the leader, its quorum.
@@ -79,5 +79,5 @@
         float
         """
         if self.state.is_leader:
-            return now_ms - replication.quorum_heard_ms(self.state, now_ms)
+            return now_ms - quorums.quorum_heard_ms(self.state, now_ms)
         return now_ms - self.state.contact_ms
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
@@ -6,7 +6,7 @@
 
 from functools import singledispatch
 
-from hemlockdock_control.consensus import elections, handover, replication
+from hemlockdock_control.consensus import elections, handover, quorums, replication
 from hemlockdock_control.consensus.effects import WriteSnapshot
 from hemlockdock_control.consensus.entry import EntryKind
 from hemlockdock_control.consensus.events import (
@@ -104,7 +104,7 @@
 
 
 def _lead(state, now_ms):
-    if not replication.hears_quorum(state, now_ms):
+    if not quorums.hears_quorum(state, now_ms):
         state.become_follower(state.term, "", now_ms)
         return
     handover.give_up_if_due(state, now_ms)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
@@ -13,6 +13,7 @@
 )
 from hemlockdock_control.consensus.entry import EntryKind, LogEntry
 from hemlockdock_control.consensus.entry_log import EntryLog
+from hemlockdock_control.consensus.progress import Progress
 
 NEVER_MS = float("-inf")
 
@@ -310,6 +311,49 @@
         self.role = MemberRole.FOLLOWER
         self.leader_id = leader_id
 
+    def progress_of(self, member_id):
+        """Return how far another member has come, as its leader knows it.
+
+        Parameters
+        ----------
+        member_id : str
+
+        Returns
+        -------
+        Progress
+        """
+        progress = self.progress_by_id.get(member_id)
+        if progress is None:
+            progress = Progress(self.log.last_index + 1)
+            self.progress_by_id[member_id] = progress
+        return progress
+
+    def note_contact(self, sender, reply, now_ms):
+        """Note that a member follows this leader.
+
+        Parameters
+        ----------
+        sender : str
+        reply : AppendReply or SnapshotReply
+        now_ms : float
+
+        Returns
+        -------
+        Progress or None
+            None where the reply is of no use.
+        """
+        if reply.term > self.term:
+            self.become_follower(reply.term, "", now_ms)
+            return None
+        if reply.term < self.term or not self.is_leader:
+            return None
+        progress = self.progress_by_id.get(sender)
+        if progress is None:
+            return None
+        progress.replied_ms = now_ms
+        progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+        return progress
+
     def announce_leadership(self):
         """Note that this member leads, once an entry of its term is committed and applied."""
         if self.announced or self.commit_index < self.term_start_index:
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/message_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/message_handlers.py
@@ -2,7 +2,13 @@
 
 from functools import singledispatch
 
-from hemlockdock_control.consensus import elections, following, handover, replication
+from hemlockdock_control.consensus import (
+    elections,
+    following,
+    handover,
+    replication,
+    snapshot_transfer,
+)
 from hemlockdock_control.consensus.messages import (
     AppendReply,
     AppendRequest,
@@ -56,7 +62,7 @@
 
 @take_message.register
 def _(message: SnapshotReply, sender, state, now_ms):
-    replication.on_snapshot_reply(state, sender, message, now_ms)
+    snapshot_transfer.on_reply(state, sender, message, now_ms)
 
 
 @take_message.register
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/progress.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/progress.py
@@ -37,6 +37,7 @@
     snapshot : Snapshot or None
         The one being sent.
     snapshot_offset : int
+    chunk_sent_ms : float
     """
 
     next_index: int
@@ -48,6 +49,7 @@
     acked_ms: float = float("-inf")
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
+    chunk_sent_ms: float = float("-inf")
 
     def probe(self, next_index):
         """Go back to one request at a time.
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/quorums.py
@@ -0,0 +1,61 @@
+"""Ask what a quorum of voters has said, as its leader knows it."""
+
+from hemlockdock_control.consensus.member_state import NEVER_MS
+
+
+def lease_until_ms(state, now_ms):
+    """Return until when no other member can lead.
+
+    Parameters
+    ----------
+    state : MemberState
+    now_ms : float
+
+    Returns
+    -------
+    float
+    """
+    if not state.is_leader or state.lease_given_up:
+        return NEVER_MS
+    return _quorum_time(state, "acked_ms", now_ms) + state.timing.lease_ms
+
+
+def hears_quorum(state, now_ms):
+    """Tell whether a quorum of voters replied within the election timeout.
+
+    Parameters
+    ----------
+    state : MemberState
+    now_ms : float
+
+    Returns
+    -------
+    bool
+    """
+    return now_ms - quorum_heard_ms(state, now_ms) < state.timing.election_ms
+
+
+def quorum_heard_ms(state, now_ms):
+    """Return since when a quorum of voters has not been heard.
+
+    Parameters
+    ----------
+    state : MemberState
+    now_ms : float
+
+    Returns
+    -------
+    float
+    """
+    return max(_quorum_time(state, "replied_ms", now_ms), state.leading_since_ms)
+
+
+def _quorum_time(state, name, now_ms):
+    times = []
+    for voter_id in state.configuration.voter_ids:
+        if voter_id == state.member_id:
+            times.append(now_ms)
+        else:
+            times.append(getattr(state.progress_of(voter_id), name))
+    times.sort(reverse=True)
+    return times[state.configuration.quorum - 1]
--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -48,7 +48,7 @@
     ),
     Mutant(
         "a lease counted from when the reply came",
-        CONSENSUS + "replication.py",
+        CONSENSUS + "member_state.py",
         "max(progress.acked_ms, reply.sent_ms)",
         "now_ms",
         FAULTS,
@@ -62,7 +62,7 @@
     ),
     Mutant(
         "a lease kept after a handover",
-        CONSENSUS + "replication.py",
+        CONSENSUS + "quorums.py",
         "if not state.is_leader or state.lease_given_up:",
         "if not state.is_leader:",
         FAULTS,
@@ -183,7 +183,7 @@
     Mutant(
         "a leader that never checks its quorum",
         CONSENSUS + "event_handlers.py",
-        "if not replication.hears_quorum(state, now_ms):",
+        "if not quorums.hears_quorum(state, now_ms):",
         "if False:",
         CORE,
     ),
