--- /dev/null
+++ b/tools/benchmarks/bench_control_log.py
@@ -0,0 +1,140 @@
+"""Measure durable commits by three members, each in a process of its own, on loopback."""
+
+import json
+import selectors
+import socket
+import subprocess
+import sys
+import tempfile
+from contextlib import ExitStack, closing
+from pathlib import Path
+
+from tools.benchmarks.figure import Figure
+
+VIRTUAL_TIME = False
+MEMBER_IDS = ("a", "b", "c")
+LATENCY_RATIO_BOUND = 4.0
+COMMITS_PER_S_BOUND = 1_000.0
+SEED = 0
+
+
+def free_port():
+    """Return a port of loopback that is free."""
+    with closing(socket.socket()) as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
+def start(stack, *arguments):
+    """Start a process that ends with the stack.
+
+    Parameters
+    ----------
+    stack : contextlib.ExitStack
+    *arguments : str
+
+    Returns
+    -------
+    subprocess.Popen
+    """
+    script = str(Path(__file__).with_name("control_member.py"))
+    process = subprocess.Popen(
+        [sys.executable, script, *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    stack.callback(process.wait)
+    stack.callback(process.stdin.close)
+    return process
+
+
+def run_members(folder):
+    """Run three members and return what their leader measured.
+
+    Parameters
+    ----------
+    folder : str
+
+    Returns
+    -------
+    dict of str to float
+    """
+    addresses = [f"{m}@tcp://127.0.0.1:1@tcp://127.0.0.1:{free_port()}" for m in MEMBER_IDS]
+    echo_address = f"tcp://127.0.0.1:{free_port()}"
+    with ExitStack() as stack:
+        echo = start(stack, "echo", echo_address)
+        echo.stdout.readline()
+        processes = []
+        for member_id in MEMBER_IDS:
+            data = Path(folder) / member_id
+            data.mkdir()
+            path = Path(folder) / f"{member_id}.ini"
+            path.write_text(
+                f"[process]\nnode_id = {member_id}\nroles = control\nhost = {member_id}\n"
+                f"failure_domain = d\ndata_folder = {data}\n"
+                f"[control]\nmembers = {', '.join(addresses)}\n"
+            )
+            processes.append(start(stack, "member", str(path), echo_address))
+        return json.loads(first_line(processes))
+
+
+def first_line(processes):
+    """Return the first line that any of the processes prints.
+
+    Parameters
+    ----------
+    processes : list of subprocess.Popen
+
+    Returns
+    -------
+    str
+    """
+    with selectors.DefaultSelector() as selector:
+        for process in processes:
+            selector.register(process.stdout, selectors.EVENT_READ)
+        while True:
+            for key, _ in selector.select():
+                line = key.fileobj.readline()
+                if line:
+                    return line
+                selector.unregister(key.fileobj)
+
+
+def measure():
+    """Yield the figures of the replicated log.
+
+    Yields
+    ------
+    Figure
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        found = run_members(folder)
+    base_s = found["sync_s"] + found["round_trip_s"]
+    yield Figure(
+        "control.commit_latency_ratio",
+        found["commit_s"] * 1_000,
+        "ms",
+        "one fdatasync and one pynng round trip",
+        base_s * 1_000,
+        found["commit_s"] / base_s,
+        LATENCY_RATIO_BOUND,
+        "lower",
+        SEED,
+    )
+    yield Figure(
+        "control.commits_per_s",
+        found["commits_per_s"],
+        "1/s",
+        "",
+        None,
+        None,
+        COMMITS_PER_S_BOUND,
+        "higher",
+        SEED,
+    )
+
+
+if __name__ == "__main__":
+    for figure in measure():
+        print(figure.line())
--- /dev/null
+++ b/tools/benchmarks/control_member.py
@@ -0,0 +1,219 @@
+"""Run one control member, or one echo, as a process of its own for benchmarks.
+
+Usage: ``control_member.py member SETTINGS ECHO`` or ``control_member.py echo ADDRESS``. A member
+that comes to lead runs the load and prints one JSON object; all end when their input closes.
+"""
+
+import contextlib
+import json
+import os
+import statistics
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pynng
+from twisted.internet import reactor, stdio
+from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet.protocol import Protocol
+from twisted.internet.task import deferLater
+
+from hemlockdock_control.consensus import Replicator
+from hemlockdock_core.settings import load_settings
+
+COMMAND = b"x" * 200
+WARM_UP_COMMITS = 200
+LATENCY_COMMITS = 1_000
+CALLERS = 64
+THROUGHPUT_S = 3.0
+
+
+class CountingMachine:
+    """Count commands."""
+
+    def __init__(self):
+        self.count = 0
+
+    def apply(self, index, data):
+        """Count one command."""
+        self.count += 1
+        return self.count
+
+    def snapshot(self):
+        """Return the count as bytes."""
+        return b"%d" % self.count
+
+    def restore(self, index, data):
+        """Take the count."""
+        self.count = int(data)
+
+
+class EndWithInput(Protocol):
+    """Stop the reactor when the input closes."""
+
+    def connectionLost(self, reason):
+        """Stop the reactor."""
+        if reactor.running:
+            reactor.stop()
+
+
+class Baseline:
+    """Time one sync and one round trip.
+
+    Parameters
+    ----------
+    folder : str
+    address : str
+        Of an echo.
+    """
+
+    def __init__(self, folder, address):
+        path = Path(folder) / "probe"
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        self._socket = pynng.Req0(dial=address, block_on_dial=True)
+
+    def time_sync(self):
+        """Return the time in seconds of writing and syncing a command."""
+        started = time.perf_counter()
+        os.write(self._descriptor, COMMAND)
+        os.fdatasync(self._descriptor)
+        return time.perf_counter() - started
+
+    def time_round_trip(self):
+        """Return the time in seconds of a blocking request and its reply."""
+        started = time.perf_counter()
+        self._socket.send(COMMAND)
+        self._socket.recv()
+        return time.perf_counter() - started
+
+
+@inlineCallbacks
+def measure_latency(replicator, baseline, rounds):
+    """Alternate commits with the baseline, so that both meet the same machine.
+
+    Parameters
+    ----------
+    replicator : Replicator
+    baseline : Baseline
+    rounds : int
+
+    Returns
+    -------
+    Deferred
+        Fires with three lists of times in seconds: commits, syncs, round trips.
+    """
+    commits = []
+    syncs = []
+    round_trips = []
+    for _ in range(rounds):
+        syncs.append(baseline.time_sync())
+        round_trips.append(baseline.time_round_trip())
+        started = time.perf_counter()
+        yield replicator.propose(COMMAND)
+        commits.append(time.perf_counter() - started)
+    return commits, syncs, round_trips
+
+
+@inlineCallbacks
+def measure_throughput(replicator):
+    """Commit with many callers at once.
+
+    Parameters
+    ----------
+    replicator : Replicator
+
+    Returns
+    -------
+    Deferred
+        Fires with commits a second.
+    """
+    started = time.perf_counter()
+    ends = started + THROUGHPUT_S
+
+    @inlineCallbacks
+    def call():
+        commits = 0
+        while time.perf_counter() < ends:
+            yield replicator.propose(COMMAND)
+            commits += 1
+        return commits
+
+    counts = yield gatherResults([call() for _ in range(CALLERS)])
+    return sum(counts) / (time.perf_counter() - started)
+
+
+@inlineCallbacks
+def run_load(replicator, baseline):
+    """Run the load and print what was measured.
+
+    Parameters
+    ----------
+    replicator : Replicator
+    baseline : Baseline
+    """
+    yield deferLater(reactor, 0.5, lambda: None)
+    yield measure_latency(replicator, baseline, WARM_UP_COMMITS)
+    commits, syncs, round_trips = yield measure_latency(replicator, baseline, LATENCY_COMMITS)
+    rate = yield measure_throughput(replicator)
+    found = {
+        "commit_s": statistics.median(commits),
+        "sync_s": statistics.median(syncs),
+        "round_trip_s": statistics.median(round_trips),
+        "commits_per_s": rate,
+    }
+    print(json.dumps(found), flush=True)
+
+
+def run_member(path, echo_address):
+    """Run a member until the input closes.
+
+    Parameters
+    ----------
+    path : str
+    echo_address : str
+    """
+    settings = load_settings(path)
+    replicator = Replicator(reactor, settings, CountingMachine())
+
+    def lead(leads):
+        if leads:
+            baseline = Baseline(settings.process.data_folder, echo_address)
+            run_load(replicator, baseline).addErrback(lambda failure: failure.printTraceback())
+
+    replicator.on_leadership(lead)
+    reactor.callWhenRunning(replicator.start)
+    stdio.StandardIO(EndWithInput())
+    reactor.run()
+
+
+def run_echo(address):
+    """Send back each frame until the input closes.
+
+    Parameters
+    ----------
+    address : str
+    """
+    with pynng.Rep0(listen=address) as socket:
+        print("ready", flush=True)
+        threading.Thread(target=echo_frames, args=(socket,), daemon=True).start()
+        sys.stdin.read()
+
+
+def echo_frames(socket):
+    """Send back each frame until the socket closes.
+
+    Parameters
+    ----------
+    socket : pynng.Rep0
+    """
+    with contextlib.suppress(pynng.Closed):
+        while True:
+            socket.send(socket.recv())
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "echo":
+        run_echo(sys.argv[2])
+    else:
+        run_member(sys.argv[2], sys.argv[3])
