--- a/packages/hemlockdock-control/hemlockdock_control/hub/table_feed.py
+++ b/packages/hemlockdock-control/hemlockdock_control/hub/table_feed.py
@@ -29,6 +29,8 @@
 
     def __init__(self, send):
         self._send = send
+        self._copy_at = None
+        self._copy = []
         self.watcher_by_address = {}
 
     def watch(self, node_id, address, request, now_ms):
@@ -47,11 +49,15 @@
         bool
             False where this member has as many watchers as it takes.
         """
-        known = address in self.watcher_by_address
-        if not known and len(self.watcher_by_address) >= MAX_WATCHERS:
+        known = self.watcher_by_address.get(address)
+        asked_at = (request.epoch, request.revision)
+        if known is not None and known.repeats(asked_at, now_ms):
+            known.heard_ms = now_ms
+            return True
+        if known is None and len(self.watcher_by_address) >= MAX_WATCHERS:
             COUNTERS.increment("table_watchers_refused")
             return False
-        watcher = Watcher(node_id, address, request.epoch, request.revision, now_ms)
+        watcher = Watcher(node_id, address, *asked_at, now_ms, asked_at, now_ms)
         self.watcher_by_address[address] = watcher
         return True
 
@@ -106,21 +112,28 @@
                 continue
             base = watcher.revision if watcher.epoch == epoch else None
             if base not in frames_by_base:
-                frames_by_base[base] = _frames(epoch, base, changes)
+                frames_by_base[base] = self._frames(epoch, base, changes)
             for frame in frames_by_base[base]:
                 self._send(watcher.address, frame)
             watcher.epoch = epoch
             watcher.revision = changes.revision
 
-
-def _frames(epoch, base, changes):
-    delta = changes.changes_since(base) if base is not None else None
-    if delta is None or len(delta[0]) + len(delta[1]) > len(changes.row_by_key):
-        return list(_chunks(epoch, changes))
-    puts, deletes = delta
-    COUNTERS.increment("table_deltas_encoded")
-    message = TableDelta(epoch, base, changes.revision, puts, deletes)
-    return [msgspec.Raw(_ENCODER.encode(message))]
+    def _frames(self, epoch, base, changes):
+        delta = changes.changes_since(base) if base is not None else None
+        if delta is None or len(delta[0]) + len(delta[1]) > len(changes.row_by_key):
+            return self._whole(epoch, changes)
+        puts, deletes = delta
+        COUNTERS.increment("table_deltas_encoded")
+        message = TableDelta(epoch, base, changes.revision, puts, deletes)
+        return [msgspec.Raw(_ENCODER.encode(message))]
+
+    def _whole(self, epoch, changes):
+        copy_at = (epoch, changes.revision)
+        if copy_at != self._copy_at:
+            # Many nodes that join at once cost one encoding.
+            self._copy_at = copy_at
+            self._copy = list(_chunks(epoch, changes))
+        return self._copy
 
 
 def _chunks(epoch, changes):
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -21,8 +21,9 @@
 from hemlockdock_control.service.volatile import Volatile
 from hemlockdock_control.state import ClusterMachine
 from hemlockdock_core.links import LinkTls, PostOffice
-from hemlockdock_core.messages import NODE_CODEC
+from hemlockdock_core.messages import NODE_CODEC, OrderOutcome
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.rows import ReplicaState
 
 logger = logging.getLogger(__name__)
 
@@ -81,12 +82,18 @@
             self._clock,
             self.wall_ms,
             self._send,
+            self._learn,
         )
         pages = AdminPages(settings, self)
         self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages)
         self._admin = AdminListener(reactor, settings, self.replicator, self._proposer, pages)
         self._loops = []
 
+    @property
+    def member_id(self):
+        """Return this member's id."""
+        return self._settings.process.node_id
+
     @property
     def feed(self):
         """Return what serves the watchers."""
@@ -114,9 +121,7 @@
         list of str
         """
         at_ms = self.wall_ms()
-        volatile = self.volatile
-        view = build_view(self.machine.state, volatile.report_by_id, volatile.board, at_ms)
-        return self._planner.explain(view, model, at_ms)
+        return self._planner.explain(self._view(at_ms), model, at_ms)
 
     def start(self):
         """Open the data folder, join the other members and listen."""
@@ -209,6 +214,22 @@
             if record.info.memory_mb:
                 self._office.forget(record.info.address)
 
+    def _learn(self, result):
+        replica = self.machine.state.replicas.record_by_id.get(result.replica_id)
+        if replica is None or replica.state is not ReplicaState.LOADING:
+            return
+        if result.fence != replica.fence:
+            return
+        if result.outcome is not OrderOutcome.DONE:
+            self._planner.observe_failure(replica.model, replica.node_id, self.wall_ms())
+            return
+        view = self._view(self.wall_ms())
+        self._planner.observe_load(view, replica.replica_id, result.took_ms)
+
+    def _view(self, at_ms):
+        volatile = self.volatile
+        return build_view(self.machine.state, volatile.report_by_id, volatile.board, at_ms)
+
     def _on_frame(self, frame):
         if frame.reply_to and not self._addresses.touch(frame.reply_to, self._clock.now_ms()):
             COUNTERS.increment("control_senders_refused")
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -59,10 +59,12 @@
     wall_ms : callable
     send : callable
         Takes an address and a message.
+    learn : callable
+        Takes an OrderResult before what it changes is committed.
     """
 
     def __init__(
-        self, settings, replicator, machine, proposer, volatile, feed, clock, wall_ms, send
+        self, settings, replicator, machine, proposer, volatile, feed, clock, wall_ms, send, learn
     ):
         self._settings = settings
         self._replicator = replicator
@@ -73,6 +75,7 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._send = send
+        self._learn = learn
         self._inventory_by_id = {}
 
     def on_frame(self, frame):
@@ -193,6 +196,7 @@
         if report is not None and report.incarnation == incarnation:
             report = report.after_result(body, self._machine.state)
             self._volatile.report_by_id[sender] = report
+        self._learn(body)
         commands = outcome_commands(body, sender, incarnation, self._machine.state, self._wall_ms())
         for command in commands:
             self._proposer.commit(command)
--- a/packages/hemlockdock-control/tests/test_control_service.py
+++ b/packages/hemlockdock-control/tests/test_control_service.py
@@ -168,7 +168,7 @@
         response = yield self.request(self.services[0], "POST", "/v1/manifest", data=bad)
         body = yield response.json()
         paths = [item["path"] for item in body["error"]["fields"]]
-        self.assertEqual((response.code, paths), (400, ["models[0].name"]))
+        self.assertEqual((response.code, paths), (400, ["models[0].name", "models[0].serve"]))
 
     @inlineCallbacks
     def test_operators_need_a_known_token_and_are_named_in_the_audit(self):
--- a/tools/mutants/control.py
+++ b/tools/mutants/control.py
@@ -1,6 +1,6 @@
 """Deliberate faults of hemlockdock-control's state, membership, orders and table feed."""
 
-from tools.mutants.mutant import Mutant
+from mutants.mutant import Mutant
 
 ROOT = "packages/hemlockdock-control/hemlockdock_control"
 TESTS = "packages/hemlockdock-control/tests"
