--- a/packages/hemlockdock-control/hemlockdock_control/membership/detector.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/detector.py
@@ -111,8 +111,10 @@
     silent_ms = silence_ms(view, node_id, record.incarnation)
     host_state = view.state_by_host.get(record.info.host)
     if silent_ms >= settings.lost_after_ms:
-        # The list lags, so it confirms a silence but never overrules a heartbeat.
-        certain = host_state is HostState.GONE or silent_ms >= settings.certain_after_ms
+        # The list lags, so it confirms a silence but never overrules a heartbeat. By itself,
+        # silence is certain only once an agent that was heard later than here has unloaded too.
+        certain_ms = settings.certain_after_ms + settings.lost_after_ms
+        certain = host_state is HostState.GONE or silent_ms >= certain_ms
         if certain or not record.lost:
             return NodeLost(node_id, record.incarnation, view.at_ms, certain)
         return None
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -8,10 +8,12 @@
 
 from hemlockdock_control.admin import AdminListener, AdminPages
 from hemlockdock_control.consensus import Replicator
+from hemlockdock_control.consensus.replicator import clock_ms
 from hemlockdock_control.hub import TableFeed
 from hemlockdock_control.membership import Beats, PlatformList, SilenceClock
 from hemlockdock_control.placement import Planner
 from hemlockdock_control.service.address_book import AddressBook
+from hemlockdock_control.service.contact import LeaderContact
 from hemlockdock_control.service.leader_round import LeaderRound
 from hemlockdock_control.service.load_board import LoadBoard
 from hemlockdock_control.service.member_front import MemberFront
@@ -72,20 +74,21 @@
         self._round = LeaderRound(
             settings, self.machine, self._planner, self._proposer, self.volatile, self._send
         )
+        contact = LeaderContact(settings, self.replicator, clock_ms)
         self._nodes = NodeFront(
-            settings,
             self.replicator,
             self.machine,
             self._proposer,
             self.volatile,
             self._feed,
+            contact,
             self._clock,
             self.wall_ms,
             self._send,
             self._learn,
         )
         pages = AdminPages(settings, self)
-        self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages)
+        self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages, contact)
         self._admin = AdminListener(reactor, settings, self.replicator, self._proposer, pages)
         self._loops = []
 
--- a/packages/hemlockdock-control/hemlockdock_control/service/member_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/member_front.py
@@ -7,6 +7,7 @@
 
 from hemlockdock_control.service.peer_messages import (
     BeatDigest,
+    DigestAck,
     RelayedAnswer,
     RelayedCommand,
     RelayedMessage,
@@ -30,13 +31,15 @@
     proposer : Proposer
     node_front : NodeFront
     pages : AdminPages
+    contact : LeaderContact
     """
 
-    def __init__(self, replicator, proposer, node_front, pages):
+    def __init__(self, replicator, proposer, node_front, pages, contact):
         self._replicator = replicator
         self._proposer = proposer
         self._node_front = node_front
         self._pages = pages
+        self._contact = contact
 
     def on_forward(self, member_id, data):
         """Take in forwarded bytes.
@@ -52,7 +55,7 @@
             COUNTERS.increment("control_malformed_forwards")
             logger.warning("malformed forward", extra={"problem": str(error)})
             return
-        if not isinstance(body, RelayedAnswer) and not self._replicator.is_leader:
+        if not isinstance(body, RelayedAnswer | DigestAck) and not self._replicator.is_leader:
             self._refuse(body, member_id)
             return
         self._on_body(body, member_id)
@@ -64,6 +67,11 @@
     @_on_body.register
     def _(self, body: BeatDigest, member_id):
         self._node_front.on_digest(body.beats)
+        self._replicator.send_to_member(member_id, encode_peer(DigestAck(body.sequence)))
+
+    @_on_body.register
+    def _(self, body: DigestAck, member_id):
+        self._contact.acknowledged(body.sequence)
 
     @_on_body.register
     def _(self, body: RelayedMessage, member_id):
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -49,12 +49,12 @@
 
     Parameters
     ----------
-    settings : hemlockdock_core.settings.Settings
     replicator : Replicator
     machine : ClusterMachine
     proposer : Proposer
     volatile : Volatile
     feed : TableFeed
+    contact : LeaderContact
     clock : SilenceClock
     wall_ms : callable
     send : callable
@@ -64,14 +64,24 @@
     """
 
     def __init__(
-        self, settings, replicator, machine, proposer, volatile, feed, clock, wall_ms, send, learn
+        self,
+        replicator,
+        machine,
+        proposer,
+        volatile,
+        feed,
+        contact,
+        clock,
+        wall_ms,
+        send,
+        learn,
     ):
-        self._settings = settings
         self._replicator = replicator
         self._machine = machine
         self._proposer = proposer
         self._volatile = volatile
         self._feed = feed
+        self._contact = contact
         self._clock = clock
         self._wall_ms = wall_ms
         self._send = send
@@ -108,10 +118,11 @@
             self._record(beat, now_ms)
 
     def push_digest(self):
-        """Tell the leader what was heard here."""
+        """Tell the leader what was heard here; an empty digest shows that the way is open."""
         beats = self._volatile.beats.take_digest(self._clock.now_ms())
-        if beats and not self._replicator.is_leader:
-            self._replicator.send_to_leader(encode_peer(BeatDigest(beats)))
+        if not self._replicator.is_leader:
+            digest = BeatDigest(self._contact.next_sequence(), beats)
+            self._replicator.send_to_leader(encode_peer(digest))
 
     def tell_leader_all(self):
         """Tell a leader that knows nothing yet all that this member heard."""
@@ -158,7 +169,7 @@
             body.sequence,
             self._machine.state.changes.revision,
             self._known(frame.sender, frame.incarnation),
-            self._fresh(),
+            self._contact.fresh,
         )
         self._send(frame.reply_to, ack)
 
@@ -248,10 +259,6 @@
             return False
         return record.info.role == ENTRY or record.inventoried
 
-    def _fresh(self):
-        lease_s = 2 * self._settings.control.election_ms / 1_000
-        return self._replicator.last_leader_contact_s <= lease_s
-
     def _answer(self, result, proposal_id, reply_to):
         if reply_to:
             self._send(reply_to, ProposalResult(proposal_id, result))
--- a/packages/hemlockdock-control/hemlockdock_control/service/peer_messages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/peer_messages.py
@@ -15,12 +15,25 @@
 
     Attributes
     ----------
+    sequence : int
     beats : list of NodeBeat
     """
 
+    sequence: int
     beats: list[NodeBeat]
 
 
+class DigestAck(Message, frozen=True):
+    """Tell a follower that the leader has its digest.
+
+    Attributes
+    ----------
+    sequence : int
+    """
+
+    sequence: int
+
+
 class RelayedMessage(Message, frozen=True):
     """Carry a node's message on to the leader.
 
@@ -79,7 +92,7 @@
     result: CommandResult
 
 
-PeerBody = BeatDigest | RelayedMessage | RelayedCommand | RelayedQuery | RelayedAnswer
+PeerBody = BeatDigest | DigestAck | RelayedMessage | RelayedCommand | RelayedQuery | RelayedAnswer
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerBody)
