--- a/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
@@ -2,17 +2,15 @@
 
 from functools import singledispatchmethod
 
-import msgspec
-
+from hemlockdock_control.state.adapters import Adapters
 from hemlockdock_control.state.context import StateContext
 from hemlockdock_control.state.crashes import Crashes
-from hemlockdock_control.state.image import IMAGE_FORMAT, StateImage
 from hemlockdock_control.state.jobs import Jobs
-from hemlockdock_control.state.manifest_rows import manifest_rows
 from hemlockdock_control.state.manifests import Manifests
 from hemlockdock_control.state.nodes import Nodes
 from hemlockdock_control.state.replicas import Replicas
 from hemlockdock_control.state.run_once import RunOnce
+from hemlockdock_control.state.snapshots import encode_image, restore_image
 from hemlockdock_core.commands import (
     AdapterLoaded,
     ClaimJob,
@@ -53,6 +51,7 @@
     manifests : Manifests
     nodes : Nodes
     replicas : Replicas
+    adapters : Adapters
     run_once : RunOnce
     jobs : Jobs
     crashes : Crashes
@@ -63,6 +62,7 @@
         self.manifests = Manifests(self._context)
         self.nodes = Nodes(self._context)
         self.replicas = Replicas(self._context, self.manifests, self.nodes)
+        self.adapters = Adapters(self._context, self.manifests, self.nodes, self.replicas)
         self.run_once = RunOnce(self._context, self.nodes)
         self.jobs = Jobs(self._context, self.nodes)
         self.crashes = Crashes(self._context)
@@ -138,27 +138,7 @@
 
     def snapshot(self):
         """Return the state's bytes."""
-        context = self._context
-        image = StateImage(
-            IMAGE_FORMAT,
-            context.index,
-            context.now_ms,
-            context.epoch,
-            context.changes.revision,
-            self.manifests.body,
-            self.manifests.revision,
-            self.manifests.accepted_at_ms,
-            list(self.manifests.accepted_by_number.values()),
-            self.manifests.load_ms_by_version,
-            list(self.nodes.record_by_id.values()),
-            list(self.replicas.record_by_id.values()),
-            list(self.run_once.record_by_key.values()),
-            list(self.jobs.record_by_id.values()),
-            list(self.crashes.suspect_by_fingerprint.values()),
-            self.crashes.seen_until_ms_by_crash,
-            context.audit.all(),
-        )
-        return msgspec.msgpack.encode(image)
+        return encode_image(self)
 
     def restore(self, data):
         """Replace the state with a snapshot's.
@@ -172,43 +152,7 @@
         ValueError
             Where the bytes are no snapshot of this format.
         """
-        image = msgspec.msgpack.decode(data, type=StateImage)
-        if image.format != IMAGE_FORMAT:
-            raise ValueError(f"snapshot format {image.format}, expected {IMAGE_FORMAT}")
-        context = self._context
-        context.index = image.index
-        context.now_ms = image.now_ms
-        context.epoch = image.epoch
-        context.audit.restore(image.audit)
-        self.manifests.restore(
-            image.manifest,
-            image.manifest_revision,
-            image.manifest_at_ms,
-            image.accepted,
-            image.load_ms_by_version,
-        )
-        self.nodes.record_by_id = {item.info.node_id: item for item in image.nodes}
-        self.replicas.record_by_id = {item.replica_id: item for item in image.replicas}
-        self.run_once.record_by_key = {item.key_hash: item for item in image.runs}
-        self.jobs.record_by_id = {item.job_id: item for item in image.jobs}
-        self.crashes.suspect_by_fingerprint = {item.fingerprint: item for item in image.suspects}
-        self.crashes.seen_until_ms_by_crash = image.seen_until_ms_by_crash
-        context.changes.restore(image.table_revision, self._rows())
-
-    def _rows(self):
-        current = self.manifests.current
-        if current is not None:
-            digest = self.manifests.accepted_by_number[current.number].digest
-            yield from manifest_rows(current, digest, self.manifests.load_ms_by_version)
-        for record in self.nodes.record_by_id.values():
-            yield record.row()
-        for record in self.replicas.record_by_id.values():
-            yield record.row()
-        for record in self.crashes.suspect_by_fingerprint.values():
-            yield record.row()
-        for record in self.jobs.record_by_id.values():
-            if not record.ended:
-                yield record.row()
+        restore_image(self, self._context, data)
 
     @singledispatchmethod
     def _apply(self, command):
@@ -261,19 +205,19 @@
 
     @_apply.register
     def _(self, command: DecideAdapter):
-        return self.replicas.decide_adapter(command)
+        return self.adapters.decide(command)
 
     @_apply.register
     def _(self, command: DecideAdapterUnload):
-        return self.replicas.decide_adapter_unload(command)
+        return self.adapters.decide_unload(command)
 
     @_apply.register
     def _(self, command: AdapterLoaded):
-        return self.replicas.adapter_loaded(command)
+        return self.adapters.loaded(command)
 
     @_apply.register
     def _(self, command: DropAdapter):
-        return self.replicas.drop_adapter(command)
+        return self.adapters.drop(command)
 
     @_apply.register
     def _(self, command: ClaimRun):
--- a/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/replicas.py
@@ -1,10 +1,9 @@
 """Keep decided replicas and the memory that they reserve."""
 
 from hemlockdock_control.state.load_check import load_refusal
-from hemlockdock_control.state.refusals import conflict, refused, stale
-from hemlockdock_control.state.replica_record import AdapterRecord, ReplicaRecord
+from hemlockdock_control.state.refusals import conflict, stale
+from hemlockdock_control.state.replica_record import ReplicaRecord
 from hemlockdock_core.commands import CommandResult
-from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.rows import ReplicaState
 
 
@@ -27,6 +26,21 @@
         self._manifests = manifests
         self._nodes = nodes
         self.record_by_id = {}
+        self._ids_by_model = {}
+        self._ids_by_node = {}
+
+    def restore(self, records):
+        """Replace all records by those of a snapshot.
+
+        Parameters
+        ----------
+        records : list of ReplicaRecord
+        """
+        self.record_by_id = {}
+        self._ids_by_model = {}
+        self._ids_by_node = {}
+        for record in records:
+            self._add(record)
 
     def count_of(self, model):
         """Return how many replicas of a model are decided and not certainly gone.
@@ -39,7 +53,7 @@
         -------
         int
         """
-        return sum(record.model == model for record in self.record_by_id.values())
+        return len(self._ids_by_model.get(model, ()))
 
     def of_node(self, node_id):
         """Return the replicas of one endpoint.
@@ -52,7 +66,7 @@
         -------
         list of ReplicaRecord
         """
-        return [record for record in self.record_by_id.values() if record.node_id == node_id]
+        return [self.record_by_id[item] for item in self._ids_by_node.get(node_id, ())]
 
     def reserved_mb(self, node_id):
         """Return the memory that is committed at one endpoint, in MB.
@@ -97,8 +111,8 @@
             self._manifests.model_by_name[command.model].requests_per_replica,
             context.now_ms,
         )
-        self.record_by_id[record.replica_id] = record
-        self._changed(record, "none", f"loading {record.model}/{record.version}: {command.reason}")
+        self._add(record)
+        self.changed(record, "none", f"loading {record.model}/{record.version}: {command.reason}")
         return CommandResult(context.index, owner=record.replica_id)
 
     def decide_unload(self, command):
@@ -118,7 +132,7 @@
         before = record.state.value
         record.state = ReplicaState.UNLOADING
         record.unload_fence = self._context.index
-        self._changed(record, before, f"unloading: {command.reason}")
+        self.changed(record, before, f"unloading: {command.reason}")
         return CommandResult(self._context.index)
 
     def ready(self, command):
@@ -146,7 +160,7 @@
         record.ready_at_ms = self._context.now_ms
         record.ready_incarnation = command.incarnation
         self._manifests.record_load(record.model, record.version, command.took_ms)
-        self._changed(record, "loading", f"ready after {command.took_ms} ms")
+        self.changed(record, "loading", f"ready after {command.took_ms} ms")
         return CommandResult(index)
 
     def gone(self, command):
@@ -192,105 +206,28 @@
                 record.requests_per_replica = model.requests_per_replica
                 self._context.put(record.row())
 
-    def decide_adapter(self, command):
-        """Decide an adapter onto a ready replica and reserve its memory.
-
-        Parameters
-        ----------
-        command : DecideAdapter
-
-        Returns
-        -------
-        CommandResult
-        """
-        index = self._context.index
-        record = self.record_by_id.get(command.replica_id)
-        adapter = self._manifests.adapter_by_name.get(command.adapter)
-        if record is None or record.state is not ReplicaState.READY:
-            return conflict(index, f"replica {command.replica_id!r} is not ready")
-        if adapter is None or adapter.model != record.model:
-            message = f"no adapter {command.adapter!r} of model {record.model!r}"
-            return refused(index, ErrorKind.UNKNOWN_MODEL, message)
-        if command.adapter in record.adapter_by_name:
-            return CommandResult(index)
-        node = self._nodes.record_by_id[record.node_id]
-        if self.reserved_mb(record.node_id) + adapter.memory_mb > node.info.memory_mb:
-            message = f"{record.node_id!r} has no {adapter.memory_mb} MB left"
-            return refused(index, ErrorKind.NO_CAPACITY, message)
-        record.adapter_by_name[command.adapter] = AdapterRecord(adapter.memory_mb, index)
-        self._changed(record, "none", f"loading adapter {command.adapter}")
-        return CommandResult(index)
-
-    def decide_adapter_unload(self, command):
-        """Decide that an adapter goes; a repeat gives its unload a newer fence.
-
-        Parameters
-        ----------
-        command : DecideAdapterUnload
-
-        Returns
-        -------
-        CommandResult
-        """
-        index = self._context.index
-        record = self.record_by_id.get(command.replica_id)
-        if record is None or command.adapter not in record.adapter_by_name:
-            message = f"no adapter {command.adapter!r} on {command.replica_id!r}"
-            return conflict(index, message)
-        record.adapter_by_name[command.adapter].unload_fence = index
-        self._changed(record, f"adapter {command.adapter}", f"unloading {command.adapter}")
-        return CommandResult(index)
-
-    def adapter_loaded(self, command):
-        """Record that an adapter is usable.
-
-        Parameters
-        ----------
-        command : AdapterLoaded
-
-        Returns
-        -------
-        CommandResult
-        """
-        return self._settle_adapter(command, "loaded")
-
-    def drop_adapter(self, command):
-        """Record that an adapter left its replica.
+    def changed(self, record, before, after):
+        """Show a changed record to the nodes and in the audit trail.
 
         Parameters
         ----------
-        command : DropAdapter
-
-        Returns
-        -------
-        CommandResult
+        record : ReplicaRecord
+        before, after : str
         """
-        return self._settle_adapter(command, "dropped")
+        self._context.put(record.row())
+        self._context.record("control", "replica", record.replica_id, before, after)
 
-    def _settle_adapter(self, command, outcome):
-        index = self._context.index
-        record = self.record_by_id.get(command.replica_id)
-        if record is None or command.adapter not in record.adapter_by_name:
-            message = f"no adapter {command.adapter!r} on {command.replica_id!r}"
-            return conflict(index, message)
-        if not self._nodes.current(record.node_id, command.incarnation):
-            return stale(index, f"incarnation {command.incarnation} is not the current one")
-        if outcome == "dropped":
-            del record.adapter_by_name[command.adapter]
-        else:
-            adapter = record.adapter_by_name[command.adapter]
-            adapter.loaded = True
-            adapter.loaded_incarnation = command.incarnation
-        self._changed(record, f"adapter {command.adapter}", f"{outcome} {command.adapter}")
-        return CommandResult(index)
+    def _add(self, record):
+        self.record_by_id[record.replica_id] = record
+        # Dicts in place of sets keep the order the same at every member.
+        self._ids_by_model.setdefault(record.model, {})[record.replica_id] = None
+        self._ids_by_node.setdefault(record.node_id, {})[record.replica_id] = None
 
     def _remove(self, record, reason):
         del self.record_by_id[record.replica_id]
+        del self._ids_by_model[record.model][record.replica_id]
+        del self._ids_by_node[record.node_id][record.replica_id]
         self._context.delete(record.row().key)
         self._context.record(
             "control", "replica", record.replica_id, record.state.value, f"gone: {reason}"
         )
-
-    def _changed(self, record, before, after):
-        self._context.put(record.row())
-        self._context.record("control", "replica", record.replica_id, before, after)
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
@@ -0,0 +1,93 @@
+"""Write the whole state into a snapshot, and read it back."""
+
+import msgspec
+
+from hemlockdock_control.state.image import IMAGE_FORMAT, StateImage
+from hemlockdock_control.state.manifest_rows import manifest_rows
+
+
+def encode_image(state):
+    """Return a state's bytes.
+
+    Parameters
+    ----------
+    state : ClusterState
+
+    Returns
+    -------
+    bytes
+    """
+    image = StateImage(
+        IMAGE_FORMAT,
+        state.index,
+        state.now_ms,
+        state.epoch,
+        state.changes.revision,
+        state.manifests.body,
+        state.manifests.revision,
+        state.manifests.accepted_at_ms,
+        list(state.manifests.accepted_by_number.values()),
+        state.manifests.load_ms_by_version,
+        list(state.nodes.record_by_id.values()),
+        list(state.replicas.record_by_id.values()),
+        list(state.run_once.record_by_key.values()),
+        list(state.jobs.record_by_id.values()),
+        list(state.crashes.suspect_by_fingerprint.values()),
+        state.crashes.seen_until_ms_by_crash,
+        state.audit.all(),
+    )
+    return msgspec.msgpack.encode(image)
+
+
+def restore_image(state, context, data):
+    """Replace a state with what a snapshot holds.
+
+    Parameters
+    ----------
+    state : ClusterState
+    context : StateContext
+        Of that state.
+    data : bytes
+
+    Raises
+    ------
+    ValueError
+        Where the bytes are no snapshot of this format.
+    """
+    image = msgspec.msgpack.decode(data, type=StateImage)
+    if image.format != IMAGE_FORMAT:
+        raise ValueError(f"snapshot format {image.format}, expected {IMAGE_FORMAT}")
+    context.index = image.index
+    context.now_ms = image.now_ms
+    context.epoch = image.epoch
+    context.audit.restore(image.audit)
+    state.manifests.restore(
+        image.manifest,
+        image.manifest_revision,
+        image.manifest_at_ms,
+        image.accepted,
+        image.load_ms_by_version,
+    )
+    state.nodes.record_by_id = {item.info.node_id: item for item in image.nodes}
+    state.replicas.restore(image.replicas)
+    state.run_once.record_by_key = {item.key_hash: item for item in image.runs}
+    state.jobs.record_by_id = {item.job_id: item for item in image.jobs}
+    state.crashes.suspect_by_fingerprint = {item.fingerprint: item for item in image.suspects}
+    state.crashes.seen_until_ms_by_crash = image.seen_until_ms_by_crash
+    context.changes.restore(image.table_revision, _rows(state))
+
+
+def _rows(state):
+    current = state.manifests.current
+    if current is not None:
+        digest = state.manifests.accepted_by_number[current.number].digest
+        yield from manifest_rows(current, digest, state.manifests.load_ms_by_version)
+    for record in state.nodes.record_by_id.values():
+        yield record.row()
+    for record in state.replicas.record_by_id.values():
+        yield record.row()
+    for record in state.crashes.suspect_by_fingerprint.values():
+        yield record.row()
+    for record in state.jobs.record_by_id.values():
+        if not record.ended:
+            yield record.row()
--- a/tools/mutants/control.py
+++ b/tools/mutants/control.py
@@ -11,11 +11,9 @@
     Mutant(
         "replicas counted without those being unloaded",
         f"{ROOT}/state/replicas.py",
-        "return sum(record.model == model for record in self.record_by_id.values())",
-        "return sum(\n"
-        "            record.model == model and not record.unload_fence\n"
-        "            for record in self.record_by_id.values()\n"
-        "        )",
+        "return len(self._ids_by_model.get(model, ()))",
+        "ids = self._ids_by_model.get(model, ())\n"
+        "        return sum(not self.record_by_id[item].unload_fence for item in ids)",
         STATE_FUZZ,
     ),
     Mutant(
