--- a/packages/hemlockdock-control/hemlockdock_control/admin/api.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/api.py
@@ -22,6 +22,7 @@
 LONGEST_WAIT_MS = 18_000
 IN_FORCE_POLL_S = 0.1
 STOP_TIMEOUT_S = 5
+RELAY_TIMEOUT_S = 10.0
 MAX_FINGERPRINT = 256
 
 
@@ -178,7 +179,7 @@
         body = msgspec.json.encode(manifest.model_dump(mode="json"), order="sorted")
         digest = manifest_digest(manifest)
         command = SubmitManifest(manifest.number, digest, body, who, 0)
-        result = yield self._proposer.propose(command)
+        result = yield self._proposer.propose(command, RELAY_TIMEOUT_S)
         if result.refusal is not None:
             return result.refusal
         reached = yield self._wait_in_force(result.revision, wait_ms)
@@ -204,7 +205,9 @@
 
     @inlineCallbacks
     def _release(self, who, fingerprint):
-        result = yield self._proposer.propose(ReleaseQuarantine(fingerprint, who, 0))
+        result = yield self._proposer.propose(
+            ReleaseQuarantine(fingerprint, who, 0), RELAY_TIMEOUT_S
+        )
         if result.refusal is not None:
             return result.refusal
         return {"fingerprint": fingerprint, "revision": result.revision}
--- a/packages/hemlockdock-control/hemlockdock_control/admin/limited_site.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/limited_site.py
@@ -7,6 +7,7 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 128
+MAX_CONNECTIONS_PER_HOST = 32
 IDLE_TIMEOUT_S = 30
 
 
@@ -76,7 +77,7 @@
             resource, requestFactory=LimitedRequest, timeout=IDLE_TIMEOUT_S, reactor=reactor
         )
         self.displayTracebacks = False
-        self._connections = 0
+        self._connections_by_host = {}
 
     def buildProtocol(self, addr):
         """Return a protocol for a connection, or None where there are too many.
@@ -89,19 +90,26 @@
         -------
         IProtocol or None
         """
-        if self._connections >= MAX_CONNECTIONS:
+        mine = self._connections_by_host.get(addr.host, 0)
+        all_of_them = sum(self._connections_by_host.values())
+        if mine >= MAX_CONNECTIONS_PER_HOST or all_of_them >= MAX_CONNECTIONS:
             COUNTERS.increment("admin_connections_refused")
             return None
         protocol = super().buildProtocol(addr)
-        self._connections += 1
+        self._connections_by_host[addr.host] = mine + 1
         lost = protocol.connectionLost
 
         def count_down(reason):
-            self._connections -= 1
+            self._count_down(addr.host)
             lost(reason)
 
         protocol.connectionLost = count_down
         return protocol
 
+    def _count_down(self, host):
+        self._connections_by_host[host] -= 1
+        if not self._connections_by_host[host]:
+            del self._connections_by_host[host]
+
     def log(self, request):
         """Write no access log; counters tell what was asked."""
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -42,6 +42,7 @@
 # Nodes may not decide for the cluster; only control members and operators do.
 PROPOSABLE = (ClaimRun, FinishRun, SubmitJob, ClaimJob, FinishJob, ReadJob)
 ENTRY = "entry"
+MAX_FINGERPRINTS = 1_024
 
 
 class NodeFront:
@@ -87,6 +88,7 @@
         self._send = send
         self._learn = learn
         self._inventory_by_id = {}
+        self._open_proposals = set()
 
     def on_frame(self, frame):
         """Take in a frame from a node.
@@ -165,13 +167,13 @@
         self._feed.touch(frame.reply_to, now_ms)
         if not frame.reply_to:
             return
-        ack = HeartbeatAck(
-            body.sequence,
-            self._machine.state.changes.revision,
-            self._known(frame.sender, frame.incarnation),
-            self._contact.fresh,
-        )
-        self._send(frame.reply_to, ack)
+        if not self._contact.fresh:
+            # Silence sends the node on to a member whose leader hears it.
+            COUNTERS.increment("control_heartbeats_unanswered")
+            return
+        known = self._known(frame.sender, frame.incarnation)
+        revision = self._machine.state.changes.revision
+        self._send(frame.reply_to, HeartbeatAck(body.sequence, revision, known, fresh=True))
 
     @_on_message.register
     def _(self, body: WatchTable, frame):
@@ -184,8 +186,12 @@
             refusal = Refusal.of(ErrorKind.BAD_REQUEST, "nodes may not propose this command")
             self._answer(CommandResult(0, refusal), body.proposal_id, frame.reply_to)
             return
+        key = (frame.reply_to, body.proposal_id)
+        if key in self._open_proposals:
+            return
+        self._open_proposals.add(key)
         outcome = self._proposer.propose(body.command)
-        outcome.addCallback(self._answer, body.proposal_id, frame.reply_to)
+        outcome.addCallback(self._proposed, body.proposal_id, frame.reply_to)
 
     @_on_message.register
     def _(self, body: Relayed, frame):
@@ -228,7 +234,8 @@
 
     @_on_leader.register
     def _(self, body: CrashReport, sender, incarnation):
-        command = RecordCrash(body.crash_id, sender, body.fingerprints, self._wall_ms())
+        fingerprints = body.fingerprints[:MAX_FINGERPRINTS]
+        command = RecordCrash(body.crash_id, sender, fingerprints, self._wall_ms())
         self._proposer.commit(command)
 
     def _relay(self, body, sender, incarnation):
@@ -259,6 +266,14 @@
             return False
         return record.info.role == ENTRY or record.inventoried
 
+    def _proposed(self, result, proposal_id, reply_to):
+        self._open_proposals.discard((reply_to, proposal_id))
+        refusal = result.refusal
+        if refusal is not None and refusal.kind is ErrorKind.OUTCOME_UNKNOWN:
+            # The node repeats the proposal, which is idempotent, and learns what became of it.
+            return
+        self._answer(result, proposal_id, reply_to)
+
     def _answer(self, result, proposal_id, reply_to):
         if reply_to:
             self._send(reply_to, ProposalResult(proposal_id, result))
--- a/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
@@ -12,7 +12,9 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
 
-RELAY_TIMEOUT_S = 2.5
+# Nodes repeat what is not answered, so a lost relay should end soon; operators do not.
+NODE_RELAY_TIMEOUT_S = 1.0
+OPERATOR_RELAY_TIMEOUT_S = 10.0
 MAX_IN_FLIGHT = 4_096
 TICKET_BYTES = 16
 
@@ -36,12 +38,14 @@
         self._waiting_by_ticket = {}
         self._in_flight = 0
 
-    def propose(self, command):
+    def propose(self, command, timeout_s=NODE_RELAY_TIMEOUT_S):
         """Commit a command.
 
         Parameters
         ----------
         command : Command
+        timeout_s : float, optional
+            How long another member, as the leader, may take to answer.
 
         Returns
         -------
@@ -49,7 +53,7 @@
         """
         if self._replicator.is_leader:
             return self.commit(command)
-        return self._relay(lambda ticket: RelayedCommand(ticket, command))
+        return self._relay(lambda ticket: RelayedCommand(ticket, command), timeout_s)
 
     def query(self, name, arguments):
         """Ask the leader for a page.
@@ -64,7 +68,9 @@
         Deferred of CommandResult
             With the page's JSON as payload.
         """
-        return self._relay(lambda ticket: RelayedQuery(ticket, name, arguments))
+        return self._relay(
+            lambda ticket: RelayedQuery(ticket, name, arguments), OPERATOR_RELAY_TIMEOUT_S
+        )
 
     def commit(self, command):
         """Commit a command as the leader, with the leader's clock.
@@ -107,7 +113,7 @@
         for waiting in list(self._waiting_by_ticket.values()):
             waiting.cancel()
 
-    def _relay(self, make_message):
+    def _relay(self, make_message, timeout_s):
         if not self._replicator.leader_id or self._replicator.is_leader:
             return succeed(_refused(ErrorKind.NO_CONTROL, "no leader is known"))
         if len(self._waiting_by_ticket) >= MAX_IN_FLIGHT:
@@ -115,7 +121,7 @@
         ticket = secrets.token_hex(TICKET_BYTES)
         waiting = Deferred()
         self._waiting_by_ticket[ticket] = waiting
-        waiting.addTimeout(RELAY_TIMEOUT_S, self._reactor)
+        waiting.addTimeout(timeout_s, self._reactor)
         waiting.addErrback(lambda _: self._timed_out(ticket))
         self._replicator.send_to_leader(encode_peer(make_message(ticket)))
         return waiting
--- a/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
@@ -133,7 +133,7 @@
         -------
         bool
         """
-        ledgers = (self.run_once, self.jobs, self.crashes)
+        ledgers = (self.run_once, self.jobs, self.crashes, self.nodes)
         return any(ledger.has_due(now_ms) for ledger in ledgers)
 
     def snapshot(self):
@@ -256,6 +256,7 @@
         self.run_once.expire()
         self.jobs.expire()
         self.crashes.expire()
+        self.nodes.expire()
         return CommandResult(self.index)
 
     def _end_owner(self, node_id):
--- a/packages/hemlockdock-control/hemlockdock_control/state/job_record.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/job_record.py
@@ -54,6 +54,11 @@
         """Tell whether the job has its result or refusal."""
         return self.state in END_STATES
 
+    @property
+    def stored_bytes(self):
+        """Return how much body and result take."""
+        return len(self.body) + len(self.payload)
+
     def due(self, now_ms):
         """Tell whether its deadline passed while it waited, or its retention is over.
 
--- a/packages/hemlockdock-control/hemlockdock_control/state/jobs.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/jobs.py
@@ -10,6 +10,7 @@
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 
 MS_PER_S = 1_000
+MAX_STORED_BYTES = 64 * 1024 * 1024
 FINISH_STATES = frozenset({DONE, FAILED, WAITING})
 
 
@@ -30,6 +31,19 @@
         self._context = context
         self._nodes = nodes
         self.record_by_id = {}
+        self._stored_bytes = 0
+
+    def restore(self, records):
+        """Replace all records by those of a snapshot.
+
+        Parameters
+        ----------
+        records : list of JobRecord
+        """
+        self.record_by_id = {}
+        self._stored_bytes = 0
+        for record in records:
+            self._add(record)
 
     def submit(self, command):
         """Accept a job, or return the one that its id stands for.
@@ -49,6 +63,9 @@
             if (record.caller, record.body_hash) != (command.caller, body_hash):
                 return refused(index, ErrorKind.KEY_REUSED, "the job id stands for another job")
             return self._result(record)
+        if self._stored_bytes + len(command.body) > MAX_STORED_BYTES:
+            message = f"jobs hold {MAX_STORED_BYTES} bytes already"
+            return refused(index, ErrorKind.QUEUE_FULL, message)
         record = JobRecord(
             command.job_id,
             command.caller,
@@ -60,7 +77,7 @@
             command.retention_s * MS_PER_S,
             command.repeatable,
         )
-        self.record_by_id[command.job_id] = record
+        self._add(record)
         self._changed(record, "none", command.caller)
         return self._result(record)
 
@@ -179,10 +196,15 @@
                 continue
             if record.ended:
                 del self.record_by_id[record.job_id]
+                self._stored_bytes -= record.stored_bytes
                 continue
             message = "the deadline passed before the job could run"
             self._fail(record, Refusal.of(ErrorKind.DEADLINE_PASSED, message, NotRun.TRUE))
 
+    def _add(self, record):
+        self.record_by_id[record.job_id] = record
+        self._stored_bytes += record.stored_bytes
+
     def _give_back(self, record, who):
         record.state = WAITING
         record.owner = ""
@@ -194,9 +216,11 @@
 
     def _end(self, record, state, payload, who):
         before = record.state
+        self._stored_bytes -= record.stored_bytes
         record.state = state
         record.payload = payload
         record.body = b""
+        self._stored_bytes += record.stored_bytes
         record.expires_at_ms = self._context.now_ms + record.retention_ms
         self._changed(record, before, who)
 
--- a/packages/hemlockdock-control/hemlockdock_control/state/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/nodes.py
@@ -6,6 +6,7 @@
 
 AGENT_ROLE = "agent"
 PLATFORM = "platform"
+GONE_KEEP_MS = 86_400_000
 
 
 class Nodes:
@@ -115,6 +116,30 @@
         self._changed(record, before, f"inventoried, undecided {command.undecided_mb} MB")
         return CommandResult(index)
 
+    def has_due(self, now_ms):
+        """Tell whether any node was gone for long enough to be forgotten.
+
+        Parameters
+        ----------
+        now_ms : int
+
+        Returns
+        -------
+        bool
+        """
+        return any(_forgotten(record, now_ms) for record in self.record_by_id.values())
+
+    def expire(self):
+        """Forget nodes that were gone for long."""
+        for node_id, record in list(self.record_by_id.items()):
+            if not _forgotten(record, self._context.now_ms):
+                continue
+            del self.record_by_id[node_id]
+            self._context.delete(record.row().key)
+            self._context.record(
+                "control", f"{record.info.role}_node", node_id, "gone", "forgotten"
+            )
+
     def current(self, node_id, incarnation):
         """Tell whether an incarnation is a node's current one.
 
@@ -168,3 +193,7 @@
         self._context.record(
             "control", f"{record.info.role}_node", record.info.node_id, before, after
         )
+
+
+def _forgotten(record, now_ms):
+    return record.gone and now_ms - record.lost_at_ms >= GONE_KEEP_MS
--- a/packages/hemlockdock-control/hemlockdock_control/state/run_once.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/run_once.py
@@ -6,6 +6,8 @@
 from hemlockdock_core.errors import ErrorKind
 
 MS_PER_S = 1_000
+# Beyond this, a resend is told that its request ran, without the answer.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # No request lives longer than the longest deadline that a manifest may give.
 LONGEST_RUN_MS = 7 * 86_400_000
 
@@ -27,6 +29,17 @@
         self._context = context
         self._nodes = nodes
         self.record_by_key = {}
+        self._answer_bytes = 0
+
+    def restore(self, records):
+        """Replace all records by those of a snapshot.
+
+        Parameters
+        ----------
+        records : list of RunRecord
+        """
+        self.record_by_key = {record.key_hash: record for record in records}
+        self._answer_bytes = sum(len(record.answer) for record in records)
 
     def claim(self, command):
         """Claim the one run of a key, or tell what became of it.
@@ -84,7 +97,10 @@
         if command.state is RunState.CLAIMED:
             return refused(index, ErrorKind.BAD_REQUEST, "an end state")
         before = record.state.value
-        record.answer = command.answer
+        room = self._answer_bytes + len(command.answer) <= MAX_ANSWER_BYTES
+        if command.state is RunState.RAN and room:
+            record.answer = command.answer
+            self._answer_bytes += len(command.answer)
         self._end(record, command.state, before)
         return self._result(record)
 
@@ -123,6 +139,7 @@
                 self._end(record, RunState.UNKNOWN, "claimed")
                 continue
             del self.record_by_key[record.key_hash]
+            self._answer_bytes -= len(record.answer)
 
     def _freed(self, record, command):
         # A late copy of the claim that did not run must not bring that claim back.
--- a/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
@@ -70,8 +70,8 @@
     )
     state.nodes.record_by_id = {item.info.node_id: item for item in image.nodes}
     state.replicas.restore(image.replicas)
-    state.run_once.record_by_key = {item.key_hash: item for item in image.runs}
-    state.jobs.record_by_id = {item.job_id: item for item in image.jobs}
+    state.run_once.restore(image.runs)
+    state.jobs.restore(image.jobs)
     state.crashes.suspect_by_fingerprint = {item.fingerprint: item for item in image.suspects}
     state.crashes.seen_until_ms_by_crash = image.seen_until_ms_by_crash
     context.changes.restore(image.table_revision, _rows(state))
--- a/packages/hemlockdock-control/tests/test_cluster_state.py
+++ b/packages/hemlockdock-control/tests/test_cluster_state.py
@@ -2,9 +2,23 @@
 
 import unittest
 
-from support import StateDriver, submission
+from support import StateDriver, node_info, submission
 
-from hemlockdock_core.commands import DecideLoad
+from hemlockdock_control.state.crashes import SUSPICION_MS
+from hemlockdock_core.commands import (
+    ClaimJob,
+    DecideLoad,
+    DecideUnload,
+    ExpireRecords,
+    FinishJob,
+    NodeInventoried,
+    NodeLost,
+    ReadJob,
+    RecordCrash,
+    RegisterNode,
+    ReplicaGone,
+    SubmitJob,
+)
 from hemlockdock_core.errors import ErrorKind
 
 
@@ -34,6 +48,101 @@
             kinds.append(result.refusal.kind if result.refusal else None)
         self.assertEqual(kinds, [None, None, ErrorKind.NO_CAPACITY])
 
+    def test_a_replica_that_is_being_unloaded_still_counts(self):
+        driver = StateDriver()
+        driver.apply(submission(1, most_replicas=1))
+        driver.add_agent("agent-1")
+        driver.add_agent("agent-2")
+        first = driver.apply(DecideLoad("m1", "v1", "agent-1", 1, 1, "test"))
+        driver.apply(DecideUnload(first.owner, 1, "test"))
+        load = DecideLoad("m1", "v1", "agent-2", 1, 1, "test")
+        self.assertEqual(driver.apply(load).refusal.kind, ErrorKind.NO_CAPACITY)
+        driver.apply(ReplicaGone(first.owner, 1, 1, "test"))
+        self.assertIsNone(driver.apply(load).refusal)
+
+    def test_nothing_is_decided_before_the_inventory_is_known(self):
+        driver = StateDriver()
+        driver.apply(submission(1))
+        driver.apply(RegisterNode(node_info("agent-1"), 1, 1))
+        load = DecideLoad("m1", "v1", "agent-1", 1, 1, "test")
+        self.assertEqual(driver.apply(load).refusal.kind, ErrorKind.STALE_REVISION)
+        driver.apply(NodeInventoried("agent-1", 1, 80, 1))
+        self.assertEqual(driver.apply(load).refusal.kind, ErrorKind.NO_CAPACITY)
+
+
+class CrashTest(unittest.TestCase):
+    def setUp(self):
+        self.driver = StateDriver()
+        self.crashes = 0
+
+    def crash(self, *fingerprints):
+        self.crashes += 1
+        crash_id = f"crash-{self.crashes}"
+        self.driver.apply(RecordCrash(crash_id, "agent-1", list(fingerprints), 1_000))
+
+    def verdicts(self):
+        suspects = self.driver.state.crashes.suspect_by_fingerprint
+        return {name: item.refused for name, item in suspects.items()}
+
+    def test_the_one_that_was_there_twice_is_refused_and_bystanders_are_freed(self):
+        self.crash("bad", "x", "y")
+        self.assertEqual(self.verdicts(), {"bad": False, "x": False, "y": False})
+        self.crash("bad", "new")
+        self.assertEqual(self.verdicts(), {"bad": True})
+
+    def test_two_suspects_at_once_condemn_nobody(self):
+        self.crash("bad", "x", "y")
+        self.crash("bad", "x")
+        self.assertEqual(self.verdicts(), {"bad": False, "x": False})
+        self.crash("bad")
+        self.assertEqual(self.verdicts(), {"bad": True})
+
+    def test_a_late_copy_of_a_condemned_request_makes_no_suspects(self):
+        self.crash("bad")
+        self.crash("bad")
+        self.crash("bad", "z")
+        self.assertEqual(self.verdicts(), {"bad": True})
+
+    def test_a_repeated_report_counts_once_and_time_ends_it(self):
+        for _ in range(2):
+            self.driver.apply(RecordCrash("same", "agent-1", ["bad"], 1_000))
+        self.assertEqual(self.verdicts(), {"bad": False})
+        self.driver.apply(ExpireRecords(1_000 + SUSPICION_MS))
+        self.assertEqual(self.verdicts(), {})
+
+
+class JobTest(unittest.TestCase):
+    def submit(self, driver, repeatable):
+        driver.apply(RegisterNode(node_info("entry-1", "entry"), 1, 1))
+        driver.apply(SubmitJob("j", "c", "m1", "/v1", b"body", 50_000, 60, repeatable, 1))
+        driver.apply(ClaimJob("j", "entry-1", 1, 1))
+
+    def test_a_lost_owners_job_waits_again_where_it_may_be_repeated(self):
+        driver = StateDriver()
+        self.submit(driver, repeatable=True)
+        driver.apply(NodeLost("entry-1", 1, 1, False))
+        self.assertEqual(driver.state.jobs.record_by_id["j"].state, "waiting")
+        late = driver.apply(FinishJob("j", "entry-1", 1, "done", b"late", 1))
+        self.assertEqual(late.refusal.kind, ErrorKind.CONFLICT)
+
+    def test_a_job_that_may_not_be_repeated_ends_as_unknown(self):
+        driver = StateDriver()
+        self.submit(driver, repeatable=False)
+        driver.apply(NodeLost("entry-1", 1, 1, False))
+        self.assertEqual(driver.state.jobs.record_by_id["j"].state, "running")
+        driver.apply(RegisterNode(node_info("entry-1", "entry"), 2, 1))
+        result = driver.apply(ReadJob("j", "c"))
+        self.assertEqual(result.state, "failed")
+        self.assertIn(b"outcome_unknown", result.payload)
+
+    def test_a_waiting_job_is_refused_at_its_deadline_as_not_run(self):
+        driver = StateDriver()
+        driver.apply(SubmitJob("j", "c", "m1", "/v1", b"body", 50_000, 60, True, 1))
+        driver.apply(ExpireRecords(50_000))
+        result = driver.apply(ReadJob("j", "c"))
+        self.assertEqual(result.state, "failed")
+        self.assertIn(b'"not_run":"true"', result.payload)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/mutants/control.py
+++ b/tools/mutants/control.py
@@ -6,6 +6,10 @@
 TESTS = "packages/hemlockdock-control/tests"
 STATE_FUZZ = f"{TESTS}/test_state_fuzz.py"
 ORDERS_FUZZ = f"{TESTS}/test_orders_fuzz.py"
+RULES = f"{TESTS}/test_cluster_state.py"
+ORDERS = f"{TESTS}/test_orders.py"
+MEMBERSHIP = f"{TESTS}/test_membership.py"
+FEED = f"{TESTS}/test_table_feed.py"
 
 MUTANTS = [
     Mutant(
@@ -84,14 +88,14 @@
         f"{ROOT}/orders/inventories.py",
         "if replica is not None and result.fence != replica.unload_fence:",
         "if False:",
-        ORDERS_FUZZ,
+        ORDERS,
     ),
     Mutant(
         "a dead incarnation's word counts",
         f"{ROOT}/state/nodes.py",
         "return record is not None and record.incarnation == incarnation and not record.gone",
         "return record is not None and record.incarnation >= incarnation and not record.gone",
-        STATE_FUZZ,
+        ORDERS,
     ),
     Mutant(
         "an unload goes out with the fence of the load",
@@ -112,6 +116,69 @@
         f"{ROOT}/state/load_check.py",
         "if not node.inventoried:",
         "if False:",
-        STATE_FUZZ,
+        RULES,
+    ),
+    Mutant(
+        "bystanders of a condemned request become suspects",
+        f"{ROOT}/state/crashes.py",
+        "if any(item.refused for item in earlier):",
+        "if False:",
+        RULES,
+    ),
+    Mutant(
+        "several suspects at once are condemned together",
+        f"{ROOT}/state/crashes.py",
+        "if len(earlier) == 1:",
+        "if earlier:",
+        RULES,
+    ),
+    Mutant(
+        "a lost entry's job that may not be repeated runs again",
+        f"{ROOT}/state/jobs.py",
+        "if record.repeatable and (ended or (node is not None and node.lost)):",
+        "if ended or (node is not None and node.lost):",
+        RULES,
+    ),
+    Mutant(
+        "a new leader gives no grace",
+        f"{ROOT}/membership/detector.py",
+        "heard_ms = view.silent_since_ms",
+        "heard_ms = 0.0",
+        MEMBERSHIP,
+    ),
+    Mutant(
+        "a digest makes old heartbeats new",
+        f"{ROOT}/membership/beats.py",
+        "heard_ms = now_ms - beat.age_ms",
+        "heard_ms = now_ms",
+        MEMBERSHIP,
+    ),
+    Mutant(
+        "an answer counts from when it came",
+        f"{ROOT}/service/contact.py",
+        "self._acknowledged_ms = max(self._acknowledged_ms or sent_ms, sent_ms)",
+        "self._acknowledged_ms = self._clock_ms()",
+        MEMBERSHIP,
+    ),
+    Mutant(
+        "the platform's list overrules heartbeats",
+        f"{ROOT}/membership/detector.py",
+        "if silent_ms >= settings.lost_after_ms:",
+        "if silent_ms >= settings.lost_after_ms or host_state is HostState.GONE:",
+        MEMBERSHIP,
+    ),
+    Mutant(
+        "a member that lags sends a watcher back",
+        f"{ROOT}/hub/table_feed.py",
+        "if watcher.epoch == epoch and watcher.revision >= changes.revision:",
+        "if watcher.epoch == epoch and watcher.revision == changes.revision:",
+        FEED,
+    ),
+    Mutant(
+        "a change log that reaches back too far is believed",
+        f"{ROOT}/state/change_log.py",
+        "if revision < self.floor or revision > self.revision:",
+        "if revision > self.revision:",
+        FEED,
     ),
 ]
