--- a/packages/hemlockdock-control/tests/test_cluster_state.py
+++ b/packages/hemlockdock-control/tests/test_cluster_state.py
@@ -103,6 +103,14 @@
         self.crash("bad", "z")
         self.assertEqual(self.verdicts(), {"bad": True})
 
+    def test_a_suspect_beside_a_condemned_request_is_not_blamed(self):
+        self.crash("bad")
+        self.crash("bad")
+        self.crash("s")
+        self.crash("bad", "s")
+        suspects = self.driver.state.crashes.suspect_by_fingerprint
+        self.assertEqual(len(suspects["s"].crash_ids), 1)
+
     def test_a_repeated_report_counts_once_and_time_ends_it(self):
         for _ in range(2):
             self.driver.apply(RecordCrash("same", "agent-1", ["bad"], 1_000))
--- a/packages/hemlockdock-control/tests/test_table_feed.py
+++ b/packages/hemlockdock-control/tests/test_table_feed.py
@@ -134,6 +134,17 @@
         self.assertEqual(len(sent), 600)
         self.assertEqual(len({id(frame) for frame in sent}), 2)
 
+    def test_a_watcher_that_is_ahead_of_this_member_is_sent_nothing(self):
+        driver = StateDriver()
+        driver.apply(submission(1))
+        sent = []
+        feed = TableFeed(lambda address, frame: sent.append(frame))
+        state = driver.state
+        ahead = WatchTable(state.epoch, state.changes.revision + 1)
+        feed.watch("n", "tcp://127.0.0.1:1", ahead, 0.0)
+        feed.push(state.epoch, state.changes)
+        self.assertEqual(sent, [])
+
     def test_a_question_whose_answer_is_on_its_way_costs_nothing(self):
         driver = StateDriver()
         driver.apply(submission(1))
