--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -42,6 +42,7 @@
 # Nodes may not decide for the cluster; only control members and operators do.
 PROPOSABLE = (ClaimRun, FinishRun, SubmitJob, ClaimJob, FinishJob, ReadJob)
 ENTRY = "entry"
+MAX_FINGERPRINTS = 1_024
 
 
 class NodeFront:
@@ -49,31 +50,45 @@
 
     Parameters
     ----------
-    settings : hemlockdock_core.settings.Settings
     replicator : Replicator
     machine : ClusterMachine
     proposer : Proposer
     volatile : Volatile
     feed : TableFeed
+    contact : LeaderContact
     clock : SilenceClock
     wall_ms : callable
     send : callable
         Takes an address and a message.
+    learn : callable
+        Takes an OrderResult before what it changes is committed.
     """
 
     def __init__(
-        self, settings, replicator, machine, proposer, volatile, feed, clock, wall_ms, send
+        self,
+        replicator,
+        machine,
+        proposer,
+        volatile,
+        feed,
+        contact,
+        clock,
+        wall_ms,
+        send,
+        learn,
     ):
-        self._settings = settings
         self._replicator = replicator
         self._machine = machine
         self._proposer = proposer
         self._volatile = volatile
         self._feed = feed
+        self._contact = contact
         self._clock = clock
         self._wall_ms = wall_ms
         self._send = send
+        self._learn = learn
         self._inventory_by_id = {}
+        self._open_proposals = set()
 
     def on_frame(self, frame):
         """Take in a frame from a node.
@@ -105,10 +120,11 @@
             self._record(beat, now_ms)
 
     def push_digest(self):
-        """Tell the leader what was heard here."""
+        """Tell the leader what was heard here; an empty digest shows that the way is open."""
         beats = self._volatile.beats.take_digest(self._clock.now_ms())
-        if beats and not self._replicator.is_leader:
-            self._replicator.send_to_leader(encode_peer(BeatDigest(beats)))
+        if not self._replicator.is_leader:
+            digest = BeatDigest(self._contact.next_sequence(), beats)
+            self._replicator.send_to_leader(encode_peer(digest))
 
     def tell_leader_all(self):
         """Tell a leader that knows nothing yet all that this member heard."""
@@ -151,13 +167,13 @@
         self._feed.touch(frame.reply_to, now_ms)
         if not frame.reply_to:
             return
-        ack = HeartbeatAck(
-            body.sequence,
-            self._machine.state.changes.revision,
-            self._known(frame.sender, frame.incarnation),
-            self._fresh(),
-        )
-        self._send(frame.reply_to, ack)
+        if not self._contact.fresh:
+            # Silence sends the node on to a member whose leader hears it.
+            COUNTERS.increment("control_heartbeats_unanswered")
+            return
+        known = self._known(frame.sender, frame.incarnation)
+        revision = self._machine.state.changes.revision
+        self._send(frame.reply_to, HeartbeatAck(body.sequence, revision, known, fresh=True))
 
     @_on_message.register
     def _(self, body: WatchTable, frame):
@@ -170,8 +186,12 @@
             refusal = Refusal.of(ErrorKind.BAD_REQUEST, "nodes may not propose this command")
             self._answer(CommandResult(0, refusal), body.proposal_id, frame.reply_to)
             return
+        key = (frame.reply_to, body.proposal_id)
+        if key in self._open_proposals:
+            return
+        self._open_proposals.add(key)
         outcome = self._proposer.propose(body.command)
-        outcome.addCallback(self._answer, body.proposal_id, frame.reply_to)
+        outcome.addCallback(self._proposed, body.proposal_id, frame.reply_to)
 
     @_on_message.register
     def _(self, body: Relayed, frame):
@@ -193,6 +213,7 @@
         if report is not None and report.incarnation == incarnation:
             report = report.after_result(body, self._machine.state)
             self._volatile.report_by_id[sender] = report
+        self._learn(body)
         commands = outcome_commands(body, sender, incarnation, self._machine.state, self._wall_ms())
         for command in commands:
             self._proposer.commit(command)
@@ -213,7 +234,8 @@
 
     @_on_leader.register
     def _(self, body: CrashReport, sender, incarnation):
-        command = RecordCrash(body.crash_id, sender, body.fingerprints, self._wall_ms())
+        fingerprints = body.fingerprints[:MAX_FINGERPRINTS]
+        command = RecordCrash(body.crash_id, sender, fingerprints, self._wall_ms())
         self._proposer.commit(command)
 
     def _relay(self, body, sender, incarnation):
@@ -244,9 +266,13 @@
             return False
         return record.info.role == ENTRY or record.inventoried
 
-    def _fresh(self):
-        lease_s = 2 * self._settings.control.election_ms / 1_000
-        return self._replicator.last_leader_contact_s <= lease_s
+    def _proposed(self, result, proposal_id, reply_to):
+        self._open_proposals.discard((reply_to, proposal_id))
+        refusal = result.refusal
+        if refusal is not None and refusal.kind is ErrorKind.OUTCOME_UNKNOWN:
+            # The node repeats the proposal, which is idempotent, and learns what became of it.
+            return
+        self._answer(result, proposal_id, reply_to)
 
     def _answer(self, result, proposal_id, reply_to):
         if reply_to:
