--- a/packages/hemlockdock-control/hemlockdock_control/placement/adapters.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/adapters.py
@@ -1,14 +1,16 @@
 """Decide which adapters go onto which ready replicas."""
 
+from hemlockdock_control.placement.eviction import STARVED_MS
 from hemlockdock_core.rows import ReplicaState
 
 
-def load_adapters(plan):
-    """Decide the adapters that waiting requests need.
+def load_adapters(plan, eviction):
+    """Decide the adapters that waiting requests need, and what makes room for them.
 
     Parameters
     ----------
     plan : hemlockdock_control.placement.round.Round
+    eviction : Eviction
     """
     ordered = sorted(
         plan.demand_by_model.values(),
@@ -22,10 +24,10 @@
             if plan.adapter_room <= 0:
                 plan.reason_by_model[demand.model] = "waits: adapters in flight are at most"
                 return
-            _load_adapter(plan, demand, adapter)
+            _load_adapter(plan, demand, adapter, eviction)
 
 
-def _load_adapter(plan, demand, adapter):
+def _load_adapter(plan, demand, adapter, eviction):
     candidates = []
     for replica in plan.replicas_by_model.get(demand.model, ()):
         if replica.state is not ReplicaState.READY or not plan.is_usable(replica.node_id):
@@ -44,16 +46,32 @@
         if plan.free_mb(replica.node_id) >= adapter.memory_mb:
             plan.load_adapter(replica, adapter)
             return
-    _make_room(plan, demand, candidates)
+    if not any(_room_is_coming(plan, replica, adapter) for replica in candidates):
+        _make_room(plan, demand, adapter, candidates, eviction)
     plan.reason_by_model[demand.model] = f"waits: no memory for adapter {adapter.name}"
 
 
-def _make_room(plan, demand, candidates):
+def _room_is_coming(plan, replica, adapter):
     # One unload at a time on an endpoint; the freed memory is seen in a later round.
+    if replica.adapters_unloading:
+        return True
+    return plan.freed_by_node.get(replica.node_id, 0) >= adapter.memory_mb
+
+
+def _make_room(plan, demand, adapter, candidates, eviction):
     for replica in candidates:
-        if replica.adapters_unloading:
-            return
         for name in sorted(replica.adapters):
             if name not in demand.waiting_by_adapter:
                 plan.unload_adapter(replica, name)
                 return
+    victims_on = eviction.idle_on
+    if plan.now_ms - demand.since_ms >= STARVED_MS:
+        victims_on = eviction.any_on(demand.priority)
+    for replica in candidates:
+        for victim, _ in victims_on(replica.node_id):
+            if victim.model != demand.model:
+                plan.unload(victim, f"makes room for adapter {adapter.name}")
+                return
+    # The replica has its endpoint to itself and no room: another endpoint may have some.
+    if all(replica.in_flight == 0 for replica in candidates):
+        plan.unload(candidates[0], f"no room for adapter {adapter.name}")
--- a/packages/hemlockdock-control/hemlockdock_control/placement/ahead.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/ahead.py
@@ -2,7 +2,7 @@
 
 from hemlockdock_control.loading import Tier
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
-from hemlockdock_control.placement.hosts import choose_endpoint
+from hemlockdock_control.placement.hosts import Need, choose_endpoint
 from hemlockdock_control.placement.retention import GRACE_MS, UNLOAD_MS, priority_part
 
 CHECK_MS = 60_000
@@ -96,7 +96,7 @@
 
     def _load(self, plan, model, reason, for_disk=False):
         version = model.version_by_name[model.serve]
-        choice = choose_endpoint(plan, model, version, lambda node_id: [], 0)
+        choice = choose_endpoint(plan, Need(model, version), lambda node_id: [])
         if choice is None or choice.must_wait:
             return False
         if for_disk and choice.endpoint.node_id in plan.knowledge.diskless_ids:
--- a/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
@@ -5,7 +5,7 @@
 from hemlockdock_control.loading import Tier
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
 from hemlockdock_control.placement.retention import UNLOAD_MS
-from hemlockdock_control.placement.view import EndpointView, ReplicaView
+from hemlockdock_control.placement.view import EndpointView, ModelView, ReplicaView, VersionView
 from hemlockdock_core.rows import ReplicaState
 
 
@@ -33,7 +33,32 @@
     must_wait: bool = False
 
 
-def choose_endpoint(plan, model, version, victims_on, deadline_at_ms):
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Describe a load that is to be placed.
+
+    Attributes
+    ----------
+    model : ModelView
+    version : VersionView
+    deadline_at_ms : int
+        0 where nothing waits.
+    adapters_mb : int
+        Memory of the adapters that are waited for.
+    """
+
+    model: ModelView
+    version: VersionView
+    deadline_at_ms: int = 0
+    adapters_mb: int = 0
+
+    @property
+    def memory_mb(self):
+        """Return the memory that has to be free."""
+        return self.version.memory_mb + self.adapters_mb
+
+
+def choose_endpoint(plan, need, victims_on):
     """Choose the endpoint for one more replica of a model.
 
     Endpoints where a load of the model failed lately come last; then count whether the
@@ -43,16 +68,15 @@
     Parameters
     ----------
     plan : hemlockdock_control.placement.round.Round
-    model : ModelView
-    version : VersionView
+    need : Need
     victims_on : callable of str to list of (ReplicaView, float)
         Replicas on an endpoint that may go, in the order to evict, with the gain lost.
-    deadline_at_ms : int
 
     Returns
     -------
     Choice or None
     """
+    model, version = need.model, need.version
     avoided = plan.knowledge.avoided(model.name, plan.now_ms)
     count_by_domain = _count_by_domain(plan, model.name)
     holders = _holders(plan, model.name)
@@ -64,13 +88,13 @@
             continue
         if model.endpoint_groups and endpoint.group not in model.endpoint_groups:
             continue
-        choice = _choice_on(plan, model, version, victims_on, endpoint)
+        choice = _choice_on(plan, need, victims_on, endpoint)
         if choice is None:
             continue
         uncached_ms = later_ms if endpoint.node_id in plan.knowledge.diskless_ids else 0.0
         key = (
             endpoint.node_id in avoided,
-            plan.now_ms + choice.wait_ms > deadline_at_ms,
+            plan.now_ms + choice.wait_ms > need.deadline_at_ms,
             count_by_domain.get(endpoint.failure_domain, 0),
             plan.prices.cold_start_ms(choice.wait_ms) + choice.lost_ms + uncached_ms,
             len(choice.victims),
@@ -92,13 +116,14 @@
     return plan.prices.cold_start_ms(remote_ms) - plan.prices.cold_start_ms(disk_ms)
 
 
-def _choice_on(plan, model, version, victims_on, endpoint):
+def _choice_on(plan, need, victims_on, endpoint):
+    model, version = need.model, need.version
     node_id = endpoint.node_id
-    if version.memory_mb > endpoint.memory_mb:
+    if need.memory_mb > endpoint.memory_mb:
         return None
     tier = checkpoint_tier(endpoint, model.name, version.name)
     load_ms = plan.knowledge.load_times.expected_ms(tier, version.checkpoint_mb)
-    missing_mb = version.memory_mb - plan.free_mb(node_id)
+    missing_mb = need.memory_mb - plan.free_mb(node_id)
     if missing_mb <= 0:
         return Choice(endpoint, load_ms)
     wait_ms = load_ms + UNLOAD_MS
--- a/packages/hemlockdock-control/hemlockdock_control/placement/planner.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/planner.py
@@ -4,6 +4,7 @@
 from hemlockdock_control.placement.adapters import load_adapters
 from hemlockdock_control.placement.ahead import Ahead
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
+from hemlockdock_control.placement.eviction import Eviction
 from hemlockdock_control.placement.explain import explain_model
 from hemlockdock_control.placement.hangs import drop_hung
 from hemlockdock_control.placement.knowledge import Knowledge
@@ -101,8 +102,9 @@
         plan = self._plan(view, now_ms)
         drop_unwanted(plan)
         drop_hung(plan)
-        unmet = wake(plan, self._retention)
-        load_adapters(plan)
+        eviction = Eviction(plan, self._retention)
+        unmet = wake(plan, eviction)
+        load_adapters(plan, eviction)
         replace_versions(plan, unmet)
         self._retention.drop_idle(plan)
         if unmet == 0:
--- a/packages/hemlockdock-control/hemlockdock_control/placement/retention.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/retention.py
@@ -13,6 +13,7 @@
 LONGEST_RECHECK_MS = 60_000
 RECHECK_PART = 0.15
 UNLOAD_MS = 1_000
+LOAD_COST_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +100,7 @@
         wait_ms = self._wait_ms(plan, replica, model.version_by_name[replica.version])
         worth_ms = priority_part(model) * plan.prices.cold_start_ms(wait_ms)
         # Loading again holds an accelerator too, and serves nothing meanwhile.
-        worth_ms += plan.prices.hold_price * (wait_ms + UNLOAD_MS)
+        worth_ms += plan.prices.hold_price * (wait_ms + UNLOAD_MS + LOAD_COST_MS)
         outlooks = plan.knowledge.arrivals.outlooks(
             replica.model, since_ms, plan.now_ms, worth_ms, plan.prices.hold_price
         )
--- a/packages/hemlockdock-control/hemlockdock_control/placement/versions.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/versions.py
@@ -1,7 +1,7 @@
 """Replace replicas that the manifest in force or their endpoints no longer allow."""
 
 from hemlockdock_control.loading import Tier
-from hemlockdock_control.placement.hosts import choose_endpoint
+from hemlockdock_control.placement.hosts import Need, choose_endpoint
 from hemlockdock_core.rows import ReplicaState
 
 
@@ -86,7 +86,7 @@
             plan.unload(idle, "version replaced; idle for too long to warm the new one")
             return 0
     version = model.version_by_name[model.serve]
-    choice = choose_endpoint(plan, model, version, lambda node_id: [], 0)
+    choice = choose_endpoint(plan, Need(model, version), lambda node_id: [])
     if choice is None or choice.must_wait:
         plan.unload(old[0], "version replaced; no memory to warm the new one beside it")
         return 0
--- a/packages/hemlockdock-control/hemlockdock_control/placement/waking.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/waking.py
@@ -2,21 +2,21 @@
 
 from hemlockdock_control.loading import Tier
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
-from hemlockdock_control.placement.eviction import STARVED_MS, Eviction
-from hemlockdock_control.placement.hosts import choose_endpoint
+from hemlockdock_control.placement.eviction import STARVED_MS
+from hemlockdock_control.placement.hosts import Need, choose_endpoint
 from hemlockdock_control.placement.urgency import by_urgency
 from hemlockdock_core.rows import ReplicaState
 
 SCALE_UP_AFTER_MS = 2_000
 
 
-def wake(plan, retention):
+def wake(plan, eviction):
     """Decide the loads that waiting requests need, most urgent first.
 
     Parameters
     ----------
     plan : hemlockdock_control.placement.round.Round
-    retention : Retention
+    eviction : Eviction
 
     Returns
     -------
@@ -24,7 +24,6 @@
         How many loads were needed but could not be decided.
     """
     lacking = [demand for demand in plan.demand_by_model.values() if _missing(plan, demand) > 0]
-    eviction = Eviction(plan, retention)
     unmet = 0
     for demand in by_urgency(plan, lacking):
         unmet += _wake_model(plan, demand, eviction)
@@ -70,11 +69,17 @@
 
 
 def _choose(plan, model, version, demand, eviction):
-    choice = choose_endpoint(plan, model, version, eviction.idle_on, demand.deadline_at_ms)
+    need = Need(model, version, demand.deadline_at_ms, _adapters_mb(plan, demand))
+    choice = choose_endpoint(plan, need, eviction.idle_on)
     if choice is not None or plan.now_ms - demand.since_ms < STARVED_MS:
         return choice
     victims_on = eviction.any_on(max(demand.priority, model.priority))
-    return choose_endpoint(plan, model, version, victims_on, demand.deadline_at_ms)
+    return choose_endpoint(plan, need, victims_on)
+
+
+def _adapters_mb(plan, demand):
+    adapters = [plan.view.adapter_by_name.get(name) for name in demand.waiting_by_adapter]
+    return sum(adapter.memory_mb for adapter in adapters if adapter is not None)
 
 
 def _is_store_bound(plan, model):
--- a/tools/benchmarks/traces/baselines.py
+++ b/tools/benchmarks/traces/baselines.py
@@ -4,9 +4,10 @@
 from bisect import bisect_right
 
 from hemlockdock_control.placement import Planner
+from hemlockdock_control.placement.adapters import load_adapters
 from hemlockdock_control.placement.ahead import Ahead
+from hemlockdock_control.placement.eviction import Eviction
 from hemlockdock_control.placement.retention import Retention, Verdict, idle_since_ms
-from hemlockdock_control.placement.round import Round
 from hemlockdock_core.commands import DecideUnload
 from hemlockdock_core.rows import ReplicaState
 
@@ -152,9 +153,7 @@
         demands = sorted(plan.demand_by_model.values(), key=lambda d: (d.since_ms, d.model))
         for demand in demands:
             self._load_first_come(plan, demand)
-        from hemlockdock_control.placement.adapters import load_adapters
-
-        load_adapters(plan)
+        load_adapters(plan, Eviction(plan, self._retention))
         self._retention.drop_idle(plan)
         return plan.commands
 
@@ -192,14 +191,3 @@
         idle.sort(key=lambda replica: (replica.last_used_ms, replica.replica_id))
         for replica in idle[:1]:
             plan.unload(replica, "least recently used")
-
-
-__all__ = [
-    "FixedTtl",
-    "NeverUnload",
-    "NoneAhead",
-    "Oracle",
-    "OracleAhead",
-    "PlainPlanner",
-    "Round",
-]
