--- a/packages/hemlockdock-control/hemlockdock_control/placement/eviction.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/eviction.py
@@ -1,9 +1,10 @@
 """Choose which replicas may make room for a model that requests wait for."""
 
-from hemlockdock_control.placement.retention import GRACE_MS, SHORTEST_STAY_MS
+from hemlockdock_control.placement.retention import GRACE_MS
 from hemlockdock_core.rows import ReplicaState
 
 STARVED_MS = 20_000
+SHORTEST_STAY_MS = 30_000
 SHORTEST_IDLE_MS = 5_000
 SHORTEST_BUSY_STAY_MS = 120_000
 
--- a/packages/hemlockdock-control/hemlockdock_control/placement/retention.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/retention.py
@@ -6,7 +6,7 @@
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
 from hemlockdock_core.rows import ReplicaState
 
-SHORTEST_STAY_MS = 30_000
+SHORTEST_STAY_MS = 10_000
 EXTRA_STAY_MS = 120_000
 GRACE_MS = 1_000
 FIRST_RECHECK_MS = 5_000
--- a/packages/hemlockdock-control/hemlockdock_control/placement/waking.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/waking.py
@@ -53,18 +53,18 @@
         if not choice.must_wait:
             plan.load(model, version, choice.endpoint, f"{demand.waiting} requests wait")
             continue
-        _make_room(plan, model, version, choice)
+        _make_room(plan, model, version, choice, _adapters_mb(plan, demand))
         if tier is Tier.REMOTE:
             # The slot is kept, so that room is made for no more models than can be loaded.
             plan.budget.take(plan.now_ms)
     return missing - min(missing, room)
 
 
-def _make_room(plan, model, version, choice):
+def _make_room(plan, model, version, choice, adapters_mb):
     for victim in choice.victims:
         plan.unload(victim, f"makes room for {model.name}")
     node_id = choice.endpoint.node_id
-    plan.claim(node_id, version.memory_mb)
+    plan.claim(node_id, version.memory_mb + adapters_mb)
     plan.reason_by_model[model.name] = f"waits for unloads on {node_id}"
 
 
