--- a/packages/hemlockdock-control/hemlockdock_control/placement/explain.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/explain.py
@@ -42,6 +42,10 @@
 
 def _replica_line(plan, replica, retention):
     line = f"replica {replica.replica_id} of version {replica.version} on {replica.node_id}: "
+    endpoint = plan.view.endpoint_by_id.get(replica.node_id)
+    if endpoint is not None and endpoint.lost:
+        lost_s = (plan.now_ms - endpoint.lost_at_ms) / 1_000
+        return f"{line}its host has been lost for {lost_s:.0f} s; it counts until it is certain"
     if replica.state is not ReplicaState.READY:
         age_s = (plan.now_ms - replica.decided_at_ms) / 1_000
         return f"{line}{replica.state.value}, decided {age_s:.0f} s ago"
--- /dev/null
+++ b/tools/benchmarks/traces/wakes.py
@@ -0,0 +1,137 @@
+"""Wake many models, or one from many entries."""
+
+import heapq
+
+from benchmarks.traces.generate import START_MS
+from benchmarks.traces.store import SharedStore
+from hemlockdock_control.loading import Tier
+from hemlockdock_control.loading.load_times import nominal_load_ms
+from hemlockdock_control.placement import EndpointView, PlannerView, ReplicaView, WishView
+from hemlockdock_core.commands import DecideLoad
+from hemlockdock_core.rows import ReplicaState
+
+ENTRIES = 50
+MODELS = 40
+ROUND_MS = 100
+DEADLINE_MS = 600_000
+
+
+def burst_loads(planner, trace):
+    """Count the loads decided while 50 entries ask for one cold model.
+
+    The entries' wishes arrive over several rounds, and on until the model is ready.
+
+    Parameters
+    ----------
+    planner : Planner
+    trace : Trace
+
+    Returns
+    -------
+    int
+    """
+    model = trace.models[0]
+    view = _empty_view(trace)
+    loads = 0
+    for turn in range(ENTRIES):
+        now_ms = START_MS + turn * ROUND_MS
+        deadline_ms = now_ms + DEADLINE_MS
+        view.wishes.append(WishView(model.name, "", 4, deadline_ms, 50, now_ms))
+        loads += len(_carry_out(planner, view, now_ms))
+    return loads
+
+
+def wake_all(planner, trace, store):
+    """Wake 40 models that are only remote, and return how long it takes.
+
+    Parameters
+    ----------
+    planner : Planner
+    trace : Trace
+    store : hemlockdock_core.settings.sections.StoreSection
+
+    Returns
+    -------
+    (float, list of float)
+        Time until the last one is ready, and each load's time at full speed.
+    """
+    view = _empty_view(trace, memory_mb=10 * trace.hosts[0].memory_mb)
+    models = trace.models[:MODELS]
+    works_ms = {}
+    for model in models:
+        version = model.version_by_name[model.serve]
+        works_ms[model.name] = nominal_load_ms(Tier.REMOTE, version.checkpoint_mb)
+        deadline_ms = START_MS + DEADLINE_MS
+        view.wishes.append(WishView(model.name, "", 1, deadline_ms, 50, START_MS))
+    shared = SharedStore(store.loads_full_speed)
+    rounds = [START_MS]
+    now_ms = START_MS
+    while view.wishes:
+        end_ms = shared.next_end_ms()
+        now_ms = heapq.heappop(rounds)
+        if end_ms is not None and end_ms < now_ms:
+            heapq.heappush(rounds, now_ms)
+            now_ms = end_ms
+        shared.advance(now_ms)
+        _end_loads(planner, view, shared, now_ms)
+        if not rounds or rounds[0] > now_ms + ROUND_MS:
+            heapq.heappush(rounds, now_ms + ROUND_MS)
+        if now_ms != end_ms:
+            for replica in _carry_out(planner, view, round(now_ms)):
+                shared.left_by_id[replica.replica_id] = works_ms[replica.model]
+    return now_ms - START_MS, list(works_ms.values())
+
+
+def _empty_view(trace, memory_mb=None):
+    endpoints = [
+        EndpointView(
+            node_id=spec.node_id,
+            incarnation=1,
+            host=spec.node_id,
+            failure_domain=spec.failure_domain,
+            group=spec.group,
+            memory_mb=memory_mb or spec.memory_mb,
+            reserved_mb=0,
+        )
+        for spec in trace.hosts
+    ]
+    return PlannerView(
+        model_by_name={model.name: model for model in trace.models},
+        endpoint_by_id={endpoint.node_id: endpoint for endpoint in endpoints},
+    )
+
+
+def _carry_out(planner, view, now_ms):
+    decided = []
+    for command in planner.decide(view, now_ms):
+        if not isinstance(command, DecideLoad):
+            continue
+        replica = ReplicaView(
+            replica_id=f"r{len(view.replica_by_id)}",
+            model=command.model,
+            version=command.version,
+            node_id=command.node_id,
+            state=ReplicaState.LOADING,
+            decided_at_ms=now_ms,
+        )
+        view.replica_by_id[replica.replica_id] = replica
+        decided.append(replica)
+    return decided
+
+
+def _end_loads(planner, view, shared, now_ms):
+    for replica_id in shared.ended():
+        del shared.left_by_id[replica_id]
+        replica = view.replica_by_id[replica_id]
+        planner.observe_load(view, replica_id, round(now_ms) - replica.decided_at_ms)
+        view.replica_by_id[replica_id] = ReplicaView(
+            replica_id=replica_id,
+            model=replica.model,
+            version=replica.version,
+            node_id=replica.node_id,
+            state=ReplicaState.READY,
+            decided_at_ms=replica.decided_at_ms,
+            ready_at_ms=round(now_ms),
+            last_used_ms=round(now_ms),
+        )
+        view.wishes = [wish for wish in view.wishes if wish.model != replica.model]
