--- a/packages/hemlockdock-control/hemlockdock_control/placement/waking.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/waking.py
@@ -2,21 +2,21 @@
 
 from hemlockdock_control.loading import Tier
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
-from hemlockdock_control.placement.eviction import STARVED_MS, Eviction
-from hemlockdock_control.placement.hosts import choose_endpoint
+from hemlockdock_control.placement.eviction import STARVED_MS
+from hemlockdock_control.placement.hosts import Need, choose_endpoint
 from hemlockdock_control.placement.urgency import by_urgency
 from hemlockdock_core.rows import ReplicaState
 
 SCALE_UP_AFTER_MS = 2_000
 
 
-def wake(plan, retention):
+def wake(plan, eviction):
     """Decide the loads that waiting requests need, most urgent first.
 
     Parameters
     ----------
     plan : hemlockdock_control.placement.round.Round
-    retention : Retention
+    eviction : Eviction
 
     Returns
     -------
@@ -24,7 +24,6 @@
         How many loads were needed but could not be decided.
     """
     lacking = [demand for demand in plan.demand_by_model.values() if _missing(plan, demand) > 0]
-    eviction = Eviction(plan, retention)
     unmet = 0
     for demand in by_urgency(plan, lacking):
         unmet += _wake_model(plan, demand, eviction)
@@ -54,27 +53,33 @@
         if not choice.must_wait:
             plan.load(model, version, choice.endpoint, f"{demand.waiting} requests wait")
             continue
-        _make_room(plan, model, version, choice)
+        _make_room(plan, model, version, choice, _adapters_mb(plan, demand))
         if tier is Tier.REMOTE:
             # The slot is kept, so that room is made for no more models than can be loaded.
             plan.budget.take(plan.now_ms)
     return missing - min(missing, room)
 
 
-def _make_room(plan, model, version, choice):
+def _make_room(plan, model, version, choice, adapters_mb):
     for victim in choice.victims:
         plan.unload(victim, f"makes room for {model.name}")
     node_id = choice.endpoint.node_id
-    plan.claim(node_id, version.memory_mb)
+    plan.claim(node_id, version.memory_mb + adapters_mb)
     plan.reason_by_model[model.name] = f"waits for unloads on {node_id}"
 
 
 def _choose(plan, model, version, demand, eviction):
-    choice = choose_endpoint(plan, model, version, eviction.idle_on, demand.deadline_at_ms)
+    need = Need(model, version, demand.deadline_at_ms, _adapters_mb(plan, demand))
+    choice = choose_endpoint(plan, need, eviction.idle_on)
     if choice is not None or plan.now_ms - demand.since_ms < STARVED_MS:
         return choice
     victims_on = eviction.any_on(max(demand.priority, model.priority))
-    return choose_endpoint(plan, model, version, victims_on, demand.deadline_at_ms)
+    return choose_endpoint(plan, need, victims_on)
+
+
+def _adapters_mb(plan, demand):
+    adapters = [plan.view.adapter_by_name.get(name) for name in demand.waiting_by_adapter]
+    return sum(adapter.memory_mb for adapter in adapters if adapter is not None)
 
 
 def _is_store_bound(plan, model):
