--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
@@ -9,6 +9,8 @@
 
 MS_PER_S = 1_000
 MAX_RESUMES_WITHOUT_PROGRESS = 3
+# Rounding must not make the next check due at the very same time.
+SHORTEST_CHECK_S = 0.01
 
 
 class Attempt:
@@ -79,7 +81,7 @@
         """Tell the agent to stop, and take no more frames."""
         if self._closed:
             return
-        self._desk.send(self.node.address, Cancel(self.request_id, self._numbers[0]))
+        self._send_cancel()
         self.close()
 
     def close(self):
@@ -156,6 +158,11 @@
         self.close()
         self._listener.on_failed(body.refusal)
 
+    def _send_cancel(self):
+        # The agent heeds the number that it last answered; a lost Resume leaves the first one.
+        for number in {self._numbers[0], self._numbers[-1]}:
+            self._desk.send(self.node.address, Cancel(self.request_id, number))
+
     def _open(self, number):
         self._numbers.append(number)
         self._desk.attempts.open(self.request_id, number, self)
@@ -175,7 +182,7 @@
         self._stall_call = None
         idle_s = self._desk.clock.seconds() - self._progress_at
         if idle_s < self._stall_s:
-            left_s = self._stall_s - idle_s
+            left_s = max(SHORTEST_CHECK_S, self._stall_s - idle_s)
             self._stall_call = self._desk.clock.callLater(left_s, self._check_stall)
             return
         if not self._resumable and not self._has_head:
@@ -188,7 +195,7 @@
     def _resume_or_fail(self, message):
         exhausted = self._has_head and self._resumes >= MAX_RESUMES_WITHOUT_PROGRESS
         if not self._resumable or exhausted:
-            self._desk.send(self.node.address, Cancel(self.request_id, self._numbers[0]))
+            self._send_cancel()
             self.fail(ErrorKind.STREAM_STALLED, message)
             return
         self._resumes += 1
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
@@ -3,6 +3,7 @@
 import logging
 
 from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
 
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 from hemlockdock_core.messages import Wish
@@ -62,7 +63,7 @@
         self._unanswered = set()
         self._suspect_in_flight = None
         self._on_idle = None
-        self._ticks = LoopingCall(self.tick)
+        self._ticks = LoopingCall(self._tick_safely)
         self._ticks.clock = clock
 
     @property
@@ -315,6 +316,13 @@
         COUNTERS.increment("entry_faults")
         logger.error("request failed inside the entry", exc_info=failure.value)
 
+    def _tick_safely(self):
+        try:
+            self.tick()
+        except Exception:
+            # One request's fault must not end the periodic work for all others.
+            self.report_fault(Failure())
+
     def _check_idle(self):
         if self._on_idle is None or self._exchange_by_id or self.background.pending:
             return
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -6,7 +6,14 @@
 from hemlockdock_core.messages import Dispatch
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_entry.lifecycle import start_life
-from hemlockdock_entry.routing import FAULT_KINDS, FULL_KINDS, NextStep, Outcome, next_step
+from hemlockdock_entry.routing import (
+    FAULT_KINDS,
+    FULL_KINDS,
+    LEAVING_KINDS,
+    NextStep,
+    Outcome,
+    next_step,
+)
 from hemlockdock_entry.streams import StreamPlace
 from hemlockdock_entry.tasks.attempt import Attempt
 
@@ -83,16 +90,17 @@
         """Take the start of the answer."""
         if self.core.ended:
             return
-        if self.core.state != "streaming":
-            self.life.stream()
         attempt = self.attempt
         place = StreamPlace(attempt.request_id, attempt.node.node_id, attempt.offset)
         self.reply.head(status, content_type, place)
 
     def on_data(self, data):
         """Take the next bytes of the answer."""
-        if not self.core.ended:
-            self.reply.data(data)
+        if self.core.ended:
+            return
+        self.reply.data(data)
+        if self.reply.passed and self.core.state != "streaming":
+            self.life.stream()
 
     def on_end(self):
         """Take the end of the answer."""
@@ -212,9 +220,9 @@
         if refusal.kind in FAULT_KINDS:
             outcome = Outcome.FAILED
             self.avoided_nodes.add(self.replica.node_id)
-        if refusal.kind is ErrorKind.DRAINING:
+        if refusal.kind in LEAVING_KINDS:
             self.avoided_nodes.add(self.replica.node_id)
-        if refusal.kind is ErrorKind.ENDPOINT_LOST:
+        if refusal.kind is ErrorKind.ENDPOINT_LOST and refusal.not_run is not NotRun.TRUE:
             self.endpoints_lost += 1
             self.desk.suspects.lost_endpoint(self.request.fingerprint, now)
         self._release(outcome)
--- a/packages/hemlockdock-entry/tests/support.py
+++ b/packages/hemlockdock-entry/tests/support.py
@@ -78,13 +78,14 @@
 class FakeLink:
     """Stand for the link to control, with run-once records of its own."""
 
-    def __init__(self, routing):
+    def __init__(self, routing, records=None):
         self.table = routing
         self.fresh = True
         self.sent = []
         self.loads = []
-        self.reachable = True
-        self.records = RunRecords()
+        self.mode = "prompt"
+        self.late = []
+        self.records = records or RunRecords()
 
     def start(self):
         """Do nothing."""
@@ -104,10 +105,23 @@
         return False
 
     def propose(self, command, timeout_ms):
-        """Commit a command at once, or fail where control is out of reach."""
-        if not self.reachable:
+        """Commit a command in the way that the mode names."""
+        if self.mode == "unreachable":
             return fail(ControlUnavailableError("out of reach"))
-        return succeed(self.records.apply(command))
+        result = self.records.apply(command)
+        if self.mode == "answer lost":
+            return fail(ControlUnavailableError("no answer"))
+        if self.mode == "late":
+            answered = Deferred()
+            self.late.append((answered, result))
+            return answered
+        return succeed(result)
+
+    def answer_late(self):
+        """Answer the commands that were committed in late mode."""
+        late, self.late = self.late, []
+        for answered, result in late:
+            answered.callback(result)
 
 
 class RunRecords:
@@ -116,6 +130,7 @@
     def __init__(self):
         self.claim_by_key = {}
         self.finish_by_key = {}
+        self.freed = set()
 
     def apply(self, command):
         """Answer a run-once command."""
@@ -127,6 +142,8 @@
 
     def _claim(self, command):
         held = self.claim_by_key.get(command.key_hash)
+        if command.request_id in self.freed:
+            return CommandResult(1, None, RunState.NOT_RUN.value)
         if held is None:
             self.claim_by_key[command.key_hash] = held = command
         if held.body_hash != command.body_hash:
@@ -142,6 +159,7 @@
             return CommandResult(1, Refusal.of(ErrorKind.CONFLICT, "not yours"))
         if command.state is RunState.NOT_RUN:
             del self.claim_by_key[command.key_hash]
+            self.freed.add(command.request_id)
             return CommandResult(1, None, command.state.value)
         self.finish_by_key[command.key_hash] = command
         return CommandResult(1, None, command.state.value)
@@ -191,13 +209,15 @@
 class FakeReply:
     """Keep what a caller is told."""
 
-    def __init__(self):
+    def __init__(self, streaming=False):
+        self.streaming = streaming
         self.passed = False
         self.body = b""
         self.status = None
         self.refusal = None
         self.ended = False
         self.answers = 0
+        self.checked = False
 
     def head(self, status, content_type, place):
         """Keep the status."""
@@ -206,6 +226,7 @@
     def data(self, data):
         """Keep bytes."""
         self.body += data
+        self.passed = self.streaming
 
     def end(self):
         """Take the end."""
@@ -245,19 +266,16 @@
     return Request(**{**fields, **changes})
 
 
-def desk(routing, extra="", seed=1):
-    """Return a desk on virtual time, its link, its clock and the messages that it sends."""
-    clock = Clock()
-    link = FakeLink(routing)
-    sent = []
+def desk(routing, send=None, extra="", clock=None, records=None):
+    """Return a desk on virtual time; its link is ``desk.link``, its clock ``desk.clock``."""
+    clock = clock or Clock()
+    link = FakeLink(routing, records)
 
-    def send(address, message):
-        sent.append((address, message))
+    def wall_ms():
+        return int(clock.seconds() * 1000)
 
-    made = Desk(
-        clock, settings(extra), link, send, random.Random(seed), lambda: int(clock.seconds() * 1000)
-    )
-    return made, link, clock, sent
+    send = send or (lambda address, message: link.sent.append(message))
+    return Desk(clock, settings(extra), link, send, random.Random(1), wall_ms)
 
 
 def after(reactor, seconds):
