--- a/packages/hemlockdock-entry/hemlockdock_entry/streams/assembler.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/streams/assembler.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+MAX_EARLY_BYTES = 262_144
+
 
 class Step(Enum):
     """Name what one frame means for the answer."""
@@ -34,7 +36,9 @@
 
 
 class Assembler:
-    """Accept only the bytes that follow those already accepted.
+    """Hand on an answer's bytes in order, each once.
+
+    Parts that come too early are kept up to a limit, until those before them have come.
 
     Parameters
     ----------
@@ -44,14 +48,13 @@
     Attributes
     ----------
     offset : int
-        Bytes accepted so far.
-    length : int or None
-        Length of the whole answer once an end has named it.
+        Bytes handed on so far.
     """
 
     def __init__(self, offset=0):
         self.offset = offset
-        self.length = None
+        self._early_by_offset = {}
+        self._early_bytes = 0
 
     def chunk(self, offset, data):
         """Take a part of the answer.
@@ -66,12 +69,15 @@
         Assembled
         """
         if offset > self.offset:
+            self._keep(offset, data)
             return GAP
         new = data[self.offset - offset :]
         if not new:
             return DISCARDED
         self.offset += len(new)
-        return Assembled(Step.PASS, new)
+        if not self._early_by_offset:
+            return Assembled(Step.PASS, new)
+        return Assembled(Step.PASS, new + self._take_early())
 
     def end(self, length):
         """Take the end of the answer.
@@ -85,7 +91,24 @@
         Assembled
             ``GAP`` where bytes are missing.
         """
-        self.length = length
         if self.offset < length:
             return GAP
         return ENDED
+
+    def _keep(self, offset, data):
+        if offset in self._early_by_offset or self._early_bytes + len(data) > MAX_EARLY_BYTES:
+            return
+        self._early_by_offset[offset] = data
+        self._early_bytes += len(data)
+
+    def _take_early(self):
+        taken = []
+        for offset in sorted(self._early_by_offset):
+            if offset > self.offset:
+                break
+            data = self._early_by_offset.pop(offset)
+            self._early_bytes -= len(data)
+            new = data[self.offset - offset :]
+            self.offset += len(new)
+            taken.append(new)
+        return b"".join(taken)
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
@@ -44,6 +44,7 @@
         self._closed = False
         self._progress_at = desk.clock.seconds()
         self._resumes = 0
+        self._length = None
         self._stall_s = desk.settings.entry.stall_ms / MS_PER_S
         self._stall_call = None
 
@@ -121,16 +122,20 @@
 
     @handle.register
     def _(self, body: AnswerChunk):
+        if not self._has_head:
+            self._gap()
+            return
         assembled = self._assembler.chunk(body.offset, body.data)
-        if assembled.step is Step.PASS and self._has_head:
+        if assembled.step is Step.PASS:
             self._progress_at = self._desk.clock.seconds()
             self._resumes = 0
             self._listener.on_data(assembled.data)
+            self._end_if_whole()
             return
         if assembled.step is Step.DISCARD:
             COUNTERS.increment("entry_frames_discarded")
             return
-        self._gap(assembled)
+        self._gap()
 
     @handle.register
     def _(self, body: AnswerHead):
@@ -142,12 +147,9 @@
 
     @handle.register
     def _(self, body: AnswerEnd):
-        assembled = self._assembler.end(body.length)
-        if assembled.step is Step.END and self._has_head:
-            self.close()
-            self._listener.on_end()
-            return
-        self._gap(assembled)
+        self._length = body.length
+        if not self._end_if_whole():
+            self._gap()
 
     @handle.register
     def _(self, body: Refused):
@@ -167,11 +169,17 @@
         self._numbers.append(number)
         self._desk.attempts.open(self.request_id, number, self)
 
-    def _gap(self, assembled):
+    def _end_if_whole(self):
+        if self._length is None or not self._has_head:
+            return False
+        if self._assembler.end(self._length).step is not Step.END:
+            return False
+        self.close()
+        self._listener.on_end()
+        return True
+
+    def _gap(self):
         COUNTERS.increment("entry_stream_gaps")
-        if assembled.step is Step.PASS:
-            # Bytes without a head before them: take none of them until the head is there.
-            self._assembler.offset -= len(assembled.data)
         if self._resumes == 0:
             self._resume_or_fail("frames of the answer were lost")
 
