--- a/packages/hemlockdock-entry/tests/support.py
+++ b/packages/hemlockdock-entry/tests/support.py
@@ -6,7 +6,16 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
-from hemlockdock_core.commands import ClaimRun, CommandResult, FinishRun, RunState
+from hemlockdock_core.commands import (
+    ClaimJob,
+    ClaimRun,
+    CommandResult,
+    FinishJob,
+    FinishRun,
+    ReadJob,
+    RunState,
+    SubmitJob,
+)
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.links import PostOffice
 from hemlockdock_core.messages import (
@@ -125,19 +134,34 @@
 
 
 class RunRecords:
-    """Keep run-once records as control does."""
+    """Keep run-once records and jobs as control does."""
 
     def __init__(self):
         self.claim_by_key = {}
         self.finish_by_key = {}
         self.freed = set()
+        self.job_by_id = {}
 
     def apply(self, command):
-        """Answer a run-once command."""
+        """Answer a command."""
         if isinstance(command, ClaimRun):
             return self._claim(command)
         if isinstance(command, FinishRun):
             return self._finish(command)
+        if isinstance(command, SubmitJob):
+            job = self.job_by_id.setdefault(command.job_id, ["waiting", command, b""])
+            return CommandResult(1, None, job[0])
+        if isinstance(command, ClaimJob):
+            job = self.job_by_id[command.job_id]
+            if job[0] != "waiting":
+                return CommandResult(1, Refusal.of(ErrorKind.CONFLICT, "taken"))
+            job[0] = "running"
+            return CommandResult(1, None, job[0], job[1].body)
+        if isinstance(command, FinishJob):
+            self.job_by_id[command.job_id][::2] = [command.state, command.payload]
+        if isinstance(command, ReadJob) and command.job_id in self.job_by_id:
+            state, _, payload = self.job_by_id[command.job_id]
+            return CommandResult(1, None, state, payload)
         return CommandResult(1)
 
     def _claim(self, command):
@@ -177,6 +201,7 @@
         self.silent = False
         self.drop_chunk = None
         self.refusal = None
+        self.held_from = None
         self.office = PostOffice(reactor, node_id, 1, NODE_CODEC, "tcp://127.0.0.1:0", self._take)
 
     def _take(self, frame):
@@ -186,7 +211,7 @@
             if not self.silent:
                 self._answer(frame.reply_to, body, 0)
         if isinstance(body, Resume):
-            self.drop_chunk = None
+            self.drop_chunk = self.held_from = None
             self._answer(frame.reply_to, body, body.offset)
         if isinstance(body, Cancel):
             self.cancels.append(body)
@@ -200,6 +225,8 @@
         send(address, AnswerHead(request_id, attempt, self.status, self.content_type))
         offset = 0
         for index, part in enumerate(self.parts):
+            if index == self.held_from:
+                return
             if index != self.drop_chunk and offset + len(part) > start:
                 send(address, AnswerChunk(request_id, attempt, offset, part))
             offset += len(part)
--- a/packages/hemlockdock-entry/tests/test_streams.py
+++ b/packages/hemlockdock-entry/tests/test_streams.py
@@ -5,12 +5,12 @@
 import random
 import unittest
 
+from support import FakeReply, add_replica, desk, request, table
 from twisted.internet.task import Clock
 
 from hemlockdock_core.messages import AnswerChunk, AnswerEnd, AnswerHead, Cancel, Dispatch, Resume
 from hemlockdock_entry.streams import Assembler, EventMarker, Step, StreamPlace
 from hemlockdock_entry.tasks.exchange import Exchange
-from support import FakeReply, add_replica, desk, request, table
 
 STREAMS = 200
 SEED = 20_261_203
