--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
@@ -9,6 +9,8 @@
 
 MS_PER_S = 1_000
 MAX_RESUMES_WITHOUT_PROGRESS = 3
+# Rounding must not make the next check due at the very same time.
+SHORTEST_CHECK_S = 0.01
 
 
 class Attempt:
@@ -42,6 +44,7 @@
         self._closed = False
         self._progress_at = desk.clock.seconds()
         self._resumes = 0
+        self._length = None
         self._stall_s = desk.settings.entry.stall_ms / MS_PER_S
         self._stall_call = None
 
@@ -79,7 +82,7 @@
         """Tell the agent to stop, and take no more frames."""
         if self._closed:
             return
-        self._desk.send(self.node.address, Cancel(self.request_id, self._numbers[0]))
+        self._send_cancel()
         self.close()
 
     def close(self):
@@ -119,16 +122,20 @@
 
     @handle.register
     def _(self, body: AnswerChunk):
+        if not self._has_head:
+            self._gap()
+            return
         assembled = self._assembler.chunk(body.offset, body.data)
-        if assembled.step is Step.PASS and self._has_head:
+        if assembled.step is Step.PASS:
             self._progress_at = self._desk.clock.seconds()
             self._resumes = 0
             self._listener.on_data(assembled.data)
+            self._end_if_whole()
             return
         if assembled.step is Step.DISCARD:
             COUNTERS.increment("entry_frames_discarded")
             return
-        self._gap(assembled)
+        self._gap()
 
     @handle.register
     def _(self, body: AnswerHead):
@@ -140,12 +147,9 @@
 
     @handle.register
     def _(self, body: AnswerEnd):
-        assembled = self._assembler.end(body.length)
-        if assembled.step is Step.END and self._has_head:
-            self.close()
-            self._listener.on_end()
-            return
-        self._gap(assembled)
+        self._length = body.length
+        if not self._end_if_whole():
+            self._gap()
 
     @handle.register
     def _(self, body: Refused):
@@ -156,15 +160,26 @@
         self.close()
         self._listener.on_failed(body.refusal)
 
+    def _send_cancel(self):
+        # The agent heeds the number that it last answered; a lost Resume leaves the first one.
+        for number in {self._numbers[0], self._numbers[-1]}:
+            self._desk.send(self.node.address, Cancel(self.request_id, number))
+
     def _open(self, number):
         self._numbers.append(number)
         self._desk.attempts.open(self.request_id, number, self)
 
-    def _gap(self, assembled):
+    def _end_if_whole(self):
+        if self._length is None or not self._has_head:
+            return False
+        if self._assembler.end(self._length).step is not Step.END:
+            return False
+        self.close()
+        self._listener.on_end()
+        return True
+
+    def _gap(self):
         COUNTERS.increment("entry_stream_gaps")
-        if assembled.step is Step.PASS:
-            # Bytes without a head before them: take none of them until the head is there.
-            self._assembler.offset -= len(assembled.data)
         if self._resumes == 0:
             self._resume_or_fail("frames of the answer were lost")
 
@@ -175,7 +190,7 @@
         self._stall_call = None
         idle_s = self._desk.clock.seconds() - self._progress_at
         if idle_s < self._stall_s:
-            left_s = self._stall_s - idle_s
+            left_s = max(SHORTEST_CHECK_S, self._stall_s - idle_s)
             self._stall_call = self._desk.clock.callLater(left_s, self._check_stall)
             return
         if not self._resumable and not self._has_head:
@@ -188,7 +203,7 @@
     def _resume_or_fail(self, message):
         exhausted = self._has_head and self._resumes >= MAX_RESUMES_WITHOUT_PROGRESS
         if not self._resumable or exhausted:
-            self._desk.send(self.node.address, Cancel(self.request_id, self._numbers[0]))
+            self._send_cancel()
             self.fail(ErrorKind.STREAM_STALLED, message)
             return
         self._resumes += 1
