--- a/packages/hemlockdock-agent/tests/test_order_gate.py
+++ b/packages/hemlockdock-agent/tests/test_order_gate.py
@@ -6,7 +6,6 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from support import (
     MEMORY_MB,
-    TIMEOUT_MS,
     Sent,
     SmallControl,
     SmallEngine,
@@ -22,7 +21,6 @@
     ReportResult,
     SendOrder,
 )
-from hemlockdock_core.messages import LoadAdapterOrder, LoadOrder, OrderOutcome, UnloadOrder
 
 picks = st.integers(0, 7)
 
