--- /dev/null
+++ b/tools/mutants/agent.py
@@ -0,0 +1,96 @@
+"""List deliberate faults of the agent."""
+
+from mutants.mutant import Mutant
+
+AGENT = "packages/hemlockdock-agent/hemlockdock_agent"
+TESTS = "packages/hemlockdock-agent/tests"
+ORDER_TEST = f"{TESTS}/test_order_gate.py"
+
+MUTANTS = [
+    Mutant(
+        "an order for another incarnation is obeyed",
+        f"{AGENT}/orders/gate.py",
+        "if self.lapsed or (order.incarnation and order.incarnation != self._incarnation):",
+        "if self.lapsed:",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "an order with an old fence is obeyed",
+        f"{AGENT}/orders/gate.py",
+        "if order.fence < self.highest_fence:",
+        "if False:",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "a repeated order is carried out again",
+        f"{AGENT}/orders/gate.py",
+        "        if known is not None:\n            return [ReportResult",
+        "        if known is not None and known.in_flight:\n            return [ReportResult",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "orders overlap at an engine that ignores fences",
+        f"{AGENT}/orders/gate.py",
+        "if self._one_at_a_time and any_in_flight:",
+        "if False:",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "a restarted agent does not wait out its predecessor's order",
+        f"{AGENT}/orders/gate.py",
+        "now_ms + (self._timeout_ms if self._one_at_a_time else 0)",
+        "now_ms",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "an order whose answer was lost is taken for done",
+        f"{AGENT}/orders/gate.py",
+        "        if reply.outcome is None:",
+        "        if reply.outcome is None and self._end(record, OrderOutcome.DONE, '', now_ms):",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "an unload of what is not held stays in the agent",
+        f"{AGENT}/orders/preparation.py",
+        "    # It goes out even where nothing is held: its fence stops a load that is still on"
+        " its way.\n",
+        "    if order.replica_id not in holdings.replica_by_id:\n"
+        "        return OrderOutcome.DONE, 'not held'\n",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "memory is not checked before a load",
+        f"{AGENT}/orders/holdings.py",
+        "return self.reserved_mb + memory_mb <= min(self._settings_mb, self._engine_mb)",
+        "return True",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "an inventory overrules orders that came after it was asked for",
+        f"{AGENT}/orders/holdings.py",
+        "if replica_id not in open_ids and self.changed_at_by_id.get(replica_id, 0) <= asked_at",
+        "if replica_id not in open_ids",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "an older inventory overrules a newer one",
+        f"{AGENT}/orders/gate.py",
+        "if ask.number < self._answered_ask:",
+        "if False:",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "a replica that still loads is reported as loaded",
+        f"{AGENT}/orders/gate.py",
+        "            if not replica.ready:\n                fences.add",
+        "            if False:\n                fences.add",
+        ORDER_TEST,
+    ),
+    Mutant(
+        "a replica is unloaded under its requests",
+        f"{AGENT}/orders/gate.py",
+        "if isinstance(record.order, UnloadOrder) and is_busy(replica_id):",
+        "if False:",
+        ORDER_TEST,
+    ),
+]
