--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -147,8 +147,8 @@
         Returns
         -------
         Deferred
-            Fires once no request is in progress, everything is unloaded and control has seen it,
-            or the time for an order has passed.
+            Fires once no request is in progress and control has had everything unloaded, or the
+            time for an order has passed.
         """
         self.runs.draining = True
         self.link.set_leaving()
@@ -164,7 +164,6 @@
     def _hand_back(self, left):
         self._left = left
         self._leave_by_ms = self._now_ms() + self._settings.agent.order_timeout_ms
-        self.orders.lapse()
 
     def _check_left(self):
         if self._left.called:
@@ -177,10 +176,12 @@
         self._left.callback(None)
 
     def _handed_back(self):
+        if not self.link.fresh and not self.orders.gate.lapsed:
+            # Nobody is there to order it.
+            self.orders.lapse()
         if not self.orders.gate.empty:
             return False
         if not self.link.fresh:
-            # Nobody is there to tell; the replicas are counted until the host is taken for gone.
             return True
         own_id = self._settings.process.node_id
         rows = self.link.table.replica_by_id.values()
--- a/packages/hemlockdock-cli/hemlockdock_cli/demo/cluster.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/demo/cluster.py
@@ -42,7 +42,7 @@
         self.platform = StandInPlatform(reactor)
         self.service = StandInService(reactor)
         self.engines = []
-        self._processes = []
+        self._process_by_id = {}
         ports = free_ports(3 * members)
         self._member_ids = [f"control-{number + 1}" for number in range(members)]
         self._node_ports = ports[:members]
@@ -83,6 +83,19 @@
             process = yield self._start_process(self._entry_values(index))
             self._entries.append(process.services[-1])
 
+    def stop_process(self, node_id):
+        """Stop one process as SIGTERM would.
+
+        Parameters
+        ----------
+        node_id : str
+
+        Returns
+        -------
+        twisted.internet.defer.Deferred
+        """
+        return self._process_by_id[node_id].stop()
+
     @inlineCallbacks
     def stop(self):
         """Stop everything, stand-ins last.
@@ -91,7 +104,7 @@
         -------
         twisted.internet.defer.Deferred
         """
-        for process in reversed(self._processes):
+        for process in reversed(self._process_by_id.values()):
             yield process.stop()
         for engine in self.engines:
             yield maybeDeferred(engine.stop)
@@ -103,7 +116,7 @@
     @inlineCallbacks
     def _start_process(self, values):
         process = Process(self._reactor, Settings.model_validate(values))
-        self._processes.append(process)
+        self._process_by_id[values["process"]["node_id"]] = process
         yield process.start()
         return process
 
