Test the agent over sockets; judge broken connections before resuming

Cause: a stream whose engine crashed was resumed by the stall scan before the crash was judged, and its caller was told of a stall. Conclusion: a run in doubt is left to the judgement; a resumption that the engine refuses is judged as well.

--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/crash_watch.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/crash_watch.py
@@ -60,6 +60,7 @@
         ----------
         run : Run
         """
+        run.in_doubt = True
         self._broken.append(run)
         if not self._probing:
             self._probing = True
@@ -108,8 +109,8 @@
         if run.streaming and run.status and run.resumptions < MOST_RESUMPTIONS:
             self.requests.resume_run(run)
             return
-        refusal = Refusal.of(ErrorKind.ENGINE_FAILED, "the engine broke the connection")
-        self.requests.fail(run, refusal)
+        kind = ErrorKind.STREAM_STALLED if run.offset else ErrorKind.ENGINE_FAILED
+        self.requests.fail(run, Refusal.of(kind, "the engine broke the connection"))
 
     def _report(self, crashed):
         boot_id = crashed[0].boot_id
--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/relay.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/relay.py
@@ -23,8 +23,8 @@
     def close(self):
         """Break the connection off; nothing is called any more."""
         self._closed = True
-        if self.transport is not None and self.transport.producer is not None:
-            self.transport.abortConnection()
+        if self.transport is not None:
+            self.transport.loseConnection()
 
     def dataReceived(self, data):
         """Pass bytes on."""
--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/run.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/run.py
@@ -30,6 +30,8 @@
         When the engine last sent bytes.
     resumptions : int
         Times that the engine was asked for the rest since it last sent bytes.
+    in_doubt : bool
+        Whether its connection broke and the engine is being asked why.
     ended : bool
     """
 
@@ -43,6 +45,7 @@
     offset: int = 0
     heard_ms: float = 0.0
     resumptions: int = 0
+    in_doubt: bool = False
     ended: bool = False
 
     @property
--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/task.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/task.py
@@ -114,6 +114,7 @@
         if run.ended:
             return
         self._close_connection(run)
+        run.in_doubt = False
         run.resumptions += 1
         run.heard_ms = self._now_ms()
         COUNTERS.increment("agent_engine_resumptions")
@@ -150,7 +151,7 @@
         for run in list(self._gate.run_by_key.values()):
             if run.consumer is not None and run.consumer.node_id in lost_entries:
                 self._lose_reader(run)
-            if run.ended or run.dispatch.run_once:
+            if run.ended or run.in_doubt or run.dispatch.run_once:
                 continue
             waited_ms = now_ms - run.admitted_ms
             if not run.offset and waited_ms > run.dispatch.deadline_ms + DEADLINE_GRACE_MS:
@@ -237,8 +238,9 @@
             return
         if response.code != HTTP_OK:
             response.deliverBody(Relay(_ignore, _ignore))
-            refusal = Refusal.of(ErrorKind.STREAM_STALLED, "the engine has lost the answer's rest")
-            self.fail(run, refusal)
+            # The engine has lost the answer's rest; it may have restarted.
+            run.resumptions = MOST_RESUMPTIONS
+            self._on_broken(run)
             return
         self._receive(response, run)
 
--- /dev/null
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -0,0 +1,304 @@
+"""Test an agent over sockets, between a stand-in engine, a small control and small entries."""
+
+import json
+import unittest
+from collections import defaultdict
+
+from support import dispatch, settings
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+from twisted.trial.unittest import TestCase
+
+from hemlockdock_agent.lifecycle import EngineLockedError
+from hemlockdock_agent.service import AgentService
+from hemlockdock_core.errors import ErrorKind, NotRun
+from hemlockdock_core.links import PostOffice
+from hemlockdock_core.messages import (
+    NODE_CODEC,
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    Cancel,
+    CrashReport,
+    Heartbeat,
+    HeartbeatAck,
+    Inventory,
+    Leaving,
+    LoadOrder,
+    OrderOutcome,
+    OrderResult,
+    Refused,
+    Resume,
+    TableChunk,
+    UnloadOrder,
+    WatchTable,
+)
+from hemlockdock_core.rows import ModelRow, NodeRow, ReplicaRow, ReplicaState
+from hemlockdock_standins.engine import EngineOptions, StandInEngine, answer_body, stream_body
+
+WAIT_S = 20
+POLL_S = 0.01
+ANY_ADDRESS = "tcp://127.0.0.1:0"
+
+
+class Control:
+    """Acknowledge heartbeats, hand out a table, keep what the agent reports."""
+
+    def __init__(self):
+        self.office = PostOffice(reactor, "c1", 1, NODE_CODEC, ANY_ADDRESS, self.take)
+        self.rows = []
+        self.revision = 10
+        self.silent = False
+        self.agent = None
+        self.received = defaultdict(list)
+        self.incarnations = []
+
+    def take(self, frame):
+        """Answer one frame."""
+        if self.silent:
+            return
+        self.agent = frame.reply_to
+        self.received[type(frame.body)].append(frame.body)
+        if isinstance(frame.body, Heartbeat):
+            if frame.incarnation not in self.incarnations:
+                self.incarnations.append(frame.incarnation)
+            acknowledgement = HeartbeatAck(frame.body.sequence, self.revision, True, True)
+            self.office.send(frame.reply_to, acknowledgement)
+        if isinstance(frame.body, WatchTable):
+            self.send_table()
+
+    def send_table(self):
+        """Send the whole table."""
+        self.office.send(self.agent, TableChunk(1, self.revision, 0, 1, self.rows))
+
+    def change(self, *rows):
+        """Replace the table's rows."""
+        self.rows = list(rows)
+        self.revision += 1
+        self.send_table()
+
+
+class Entry:
+    """Dispatch requests and keep the frames of each try."""
+
+    def __init__(self, node_id):
+        self.office = PostOffice(reactor, node_id, 1, NODE_CODEC, ANY_ADDRESS, self.take)
+        self.frames = defaultdict(list)
+        self.leaving = []
+
+    def take(self, frame):
+        """Keep one frame."""
+        if isinstance(frame.body, Leaving):
+            self.leaving.append(frame.body)
+            return
+        self.frames[frame.body.request_id, frame.body.attempt].append(frame.body)
+
+    def body(self, key, offset=0):
+        """Return a try's bytes, each where the one before ended."""
+        read = b""
+        for frame in self.frames[key]:
+            if isinstance(frame, AnswerChunk):
+                assert frame.offset == offset + len(read)
+                read += frame.data
+        return read
+
+    def last(self, key, kind):
+        """Return a try's last frame if it is of a kind."""
+        frames = self.frames[key]
+        return frames[-1] if frames and isinstance(frames[-1], kind) else None
+
+
+class AgentServiceTest(TestCase):
+    timeout = WAIT_S
+
+    @inlineCallbacks
+    def setUp(self):
+        self.engine = StandInEngine(reactor, EngineOptions(token_ms=4.0, restart_ms=50.0))
+        yield self.engine.start()
+        self.addCleanup(self.engine.stop)
+        self.control = Control()
+        self.addCleanup(self.control.office.close)
+        self.entry = self.open_entry("entry-1")
+        address = self.control.office.address.removeprefix("tcp://")
+        self.settings = settings(engine_url=self.engine.url, control=address, poll_ms=50)
+        self.agent = AgentService(reactor, self.settings)
+        yield self.agent.start()
+        self.addCleanup(self.agent.stop)
+        yield self.until(lambda: self.control.received[Inventory])
+
+    def open_entry(self, node_id):
+        entry = Entry(node_id)
+        self.addCleanup(entry.office.close)
+        return entry
+
+    @inlineCallbacks
+    def until(self, condition):
+        while not condition():
+            yield deferLater(reactor, POLL_S, lambda: None)
+
+    def order(self, order):
+        self.control.office.send(self.agent.node_address, order)
+
+    def result(self, fence):
+        for result in self.control.received[OrderResult]:
+            if result.fence == fence:
+                return result.outcome
+        return None
+
+    @inlineCallbacks
+    def load(self):
+        self.order(LoadOrder("r1", 5, "m", "v", 50, 4, 0, self.control.incarnations[-1]))
+        yield self.until(lambda: self.result(5))
+        self.assertEqual(self.result(5), OrderOutcome.DONE)
+        self.show_replica(ReplicaState.READY)
+        yield self.until(lambda: self.agent.session.link.table.revision == self.control.revision)
+
+    def show_replica(self, state):
+        address = self.entry.office.address
+        self.control.change(
+            NodeRow("entry-1", "entry", "h", "d", address, 1, False, False),
+            ModelRow("m", "v", "live", 50, 1, 4, 100),
+            ReplicaRow("r1", "m", "v", "agent-1", state, 5, [], 4),
+        )
+
+    def send(self, request_id, count=20, marker="", attempt=1, streaming=True, **changes):
+        asked = {"model": "m", "max_tokens": count, "stream": streaming, "prompt": marker}
+        body = json.dumps(asked).encode()
+        message = dispatch(
+            request_id, attempt, body=body, streaming=streaming, table_revision=99, **changes
+        )
+        self.entry.office.send(self.agent.node_address, message)
+        return body
+
+    @inlineCallbacks
+    def test_answers_come_whole_also_over_stalls_and_broken_connections(self):
+        yield self.load()
+        markers = {"q1": "", "q2": "#stall-once", "q3": "#drop"}
+        bodies = {name: self.send(name, marker=marker) for name, marker in markers.items()}
+        for name, body in bodies.items():
+            yield self.until(lambda name=name: self.entry.last((name, 1), AnswerEnd))
+            self.assertEqual(self.entry.body((name, 1)), stream_body(body, 20))
+        plain = self.send("q4", streaming=False)
+        yield self.until(lambda: self.entry.last(("q4", 1), AnswerEnd))
+        self.assertEqual(self.entry.body(("q4", 1)), answer_body(plain, 20))
+        self.assertEqual(self.engine.ledger.most_runs(), 1)
+
+    @inlineCallbacks
+    def test_a_stream_that_stays_stalled_ends_with_a_refusal(self):
+        yield self.load()
+        self.send("q1", marker="#stall")
+        yield self.until(lambda: self.entry.last(("q1", 1), Refused))
+        refusal = self.entry.last(("q1", 1), Refused).refusal
+        self.assertEqual(refusal.kind, ErrorKind.STREAM_STALLED)
+        self.assertIs(refusal.not_run, NotRun.FALSE)
+
+    @inlineCallbacks
+    def test_another_entry_reads_the_rest_after_the_first_one_is_lost(self):
+        yield self.load()
+        body = self.send("q1", count=60, resumable=True)
+        yield self.until(lambda: len(self.entry.frames["q1", 1]) > 5)
+        self.entry.office.close()
+        read = len(self.entry.body(("q1", 1)))
+        other = self.open_entry("entry-2")
+        other.office.send(self.agent.node_address, Resume("q1", 7, read))
+        yield self.until(lambda: other.last(("q1", 7), AnswerEnd))
+        self.assertEqual(other.body(("q1", 7), read), stream_body(body, 60)[read:])
+        self.assertIsInstance(other.frames["q1", 7][0], AnswerHead)
+
+    @inlineCallbacks
+    def test_a_repeated_dispatch_runs_once(self):
+        yield self.load()
+        for _ in range(3):
+            self.send("q1")
+        yield self.until(lambda: self.entry.last(("q1", 1), AnswerEnd))
+        self.send("q1")
+        yield self.until(lambda: self.entry.last(("q1", 1), Refused))
+        self.assertEqual(self.entry.last(("q1", 1), Refused).refusal.not_run, NotRun.FALSE)
+        self.assertEqual(self.engine.ledger.most_runs(), 1)
+
+    @inlineCallbacks
+    def test_a_cancelled_request_stops_at_the_engine_unless_it_runs_once(self):
+        yield self.load()
+        self.send("q1", count=2_000)
+        once = self.send("q2", count=80, run_once=True, resumable=True)
+        yield self.until(lambda: self.entry.frames["q1", 1] and self.entry.frames["q2", 1])
+        for name in ("q1", "q2"):
+            self.entry.office.send(self.agent.node_address, Cancel(name, 1))
+        yield self.until(lambda: self.engine.requests.running == 1)
+        self.entry.office.send(self.agent.node_address, Resume("q2", 2, 0))
+        yield self.until(lambda: self.entry.last(("q2", 2), AnswerEnd))
+        self.assertEqual(self.entry.body(("q2", 2)), stream_body(once, 80))
+
+    @inlineCallbacks
+    def test_a_crash_is_reported_once_with_what_was_in_flight(self):
+        yield self.load()
+        self.send("q1", count=2_000, fingerprint="bystander")
+        yield self.until(lambda: self.entry.frames["q1", 1])
+        self.send("q2", marker="#poison", fingerprint="culprit")
+        for name in ("q1", "q2"):
+            yield self.until(lambda name=name: self.entry.last((name, 1), Refused))
+            refusal = self.entry.last((name, 1), Refused).refusal
+            self.assertEqual(refusal.kind, ErrorKind.ENDPOINT_LOST)
+            self.assertIs(refusal.not_run, NotRun.UNKNOWN)
+        yield self.until(lambda: len(self.control.received[CrashReport]) > 1)
+        received = self.control.received[CrashReport]
+        reports = {(report.crash_id, *report.fingerprints) for report in received}
+        self.assertEqual(len(reports), 1)
+        self.assertEqual(reports.pop()[1:], ("bystander", "culprit"))
+        yield self.until(lambda: not self.control.received[Inventory][-1].loaded)
+
+    @inlineCallbacks
+    def test_an_order_whose_answer_is_lost_ends_by_the_inventory(self):
+        self.engine.options.lose_order_answers = 1
+        yield self.load()
+        self.assertEqual(self.engine.ledger.most_loaded_by_model, {"m": 1})
+
+    @inlineCallbacks
+    def test_an_unload_waits_for_the_requests_in_progress(self):
+        yield self.load()
+        body = self.send("q1", count=40)
+        yield self.until(lambda: self.entry.frames["q1", 1])
+        self.order(UnloadOrder("r1", 6, self.control.incarnations[-1]))
+        yield self.until(lambda: self.entry.last(("q1", 1), AnswerEnd))
+        self.assertEqual(self.entry.body(("q1", 1)), stream_body(body, 40))
+        yield self.until(lambda: self.result(6))
+        self.assertEqual(self.engine.state.replica_by_id, {})
+
+    @inlineCallbacks
+    def test_a_graceful_stop_cuts_nothing_and_tells_everybody(self):
+        yield self.load()
+        body = self.send("q1", count=60)
+        yield self.until(lambda: self.entry.frames["q1", 1])
+        stopped = self.agent.stop()
+        yield self.until(lambda: self.entry.leaving and self.control.received[Leaving])
+        self.send("q2")
+        yield self.until(lambda: self.entry.last(("q2", 1), Refused))
+        refusal = self.entry.last(("q2", 1), Refused).refusal
+        self.assertEqual((refusal.kind, refusal.not_run), (ErrorKind.DRAINING, NotRun.TRUE))
+        yield stopped
+        yield self.until(lambda: self.entry.last(("q1", 1), AnswerEnd))
+        self.assertEqual(self.entry.body(("q1", 1)), stream_body(body, 60))
+
+    @inlineCallbacks
+    def test_a_second_agent_for_the_engine_does_not_start(self):
+        twin = AgentService(reactor, self.settings)
+        with self.assertRaises(EngineLockedError):
+            yield twin.start()
+        yield twin.stop()
+
+    @inlineCallbacks
+    def test_an_agent_that_is_cut_off_unloads_and_comes_back_under_a_new_number(self):
+        yield self.load()
+        self.control.silent = True
+        yield self.until(lambda: not self.engine.state.replica_by_id)
+        self.control.silent = False
+        yield self.until(lambda: len(self.control.incarnations) > 1)
+        self.order(LoadOrder("r2", 9, "m", "v", 50, 4, 0, self.control.incarnations[0]))
+        self.order(LoadOrder("r3", 9, "m", "v", 50, 4, 0, self.control.incarnations[-1]))
+        yield self.until(lambda: self.result(9))
+        self.assertEqual(set(self.engine.state.replica_by_id), {"r3"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hemlockdock-standins/hemlockdock_standins/engine/requests.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/requests.py
@@ -125,6 +125,8 @@
         count = int(asked.get("max_tokens", self._options.keep_tokens))
         request_id = request.getHeader("x-request-id") or str(id(request))
         faults = {marker for marker in MARKERS if marker in body}
+        if STALL_ONCE in faults:
+            faults.discard(STALL)
         texts = token_texts(body, count)
         run = EngineRun(request_id, body, texts, bool(asked.get("stream")), faults)
         self._ledger.run(request.getHeader("idempotency-key") or request_id)
