--- /dev/null
+++ b/packages/hemlockdock-standins/tests/test_engine.py
@@ -0,0 +1,62 @@
+"""Test that the stand-in engine notices what must never happen."""
+
+import json
+import unittest
+
+import treq
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.trial.unittest import TestCase
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from hemlockdock_standins.engine import EngineOptions, StandInEngine
+
+WAIT_S = 20
+
+
+class StandInEngineTest(TestCase):
+    timeout = WAIT_S
+
+    @inlineCallbacks
+    def setUp(self):
+        self.engine = StandInEngine(reactor, EngineOptions(memory_mb=100))
+        yield self.engine.start()
+        self.addCleanup(self.engine.stop)
+        pool = HTTPConnectionPool(reactor, persistent=False)
+        self.agent = Agent(reactor, pool=pool)
+
+    @inlineCallbacks
+    def order(self, kind, fence, replica_id, memory_mb=60):
+        order = {
+            "fence": fence,
+            "replica_id": replica_id,
+            "model": "m",
+            "version": "v",
+            "memory_mb": memory_mb,
+        }
+        response = yield treq.post(
+            f"{self.engine.url}/orders/{kind}", json.dumps(order).encode(), agent=self.agent
+        )
+        yield treq.content(response)
+        return response.code
+
+    @inlineCallbacks
+    def test_memory_and_replicas_are_accounted_for(self):
+        self.assertEqual((yield self.order("load", 1, "r1")), 200)
+        self.assertEqual((yield self.order("load", 2, "r2")), 507)
+        self.assertEqual(self.engine.ledger.memory_violations, 1)
+        self.assertEqual((yield self.order("unload", 3, "r1")), 200)
+        self.assertEqual((yield self.order("load", 4, "r2")), 200)
+        self.assertEqual(self.engine.ledger.most_loaded_by_model, {"m": 1})
+
+    @inlineCallbacks
+    def test_old_fences_are_refused_or_obeyed_by_option_and_counted(self):
+        yield self.order("load", 5, "r1")
+        self.assertEqual((yield self.order("unload", 4, "r1")), 409)
+        self.engine.options.refuses_old_fences = False
+        self.assertEqual((yield self.order("unload", 4, "r1")), 200)
+        self.assertEqual(self.engine.ledger.fence_violations, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
