--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -77,6 +77,8 @@
         self._on_lapsed = on_lapsed
         self._started_s = reactor.seconds()
         self._inventory_ms = 0.0
+        self._left = None
+        self._leave_by_ms = 0.0
         self._watch = TableWatch()
         process = settings.process
         self._office = PostOffice(
@@ -137,12 +139,16 @@
         self._ticks.start(TICK_S)
 
     def leave(self):
-        """Take no new requests, and tell everybody.
+        """Take no new requests, tell everybody, and hand back what is loaded.
+
+        A replica that is left loaded would count until its host is taken for gone, and keep its
+        model from waking elsewhere.
 
         Returns
         -------
         Deferred
-            Fires once no request is in progress and its frames had time to go out.
+            Fires once no request is in progress, everything is unloaded and control has seen it,
+            or the time for an order has passed.
         """
         self.runs.draining = True
         self.link.set_leaving()
@@ -152,9 +158,34 @@
             if row.role == "entry" and not row.lost:
                 self._office.send(row.address, leaving)
         left = Deferred()
-        self.requests.when_idle(lambda: self._reactor.callLater(FLUSH_S, left.callback, None))
+        self.requests.when_idle(lambda: self._hand_back(left))
         return left
 
+    def _hand_back(self, left):
+        self._left = left
+        self._leave_by_ms = self._now_ms() + self._settings.agent.order_timeout_ms
+        self.orders.lapse()
+
+    def _check_left(self):
+        if self._left.called:
+            return
+        given_up = self._now_ms() >= self._leave_by_ms
+        if not given_up and not self._handed_back():
+            return
+        if given_up:
+            logger.warning("left with replicas that control still counts")
+        self._left.callback(None)
+
+    def _handed_back(self):
+        if not self.orders.gate.empty:
+            return False
+        if not self.link.fresh:
+            # Nobody is there to tell; the replicas are counted until the host is taken for gone.
+            return True
+        own_id = self._settings.process.node_id
+        rows = self.link.table.replica_by_id.values()
+        return all(row.node_id != own_id for row in rows)
+
     def close(self):
         """Close everything at once."""
         for loop in (self._ticks, self._polls):
@@ -219,6 +250,10 @@
         self.store.expire(now_ms)
         self.orders.advance()
         self._crashes.repeat(self.link.table)
+        if self._left is not None:
+            self.orders.send_inventory()
+            self._check_left()
+            return
         if now_ms - self._inventory_ms >= INVENTORY_REPEAT_MS:
             self._inventory_ms = now_ms
             self.orders.send_inventory()
--- /dev/null
+++ b/tools/mutants/consensus.py
@@ -0,0 +1,190 @@
+"""List deliberate faults in consensus and storage."""
+
+from tools.mutants.mutant import Mutant
+
+CONSENSUS = "packages/hemlockdock-control/hemlockdock_control/consensus/"
+STORAGE = "packages/hemlockdock-control/hemlockdock_control/storage/"
+TESTS = "packages/hemlockdock-control/tests/"
+FUZZ = TESTS + "test_consensus_fuzz.py"
+FAULTS = TESTS + "test_consensus_faults.py"
+CORE = TESTS + "test_core.py"
+DISK = TESTS + "test_storage.py"
+
+MUTANTS = [
+    Mutant(
+        "vote twice in a term",
+        CONSENSUS + "elections.py",
+        'state.voted_for in ("", sender)',
+        "True",
+        CORE,
+    ),
+    Mutant(
+        "skip the sync",
+        STORAGE + "wal.py",
+        "        self._disk.sync(name)\n",
+        "",
+        FUZZ,
+    ),
+    Mutant(
+        "promise before the sync",
+        CONSENSUS + "member_state.py",
+        "def send(self, member_id, message, after_sync=True):",
+        "def send(self, member_id, message, after_sync=False):",
+        FUZZ,
+    ),
+    Mutant(
+        "commit an earlier term's entries by counting",
+        CONSENSUS + "replication.py",
+        "    if index < state.term_start_index:\n        return\n",
+        "",
+        CORE,
+    ),
+    Mutant(
+        "a lease that ignores clock drift",
+        CONSENSUS + "timing.py",
+        "self.election_ms * (1.0 - self.lease_drift)",
+        "self.election_ms",
+        FAULTS,
+    ),
+    Mutant(
+        "a lease counted from when the reply came",
+        CONSENSUS + "member_state.py",
+        "max(progress.acked_ms, reply.sent_ms)",
+        "now_ms",
+        FAULTS,
+    ),
+    Mutant(
+        "a restarted voter forgets that it follows a leader",
+        CONSENSUS + "member_state.py",
+        "now_ms if self.term > 0 else NEVER_MS",
+        "NEVER_MS",
+        FAULTS,
+    ),
+    Mutant(
+        "a lease kept after a handover",
+        CONSENSUS + "quorums.py",
+        "if not state.is_leader or state.lease_given_up:",
+        "if not state.is_leader:",
+        FAULTS,
+    ),
+    Mutant(
+        "non-voters counted",
+        CONSENSUS + "configuration.py",
+        "[member.member_id for member in self.members if member.voter]",
+        "[member.member_id for member in self.members]",
+        CORE,
+    ),
+    Mutant(
+        "a non-voter promoted before it caught up",
+        CONSENSUS + "member_changes.py",
+        "    if progress.match_index < state.commit_index:\n        return False\n",
+        "",
+        CORE,
+    ),
+    Mutant(
+        "two changes of members at once",
+        CONSENSUS + "member_changes.py",
+        "    if state.configuration_index > state.commit_index:\n",
+        "    if False:\n",
+        CORE,
+    ),
+    Mutant(
+        "an emptied folder votes",
+        CONSENSUS + "configuration.py",
+        "member is not None and member.voter and member.folder_id == folder_id",
+        "member is not None and member.voter",
+        CORE,
+    ),
+    Mutant(
+        "a late short request truncates acknowledged entries",
+        CONSENSUS + "following.py",
+        "        if found == entry.term:\n            continue\n",
+        "",
+        CORE,
+    ),
+    Mutant(
+        "vote for a shorter log",
+        CONSENSUS + "elections.py",
+        "return (request.last_term, request.last_index) >= mine",
+        "return request.last_term >= mine[0]",
+        CORE,
+    ),
+    Mutant(
+        "the leader counts entries that it has not synced",
+        CONSENSUS + "replication.py",
+        "        return state.synced_index\n",
+        "        return state.log.last_index\n",
+        CORE,
+    ),
+    Mutant(
+        "a candidate counts its vote before it is synced",
+        CONSENSUS + "elections.py",
+        "    _ask_for_votes(state, state.term, pre=False)\n",
+        "    state.votes = {state.member_id}\n    _count_votes(state, now_ms)\n",
+        CORE,
+    ),
+    Mutant(
+        "a late snapshot drops acknowledged entries",
+        CONSENSUS + "following.py",
+        "    if state.log.term_at(chunk.index) == chunk.index_term:\n",
+        "    if False:\n",
+        CORE,
+    ),
+    Mutant(
+        "an uncertain command reported as refused",
+        CONSENSUS + "pending_proposals.py",
+        "deferred.errback(UnknownOutcomeError())",
+        'deferred.errback(NotLeaderError(""))',
+        FAULTS,
+    ),
+    Mutant(
+        "go on after a failed sync",
+        STORAGE + "member_storage.py",
+        "            self._failure = StorageFailedError(error)\n"
+        "            raise self._failure from error\n",
+        "            return\n",
+        DISK,
+    ),
+    Mutant(
+        "keep entries that conflict with an installed snapshot",
+        STORAGE + "member_storage.py",
+        "            self._waiting.append(ResetRecord(effect.snapshot.index))\n",
+        "            pass\n",
+        DISK,
+    ),
+    Mutant(
+        "forget the vote when segments are removed",
+        STORAGE + "member_storage.py",
+        "self._wal.begin(self._term, self._voted_for)",
+        'self._wal.begin(0, "")',
+        DISK,
+    ),
+    Mutant(
+        "take damage for a torn write",
+        STORAGE + "frames.py",
+        "return frame_end == end and _has_zero_page(data, offset, end)",
+        "return True",
+        DISK,
+    ),
+    Mutant(
+        "read on after a torn segment",
+        STORAGE + "wal.py",
+        "(frames.ending is Ending.TORN and not is_last)",
+        "False",
+        DISK,
+    ),
+    Mutant(
+        "take another member's folder",
+        STORAGE + "identity_file.py",
+        "if (identity.cluster, identity.member_id) != (cluster, member_id):",
+        "if identity.cluster != cluster:",
+        DISK,
+    ),
+    Mutant(
+        "a leader that never checks its quorum",
+        CONSENSUS + "event_handlers.py",
+        "if not quorums.hears_quorum(state, now_ms):",
+        "if False:",
+        CORE,
+    ),
+]
