Keep repeated work going after a failure; wait for probes when an agent stops

Cause: a tick of the agent raised (relay.close used an attribute the library does not have) and ended its LoopingCall, so that the agent did nothing any more while it looked alive. Repeating logs, counts and goes on; a test raises on every call.

--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import treq
-from twisted.internet.defer import inlineCallbacks, succeed
+from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks, succeed
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -68,15 +68,18 @@
         # A request that met a closed connection may have run, so it is never sent again here.
         self._pool.retryAutomatically = False
         self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._probes = set()
 
+    @inlineCallbacks
     def close(self):
-        """Close idle connections.
+        """Wait for the probes under way, each of which has a timeout, then close connections.
 
         Returns
         -------
         Deferred
         """
-        return self._pool.closeCachedConnections()
+        yield DeferredList(list(self._probes))
+        yield self._pool.closeCachedConnections()
 
     @inlineCallbacks
     def order(self, kind, order, timeout_ms):
@@ -105,7 +108,6 @@
             return OrderReply(None, type(error).__name__)
         return OrderReply.of_status(response.code, content.decode("utf-8", "replace"))
 
-    @inlineCallbacks
     def inventory(self):
         """Ask what the engine holds.
 
@@ -114,6 +116,10 @@
         Deferred of EngineInventory or None
             None where no answer came.
         """
+        return self._tracked(self._inventory())
+
+    @inlineCallbacks
+    def _inventory(self):
         try:
             response = yield treq.get(
                 f"{self._url}/inventory", agent=self._agent, timeout=PROBE_TIMEOUT_S
@@ -124,7 +130,6 @@
             logger.debug("no inventory", extra={"problem": type(error).__name__})
             return None
 
-    @inlineCallbacks
     def load(self):
         """Ask for the engine's own report of its load.
 
@@ -133,6 +138,10 @@
         Deferred of int or None
             Requests running, as of a while ago.
         """
+        return self._tracked(self._load())
+
+    @inlineCallbacks
+    def _load(self):
         try:
             response = yield treq.get(
                 f"{self._url}/load", agent=self._agent, timeout=PROBE_TIMEOUT_S
@@ -143,7 +152,6 @@
             logger.debug("no load report", extra={"problem": type(error).__name__})
             return None
 
-    @inlineCallbacks
     def cancel(self, request_id):
         """Ask the engine to stop generating for a request.
 
@@ -155,6 +163,10 @@
         -------
         Deferred
         """
+        return self._tracked(self._cancel(request_id))
+
+    @inlineCallbacks
+    def _cancel(self, request_id):
         try:
             response = yield treq.post(
                 f"{self._url}/cancel",
@@ -203,3 +215,14 @@
         """
         url = f"{self._url}/streams/{request_id}?offset={offset}"
         return self._agent.request(b"GET", url.encode())
+
+    def _tracked(self, answered):
+        # What waits for the pool to be empty waits for a copy, so that nobody loses a result.
+        done = Deferred()
+        self._probes.add(done)
+        return answered.addBoth(self._settle, done)
+
+    def _settle(self, result, done):
+        self._probes.discard(done)
+        done.callback(None)
+        return result
--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -5,7 +5,6 @@
 from functools import singledispatchmethod
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from hemlockdock_agent.answers import AnswerStore
 from hemlockdock_agent.orders import OrderGate
@@ -30,6 +29,7 @@
     UnloadOrder,
 )
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.repeating import Repeating
 
 logger = logging.getLogger(__name__)
 
@@ -117,10 +117,8 @@
             self._now_ms,
         )
         self._crashes.requests = self.requests
-        self._ticks = LoopingCall(self._tick)
-        self._polls = LoopingCall(self.orders.poll)
-        for loop in (self._ticks, self._polls):
-            loop.clock = reactor
+        self._ticks = Repeating(reactor, self._tick)
+        self._polls = Repeating(reactor, self.orders.poll)
 
     @property
     def address(self):
@@ -166,14 +164,15 @@
         self._leave_by_ms = self._now_ms() + self._settings.agent.order_timeout_ms
 
     def _check_left(self):
-        if self._left.called:
-            return
         given_up = self._now_ms() >= self._leave_by_ms
         if not given_up and not self._handed_back():
             return
         if given_up:
             logger.warning("left with replicas that control still counts")
-        self._left.callback(None)
+        left, self._left = self._left, None
+        self._ticks.stop()
+        # The frames of the last answers go out first.
+        self._reactor.callLater(FLUSH_S, left.callback, None)
 
     def _handed_back(self):
         if not self.link.fresh and not self.orders.gate.lapsed:
@@ -189,9 +188,8 @@
 
     def close(self):
         """Close everything at once."""
-        for loop in (self._ticks, self._polls):
-            if loop.running:
-                loop.stop()
+        self._ticks.stop()
+        self._polls.stop()
         self.orders.stop()
         self._crashes.stop()
         self.link.stop()
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -3,8 +3,6 @@
 import logging
 from functools import singledispatchmethod
 
-from twisted.internet.task import LoopingCall
-
 from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.messages import (
     Heartbeat,
@@ -18,6 +16,7 @@
 from hemlockdock_core.node.member_choice import MemberChoice
 from hemlockdock_core.node.pending_proposals import PendingProposals
 from hemlockdock_core.node.table_copy import TableCopy
+from hemlockdock_core.repeating import Repeating
 
 logger = logging.getLogger(__name__)
 
@@ -71,10 +70,8 @@
         )
         self.incarnation = post_office.incarnation
         self._proposals = PendingProposals(f"{info.node_id}-{self.incarnation}", PROPOSAL_REPEAT_S)
-        self._heartbeats = LoopingCall(self._beat)
-        self._ticks = LoopingCall(self._tick)
-        for loop in (self._heartbeats, self._ticks):
-            loop.clock = reactor
+        self._heartbeats = Repeating(reactor, self._beat)
+        self._ticks = Repeating(reactor, self._tick)
 
     @property
     def table(self):
@@ -103,9 +100,8 @@
 
     def stop(self):
         """Stop heartbeats and give up all proposals."""
-        for loop in (self._heartbeats, self._ticks):
-            if loop.running:
-                loop.stop()
+        self._heartbeats.stop()
+        self._ticks.stop()
         self._proposals.close()
 
     def send(self, message):
--- /dev/null
+++ b/packages/hemlockdock-core/tests/test_repeating.py
@@ -0,0 +1,45 @@
+"""Test that repeated work goes on after a failure."""
+
+import unittest
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from hemlockdock_core.repeating import Repeating
+
+
+class RepeatingTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.calls = []
+
+    def test_a_failure_ends_nothing(self):
+        def fail():
+            self.calls.append(self.clock.seconds())
+            raise RuntimeError("once")
+
+        repeating = Repeating(self.clock, fail)
+        with self.assertLogs("hemlockdock_core.repeating", "ERROR"):
+            repeating.start(1.0)
+            self.clock.pump([1.0, 1.0])
+        repeating.stop()
+        repeating.stop()
+        self.clock.advance(5.0)
+        self.assertEqual(self.calls, [0.0, 1.0, 2.0])
+
+    def test_work_under_way_is_waited_for(self):
+        def work():
+            self.calls.append(Deferred())
+            return self.calls[-1]
+
+        repeating = Repeating(self.clock, work)
+        repeating.start(1.0)
+        self.clock.pump([1.0, 1.0])
+        self.assertEqual(len(self.calls), 1)
+        self.calls[0].callback(None)
+        self.clock.advance(1.0)
+        self.assertEqual(len(self.calls), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
@@ -3,12 +3,12 @@
 import logging
 
 import msgspec
-from twisted.internet.task import LoopingCall
 
 from hemlockdock_core.commands import ClaimJob, FinishJob
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import ControlUnavailableError
+from hemlockdock_core.repeating import Repeating
 from hemlockdock_entry.intake import Request, fingerprint_of
 from hemlockdock_entry.jobs.job_body import JobBody
 from hemlockdock_entry.jobs.job_reply import JobReply
@@ -47,8 +47,7 @@
         self._mint = mint
         self._held = set()
         self._pause_by_id = {}
-        self._scans = LoopingCall(self.scan)
-        self._scans.clock = desk.clock
+        self._scans = Repeating(desk.clock, self.scan)
 
     def start(self):
         """Begin to look for jobs."""
@@ -56,8 +55,7 @@
 
     def stop(self):
         """End looking for jobs."""
-        if self._scans.running:
-            self._scans.stop()
+        self._scans.stop()
 
     def scan(self):
         """Claim the jobs that can run now, or can no longer run in time."""
