--- a/packages/hemlockdock-control/hemlockdock_control/consensus/__init__.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/__init__.py
@@ -1,10 +1,19 @@
 """Replicate commands among the control members."""
 
 from hemlockdock_control.consensus.errors import (
+    BacklogFullError,
     ChangeRefusedError,
+    CommandTooLargeError,
     NotLeaderError,
     UnknownOutcomeError,
 )
 from hemlockdock_control.consensus.replicator import Replicator
 
-__all__ = ["ChangeRefusedError", "NotLeaderError", "Replicator", "UnknownOutcomeError"]
+__all__ = [
+    "BacklogFullError",
+    "ChangeRefusedError",
+    "CommandTooLargeError",
+    "NotLeaderError",
+    "Replicator",
+    "UnknownOutcomeError",
+]
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/errors.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/errors.py
@@ -26,6 +26,21 @@
         super().__init__("the command may or may not be committed")
 
 
+class CommandTooLargeError(ValueError):
+    """Raise where a command is larger than a frame between members may carry.
+
+    Parameters
+    ----------
+    size : int
+        In bytes.
+    limit : int
+        In bytes.
+    """
+
+    def __init__(self, size, limit):
+        super().__init__(f"a command of {size} bytes is over the limit of {limit}")
+
+
 class ChangeRefusedError(Exception):
     """Raise where a change of members can't be begun now.
 
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
@@ -84,12 +84,12 @@
 def _(event: SnapshotTaken, state, now_ms):
     if event.index <= state.snapshot.index:
         return
-    configuration = state.configuration_at(event.index)
+    configuration = state.configurations.at(event.index)
     term = state.log.term_at(event.index)
     state.snapshot = Snapshot(event.index, term, configuration, event.data)
     state.write(WriteSnapshot(state.snapshot, installed=False))
     state.log.compact_to(event.index - state.timing.kept_entries)
-    state.forget_configurations_before(event.index)
+    state.configurations.forget_before(event.index)
 
 
 @take_event.register
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/hello_task.py
@@ -0,0 +1,123 @@
+"""Say hello to the other members until this one is among them."""
+
+import logging
+
+from hemlockdock_control.consensus.configuration import Configuration
+from hemlockdock_control.consensus.formation import Formation, FormationOutcome
+from hemlockdock_control.consensus.messages import Hello
+from hemlockdock_control.storage.errors import EmptiedFolderError
+from hemlockdock_control.storage.identity import Standing
+
+logger = logging.getLogger(__name__)
+
+HELLOS_PER_ELECTION = 2
+
+
+class HelloTask:
+    """Say hello, answer hellos, and find out how this member comes to its cluster.
+
+    Parameters
+    ----------
+    settings : Settings
+    storage : MemberStorage
+    links : PeerLinks
+    on_standing : callable
+        Takes nothing; called once this member's standing is known and durable.
+
+    Attributes
+    ----------
+    hello_by_id : dict of str to Hello
+        The latest from each member that is not in the configuration.
+    refusal : EmptiedFolderError or None
+        Set where this member's folder was emptied after it had joined.
+    """
+
+    def __init__(self, settings, storage, links, on_standing):
+        self.hello_by_id = {}
+        self.refusal = None
+        self._member_id = settings.process.node_id
+        self._peer_ids = [m.member_id for m in settings.members if m.member_id != self._member_id]
+        self._interval_ms = settings.control.election_ms / HELLOS_PER_ELECTION
+        self._storage = storage
+        self._links = links
+        self._on_standing = on_standing
+        self._formation = Formation(storage.identity, settings.members)
+        self._due_ms = 0.0
+
+    @property
+    def is_forming(self):
+        """Tell whether this member's standing isn't known yet."""
+        return self._storage.identity.standing is Standing.FRESH
+
+    def tick(self, configuration, now_ms):
+        """Say hello if it is due.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            As this member knows it.
+        now_ms : float
+        """
+        member = configuration.find(self._member_id)
+        if member is not None and member.folder_id != self._storage.identity.folder_id:
+            self._refuse()
+        if member is not None or now_ms < self._due_ms:
+            return
+        self._due_ms = now_ms + self._interval_ms
+        for peer_id in self._peer_ids:
+            self._links.send(peer_id, self._hello(want_reply=True))
+        self._form()
+
+    def take(self, sender, hello, configuration):
+        """Take a hello.
+
+        Parameters
+        ----------
+        sender : str
+        hello : Hello
+        configuration : Configuration
+        """
+        if hello.cluster != self._storage.identity.cluster:
+            return
+        if configuration.find(sender) is None:
+            self.hello_by_id[sender] = hello
+            self._links.learn_address(sender, hello.address)
+        if hello.want_reply:
+            self._links.send(sender, self._hello(want_reply=False))
+        if self.is_forming:
+            self._formation.hear(sender, hello)
+            self._form()
+
+    def _hello(self, want_reply):
+        identity = self._storage.identity
+        founders = self._formation.named() if self.is_forming else identity.founders
+        return Hello(
+            identity.cluster,
+            identity.folder_id,
+            self._links.address,
+            identity.standing,
+            founders,
+            want_reply,
+        )
+
+    def _form(self):
+        if not self.is_forming or self.refusal is not None:
+            return
+        outcome = self._formation.outcome()
+        if outcome is FormationOutcome.REFUSED:
+            self._refuse()
+        if outcome is FormationOutcome.FOUNDED:
+            self._settle(Standing.FOUNDER, self._formation.founders())
+        if outcome is FormationOutcome.JOINING:
+            self._settle(Standing.JOINER, Configuration())
+
+    def _settle(self, standing, founders):
+        self._storage.set_standing(standing, founders)
+        logger.info("standing known", extra={"standing": standing.value})
+        self._on_standing()
+
+    def _refuse(self):
+        if self.refusal is not None:
+            return
+        self.refusal = EmptiedFolderError(self._member_id)
+        logger.error("folder was emptied", extra={"problem": str(self.refusal)})
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from hemlockdock_control.consensus.configuration import Configuration
+from hemlockdock_control.consensus.configuration_history import ConfigurationHistory
 from hemlockdock_control.consensus.effects import (
     ApplyEntries,
     LeadershipChanged,
@@ -86,7 +87,7 @@
         self.role = MemberRole.FOLLOWER
         self.leader_id = ""
         self.log = EntryLog(self.snapshot.index, self.snapshot.term)
-        self.configurations = [(self.snapshot.index, self.snapshot.configuration)]
+        self.configurations = _history(self.snapshot)
         for entry in durable.entries:
             self._add(entry)
         self.commit_index = self.snapshot.index
@@ -113,12 +114,12 @@
     @property
     def configuration(self):
         """Return the latest configuration in the log, committed or not."""
-        return self.configurations[-1][1]
+        return self.configurations.latest
 
     @property
     def configuration_index(self):
         """Return the index of that configuration's entry."""
-        return self.configurations[-1][0]
+        return self.configurations.latest_index
 
     @property
     def is_leader(self):
@@ -136,33 +137,6 @@
         members = self.configuration.members
         return [m.member_id for m in members if m.member_id != self.member_id]
 
-    def configuration_at(self, index):
-        """Return the configuration as of an index that is held.
-
-        Parameters
-        ----------
-        index : int
-
-        Returns
-        -------
-        Configuration
-        """
-        found = self.configurations[0][1]
-        for configuration_index, configuration in self.configurations:
-            if configuration_index <= index:
-                found = configuration
-        return found
-
-    def forget_configurations_before(self, index):
-        """Drop the configurations that were superseded at or before an index.
-
-        Parameters
-        ----------
-        index : int
-        """
-        while len(self.configurations) > 1 and self.configurations[1][0] <= index:
-            self.configurations.pop(0)
-
     def reset_election_timer(self, now_ms):
         """Draw the next election timeout.
 
@@ -243,8 +217,7 @@
             raise AssertionError(f"entry {index} is committed and cannot be dropped")
         self.log.truncate_from(index)
         self.synced_index = min(self.synced_index, index - 1)
-        while self.configuration_index >= index:
-            self.configurations.pop()
+        self.configurations.truncate_from(index)
 
     def replace_log(self, snapshot):
         """Start the log anew after a snapshot.
@@ -255,7 +228,7 @@
         """
         self.snapshot = snapshot
         self.log = EntryLog(snapshot.index, snapshot.term)
-        self.configurations = [(snapshot.index, snapshot.configuration)]
+        self.configurations = _history(snapshot)
         self.commit_index = snapshot.index
         self.synced_index = snapshot.index
 
@@ -364,10 +337,14 @@
     def _add(self, entry):
         self.log.append(entry)
         if entry.kind is EntryKind.CONFIGURATION:
-            self.configurations.append((entry.index, Configuration.decode(entry.data)))
+            self.configurations.add(entry.index, Configuration.decode(entry.data))
 
     def _write_entries(self, entries):
         if not entries:
             return
         self.write(WriteEntries(entries))
         self._unsynced.append((self.write_count, entries[-1].index, entries[-1].term))
+
+
+def _history(snapshot):
+    return ConfigurationHistory(snapshot.index, snapshot.configuration)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -9,9 +9,13 @@
 
 from hemlockdock_control.consensus.configuration import Configuration
 from hemlockdock_control.consensus.core import Core
-from hemlockdock_control.consensus.errors import ChangeRefusedError, NotLeaderError
+from hemlockdock_control.consensus.errors import (
+    ChangeRefusedError,
+    CommandTooLargeError,
+    NotLeaderError,
+)
 from hemlockdock_control.consensus.events import Received, Tick, TransferRequested
-from hemlockdock_control.consensus.formation import Formation, FormationOutcome
+from hemlockdock_control.consensus.hello_task import HelloTask
 from hemlockdock_control.consensus.member_changes import (
     AddNonVoter,
     ChangeRefusal,
@@ -23,12 +27,12 @@
 from hemlockdock_control.consensus.peer_links import PeerLinks
 from hemlockdock_control.consensus.timing import Timing
 from hemlockdock_control.storage.disk import Disk
-from hemlockdock_control.storage.identity import Standing
 from hemlockdock_control.storage.member_storage import MemberStorage
 
 logger = logging.getLogger(__name__)
 
 TICKS_PER_HEARTBEAT = 2
+MAX_COMMAND_BYTES = 8 * 1024 * 1024
 MS_PER_S = 1_000.0
 
 
@@ -62,15 +66,12 @@
         self._timing = Timing.of(settings.control)
         self._storage = None
         self._links = None
-        self._formation = None
+        self._hellos = None
         self._task = None
         self._ticks = None
-        self._hello_by_id = {}
-        self._hello_due_ms = 0.0
         self._leadership_callbacks = []
         self._forward_callbacks = []
         self._stopping = None
-        self._refused = False
         self._close_call = None
 
     @property
@@ -100,7 +101,9 @@
 
     @property
     def failure(self):
-        """Return the error that stopped this member, None while it works."""
+        """Return the error that keeps this member from its part, None while it works."""
+        if self._hellos is not None and self._hellos.refusal is not None:
+            return self._hellos.refusal
         return self._task.failure if self._task is not None else None
 
     @property
@@ -127,8 +130,8 @@
             raise
         incarnation = int(time.time() * MS_PER_S)
         self._links = PeerLinks(self._reactor, settings, incarnation, self._receive, self._tls)
-        self._formation = Formation(self._storage.identity, settings.members)
-        if self._storage.identity.standing is not Standing.FRESH:
+        self._hellos = HelloTask(settings, self._storage, self._links, self._begin)
+        if not self._hellos.is_forming:
             self._begin()
         self._ticks = LoopingCall(self._tick)
         self._ticks.clock = self._reactor
@@ -169,8 +172,10 @@
         Deferred
             Fires with what the machine returned once the command is committed and applied here;
             fails with NotLeaderError where it was certainly not committed, with
-            UnknownOutcomeError where it may be.
+            UnknownOutcomeError where it may be, and with CommandTooLargeError.
         """
+        if len(data) > MAX_COMMAND_BYTES:
+            return fail(CommandTooLargeError(len(data), MAX_COMMAND_BYTES))
         if self._task is None or self._stopping is not None:
             return fail(NotLeaderError(self.leader_id))
         return self._task.propose(data)
@@ -235,7 +240,8 @@
         if member_id == self._member_id:
             self._reactor.callLater(0, self._hand_over, member_id, data)
             return
-        self._links.send(member_id, Forward(data))
+        if self._links is not None:
+            self._links.send(member_id, Forward(data))
 
     def add_member(self, member_id):
         """Add a member that runs and says hello, as a non-voter.
@@ -250,7 +256,7 @@
             Fires with None once committed; fails with ChangeRefusedError, NotLeaderError or
             UnknownOutcomeError.
         """
-        hello = self._hello_by_id.get(member_id)
+        hello = self._hellos.hello_by_id.get(member_id)
         if hello is None:
             return fail(ChangeRefusedError(ChangeRefusal.NOT_HEARD))
         return self._change(AddNonVoter(member_id, hello.folder_id, hello.address))
@@ -310,70 +316,16 @@
     def _tick(self):
         if self._task is not None:
             self._task.post(Tick())
-        now_ms = self._now_ms()
-        if now_ms >= self._hello_due_ms and not self._is_member():
-            self._hello_due_ms = now_ms + self._timing.election_ms / 2
-            self._say_hello()
-
-    def _is_member(self):
-        member = self.configuration.find(self._member_id)
-        return member is not None
-
-    def _say_hello(self):
-        for address in self._settings.members:
-            if address.member_id != self._member_id:
-                self._links.send(address.member_id, self._hello(want_reply=True))
-        if self._task is None:
-            self._form()
-
-    def _hello(self, want_reply):
-        identity = self._storage.identity
-        founders = identity.founders
-        if identity.standing is Standing.FRESH:
-            founders = self._formation.named()
-        return Hello(
-            identity.cluster,
-            identity.folder_id,
-            self._links.address,
-            identity.standing,
-            founders,
-            want_reply,
-        )
+        self._hellos.tick(self.configuration, self._now_ms())
 
     def _receive(self, sender, message):
         if isinstance(message, Hello):
-            self._take_hello(sender, message)
-            return
-        if isinstance(message, Forward):
+            self._hellos.take(sender, message, self.configuration)
+        elif isinstance(message, Forward):
             self._hand_over(sender, message.data)
-            return
-        if self._task is not None:
+        elif self._task is not None:
             self._task.post(Received(sender, message))
 
-    def _take_hello(self, sender, hello):
-        if hello.cluster != self._settings.control.cluster:
-            return
-        if self.configuration.find(sender) is None:
-            self._hello_by_id[sender] = hello
-            self._links.learn_address(sender, hello.address)
-        if hello.want_reply:
-            self._links.send(sender, self._hello(want_reply=False))
-        if self._task is None:
-            self._formation.hear(sender, hello)
-            self._form()
-
-    def _form(self):
-        outcome = self._formation.outcome()
-        if outcome is FormationOutcome.FOUNDED:
-            self._storage.set_standing(Standing.FOUNDER, self._formation.founders())
-            self._begin()
-        if outcome is FormationOutcome.JOINING:
-            self._storage.set_standing(Standing.JOINER, Configuration())
-            self._begin()
-        if outcome is FormationOutcome.REFUSED and not self._refused:
-            self._refused = True
-            logger.error("the data folder was emptied; rejoin under a new member id")
-
     def _begin(self):
         durable = self._storage.founded_durable()
         core = Core(
@@ -398,13 +350,13 @@
 
     def _leadership_changed(self, leads):
         for callback in self._leadership_callbacks:
-            callback(leads)
+            _call(callback, leads)
         if not leads and self._close_call is not None and self._close_call.active():
             self._close_call.reset(0)
 
     def _hand_over(self, sender, data):
         for callback in self._forward_callbacks:
-            callback(sender, data)
+            _call(callback, sender, data)
 
     def _close(self):
         if self._ticks is None:
@@ -418,3 +370,11 @@
         self._links.close()
         self._storage.close()
         self._stopping.callback(None)
+
+
+def _call(callback, *arguments):
+    # A fault of the layer above must not stop the member.
+    try:
+        callback(*arguments)
+    except Exception:
+        logger.exception("callback failed")
--- a/packages/hemlockdock-control/hemlockdock_control/storage/errors.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/errors.py
@@ -75,6 +75,30 @@
         super().__init__(f"{folder} is in use by another process; stop that one first")
 
 
+class UnusedFolderError(StorageError):
+    """Raise where there is nothing to recover.
+
+    Parameters
+    ----------
+    folder : str
+    """
+
+    def __init__(self, folder):
+        super().__init__(f"{folder} was never part of a cluster; name the folder that was")
+
+
+class EmptiedFolderError(StorageError):
+    """Raise where a member's folder was emptied after it had joined, and with it its votes.
+
+    Parameters
+    ----------
+    member_id : str
+    """
+
+    def __init__(self, member_id):
+        super().__init__(f"the folder of member {member_id} was emptied since it joined; {REJOIN}")
+
+
 class StorageFailedError(StorageError):
     """Raise where a write or sync failed; nothing after it can be promised.
 
--- a/packages/hemlockdock-control/tests/test_core.py
+++ b/packages/hemlockdock-control/tests/test_core.py
@@ -13,6 +13,7 @@
     ConfigurationProposed,
     Proposed,
     Received,
+    SnapshotTaken,
     Synced,
     Tick,
 )
@@ -23,6 +24,7 @@
     Remove,
 )
 from hemlockdock_control.consensus.messages import (
+    PEER_CODEC,
     AppendReply,
     AppendRequest,
     SnapshotChunk,
@@ -31,6 +33,7 @@
 )
 from hemlockdock_control.consensus.snapshot import Snapshot
 from hemlockdock_control.consensus.timing import Timing
+from hemlockdock_core.messages.frame import Frame
 
 TIMING = Timing(10.0, 100.0)
 LATER_MS = 10_000.0
@@ -174,6 +177,32 @@
         self.assertEqual(applied(accept(core, "c", 1)), [1])
 
 
+class SilentMemberTest(unittest.TestCase):
+    def sent_to(self, core, member_id, ticks=200):
+        """Return how many bytes a member is sent that never replies."""
+        size = 0
+        now_ms = LATER_MS
+        for _ in range(ticks):
+            now_ms += TIMING.heartbeat_ms
+            accept(core, "b", core.state.log.last_index, now_ms)
+            for effect in core.step(Tick(), now_ms):
+                if isinstance(effect, Send) and effect.member_id == member_id:
+                    size += len(PEER_CODEC.encode(Frame(1, "a", 1, "", effect.message)))
+        return size
+
+    def test_entries_and_chunks_do_not_pile_up_for_it(self):
+        core = member()
+        lead(core)
+        sync(core)
+        accept(core, "b", 1)
+        core.step(Proposed((bytes(100_000),) * 20), LATER_MS)
+        sync(core)
+        self.assertLess(self.sent_to(core, "c"), 20_000)
+        core.step(SnapshotTaken(21, bytes(1_000_000)), LATER_MS)
+        core.state.log.compact_to(21)
+        self.assertLess(self.sent_to(core, "c"), 20_000 + TIMING.snapshot_chunk_bytes)
+
+
 class FollowingTest(unittest.TestCase):
     def append(self, core, term, previous, previous_term, commit, *new):
         request = AppendRequest(term, 0.0, previous, previous_term, commit, new)
