--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -71,7 +71,8 @@
         self._ticks = None
         self._leadership_callbacks = []
         self._forward_callbacks = []
-        self._stopping = None
+        self._stopping = False
+        self._stop_waiters = []
         self._close_call = None
 
     @property
@@ -121,16 +122,12 @@
         StorageError
             Where the folder can't be trusted or used.
         """
-        settings = self._settings
-        disk = Disk(settings.process.data_folder)
+        disk = Disk(self._settings.process.data_folder)
         try:
-            self._storage = MemberStorage(disk, settings.control.cluster, self._member_id)
+            self._open(disk)
         except BaseException:
             disk.close()
             raise
-        incarnation = int(time.time() * MS_PER_S)
-        self._links = PeerLinks(self._reactor, settings, incarnation, self._receive, self._tls)
-        self._hellos = HelloTask(settings, self._storage, self._links, self._begin)
         if not self._hellos.is_forming:
             self._begin()
         self._ticks = LoopingCall(self._tick)
@@ -138,27 +135,22 @@
         self._ticks.start(self._timing.heartbeat_ms / TICKS_PER_HEARTBEAT / MS_PER_S)
 
     def stop(self):
-        """Hand leadership over where this member leads, then stop.
+        """Hand leadership over where this member leads, then stop; can be called again.
 
         Returns
         -------
         Deferred
             Fires with None.
         """
-        if self._stopping is not None:
-            return succeed(None)
-        self._stopping = Deferred()
-        if (
-            self._task is None
-            or not self._task.core.state.is_leader
-            or len(self.configuration.voter_ids) == 1
-        ):
+        stopped = Deferred()
+        self._stop_waiters.append(stopped)
+        if self._ticks is None or not self._hands_over():
             self._close()
-        else:
+        elif self._close_call is None:
             self._task.post(TransferRequested())
             delay_s = self._timing.election_ms / MS_PER_S
             self._close_call = self._reactor.callLater(delay_s, self._close)
-        return self._stopping
+        return stopped
 
     def propose(self, data):
         """Replicate a command.
@@ -176,7 +168,7 @@
         """
         if len(data) > MAX_COMMAND_BYTES:
             return fail(CommandTooLargeError(len(data), MAX_COMMAND_BYTES))
-        if self._task is None or self._stopping is not None:
+        if self._task is None or self._stopping:
             return fail(NotLeaderError(self.leader_id))
         return self._task.propose(data)
 
@@ -309,10 +301,17 @@
         return promoted
 
     def _change(self, change):
-        if self._task is None or self._stopping is not None:
+        if self._task is None or self._stopping:
             return fail(NotLeaderError(self.leader_id))
         return self._task.change(change)
 
+    def _open(self, disk):
+        settings = self._settings
+        self._storage = MemberStorage(disk, settings.control.cluster, self._member_id)
+        incarnation = int(time.time() * MS_PER_S)
+        self._links = PeerLinks(self._reactor, settings, incarnation, self._receive, self._tls)
+        self._hellos = HelloTask(settings, self._storage, self._links, self._begin)
+
     def _tick(self):
         if self._task is not None:
             self._task.post(Tick())
@@ -358,18 +357,29 @@
         for callback in self._forward_callbacks:
             _call(callback, sender, data)
 
+    def _hands_over(self):
+        if self._task is None or not self._task.core.state.is_leader:
+            return False
+        return len(self.configuration.voter_ids) > 1
+
     def _close(self):
-        if self._ticks is None:
-            return
-        self._ticks.stop()
-        self._ticks = None
+        self._stopping = True
+        if self._ticks is not None:
+            self._ticks.stop()
+            self._ticks = None
+            self._close_parts()
+        waiters = self._stop_waiters
+        self._stop_waiters = []
+        for waiter in waiters:
+            waiter.callback(None)
+
+    def _close_parts(self):
         if self._close_call is not None and self._close_call.active():
             self._close_call.cancel()
         if self._task is not None:
             self._task.stop()
         self._links.close()
         self._storage.close()
-        self._stopping.callback(None)
 
 
 def _call(callback, *arguments):
--- a/packages/hemlockdock-control/tests/test_replicator.py
+++ b/packages/hemlockdock-control/tests/test_replicator.py
@@ -1,9 +1,10 @@
 """Test that members in one process elect, commit and apply over loopback sockets."""
 
+import contextlib
+import random
 import socket
 import tempfile
 import unittest
-from contextlib import closing
 
 from support_consensus import ListMachine
 from twisted.internet import reactor
@@ -23,12 +24,16 @@
 from hemlockdock_core.settings import parse_settings
 
 WAIT_S = 30
+PORTS = range(20_000, 32_000)
 
 
 def free_port():
-    with closing(socket.socket()) as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """Return a free port that no outgoing connection is given meanwhile."""
+    while True:
+        port = random.choice(PORTS)
+        with contextlib.closing(socket.socket()) as listener, contextlib.suppress(OSError):
+            listener.bind(("127.0.0.1", port))
+            return port
 
 
 class ReplicatorTest(TestCase):
--- a/tools/benchmarks/bench_control_log.py
+++ b/tools/benchmarks/bench_control_log.py
@@ -1,6 +1,8 @@
 """Measure durable commits by three members, each in a process of its own, on loopback."""
 
+import contextlib
 import json
+import random
 import selectors
 import socket
 import subprocess
@@ -16,13 +18,16 @@
 LATENCY_RATIO_BOUND = 4.0
 COMMITS_PER_S_BOUND = 1_000.0
 SEED = 0
+PORTS = range(20_000, 32_000)
 
 
 def free_port():
-    """Return a port of loopback that is free."""
-    with closing(socket.socket()) as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """Return a free port of loopback that no outgoing connection is given."""
+    while True:
+        port = random.choice(PORTS)
+        with closing(socket.socket()) as listener, contextlib.suppress(OSError):
+            listener.bind(("127.0.0.1", port))
+            return port
 
 
 def start(stack, *arguments):
@@ -98,7 +103,7 @@
                 line = key.fileobj.readline()
                 if line:
                     return line
-                selector.unregister(key.fileobj)
+                raise RuntimeError("a member ended before the leader had measured")
 
 
 def measure():
--- a/tools/benchmarks/control_member.py
+++ b/tools/benchmarks/control_member.py
@@ -182,7 +182,7 @@
             run_load(replicator, baseline).addErrback(lambda failure: failure.printTraceback())
 
     replicator.on_leadership(lead)
-    reactor.callWhenRunning(replicator.start)
+    replicator.start()
     stdio.StandardIO(EndWithInput())
     reactor.run()
 
