--- a/packages/hemlockdock-control/hemlockdock_control/storage/records.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/records.py
@@ -23,6 +23,8 @@
     term : int
         As of the segment's beginning, since earlier segments are removed.
     voted_for : str
+    previous_length : int
+        Bytes of the segment before, which is complete.
     """
 
     format: int
@@ -30,6 +32,7 @@
     folder_id: str
     term: int
     voted_for: str
+    previous_length: int
 
 
 class VoteRecord(Record, frozen=True):
--- a/packages/hemlockdock-control/hemlockdock_control/storage/wal.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/wal.py
@@ -82,7 +82,6 @@
             if not found:
                 # A crash tore the segment's very beginning: nothing was promised in it.
                 continue
-            self._check_start(name, found[0])
             self._note_entries(self._sequence, found)
             records.extend(found)
         if not records:
@@ -99,9 +98,12 @@
         """
         if self._sequence:
             self._disk.close_file(segment_name(self._sequence))
+        previous_length = self._size
         self._sequence += 1
         self._size = 0
-        start = SegmentStart(FORMAT, self._sequence, self._folder_id, term, voted_for)
+        start = SegmentStart(
+            FORMAT, self._sequence, self._folder_id, term, voted_for, previous_length
+        )
         self._last_index_by_sequence[self._sequence] = 0
         self.append([start])
         self._disk.sync_folder()
@@ -162,6 +164,7 @@
         records = []
         for payload in frames.payloads:
             records.extend(self._decode(name, payload))
+        self._check_start(name, records[0])
         self._size = frames.length
         return records
 
@@ -181,6 +184,8 @@
         follows = start.sequence == self._sequence + 1 or not self._sequence
         if not follows or name != segment_name(start.sequence):
             raise DamagedStorageError(name, f"a segment before {start.sequence} is missing")
+        if self._sequence and start.previous_length != self._size:
+            raise DamagedStorageError(name, "the segment before it was cut short")
         self._sequence = start.sequence
 
     def _note_entries(self, sequence, records):
--- a/packages/hemlockdock-control/tests/support_consensus.py
+++ b/packages/hemlockdock-control/tests/support_consensus.py
@@ -1,7 +1,10 @@
 """Run the consensus code on a disk, a network and clocks that fail on demand."""
 
+import os
 import random
 
+import hypothesis
+from hypothesis import Phase, settings
 from twisted.internet.task import Clock
 
 from hemlockdock_control.consensus.configuration import Configuration, Member
@@ -31,6 +34,28 @@
 )
 
 
+def fuzz_settings(examples, steps=50):
+    """Return the same examples each time, or where FUZZ_EXAMPLES is set, so many others."""
+    common = {
+        "stateful_step_count": steps,
+        "database": None,
+        "deadline": None,
+        "suppress_health_check": list(hypothesis.HealthCheck),
+    }
+    asked = os.environ.get("FUZZ_EXAMPLES")
+    if asked is not None:
+        return settings(max_examples=int(asked), print_blob=True, **common)
+    phases = (Phase.explicit, Phase.generate)
+    return settings(max_examples=examples, derandomize=True, phases=phases, **common)
+
+
+def seeded(test):
+    """Give a test the seed FUZZ_SEED where it is set."""
+    if "FUZZ_SEED" in os.environ:
+        return hypothesis.seed(int(os.environ["FUZZ_SEED"]))(test)
+    return test
+
+
 class Crash(BaseException):
     """End a member in the middle of a step."""
 
--- a/packages/hemlockdock-control/tests/test_consensus_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_consensus_fuzz.py
@@ -1,14 +1,12 @@
 """Fuzz members on failing disks, networks and clocks against the list of what was committed."""
 
-import os
 import unittest
 
-import hypothesis
-from hypothesis import Phase, settings, strategies
+from hypothesis import strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from support_consensus import ELECTION_MS, Crash, SimulatedCluster
+from support_consensus import ELECTION_MS, Crash, SimulatedCluster, fuzz_settings, seeded
 
-EXAMPLES = 60
+EXAMPLES = 120
 STEPS = 40
 FOUNDERS = ("a", "b", "c")
 JOINERS = ("d", "e", "f")
@@ -135,32 +133,8 @@
             self.cluster.check()
 
 
-def fuzz_settings():
-    examples = os.environ.get("FUZZ_EXAMPLES")
-    if examples is None:
-        return settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            phases=(Phase.explicit, Phase.generate),
-            suppress_health_check=list(hypothesis.HealthCheck),
-        )
-    return settings(
-        max_examples=int(examples),
-        stateful_step_count=STEPS,
-        database=None,
-        deadline=None,
-        print_blob=True,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-
-
-ConsensusFuzzTest = ConsensusMachine.TestCase
-ConsensusFuzzTest.settings = fuzz_settings()
-if "FUZZ_SEED" in os.environ:
-    ConsensusFuzzTest = hypothesis.seed(int(os.environ["FUZZ_SEED"]))(ConsensusFuzzTest)
+ConsensusFuzzTest = seeded(ConsensusMachine.TestCase)
+ConsensusFuzzTest.settings = fuzz_settings(EXAMPLES, STEPS)
 
 
 if __name__ == "__main__":
--- a/packages/hemlockdock-control/tests/test_storage.py
+++ b/packages/hemlockdock-control/tests/test_storage.py
@@ -5,8 +5,8 @@
 import unittest
 from pathlib import Path
 
-from hypothesis import given, settings, strategies
-from support_consensus import MemoryDisk
+from hypothesis import given, strategies
+from support_consensus import MemoryDisk, fuzz_settings, seeded
 
 from hemlockdock_control.consensus.configuration import Configuration, Member
 from hemlockdock_control.consensus.effects import (
@@ -26,11 +26,12 @@
     NewerFormatError,
     StorageFailedError,
 )
+from hemlockdock_control.storage.frames import decode_frames, encode_frame
 from hemlockdock_control.storage.identity import Standing
 from hemlockdock_control.storage.member_storage import MemberStorage
 
 SEGMENT_BYTES = 600
-FUZZ = settings(max_examples=60, derandomize=True, database=None, deadline=None)
+FUZZ = fuzz_settings(150)
 sizes = strategies.lists(strategies.integers(1, 5), min_size=1, max_size=25)
 
 
@@ -72,6 +73,7 @@
 
 
 class WalFuzzTest(unittest.TestCase):
+    @seeded
     @FUZZ
     @given(batch_sizes=sizes, cut=strategies.integers(0, 2**20))
     def test_cut_anywhere(self, batch_sizes, cut):
@@ -96,6 +98,7 @@
         if not is_cut:
             self.assertEqual(found, history[-1])
 
+    @seeded
     @FUZZ
     @given(batch_sizes=sizes, place=strategies.integers(0, 2**20), bit=strategies.integers(0, 7))
     def test_flip_anywhere(self, batch_sizes, place, bit):
@@ -109,6 +112,7 @@
         with self.assertRaises(DamagedStorageError):
             open_storage(disk)
 
+    @seeded
     @FUZZ
     @given(seed=strategies.integers(0, 2**20), steps=strategies.integers(1, 60))
     def test_writes_and_crashes_against_a_list(self, seed, steps):
@@ -248,6 +252,17 @@
         with self.assertRaises(StorageFailedError):
             storage.write(WriteSnapshot(Snapshot(1, 1, Configuration(), b""), False))
 
+    def test_a_complete_segment_that_lost_its_last_frame_is_refused(self):
+        disk = MemoryDisk()
+        write_batches(disk, [3] * 40)
+        names = log_names(disk)
+        file = disk.file_by_name[names[-2]]
+        payloads = decode_frames(file.data).payloads
+        file.data = b"".join(encode_frame(payload) for payload in payloads[:-1])
+        with self.assertRaises(DamagedStorageError) as raised:
+            open_storage(disk)
+        self.assertIn("cut short", str(raised.exception))
+
     def test_zero_pages_are_a_torn_write_and_other_bytes_are_damage(self):
         disk = MemoryDisk()
         history = write_batches(disk, [1])
--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -173,6 +173,21 @@
         "False",
         DISK,
     ),
+    Mutant(
+        "miss that a complete segment lost its end",
+        STORAGE + "wal.py",
+        "if self._sequence and start.previous_length != self._size:",
+        "if False:",
+        DISK,
+    ),
+    Mutant(
+        "send a silent member its entries again and again",
+        CONSENSUS + "replication.py",
+        "_send_request(state, peer_id, progress, (), now_ms)\n            break",
+        "_send_request(state, peer_id, progress, _next_entries(state, progress), now_ms)\n"
+        "            break",
+        CORE,
+    ),
     Mutant(
         "take another member's folder",
         STORAGE + "identity_file.py",
