Leave a refused folder as it was found

A log whose only segment lost its beginning was cut off before it was refused. Found by the stricter check in the fuzz test that a refused folder is not altered.

--- a/packages/hemlockdock-control/hemlockdock_control/storage/wal.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/wal.py
@@ -77,8 +77,7 @@
         records = []
         names = segment_names(self._disk)
         for position, name in enumerate(names):
-            is_last = position == len(names) - 1
-            found = self._read_segment(name, is_last)
+            found = self._read_segment(name, position == len(names) - 1)
             if not found:
                 # A crash tore the segment's very beginning: nothing was promised in it.
                 continue
@@ -143,20 +142,13 @@
     def _read_segment(self, name, is_last):
         data = self._disk.read(name)
         frames = decode_frames(data)
-        if frames.ending is Ending.DAMAGED or (frames.ending is Ending.TORN and not is_last):
+        may_be_torn = is_last and (frames.payloads or self._sequence)
+        if frames.ending is Ending.DAMAGED or (frames.ending is Ending.TORN and not may_be_torn):
             raise DamagedStorageError(f"{name} at byte {frames.length}", "the checksum is wrong")
-        if not frames.payloads and not is_last:
+        if not frames.payloads and not may_be_torn:
             raise DamagedStorageError(name, "the segment is empty")
         if frames.ending is Ending.TORN:
-            logger.warning(
-                "torn end of the write-ahead log cut off",
-                extra={
-                    "segment": name,
-                    "kept": frames.length,
-                    "dropped": len(data) - frames.length,
-                },
-            )
-            self._disk.truncate(name, frames.length)
+            self._cut_off(name, frames.length, len(data))
         if not frames.payloads:
             self._disk.remove(name)
             self._disk.sync_folder()
@@ -168,6 +160,13 @@
         self._size = frames.length
         return records
 
+    def _cut_off(self, name, kept, found):
+        logger.warning(
+            "torn end of the write-ahead log cut off",
+            extra={"segment": name, "kept": kept, "dropped": found - kept},
+        )
+        self._disk.truncate(name, kept)
+
     def _decode(self, name, payload):
         try:
             return DECODER.decode(payload)
--- a/packages/hemlockdock-control/tests/test_storage.py
+++ b/packages/hemlockdock-control/tests/test_storage.py
@@ -91,6 +91,7 @@
             # Only the very last write can be torn, and the first segment's start is synced.
             self.assertTrue(is_cut)
             self.assertTrue(name != names[-1] or len(names) == 1)
+            self.assertEqual(len(file.data), length, "a refused folder was altered")
             return
         if is_cut:
             self.assertEqual(name, names[-1])
--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -169,7 +169,7 @@
     Mutant(
         "read on after a torn segment",
         STORAGE + "wal.py",
-        "(frames.ending is Ending.TORN and not is_last)",
+        "(frames.ending is Ending.TORN and not may_be_torn)",
         "False",
         DISK,
     ),
