--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
@@ -74,7 +74,7 @@
     def begin(self):
         """Bring the machine to the state that the disk holds."""
         snapshot = self.core.state.snapshot
-        if snapshot.data:
+        if snapshot.index:
             self._machine.restore(snapshot.index, snapshot.data)
         self.applied_index = snapshot.index
         self._links.learn(self.core.state.configuration)
--- a/packages/hemlockdock-control/tests/support_consensus.py
+++ b/packages/hemlockdock-control/tests/support_consensus.py
@@ -163,7 +163,7 @@
         return len(self.commands)
 
     def snapshot(self):
-        return b"\n".join(self.commands) or b"\n"
+        return b"\n".join(self.commands)
 
     def restore(self, index, data):
         self.commands = [command for command in data.split(b"\n") if command]
