--- a/packages/hemlockdock-control/tests/test_consensus_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_consensus_fuzz.py
@@ -6,7 +6,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from support_consensus import ELECTION_MS, Crash, SimulatedCluster, fuzz_settings, seeded
 
-EXAMPLES = 120
+from hemlockdock_control.consensus.messages import TimeoutNow
+
+EXAMPLES = 200
 STEPS = 40
 FOUNDERS = ("a", "b", "c")
 JOINERS = ("d", "e", "f")
@@ -52,18 +54,50 @@
     def cut_link(self, first, second):
         self.cluster.cut_links.add(frozenset((first, second)))
 
-    @rule(before=strategies.integers(0, 5), restarts=strategies.sets(ids, max_size=2))
-    def depose(self, before, restarts):
+    @rule(
+        before=strategies.integers(0, 3),
+        unheard=strategies.booleans(),
+        restarts=strategies.sets(ids, max_size=2),
+        rounds=strategies.integers(20, 130),
+    )
+    def depose(self, before, unheard, restarts, rounds):
+        """Cut a leader off, perhaps from one member earlier, and work on without it."""
         leader = self.cluster.leader()
         if leader is None:
             return
-        self.cluster.cut_off(leader.member_id)
         self.cluster.propose_at_leaders(before)
-        self.cluster.run(40, step_ms=4.0, busy=True)
-        for member_id in restarts:
+        if unheard and leader.state.peer_ids:
+            self.cluster.cut_links.add(frozenset((leader.member_id, leader.state.peer_ids[-1])))
+            self.cluster.run(60, step_ms=1.0)
+        self.cluster.cut_off(leader.member_id)
+        for member_id in restarts - {leader.member_id}:
             self.crash(member_id)
         self.restart_stopped()
-        self.cluster.run(20, busy=True)
+        self.cluster.run(rounds, step_ms=1.0, busy=True)
+        self.heal()
+
+    @rule(rounds=strategies.integers(1, 20))
+    def time_out_together(self, rounds):
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.cut_off(leader.member_id)
+        self.cluster.advance(3 * ELECTION_MS)
+        self.cluster.run(rounds, step_ms=1.0, busy=True)
+        self.heal()
+
+    @rule(rounds=strategies.integers(5, 60))
+    def hand_over_late(self, rounds):
+        """Let a request to take over arrive after the leader was cut off."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        self.cluster.transfer()
+        late = self.cluster.take(TimeoutNow)
+        self.cluster.run(30, step_ms=1.0)
+        self.cluster.cut_off(leader.member_id)
+        for _, receiver, message in late:
+            self.cluster.in_flight.append((receiver, receiver, message))
+        self.cluster.run(rounds, step_ms=1.0, busy=True)
         self.heal()
 
     @rule()
