--- a/packages/hemlockdock-control/hemlockdock_control/state/manifests.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/manifests.py
@@ -1,12 +1,13 @@
 """Keep the manifest in force, and which numbers were accepted before."""
 
+import hashlib
 from dataclasses import dataclass
 
 from hemlockdock_control.state.manifest_rows import manifest_rows, model_row
 from hemlockdock_control.state.refusals import conflict, refused
 from hemlockdock_core.commands import CommandResult
 from hemlockdock_core.errors import ErrorKind, InvalidInputError
-from hemlockdock_core.manifest import manifest_digest, parse_manifest
+from hemlockdock_core.manifest import parse_manifest
 
 REMEMBERED_NUMBERS = 10_000
 MANIFEST_PREFIXES = ("manifest", "class", "model", "adapter", "service")
@@ -79,7 +80,7 @@
             manifest = parse_manifest(command.body, "manifest")
         except InvalidInputError as error:
             return refused(index, ErrorKind.BAD_REQUEST, str(error))
-        if manifest.number != command.number or manifest_digest(manifest) != command.digest:
+        if manifest.number != command.number or _digest(command.body) != command.digest:
             return refused(index, ErrorKind.BAD_REQUEST, "number and digest of the very body")
         self._accept(manifest, command)
         return CommandResult(index, state="accepted")
@@ -182,3 +183,8 @@
             self.model_by_name[model.name] = model
             for version in model.versions:
                 self.version_by_name[(model.name, version.name)] = version
+
+
+def _digest(body):
+    # The body is the canonical JSON that the manifest's digest is taken of.
+    return hashlib.sha256(body).hexdigest()
