--- a/packages/hemlockdock-control/hemlockdock_control/admin/limited_site.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/limited_site.py
@@ -1,5 +1,6 @@
 """Bound what one connection, and all together, may cost."""
 
+from twisted.internet.defer import Deferred, succeed
 from twisted.web.server import Request, Site
 
 from hemlockdock_core.errors import ErrorKind, Refusal
@@ -9,6 +10,7 @@
 MAX_CONNECTIONS = 128
 MAX_CONNECTIONS_PER_HOST = 32
 IDLE_TIMEOUT_S = 30
+CLOSE_TIMEOUT_S = 2
 
 
 class LimitedRequest(Request):
@@ -78,6 +80,9 @@
         )
         self.displayTracebacks = False
         self._connections_by_host = {}
+        self._protocols = set()
+        self._closed = None
+        self._reactor = reactor
 
     def buildProtocol(self, addr):
         """Return a protocol for a connection, or None where there are too many.
@@ -97,19 +102,44 @@
             return None
         protocol = super().buildProtocol(addr)
         self._connections_by_host[addr.host] = mine + 1
+        self._protocols.add(protocol)
         lost = protocol.connectionLost
 
         def count_down(reason):
-            self._count_down(addr.host)
+            self._count_down(protocol, addr.host)
             lost(reason)
 
         protocol.connectionLost = count_down
         return protocol
 
-    def _count_down(self, host):
+    def close_connections(self):
+        """Close what is still open, once what was written to it has gone out.
+
+        Returns
+        -------
+        Deferred
+            Fires once all are closed.
+        """
+        if not self._protocols:
+            return succeed(None)
+        self._closed = Deferred()
+        for protocol in list(self._protocols):
+            protocol.transport.loseConnection()
+        cut = self._reactor.callLater(CLOSE_TIMEOUT_S, self._abort)
+        self._closed.addCallback(lambda _: cut.cancel() if cut.active() else None)
+        return self._closed
+
+    def _abort(self):
+        for protocol in list(self._protocols):
+            protocol.transport.abortConnection()
+
+    def _count_down(self, protocol, host):
+        self._protocols.discard(protocol)
         self._connections_by_host[host] -= 1
         if not self._connections_by_host[host]:
             del self._connections_by_host[host]
+        if self._closed is not None and not self._protocols:
+            self._closed.callback(None)
 
     def log(self, request):
         """Write no access log; counters tell what was asked."""
--- a/packages/hemlockdock-control/hemlockdock_control/admin/listener.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/listener.py
@@ -25,6 +25,7 @@
         self._settings = settings
         self._api = AdminApi(reactor, settings, replicator, proposer, pages)
         self._port = None
+        self._site = None
 
     @property
     def address(self):
@@ -40,9 +41,11 @@
         twisted.internet.error.CannotListenError
         """
         interface, _, port = self._settings.listen.admin.rpartition(":")
-        site = LimitedSite(self._api.app.resource(), self._reactor)
+        self._site = LimitedSite(self._api.app.resource(), self._reactor)
         try:
-            self._port = self._reactor.listenTCP(int(port), site, interface=interface.strip("[]"))
+            self._port = self._reactor.listenTCP(
+                int(port), self._site, interface=interface.strip("[]")
+            )
         except CannotListenError:
             COUNTERS.increment("admin_listen_failures")
             raise
@@ -58,4 +61,5 @@
             return succeed(None)
         stopped = maybeDeferred(self._port.stopListening)
         stopped.addCallback(lambda _: self._api.idle())
+        stopped.addCallback(lambda _: self._site.close_connections())
         return stopped
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -14,6 +14,7 @@
 from hemlockdock_control.placement import Planner
 from hemlockdock_control.service.address_book import AddressBook
 from hemlockdock_control.service.contact import LeaderContact
+from hemlockdock_control.service.leader_intake import LeaderIntake
 from hemlockdock_control.service.leader_round import LeaderRound
 from hemlockdock_control.service.load_board import LoadBoard
 from hemlockdock_control.service.member_front import MemberFront
@@ -75,6 +76,9 @@
             settings, self.machine, self._planner, self._proposer, self.volatile, self._send
         )
         contact = LeaderContact(settings, self.replicator, clock_ms)
+        intake = LeaderIntake(
+            self.machine, self._proposer, self.volatile, self.wall_ms, self._learn
+        )
         self._nodes = NodeFront(
             self.replicator,
             self.machine,
@@ -85,7 +89,7 @@
             self._clock,
             self.wall_ms,
             self._send,
-            self._learn,
+            intake,
         )
         pages = AdminPages(settings, self)
         self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages, contact)
@@ -183,15 +187,20 @@
     def _digest(self):
         leader_id = self.replicator.leader_id
         self._digests += 1
-        # The copy is repeated now and then, since a forward may be lost or come too early.
-        if leader_id and (leader_id != self._led_by or self._digests % DIGESTS_PER_COPY == 0):
+        if leader_id and leader_id != self._led_by:
             self._nodes.tell_leader_all()
+        elif self._digests % DIGESTS_PER_COPY == 0:
+            # A forward may be lost, or come before the leader knows that it leads.
+            self._nodes.tell_leader_beats()
         self._led_by = leader_id
         self._nodes.push_digest()
         now_ms = self._clock.now_ms()
         silent_ms = self._settings.membership.certain_after_ms * FORGET_FACTOR
         self._nodes.forget_silent(now_ms, silent_ms)
-        self._feed.forget_silent(now_ms, silent_ms)
+        watch_ms = self._settings.membership.lost_after_ms * FORGET_FACTOR
+        for address in self._feed.forget_silent(now_ms, watch_ms):
+            # It moved to another member or is gone; what waits for it here is of no use.
+            self._office.forget(address)
         for address in self._addresses.forget_silent(now_ms, silent_ms):
             self._office.forget(address)
 
--- a/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
@@ -13,6 +13,9 @@
 logger = logging.getLogger(__name__)
 
 EXPIRE_EVERY_MS = 1_000
+# Rounds in a row that only record what happened; one node that keeps changing must not keep
+# all others from being decided for.
+MAX_REPAIRS = 10
 
 
 class LeaderRound:
@@ -43,6 +46,7 @@
         self._silent_since_ms = 0.0
         self._expired_ms = 0.0
         self._busy = False
+        self._repairs = 0
 
     def begin(self, now_ms):
         """Start to lead; silence of nodes counts from now.
@@ -53,6 +57,8 @@
             By the silence clock.
         """
         self._silent_since_ms = now_ms
+        self._busy = False
+        self._repairs = 0
         self._orders.forget()
 
     def run(self, now_ms, at_ms):
@@ -107,11 +113,12 @@
             self._expired_ms = now_ms
             if state.has_due(at_ms):
                 commands.append(ExpireRecords(at_ms))
-        if commands:
+        self._repairs = self._repairs + 1 if commands else 0
+        if commands and self._repairs <= MAX_REPAIRS:
             # Placement waits for a state in which these are applied.
             return commands
         view = build_view(state, self._volatile.report_by_id, self._volatile.board, at_ms)
-        return self._planner.decide(view, at_ms)
+        return commands + self._planner.decide(view, at_ms)
 
     def _done(self, results, commands, now_ms):
         self._busy = False
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -1,10 +1,11 @@
 """Answer the nodes' messages at any member."""
 
 import logging
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from hemlockdock_control.membership import NodeBeat
-from hemlockdock_control.orders import InventoryReport, outcome_commands
+from hemlockdock_control.service.node_checks import frame_problem
 from hemlockdock_control.service.peer_messages import (
     BeatDigest,
     Relayed,
@@ -17,23 +18,17 @@
     CommandResult,
     FinishJob,
     FinishRun,
-    NodeLeaving,
     ReadJob,
-    RecordCrash,
     SubmitJob,
 )
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import (
-    CrashReport,
     Heartbeat,
     HeartbeatAck,
     Inventory,
-    Leaving,
-    OrderResult,
     Proposal,
     ProposalResult,
     WatchTable,
-    Wish,
 )
 from hemlockdock_core.metrics import COUNTERS
 
@@ -42,7 +37,25 @@
 # Nodes may not decide for the cluster; only control members and operators do.
 PROPOSABLE = (ClaimRun, FinishRun, SubmitJob, ClaimJob, FinishJob, ReadJob)
 ENTRY = "entry"
-MAX_FINGERPRINTS = 1_024
+# Agents repeat their inventory; the leader gets an unchanged one less often.
+INVENTORY_REPEAT_MS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class KeptInventory:
+    """Keep an agent's latest inventory.
+
+    Attributes
+    ----------
+    incarnation : int
+    inventory : Inventory
+    relayed_ms : float
+        When the leader was last told, by the silence clock.
+    """
+
+    incarnation: int
+    inventory: Inventory
+    relayed_ms: float
 
 
 class NodeFront:
@@ -60,8 +73,7 @@
     wall_ms : callable
     send : callable
         Takes an address and a message.
-    learn : callable
-        Takes an OrderResult before what it changes is committed.
+    intake : LeaderIntake
     """
 
     def __init__(
@@ -75,7 +87,7 @@
         clock,
         wall_ms,
         send,
-        learn,
+        intake,
     ):
         self._replicator = replicator
         self._machine = machine
@@ -86,7 +98,7 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._send = send
-        self._learn = learn
+        self._intake = intake
         self._inventory_by_id = {}
         self._open_proposals = set()
 
@@ -97,6 +109,11 @@
         ----------
         frame : Frame
         """
+        problem = frame_problem(frame)
+        if problem:
+            COUNTERS.increment("control_bad_messages", message=type(frame.body).__name__)
+            logger.warning("bad message", extra={"sender": frame.sender, "problem": problem})
+            return
         self._on_message(frame.body, frame)
 
     def on_relayed(self, message):
@@ -106,7 +123,7 @@
         ----------
         message : RelayedMessage
         """
-        self._on_leader(message.body, message.sender, message.incarnation)
+        self._intake.take(message.body, message.sender, message.incarnation)
 
     def on_digest(self, beats):
         """Take in, as the leader, what another member heard.
@@ -119,6 +136,10 @@
         for beat in beats:
             self._record(beat, now_ms)
 
+    def tell_leader_beats(self):
+        """Let the next digest hold everything that was heard here."""
+        self._volatile.beats.resend_all()
+
     def push_digest(self):
         """Tell the leader what was heard here; an empty digest shows that the way is open."""
         beats = self._volatile.beats.take_digest(self._clock.now_ms())
@@ -129,8 +150,8 @@
     def tell_leader_all(self):
         """Tell a leader that knows nothing yet all that this member heard."""
         self._volatile.beats.resend_all()
-        for (sender, incarnation), inventory in self._inventory_by_id.items():
-            self._relay(inventory, sender, incarnation)
+        for sender, kept in self._inventory_by_id.items():
+            self._relay(kept.inventory, sender, kept.incarnation)
 
     def forget_silent(self, now_ms, silent_ms):
         """Drop what was heard from nodes that fell silent long ago.
@@ -140,10 +161,8 @@
         now_ms, silent_ms : float
         """
         silent_ids = set(self._volatile.beats.forget_silent(now_ms, silent_ms))
-        for sender, incarnation in list(self._inventory_by_id):
-            if sender in silent_ids:
-                del self._inventory_by_id[(sender, incarnation)]
         for node_id in silent_ids:
+            self._inventory_by_id.pop(node_id, None)
             self._volatile.report_by_id.pop(node_id, None)
 
     @singledispatchmethod
@@ -195,52 +214,13 @@
 
     @_on_message.register
     def _(self, body: Relayed, frame):
-        if isinstance(body, Inventory):
-            self._keep_inventory(body, frame)
-        self._relay(body, frame.sender, frame.incarnation)
-
-    @singledispatchmethod
-    def _on_leader(self, body, sender, incarnation):
-        COUNTERS.increment("control_unexpected_messages", message=type(body).__name__)
-
-    @_on_leader.register
-    def _(self, body: Wish, sender, incarnation):
-        self._volatile.board.wish(sender, body, self._wall_ms())
-
-    @_on_leader.register
-    def _(self, body: OrderResult, sender, incarnation):
-        report = self._volatile.report_by_id.get(sender)
-        if report is not None and report.incarnation == incarnation:
-            report = report.after_result(body, self._machine.state)
-            self._volatile.report_by_id[sender] = report
-        self._learn(body)
-        commands = outcome_commands(body, sender, incarnation, self._machine.state, self._wall_ms())
-        for command in commands:
-            self._proposer.commit(command)
-
-    @_on_leader.register
-    def _(self, body: Inventory, sender, incarnation):
-        report = InventoryReport(sender, incarnation, self._machine.state.index, body)
-        if report.replaces(self._volatile.report_by_id.get(sender)):
-            self._volatile.report_by_id[sender] = report
-
-    @_on_leader.register
-    def _(self, body: Leaving, sender, incarnation):
-        node = self._machine.state.nodes.record_by_id.get(body.node_id)
-        if body.node_id != sender or node is None or node.incarnation != incarnation:
+        if isinstance(body, Inventory) and not self._is_news(body, frame):
             return
-        if not node.leaving:
-            self._proposer.commit(NodeLeaving(sender, self._wall_ms(), "agent"))
-
-    @_on_leader.register
-    def _(self, body: CrashReport, sender, incarnation):
-        fingerprints = body.fingerprints[:MAX_FINGERPRINTS]
-        command = RecordCrash(body.crash_id, sender, fingerprints, self._wall_ms())
-        self._proposer.commit(command)
+        self._relay(body, frame.sender, frame.incarnation)
 
     def _relay(self, body, sender, incarnation):
         if self._replicator.is_leader:
-            self._on_leader(body, sender, incarnation)
+            self._intake.take(body, sender, incarnation)
             return
         message = RelayedMessage(sender, incarnation, body)
         if not self._replicator.send_to_leader(encode_peer(message)):
@@ -254,11 +234,21 @@
             from_entry = heard.info is not None and heard.info.role == ENTRY
             self._volatile.board.report(heard, beat.loads, self._wall_ms(), from_entry)
 
-    def _keep_inventory(self, inventory, frame):
-        for sender, incarnation in list(self._inventory_by_id):
-            if sender == frame.sender and incarnation <= frame.incarnation:
-                del self._inventory_by_id[(sender, incarnation)]
-        self._inventory_by_id[(frame.sender, frame.incarnation)] = inventory
+    def _is_news(self, inventory, frame):
+        """Keep an inventory for new leaders, and tell whether this one has to have it now."""
+        now_ms = self._clock.now_ms()
+        kept = self._inventory_by_id.get(frame.sender)
+        if kept is not None and frame.incarnation < kept.incarnation:
+            return False
+        known = kept is not None and (kept.incarnation, kept.inventory) == (
+            frame.incarnation,
+            inventory,
+        )
+        if known and now_ms - kept.relayed_ms < INVENTORY_REPEAT_MS:
+            return self._replicator.is_leader
+        kept = KeptInventory(frame.incarnation, inventory, now_ms)
+        self._inventory_by_id[frame.sender] = kept
+        return True
 
     def _known(self, node_id, incarnation):
         record = self._machine.state.nodes.record_by_id.get(node_id)
--- a/packages/hemlockdock-control/hemlockdock_control/state/machine.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/machine.py
@@ -67,7 +67,15 @@
             COUNTERS.increment("control_unreadable_entries")
             logger.error("unreadable entry", extra={"index": index, "problem": str(error)})
             return CommandResult(index, Refusal.of(ErrorKind.INTERNAL, "unreadable entry"))
-        result = self.state.apply(index, command)
+        try:
+            result = self.state.apply(index, command)
+        except MemoryError:
+            raise
+        except Exception:
+            # The same command meets the same state everywhere, so all members end up alike.
+            COUNTERS.increment("control_failed_entries")
+            logger.exception("entry failed", extra={"index": index})
+            return CommandResult(index, Refusal.of(ErrorKind.INTERNAL, "the entry failed"))
         if self._on_applied is not None:
             self._on_applied(index, command)
         return result
--- a/packages/hemlockdock-control/tests/test_control_service.py
+++ b/packages/hemlockdock-control/tests/test_control_service.py
@@ -5,6 +5,7 @@
 import unittest
 from pathlib import Path
 
+import msgspec
 import pynng
 import treq
 from support import cluster_settings, manifest_json, settings
@@ -24,6 +25,7 @@
     Heartbeat,
     HeartbeatAck,
     Inventory,
+    LoadedModel,
     LoadOrder,
     OrderOutcome,
     OrderResult,
@@ -215,6 +217,26 @@
         yield response.content()
         self.assertEqual(response.code, 200)
 
+    @inlineCallbacks
+    def test_a_node_that_says_what_cannot_be_stops_nothing(self):
+        yield self.start()
+        member = self.services[0]
+        good = LightNode(self, "entry-1", "entry", member.node_address)
+        agent = LightNode(self, "agent-1", "agent", member.node_address)
+        agent.say(Inventory([LoadedModel("r1", "m1", "v1", 2**63, 1, [])] * 3, 1))
+        agent.info = msgspec.structs.replace(agent.info, memory_mb=2**63)
+        agent.beat()
+        claim = ClaimRun("key", "body", "entry-1", INCARNATION, "r1", "s1", 2**62, 1)
+        good.say(Proposal("bad", claim))
+        claim = msgspec.structs.replace(claim, retention_s=60)
+        good.say(Proposal("good", claim))
+        good.join()
+        yield until(lambda: member.machine.state.nodes.current("entry-1", INCARNATION))
+        yield until(lambda: "good" in good.results)
+        self.assertNotIn("bad", good.results)
+        self.assertNotIn("agent-1", member.machine.state.nodes.record_by_id)
+        member.machine.state.snapshot()
+
     @inlineCallbacks
     def test_nodes_may_not_decide(self):
         yield self.start()
