--- a/packages/hemlockdock-control/hemlockdock_control/state/run_once.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/run_once.py
@@ -29,6 +29,7 @@
         self._context = context
         self._nodes = nodes
         self.record_by_key = {}
+        self._claimed_by_key = {}
         self._answer_bytes = 0
 
     def restore(self, records):
@@ -39,6 +40,9 @@
         records : list of RunRecord
         """
         self.record_by_key = {record.key_hash: record for record in records}
+        self._claimed_by_key = {
+            record.key_hash: record for record in records if record.state is RunState.CLAIMED
+        }
         self._answer_bytes = sum(len(record.answer) for record in records)
 
     def claim(self, command):
@@ -72,6 +76,7 @@
             self._context.now_ms + LONGEST_RUN_MS,
         )
         self.record_by_key[command.key_hash] = record
+        self._claimed_by_key[command.key_hash] = record
         self._record_change(record, "none")
         return self._result(record)
 
@@ -111,8 +116,8 @@
         ----------
         node_id : str
         """
-        for record in self.record_by_key.values():
-            if record.owner != node_id or record.state is not RunState.CLAIMED:
+        for record in list(self._claimed_by_key.values()):
+            if record.owner != node_id:
                 continue
             if self._nodes.superseded(node_id, record.incarnation):
                 self._end(record, RunState.UNKNOWN, "claimed")
@@ -152,6 +157,7 @@
         return self._result(record)
 
     def _end(self, record, state, before):
+        self._claimed_by_key.pop(record.key_hash, None)
         record.state = state
         record.expires_at_ms = self._context.now_ms + record.retention_ms
         self._record_change(record, before)
