--- a/packages/hemlockdock-control/hemlockdock_control/service/load_board.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/load_board.py
@@ -124,6 +124,16 @@
         """
         return self._use_by_key.get((node_id, model))
 
+    def forget_node(self, node_id):
+        """Forget what a node reported that is not heard any more.
+
+        Parameters
+        ----------
+        node_id : str
+        """
+        for key in [key for key in self._use_by_key if key[0] == node_id]:
+            del self._use_by_key[key]
+
     def wishes(self, at_ms):
         """Return the wishes that still stand.
 
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -164,6 +164,7 @@
         for node_id in silent_ids:
             self._inventory_by_id.pop(node_id, None)
             self._volatile.report_by_id.pop(node_id, None)
+            self._volatile.board.forget_node(node_id)
 
     @singledispatchmethod
     def _on_message(self, body, frame):
