--- a/packages/hemlockdock-control/hemlockdock_control/membership/beats.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/beats.py
@@ -22,6 +22,8 @@
     leaving : bool
     info : NodeInfo or None
     load_by_model : dict of str to ModelLoad
+    via : str
+        Member that told of it; empty where it was heard here.
     """
 
     node_id: str
@@ -32,6 +34,7 @@
     leaving: bool = False
     info: NodeInfo | None = None
     load_by_model: dict[str, ModelLoad] = field(default_factory=dict)
+    via: str = ""
 
 
 class Beats:
@@ -47,13 +50,15 @@
         self._unsent_ids = set()
         self._unsent_loads_by_id = {}
 
-    def record(self, beat, now_ms):
+    def record(self, beat, now_ms, via=""):
         """Take in a heartbeat; an older one than is known is passed over.
 
         Parameters
         ----------
         beat : NodeBeat
         now_ms : float
+        via : str, optional
+            Member that told of it.
 
         Returns
         -------
@@ -69,6 +74,7 @@
             heard = HeardNode(beat.node_id, beat.incarnation, beat.sequence, heard_ms)
             self.heard_by_id[beat.node_id] = heard
         heard.sequence = beat.sequence
+        heard.via = via
         heard.heard_ms = max(heard.heard_ms, now_ms - beat.age_ms)
         heard.table_revision = beat.table_revision
         heard.leaving = beat.leaving
--- a/packages/hemlockdock-control/hemlockdock_control/membership/detector.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/detector.py
@@ -7,6 +7,8 @@
 from hemlockdock_core.commands import NodeLeaving, NodeLost, RegisterNode
 
 AGENT = "agent"
+# What a node takes to notice that its member is silent, and to be heard by way of another.
+HEARTBEATS_TO_MOVE = 6
 
 
 @dataclass(slots=True)
@@ -23,6 +25,9 @@
     silent_since_ms : float
         When this member began to lead, by the silence clock; silence is counted from then at
         the earliest.
+    silent_members : set of str
+        Control members that the leader does not hear; nodes that talk to them are on their way
+        to another one.
     now_ms : float
         By the silence clock.
     at_ms : int
@@ -33,6 +38,7 @@
     heard_by_id: dict
     state_by_host: dict
     silent_since_ms: float
+    silent_members: set
     now_ms: float
     at_ms: int
 
@@ -110,7 +116,7 @@
         return None
     silent_ms = silence_ms(view, node_id, record.incarnation)
     host_state = view.state_by_host.get(record.info.host)
-    if silent_ms >= settings.lost_after_ms:
+    if silent_ms >= _lost_after_ms(view, node_id, settings):
         # The list lags, so it confirms a silence but never overrules a heartbeat. By itself,
         # silence is certain only once an agent that was heard later than here has unloaded too.
         certain_ms = settings.certain_after_ms + settings.lost_after_ms
@@ -126,3 +132,11 @@
     if host_state in (HostState.LEAVING, HostState.GONE):
         return NodeLeaving(node_id, view.at_ms, PLATFORM)
     return None
+
+
+def _lost_after_ms(view, node_id, settings):
+    heard = view.heard_by_id.get(node_id)
+    if heard is None or heard.via not in view.silent_members:
+        return settings.lost_after_ms
+    # The loss of a control host must not look like the loss of the nodes that talked to it.
+    return settings.lost_after_ms + HEARTBEATS_TO_MOVE * settings.heartbeat_ms
--- a/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
@@ -102,6 +102,7 @@
                 self._volatile.beats.heard_by_id,
                 self._volatile.platform.state_by_host,
                 self._silent_since_ms,
+                self._volatile.silent_members(now_ms),
                 now_ms,
                 at_ms,
             ),
--- a/packages/hemlockdock-control/hemlockdock_control/service/member_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/member_front.py
@@ -66,7 +66,7 @@
 
     @_on_body.register
     def _(self, body: BeatDigest, member_id):
-        self._node_front.on_digest(body.beats)
+        self._node_front.on_digest(member_id, body.beats)
         self._replicator.send_to_member(member_id, encode_peer(DigestAck(body.sequence)))
 
     @_on_body.register
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_front.py
@@ -125,16 +125,18 @@
         """
         self._intake.take(message.body, message.sender, message.incarnation)
 
-    def on_digest(self, beats):
+    def on_digest(self, member_id, beats):
         """Take in, as the leader, what another member heard.
 
         Parameters
         ----------
+        member_id : str
         beats : list of NodeBeat
         """
         now_ms = self._clock.now_ms()
+        self._volatile.digest_ms_by_member[member_id] = now_ms
         for beat in beats:
-            self._record(beat, now_ms)
+            self._record(beat, now_ms, member_id)
 
     def tell_leader_beats(self):
         """Let the next digest hold everything that was heard here."""
@@ -227,8 +229,8 @@
         if not self._replicator.send_to_leader(encode_peer(message)):
             COUNTERS.increment("control_relays_without_leader")
 
-    def _record(self, beat, now_ms):
-        heard = self._volatile.beats.record(beat, now_ms)
+    def _record(self, beat, now_ms, via=""):
+        heard = self._volatile.beats.record(beat, now_ms, via)
         if heard is None or not self._replicator.is_leader:
             return
         if beat.loads:
--- a/packages/hemlockdock-control/tests/test_membership.py
+++ b/packages/hemlockdock-control/tests/test_membership.py
@@ -39,6 +39,7 @@
         self.driver = StateDriver()
         self.beats = Beats()
         self.hosts = {}
+        self.silent_members = set()
 
     def commands(self, now_ms, led_since_ms=0.0):
         view = MembershipView(
@@ -46,6 +47,7 @@
             self.beats.heard_by_id,
             self.hosts,
             led_since_ms,
+            self.silent_members,
             now_ms,
             5_000,
         )
@@ -68,6 +70,15 @@
         self.assertEqual(self.commands(CERTAIN_MS - 1), [])
         self.assertEqual(self.commands(CERTAIN_MS), [NodeLost("agent-1", 1, 5_000, True)])
 
+    def test_nodes_of_a_lost_member_have_time_to_move(self):
+        self.driver.add_agent("agent-1")
+        self.beats.record(beat(), 0.0, via="control-2")
+        lost = [NodeLost("agent-1", 1, 5_000, False)]
+        self.assertEqual(self.commands(LOST_MS), lost)
+        self.silent_members = {"control-2"}
+        self.assertEqual(self.commands(LOST_MS), [])
+        self.assertEqual(self.commands(LOST_MS + 6 * MEMBERSHIP.heartbeat_ms), lost)
+
     def test_a_new_leader_gives_every_node_time(self):
         self.driver.add_agent("agent-1")
         self.assertEqual(self.commands(100_000, led_since_ms=100_000 - LOST_MS + 1), [])
