--- a/packages/hemlockdock-control/tests/support.py
+++ b/packages/hemlockdock-control/tests/support.py
@@ -152,6 +152,7 @@
     """Return a unittest case that runs a state machine.
 
     It is the same on each run, unless ``FUZZ_EXAMPLES`` asks for a longer, seeded search.
+    ``FUZZ_SHRINK=0`` leaves a failing example as it was found.
 
     Parameters
     ----------
@@ -160,12 +161,17 @@
     examples, steps : int
     """
     asked = os.environ.get("FUZZ_EXAMPLES")
+    phases = set(hypothesis.Phase)
+    if os.environ.get("FUZZ_SHRINK") == "0":
+        # A deliberate fault only has to be noticed.
+        phases -= {hypothesis.Phase.shrink, hypothesis.Phase.explain}
     machine.TestCase.settings = hypothesis.settings(
         max_examples=int(asked or examples),
         stateful_step_count=steps,
         deadline=None,
         database=None,
         derandomize=asked is None,
+        phases=sorted(phases),
         suppress_health_check=list(hypothesis.HealthCheck),
     )
     if asked is None:
