--- a/tools/mutants/control.py
+++ b/tools/mutants/control.py
@@ -163,8 +163,8 @@
     Mutant(
         "the platform's list overrules heartbeats",
         f"{ROOT}/membership/detector.py",
-        "if silent_ms >= settings.lost_after_ms:",
-        "if silent_ms >= settings.lost_after_ms or host_state is HostState.GONE:",
+        "if silent_ms >= _lost_after_ms(view, node_id, settings):",
+        "if host_state is HostState.GONE or silent_ms >= settings.lost_after_ms:",
         MEMBERSHIP,
     ),
     Mutant(
--- a/tools/run_mutants.py
+++ b/tools/run_mutants.py
@@ -71,7 +71,9 @@
     path, _, class_name = test.partition("::")
     folder = tree / Path(path).parent
     packages = [str(package) for package in (tree / "packages").iterdir()]
-    environment = {**os.environ, "PYTHONPATH": os.pathsep.join([*packages, str(folder)])}
+    path_of_tree = os.pathsep.join([*packages, str(folder)])
+    # A fault only has to be noticed, so a failing example is not made smaller.
+    environment = {**os.environ, "PYTHONPATH": path_of_tree, "FUZZ_SHRINK": "0"}
     name = Path(path).stem + (f".{class_name}" if class_name else "")
     command = [sys.executable, "-W", "ignore", "-m", "unittest", "-f", name]
     try:
