--- a/packages/hemlockdock-control/hemlockdock_control/service/planner_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/planner_view.py
@@ -97,8 +97,7 @@
         reserved_mb,
         leaving=record.leaving,
         lost=record.lost,
-        # While something undecided is loaded, nothing new is decided.
-        inventory_known=record.inventoried and not record.undecided_mb,
+        inventory_known=record.inventoried,
         cached_in_memory=cached_in_memory,
         cached_on_disk=cached_on_disk,
         lost_at_ms=record.lost_at_ms,
--- a/tools/benchmarks/light_watcher.py
+++ b/tools/benchmarks/light_watcher.py
@@ -1,5 +1,7 @@
 """Act as a node that watches the routing table and counts its frames."""
 
+from twisted.internet.task import LoopingCall
+
 from hemlockdock_core.links import PostOffice
 from hemlockdock_core.messages import NODE_CODEC, Frame
 from hemlockdock_core.node import ControlLink
@@ -7,6 +9,7 @@
 from hemlockdock_core.settings import parse_settings
 
 LENGTH_BYTES = 8  # each frame's length on the wire
+INVENTORY_REPEAT_S = 2.0
 SETTINGS = """
 [process]
 node_id = {node_id}
@@ -27,6 +30,8 @@
     node_id : str
     service : ControlService
         The member that it talks to.
+    inventory : Inventory, optional
+        Makes it an agent that repeats this inventory as agents do.
 
     Attributes
     ----------
@@ -34,7 +39,7 @@
         Bytes of all frames sent and received.
     """
 
-    def __init__(self, reactor, node_id, service):
+    def __init__(self, reactor, node_id, service, inventory=None):
         member_id = service.member_id
         text = SETTINGS.format(node_id=node_id, member_id=member_id, address=service.node_address)
         settings = parse_settings(text, node_id)
@@ -42,9 +47,14 @@
         self._office = PostOffice(
             reactor, node_id, 1, CountingCodec(self), "tcp://127.0.0.1:0", self._receive
         )
-        info = NodeInfo(node_id, "entry", f"host-{node_id}", "domain-1", self._office.address)
+        role = "entry" if inventory is None else "agent"
+        info = NodeInfo(node_id, role, f"host-{node_id}", "domain-1", self._office.address)
         self._link = ControlLink(reactor, settings, self._office, info)
         self._link.start()
+        self._repeats = LoopingCall(self._link.send, inventory)
+        self._repeats.clock = reactor
+        if inventory is not None:
+            self._repeats.start(INVENTORY_REPEAT_S)
 
     @property
     def manifest_number(self):
@@ -54,6 +64,8 @@
 
     def close(self):
         """Stop and close its sockets."""
+        if self._repeats.running:
+            self._repeats.stop()
         self._link.stop()
         self._office.close()
 
