Count loads that failed at once as starts of the store

Cause: found by a deliberate fault caught for another reason: a load that failed within a second left the view, and its start was forgotten, so that more than 5 loads a second could start. The planner now remembers its own starts for a second; after a change of leader only those that the view still shows are known.

--- a/packages/hemlockdock-control/hemlockdock_control/placement/knowledge.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/knowledge.py
@@ -1,5 +1,7 @@
 """Hold what the planner learnt; a new leader starts with nothing."""
 
+from dataclasses import dataclass
+
 from hemlockdock_control.loading import LoadTimes
 from hemlockdock_control.placement.arrivals import Arrivals
 from hemlockdock_control.placement.checkpoints import CheckpointIndex
@@ -9,6 +11,22 @@
 INVENTORY_DELAY_MS = 3_000
 
 
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Name one start of a load.
+
+    Attributes
+    ----------
+    at_ms : int
+    model : str
+    node_id : str
+    """
+
+    at_ms: int
+    model: str
+    node_id: str
+
+
 class Knowledge:
     """Hold what the planner learnt.
 
@@ -36,6 +54,30 @@
         self.store_wait_ms = 0
         self.diskless_ids = set()
         self._failed_at_ms = {}
+        self._starts = []
+
+    def add_start(self, start):
+        """Remember a load from the store, also for when it fails at once.
+
+        Parameters
+        ----------
+        start : Start
+        """
+        self._starts.append(start)
+
+    def recent_starts(self, oldest_ms):
+        """Return this planner's starts after a time, and forget the others.
+
+        Parameters
+        ----------
+        oldest_ms : int
+
+        Returns
+        -------
+        set of Start
+        """
+        self._starts = [start for start in self._starts if start.at_ms > oldest_ms]
+        return set(self._starts)
 
     def learn_disks(self, view, now_ms):
         """Learn which hosts keep what is loaded on them on a disk.
--- a/packages/hemlockdock-control/hemlockdock_control/placement/round.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/round.py
@@ -3,6 +3,7 @@
 from hemlockdock_control.loading import StoreBudget, Tier
 from hemlockdock_control.placement.checkpoints import checkpoint_tier
 from hemlockdock_control.placement.demand import demand_by_model
+from hemlockdock_control.placement.knowledge import Start
 from hemlockdock_control.placement.prices import Prices
 from hemlockdock_core.commands import DecideAdapter, DecideAdapterUnload, DecideLoad, DecideUnload
 from hemlockdock_core.rows import ReplicaState
@@ -60,7 +61,8 @@
         self.unloading_ids = set()
         self.reason_by_model = {}
         self.adapter_room = settings.store.adapters_in_flight
-        starts_ms = []
+        oldest_ms = now_ms - StoreBudget.WINDOW_MS
+        starts = knowledge.recent_starts(oldest_ms)
         in_flight = 0
         for replica in view.replica_by_id.values():
             self.replicas_by_model.setdefault(replica.model, []).append(replica)
@@ -69,11 +71,11 @@
             if replica.state is ReplicaState.UNLOADING:
                 self._count_unloading(replica)
                 continue
-            if now_ms - replica.decided_at_ms < StoreBudget.WINDOW_MS:
-                starts_ms.append(replica.decided_at_ms)
+            if replica.decided_at_ms > oldest_ms:
+                starts.add(Start(replica.decided_at_ms, replica.model, replica.node_id))
             if replica.state is ReplicaState.LOADING and self._reads_from_store(replica):
                 in_flight += 1
-        self.budget = StoreBudget(settings.store, in_flight, starts_ms)
+        self.budget = StoreBudget(settings.store, in_flight, [start.at_ms for start in starts])
 
     def is_usable(self, node_id):
         """Tell whether an endpoint takes new work.
@@ -180,6 +182,8 @@
         self._take(endpoint.node_id, version.memory_mb)
         if checkpoint_tier(endpoint, model.name, version.name) is Tier.REMOTE:
             self.budget.take(self.now_ms)
+            start = Start(self.now_ms, model.name, endpoint.node_id)
+            self.knowledge.add_start(start)
 
     def claim(self, node_id, memory_mb):
         """Keep an endpoint's memory for a load that waits for unloads there.
--- a/packages/hemlockdock-control/tests/support_policy.py
+++ b/packages/hemlockdock-control/tests/support_policy.py
@@ -127,6 +127,12 @@
             self._apply(command)
         return commands
 
+    def change_leader(self):
+        """Start a planner that knows only the view: of failed loads it has not heard."""
+        self.planner = Planner(SETTINGS)
+        known_ms = [replica.decided_at_ms for replica in self.replica_by_id.values()]
+        self.starts_ms = [at_ms for at_ms in self.starts_ms if at_ms in known_ms]
+
     def remove(self, replica_id):
         """Free what a replica held."""
         replica = self.replica_by_id.pop(replica_id)
--- a/packages/hemlockdock-control/tests/test_placement_planner.py
+++ b/packages/hemlockdock-control/tests/test_placement_planner.py
@@ -85,6 +85,26 @@
         view = small_view(models, endpoints, replicas, [wish("e")])
         self.assertEqual(loaded_models(decide(view)), ["e"])
 
+    def test_starts_a_second_are_bounded(self):
+        models = [model_view(name) for name in "abcdef"]
+        endpoints = [endpoint_view("n", memory_mb=400_000, reserved_mb=100_000)]
+        replicas = [
+            ready_replica(f"r{name}", name, "n", decided_at_ms=NOW_MS - 500, last_used_ms=NOW_MS)
+            for name in "abcde"
+        ]
+        view = small_view(models, endpoints, replicas, [wish("f", since_ms=NOW_MS - 100)])
+        self.assertEqual(loaded_models(decide(view)), [])
+        self.assertEqual(loaded_models(decide(view, NOW_MS + 600)), ["f"])
+
+    def test_failed_loads_count_as_starts(self):
+        models = [model_view(name) for name in "abcdef"]
+        endpoints = [endpoint_view("n", memory_mb=400_000)]
+        view = small_view(models, endpoints, wishes=[wish(name) for name in "abcdef"])
+        planner = Planner(SETTINGS)
+        self.assertEqual(len(planner.decide(view, NOW_MS)), 4)
+        self.assertEqual(len(planner.decide(view, NOW_MS + 100)), 1)
+        self.assertEqual(len(planner.decide(view, NOW_MS + 200)), 0)
+
     def test_load_that_hangs_is_dropped_and_avoided(self):
         view = small_view(
             [model_view("m")],
--- a/packages/hemlockdock-control/tests/test_placement_retention.py
+++ b/packages/hemlockdock-control/tests/test_placement_retention.py
@@ -59,6 +59,17 @@
         calm = held_s(Planner(SETTINGS), 0.7)
         self.assertLess(held_s(Planner(SETTINGS), 0.7, NOW_MS + 3_600_000), calm)
 
+    def test_a_replica_that_serves_is_never_idle(self):
+        endpoints = [endpoint_view("a", reserved_mb=20_000)]
+        long_ago_ms = NOW_MS - DAY_MS
+        replica = ready_replica(
+            "r1", "m", "a", ready_at_ms=long_ago_ms, last_used_ms=long_ago_ms, in_flight=1
+        )
+        view = small_view([model_view("m")], endpoints, [replica], tail_cold_start=0.0)
+        planner = Planner(SETTINGS)
+        planner.decide(view, NOW_MS - 60_000)
+        self.assertEqual(planner.decide(view, NOW_MS), [])
+
     def test_a_new_leader_drops_nothing_at_once(self):
         replica = ready_replica("r1", "m", "a", ready_at_ms=NOW_MS - DAY_MS)
         endpoints = [endpoint_view("a", reserved_mb=20_000)]
--- a/tools/mutants/policy.py
+++ b/tools/mutants/policy.py
@@ -35,7 +35,7 @@
         f"{LOADING}/store_budget.py",
         "return len(self.starts_ms) + 1 <= max(self.most_a_second, 1.0)",
         "return True",
-        FUZZ,
+        SINGLE,
     ),
     Mutant(
         "policy: leaving endpoints get loads",
@@ -49,7 +49,7 @@
         f"{PLACEMENT}/hosts.py",
         "    for replica, gain_ms in victims_on(node_id):",
         "    for replica, gain_ms in victims_on(node_id)[:0]:",
-        FUZZ,
+        SINGLE,
     ),
     Mutant(
         "policy: a load that hangs is never noticed",
@@ -70,7 +70,7 @@
         f"{PLACEMENT}/retention.py",
         "if replica.state is not ReplicaState.READY or replica.in_flight > 0:",
         "if replica.state is not ReplicaState.READY:",
-        FUZZ,
+        f"{TESTS}/test_placement_retention.py",
     ),
     Mutant(
         "policy: the old version goes before the new one is ready",
