--- a/packages/hemlockdock-entry/hemlockdock_entry/services/lane.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/lane.py
@@ -2,14 +2,20 @@
 
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 from hemlockdock_entry.services.instance_picker import InstancePicker
-from hemlockdock_entry.waiting import ServiceTimes, Supply, WaitingQueue, expected_answer_s
+from hemlockdock_entry.waiting import ModelQueues, ServiceTimes, Supply, expected_answer_s
 
 MS_PER_S = 1_000
+LOOKUP_KIND = "lookup"
+RESERVED_FRACTION = 0.25
+RESERVED_FOR_S = 60.0
 
 
 class Lane:
     """Keep the calls of one plain service: those in flight and those that wait.
 
+    While lookups come, a part of the room is kept for them, so that they need not wait for a
+    long call to end.
+
     Parameters
     ----------
     settings : Settings
@@ -24,9 +30,11 @@
 
     def __init__(self, settings, random_source):
         self.in_flight = 0
+        self._others_in_flight = 0
+        self._last_lookup_at = None
         self.picker = InstancePicker(random_source)
         self.times = ServiceTimes()
-        self._queue = WaitingQueue(settings.entry.queue_limit, settings.entry.caller_share)
+        self._queues = ModelQueues(settings)
 
     def admit(self, row, request, now):
         """Let a call wait, unless it cannot be answered in time.
@@ -41,23 +49,27 @@
         -------
         Refusal or None
         """
-        free = max(0, row.most_in_flight - self.in_flight)
-        supply = Supply(row.most_in_flight, free, 0.0, row.most_in_flight)
-        ahead = self._queue.ahead_of(request)
-        needed_s = expected_answer_s(supply, ahead, self.times.expected_s(row.name), False)
+        if request.kind == LOOKUP_KIND:
+            self._last_lookup_at = now
+        slots = self._slots(row, request, now)
+        used = self.in_flight if request.kind == LOOKUP_KIND else self._others_in_flight
+        supply = Supply(slots, max(0, slots - used), 0.0, slots)
+        ahead = self._queues.ahead_of(request)
+        needed_s = expected_answer_s(supply, ahead, self.times, row.name, False)
         if now + needed_s > request.deadline_at:
             needed_ms = int(needed_s * MS_PER_S)
             message = f"an answer would take about {needed_ms} ms"
             kind = ErrorKind.DEADLINE_UNREACHABLE
             return Refusal.of(kind, message, NotRun.TRUE, needed_ms)
-        return self._queue.add(request).err()
+        return self._queues.add(request).err()
 
-    def next(self, row):
+    def next(self, row, now):
         """Take out the call that starts next, if there is room for one.
 
         Parameters
         ----------
         row : ServiceRow
+        now : float
 
         Returns
         -------
@@ -65,10 +77,32 @@
         """
         if self.in_flight >= row.most_in_flight:
             return None
-        request = self._queue.head()
-        if request is not None:
-            self._queue.remove(request.request_id)
-        return request
+        for request in self._queues.heads():
+            is_lookup = request.kind == LOOKUP_KIND
+            if is_lookup or self._others_in_flight < self._slots(row, request, now):
+                self._queues.remove(request)
+                return request
+        return None
+
+    def started(self, request):
+        """Count a call into flight.
+
+        Parameters
+        ----------
+        request : Request
+        """
+        self.in_flight += 1
+        self._others_in_flight += request.kind != LOOKUP_KIND
+
+    def ended(self, request):
+        """Count a call out of flight.
+
+        Parameters
+        ----------
+        request : Request
+        """
+        self.in_flight -= 1
+        self._others_in_flight -= request.kind != LOOKUP_KIND
 
     def leave(self, request):
         """Take a call out of the queue; nothing happens where it does not wait.
@@ -77,4 +111,11 @@
         ----------
         request : Request
         """
-        self._queue.remove(request.request_id)
+        self._queues.remove(request)
+
+    def _slots(self, row, request, now):
+        if request.kind == LOOKUP_KIND or self._last_lookup_at is None:
+            return row.most_in_flight
+        if now - self._last_lookup_at > RESERVED_FOR_S:
+            return row.most_in_flight
+        return max(1, row.most_in_flight - int(row.most_in_flight * RESERVED_FRACTION))
--- a/packages/hemlockdock-entry/hemlockdock_entry/services/service_call.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_call.py
@@ -127,13 +127,13 @@
 
     def _try(self):
         now = self._desk.clock.seconds()
-        lane, url = self._services.take_instance(self.service, self._tried_urls)
+        url = self._services.take_instance(self, self._tried_urls)
         self._tries += 1
         self._tried_urls.add(url)
         target = url.rstrip("/") + self._target
         COUNTERS.increment("entry_service_calls")
         running = self._services.client.call(self._method, target, self._headers, self.request.body)
-        self._runs[running] = (lane, url, now)
+        self._runs[running] = (url, now)
         running.addCallbacks(
             self._succeeded, self._failed, callbackArgs=(running,), errbackArgs=(running,)
         )
@@ -148,10 +148,10 @@
         self._try()
 
     def _succeeded(self, answer, running):
-        lane, url, started = self._runs.pop(running)
+        url, started = self._runs.pop(running)
         now = self._desk.clock.seconds()
-        lane.times.record(self.service, now - started)
-        self._services.release(self.service, lane, url, Outcome.ANSWERED)
+        self._services.lane(self.service).times.record(self.service, now - started)
+        self._services.release(self, url, Outcome.ANSWERED)
         if self._claim is not None:
             self._claim.finish(RunState.RAN, self._stored(answer))
         if self.core.ended:
@@ -164,8 +164,8 @@
         run = self._runs.pop(running, None)
         if run is None:
             return
-        lane, url, _ = run
-        self._services.release(self.service, lane, url, Outcome.FAILED)
+        url, _ = run
+        self._services.release(self, url, Outcome.FAILED)
         refusal = getattr(failure.value, "refusal", None)
         if refusal is None:
             failure.raiseException()
@@ -233,9 +233,9 @@
         if self._claim is not None:
             # A run that may happen once goes on, so that its outcome can be recorded.
             return
-        for running, (lane, url, _) in list(self._runs.items()):
+        for running, (url, _) in list(self._runs.items()):
             del self._runs[running]
-            self._services.release(self.service, lane, url, Outcome.NEUTRAL)
+            self._services.release(self, url, Outcome.NEUTRAL)
             running.cancel()
 
     def _end(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/services/services.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/services.py
@@ -35,7 +35,7 @@
         if row is None:
             call.refuse(Refusal.of(ErrorKind.UNKNOWN_SERVICE, f"no service {call.service!r}"))
             return
-        lane = self._lane(call.service)
+        lane = self.lane(call.service)
         refusal = lane.admit(row, call.request, self._desk.clock.seconds())
         if refusal is not None:
             call.refuse(refusal)
@@ -51,7 +51,7 @@
         ----------
         call : ServiceCall
         """
-        self._lane(call.service).leave(call.request)
+        self.lane(call.service).leave(call.request)
 
     def has_room(self, service):
         """Tell whether one more call may be in flight.
@@ -65,58 +65,69 @@
         bool
         """
         row = self._row(service)
-        return row is not None and self._lane(service).in_flight < row.most_in_flight
+        return row is not None and self.lane(service).in_flight < row.most_in_flight
 
-    def take_instance(self, service, avoided):
+    def take_instance(self, call, avoided):
         """Choose an instance and count a call onto it.
 
         Parameters
         ----------
-        service : str
+        call : ServiceCall
         avoided : set of str
 
         Returns
         -------
-        tuple of (Lane, str)
-            The lane, and the instance's base URL.
+        str
+            The instance's base URL.
         """
         now = self._desk.clock.seconds()
-        lane = self._lane(service)
-        url = lane.picker.choose(self._row(service).urls, now, avoided)
+        lane = self.lane(call.service)
+        url = lane.picker.choose(self._row(call.service).urls, now, avoided)
         lane.picker.taken(url, now)
-        lane.in_flight += 1
-        return lane, url
+        lane.started(call.request)
+        return url
 
-    def release(self, service, lane, url, outcome):
+    def release(self, call, url, outcome):
         """Count a call off its instance and start what waits for the room.
 
         Parameters
         ----------
-        service : str
-        lane : Lane
+        call : ServiceCall
         url : str
         outcome : Outcome
         """
-        lane.in_flight -= 1
+        lane = self.lane(call.service)
+        lane.ended(call.request)
         lane.picker.released(url, outcome, self._desk.clock.seconds())
-        self._pump(service)
+        self._pump(call.service)
+
+    def lane(self, service):
+        """Return a service's lane.
+
+        Parameters
+        ----------
+        service : str
+
+        Returns
+        -------
+        Lane
+        """
+        lane = self._lane_by_name.get(service)
+        if lane is None:
+            lane = Lane(self._desk.settings, self._random)
+            self._lane_by_name[service] = lane
+        return lane
 
     def _pump(self, service):
         row = self._row(service)
         if row is None:
             return
-        lane = self._lane(service)
-        request = lane.next(row)
+        now = self._desk.clock.seconds()
+        lane = self.lane(service)
+        request = lane.next(row, now)
         while request is not None:
             self._desk.exchange(request.request_id).run()
-            request = lane.next(row)
+            request = lane.next(row, now)
 
     def _row(self, service):
         return self._desk.link.table.service_by_name.get(service)
-
-    def _lane(self, service):
-        lane = self._lane_by_name.get(service)
-        if lane is None:
-            lane = Lane(self._desk.settings, self._random)
-            self._lane_by_name[service] = lane
-        return lane
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
@@ -396,7 +396,8 @@
         needed_s = expected_answer_s(
             self._supply.supply(request),
             ahead,
-            self.service_times.expected_s(request.model),
+            self.service_times,
+            request.model,
             request.kind == LIVE_KIND and request.streaming,
         )
         if self.clock.seconds() + needed_s <= request.deadline_at:
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -254,6 +254,8 @@
         if self.run_may_outlive_reply or self.attempt is None:
             return
         self.attempt.cancel()
+        ran_s = self.desk.clock.seconds() - self._dispatched_at
+        self.desk.service_times.record_at_least(self.request.model, ran_s)
         self._release(Outcome.NEUTRAL)
         if self.core.ended:
             self.desk.closed(self)
--- a/packages/hemlockdock-entry/hemlockdock_entry/waiting/estimate.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/waiting/estimate.py
@@ -25,7 +25,7 @@
     slots_after_load: int
 
 
-def expected_answer_s(supply, ahead, service_s, first_byte_only):
+def expected_answer_s(supply, ahead, times, name, first_byte_only):
     """Estimate the time from now to a request's answer.
 
     Parameters
@@ -33,8 +33,9 @@
     supply : Supply
     ahead : int
         Waiting requests that go first.
-    service_s : float
-        Expected service time, in seconds.
+    times : ServiceTimes
+    name : str
+        Model or service that the times are of.
     first_byte_only : bool
         Whether the deadline is for the first byte.
 
@@ -43,7 +44,9 @@
     float
         Seconds.
     """
-    own_s = 0.0 if first_byte_only else service_s
+    # Others take the mean on average, but this very request may be one of the slow ones.
+    service_s = times.expected_s(name)
+    own_s = 0.0 if first_byte_only else times.cautious_s(name)
     if supply.slots == 0:
         rounds = ahead / max(1, supply.slots_after_load)
         return supply.load_left_s + rounds * service_s + own_s
--- a/packages/hemlockdock-entry/hemlockdock_entry/waiting/service_times.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/waiting/service_times.py
@@ -1,35 +1,77 @@
 """Measure how long a model's requests take."""
 
+from dataclasses import dataclass
+
 SMOOTHING = 0.1
+DEVIATIONS = 2.5
 
 
-class ServiceTimes:
-    """Keep a smoothed service time for each model.
+@dataclass(slots=True)
+class ServiceTime:
+    """Hold one model's smoothed service time.
 
     Attributes
     ----------
-    seconds_by_model : dict of str to float
+    mean_s : float
+    deviation_s : float
+        Smoothed distance from the mean.
     """
 
+    mean_s: float
+    deviation_s: float
+
+
+class ServiceTimes:
+    """Keep a smoothed service time for each model."""
+
     def __init__(self):
-        self.seconds_by_model = {}
+        self._time_by_model = {}
 
     def record(self, model, seconds):
-        """Take the time from dispatch to the end of an answer.
+        """Take the time from dispatch to the end of a run.
 
         Parameters
         ----------
         model : str
         seconds : float
         """
-        known = self.seconds_by_model.get(model)
+        known = self._time_by_model.get(model)
         if known is None:
-            self.seconds_by_model[model] = seconds
+            self._time_by_model[model] = ServiceTime(seconds, seconds / 2)
             return
-        self.seconds_by_model[model] = known + SMOOTHING * (seconds - known)
+        distance = seconds - known.mean_s
+        known.mean_s += SMOOTHING * distance
+        known.deviation_s += SMOOTHING * (abs(distance) - known.deviation_s)
+
+    def record_at_least(self, model, seconds):
+        """Take a run that was given up before its end.
+
+        Parameters
+        ----------
+        model : str
+        seconds : float
+            How long it ran.
+        """
+        if seconds > self.expected_s(model):
+            # Without these the slow runs, which are given up most, would never count.
+            self.record(model, seconds)
 
     def expected_s(self, model):
-        """Return the expected service time in seconds, 0.0 where none was measured.
+        """Return the mean service time in seconds, 0.0 where none was measured.
+
+        Parameters
+        ----------
+        model : str
+
+        Returns
+        -------
+        float
+        """
+        known = self._time_by_model.get(model)
+        return known.mean_s if known else 0.0
+
+    def cautious_s(self, model):
+        """Return a service time that few runs exceed, in seconds.
 
         Parameters
         ----------
@@ -39,4 +81,5 @@
         -------
         float
         """
-        return self.seconds_by_model.get(model, 0.0)
+        known = self._time_by_model.get(model)
+        return known.mean_s + DEVIATIONS * known.deviation_s if known else 0.0
--- /dev/null
+++ b/tools/benchmarks/bench_overload.py
@@ -0,0 +1,135 @@
+"""Measure goodput under overload, lookups during a rush, and endpoints lost to one request."""
+
+import random
+
+from benchmarks.entry_world import DRAIN_S, EntryWorld
+from benchmarks.figure import Figure
+from benchmarks.lookup_world import LookupWorld
+
+VIRTUAL_TIME = True
+SEED = 51
+ENDPOINTS = 4
+SLOTS = 4
+MEAN_SERVICE_S = 0.4
+CAPACITY = ENDPOINTS * SLOTS / MEAN_SERVICE_S
+RUN_S = 60.0
+WARM_S = 10.0
+DEADLINES_S = (1.0, 2.0, 4.0)
+GOODPUT_BOUND = 0.95
+LOOKUP_BOUND = 1.5
+CRASH_BOUND = 2.0
+POISON = "poison"
+RESENDS = 60
+RESEND_S = 0.5
+
+
+def service_s(source, message, node_id):
+    """Return how long a request runs: a fixed part and a random one, in seconds."""
+    return MEAN_SERVICE_S * (0.5 + 0.5 * source.expovariate(1.0))
+
+
+def goodput(load, change=None, failure_rate=0.0, entry=""):
+    """Return requests answered within their deadlines a second.
+
+    Parameters
+    ----------
+    load : float
+        Offered requests over capacity.
+    change : callable, optional
+        Takes the desk before the run, to take a mechanism out.
+    failure_rate : float, optional
+    entry : str, optional
+        INI lines of the ``entry`` section.
+
+    Returns
+    -------
+    float
+    """
+    world = EntryWorld(SEED, ENDPOINTS, SLOTS, service_s, entry=entry)
+    world.endpoints.failure_rate = failure_rate
+    if change is not None:
+        change(world.desks[0])
+    deadlines = random.Random(SEED + 9)
+    world.arrive(load * CAPACITY, RUN_S, lambda: world.submit(deadlines.choice(DEADLINES_S)))
+    world.run(RUN_S + DRAIN_S)
+    counted = [caller for caller in world.callers if caller.request.admitted_at >= WARM_S]
+    untold = [caller for caller in counted if not (caller.answered_at or caller.refusal)]
+    if untold:
+        raise AssertionError(f"{len(untold)} callers were never told")
+    return sum(caller.in_time for caller in counted) / (RUN_S - WARM_S)
+
+
+def endpoints_lost(entries=3):
+    """Return how many endpoints one request takes down that is sent again and again.
+
+    Parameters
+    ----------
+    entries : int, optional
+
+    Returns
+    -------
+    tuple of (int, float)
+        Endpoints lost, and the part of the bystanders that were answered in time.
+    """
+    world = EntryWorld(SEED, ENDPOINTS * 2, SLOTS, service_s, entries)
+    world.endpoints.poison = POISON
+    deadlines = random.Random(SEED + 9)
+
+    def bystander():
+        entry = deadlines.randrange(entries)
+        world.submit(deadlines.choice(DEADLINES_S), entry=entry)
+
+    world.arrive(CAPACITY / 2, RESENDS * RESEND_S, bystander)
+
+    def resend(number):
+        world.submit(DEADLINES_S[-1], POISON, number % entries, "sender")
+        if number < RESENDS:
+            world.clock.callLater(RESEND_S, resend, number + 1)
+
+    world.clock.callLater(2.0, resend, 0)
+    world.run(RESENDS * RESEND_S + DRAIN_S)
+    others = [caller for caller in world.callers if caller.request.body != POISON.encode()]
+    in_time = sum(caller.in_time for caller in others) / len(others)
+    return world.endpoints.lost, in_time
+
+
+def measure():
+    """Yield the figures of overload and crashes."""
+    at_capacity = goodput(1.0)
+    overloaded = goodput(3.0)
+    yield Figure(
+        "overload.goodput_ratio",
+        overloaded,
+        "1/s",
+        "at capacity",
+        at_capacity,
+        overloaded / at_capacity,
+        GOODPUT_BOUND,
+        "higher",
+        SEED,
+    )
+    quiet = LookupWorld(SEED).p99_s(rush=False)
+    rush = LookupWorld(SEED).p99_s(rush=True)
+    yield Figure(
+        "overload.lookup_p99_ratio",
+        rush,
+        "s",
+        "quiet",
+        quiet,
+        rush / quiet,
+        LOOKUP_BOUND,
+        "lower",
+        SEED,
+    )
+    lost, _ = endpoints_lost()
+    yield Figure(
+        "crash.endpoints_per_request",
+        lost,
+        "endpoints",
+        "",
+        None,
+        None,
+        CRASH_BOUND,
+        "lower",
+        SEED,
+    )
--- /dev/null
+++ b/tools/benchmarks/compare_overload.py
@@ -0,0 +1,140 @@
+"""Compare each mechanism of the request path with its absence, on the same traces.
+
+Run as ``PYTHONPATH=tools:... python -m benchmarks.compare_overload``.
+"""
+
+import random
+from collections import OrderedDict
+from contextlib import contextmanager
+
+from benchmarks.bench_overload import CAPACITY, ENDPOINTS, SEED, SLOTS, goodput
+from benchmarks.entry_world import DRAIN_S, EntryWorld
+from benchmarks.lookup_world import LookupWorld
+
+from hemlockdock_entry.routing import Router
+from hemlockdock_entry.waiting import model_queues, service_times
+from hemlockdock_entry.waiting.queue import WaitingQueue
+
+LOADS = (1.0, 3.0)
+FAILURE_RATE = 0.3
+SLOW_PART = 0.02
+HEDGE_MS = 20
+PREFIXES = (16, 64, 256)
+CACHED_PREFIXES = 8
+HIT_S = 0.25
+MISS_S = 0.45
+AFFINITY_LOADS = (0.5, 1.0)
+AFFINITY_RUN_S = 40.0
+
+
+@contextmanager
+def replaced(owner, name, value):
+    """Replace an attribute for a time.
+
+    Parameters
+    ----------
+    owner : object
+    name : str
+    value : object
+    """
+    before = owner.__dict__[name]
+    setattr(owner, name, value)
+    try:
+        yield
+    finally:
+        setattr(owner, name, before)
+
+
+def first_come(load):
+    """Return the goodput where waiting requests run in the order they came."""
+    place = staticmethod(lambda request: (request.admitted_at, request.request_id))
+
+    def urgency(request):
+        return (-request.priority, request.admitted_at, request.request_id)
+
+    with replaced(WaitingQueue, "_place", place), replaced(model_queues, "_urgency", urgency):
+        return goodput(load)
+
+
+def never_early(desk):
+    """Let a desk refuse nothing before its deadline."""
+    desk.unreachable = lambda request, ahead: None
+
+
+def print_row(name, values):
+    """Print one row of figures."""
+    print(f"{name:44}", *(f"{value:8.3f}" for value in values), flush=True)
+
+
+class AffinityRouter(Router):
+    """Prefer the replica that last ran a request with the same prefix, where it has room."""
+
+    def __init__(self, failure_domain, random_source):
+        super().__init__(failure_domain, random_source)
+        self._last_by_prefix = {}
+
+    def choose(self, table, request, now, avoided_nodes=(), suspect=False):
+        """Choose a replica that has room."""
+        chosen = super().choose(table, request, now, avoided_nodes, suspect)
+        if chosen is None:
+            return None
+        last = table.replica_by_id.get(self._last_by_prefix.get(request.body))
+        if last is not None and self.in_flight(last.replica_id) < last.requests_per_replica:
+            chosen = last
+        self._last_by_prefix[request.body] = chosen.replica_id
+        return chosen
+
+
+def affinity(load, prefixes, router_type):
+    """Return the mean answer time where engines keep some prefixes, in seconds."""
+    cache_by_node = {}
+
+    def service_s(source, message, node_id):
+        cache = cache_by_node.setdefault(node_id, OrderedDict())
+        hit = message.body in cache
+        cache[message.body] = True
+        cache.move_to_end(message.body)
+        if len(cache) > CACHED_PREFIXES:
+            cache.popitem(last=False)
+        return (HIT_S if hit else MISS_S) * (0.5 + 0.5 * source.expovariate(1.0))
+
+    world = EntryWorld(SEED, ENDPOINTS, SLOTS, service_s)
+    world.desks[0].router = router_type("a", random.Random(SEED))
+    source = random.Random(SEED + 9)
+    rate = load * CAPACITY
+
+    def submit():
+        world.submit(8.0, body=f"prefix-{source.randrange(prefixes)}")
+
+    world.arrive(rate, AFFINITY_RUN_S, submit)
+    world.run(AFFINITY_RUN_S + DRAIN_S)
+    told = [caller for caller in world.callers if caller.answered_at]
+    return sum(caller.answered_at - caller.request.admitted_at for caller in told) / len(told)
+
+
+def main():
+    """Print each mechanism's figures beside those without it."""
+    print("goodput (answered in time a second) at", *LOADS, "times capacity")
+    print_row("as built", [goodput(load) for load in LOADS])
+    print_row("first come, first served", [first_come(load) for load in LOADS])
+    print_row("no early refusal", [goodput(load, never_early) for load in LOADS])
+    with replaced(service_times, "DEVIATIONS", 0.0):
+        print_row("early refusal by mean times only", [goodput(load) for load in LOADS])
+    print(f"goodput where {FAILURE_RATE:.0%} of the runs fail")
+    for budget in (0.0, 0.1, 0.3, 1.0):
+        entry = f"retry_budget = {budget}"
+        row = [goodput(load, failure_rate=FAILURE_RATE, entry=entry) for load in (0.6, 3.0)]
+        print_row(f"retry budget {budget} (at 0.6 and 3)", row)
+    print(f"lookups' p99 in ms where {SLOW_PART:.0%} of the calls are slow")
+    for hedge_ms in (0, HEDGE_MS):
+        world = LookupWorld(SEED, SLOW_PART, f"hedge_after_ms = {hedge_ms}")
+        print_row(f"hedge after {hedge_ms} ms (0 is off)", [world.p99_s(False) * 1_000])
+    print("mean answer time in ms with prefix caches, at", *AFFINITY_LOADS, "times capacity")
+    for prefixes in PREFIXES:
+        for router_type in (Router, AffinityRouter):
+            row = [affinity(load, prefixes, router_type) * 1_000 for load in AFFINITY_LOADS]
+            print_row(f"{prefixes} prefixes, {router_type.__name__}", row)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/benchmarks/lookup_world.py
@@ -0,0 +1,155 @@
+"""Drive calls to plain services by seeded traces on virtual time."""
+
+import math
+import random
+
+from benchmarks.entry_world import EntryWorld
+from twisted.internet.defer import Deferred
+
+from hemlockdock_core.rows import ServiceRow
+from hemlockdock_entry.intake import Request
+from hemlockdock_entry.services import ServiceAnswer, ServiceCall, Services
+
+LOOKUPS_PER_S = 100.0
+LOOKUP_S = 0.004
+BOOKING_S = 0.05
+IN_FLIGHT = 16
+URLS = ["http://one", "http://two", "http://three"]
+LOOKUP_DEADLINE_S = 0.5
+BOOKING_DEADLINE_S = 8.0
+RUSH_FACTOR = 3.0
+RUN_S = 10.0
+DRAIN_S = 4.0
+P99 = 0.99
+MODEL_SERVICE_S = 0.4
+MODEL_ENDPOINTS = 4
+MODEL_SLOTS = 4
+SLOW_FACTOR = 50.0
+
+
+class VirtualClient:
+    """Answer calls after a random time.
+
+    Parameters
+    ----------
+    clock : twisted.internet.task.Clock
+    random_source : random.Random
+    slow_part : float
+        Part of the calls that an instance answers much more slowly.
+    """
+
+    def __init__(self, clock, random_source, slow_part):
+        self._clock = clock
+        self._random = random_source
+        self._slow_part = slow_part
+
+    def call(self, method, url, headers, body):
+        """Answer one call later."""
+        mean_s = LOOKUP_S if method == "GET" else BOOKING_S
+        seconds = mean_s * (0.5 + 0.5 * self._random.expovariate(1.0))
+        if self._random.random() < self._slow_part:
+            seconds *= SLOW_FACTOR
+        answered = Deferred()
+        self._clock.callLater(seconds, self._answer, answered)
+        return answered
+
+    @staticmethod
+    def _answer(answered):
+        if not answered.called:
+            answered.callback(ServiceAnswer(200))
+
+
+class LookupCaller:
+    """Keep when one call was answered.
+
+    Parameters
+    ----------
+    clock : twisted.internet.task.Clock
+    """
+
+    def __init__(self, clock):
+        self.started_at = clock.seconds()
+        self.took_s = math.inf
+        self._clock = clock
+
+    def answer(self, answer):
+        """Take the answer."""
+        self.took_s = self._clock.seconds() - self.started_at
+
+    def refuse(self, refusal):
+        """Take a refusal, which counts as slower than any answer."""
+
+
+class LookupWorld:
+    """Hold one entry with a plain service that takes lookups and bookings.
+
+    Parameters
+    ----------
+    seed : int
+    slow_part : float, optional
+    entry : str, optional
+        INI lines of the ``entry`` section.
+    """
+
+    def __init__(self, seed, slow_part=0.0, entry=""):
+        self.world = EntryWorld(seed, MODEL_ENDPOINTS, MODEL_SLOTS, _model_s, entry=entry)
+        self.desk = self.world.desks[0]
+        self.world.table.put(ServiceRow("venues", URLS, "lookup", ["GET"], IN_FLIGHT))
+        client = VirtualClient(self.world.clock, random.Random(seed + 3), slow_part)
+        self._services = Services(self.desk, client, random.Random(seed + 4))
+        self._count = 0
+
+    def p99_s(self, rush):
+        """Return the lookups' 99th percentile, in seconds.
+
+        Parameters
+        ----------
+        rush : bool
+            Whether bookings and a model's requests come at three times what can be served.
+
+        Returns
+        -------
+        float
+        """
+        lookups = []
+        self.world.arrive(LOOKUPS_PER_S, RUN_S, lambda: lookups.append(self._call("GET")))
+        if rush:
+            bookings = RUSH_FACTOR * IN_FLIGHT / BOOKING_S
+            self.world.arrive(bookings, RUN_S, lambda: self._call("POST"))
+            requests = RUSH_FACTOR * MODEL_ENDPOINTS * MODEL_SLOTS / MODEL_SERVICE_S
+            self.world.arrive(requests, RUN_S, lambda: self.world.submit(2.0))
+        self.world.run(RUN_S + DRAIN_S)
+        took = sorted(caller.took_s for caller in lookups)
+        return took[int(P99 * len(took))]
+
+    def _call(self, method):
+        is_lookup = method == "GET"
+        clock = self.world.clock
+        now = clock.seconds()
+        self._count += 1
+        request = Request(
+            request_id=f"s{self._count}",
+            caller=f"caller-{self._count % 20}",
+            model="",
+            adapter="",
+            path="/",
+            body=b"",
+            streaming=False,
+            class_name="lookup" if is_lookup else "booking",
+            kind="lookup" if is_lookup else "short",
+            repeatable=is_lookup,
+            key="",
+            priority=90 if is_lookup else 50,
+            retention_s=60,
+            admitted_at=now,
+            deadline_at=now + (LOOKUP_DEADLINE_S if is_lookup else BOOKING_DEADLINE_S),
+            fingerprint=f"s{self._count}",
+        )
+        reply = LookupCaller(clock)
+        call = ServiceCall(self.desk, self._services, "venues", request, method, "/", {}, reply)
+        self.desk.submit(call)
+        return reply
+
+
+def _model_s(source, message, node_id):
+    return MODEL_SERVICE_S * (0.5 + 0.5 * source.expovariate(1.0))
