--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -8,10 +8,12 @@
 
 from hemlockdock_control.admin import AdminListener, AdminPages
 from hemlockdock_control.consensus import Replicator
+from hemlockdock_control.consensus.replicator import clock_ms
 from hemlockdock_control.hub import TableFeed
 from hemlockdock_control.membership import Beats, PlatformList, SilenceClock
 from hemlockdock_control.placement import Planner
 from hemlockdock_control.service.address_book import AddressBook
+from hemlockdock_control.service.contact import LeaderContact
 from hemlockdock_control.service.leader_round import LeaderRound
 from hemlockdock_control.service.load_board import LoadBoard
 from hemlockdock_control.service.member_front import MemberFront
@@ -21,8 +23,9 @@
 from hemlockdock_control.service.volatile import Volatile
 from hemlockdock_control.state import ClusterMachine
 from hemlockdock_core.links import LinkTls, PostOffice
-from hemlockdock_core.messages import NODE_CODEC
+from hemlockdock_core.messages import NODE_CODEC, OrderOutcome
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.rows import ReplicaState
 
 logger = logging.getLogger(__name__)
 
@@ -71,22 +74,29 @@
         self._round = LeaderRound(
             settings, self.machine, self._planner, self._proposer, self.volatile, self._send
         )
+        contact = LeaderContact(settings, self.replicator, clock_ms)
         self._nodes = NodeFront(
-            settings,
             self.replicator,
             self.machine,
             self._proposer,
             self.volatile,
             self._feed,
+            contact,
             self._clock,
             self.wall_ms,
             self._send,
+            self._learn,
         )
         pages = AdminPages(settings, self)
-        self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages)
+        self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages, contact)
         self._admin = AdminListener(reactor, settings, self.replicator, self._proposer, pages)
         self._loops = []
 
+    @property
+    def member_id(self):
+        """Return this member's id."""
+        return self._settings.process.node_id
+
     @property
     def feed(self):
         """Return what serves the watchers."""
@@ -114,9 +124,7 @@
         list of str
         """
         at_ms = self.wall_ms()
-        volatile = self.volatile
-        view = build_view(self.machine.state, volatile.report_by_id, volatile.board, at_ms)
-        return self._planner.explain(view, model, at_ms)
+        return self._planner.explain(self._view(at_ms), model, at_ms)
 
     def start(self):
         """Open the data folder, join the other members and listen."""
@@ -209,6 +217,22 @@
             if record.info.memory_mb:
                 self._office.forget(record.info.address)
 
+    def _learn(self, result):
+        replica = self.machine.state.replicas.record_by_id.get(result.replica_id)
+        if replica is None or replica.state is not ReplicaState.LOADING:
+            return
+        if result.fence != replica.fence:
+            return
+        if result.outcome is not OrderOutcome.DONE:
+            self._planner.observe_failure(replica.model, replica.node_id, self.wall_ms())
+            return
+        view = self._view(self.wall_ms())
+        self._planner.observe_load(view, replica.replica_id, result.took_ms)
+
+    def _view(self, at_ms):
+        volatile = self.volatile
+        return build_view(self.machine.state, volatile.report_by_id, volatile.board, at_ms)
+
     def _on_frame(self, frame):
         if frame.reply_to and not self._addresses.touch(frame.reply_to, self._clock.now_ms()):
             COUNTERS.increment("control_senders_refused")
