--- a/tools/benchmarks/compare_overload.py
+++ b/tools/benchmarks/compare_overload.py
@@ -10,7 +10,6 @@
 from benchmarks.bench_overload import CAPACITY, ENDPOINTS, SEED, SLOTS, goodput
 from benchmarks.entry_world import DRAIN_S, EntryWorld
 from benchmarks.lookup_world import LookupWorld
-
 from hemlockdock_entry.routing import Router
 from hemlockdock_entry.waiting import model_queues, service_times
 from hemlockdock_entry.waiting.queue import WaitingQueue
--- /dev/null
+++ b/tools/benchmarks/entry_latency.py
@@ -0,0 +1,98 @@
+"""Time warm calls through an entry and an agent, and straight to the stand-in engine.
+
+Run as a process of its own, since a reactor runs once in a process. Prints one JSON object.
+"""
+
+import json
+import statistics
+import time
+
+import treq
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import deferLater, react
+from twisted.web.client import HTTPConnectionPool
+
+from hemlockdock_cli.admin_client import AdminClient
+from hemlockdock_cli.demo import DemoCluster
+from hemlockdock_cli.demo.manifest import demo_manifest
+
+PATH = "/v1/chat/completions"
+MODEL = "labeller"
+WARM_CALLS = 30
+CALLS = 300
+PATIENCE = 100
+POLL_S = 0.1
+
+
+async def call(pool, url, body, headers):
+    """Send one call and return how long it took, in seconds."""
+    started = time.perf_counter()
+    response = await treq.post(url, body, headers=headers, pool=pool)
+    await response.content()
+    elapsed = time.perf_counter() - started
+    if response.code != 200:
+        raise RuntimeError(f"{url} answered {response.code}")
+    return elapsed
+
+
+async def submit(reactor, cluster):
+    """Put the demo's manifest in force."""
+    admin = AdminClient(",".join(cluster.admin_addresses))
+    for _ in range(PATIENCE):
+        try:
+            return await admin.request("POST", "/v1/manifest", demo_manifest(cluster.service.url))
+        except Exception:
+            await deferLater(reactor, POLL_S)
+    raise RuntimeError("the manifest was not accepted")
+
+
+async def loaded_at(cluster, pool):
+    """Return the engine's URL and the replica's id where the model is loaded."""
+    for engine in cluster.engines:
+        response = await treq.get(f"{engine.url}/inventory", pool=pool)
+        inventory = await response.json()
+        for replica in inventory["loaded"]:
+            if replica["model"] == MODEL:
+                return engine.url, replica["replica_id"]
+    raise RuntimeError("the model is not loaded")
+
+
+async def run(reactor):
+    """Print both medians, taken in turns in one run."""
+    cluster = DemoCluster(reactor)
+    await cluster.start()
+    pool = HTTPConnectionPool(reactor)
+    await submit(reactor, cluster)
+    messages = [{"role": "user", "content": "x"}]
+    body = json.dumps({"model": MODEL, "max_tokens": 1, "messages": messages}).encode()
+    through = f"http://{cluster.entry_addresses[0]}{PATH}"
+    for _ in range(PATIENCE):
+        try:
+            await call(pool, through, body, {})
+            break
+        except RuntimeError:
+            await deferLater(reactor, POLL_S)
+    through_s = []
+    straight_s = []
+    while len(straight_s) < WARM_CALLS + CALLS:
+        engine_url, replica_id = await loaded_at(cluster, pool)
+        headers = {"X-Replica-Id": replica_id}
+        try:
+            straight = await call(pool, f"{engine_url}{PATH}", body, headers)
+        except RuntimeError:
+            # The replica was unloaded between the two calls; another one is there.
+            continue
+        straight_s.append(straight)
+        through_s.append(await call(pool, through, body, {}))
+    del through_s[:WARM_CALLS], straight_s[:WARM_CALLS]
+    medians = {
+        "through_s": statistics.median(through_s),
+        "straight_s": statistics.median(straight_s),
+    }
+    print(json.dumps(medians), flush=True)
+    await pool.closeCachedConnections()
+    await cluster.stop()
+
+
+if __name__ == "__main__":
+    react(lambda reactor: ensureDeferred(run(reactor)))
--- a/tools/benchmarks/entry_world.py
+++ b/tools/benchmarks/entry_world.py
@@ -2,10 +2,10 @@
 
 import random
 
-from benchmarks.virtual_endpoints import VirtualEndpoints
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from benchmarks.virtual_endpoints import VirtualEndpoints
 from hemlockdock_core.rows import ClassRow, ModelRow, RoutingTable
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_entry.intake import Request
--- a/tools/benchmarks/lookup_world.py
+++ b/tools/benchmarks/lookup_world.py
@@ -3,9 +3,9 @@
 import math
 import random
 
-from benchmarks.entry_world import EntryWorld
 from twisted.internet.defer import Deferred
 
+from benchmarks.entry_world import EntryWorld
 from hemlockdock_core.rows import ServiceRow
 from hemlockdock_entry.intake import Request
 from hemlockdock_entry.services import ServiceAnswer, ServiceCall, Services
--- /dev/null
+++ b/tools/benchmarks/stream_peer.py
@@ -0,0 +1,75 @@
+"""Stand for the agent and the callers of one entry that relays streams.
+
+Run as a process of its own, so that the entry's processor time is the entry's alone.
+"""
+
+import sys
+
+import treq
+from twisted.internet import reactor
+from twisted.internet.defer import DeferredList
+from twisted.internet.task import LoopingCall
+
+from hemlockdock_core.links import PostOffice
+from hemlockdock_core.messages import NODE_CODEC, AnswerChunk, AnswerEnd, AnswerHead, Dispatch
+
+TOKENS_PER_STREAM = 400
+STREAMS = 100
+TURN_S = 0.01
+TOKEN = b'data: {"choices":[{"index":0,"delta":{"content":"abcdef "}}]}\n\n'
+BODY = b'{"model": "m", "stream": true}'
+
+
+class StreamAgent:
+    """Answer each dispatch with a stream, one token a turn, as engines do."""
+
+    def __init__(self):
+        self.office = PostOffice(reactor, "agent-1", 1, NODE_CODEC, "tcp://127.0.0.1:0", self._take)
+        self._open = {}
+        self._turns = LoopingCall(self._turn)
+        self._turns.start(TURN_S)
+
+    def _take(self, frame):
+        if isinstance(frame.body, Dispatch):
+            ids = (frame.body.request_id, frame.body.attempt)
+            self.office.send(frame.reply_to, AnswerHead(*ids, 200, "text/event-stream"))
+            self._open[ids] = (frame.reply_to, 0)
+
+    def _turn(self):
+        for ids, (address, sent) in list(self._open.items()):
+            offset = sent * len(TOKEN)
+            if sent == TOKENS_PER_STREAM:
+                del self._open[ids]
+                self.office.send(address, AnswerEnd(*ids, offset))
+                continue
+            self._open[ids] = (address, sent + 1)
+            self.office.send(address, AnswerChunk(*ids, offset, TOKEN))
+
+
+def read_streams(url):
+    """Read many streams at once; print how many tokens came."""
+    calls = []
+    for _ in range(STREAMS):
+        call = treq.post(url, BODY, persistent=False, unbuffered=True)
+        call.addCallback(lambda response: response.content())
+        calls.append(call)
+    return DeferredList(calls, fireOnOneErrback=True)
+
+
+def main():
+    """Print the agent's address, then read streams from the URL given on standard input."""
+    agent = StreamAgent()
+    print(agent.office.address, flush=True)
+    url = sys.stdin.readline().strip()
+
+    def count(results):
+        print(sum(body.count(TOKEN) for _, body in results), flush=True)
+        agent.office.close()
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: read_streams(url).addCallback(count))
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
