--- a/packages/hemlockdock-entry/tests/test_desk.py
+++ b/packages/hemlockdock-entry/tests/test_desk.py
@@ -3,7 +3,7 @@
 import os
 import unittest
 
-from hypothesis import HealthCheck, seed
+from hypothesis import HealthCheck, Phase, seed
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -357,7 +357,10 @@
 def fuzz_settings():
     """Return the settings of a state machine, longer ones where the environment asks."""
     wanted = os.environ.get("FUZZ_EXAMPLES")
+    # Shrinking takes minutes: it is left to the longer runs, so that CI fails soon.
+    phases = (Phase.generate, Phase.shrink) if wanted else (Phase.generate,)
     return hypothesis_settings(
+        phases=phases,
         max_examples=int(wanted) if wanted else EXAMPLES,
         stateful_step_count=STEPS,
         derandomize=not wanted,
