--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -90,8 +90,10 @@
     Mutant(
         "mark events with the place before them",
         ENTRY + "streams/event_marker.py",
-        '            self._offset += end - start\n            marked.append(b"%s%d\\n%s" % (self._prefix, self._offset, data[start:end]))\n',
-        '            marked.append(b"%s%d\\n%s" % (self._prefix, self._offset, data[start:end]))\n            self._offset += end - start\n',
+        "            self._offset += end - start\n"
+        '            marked.append(b"%s%d\\n%s" % (self._prefix, self._offset, data[start:end]))\n',
+        '            marked.append(b"%s%d\\n%s" % (self._prefix, self._offset, data[start:end]))\n'
+        "            self._offset += end - start\n",
         STREAMS,
     ),
     Mutant(
@@ -132,7 +134,8 @@
     Mutant(
         "eject every replica that looks bad",
         ENTRY + "routing/router.py",
-        "        if len(accepted) >= len(usable) * (1 - MAX_EJECTED_FRACTION):\n            return accepted\n",
+        "        if len(accepted) >= len(usable) * (1 - MAX_EJECTED_FRACTION):\n"
+        "            return accepted\n",
         "        if accepted:\n            return accepted\n",
         DECISIONS,
     ),
