Let a candidate say whose vote counts, and a leader that removes itself lead again

Voters now answer whatever their configuration says; the reply carries the folder's identity, and the candidate, whose log is further, judges it. A member stands for election while its removal is not committed.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/configuration.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/configuration.py
@@ -63,6 +63,8 @@
     def has_voter(self, member_id, folder_id):
         """Tell whether a member with this very folder is a voter.
 
+        A folder that was emptied has another identity: what it promised is forgotten.
+
         Parameters
         ----------
         member_id : str
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/elections.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/elections.py
@@ -75,7 +75,8 @@
         state.reset_election_timer(now_ms)
     elif not request.pre and request.term > state.term and not _is_loyal(state, request, now_ms):
         state.become_follower(request.term, "", now_ms)
-    state.send(sender, VoteReply(state.term, request.term, request.pre, granted))
+    reply = VoteReply(state.term, request.term, request.pre, granted, state.folder_id)
+    state.send(sender, reply)
 
 
 def on_reply(state, sender, reply, now_ms):
@@ -93,6 +94,8 @@
         return
     if not reply.granted:
         return
+    if not state.configuration.has_voter(sender, reply.folder_id):
+        return
     if reply.pre:
         wanted = state.role is MemberRole.PRE_CANDIDATE and reply.request_term == state.term + 1
     else:
@@ -136,8 +139,8 @@
 
 
 def _may_vote(state, sender, request, now_ms):
-    if not state.is_voter:
-        return False
+    # Whether this member is a voter is for the candidate to say, whose log may be further: a
+    # non-voter that doesn't know yet that it was promoted may be needed for the quorum.
     if _is_loyal(state, request, now_ms):
         return False
     if not _is_up_to_date(state, request):
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
@@ -42,7 +42,7 @@
     if state.is_leader:
         _lead(state, now_ms)
         return
-    if state.is_voter and now_ms >= state.election_due_ms:
+    if state.may_lead and now_ms >= state.election_due_ms:
         elections.start_pre_vote(state, now_ms)
 
 
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
@@ -131,6 +131,18 @@
         """Tell whether this member, with this very folder, may vote."""
         return self.configuration.has_voter(self.member_id, self.folder_id)
 
+    @property
+    def may_lead(self):
+        """Tell whether this member may stand for election.
+
+        A member whose removal is in its log, but not committed, may: nobody else may have the
+        entries that it holds.
+        """
+        if self.is_voter:
+            return True
+        committed = self.configurations.at(self.commit_index)
+        return committed.has_voter(self.member_id, self.folder_id)
+
     @property
     def peer_ids(self):
         """Return the ids of all other members."""
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/message_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/message_handlers.py
@@ -67,5 +67,5 @@
 
 @take_message.register
 def _(message: TimeoutNow, sender, state, now_ms):
-    if message.term == state.term and state.is_voter and not state.is_leader:
+    if message.term == state.term and state.may_lead and not state.is_leader:
         elections.start_election(state, now_ms, transfer=True)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/messages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/messages.py
@@ -39,12 +39,16 @@
     request_term : int
     pre : bool
     granted : bool
+    folder_id : str
+        Identity of the voter's folder. Where the candidate's configuration has another one, the
+        folder was emptied since, and the vote does not count.
     """
 
     term: int
     request_term: int
     pre: bool
     granted: bool
+    folder_id: str
 
 
 class AppendRequest(Message, frozen=True):
--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -154,6 +154,30 @@
         self.assertIn(cluster.leader().member_id, "bc")
         self.assertEqual(sorted(cluster.leader().state.configuration.voter_ids), ["b", "c"])
 
+    def test_a_leader_that_was_removing_itself_may_lead_again(self):
+        cluster = SimulatedCluster(4, 2)
+        cluster.lead("a")
+        cluster.propose_at_leaders(3)
+        cluster.remove("a")
+        cluster.cut_off("a")
+        cluster.run(60)
+        self.assertEqual(cluster.settle().state.configuration.voter_ids, ["b"])
+
+    def test_a_non_voter_that_does_not_know_of_its_promotion_votes(self):
+        cluster = SimulatedCluster(3)
+        leader = cluster.lead("a")
+        cluster.member_by_id["c"].crash()
+        cluster.add("d")
+        cluster.run(30)
+        cluster.promote("d")
+        self.assertIn("d", leader.state.configuration.voter_ids)
+        leader.crash()
+        cluster.in_flight.clear()
+        leader.start()
+        cluster.run(300, busy=True)
+        self.assertIsNotNone(cluster.leader())
+        self.assertGreater(len(cluster.acknowledged), 0)
+
     def test_an_emptied_folder_takes_no_committed_entry_with_it(self):
         for seed in SEEDS:
             cluster = SimulatedCluster(seed)
--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -88,6 +88,21 @@
         "    if False:\n",
         CORE,
     ),
+    Mutant(
+        "a member whose removal is not committed may not lead",
+        CONSENSUS + "member_state.py",
+        "        committed = self.configurations.at(self.commit_index)\n"
+        "        return committed.has_voter(self.member_id, self.folder_id)\n",
+        "        return False\n",
+        FAULTS,
+    ),
+    Mutant(
+        "a member that does not know of its promotion refuses its vote",
+        CONSENSUS + "elections.py",
+        "    if _is_loyal(state, request, now_ms):\n        return False\n",
+        "    if _is_loyal(state, request, now_ms) or not state.is_voter:\n        return False\n",
+        FAULTS,
+    ),
     Mutant(
         "an emptied folder votes",
         CONSENSUS + "configuration.py",
