--- a/packages/hemlockdock-control/tests/support_policy.py
+++ b/packages/hemlockdock-control/tests/support_policy.py
@@ -168,7 +168,7 @@
                 endpoint = self.endpoint_by_id[replica.node_id]
                 if replica.model != wish.model or replica.state is not ReplicaState.READY:
                     continue
-                if not endpoint.takes_work or (
+                if not is_there(endpoint) or (
                     wish.adapter and wish.adapter not in replica.adapters
                 ):
                     continue
@@ -206,7 +206,7 @@
         expect(len(held) < model.most_replicas, "count")
         expect(command.version == model.serve, "served version")
         expect(
-            endpoint.takes_work and command.incarnation == endpoint.incarnation, "usable endpoint"
+            is_there(endpoint) and command.incarnation == endpoint.incarnation, "usable endpoint"
         )
         drop_ms = self.idle_drops.get(model.name)
         quiet = drop_ms is not None and drop_ms > self.last_arrival_ms
@@ -250,3 +250,8 @@
     """Fail where a rule does not hold."""
     if not holds:
         raise AssertionError(f"broken: {what}")
+
+
+def is_there(endpoint):
+    """Tell whether an endpoint may get work, by the oracle's own reading."""
+    return not (endpoint.leaving or endpoint.lost) and endpoint.inventory_known
