--- a/packages/hemlockdock-control/tests/test_placement_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_placement_fuzz.py
@@ -133,7 +133,7 @@
     def test_promises_hold_whatever_happens(self):
         examples = os.environ.get("FUZZ_EXAMPLES")
         chosen = settings(
-            max_examples=int(examples or 120),
+            max_examples=int(examples or 250),
             stateful_step_count=50,
             deadline=None,
             database=None,
