Give up what is asked of the engine when the agent stops; test the hand-back

Cause: a question under way at the stop put its connection back into a closed pool. Conclusion: the client cancels its calls when it closes; leaving waits for the last frames.

--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -67,18 +67,20 @@
         self._pool.maxPersistentPerHost = MOST_CONNECTIONS
         # A request that met a closed connection may have run, so it is never sent again here.
         self._pool.retryAutomatically = False
+        self._calls = set()
         self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
 
     def close(self):
-        """Close idle connections.
+        """Give up what is asked and close idle connections.
 
         Returns
         -------
         Deferred
         """
+        for call in list(self._calls):
+            call.cancel()
         return self._pool.closeCachedConnections()
 
-    @inlineCallbacks
     def order(self, kind, order, timeout_ms):
         """Send an order.
 
@@ -93,6 +95,10 @@
         -------
         Deferred of OrderReply
         """
+        return self._tracked(self._order(kind, order, timeout_ms))
+
+    @inlineCallbacks
+    def _order(self, kind, order, timeout_ms):
         try:
             response = yield treq.post(
                 f"{self._url}/orders/{kind}",
@@ -105,7 +111,6 @@
             return OrderReply(None, type(error).__name__)
         return OrderReply.of_status(response.code, content.decode("utf-8", "replace"))
 
-    @inlineCallbacks
     def inventory(self):
         """Ask what the engine holds.
 
@@ -114,6 +119,10 @@
         Deferred of EngineInventory or None
             None where no answer came.
         """
+        return self._tracked(self._inventory())
+
+    @inlineCallbacks
+    def _inventory(self):
         try:
             response = yield treq.get(
                 f"{self._url}/inventory", agent=self._agent, timeout=PROBE_TIMEOUT_S
@@ -124,7 +133,6 @@
             logger.debug("no inventory", extra={"problem": type(error).__name__})
             return None
 
-    @inlineCallbacks
     def load(self):
         """Ask for the engine's own report of its load.
 
@@ -133,6 +141,10 @@
         Deferred of int or None
             Requests running, as of a while ago.
         """
+        return self._tracked(self._load())
+
+    @inlineCallbacks
+    def _load(self):
         try:
             response = yield treq.get(
                 f"{self._url}/load", agent=self._agent, timeout=PROBE_TIMEOUT_S
@@ -143,7 +155,6 @@
             logger.debug("no load report", extra={"problem": type(error).__name__})
             return None
 
-    @inlineCallbacks
     def cancel(self, request_id):
         """Ask the engine to stop generating for a request.
 
@@ -155,6 +166,10 @@
         -------
         Deferred
         """
+        return self._tracked(self._cancel(request_id))
+
+    @inlineCallbacks
+    def _cancel(self, request_id):
         try:
             response = yield treq.post(
                 f"{self._url}/cancel",
@@ -203,3 +218,12 @@
         """
         url = f"{self._url}/streams/{request_id}?offset={offset}"
         return self._agent.request(b"GET", url.encode())
+
+    def _tracked(self, call):
+        self._calls.add(call)
+
+        def forget(result):
+            self._calls.discard(call)
+            return result
+
+        return call.addBoth(forget)
--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -67,6 +67,18 @@
             self.office.send(frame.reply_to, acknowledgement)
         if isinstance(frame.body, WatchTable):
             self.send_table()
+        if isinstance(frame.body, Inventory):
+            self.drop_what_is_gone({item.replica_id for item in frame.body.loaded})
+
+    def drop_what_is_gone(self, loaded_ids):
+        """Delete the rows of replicas that an inventory does not show any more."""
+        kept = [
+            row
+            for row in self.rows
+            if not isinstance(row, ReplicaRow) or row.replica_id in loaded_ids
+        ]
+        if kept != self.rows:
+            self.change(*kept)
 
     def send_table(self):
         """Send the whole table."""
@@ -276,7 +288,10 @@
         yield self.until(lambda: self.entry.last(("q2", 1), Refused))
         refusal = self.entry.last(("q2", 1), Refused).refusal
         self.assertEqual((refusal.kind, refusal.not_run), (ErrorKind.DRAINING, NotRun.TRUE))
+        self.assertIn("r1", self.engine.state.replica_by_id)
         yield stopped
+        # What was loaded is handed back, so that it can be loaded elsewhere at once.
+        self.assertEqual(self.engine.state.replica_by_id, {})
         yield self.until(lambda: self.entry.last(("q1", 1), AnswerEnd))
         self.assertEqual(self.entry.body(("q1", 1)), stream_body(body, 60))
 
