--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -67,21 +67,31 @@
         self._pool.maxPersistentPerHost = MOST_CONNECTIONS
         # A request that met a closed connection may have run, so it is never sent again here.
         self._pool.retryAutomatically = False
+        self._calls = set()
         self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
         self._probes = set()
 
     @inlineCallbacks
     def close(self):
+<<<<<<< HEAD
         """Wait for the probes under way, each of which has a timeout, then close connections.
+=======
+        """Give up what is asked and close idle connections.
+>>>>>>> agent
 
         Returns
         -------
         Deferred
         """
+<<<<<<< HEAD
         yield DeferredList(list(self._probes))
         yield self._pool.closeCachedConnections()
+=======
+        for call in list(self._calls):
+            call.cancel()
+        return self._pool.closeCachedConnections()
+>>>>>>> agent
 
-    @inlineCallbacks
     def order(self, kind, order, timeout_ms):
         """Send an order.
 
@@ -96,6 +106,10 @@
         -------
         Deferred of OrderReply
         """
+        return self._tracked(self._order(kind, order, timeout_ms))
+
+    @inlineCallbacks
+    def _order(self, kind, order, timeout_ms):
         try:
             response = yield treq.post(
                 f"{self._url}/orders/{kind}",
@@ -216,6 +230,7 @@
         url = f"{self._url}/streams/{request_id}?offset={offset}"
         return self._agent.request(b"GET", url.encode())
 
+<<<<<<< HEAD
     def _tracked(self, answered):
         # What waits for the pool to be empty waits for a copy, so that nobody loses a result.
         done = Deferred()
@@ -226,3 +241,13 @@
         self._probes.discard(done)
         done.callback(None)
         return result
+=======
+    def _tracked(self, call):
+        self._calls.add(call)
+
+        def forget(result):
+            self._calls.discard(call)
+            return result
+
+        return call.addBoth(forget)
+>>>>>>> agent
