Unload an adapter once, and keep starts that a new leader has seen

Cause: with three adapters of one model the fuzz test had more than 5 loads a second start after a change of leader: a load seen by the new leader and then lost within the second was forgotten. Reading the code for it showed that two waiting adapters could both make room by unloading the same third one.

--- a/packages/hemlockdock-control/hemlockdock_control/placement/adapters.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/adapters.py
@@ -22,7 +22,9 @@
             if adapter is None or adapter.model != demand.model:
                 continue
             if plan.adapter_room <= 0:
-                plan.reason_by_model[demand.model] = "waits: adapters in flight are at most"
+                plan.reason_by_model[demand.model] = (
+                    "waits: as many adapters as allowed are in flight"
+                )
                 return
             _load_adapter(plan, demand, adapter, eviction)
 
@@ -55,6 +57,8 @@
     # One unload at a time on an endpoint; the freed memory is seen in a later round.
     if replica.adapters_unloading:
         return True
+    if any(replica_id == replica.replica_id for replica_id, _ in plan.adapters_going):
+        return True
     return plan.freed_by_node.get(replica.node_id, 0) >= adapter.memory_mb
 
 
--- a/packages/hemlockdock-control/hemlockdock_control/placement/knowledge.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/knowledge.py
@@ -57,7 +57,7 @@
         self._starts = []
 
     def add_start(self, start):
-        """Remember a load from the store, also for when it fails at once.
+        """Remember a load that was decided or seen, also for when it fails at once.
 
         Parameters
         ----------
@@ -66,7 +66,7 @@
         self._starts.append(start)
 
     def recent_starts(self, oldest_ms):
-        """Return this planner's starts after a time, and forget the others.
+        """Return the known starts after a time, and forget the others.
 
         Parameters
         ----------
--- a/packages/hemlockdock-control/hemlockdock_control/placement/round.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/round.py
@@ -32,6 +32,8 @@
         Replicas that are going, by earlier decisions or this round's.
     reason_by_model : dict of str to str
         Why a model that is asked for was not loaded.
+    adapters_going : set of (str, str)
+        Replica id and adapter name of this round's adapter unloads.
     budget : StoreBudget
     adapter_room : int
         Adapter loads that may still start.
@@ -60,6 +62,7 @@
         self.taken_by_node = {}
         self.unloading_ids = set()
         self.reason_by_model = {}
+        self.adapters_going = set()
         self.adapter_room = settings.store.adapters_in_flight
         oldest_ms = now_ms - StoreBudget.WINDOW_MS
         starts = knowledge.recent_starts(oldest_ms)
@@ -68,11 +71,14 @@
             self.replicas_by_model.setdefault(replica.model, []).append(replica)
             self.replicas_by_node.setdefault(replica.node_id, []).append(replica)
             self.adapter_room -= len(replica.adapters_loading)
+            if replica.decided_at_ms > oldest_ms:
+                start = Start(replica.decided_at_ms, replica.model, replica.node_id)
+                if start not in starts:
+                    starts.add(start)
+                    knowledge.add_start(start)
             if replica.state is ReplicaState.UNLOADING:
                 self._count_unloading(replica)
                 continue
-            if replica.decided_at_ms > oldest_ms:
-                starts.add(Start(replica.decided_at_ms, replica.model, replica.node_id))
             if replica.state is ReplicaState.LOADING and self._reads_from_store(replica):
                 in_flight += 1
         self.budget = StoreBudget(settings.store, in_flight, [start.at_ms for start in starts])
@@ -231,6 +237,7 @@
         replica : ReplicaView
         adapter_name : str
         """
+        self.adapters_going.add((replica.replica_id, adapter_name))
         self.commands.append(DecideAdapterUnload(replica.replica_id, adapter_name, self.now_ms))
 
     def _take(self, node_id, memory_mb):
--- a/tools/mutants/policy.py
+++ b/tools/mutants/policy.py
@@ -107,4 +107,11 @@
         "if days >= 0 or not self.starts_ms:",
         f"{TESTS}/test_placement_retention.py",
     ),
+    Mutant(
+        "policy: one adapter is unloaded twice in a round",
+        f"{PLACEMENT}/adapters.py",
+        "if any(replica_id == replica.replica_id for replica_id, _ in plan.adapters_going):",
+        "if replica is None:",
+        FUZZ,
+    ),
 ]
