Drop callers that do not read; sharpen the oracle; part admission from the desk

Two deliberate faults survived: frames of another agent were crossed where they could not matter, and a try at a lost agent could wait for its deadline. The oracle now sees both.

--- a/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
@@ -87,7 +87,7 @@
         if probe is None:
             self._claim(row)
             return
-        if self._desk.unreachable(probe, 0) is not None:
+        if self._desk.admission.unreachable(probe, 0) is not None:
             # Claimed only to report it: the caller learns early that it cannot be had.
             self._claim(row)
             return
--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -184,7 +184,8 @@
 
     @_take.register(Leaving)
     def _(self, body, frame):
-        self._desk.router.node_leaving(body.node_id, frame.incarnation)
+        if body.node_id == frame.sender:
+            self._desk.router.node_leaving(body.node_id, frame.incarnation)
 
     def _close(self):
         if self._port is None:
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/admission.py
@@ -0,0 +1,94 @@
+"""Tell which requests cannot be answered in time, or may not run."""
+
+from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_entry.routing import Standing
+from hemlockdock_entry.tasks.exchange import LIVE_KIND
+from hemlockdock_entry.waiting import expected_answer_s
+
+MS_PER_S = 1_000
+
+
+class Admission:
+    """Tell which requests cannot be answered in time, or may not run.
+
+    Parameters
+    ----------
+    desk : Desk
+    supply : SupplyView
+    """
+
+    def __init__(self, desk, supply):
+        self._desk = desk
+        self._supply = supply
+
+    def refusal(self, request):
+        """Return why a request is refused on arrival, or None.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        Refusal or None
+        """
+        if self._desk.draining:
+            return Refusal.of(ErrorKind.DRAINING, "this entry is shutting down")
+        if not self._desk.link.fresh:
+            return Refusal.of(ErrorKind.NO_CONTROL, "no word from control for too long")
+        if self.standing(request) is Standing.REFUSED:
+            return quarantined()
+        return None
+
+    def standing(self, request):
+        """Tell how far a request is trusted.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        Standing
+        """
+        now = self._desk.clock.seconds()
+        return self._desk.suspects.standing(
+            self._desk.link.table, request.fingerprint, now, self._desk.wall_ms()
+        )
+
+    def unreachable(self, request, ahead):
+        """Return the refusal of a request that cannot be answered in time, or None.
+
+        Parameters
+        ----------
+        request : Request
+        ahead : int
+            Waiting requests that go first.
+
+        Returns
+        -------
+        Refusal or None
+        """
+        needed_s = expected_answer_s(
+            self._supply.supply(request),
+            ahead,
+            self._desk.service_times,
+            request.model,
+            request.kind == LIVE_KIND and request.streaming,
+        )
+        if self._desk.clock.seconds() + needed_s <= request.deadline_at:
+            return None
+        needed_ms = int(needed_s * MS_PER_S)
+        message = f"an answer would take about {needed_ms} ms"
+        return Refusal.of(ErrorKind.DEADLINE_UNREACHABLE, message, NotRun.TRUE, needed_ms)
+
+
+def quarantined():
+    """Return the refusal of a request that crashes endpoints.
+
+    Returns
+    -------
+    Refusal
+    """
+    message = "this request crashed the endpoints that ran it"
+    return Refusal.of(ErrorKind.QUARANTINED, message)
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
@@ -5,17 +5,17 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
-from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.messages import Wish
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.lifecycle import Ledger
 from hemlockdock_entry.routing import RetryBudget, Router, Standing, Suspects
+from hemlockdock_entry.tasks.admission import Admission, quarantined
 from hemlockdock_entry.tasks.attempts import Attempts
 from hemlockdock_entry.tasks.background import Background
-from hemlockdock_entry.tasks.exchange import LIVE_KIND
 from hemlockdock_entry.tasks.load_reports import LoadReports
 from hemlockdock_entry.tasks.supply_view import SupplyView
-from hemlockdock_entry.waiting import ModelQueues, ServiceTimes, expected_answer_s
+from hemlockdock_entry.waiting import ModelQueues, ServiceTimes
 
 logger = logging.getLogger(__name__)
 
@@ -58,6 +58,7 @@
         self.background = Background(clock, link, self._check_idle)
         self.loads = LoadReports(link)
         self._supply = SupplyView(clock, link, self.router, self.loads)
+        self.admission = Admission(self, self._supply)
         self._queues_by_model = {}
         self._exchange_by_id = {}
         self._unanswered = set()
@@ -91,7 +92,7 @@
         request = exchange.request
         self._exchange_by_id[request.request_id] = exchange
         self._unanswered.add(request.request_id)
-        refusal = self._refusal_at_admission(request)
+        refusal = self.admission.refusal(request)
         if refusal is not None:
             exchange.refuse(refusal)
             return
@@ -124,7 +125,7 @@
         if queues is None:
             queues = ModelQueues(self.settings)
             self._queues_by_model[request.model] = queues
-        refusal = self.unreachable(request, queues.ahead_of(request))
+        refusal = self.admission.unreachable(request, queues.ahead_of(request))
         if refusal is None:
             refusal = queues.add(request).err()
         if refusal is not None:
@@ -329,26 +330,13 @@
         on_idle, self._on_idle = self._on_idle, None
         on_idle()
 
-    def _refusal_at_admission(self, request):
-        if self.draining:
-            return Refusal.of(ErrorKind.DRAINING, "this entry is shutting down")
-        if not self.link.fresh:
-            return Refusal.of(ErrorKind.NO_CONTROL, "no word from control for too long")
-        if self._standing(request) is Standing.REFUSED:
-            return _quarantined()
-        return None
-
-    def _standing(self, request):
-        now = self.clock.seconds()
-        return self.suspects.standing(self.link.table, request.fingerprint, now, self.wall_ms())
-
     def _start(self, request):
         """Start one request; tell whether it left its queue."""
         exchange = self._exchange_by_id[request.request_id]
-        standing = self._standing(request)
+        standing = self.admission.standing(request)
         if standing is Standing.REFUSED:
             self.leave_queue(exchange)
-            exchange.refuse(_quarantined())
+            exchange.refuse(quarantined())
             return True
         suspect = standing is Standing.SUSPECT
         if suspect and self._suspect_in_flight is not None:
@@ -357,7 +345,7 @@
         if replica is None:
             return False
         self.leave_queue(exchange)
-        refusal = self.unreachable(request, 0)
+        refusal = self.admission.unreachable(request, 0)
         if refusal is not None:
             exchange.refuse(refusal)
             return True
@@ -380,36 +368,10 @@
             avoided = ()
         return self.router.choose(table, request, now, avoided, suspect)
 
-    def unreachable(self, request, ahead):
-        """Return the refusal of a request that cannot be answered in time, or None.
-
-        Parameters
-        ----------
-        request : Request
-        ahead : int
-            Waiting requests that go first.
-
-        Returns
-        -------
-        Refusal or None
-        """
-        needed_s = expected_answer_s(
-            self._supply.supply(request),
-            ahead,
-            self.service_times,
-            request.model,
-            request.kind == LIVE_KIND and request.streaming,
-        )
-        if self.clock.seconds() + needed_s <= request.deadline_at:
-            return None
-        needed_ms = int(needed_s * MS_PER_S)
-        message = f"an answer would take about {needed_ms} ms"
-        return Refusal.of(ErrorKind.DEADLINE_UNREACHABLE, message, NotRun.TRUE, needed_ms)
-
     def _refuse_unreachable(self, queues):
         ahead = 0
         for request in queues.requests():
-            refusal = self.unreachable(request, ahead)
+            refusal = self.admission.unreachable(request, ahead)
             if refusal is None:
                 ahead += 1
                 continue
@@ -420,8 +382,3 @@
         left_ms = request.left_ms(self.clock.seconds())
         self.link.send(Wish(request.model, request.adapter, waiting, left_ms, request.priority))
         COUNTERS.increment("entry_wishes")
-
-
-def _quarantined():
-    message = "this request crashed the endpoints that ran it"
-    return Refusal.of(ErrorKind.QUARANTINED, message)
--- a/packages/hemlockdock-entry/tests/test_desk.py
+++ b/packages/hemlockdock-entry/tests/test_desk.py
@@ -203,16 +203,18 @@
         run.sent = min(len(answer_for(run.dispatch.request_id)) - 1, run.sent + size)
 
     @precondition(lambda self: self.runs)
-    @rule(choice=st.integers(0, 99), other=st.integers(0, 99), data=st.binary(max_size=4))
-    def cross_frame(self, choice, other, data):
-        """A frame arrives under a wrong attempt, or from a wrong agent."""
+    @rule(choice=st.integers(0, 99), other=st.integers(0, 99), size=st.integers(1, 4))
+    def cross_frame(self, choice, other, size):
+        """Frames arrive under a wrong attempt, or from a wrong agent."""
         run = self.runs[choice % len(self.runs)]
         stranger = AGENTS[other % len(AGENTS)]
         attempt = run.dispatch.attempt
         if stranger == run.node_id:
             attempt += 1 + other
-        frame = AnswerChunk(run.dispatch.request_id, attempt, 0, data)
-        self.desks[run.owner].attempts.handle(frame, stranger)
+        ids = (run.dispatch.request_id, attempt)
+        attempts = self.desks[run.owner].attempts
+        attempts.handle(AnswerHead(*ids, 200, "text/plain"), stranger)
+        attempts.handle(AnswerChunk(*ids, run.sent, b"!" * size), stranger)
 
     @precondition(lambda self: self.open_runs())
     @rule(choice=st.integers(0, 99), kind=st.sampled_from([*GATE_KINDS, *FAULT_KINDS]))
@@ -290,6 +292,14 @@
             assert reply.answers <= 1
             assert (reply.answers == 1) == exchange.core.ended
 
+    @invariant()
+    def no_try_waits_for_a_lost_agent(self):
+        """A try whose agent is gone ends when the table says so."""
+        for made in self.desks:
+            for attempt in made.attempts.all():
+                row = self.table.node_by_id[attempt.node.node_id]
+                assert not row.lost and row.incarnation == attempt.node.incarnation
+
     @invariant()
     def no_fault_inside(self):
         """The entry's own code never fails."""
--- a/packages/hemlockdock-entry/tests/test_service.py
+++ b/packages/hemlockdock-entry/tests/test_service.py
@@ -12,6 +12,7 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import Wish
+from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import JobRow, ServiceRow
 from hemlockdock_entry.service import EntryService
 from hemlockdock_standins.service import StandInService
@@ -304,3 +305,19 @@
         for _ in range(3):
             yield self.check_alive()
         self.assertEqual(len(other.dispatches), 3)
+
+    @inlineCallbacks
+    def test_a_caller_that_does_not_read_is_dropped(self):
+        yield self.start(STALL, [b"data: " + b"x" * 60_000 + b"\n\n"] * 400)
+        self.agent.held_from = 399
+        before = COUNTERS.value("entry_slow_callers_dropped")
+        caller = yield self.connect()
+        caller.transport.pauseProducing()
+        body = b'{"model": "m", "stream": true}'
+        head = b"POST /v1/completions HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+        caller.transport.write(head + body)
+        while COUNTERS.value("entry_slow_callers_dropped") == before:
+            yield after(reactor, 0.02)
+        caller.transport.resumeProducing()
+        yield caller.ended
+        self.assertEqual(self.entry.desk.in_progress, 0)
--- a/tools/benchmarks/compare_overload.py
+++ b/tools/benchmarks/compare_overload.py
@@ -57,7 +57,7 @@
 
 def never_early(desk):
     """Let a desk refuse nothing before its deadline."""
-    desk.unreachable = lambda request, ahead: None
+    desk.admission.unreachable = lambda request, ahead: None
 
 
 def print_row(name, values):
