--- a/packages/hemlockdock-entry/tests/test_desk.py
+++ b/packages/hemlockdock-entry/tests/test_desk.py
@@ -265,11 +265,13 @@
     @rule(
         entry=st.integers(0, 1),
         mode=st.sampled_from(["prompt", "prompt", "late", "unreachable", "answer lost"]),
+        fresh=st.sampled_from([True, True, True, False]),
     )
-    def change_control(self, entry, mode):
-        """Control is reached well, late or not."""
+    def change_control(self, entry, mode, fresh):
+        """Control is reached well, late or not, or was not heard for too long."""
         link = self.desks[entry].link
         link.mode = mode
+        link.fresh = fresh
         link.answer_late()
 
     @precondition(lambda self: self.replies)
@@ -380,6 +382,54 @@
     )
 
 
+class OnceTest(unittest.TestCase):
+    """Test what a resend of a key meets."""
+
+    def setUp(self):
+        rows = table()
+        add_replica(rows, "x1", "x1")
+        self.desk = desk(rows)
+
+    def send(self, number):
+        asked = request(number, repeatable=False, key="k", kind="once", fingerprint="f")
+        reply = FakeReply()
+        self.desk.submit(OnceExchange(self.desk, asked, reply))
+        return reply
+
+    def sent(self, kind):
+        return [item for item in self.desk.link.sent if isinstance(item, kind)]
+
+    def answer(self, kind, number, refusal_kind):
+        message = self.sent(kind)[number]
+        refusal = Refusal.of(refusal_kind, "")
+        frame = Refused(message.request_id, message.attempt, refusal)
+        self.desk.attempts.handle(frame, "x1")
+
+    def test_a_run_whose_outcome_is_unknown_is_not_run_again(self):
+        first = self.send(1)
+        self.answer(Dispatch, 0, ErrorKind.ENGINE_FAILED)
+        self.assertIs(first.refusal.kind, ErrorKind.ENGINE_FAILED)
+        self.assertIs(first.refusal.not_run, NotRun.UNKNOWN)
+        second = self.send(2)
+        self.answer(Resume, 0, ErrorKind.UNKNOWN_STREAM)
+        self.assertIs(second.refusal.kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertEqual(len(self.sent(Dispatch)), 1)
+
+    def test_a_refusal_before_the_claim_does_not_say_not_run(self):
+        self.send(1)
+        self.desk.draining = True
+        second = self.send(2)
+        self.assertIs(second.refusal.kind, ErrorKind.DRAINING)
+        self.assertIs(second.refusal.not_run, NotRun.UNKNOWN)
+
+    def test_a_run_that_the_gate_refused_is_free_to_run(self):
+        self.send(1)
+        self.answer(Dispatch, 0, ErrorKind.ENGINE_REFUSED)
+        self.desk.clock.advance(0.5)
+        self.assertEqual(len(self.sent(Dispatch)), 2)
+        self.assertFalse(self.desk.link.records.finish_by_key)
+
+
 DeskTest = DeskMachine.TestCase
 DeskTest.settings = fuzz_settings()
 if os.environ.get("FUZZ_SEED"):
