--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import treq
-from twisted.internet.defer import inlineCallbacks, succeed
+from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks, succeed
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -67,18 +67,31 @@
         self._pool.maxPersistentPerHost = MOST_CONNECTIONS
         # A request that met a closed connection may have run, so it is never sent again here.
         self._pool.retryAutomatically = False
+        self._calls = set()
         self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._probes = set()
 
+    @inlineCallbacks
     def close(self):
-        """Close idle connections.
+<<<<<<< HEAD
+        """Wait for the probes under way, each of which has a timeout, then close connections.
+=======
+        """Give up what is asked and close idle connections.
+>>>>>>> agent
 
         Returns
         -------
         Deferred
         """
+<<<<<<< HEAD
+        yield DeferredList(list(self._probes))
+        yield self._pool.closeCachedConnections()
+=======
+        for call in list(self._calls):
+            call.cancel()
         return self._pool.closeCachedConnections()
+>>>>>>> agent
 
-    @inlineCallbacks
     def order(self, kind, order, timeout_ms):
         """Send an order.
 
@@ -93,6 +106,10 @@
         -------
         Deferred of OrderReply
         """
+        return self._tracked(self._order(kind, order, timeout_ms))
+
+    @inlineCallbacks
+    def _order(self, kind, order, timeout_ms):
         try:
             response = yield treq.post(
                 f"{self._url}/orders/{kind}",
@@ -105,7 +122,6 @@
             return OrderReply(None, type(error).__name__)
         return OrderReply.of_status(response.code, content.decode("utf-8", "replace"))
 
-    @inlineCallbacks
     def inventory(self):
         """Ask what the engine holds.
 
@@ -114,6 +130,10 @@
         Deferred of EngineInventory or None
             None where no answer came.
         """
+        return self._tracked(self._inventory())
+
+    @inlineCallbacks
+    def _inventory(self):
         try:
             response = yield treq.get(
                 f"{self._url}/inventory", agent=self._agent, timeout=PROBE_TIMEOUT_S
@@ -124,7 +144,6 @@
             logger.debug("no inventory", extra={"problem": type(error).__name__})
             return None
 
-    @inlineCallbacks
     def load(self):
         """Ask for the engine's own report of its load.
 
@@ -133,6 +152,10 @@
         Deferred of int or None
             Requests running, as of a while ago.
         """
+        return self._tracked(self._load())
+
+    @inlineCallbacks
+    def _load(self):
         try:
             response = yield treq.get(
                 f"{self._url}/load", agent=self._agent, timeout=PROBE_TIMEOUT_S
@@ -143,7 +166,6 @@
             logger.debug("no load report", extra={"problem": type(error).__name__})
             return None
 
-    @inlineCallbacks
     def cancel(self, request_id):
         """Ask the engine to stop generating for a request.
 
@@ -155,6 +177,10 @@
         -------
         Deferred
         """
+        return self._tracked(self._cancel(request_id))
+
+    @inlineCallbacks
+    def _cancel(self, request_id):
         try:
             response = yield treq.post(
                 f"{self._url}/cancel",
@@ -203,3 +229,25 @@
         """
         url = f"{self._url}/streams/{request_id}?offset={offset}"
         return self._agent.request(b"GET", url.encode())
+
+<<<<<<< HEAD
+    def _tracked(self, answered):
+        # What waits for the pool to be empty waits for a copy, so that nobody loses a result.
+        done = Deferred()
+        self._probes.add(done)
+        return answered.addBoth(self._settle, done)
+
+    def _settle(self, result, done):
+        self._probes.discard(done)
+        done.callback(None)
+        return result
+=======
+    def _tracked(self, call):
+        self._calls.add(call)
+
+        def forget(result):
+            self._calls.discard(call)
+            return result
+
+        return call.addBoth(forget)
+>>>>>>> agent
--- a/packages/hemlockdock-entry/hemlockdock_entry/services/service_call.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_call.py
@@ -188,7 +188,7 @@
         if step is NextStep.REFUSE:
             if refusal.not_run is not NotRun.TRUE:
                 self._finish_unknown(refusal)
-            self.refuse(refusal)
+            self.refuse(self._truthful(refusal))
             return
         COUNTERS.increment("entry_retries", kind=refusal.kind.value)
         self._later(RETRY_DELAY_S, self._requeue)
@@ -203,6 +203,12 @@
         unrun = refusal.not_run is NotRun.TRUE
         self._claim.finish(RunState.NOT_RUN if unrun else RunState.UNKNOWN)
 
+    def _truthful(self, refusal):
+        # A caller with a key is told the same on this try and on every later one.
+        if self._claim is None or refusal.not_run is NotRun.TRUE:
+            return refusal
+        return Refusal.of(ErrorKind.OUTCOME_UNKNOWN, refusal.message)
+
     def _stored(self, answer):
         limit = self._desk.settings.entry.stored_answer_kb * BYTES_PER_KB
         if len(answer.body) > limit:
--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -88,6 +88,21 @@
         "    if False:\n",
         CORE,
     ),
+    Mutant(
+        "a member whose removal is not committed may not lead",
+        CONSENSUS + "member_state.py",
+        "        committed = self.configurations.at(self.commit_index)\n"
+        "        return committed.has_voter(self.member_id, self.folder_id)\n",
+        "        return False\n",
+        FAULTS,
+    ),
+    Mutant(
+        "a member that does not know of its promotion refuses its vote",
+        CONSENSUS + "elections.py",
+        "    if _is_loyal(state, request, now_ms):\n        return False\n",
+        "    if _is_loyal(state, request, now_ms) or not state.is_voter:\n        return False\n",
+        FAULTS,
+    ),
     Mutant(
         "an emptied folder votes",
         CONSENSUS + "configuration.py",
@@ -169,10 +184,25 @@
     Mutant(
         "read on after a torn segment",
         STORAGE + "wal.py",
-        "(frames.ending is Ending.TORN and not is_last)",
+        "(frames.ending is Ending.TORN and not may_be_torn)",
         "False",
         DISK,
     ),
+    Mutant(
+        "miss that a complete segment lost its end",
+        STORAGE + "wal.py",
+        "if self._sequence and start.previous_length != self._size:",
+        "if False:",
+        DISK,
+    ),
+    Mutant(
+        "send a silent member its entries again and again",
+        CONSENSUS + "replication.py",
+        "_send_request(state, peer_id, progress, (), now_ms)\n            break",
+        "_send_request(state, peer_id, progress, _next_entries(state, progress), now_ms)\n"
+        "            break",
+        CORE,
+    ),
     Mutant(
         "take another member's folder",
         STORAGE + "identity_file.py",
