--- a/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
@@ -90,11 +90,11 @@
             self._claim(row)
             return
         taken = taken_by_model.get(probe.model, 0)
-        if self._desk.idle_room(probe) > taken:
+        if self._desk.waiting.idle_room(probe) > taken:
             taken_by_model[probe.model] = taken + 1
             self._claim(row)
             return
-        self._desk.wish_if_cold(probe)
+        self._desk.waiting.wish_if_cold(probe)
 
     def _claim(self, row):
         self._held.add(row.job_id)
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
@@ -6,16 +6,16 @@
 from twisted.python.failure import Failure
 
 from hemlockdock_core.errors import ErrorKind
-from hemlockdock_core.messages import Wish
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.lifecycle import Ledger
-from hemlockdock_entry.routing import RetryBudget, Router, Standing, Suspects
-from hemlockdock_entry.tasks.admission import Admission, quarantined
+from hemlockdock_entry.routing import RetryBudget, Router, Suspects
+from hemlockdock_entry.tasks.admission import Admission
 from hemlockdock_entry.tasks.attempts import Attempts
 from hemlockdock_entry.tasks.background import Background
 from hemlockdock_entry.tasks.load_reports import LoadReports
 from hemlockdock_entry.tasks.supply_view import SupplyView
-from hemlockdock_entry.waiting import ModelQueues, ServiceTimes
+from hemlockdock_entry.tasks.waiting_room import WaitingRoom
+from hemlockdock_entry.waiting import ServiceTimes
 
 logger = logging.getLogger(__name__)
 
@@ -59,10 +59,9 @@
         self.loads = LoadReports(link)
         self._supply = SupplyView(clock, link, self.router, self.loads)
         self.admission = Admission(self, self._supply)
-        self._queues_by_model = {}
+        self.waiting = WaitingRoom(self, self._supply)
         self._exchange_by_id = {}
         self._unanswered = set()
-        self._suspect_in_flight = None
         self._on_idle = None
         self._ticks = LoopingCall(self._tick_safely)
         self._ticks.clock = clock
@@ -113,84 +112,6 @@
         """
         return self._exchange_by_id.get(request_id)
 
-    def enqueue(self, exchange):
-        """Put a request in its queue, or refuse it where it cannot be answered in time.
-
-        Parameters
-        ----------
-        exchange : Exchange
-        """
-        request = exchange.request
-        queues = self._queues_by_model.get(request.model)
-        if queues is None:
-            queues = ModelQueues(self.settings)
-            self._queues_by_model[request.model] = queues
-        refusal = self.admission.unreachable(request, queues.ahead_of(request))
-        if refusal is None:
-            refusal = queues.add(request).err()
-        if refusal is not None:
-            if not self._supply.slots(request):
-                # The caller may ask again once the model is there.
-                self._wish_for(request, 1)
-            exchange.refuse(refusal)
-            return
-        exchange.life.wait()
-        self.pump(request.model)
-        if exchange.core.state == "waiting" and not self._supply.slots(request):
-            self._wish_for(request, len(queues))
-
-    def leave_queue(self, exchange):
-        """Take a request out of its queue; tell whether it waited.
-
-        Parameters
-        ----------
-        exchange : Exchange
-
-        Returns
-        -------
-        bool
-        """
-        queues = self._queues_by_model.get(exchange.request.model)
-        return queues is not None and queues.remove(exchange.request)
-
-    def has_room(self, request):
-        """Tell whether a request could start at once.
-
-        Parameters
-        ----------
-        request : Request
-
-        Returns
-        -------
-        bool
-        """
-        return self.idle_room(request) > 0
-
-    def idle_room(self, request):
-        """Return how many requests could start at once, 0 where others wait for the room.
-
-        Parameters
-        ----------
-        request : Request
-
-        Returns
-        -------
-        int
-        """
-        if len(self._queues_by_model.get(request.model, ())):
-            return 0
-        return self._supply.supply(request).free
-
-    def wish_if_cold(self, request):
-        """Ask control for a replica where none runs such requests.
-
-        Parameters
-        ----------
-        request : Request
-        """
-        if not self._supply.slots(request):
-            self._wish_for(request, 1)
-
     def is_usable(self, replica):
         """Tell whether a replica still takes new work.
 
@@ -205,42 +126,6 @@
         usable = self.router.usable(self.link.table, replica.model, "")
         return any(row.replica_id == replica.replica_id for row in usable)
 
-    def pump(self, model):
-        """Start what can be started of a model's waiting requests.
-
-        Parameters
-        ----------
-        model : str
-        """
-        queues = self._queues_by_model.get(model)
-        if queues is None:
-            return
-        while any(self._start(request) for request in queues.heads()):
-            pass
-
-    def pump_all(self):
-        """Start what can be started of all waiting requests."""
-        for model in list(self._queues_by_model):
-            self.pump(model)
-
-    def release(self, exchange, replica, outcome):
-        """Count a request off its replica and start what waits for the room.
-
-        Parameters
-        ----------
-        exchange : Exchange
-        replica : ReplicaRow
-        outcome : Outcome
-        """
-        self.router.released(replica, outcome, self.clock.seconds(), exchange.suspect)
-        self.loads.ended(exchange.request.model)
-        if self._suspect_in_flight is exchange:
-            self._suspect_in_flight = None
-            exchange.suspect = False
-            self.pump_all()
-            return
-        self.pump(exchange.request.model)
-
     def answered(self, exchange):
         """Take that a caller has its final answer.
 
@@ -290,19 +175,12 @@
                 attempt.fail(ErrorKind.ENDPOINT_LOST, "the endpoint was lost")
         self._supply.table_changed()
         self.router.forget_gone(table)
-        self.pump_all()
+        self.waiting.start_all()
 
     def tick(self):
         """Refuse what has become hopeless, repeat wishes, report loads, check the ledger."""
         self.suspects.forget_old(self.clock.seconds())
-        for model, queues in list(self._queues_by_model.items()):
-            self.pump(model)
-            self._refuse_unreachable(queues)
-            if not len(queues):
-                del self._queues_by_model[model]
-                continue
-            self._wish_for(queues.requests()[0], len(queues))
-        self.loads.report({model: len(held) for model, held in self._queues_by_model.items()})
+        self.loads.report(self.waiting.tick())
         if not self.ledger.balanced(self.in_progress):
             COUNTERS.increment("entry_ledger_errors")
             logger.error("requests in do not equal answers, refusals and requests in progress")
@@ -329,56 +207,3 @@
             return
         on_idle, self._on_idle = self._on_idle, None
         on_idle()
-
-    def _start(self, request):
-        """Start one request; tell whether it left its queue."""
-        exchange = self._exchange_by_id[request.request_id]
-        standing = self.admission.standing(request)
-        if standing is Standing.REFUSED:
-            self.leave_queue(exchange)
-            exchange.refuse(quarantined())
-            return True
-        suspect = standing is Standing.SUSPECT
-        if suspect and self._suspect_in_flight is not None:
-            return False
-        replica = self._choose(exchange, suspect)
-        if replica is None:
-            return False
-        self.leave_queue(exchange)
-        refusal = self.admission.unreachable(request, 0)
-        if refusal is not None:
-            exchange.refuse(refusal)
-            return True
-        exchange.suspect = suspect
-        if suspect:
-            self._suspect_in_flight = exchange
-        self.router.taken(replica, self.clock.seconds(), suspect)
-        self.loads.started(request.model)
-        exchange.run_on(replica)
-        return True
-
-    def _choose(self, exchange, suspect):
-        request = exchange.request
-        now = self.clock.seconds()
-        table = self.link.table
-        avoided = exchange.avoided_nodes
-        usable = self.router.usable(table, request.model, request.adapter)
-        if all(row.node_id in avoided for row in usable):
-            # An agent that failed the request before is taken again where no other is left.
-            avoided = ()
-        return self.router.choose(table, request, now, avoided, suspect)
-
-    def _refuse_unreachable(self, queues):
-        ahead = 0
-        for request in queues.requests():
-            refusal = self.admission.unreachable(request, ahead)
-            if refusal is None:
-                ahead += 1
-                continue
-            queues.remove(request)
-            self._exchange_by_id[request.request_id].refuse(refusal)
-
-    def _wish_for(self, request, waiting):
-        left_ms = request.left_ms(self.clock.seconds())
-        self.link.send(Wish(request.model, request.adapter, waiting, left_ms, request.priority))
-        COUNTERS.increment("entry_wishes")
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -59,7 +59,7 @@
 
     def begin(self):
         """Start on the way to an answer."""
-        self.desk.enqueue(self)
+        self.desk.waiting.enqueue(self)
 
     def run_on(self, replica):
         """Send the request to a replica that has been taken for it.
@@ -247,7 +247,7 @@
     def _stop_run(self):
         if self._grace_call is not None and not self._grace_call.active():
             self._grace_call = None
-        self.desk.leave_queue(self)
+        self.desk.waiting.leave(self)
         if self._delay_call is not None:
             self._delay_call.cancel()
             self._delay_call = None
@@ -266,7 +266,7 @@
         if self.replica is None:
             return
         replica, self.replica = self.replica, None
-        self.desk.release(self, replica, outcome)
+        self.desk.waiting.release(self, replica, outcome)
 
     def _end(self):
         if self._deadline_call is not None:
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_exchange.py
@@ -36,8 +36,8 @@
 
     def begin(self):
         """Claim the run, or first wait for room where that comes at once."""
-        if self._claim.held or self.desk.has_room(self.request):
-            self.desk.enqueue(self)
+        if self._claim.held or self.desk.waiting.has_room(self.request):
+            self.desk.waiting.enqueue(self)
             return
         # Without room this may wait long; a resend must learn of an earlier run before that.
         self._when(self._claim.claim(), self._claimed_without_place)
@@ -113,7 +113,7 @@
             self._free()
             return
         if outcome.step is ClaimStep.RUN:
-            self.desk.enqueue(self)
+            self.desk.waiting.enqueue(self)
             return
         self._follow(outcome)
 
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/waiting_room.py
@@ -0,0 +1,215 @@
+"""Let requests wait for room, and start them in their order."""
+
+from hemlockdock_core.messages import Wish
+from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_entry.routing import Standing
+from hemlockdock_entry.tasks.admission import quarantined
+from hemlockdock_entry.waiting import ModelQueues
+
+
+class WaitingRoom:
+    """Let requests wait for room, and start them in their order.
+
+    Parameters
+    ----------
+    desk : Desk
+    supply : SupplyView
+    """
+
+    def __init__(self, desk, supply):
+        self._desk = desk
+        self._supply = supply
+        self._queues_by_model = {}
+        self._suspect_in_flight = None
+
+    def enqueue(self, exchange):
+        """Put a request in its queue, or refuse it where it cannot be answered in time.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        """
+        request = exchange.request
+        queues = self._queues_by_model.get(request.model)
+        if queues is None:
+            queues = ModelQueues(self._desk.settings)
+            self._queues_by_model[request.model] = queues
+        refusal = self._desk.admission.unreachable(request, queues.ahead_of(request))
+        if refusal is None:
+            refusal = queues.add(request).err()
+        if refusal is not None:
+            if not self._supply.slots(request):
+                # The caller may ask again once the model is there.
+                self._wish_for(request, 1)
+            exchange.refuse(refusal)
+            return
+        exchange.life.wait()
+        self.start_waiting(request.model)
+        if exchange.core.state == "waiting" and not self._supply.slots(request):
+            self._wish_for(request, len(queues))
+
+    def leave(self, exchange):
+        """Take a request out of its queue; tell whether it waited.
+
+        Parameters
+        ----------
+        exchange : Exchange
+
+        Returns
+        -------
+        bool
+        """
+        queues = self._queues_by_model.get(exchange.request.model)
+        return queues is not None and queues.remove(exchange.request)
+
+    def has_room(self, request):
+        """Tell whether a request could start at once.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        bool
+        """
+        return self.idle_room(request) > 0
+
+    def idle_room(self, request):
+        """Return how many requests could start at once, 0 where others wait for the room.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        int
+        """
+        if len(self._queues_by_model.get(request.model, ())):
+            return 0
+        return self._supply.supply(request).free
+
+    def wish_if_cold(self, request):
+        """Ask control for a replica where none runs such requests.
+
+        Parameters
+        ----------
+        request : Request
+        """
+        if not self._supply.slots(request):
+            self._wish_for(request, 1)
+
+    def start_waiting(self, model):
+        """Start what can be started of a model's waiting requests.
+
+        Parameters
+        ----------
+        model : str
+        """
+        queues = self._queues_by_model.get(model)
+        if queues is None:
+            return
+        while any(self._start(request) for request in self._candidates(queues)):
+            pass
+
+    def start_all(self):
+        """Start what can be started of all waiting requests."""
+        for model in list(self._queues_by_model):
+            self.start_waiting(model)
+
+    def release(self, exchange, replica, outcome):
+        """Count a request off its replica and start what waits for the room.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        replica : ReplicaRow
+        outcome : Outcome
+        """
+        self._desk.router.released(replica, outcome, self._desk.clock.seconds(), exchange.suspect)
+        self._desk.loads.ended(exchange.request.model)
+        if self._suspect_in_flight is exchange:
+            self._suspect_in_flight = None
+            exchange.suspect = False
+            self.start_all()
+            return
+        self.start_waiting(exchange.request.model)
+
+    def tick(self):
+        """Start what can start, refuse what has become hopeless, repeat wishes.
+
+        Returns
+        -------
+        dict of str to int
+            Waiting requests by model.
+        """
+        for model, queues in list(self._queues_by_model.items()):
+            self.start_waiting(model)
+            self._refuse_unreachable(queues)
+            if not len(queues):
+                del self._queues_by_model[model]
+                continue
+            self._wish_for(queues.requests()[0], len(queues))
+        return {model: len(queues) for model, queues in self._queues_by_model.items()}
+
+    def _start(self, request):
+        """Start one request; tell whether it left its queue."""
+        exchange = self._desk.exchange(request.request_id)
+        standing = self._desk.admission.standing(request)
+        if standing is Standing.REFUSED:
+            self.leave(exchange)
+            exchange.refuse(quarantined())
+            return True
+        suspect = standing is Standing.SUSPECT
+        if suspect and self._suspect_in_flight is not None:
+            return False
+        replica = self._choose(exchange, suspect)
+        if replica is None:
+            return False
+        self.leave(exchange)
+        refusal = self._desk.admission.unreachable(request, 0)
+        if refusal is not None:
+            exchange.refuse(refusal)
+            return True
+        exchange.suspect = suspect
+        if suspect:
+            self._suspect_in_flight = exchange
+        self._desk.router.taken(replica, self._desk.clock.seconds(), suspect)
+        self._desk.loads.started(request.model)
+        exchange.run_on(replica)
+        return True
+
+    def _candidates(self, queues):
+        if self._suspect_in_flight is None:
+            return queues.heads()
+        # A suspect at the head waits for its turn; those behind it need not.
+        return queues.requests()
+
+    def _choose(self, exchange, suspect):
+        request = exchange.request
+        now = self._desk.clock.seconds()
+        table = self._desk.link.table
+        avoided = exchange.avoided_nodes
+        usable = self._desk.router.usable(table, request.model, request.adapter)
+        if all(row.node_id in avoided for row in usable):
+            # An agent that failed the request before is taken again where no other is left.
+            avoided = ()
+        return self._desk.router.choose(table, request, now, avoided, suspect)
+
+    def _refuse_unreachable(self, queues):
+        ahead = 0
+        for request in queues.requests():
+            refusal = self._desk.admission.unreachable(request, ahead)
+            if refusal is None:
+                ahead += 1
+                continue
+            queues.remove(request)
+            self._desk.exchange(request.request_id).refuse(refusal)
+
+    def _wish_for(self, request, waiting):
+        left_ms = request.left_ms(self._desk.clock.seconds())
+        self._desk.link.send(
+            Wish(request.model, request.adapter, waiting, left_ms, request.priority)
+        )
+        COUNTERS.increment("entry_wishes")
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -69,7 +69,7 @@
     Mutant(
         "leave a request past its deadline in the queue",
         ENTRY + "tasks/exchange.py",
-        "        self.desk.leave_queue(self)\n",
+        "        self.desk.waiting.leave(self)\n",
         "",
         DESK,
     ),
