--- a/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
@@ -46,6 +46,7 @@
         self._desk = desk
         self._mint = mint
         self._held = set()
+        self._model_by_claim = {}
         self._pause_by_id = {}
         self._scans = Repeating(desk.clock, self.scan)
 
@@ -65,11 +66,10 @@
         self._desk.random.shuffle(waiting)
         # Entries that scan alike would claim alike; the sort is stable within a deadline.
         waiting.sort(key=lambda row: row.deadline_at_ms)
-        taken_by_model = {}
         for row in waiting:
-            if len(self._held) >= MOST_CLAIMS_AT_ONCE:
+            if len(self._model_by_claim) >= MOST_CLAIMS_AT_ONCE:
                 return
-            self._consider(row, taken_by_model)
+            self._consider(row)
         self._forget_ended()
 
     def _is_open(self, row):
@@ -80,7 +80,7 @@
         _, until = self._pause_by_id.get(row.job_id, (0.0, 0.0))
         return until <= self._desk.clock.seconds()
 
-    def _consider(self, row, taken_by_model):
+    def _consider(self, row):
         probe = self._request(row, JobBody("", "", "", True, b""))
         if probe is None:
             self._claim(row)
@@ -89,23 +89,28 @@
             # Claimed only to report it: the caller learns early that it cannot be had.
             self._claim(row)
             return
-        taken = taken_by_model.get(probe.model, 0)
-        if self._desk.waiting.idle_room(probe) > taken:
-            taken_by_model[probe.model] = taken + 1
-            self._claim(row)
+        claimed = list(self._model_by_claim.values()).count(probe.model)
+        if self._desk.waiting.idle_room(probe) > claimed:
+            self._claim(row, probe.model)
             return
         self._desk.waiting.wish_if_cold(probe)
 
-    def _claim(self, row):
+    def _claim(self, row, model=""):
         self._held.add(row.job_id)
+        self._model_by_claim[row.job_id] = model
         now_ms = self._desk.wall_ms()
         command = ClaimJob(row.job_id, self._desk.node_id, self._desk.incarnation, now_ms)
         claimed = self._desk.link.propose(command, self._desk.settings.entry.claim_timeout_ms)
+        claimed.addBoth(self._claim_over, row)
         claimed.addCallbacks(
             self._claimed, self._not_claimed, callbackArgs=(row,), errbackArgs=(row,)
         )
         claimed.addErrback(self._desk.report_fault)
 
+    def _claim_over(self, outcome, row):
+        del self._model_by_claim[row.job_id]
+        return outcome
+
     def _claimed(self, result, row):
         if result.refusal is not None:
             # Another entry was faster.
