--- a/packages/hemlockdock-agent/tests/test_answers.py
+++ b/packages/hemlockdock-agent/tests/test_answers.py
@@ -26,6 +26,7 @@
         self.run_by_id = {}
         self.truth_by_id = {}
         self.read_by_reader = {}
+        self.latest_by_id = {}
         self.readers = 0
 
     def receive(self, message):
@@ -50,6 +51,7 @@
         request_id = f"q{len(self.truth_by_id)}"
         attempt = self.new_reader(request_id, 0)
         self.truth_by_id[request_id] = b""
+        self.latest_by_id[request_id] = attempt
         message = dispatch(request_id, attempt, resumable=True)
         run = Run(message, Consumer("e", "address", attempt), self.now_ms)
         self.run_by_id[request_id] = run
@@ -83,13 +85,17 @@
         self.outlet.resume(resume, run if kept else None, Frame(1, "e2", 1, "address", resume))
         _, read = self.read_by_reader[request_id, attempt]
         if kept:
+            self.latest_by_id[request_id] = attempt
             assert offset + len(read) == len(self.truth_by_id[request_id])
 
     @rule(index=st.integers(0, 9))
     def end(self, index):
         request_id = self.pick(self.run_by_id, index)
-        if request_id is not None:
-            self.outlet.end(self.run_by_id.pop(request_id), None, self.now_ms)
+        if request_id is None:
+            return
+        self.outlet.end(self.run_by_id.pop(request_id), None, self.now_ms)
+        start, read = self.read_by_reader[request_id, self.latest_by_id[request_id]]
+        assert start + len(read) == len(self.truth_by_id[request_id]), "the last reader lacks bytes"
 
     @rule(duration_ms=st.sampled_from([1, 400, 1_000]))
     def time_passes(self, duration_ms):
--- a/packages/hemlockdock-agent/tests/test_order_gate.py
+++ b/packages/hemlockdock-agent/tests/test_order_gate.py
@@ -370,6 +370,14 @@
         gate.take_inventory(EngineInventory("boot-1", MEMORY_MB, 0), gate.ask(3.0), 3.0)
         self.assertNotIn("r1", gate.holdings.replica_by_id)
 
+    def test_an_inventory_asked_for_earlier_does_not_overrule_a_later_one(self):
+        gate = self.gate()
+        early, late = gate.ask(0.0), gate.ask(0.0)
+        gate.take_inventory(EngineInventory("boot-2", MEMORY_MB, 0), late, 1.0)
+        old = EngineInventory("boot-1", MEMORY_MB, 40, [EngineModel("r1", "m", "v", 40, 1, True)])
+        self.assertEqual(gate.take_inventory(old, early, 2.0), [])
+        self.assertEqual((gate.boot_id, gate.holdings.replica_by_id), ("boot-2", {}))
+
     def test_a_lapse_unloads_everything_and_obeys_nobody(self):
         gate = self.gate([EngineModel("r1", "m", "v", 40, 1, True)], used_mb=40)
         gate.lapse(0.0)
--- a/packages/hemlockdock-agent/tests/test_request_gate.py
+++ b/packages/hemlockdock-agent/tests/test_request_gate.py
@@ -129,6 +129,15 @@
         self.assertEqual(self.kind(held=other), ErrorKind.STALE_REVISION)
         self.assertEqual(self.kind(dispatch("q", 1, adapter="a")), ErrorKind.ENGINE_REFUSED)
 
+    def test_suspects_run_beside_others_and_apart_from_each_other(self):
+        gate = RequestGate()
+        kinds = []
+        for number, fingerprint in enumerate(("f0", "other", "f1", "f0")):
+            message = dispatch(f"q{number}", 1, fingerprint=fingerprint)
+            admitted = gate.admit(message, READER, view(), 0.0)
+            kinds.append(None if admitted.is_ok() else admitted.unwrap_err().kind)
+        self.assertEqual(kinds, [None, None, ErrorKind.NO_CAPACITY, ErrorKind.NO_CAPACITY])
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tools/benchmarks/agent_bench_parts.py
@@ -0,0 +1,147 @@
+"""Play control and an entry towards one agent."""
+
+import json
+
+from twisted.internet.defer import Deferred
+
+from hemlockdock_core.links import PostOffice
+from hemlockdock_core.messages import (
+    NODE_CODEC,
+    AnswerChunk,
+    AnswerEnd,
+    Dispatch,
+    Heartbeat,
+    HeartbeatAck,
+    Inventory,
+    LoadOrder,
+    OrderResult,
+    Refused,
+    TableChunk,
+    WatchTable,
+)
+from hemlockdock_core.rows import ReplicaRow, ReplicaState
+
+ANY_ADDRESS = "tcp://127.0.0.1:0"
+MOST_REQUESTS = 1_000
+DEADLINE_MS = 600_000
+REVISION = 10
+
+
+class BenchControl:
+    """Acknowledge an agent's heartbeats and let it load one model.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+
+    Attributes
+    ----------
+    address : str
+    agent_address : str
+    """
+
+    def __init__(self, reactor):
+        self._office = PostOffice(reactor, "c1", 1, NODE_CODEC, ANY_ADDRESS, self._take)
+        self._loaded = Deferred()
+        self._ordered = False
+        self.address = self._office.address
+        self.agent_address = ""
+
+    def close(self):
+        """Close the mailbox."""
+        self._office.close()
+
+    def load_model(self):
+        """Wait until the agent has loaded replica r1.
+
+        Returns
+        -------
+        Deferred
+        """
+        return self._loaded
+
+    def _take(self, frame):
+        self.agent_address = frame.reply_to
+        body = frame.body
+        if isinstance(body, Heartbeat):
+            self._send(HeartbeatAck(body.sequence, REVISION, True, True))
+        if isinstance(body, WatchTable):
+            row = ReplicaRow("r1", "m", "v", "agent-1", ReplicaState.READY, 5, [], MOST_REQUESTS)
+            self._send(TableChunk(1, REVISION, 0, 1, [row]))
+        if isinstance(body, Inventory) and not self._ordered:
+            self._ordered = True
+            self._send(LoadOrder("r1", 5, "m", "v", 50, MOST_REQUESTS, 0, frame.incarnation))
+        if isinstance(body, OrderResult) and not self._loaded.called:
+            self._loaded.callback(None)
+
+    def _send(self, message):
+        self._office.send(self.agent_address, message)
+
+
+class BenchEntry:
+    """Dispatch requests and count what comes back.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    """
+
+    def __init__(self, reactor):
+        self._office = PostOffice(reactor, "entry-1", 1, NODE_CODEC, ANY_ADDRESS, self._take)
+        self._open = 0
+        self._chunks = 0
+        self._done = None
+
+    def close(self):
+        """Close the mailbox."""
+        self._office.close()
+
+    def run(self, agent_address, name, requests, tokens, streaming):
+        """Run requests side by side.
+
+        Parameters
+        ----------
+        agent_address, name : str
+        requests, tokens : int
+        streaming : bool
+
+        Returns
+        -------
+        Deferred of int
+            Chunks that came, once all answers are whole.
+        """
+        self._open = requests
+        self._chunks = 0
+        self._done = Deferred()
+        asked = {"model": "m", "max_tokens": tokens, "stream": streaming}
+        body = json.dumps(asked).encode()
+        for index in range(requests):
+            dispatch = Dispatch(
+                request_id=f"{name}-{index}",
+                attempt=1,
+                model="m",
+                adapter="",
+                replica_id="r1",
+                table_revision=REVISION,
+                path="/v1/chat/completions",
+                body=body,
+                deadline_ms=DEADLINE_MS,
+                streaming=streaming,
+                priority=50,
+                fingerprint="f",
+                run_once=False,
+                resumable=streaming,
+            )
+            self._office.send(agent_address, dispatch)
+        return self._done
+
+    def _take(self, frame):
+        if isinstance(frame.body, AnswerChunk):
+            self._chunks += 1
+        if isinstance(frame.body, Refused):
+            self._done.errback(RuntimeError(frame.body.refusal.message))
+        if not isinstance(frame.body, AnswerEnd):
+            return
+        self._open -= 1
+        if not self._open:
+            self._done.callback(self._chunks)
--- a/tools/mutants/agent.py
+++ b/tools/mutants/agent.py
@@ -5,6 +5,9 @@
 AGENT = "packages/hemlockdock-agent/hemlockdock_agent"
 TESTS = "packages/hemlockdock-agent/tests"
 ORDER_TEST = f"{TESTS}/test_order_gate.py"
+REQUEST_TEST = f"{TESTS}/test_request_gate.py"
+ANSWER_TEST = f"{TESTS}/test_answers.py"
+SERVICE_TEST = f"{TESTS}/test_service.py"
 
 MUTANTS = [
     Mutant(
@@ -93,4 +96,102 @@
         "if False:",
         ORDER_TEST,
     ),
+    Mutant(
+        "a repeated dispatch runs again",
+        f"{AGENT}/requests/task.py",
+        "        if self._gate.knows(key):",
+        "        if False:",
+        SERVICE_TEST,
+    ),
+    Mutant(
+        "a replica takes one request too many",
+        f"{AGENT}/requests/gate.py",
+        ">= (limit or FALLBACK_REQUESTS)",
+        "> (limit or FALLBACK_REQUESTS)",
+        REQUEST_TEST,
+    ),
+    Mutant(
+        "an ended request still counts",
+        f"{AGENT}/requests/gate.py",
+        "self._in_flight_by_replica[run.dispatch.replica_id] -= 1",
+        "self._in_flight_by_replica[run.dispatch.replica_id] -= 0",
+        REQUEST_TEST,
+    ),
+    Mutant(
+        "two suspects run side by side",
+        f"{AGENT}/requests/gate.py",
+        "            if run.dispatch.fingerprint in view.suspects:",
+        "            if run.dispatch.fingerprint == dispatch.fingerprint:",
+        REQUEST_TEST,
+    ),
+    Mutant(
+        "an endpoint that is leaving takes new work",
+        f"{AGENT}/requests/gate.py",
+        "        if self.draining:",
+        "        if False:",
+        SERVICE_TEST,
+    ),
+    Mutant(
+        "a replica that is to go takes new work",
+        f"{AGENT}/requests/gate.py",
+        "if held is None or not held.ready or view.unloading:",
+        "if held is None or not held.ready:",
+        REQUEST_TEST,
+    ),
+    Mutant(
+        "a resumed answer lacks its first byte",
+        f"{AGENT}/answers/buffer.py",
+        "for start in range(offset, self.length, PART_BYTES):",
+        "for start in range(offset + 1, self.length, PART_BYTES):",
+        ANSWER_TEST,
+    ),
+    Mutant(
+        "kept answers are not bounded",
+        f"{AGENT}/answers/store.py",
+        "if self.bytes_held + len(data) > self._limit and not",
+        "if False and not",
+        ANSWER_TEST,
+    ),
+    Mutant(
+        "the first reader keeps an answer that another one took over",
+        f"{AGENT}/requests/outlet.py",
+        "            run.consumer = reader",
+        "            pass",
+        ANSWER_TEST,
+    ),
+    Mutant(
+        "a broken connection looks like a whole answer",
+        f"{AGENT}/requests/relay.py",
+        "self._on_end(bool(reason.check(ResponseDone)))",
+        "self._on_end(True)",
+        SERVICE_TEST,
+    ),
+    Mutant(
+        "a crash is taken for a broken connection",
+        f"{AGENT}/requests/crash_watch.py",
+        "crashed = [run for run in in_flight if run.boot_id != boot_id]",
+        "crashed = []",
+        SERVICE_TEST,
+    ),
+    Mutant(
+        "a request that may run once is cut off by a cancel",
+        f"{AGENT}/requests/task.py",
+        "        if run.dispatch.run_once:",
+        "        if False:",
+        SERVICE_TEST,
+    ),
+    Mutant(
+        "an agent that is cut off keeps its replicas",
+        f"{AGENT}/session.py",
+        '        logger.warning("control was not heard for too long"',
+        '        return\n        logger.warning("control was not heard for too long"',
+        SERVICE_TEST,
+    ),
+    Mutant(
+        "a second agent guards the same engine",
+        f"{AGENT}/lifecycle/engine_lock.py",
+        "            lock.bind(self._name)",
+        "            pass",
+        f"{TESTS}/test_lifecycle.py",
+    ),
 ]
