Take a new incarnation after every long silence, also where nothing is held

Cause: control takes no agent back that it has written off under its number; an agent that held nothing kept the number and would have been ignored for good. Conclusion: every lapse ends in a new incarnation; the same process then need not wait out an order timeout of its own, since all its orders have ended.

--- a/packages/hemlockdock-agent/hemlockdock_agent/orders/gate.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/orders/gate.py
@@ -35,6 +35,8 @@
     settings : Settings
     incarnation : int
     now_ms : float
+    alone : bool, optional
+        Whether no order of an earlier gate can still be on its way to the engine.
 
     Attributes
     ----------
@@ -47,12 +49,13 @@
         Whether the agent unloads everything because control has not heard from it.
     """
 
-    def __init__(self, settings, incarnation, now_ms):
+    def __init__(self, settings, incarnation, now_ms, alone=False):
         self._one_at_a_time = settings.agent.fencing is FencingSetting.IGNORED
         self._timeout_ms = settings.agent.order_timeout_ms
         self._incarnation = incarnation
         # An order of the agent before this one may still be on its way to such an engine.
-        self._first_order_ms = now_ms + (self._timeout_ms if self._one_at_a_time else 0)
+        waits = self._one_at_a_time and not alone
+        self._first_order_ms = now_ms + (self._timeout_ms if waits else 0)
         self._log = OrderLog()
         self._engine_fence = 0
         self._asks = 0
--- a/packages/hemlockdock-agent/hemlockdock_agent/service.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/service.py
@@ -10,6 +10,7 @@
 from hemlockdock_agent.engine import EngineClient
 from hemlockdock_agent.lifecycle import EngineLock, next_incarnation
 from hemlockdock_agent.session import AgentSession
+from hemlockdock_agent.session_start import SessionStart
 from hemlockdock_agent.status_pages import StatusPages
 from hemlockdock_core.node import ControlLink
 
@@ -70,7 +71,7 @@
         self._lock.acquire()
         self._engine = EngineClient(self._reactor, self._settings)
         yield self._listen()
-        self._join(self._settings.listen.links, 0)
+        self._join(self._settings.listen.links, None)
         logger.info("agent started", extra={"engine": self._settings.agent.engine_url})
 
     @inlineCallbacks
@@ -93,16 +94,15 @@
             self._engine = None
         self._lock.release()
 
-    def _join(self, listen, floor):
+    def _join(self, listen, earlier):
         wall_ms = int(time.time() * MS_PER_S)
-        folder = self._settings.process.data_folder
+        floor = earlier.incarnation if earlier is not None else 0
+        incarnation = next_incarnation(self._settings.process.data_folder, wall_ms, floor)
         self._session = AgentSession(
             self._reactor,
             self._settings,
             self._engine,
-            next_incarnation(folder, wall_ms, floor),
-            listen,
-            self.http_address,
+            SessionStart(incarnation, listen, self.http_address, earlier is not None),
             self._link_type,
             self._tls,
             self._join_again,
@@ -116,7 +116,7 @@
         old = self._session
         logger.warning("agent joins anew", extra={"incarnation": old.incarnation})
         old.close()
-        self._join(old.address, old.incarnation)
+        self._join(old.address, old)
 
     def _listen(self):
         host, _, port = self._settings.listen.http.rpartition(":")
--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -38,6 +38,7 @@
 INVENTORY_REPEAT_MS = 2_000
 FLUSH_MS = 100
 # Parts of membership.certain_after_ms, after which control counts on everything being unloaded.
+UNLOAD_UNHEARD_AFTER = 0.25
 UNLOAD_IDLE_AFTER = 0.5
 UNLOAD_ALL_AFTER = 0.75
 
@@ -50,28 +51,14 @@
     reactor : twisted reactor
     settings : Settings
     engine : EngineClient
-    incarnation : int
-    listen : str
-        Address for frames.
-    http_address : str
+    start : SessionStart
     link_type : type
     tls : LinkTls or None
     on_lapsed : callable
         Called once everything was unloaded because control has not heard from the agent.
     """
 
-    def __init__(
-        self,
-        reactor,
-        settings,
-        engine,
-        incarnation,
-        listen,
-        http_address,
-        link_type,
-        tls,
-        on_lapsed,
-    ):
+    def __init__(self, reactor, settings, engine, start, link_type, tls, on_lapsed):
         self._reactor = reactor
         self._settings = settings
         self._on_lapsed = on_lapsed
@@ -83,7 +70,13 @@
         self._watch = TableWatch()
         process = settings.process
         self._office = PostOffice(
-            reactor, process.node_id, incarnation, NODE_CODEC, listen, self._on_frame, tls
+            reactor,
+            process.node_id,
+            start.incarnation,
+            NODE_CODEC,
+            start.listen,
+            self._on_frame,
+            tls,
         )
         info = NodeInfo(
             process.node_id,
@@ -91,18 +84,18 @@
             process.host,
             process.failure_domain,
             self._office.address,
-            http_address,
+            start.http_address,
             settings.agent.group,
             settings.agent.memory_mb,
         )
         self.link = link_type(reactor, settings, self._office, info, on_table=self._table_changed)
         self.store = AnswerStore(settings)
         self.runs = RequestGate()
-        gate = OrderGate(settings, incarnation, self._now_ms())
+        gate = OrderGate(settings, start.incarnation, self._now_ms(), start.alone)
         self.orders = OrderTask(gate, engine, self.link.send, self._is_busy, self._now_ms)
         self._crashes = CrashWatch(
             reactor,
-            f"{process.node_id}-{incarnation}",
+            f"{process.node_id}-{start.incarnation}",
             self.runs,
             self.orders.poll,
             self.link.send,
@@ -271,8 +264,13 @@
             elif self._silent_ms() >= self._certain_ms() * UNLOAD_ALL_AFTER:
                 self._cut_all()
             return
-        if gate.empty or self._silent_ms() < self._certain_ms() * UNLOAD_IDLE_AFTER:
+        unheard = self.link.silent_s is None
+        if unheard and gate.empty:
+            return
+        part = UNLOAD_UNHEARD_AFTER if unheard else UNLOAD_IDLE_AFTER
+        if self._silent_ms() < self._certain_ms() * part:
             return
+        # Also where nothing is held: control takes no node back that it has written off.
         COUNTERS.increment("agent_lapses")
         logger.warning("control was not heard for too long", extra={"ms": self._silent_ms()})
         self.orders.lapse()
--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -314,6 +314,14 @@
         yield self.until(lambda: self.result(9))
         self.assertEqual(set(self.engine.state.replica_by_id), {"r3"})
 
+    @inlineCallbacks
+    def test_an_agent_that_held_nothing_comes_back_under_a_new_number_too(self):
+        self.control.silent = True
+        yield self.until(lambda: self.agent.session.incarnation != self.control.incarnations[0])
+        self.control.silent = False
+        yield self.until(lambda: len(self.control.incarnations) > 1)
+        yield self.load()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/mutants/agent.py
+++ b/tools/mutants/agent.py
@@ -41,7 +41,7 @@
     Mutant(
         "a restarted agent does not wait out its predecessor's order",
         f"{AGENT}/orders/gate.py",
-        "now_ms + (self._timeout_ms if self._one_at_a_time else 0)",
+        "now_ms + (self._timeout_ms if waits else 0)",
         "now_ms",
         ORDER_TEST,
     ),
