--- a/packages/hemlockdock-control/hemlockdock_control/storage/wal.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/wal.py
@@ -77,12 +77,10 @@
         records = []
         names = segment_names(self._disk)
         for position, name in enumerate(names):
-            is_last = position == len(names) - 1
-            found = self._read_segment(name, is_last)
+            found = self._read_segment(name, position == len(names) - 1)
             if not found:
                 # A crash tore the segment's very beginning: nothing was promised in it.
                 continue
-            self._check_start(name, found[0])
             self._note_entries(self._sequence, found)
             records.extend(found)
         if not records:
@@ -99,9 +97,12 @@
         """
         if self._sequence:
             self._disk.close_file(segment_name(self._sequence))
+        previous_length = self._size
         self._sequence += 1
         self._size = 0
-        start = SegmentStart(FORMAT, self._sequence, self._folder_id, term, voted_for)
+        start = SegmentStart(
+            FORMAT, self._sequence, self._folder_id, term, voted_for, previous_length
+        )
         self._last_index_by_sequence[self._sequence] = 0
         self.append([start])
         self._disk.sync_folder()
@@ -141,20 +142,13 @@
     def _read_segment(self, name, is_last):
         data = self._disk.read(name)
         frames = decode_frames(data)
-        if frames.ending is Ending.DAMAGED or (frames.ending is Ending.TORN and not is_last):
+        may_be_torn = is_last and (frames.payloads or self._sequence)
+        if frames.ending is Ending.DAMAGED or (frames.ending is Ending.TORN and not may_be_torn):
             raise DamagedStorageError(f"{name} at byte {frames.length}", "the checksum is wrong")
-        if not frames.payloads and not is_last:
+        if not frames.payloads and not may_be_torn:
             raise DamagedStorageError(name, "the segment is empty")
         if frames.ending is Ending.TORN:
-            logger.warning(
-                "torn end of the write-ahead log cut off",
-                extra={
-                    "segment": name,
-                    "kept": frames.length,
-                    "dropped": len(data) - frames.length,
-                },
-            )
-            self._disk.truncate(name, frames.length)
+            self._cut_off(name, frames.length, len(data))
         if not frames.payloads:
             self._disk.remove(name)
             self._disk.sync_folder()
@@ -162,9 +156,17 @@
         records = []
         for payload in frames.payloads:
             records.extend(self._decode(name, payload))
+        self._check_start(name, records[0])
         self._size = frames.length
         return records
 
+    def _cut_off(self, name, kept, found):
+        logger.warning(
+            "torn end of the write-ahead log cut off",
+            extra={"segment": name, "kept": kept, "dropped": found - kept},
+        )
+        self._disk.truncate(name, kept)
+
     def _decode(self, name, payload):
         try:
             return DECODER.decode(payload)
@@ -181,6 +183,8 @@
         follows = start.sequence == self._sequence + 1 or not self._sequence
         if not follows or name != segment_name(start.sequence):
             raise DamagedStorageError(name, f"a segment before {start.sequence} is missing")
+        if self._sequence and start.previous_length != self._size:
+            raise DamagedStorageError(name, "the segment before it was cut short")
         self._sequence = start.sequence
 
     def _note_entries(self, sequence, records):
--- a/packages/hemlockdock-control/tests/test_consensus_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_consensus_fuzz.py
@@ -1,14 +1,14 @@
 """Fuzz members on failing disks, networks and clocks against the list of what was committed."""
 
-import os
 import unittest
 
-import hypothesis
-from hypothesis import Phase, settings, strategies
+from hypothesis import strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from support_consensus import ELECTION_MS, Crash, SimulatedCluster
+from support_consensus import ELECTION_MS, Crash, SimulatedCluster, fuzz_settings, seeded
 
-EXAMPLES = 60
+from hemlockdock_control.consensus.messages import TimeoutNow
+
+EXAMPLES = 200
 STEPS = 40
 FOUNDERS = ("a", "b", "c")
 JOINERS = ("d", "e", "f")
@@ -17,7 +17,7 @@
 
 
 class ConsensusMachine(RuleBasedStateMachine):
-    @initialize(seed=seeds, count=strategies.sampled_from((3, 3, 5, 1)))
+    @initialize(seed=seeds, count=strategies.sampled_from((3, 5, 3, 2)))
     def begin(self, seed, count):
         self.cluster = SimulatedCluster(seed, count)
         self.cluster.run(30)
@@ -54,18 +54,50 @@
     def cut_link(self, first, second):
         self.cluster.cut_links.add(frozenset((first, second)))
 
-    @rule(before=strategies.integers(0, 5), restarts=strategies.sets(ids, max_size=2))
-    def depose(self, before, restarts):
+    @rule(
+        before=strategies.integers(0, 3),
+        unheard=strategies.booleans(),
+        restarts=strategies.sets(ids, max_size=2),
+        rounds=strategies.integers(20, 130),
+    )
+    def depose(self, before, unheard, restarts, rounds):
+        """Cut a leader off, perhaps from one member earlier, and work on without it."""
         leader = self.cluster.leader()
         if leader is None:
             return
-        self.cluster.cut_off(leader.member_id)
         self.cluster.propose_at_leaders(before)
-        self.cluster.run(40, step_ms=4.0, busy=True)
-        for member_id in restarts:
+        if unheard and leader.state.peer_ids:
+            self.cluster.cut_links.add(frozenset((leader.member_id, leader.state.peer_ids[-1])))
+            self.cluster.run(60, step_ms=1.0)
+        self.cluster.cut_off(leader.member_id)
+        for member_id in restarts - {leader.member_id}:
             self.crash(member_id)
         self.restart_stopped()
-        self.cluster.run(20, busy=True)
+        self.cluster.run(rounds, step_ms=1.0, busy=True)
+        self.heal()
+
+    @rule(rounds=strategies.integers(1, 20))
+    def time_out_together(self, rounds):
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.cut_off(leader.member_id)
+        self.cluster.advance(3 * ELECTION_MS)
+        self.cluster.run(rounds, step_ms=1.0, busy=True)
+        self.heal()
+
+    @rule(rounds=strategies.integers(5, 60))
+    def hand_over_late(self, rounds):
+        """Let a request to take over arrive after the leader was cut off."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        self.cluster.transfer()
+        late = self.cluster.take(TimeoutNow)
+        self.cluster.run(30, step_ms=1.0)
+        self.cluster.cut_off(leader.member_id)
+        for _, receiver, message in late:
+            self.cluster.in_flight.append((receiver, receiver, message))
+        self.cluster.run(rounds, step_ms=1.0, busy=True)
         self.heal()
 
     @rule()
@@ -117,7 +149,7 @@
     def transfer(self):
         self.cluster.transfer()
 
-    @precondition(lambda self: len(self.cluster.founders.members) > 1)
+    @precondition(lambda self: len(self.cluster.founders.members) > 2)
     @rule(member_id=strategies.sampled_from(FOUNDERS))
     def empty_folder(self, member_id):
         # More lost disks than a minority may take what was committed with them.
@@ -135,32 +167,8 @@
             self.cluster.check()
 
 
-def fuzz_settings():
-    examples = os.environ.get("FUZZ_EXAMPLES")
-    if examples is None:
-        return settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            phases=(Phase.explicit, Phase.generate),
-            suppress_health_check=list(hypothesis.HealthCheck),
-        )
-    return settings(
-        max_examples=int(examples),
-        stateful_step_count=STEPS,
-        database=None,
-        deadline=None,
-        print_blob=True,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-
-
-ConsensusFuzzTest = ConsensusMachine.TestCase
-ConsensusFuzzTest.settings = fuzz_settings()
-if "FUZZ_SEED" in os.environ:
-    ConsensusFuzzTest = hypothesis.seed(int(os.environ["FUZZ_SEED"]))(ConsensusFuzzTest)
+ConsensusFuzzTest = seeded(ConsensusMachine.TestCase)
+ConsensusFuzzTest.settings = fuzz_settings(EXAMPLES, STEPS)
 
 
 if __name__ == "__main__":
--- a/packages/hemlockdock-control/tests/test_core.py
+++ b/packages/hemlockdock-control/tests/test_core.py
@@ -13,6 +13,7 @@
     ConfigurationProposed,
     Proposed,
     Received,
+    SnapshotTaken,
     Synced,
     Tick,
 )
@@ -23,6 +24,7 @@
     Remove,
 )
 from hemlockdock_control.consensus.messages import (
+    PEER_CODEC,
     AppendReply,
     AppendRequest,
     SnapshotChunk,
@@ -31,6 +33,7 @@
 )
 from hemlockdock_control.consensus.snapshot import Snapshot
 from hemlockdock_control.consensus.timing import Timing
+from hemlockdock_core.messages.frame import Frame
 
 TIMING = Timing(10.0, 100.0)
 LATER_MS = 10_000.0
@@ -71,11 +74,13 @@
     """Let a member win its election; its first entry is not synced yet."""
     core.step(Tick(), LATER_MS)
     for voter in voters:
-        core.step(Received(voter, VoteReply(0, core.state.term + 1, True, True)), LATER_MS)
+        core.step(Received(voter, VoteReply(0, core.state.term + 1, True, True, voter)), LATER_MS)
     sync(core)
     effects = []
     for voter in voters:
-        effects = core.step(Received(voter, VoteReply(0, core.state.term, False, True)), LATER_MS)
+        effects = core.step(
+            Received(voter, VoteReply(0, core.state.term, False, True, voter)), LATER_MS
+        )
     return effects
 
 
@@ -122,9 +127,22 @@
         self.assertEqual(core.state.term, 2)
         self.assertTrue(self.ask(core, "b", VoteRequest(5, False, 9, 9, True)))
 
-    def test_an_emptied_folder_does_not_vote(self):
+    def test_the_vote_of_an_emptied_folder_does_not_count(self):
+        core = member()
+        core.step(Tick(), LATER_MS)
+        core.step(Received("b", VoteReply(0, 2, True, True, "another")), LATER_MS)
+        self.assertEqual(core.state.term, 1)
+        core.step(Received("b", VoteReply(0, 2, True, True, "b")), LATER_MS)
+        self.assertEqual(core.state.term, 2)
+        sync(core)
+        core.step(Received("c", VoteReply(0, 2, False, True, "another")), LATER_MS)
+        self.assertFalse(core.state.is_leader)
+        core.step(Received("c", VoteReply(0, 2, False, True, "c")), LATER_MS)
+        self.assertTrue(core.state.is_leader)
+
+    def test_an_emptied_folder_stands_for_no_election(self):
         core = member(folder_id="another")
-        self.assertFalse(self.ask(core, "b", VoteRequest(5, False, 9, 9, False)))
+        self.assertEqual(core.step(Tick(), LATER_MS), [])
 
     def test_a_candidate_counts_itself_once_its_vote_is_durable(self):
         core = member("a")
@@ -174,6 +192,32 @@
         self.assertEqual(applied(accept(core, "c", 1)), [1])
 
 
+class SilentMemberTest(unittest.TestCase):
+    def sent_to(self, core, member_id, ticks=200):
+        """Return how many bytes a member is sent that never replies."""
+        size = 0
+        now_ms = LATER_MS
+        for _ in range(ticks):
+            now_ms += TIMING.heartbeat_ms
+            accept(core, "b", core.state.log.last_index, now_ms)
+            for effect in core.step(Tick(), now_ms):
+                if isinstance(effect, Send) and effect.member_id == member_id:
+                    size += len(PEER_CODEC.encode(Frame(1, "a", 1, "", effect.message)))
+        return size
+
+    def test_entries_and_chunks_do_not_pile_up_for_it(self):
+        core = member()
+        lead(core)
+        sync(core)
+        accept(core, "b", 1)
+        core.step(Proposed((bytes(100_000),) * 20), LATER_MS)
+        sync(core)
+        self.assertLess(self.sent_to(core, "c"), 20_000)
+        core.step(SnapshotTaken(21, bytes(1_000_000)), LATER_MS)
+        core.state.log.compact_to(21)
+        self.assertLess(self.sent_to(core, "c"), 20_000 + TIMING.snapshot_chunk_bytes)
+
+
 class FollowingTest(unittest.TestCase):
     def append(self, core, term, previous, previous_term, commit, *new):
         request = AppendRequest(term, 0.0, previous, previous_term, commit, new)
