Resolve the merge of both ways to close the engine's client and to hand replicas back

Calls are cancelled at the close, since an order may last as long as its timeout; control orders the hand-back, and the agent unloads by itself only where control is not heard.

--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import treq
-from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks, succeed
+from twisted.internet.defer import inlineCallbacks, succeed
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -69,28 +69,17 @@
         self._pool.retryAutomatically = False
         self._calls = set()
         self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
-        self._probes = set()
 
-    @inlineCallbacks
     def close(self):
-<<<<<<< HEAD
-        """Wait for the probes under way, each of which has a timeout, then close connections.
-=======
         """Give up what is asked and close idle connections.
->>>>>>> agent
 
         Returns
         -------
         Deferred
         """
-<<<<<<< HEAD
-        yield DeferredList(list(self._probes))
-        yield self._pool.closeCachedConnections()
-=======
         for call in list(self._calls):
             call.cancel()
         return self._pool.closeCachedConnections()
->>>>>>> agent
 
     def order(self, kind, order, timeout_ms):
         """Send an order.
@@ -230,18 +219,6 @@
         url = f"{self._url}/streams/{request_id}?offset={offset}"
         return self._agent.request(b"GET", url.encode())
 
-<<<<<<< HEAD
-    def _tracked(self, answered):
-        # What waits for the pool to be empty waits for a copy, so that nobody loses a result.
-        done = Deferred()
-        self._probes.add(done)
-        return answered.addBoth(self._settle, done)
-
-    def _settle(self, result, done):
-        self._probes.discard(done)
-        done.callback(None)
-        return result
-=======
     def _tracked(self, call):
         self._calls.add(call)
 
@@ -250,4 +227,3 @@
             return result
 
         return call.addBoth(forget)
->>>>>>> agent
--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -36,7 +36,7 @@
 MS_PER_S = 1_000
 TICK_S = 0.05
 INVENTORY_REPEAT_MS = 2_000
-FLUSH_MS = 100
+FLUSH_S = 0.1
 # Parts of membership.certain_after_ms, after which control counts on everything being unloaded.
 UNLOAD_UNHEARD_AFTER = 0.25
 UNLOAD_IDLE_AFTER = 0.5
@@ -65,7 +65,6 @@
         self._started_s = reactor.seconds()
         self._inventory_ms = 0.0
         self._left = None
-        self._leave_after_ms = 0.0
         self._leave_by_ms = 0.0
         self._watch = TableWatch()
         process = settings.process
@@ -155,16 +154,9 @@
 
     def _hand_back(self, left):
         self._left = left
-        # The last answers' frames need time to go out.
-        self._leave_after_ms = self._now_ms() + FLUSH_MS
         self._leave_by_ms = self._now_ms() + self._settings.agent.order_timeout_ms
 
     def _check_left(self):
-<<<<<<< HEAD
-=======
-        if self._left.called or self._now_ms() < self._leave_after_ms:
-            return
->>>>>>> agent
         given_up = self._now_ms() >= self._leave_by_ms
         if not given_up and not self._handed_back():
             return
--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -39,6 +39,7 @@
 
 WAIT_S = 20
 POLL_S = 0.01
+TAKE_BACK_FENCE = 1_000
 ANY_ADDRESS = "tcp://127.0.0.1:0"
 
 
@@ -63,6 +64,8 @@
         if isinstance(frame.body, Heartbeat):
             if frame.incarnation not in self.incarnations:
                 self.incarnations.append(frame.incarnation)
+            if frame.body.leaving:
+                self.take_back(frame)
             acknowledgement = HeartbeatAck(frame.body.sequence, self.revision, True, True)
             self.office.send(frame.reply_to, acknowledgement)
         if isinstance(frame.body, WatchTable):
@@ -70,6 +73,13 @@
         if isinstance(frame.body, Inventory):
             self.drop_what_is_gone({item.replica_id for item in frame.body.loaded})
 
+    def take_back(self, frame):
+        """Order everything unloaded at an agent that leaves."""
+        for row in self.rows:
+            if isinstance(row, ReplicaRow):
+                order = UnloadOrder(row.replica_id, TAKE_BACK_FENCE, frame.incarnation)
+                self.office.send(frame.reply_to, order)
+
     def drop_what_is_gone(self, loaded_ids):
         """Delete the rows of replicas that an inventory does not show any more."""
         kept = [
