--- a/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
@@ -11,6 +11,7 @@
 
 from hemlockdock_cli.command_error import CommandError
 from hemlockdock_cli.exit_codes import ExitCode
+from hemlockdock_core.errors import ErrorKind
 
 ADMIN_VARIABLE = "HEMLOCKDOCK_ADMIN"
 TOKEN_VARIABLE = "HEMLOCKDOCK_TOKEN"
@@ -97,6 +98,10 @@
                 continue
             if status < HTTP_BAD:
                 return document
+            if document.get("error", {}).get("kind") == ErrorKind.NO_CONTROL:
+                # Another member may lead, or know who does.
+                problem = _message(status, document)
+                continue
             raise CommandError(_code(status), _message(status, document))
         raise CommandError(ExitCode.UNREACHABLE, f"control cannot be reached: {problem}")
 
--- a/packages/hemlockdock-cli/hemlockdock_cli/commands.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/commands.py
@@ -1,6 +1,5 @@
 """Offer the operator's commands."""
 
-import json
 import sys
 from pathlib import Path
 
@@ -8,7 +7,8 @@
 from hemlockdock_cli.check import Check
 from hemlockdock_cli.command_error import CommandError
 from hemlockdock_cli.exit_codes import ExitCode
-from hemlockdock_cli.tables import section_lines
+from hemlockdock_cli.members import Members
+from hemlockdock_cli.show import show
 from hemlockdock_core.manifest import Manifest
 
 
@@ -26,6 +26,7 @@
     def __init__(self, admin=None, token=None):
         self._client = AdminClient(admin, token)
         self.check = Check()
+        self.members = Members(self._client)
 
     def submit(self, file, json=False):
         """Submit a manifest and show where it is in force.
@@ -110,18 +111,3 @@
 
         if not run_demo(serve):
             raise CommandError(ExitCode.FAILED, "a line of the demo is not as it should be")
-
-
-def show(document, as_json):
-    """Print a document for a person or a program.
-
-    Parameters
-    ----------
-    document : dict
-    as_json : bool
-    """
-    if as_json:
-        print(json.dumps(document, indent=2))
-        return
-    for line in section_lines(document):
-        print(line)
--- /dev/null
+++ b/packages/hemlockdock-cli/hemlockdock_cli/show.py
@@ -0,0 +1,20 @@
+"""Print documents for people and programs."""
+
+import json
+
+from hemlockdock_cli.tables import section_lines
+
+
+def show(document, as_json):
+    """Print a document for a person or a program.
+
+    Parameters
+    ----------
+    document : dict
+    as_json : bool
+    """
+    if as_json:
+        print(json.dumps(document, indent=2))
+        return
+    for line in section_lines(document):
+        print(line)
--- a/packages/hemlockdock-control/hemlockdock_control/admin/api.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/api.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 from twisted.internet.task import deferLater
 
+from hemlockdock_control.admin.member_changes import MemberChanges
 from hemlockdock_control.admin.operators import Operators
 from hemlockdock_control.admin.rate_limiter import RateLimiter
 from hemlockdock_core.commands import ReleaseQuarantine, SubmitManifest
@@ -46,6 +47,12 @@
         self._replicator = replicator
         self._proposer = proposer
         self._pages = pages
+        self._member_changes = MemberChanges(replicator, proposer)
+        self._change_by_action = {
+            "add": self._member_changes.add,
+            "promote": self._member_changes.promote,
+            "remove": self._member_changes.remove,
+        }
         self._operators = Operators(settings)
         self._limiter = RateLimiter(REQUESTS_PER_S, BURST_REQUESTS)
         self._under_way = 0
@@ -99,6 +106,22 @@
             return _refuse(request, Refusal.of(ErrorKind.BAD_REQUEST, "a fingerprint"))
         return self._answer(request, lambda who, req: self._release(who, fingerprint))
 
+    @app.route("/v1/members/<member_id>/<action>", methods=["POST"])
+    def members(self, request, member_id, action):
+        """Add, promote or remove a member."""
+        change = self._change_by_action.get(action)
+        if change is None:
+            expected = ", ".join(self._change_by_action)
+            return _refuse(request, Refusal.of(ErrorKind.BAD_REQUEST, f"one of {expected}"))
+        return self._answer(request, lambda who, req: change(who, member_id))
+
+    @app.route("/v1/members/<old_id>/replace/<new_id>", methods=["POST"])
+    def replace_member(self, request, old_id, new_id):
+        """Put a member that has caught up into the place of another."""
+        return self._answer(
+            request, lambda who, req: self._member_changes.replace(who, old_id, new_id)
+        )
+
     @app.route("/healthz", methods=["GET"])
     def healthz(self, request):
         """Say whether the process works."""
--- a/packages/hemlockdock-control/hemlockdock_control/admin/pages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/pages.py
@@ -104,6 +104,10 @@
             "table_revision": state.changes.revision,
             "manifest": self._manifest(),
             "alarms": alarms(self._service, self._settings),
+            "members": [
+                {"member_id": item.member_id, "address": item.address, "voter": item.voter}
+                for item in replicator.configuration.members
+            ],
             "nodes": [self._node(item) for item in state.nodes.record_by_id.values()],
             "replicas": [self._replica(item) for item in state.replicas.record_by_id.values()],
             "quarantines": [
--- a/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/cluster_state.py
@@ -29,6 +29,7 @@
     NodeLost,
     ReadJob,
     RecordCrash,
+    RecordMembers,
     RegisterNode,
     ReleaseQuarantine,
     ReplicaGone,
@@ -251,6 +252,13 @@
     def _(self, command: ReleaseQuarantine):
         return self.crashes.release(command)
 
+    @_apply.register
+    def _(self, command: RecordMembers):
+        self._context.record(
+            command.who, "members", command.member_id, command.before, command.after
+        )
+        return CommandResult(self._context.index)
+
     @_apply.register
     def _(self, command: ExpireRecords):
         self.run_once.expire()
--- a/packages/hemlockdock-core/hemlockdock_core/commands/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/union.py
@@ -13,6 +13,7 @@
 )
 from hemlockdock_core.commands.jobs import ClaimJob, FinishJob, ReadJob, SubmitJob
 from hemlockdock_core.commands.manifests import SubmitManifest
+from hemlockdock_core.commands.members import RecordMembers
 from hemlockdock_core.commands.membership import (
     NodeInventoried,
     NodeLeaving,
@@ -45,4 +46,5 @@
     | RecordCrash
     | ReleaseQuarantine
     | ExpireRecords
+    | RecordMembers
 )
--- a/packages/hemlockdock-daemon/hemlockdock_daemon/roles.py
+++ b/packages/hemlockdock-daemon/hemlockdock_daemon/roles.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_agent.service import AgentService
 from hemlockdock_control.service import ControlService
+from hemlockdock_core.links.link_tls import LinkTls
 from hemlockdock_core.settings.sections import Role
 from hemlockdock_entry.service import EntryService
 
@@ -27,7 +28,8 @@
     list of service
     """
     services = []
+    tls = LinkTls.of(settings)
     for role in START_ORDER:
         if settings.has_role(role):
-            services.append(SERVICE_BY_ROLE[role](reactor, settings))
+            services.append(SERVICE_BY_ROLE[role](reactor, settings, tls=tls))
     return services
