--- a/packages/hemlockdock-control/tests/test_placement_planner.py
+++ b/packages/hemlockdock-control/tests/test_placement_planner.py
@@ -13,7 +13,7 @@
 )
 
 from hemlockdock_control.placement import AdapterView, Planner
-from hemlockdock_core.commands import DecideAdapter, DecideLoad, DecideUnload
+from hemlockdock_core.commands import DecideAdapter, DecideAdapterUnload, DecideLoad, DecideUnload
 from hemlockdock_core.rows import ReplicaState
 
 
@@ -144,6 +144,16 @@
         )
         self.assertEqual(decide(view), [DecideAdapter("r1", "x", NOW_MS)])
 
+    def test_adapters_that_lack_memory_take_it_from_one_other(self):
+        view = small_view(
+            [model_view("m")],
+            [endpoint_view("a", memory_mb=20_500, reserved_mb=20_400)],
+            [ready_replica("r1", "m", "a", adapters=frozenset({"u"}))],
+            [wish("m", adapter="x"), wish("m", adapter="y")],
+            [AdapterView(name, "m", 200) for name in "uxy"],
+        )
+        self.assertEqual(decide(view), [DecideAdapterUnload("r1", "u", NOW_MS)])
+
 
 class VersionTest(unittest.TestCase):
     def setUp(self):
--- a/tools/mutants/policy.py
+++ b/tools/mutants/policy.py
@@ -112,6 +112,6 @@
         f"{PLACEMENT}/adapters.py",
         "if any(replica_id == replica.replica_id for replica_id, _ in plan.adapters_going):",
         "if replica is None:",
-        FUZZ,
+        SINGLE,
     ),
 ]
