--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -133,28 +133,6 @@
             logger.debug("no inventory", extra={"problem": type(error).__name__})
             return None
 
-    def load(self):
-        """Ask for the engine's own report of its load.
-
-        Returns
-        -------
-        Deferred of int or None
-            Requests running, as of a while ago.
-        """
-        return self._tracked(self._load())
-
-    @inlineCallbacks
-    def _load(self):
-        try:
-            response = yield treq.get(
-                f"{self._url}/load", agent=self._agent, timeout=PROBE_TIMEOUT_S
-            )
-            report = yield treq.json_content(response)
-            return int(report["requests_running"])
-        except Exception as error:
-            logger.debug("no load report", extra={"problem": type(error).__name__})
-            return None
-
     def cancel(self, request_id):
         """Ask the engine to stop generating for a request.
 
