--- a/packages/hemlockdock-control/hemlockdock_control/service/planner_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/planner_view.py
@@ -107,6 +107,7 @@
 def _replica_view(replica, board):
     use = board.use(replica.node_id, replica.model)
     usable = frozenset(n for n, item in replica.adapter_by_name.items() if item.usable)
+    leaving = frozenset(n for n, item in replica.adapter_by_name.items() if item.unload_fence)
     return ReplicaView(
         replica.replica_id,
         replica.model,
@@ -118,7 +119,8 @@
         in_flight=use.in_flight if use is not None else 0,
         last_used_ms=use.used_ms if use is not None else 0,
         adapters=usable,
-        adapters_loading=frozenset(replica.adapter_by_name) - usable,
+        adapters_loading=frozenset(replica.adapter_by_name) - usable - leaving,
+        adapters_unloading=leaving,
     )
 
 
--- a/packages/hemlockdock-control/tests/test_planner_view.py
+++ b/packages/hemlockdock-control/tests/test_planner_view.py
@@ -9,7 +9,9 @@
 from hemlockdock_control.service.load_board import LEARNING_MS, LoadBoard
 from hemlockdock_control.service.planner_view import build_view
 from hemlockdock_core.commands import (
+    AdapterLoaded,
     DecideAdapter,
+    DecideAdapterUnload,
     DecideLoad,
     NodeInventoried,
     RegisterNode,
@@ -71,6 +73,10 @@
         self.assertEqual((replica.in_flight, replica.last_used_ms), (3, AT_MS))
         self.assertEqual(replica.adapters_loading, {"a1"})
         self.assertEqual(self.arrivals, [])
+        driver.apply(AdapterLoaded(replica_id, "a1", 1, 1))
+        driver.apply(DecideAdapterUnload(replica_id, "a1", 1))
+        replica = build_view(driver.state, reports, self.board, AT_MS).replica_by_id[replica_id]
+        self.assertEqual((replica.adapters_loading, replica.adapters_unloading), (set(), {"a1"}))
 
     def test_what_nobody_decided_takes_memory_but_does_not_stop_the_endpoint(self):
         driver = StateDriver()
