--- /dev/null
+++ b/tools/slopes/slopes_round.py
@@ -0,0 +1,18 @@
+"""Measure the slope of one decision round over the endpoints."""
+
+from benchmarks.bench_policy import round_cost
+
+from slopes.slope import Slope
+
+SIZES = (150, 300, 600)
+MICROSECONDS_PER_MS = 1_000
+
+
+def measure():
+    """Yield the slopes of quiet and busy rounds, with 110 models and 11,000 adapters."""
+    rows = round_cost(SIZES)
+    sizes = [row[0] for row in rows]
+    quiet = [row[1] * MICROSECONDS_PER_MS for row in rows]
+    busy = [row[2] * MICROSECONDS_PER_MS for row in rows]
+    yield Slope.fit("decision round, nothing changed", "us per endpoint", sizes, quiet)
+    yield Slope.fit("decision round, ten models to wake", "us per endpoint", sizes, busy)
