--- a/tools/benchmarks/bench_control_log.py
+++ b/tools/benchmarks/bench_control_log.py
@@ -11,7 +11,7 @@
 from contextlib import ExitStack, closing
 from pathlib import Path
 
-from tools.benchmarks.figure import Figure
+from benchmarks.figure import Figure
 
 VIRTUAL_TIME = False
 MEMBER_IDS = ("a", "b", "c")
--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -1,6 +1,6 @@
 """List deliberate faults in consensus and storage."""
 
-from tools.mutants.mutant import Mutant
+from mutants.mutant import Mutant
 
 CONSENSUS = "packages/hemlockdock-control/hemlockdock_control/consensus/"
 STORAGE = "packages/hemlockdock-control/hemlockdock_control/storage/"
