--- a/packages/hemlockdock-standins/hemlockdock_standins/platform.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/platform.py
@@ -3,10 +3,9 @@
 import json
 
 from klein import Klein
-from twisted.internet.defer import maybeDeferred, succeed
-from twisted.web.server import Site
 
-LOOPBACK = "127.0.0.1"
+from hemlockdock_standins.loopback_listener import LoopbackListener
+
 MS_PER_S = 1_000.0
 
 
@@ -30,25 +29,14 @@
 
     def __init__(self, reactor, lag_ms=1_000.0, port=0):
         self._reactor = reactor
-        self._wanted_port = port
+        self._listener = LoopbackListener(reactor, port)
         self._lag_s = lag_ms / MS_PER_S
         self._changes_by_host = {}
-        self._port = None
         self.url = ""
 
     def start(self):
-        """Listen.
-
-        Returns
-        -------
-        Deferred
-        """
-        site = Site(self.app.resource())
-        site.noisy = False
-        site.log = lambda request: None
-        self._port = self._reactor.listenTCP(self._wanted_port, site, interface=LOOPBACK)
-        self.url = f"http://{LOOPBACK}:{self._port.getHost().port}/hosts"
-        return succeed(None)
+        """Listen."""
+        self.url = self._listener.start(self.app.resource()) + "/hosts"
 
     def stop(self):
         """Stop listening.
@@ -57,10 +45,7 @@
         -------
         Deferred
         """
-        if self._port is None:
-            return succeed(None)
-        port, self._port = self._port, None
-        return maybeDeferred(port.stopListening)
+        return self._listener.stop()
 
     def set_state(self, host, state):
         """Change a host's state; the list shows it after the lag.
--- a/packages/hemlockdock-standins/hemlockdock_standins/service.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/service.py
@@ -4,11 +4,11 @@
 from collections import Counter
 
 from klein import Klein
-from twisted.internet.defer import inlineCallbacks, maybeDeferred, succeed
+from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
-from twisted.web.server import Site
 
-LOOPBACK = "127.0.0.1"
+from hemlockdock_standins.loopback_listener import LoopbackListener
+
 MS_PER_S = 1_000.0
 
 
@@ -36,28 +36,17 @@
 
     def __init__(self, reactor, lookup_ms=0.0, booking_ms=0.0, port=0):
         self._reactor = reactor
-        self._wanted_port = port
+        self._listener = LoopbackListener(reactor, port)
         self.lookup_ms = lookup_ms
         self.booking_ms = booking_ms
-        self._port = None
         self.url = ""
         self.lookups = 0
         self.bookings_by_key = Counter()
         self.drop_bookings = 0
 
     def start(self):
-        """Listen.
-
-        Returns
-        -------
-        Deferred
-        """
-        site = Site(self.app.resource())
-        site.noisy = False
-        site.log = lambda request: None
-        self._port = self._reactor.listenTCP(self._wanted_port, site, interface=LOOPBACK)
-        self.url = f"http://{LOOPBACK}:{self._port.getHost().port}"
-        return succeed(None)
+        """Listen."""
+        self.url = self._listener.start(self.app.resource())
 
     def stop(self):
         """Stop listening.
@@ -66,10 +55,7 @@
         -------
         Deferred
         """
-        if self._port is None:
-            return succeed(None)
-        port, self._port = self._port, None
-        return maybeDeferred(port.stopListening)
+        return self._listener.stop()
 
     @app.route("/<path:path>", methods=["GET"])
     @inlineCallbacks
--- a/tools/benchmarks/processes.py
+++ b/tools/benchmarks/processes.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -11,8 +10,9 @@
 import urllib.request
 from pathlib import Path
 
+from hemlockdock_cli.demo.ports import LOOPBACK, free_ports
+
 ROOT = Path(__file__).resolve().parent.parent.parent
-LOOPBACK = "127.0.0.1"
 START_LIMIT_S = 30
 CALL_LIMIT_S = 5
 POLL_S = 0.02
@@ -166,23 +166,3 @@
                 stdout=log,
                 stderr=log,
             )
-
-
-def free_ports(count):
-    """Return loopback ports that nothing listens at now.
-
-    Parameters
-    ----------
-    count : int
-
-    Returns
-    -------
-    list of int
-    """
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((LOOPBACK, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
--- a/tools/slopes/slopes_waiting.py
+++ b/tools/slopes/slopes_waiting.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 
 import psutil
-from benchmarks.processes import LOOPBACK, Processes, free_ports
+from benchmarks.processes import Processes
 from benchmarks.sized_manifest import sized_manifest
 
+from hemlockdock_cli.demo.ports import LOOPBACK, free_ports
 from slopes.slope import Slope
 
 SIZES = (100, 300, 600)
