--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -57,6 +57,11 @@
         """Tell whether the run goes on when its caller is answered or gone."""
         return False
 
+    @property
+    def owns_run(self):
+        """Tell whether the run is this request's own, and not one that it only reads."""
+        return True
+
     def begin(self):
         """Start on the way to an answer."""
         self.desk.waiting.enqueue(self)
@@ -165,7 +170,8 @@
         """Take that nobody waits for the answer any more."""
         if self.core.ended:
             return
-        if self.reply.passed and self.attempt is not None and not self.run_may_outlive_reply:
+        cancels = self.owns_run and not self.run_may_outlive_reply
+        if self.reply.passed and self.attempt is not None and cancels:
             # The caller may reconnect for the rest of its stream.
             self._grace_call = self.desk.clock.callLater(RECONNECT_GRACE_S, self._stop_run)
         else:
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_exchange.py
@@ -34,6 +34,11 @@
         """Tell whether the run goes on when its caller is answered or gone."""
         return self._runs
 
+    @property
+    def owns_run(self):
+        """Tell whether the run is this request's own, and not one that it only reads."""
+        return self._runs
+
     def begin(self):
         """Claim the run, or first wait for room where that comes at once."""
         if self._claim.held or self.desk.waiting.has_room(self.request):
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/resume_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/resume_exchange.py
@@ -60,6 +60,11 @@
         super().__init__(desk, request, reply)
         self._place = place
 
+    @property
+    def owns_run(self):
+        """Tell whether the run is this request's own, and not one that it only reads."""
+        return False
+
     def begin(self):
         """Ask the agent for the rest."""
         place = self._place
--- a/packages/hemlockdock-entry/tests/test_desk.py
+++ b/packages/hemlockdock-entry/tests/test_desk.py
@@ -22,8 +22,10 @@
 )
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import NodeRow, QuarantineRow
+from hemlockdock_entry.streams import StreamPlace
 from hemlockdock_entry.tasks.exchange import Exchange
 from hemlockdock_entry.tasks.once_exchange import OnceExchange
+from hemlockdock_entry.tasks.resume_exchange import ResumeExchange, resume_request
 
 EXAMPLES = 250
 STEPS = 40
@@ -429,6 +431,23 @@
         self.assertEqual(len(self.sent(Dispatch)), 2)
         self.assertFalse(self.desk.link.records.finish_by_key)
 
+    def test_a_reader_that_leaves_another_run_holds_nothing_up(self):
+        place = StreamPlace("q9", "x1")
+        for number in range(2):
+            asked = resume_request(f"reader-{number}", "c", 0.0)
+            reply = FakeReply(streaming=True)
+            exchange = ResumeExchange(self.desk, asked, reply, place)
+            self.desk.submit(exchange)
+            ids = ("q9", self.sent(Resume)[-1].attempt)
+            self.desk.attempts.handle(AnswerHead(*ids, 200, "text/event-stream"), "x1")
+            self.desk.attempts.handle(AnswerChunk(*ids, 0, b"data"), "x1")
+            self.assertTrue(reply.passed)
+            exchange.caller_gone()
+            idle = []
+            self.desk.when_idle(lambda idle=idle: idle.append(True))
+            self.assertTrue(idle)
+        self.assertFalse(self.sent(Cancel))
+
 
 DeskTest = DeskMachine.TestCase
 DeskTest.settings = fuzz_settings()
