Report what is in use at an agent, so that a busy replica is not taken for idle

Cause: entries reported their traffic, agents did not, and the planner reads a replica's use from its agent. A model called every 0.3 s was unloaded every 10 s. The counting moved to core and serves both. Tests: control is told of each dispatch; only changed figures are told. A test of the table feed read the node's rows before it waited for the follower; it waits first now.

--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/gate.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/gate.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_agent.requests.run import Run
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.node import LoadCounts
 from hemlockdock_core.rows import ReplicaState
 
 MOST_ENDED = 50_000
@@ -22,12 +23,15 @@
     refusal_by_key : dict of tuple to Refusal or None
         How the latest ended runs ended.
     draining : bool
+    loads : LoadCounts
+        By which control learns what is in use here.
     """
 
     def __init__(self):
         self.run_by_key = {}
         self.refusal_by_key = {}
         self.draining = False
+        self.loads = LoadCounts()
         self._in_flight_by_replica = Counter()
 
     def in_flight(self, replica_id):
@@ -80,6 +84,8 @@
         run = Run(dispatch, consumer, now_ms, view.boot_id, heard_ms=now_ms)
         self.run_by_key[key] = run
         self._in_flight_by_replica[dispatch.replica_id] += 1
+        self.loads.arrived(dispatch.model)
+        self.loads.started(dispatch.model)
         return Ok(run)
 
     def end(self, run, refusal):
@@ -103,6 +109,7 @@
         self._in_flight_by_replica[run.dispatch.replica_id] -= 1
         if not self._in_flight_by_replica[run.dispatch.replica_id]:
             del self._in_flight_by_replica[run.dispatch.replica_id]
+        self.loads.ended(run.dispatch.model)
         self._remember(run.key, refusal)
         return True
 
--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -240,6 +240,8 @@
         nodes = self.link.table.node_by_id.values()
         self.requests.scan({row.node_id for row in nodes if row.role == "entry" and row.lost})
         self.store.expire(now_ms)
+        for load in self.runs.loads.changed({}):
+            self.link.report_load(load)
         self.orders.advance()
         self._crashes.repeat(self.link.table)
         if self._left is not None:
--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -239,6 +239,19 @@
         self.assertEqual(self.entry.last(("q1", 1), Refused).refusal.not_run, NotRun.FALSE)
         self.assertEqual(self.engine.ledger.most_runs(), 1)
 
+    @inlineCallbacks
+    def test_control_is_told_what_is_in_use(self):
+        """A replica whose use nobody reports is taken for idle and unloaded."""
+        yield self.load()
+        self.send("q1")
+        yield self.until(lambda: self.reported_loads() and self.reported_loads()[-1].arrivals)
+        self.send("q2")
+        yield self.until(lambda: self.reported_loads()[-1].arrivals == 2)
+
+    def reported_loads(self):
+        """Return the loads of all heartbeats, in their order."""
+        return [load for beat in self.control.received[Heartbeat] for load in beat.loads]
+
     @inlineCallbacks
     def test_a_cancelled_request_stops_at_the_engine_unless_it_runs_once(self):
         yield self.load()
--- a/packages/hemlockdock-control/tests/test_control_service.py
+++ b/packages/hemlockdock-control/tests/test_control_service.py
@@ -321,8 +321,8 @@
         node.say(WatchTable(12345, 99_999))
         node.table.clear()
         yield until(lambda: node.table.manifest is not None)
-        rows = {row.key: row for row in node.table.rows()}
         yield until(lambda: follower.machine.state.changes.revision == node.table.revision)
+        rows = {row.key: row for row in node.table.rows()}
         self.assertEqual(rows, follower.machine.state.changes.row_by_key)
 
     @inlineCallbacks
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/load_reports.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/load_counts.py
@@ -1,18 +1,12 @@
-"""Report each model's traffic to control."""
+"""Count each model's traffic at one node."""
 
-from hemlockdock_core.messages import ModelLoad
+from hemlockdock_core.messages.wish import ModelLoad
 
 
-class LoadReports:
-    """Count each model's arrivals and requests in flight, and report what changed.
+class LoadCounts:
+    """Count each model's arrivals and requests in flight, and tell what changed."""
 
-    Parameters
-    ----------
-    link : ControlLink
-    """
-
-    def __init__(self, link):
-        self._link = link
+    def __init__(self):
         self._arrivals_by_model = {}
         self._in_flight_by_model = {}
         self._reported_by_model = {}
@@ -57,16 +51,23 @@
         """
         return self._in_flight_by_model.get(model, 0)
 
-    def report(self, waiting_by_model):
-        """Report the models whose figures changed.
+    def changed(self, waiting_by_model):
+        """Return the loads of the models whose figures changed since the last call.
 
         Parameters
         ----------
         waiting_by_model : dict of str to int
+
+        Returns
+        -------
+        list of ModelLoad
         """
+        changed = []
         for model, arrivals in self._arrivals_by_model.items():
             waiting = waiting_by_model.get(model, 0)
             load = ModelLoad(model, arrivals, waiting, self.in_flight(model))
-            if self._reported_by_model.get(model) != load:
-                self._reported_by_model[model] = load
-                self._link.report_load(load)
+            if self._reported_by_model.get(model) == load:
+                continue
+            self._reported_by_model[model] = load
+            changed.append(load)
+        return changed
--- a/packages/hemlockdock-core/tests/test_node.py
+++ b/packages/hemlockdock-core/tests/test_node.py
@@ -12,6 +12,7 @@
     Frame,
     Heartbeat,
     HeartbeatAck,
+    ModelLoad,
     NodeInfo,
     Proposal,
     ProposalResult,
@@ -19,7 +20,7 @@
     TableDelta,
     WatchTable,
 )
-from hemlockdock_core.node import ControlLink, ControlUnavailableError, TableCopy
+from hemlockdock_core.node import ControlLink, ControlUnavailableError, LoadCounts, TableCopy
 from hemlockdock_core.rows import AdapterRow
 from hemlockdock_core.settings import parse_settings
 
@@ -117,6 +118,17 @@
         self.assertIsNone(self.office.of(Heartbeat)[-1][1].info)
 
 
+class LoadCountsTest(unittest.TestCase):
+    def test_only_what_changed_is_told(self):
+        counts = LoadCounts()
+        counts.arrived("m")
+        counts.started("m")
+        self.assertEqual(counts.changed({}), [ModelLoad("m", 1, 0, 1)])
+        self.assertEqual(counts.changed({}), [])
+        counts.ended("m")
+        self.assertEqual(counts.changed({"m": 2}), [ModelLoad("m", 1, 2, 0)])
+
+
 class TableCopyTest(unittest.TestCase):
     @settings(derandomize=True, database=None, deadline=None, max_examples=200)
     @given(st.data())
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
@@ -7,12 +7,12 @@
 
 from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.node import LoadCounts
 from hemlockdock_entry.lifecycle import Ledger
 from hemlockdock_entry.routing import RetryBudget, Router, Suspects
 from hemlockdock_entry.tasks.admission import Admission
 from hemlockdock_entry.tasks.attempts import Attempts
 from hemlockdock_entry.tasks.background import Background
-from hemlockdock_entry.tasks.load_reports import LoadReports
 from hemlockdock_entry.tasks.supply_view import SupplyView
 from hemlockdock_entry.tasks.waiting_room import WaitingRoom
 from hemlockdock_entry.waiting import ServiceTimes
@@ -56,7 +56,7 @@
         self.suspects = Suspects()
         self.service_times = ServiceTimes()
         self.background = Background(clock, link, self._check_idle)
-        self.loads = LoadReports(link)
+        self.loads = LoadCounts()
         self._supply = SupplyView(clock, link, self.router, self.loads)
         self.admission = Admission(self, self._supply)
         self.waiting = WaitingRoom(self, self._supply)
@@ -180,7 +180,8 @@
     def tick(self):
         """Refuse what has become hopeless, repeat wishes, report loads, check the ledger."""
         self.suspects.forget_old(self.clock.seconds())
-        self.loads.report(self.waiting.tick())
+        for load in self.loads.changed(self.waiting.tick()):
+            self.link.report_load(load)
         if not self.ledger.balanced(self.in_progress):
             COUNTERS.increment("entry_ledger_errors")
             logger.error("requests in do not equal answers, refusals and requests in progress")
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/supply_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/supply_view.py
@@ -14,7 +14,7 @@
     clock : twisted reactor or Clock
     link : ControlLink
     router : Router
-    loads : LoadReports
+    loads : LoadCounts
     """
 
     def __init__(self, clock, link, router, loads):
