Let the daemon's timers follow a clock that is never set

Cause: Twisted's timers follow the wall clock, so a step back silenced a control member until the clock had caught up. The wall clock is now read apart.

--- a/packages/hemlockdock-cli/hemlockdock_cli/demo/ports.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/demo/ports.py
@@ -1,8 +1,12 @@
 """Find free loopback ports."""
 
+import contextlib
+import random
 import socket
 
 LOOPBACK = "127.0.0.1"
+# Below the range from which the system gives ports to outgoing connections.
+CANDIDATES = range(20_000, 32_000)
 
 
 def free_ports(count):
@@ -16,10 +20,11 @@
     -------
     list of int
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((LOOPBACK, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    ports = []
+    for port in random.SystemRandom().sample(CANDIDATES, len(CANDIDATES)):
+        if len(ports) == count:
+            break
+        with contextlib.closing(socket.socket()) as probe, contextlib.suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            ports.append(port)
     return ports
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -1,6 +1,7 @@
 """Assemble a control member."""
 
 import logging
+import time
 
 import pynng
 from twisted.internet.defer import inlineCallbacks
@@ -172,7 +173,7 @@
 
     def wall_ms(self):
         """Return the wall clock, in milliseconds since 1970."""
-        return int(self._reactor.seconds() * 1_000)
+        return int(time.time() * 1_000)
 
     def _every(self, period_ms, work):
         loop = LoopingCall(_guarded(work))
--- a/packages/hemlockdock-daemon/hemlockdock_daemon/main.py
+++ b/packages/hemlockdock-daemon/hemlockdock_daemon/main.py
@@ -8,6 +8,7 @@
 from hemlockdock_core.errors import InvalidInputError
 from hemlockdock_core.logs import configure_logs
 from hemlockdock_core.settings import load_settings
+from hemlockdock_daemon.monotonic import use_monotonic_clock
 
 EXIT_BAD_SETTINGS = 2
 EXIT_FAILED_START = 3
@@ -46,6 +47,7 @@
 
     from hemlockdock_daemon.process import Process
 
+    use_monotonic_clock(reactor)
     process = Process(reactor, settings)
     exit_codes = [0]
 
