--- a/packages/hemlockdock-cli/hemlockdock_cli/check.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/check.py
@@ -19,11 +19,28 @@
         ----------
         file : str
         """
+        checked = self.parse_settings(file)
+        print(f"{file}: settings of {checked.process.node_id} are valid")
+
+    def parse_settings(self, file):
+        """Return validated settings.
+
+        Parameters
+        ----------
+        file : str
+
+        Returns
+        -------
+        Settings
+
+        Raises
+        ------
+        CommandError
+        """
         try:
-            checked = load_settings(file)
+            return load_settings(file)
         except InvalidInputError as error:
             raise CommandError(ExitCode.BAD_INPUT, _lines(error)) from None
-        print(f"{file}: settings of {checked.process.node_id} are valid")
 
     def manifest(self, file):
         """Check a manifest and name every bad field.
--- a/packages/hemlockdock-cli/hemlockdock_cli/commands.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/commands.py
@@ -9,6 +9,8 @@
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_cli.members import Members
 from hemlockdock_cli.show import show
+from hemlockdock_control.storage.errors import StorageError
+from hemlockdock_control.storage.recovery import recover_single_member
 from hemlockdock_core.manifest import Manifest
 
 
@@ -95,6 +97,27 @@
         path = f"/v1/quarantines/{fingerprint}/release"
         show(self._client.call("POST", path, b""), json)
 
+    def recover(self, settings, confirm=False):
+        """Make a stopped member's folder that of the only member, after a majority was lost.
+
+        What only the lost members held is gone.
+
+        Parameters
+        ----------
+        settings : str
+            That member's settings file.
+        confirm : bool, optional
+            Nothing is done without it.
+        """
+        checked = self.check.parse_settings(settings)
+        if not confirm:
+            raise CommandError(ExitCode.BAD_INPUT, "read the page on control, then add --confirm")
+        try:
+            index = recover_single_member(checked)
+        except StorageError as error:
+            raise CommandError(ExitCode.REFUSED, str(error)) from None
+        print(f"{checked.process.node_id} is the only member; last entry {index}")
+
     def schema(self):
         """Print the JSON Schema of manifests."""
         show(Manifest.model_json_schema(), True)
--- /dev/null
+++ b/packages/hemlockdock-cli/tests/test_commands.py
@@ -0,0 +1,87 @@
+"""Test the command line: exit codes, one line for each problem, tables."""
+
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hemlockdock_cli.exit_codes import ExitCode
+from hemlockdock_cli.main import main
+from hemlockdock_cli.tables import section_lines
+
+SETTINGS = """
+[process]
+node_id = control-1
+roles = control
+host = host-1
+failure_domain = domain-a
+data_folder = {folder}
+[control]
+members = control-1@tcp://127.0.0.1:1@tcp://127.0.0.1:2
+"""
+
+
+def run(*arguments):
+    """Run the command and return (exit code, standard output, standard error)."""
+    output, errors = io.StringIO(), io.StringIO()
+    code = 0
+    with (
+        mock.patch("sys.argv", ["hemlockdock", *arguments]),
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(errors),
+    ):
+        try:
+            main()
+        except SystemExit as stop:
+            code = stop.code or 0
+    return code, output.getvalue(), errors.getvalue()
+
+
+class CommandLineTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def write(self, name, text):
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    def test_good_settings_are_said_to_be_valid(self):
+        path = self.write("good.ini", SETTINGS.format(folder=self.folder))
+        code, output, _ = run("check", "settings", path)
+        self.assertEqual(code, ExitCode.OK)
+        self.assertIn("control-1", output)
+
+    def test_each_problem_is_a_line_and_nothing_is_printed_as_a_result(self):
+        path = self.write("bad.json", '{"number": 0, "format_version": 2}')
+        code, output, errors = run("check", "manifest", path)
+        self.assertEqual((code, output), (ExitCode.BAD_INPUT, ""))
+        self.assertIn("number: ", errors)
+        self.assertIn("format_version: ", errors)
+        self.assertIn("deployment: ", errors)
+
+    def test_a_bad_manifest_is_refused_before_control_is_called(self):
+        path = self.write("bad.json", "no json")
+        code, _, errors = run("--admin", "127.0.0.1:9", "submit", path)
+        self.assertEqual(code, ExitCode.BAD_INPUT)
+        self.assertNotIn("reached", errors)
+
+    def test_recovery_needs_to_be_confirmed_and_a_folder_that_was_used(self):
+        path = self.write("good.ini", SETTINGS.format(folder=self.folder))
+        self.assertEqual(run("recover", path)[0], ExitCode.BAD_INPUT)
+        self.assertEqual(run("recover", path, "--confirm")[0], ExitCode.REFUSED)
+
+
+class TablesTest(unittest.TestCase):
+    def test_plain_fields_come_first_and_lists_become_tables(self):
+        document = {"rows": [{"a": 1, "b": None}], "empty": [], "name": "x"}
+        expected = ["name: x", "", "rows", "a  b", "-  -", "1  -", "", "empty", "(none)"]
+        self.assertEqual(section_lines(document), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
