--- a/samples/deployment.py
+++ b/samples/deployment.py
@@ -130,7 +130,7 @@
     failure_domains=("altiplano-1", "altiplano-2", "altiplano-3"),
     models=60,
     adapters=100,
-    weights={"tail_cold_start": 0.8},
+    weights={"tail_cold_start": 0.7},
     fencing="refuses_old",
     request_classes=(
         request_class("damage-narrative", "live", 30_000, 80),
@@ -150,7 +150,7 @@
     failure_domains=("mct-1", "mct-2", "mct-3"),
     models=40,
     adapters=100,
-    weights={"tail_cold_start": 0.2, "credits_expire": "2027-03-31"},
+    weights={"tail_cold_start": 0.6, "credits_expire": "2027-03-31"},
     fencing="ignored",
     request_classes=(
         request_class("form-help", "live", 30_000, 80),
--- a/tools/benchmarks/traces/shape.py
+++ b/tools/benchmarks/traces/shape.py
@@ -74,7 +74,7 @@
 
 QALAM = Shape(
     name="qalam",
-    weight=0.5,
+    weight=0.6,
     endpoints_by_group={"pool": 9, "forms": 3},
     busy_models=3,
     grouped_models=15,
