--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -15,7 +15,7 @@
 from hemlockdock_agent.requests.task import RequestTask
 from hemlockdock_agent.table_watch import TableWatch
 from hemlockdock_core.errors import ErrorKind, Refusal
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import (
     NODE_CODEC,
     Cancel,
@@ -68,7 +68,7 @@
         self._leave_by_ms = 0.0
         self._watch = TableWatch()
         process = settings.process
-        self._office = PostOffice(
+        self._transport = MessageTransport(
             reactor,
             process.node_id,
             start.incarnation,
@@ -82,12 +82,14 @@
             "agent",
             process.host,
             process.failure_domain,
-            self._office.address,
+            self._transport.address,
             start.http_address,
             settings.agent.group,
             settings.agent.memory_mb,
         )
-        self.link = link_type(reactor, settings, self._office, info, on_table=self._table_changed)
+        self.link = link_type(
+            reactor, settings, self._transport, info, on_table=self._table_changed
+        )
         self.store = AnswerStore(settings)
         self.runs = RequestGate()
         gate = OrderGate(settings, start.incarnation, self._now_ms(), start.alone)
@@ -103,7 +105,7 @@
         self.requests = RequestTask(
             settings,
             self.runs,
-            Outlet(self._office.send, self.store),
+            Outlet(self._transport.send, self.store),
             engine,
             self._view_of,
             self._crashes.broken,
@@ -116,12 +118,12 @@
     @property
     def address(self):
         """Return the mailbox's address."""
-        return self._office.address
+        return self._transport.address
 
     @property
     def incarnation(self):
         """Return the incarnation number."""
-        return self._office.incarnation
+        return self._transport.incarnation
 
     def start(self):
         """Join control and ask the engine what it holds."""
@@ -147,7 +149,7 @@
         self.link.send(leaving)
         for row in self.link.table.node_by_id.values():
             if row.role == "entry" and not row.lost:
-                self._office.send(row.address, leaving)
+                self._transport.send(row.address, leaving)
         left = Deferred()
         self.requests.when_idle(lambda: self._hand_back(left))
         return left
@@ -186,7 +188,7 @@
         self.orders.stop()
         self._crashes.stop()
         self.link.stop()
-        self._office.close()
+        self._transport.close()
 
     def problem(self):
         """Return why no requests are taken, empty where they are."""
--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -13,7 +13,7 @@
 from hemlockdock_agent.lifecycle import EngineLockedError
 from hemlockdock_agent.service import AgentService
 from hemlockdock_core.errors import ErrorKind, NotRun
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import (
     NODE_CODEC,
     AnswerChunk,
@@ -47,7 +47,7 @@
     """Acknowledge heartbeats, hand out a table, keep what the agent reports."""
 
     def __init__(self):
-        self.office = PostOffice(reactor, "c1", 1, NODE_CODEC, ANY_ADDRESS, self.take)
+        self.transport = MessageTransport(reactor, "c1", 1, NODE_CODEC, ANY_ADDRESS, self.take)
         self.rows = []
         self.revision = 10
         self.silent = False
@@ -67,7 +67,7 @@
             if frame.body.leaving:
                 self.take_back(frame)
             acknowledgement = HeartbeatAck(frame.body.sequence, self.revision, True, True)
-            self.office.send(frame.reply_to, acknowledgement)
+            self.transport.send(frame.reply_to, acknowledgement)
         if isinstance(frame.body, WatchTable):
             self.send_table()
         if isinstance(frame.body, Inventory):
@@ -78,7 +78,7 @@
         for row in self.rows:
             if isinstance(row, ReplicaRow):
                 order = UnloadOrder(row.replica_id, TAKE_BACK_FENCE, frame.incarnation)
-                self.office.send(frame.reply_to, order)
+                self.transport.send(frame.reply_to, order)
 
     def drop_what_is_gone(self, loaded_ids):
         """Delete the rows of replicas that an inventory does not show any more."""
@@ -92,7 +92,7 @@
 
     def send_table(self):
         """Send the whole table."""
-        self.office.send(self.agent, TableChunk(1, self.revision, 0, 1, self.rows))
+        self.transport.send(self.agent, TableChunk(1, self.revision, 0, 1, self.rows))
 
     def change(self, *rows):
         """Replace the table's rows."""
@@ -105,7 +105,7 @@
     """Dispatch requests and keep the frames of each try."""
 
     def __init__(self, node_id):
-        self.office = PostOffice(reactor, node_id, 1, NODE_CODEC, ANY_ADDRESS, self.take)
+        self.transport = MessageTransport(reactor, node_id, 1, NODE_CODEC, ANY_ADDRESS, self.take)
         self.frames = defaultdict(list)
         self.leaving = []
 
@@ -140,9 +140,9 @@
         yield self.engine.start()
         self.addCleanup(self.engine.stop)
         self.control = Control()
-        self.addCleanup(self.control.office.close)
+        self.addCleanup(self.control.transport.close)
         self.entry = self.open_entry("entry-1")
-        address = self.control.office.address.removeprefix("tcp://")
+        address = self.control.transport.address.removeprefix("tcp://")
         self.settings = settings(engine_url=self.engine.url, control=address, poll_ms=50)
         self.agent = AgentService(reactor, self.settings)
         yield self.agent.start()
@@ -151,7 +151,7 @@
 
     def open_entry(self, node_id):
         entry = Entry(node_id)
-        self.addCleanup(entry.office.close)
+        self.addCleanup(entry.transport.close)
         return entry
 
     @inlineCallbacks
@@ -160,7 +160,7 @@
             yield deferLater(reactor, POLL_S, lambda: None)
 
     def order(self, order):
-        self.control.office.send(self.agent.node_address, order)
+        self.control.transport.send(self.agent.node_address, order)
 
     def result(self, fence):
         for result in self.control.received[OrderResult]:
@@ -177,7 +177,7 @@
         yield self.until(lambda: self.agent.session.link.table.revision == self.control.revision)
 
     def show_replica(self, state):
-        address = self.entry.office.address
+        address = self.entry.transport.address
         self.control.change(
             NodeRow("entry-1", "entry", "h", "d", address, 1, False, False),
             ModelRow("m", "v", "live", 50, 1, 4, 100),
@@ -190,7 +190,7 @@
         message = dispatch(
             request_id, attempt, body=body, streaming=streaming, table_revision=99, **changes
         )
-        self.entry.office.send(self.agent.node_address, message)
+        self.entry.transport.send(self.agent.node_address, message)
         return body
 
     @inlineCallbacks
@@ -220,10 +220,10 @@
         yield self.load()
         body = self.send("q1", count=60, resumable=True)
         yield self.until(lambda: len(self.entry.frames["q1", 1]) > 5)
-        self.entry.office.close()
+        self.entry.transport.close()
         read = len(self.entry.body(("q1", 1)))
         other = self.open_entry("entry-2")
-        other.office.send(self.agent.node_address, Resume("q1", 7, read))
+        other.transport.send(self.agent.node_address, Resume("q1", 7, read))
         yield self.until(lambda: other.last(("q1", 7), AnswerEnd))
         self.assertEqual(other.body(("q1", 7), read), stream_body(body, 60)[read:])
         self.assertIsInstance(other.frames["q1", 7][0], AnswerHead)
@@ -259,9 +259,9 @@
         once = self.send("q2", count=80, run_once=True, resumable=True)
         yield self.until(lambda: self.entry.frames["q1", 1] and self.entry.frames["q2", 1])
         for name in ("q1", "q2"):
-            self.entry.office.send(self.agent.node_address, Cancel(name, 1))
+            self.entry.transport.send(self.agent.node_address, Cancel(name, 1))
         yield self.until(lambda: self.engine.requests.running == 1)
-        self.entry.office.send(self.agent.node_address, Resume("q2", 2, 0))
+        self.entry.transport.send(self.agent.node_address, Resume("q2", 2, 0))
         yield self.until(lambda: self.entry.last(("q2", 2), AnswerEnd))
         self.assertEqual(self.entry.body(("q2", 2)), stream_body(once, 80))
 
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
@@ -5,7 +5,7 @@
 """
 
 from hemlockdock_control.consensus.messages import PEER_CODEC
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.metrics import COUNTERS
 
 SEPARATOR = "/"
@@ -31,7 +31,7 @@
         self.address = self._address_by_id[self._member_id]
         self._cluster = settings.control.cluster
         sender = self._cluster + SEPARATOR + self._member_id
-        self._office = PostOffice(
+        self._transport = MessageTransport(
             reactor, sender, incarnation, PEER_CODEC, self.address, self._receive, tls
         )
 
@@ -47,7 +47,7 @@
         if known == address:
             return
         if known is not None:
-            self._office.forget(known)
+            self._transport.forget(known)
         self._address_by_id[member_id] = address
 
     def learn(self, configuration):
@@ -71,11 +71,11 @@
         """
         address = self._address_by_id.get(member_id)
         if address is not None:
-            self._office.send(address, message)
+            self._transport.send(address, message)
 
     def close(self):
         """Close all sockets."""
-        self._office.close()
+        self._transport.close()
 
     def _receive(self, frame):
         cluster, _, member_id = frame.sender.rpartition(SEPARATOR)
--- a/packages/hemlockdock-control/hemlockdock_control/orders/order_book.py
+++ b/packages/hemlockdock-control/hemlockdock_control/orders/pending_orders.py
@@ -30,7 +30,7 @@
     order: object
 
 
-class OrderBook:
+class PendingOrders:
     """Derive orders from the committed state; nothing here needs to survive.
 
     An order stands for as long as the state says that its effect is missing, so each leader
--- a/packages/hemlockdock-control/hemlockdock_control/service/address_book.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/address_table.py
@@ -3,7 +3,7 @@
 MAX_ADDRESSES = 4_096
 
 
-class AddressBook:
+class AddressTable:
     """Remember when each address was last used, so that links to old ones can be closed.
 
     A node that restarts mostly comes back at another port; without this, each of its former
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -13,18 +13,18 @@
 from hemlockdock_control.hub import TableFeed
 from hemlockdock_control.membership import Beats, PlatformList, SilenceClock
 from hemlockdock_control.placement import Planner
-from hemlockdock_control.service.address_book import AddressBook
+from hemlockdock_control.service.address_table import AddressTable
 from hemlockdock_control.service.contact import LeaderContact
 from hemlockdock_control.service.leader_intake import LeaderIntake
 from hemlockdock_control.service.leader_round import LeaderRound
-from hemlockdock_control.service.load_board import LoadBoard
+from hemlockdock_control.service.load_tracker import LoadTracker
 from hemlockdock_control.service.member_front import MemberFront
 from hemlockdock_control.service.node_front import NodeFront
 from hemlockdock_control.service.planner_view import build_view
 from hemlockdock_control.service.proposer import Proposer
 from hemlockdock_control.service.volatile import Volatile
 from hemlockdock_control.state import ClusterMachine
-from hemlockdock_core.links import LinkTls, PostOffice
+from hemlockdock_core.links import LinkTls, MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, OrderOutcome
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import ReplicaState
@@ -60,16 +60,16 @@
         self._reactor = reactor
         self._settings = settings
         self._tls = tls or LinkTls.of(settings)
-        self._office = None
+        self._transport = None
         self._clock = SilenceClock(reactor)
-        self._addresses = AddressBook()
+        self._addresses = AddressTable()
         self._led_by = ""
         self._digests = 0
         self.machine = ClusterMachine(settings)
         self.replicator = replicator_factory(reactor, settings, self.machine, self._tls)
         self._planner = Planner(settings)
         platform = PlatformList(reactor, settings, lambda: self.replicator.is_leader)
-        board = LoadBoard(settings, self._planner.observe_arrivals)
+        board = LoadTracker(settings, self._planner.observe_arrivals)
         self.volatile = Volatile(Beats(), board, platform)
         self._feed = TableFeed(self._send)
         self._proposer = Proposer(reactor, self.replicator, self.machine)
@@ -110,7 +110,7 @@
     @property
     def node_address(self):
         """Return the address of the nodes' mailbox."""
-        return self._office.address
+        return self._transport.address
 
     @property
     def admin_address(self):
@@ -136,7 +136,7 @@
         self.replicator.on_leadership(self._leadership_changed)
         self.replicator.on_forward(self._members.on_forward)
         incarnation = self.wall_ms()
-        self._office = PostOffice(
+        self._transport = MessageTransport(
             self._reactor,
             self._settings.process.node_id,
             incarnation,
@@ -168,7 +168,7 @@
         self.volatile.platform.stop()
         yield self.replicator.stop()
         self._proposer.stop()
-        self._office.close()
+        self._transport.close()
         logger.info("control stopped")
 
     def wall_ms(self):
@@ -201,9 +201,9 @@
         watch_ms = self._settings.membership.lost_after_ms * FORGET_FACTOR
         for address in self._feed.forget_silent(now_ms, watch_ms):
             # It moved to another member or is gone; what waits for it here is of no use.
-            self._office.forget(address)
+            self._transport.forget(address)
         for address in self._addresses.forget_silent(now_ms, silent_ms):
-            self._office.forget(address)
+            self._transport.forget(address)
 
     def _decide(self):
         if self.replicator.is_leader:
@@ -225,7 +225,7 @@
         # Orders that still wait to be sent must not arrive once another member leads.
         for record in self.machine.state.nodes.record_by_id.values():
             if record.info.memory_mb:
-                self._office.forget(record.info.address)
+                self._transport.forget(record.info.address)
 
     def _learn(self, result):
         replica = self.machine.state.replicas.record_by_id.get(result.replica_id)
@@ -254,7 +254,7 @@
             COUNTERS.increment("control_senders_refused")
             return
         try:
-            self._office.send(address, message)
+            self._transport.send(address, message)
         except (ValueError, pynng.NNGException) as error:
             # An address that a node made up must not stop the work for the others.
             COUNTERS.increment("control_bad_addresses")
--- a/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/leader_round.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import gatherResults
 
 from hemlockdock_control.membership.detector import MembershipView, membership_commands
-from hemlockdock_control.orders import OrderBook, inventory_commands
+from hemlockdock_control.orders import PendingOrders, inventory_commands
 from hemlockdock_control.service.planner_view import build_view
 from hemlockdock_core.commands import ExpireRecords
 from hemlockdock_core.metrics import COUNTERS
@@ -42,7 +42,7 @@
         self._proposer = proposer
         self._volatile = volatile
         self._send = send
-        self._orders = OrderBook(settings)
+        self._orders = PendingOrders(settings)
         self._silent_since_ms = 0.0
         self._expired_ms = 0.0
         self._busy = False
--- a/packages/hemlockdock-control/hemlockdock_control/service/load_board.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/load_tracker.py
@@ -45,7 +45,7 @@
     used_ms: int
 
 
-class LoadBoard:
+class LoadTracker:
     """Keep reports of load by node and model, and standing wishes.
 
     Parameters
--- a/packages/hemlockdock-control/hemlockdock_control/service/planner_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/planner_view.py
@@ -22,7 +22,7 @@
     ----------
     state : ClusterState
     report_by_id : dict of str to InventoryReport
-    board : LoadBoard
+    board : LoadTracker
     at_ms : int
         Wall clock, in milliseconds since 1970.
 
--- a/packages/hemlockdock-control/hemlockdock_control/service/volatile.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/volatile.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from hemlockdock_control.membership import Beats, PlatformList
-from hemlockdock_control.service.load_board import LoadBoard
+from hemlockdock_control.service.load_tracker import LoadTracker
 
 # A few digests, which come every 200 ms.
 MEMBER_SILENT_MS = 600
@@ -16,7 +16,7 @@
     Attributes
     ----------
     beats : Beats
-    board : LoadBoard
+    board : LoadTracker
     platform : PlatformList
     report_by_id : dict of str to InventoryReport
         Latest inventories by node id.
@@ -25,7 +25,7 @@
     """
 
     beats: Beats
-    board: LoadBoard
+    board: LoadTracker
     platform: PlatformList
     report_by_id: dict = field(default_factory=dict)
     digest_ms_by_member: dict = field(default_factory=dict)
--- a/packages/hemlockdock-control/tests/test_control_service.py
+++ b/packages/hemlockdock-control/tests/test_control_service.py
@@ -19,7 +19,7 @@
 from hemlockdock_control.service import ControlService
 from hemlockdock_core.commands import ClaimRun, DecideUnload, ReadJob, SubmitJob
 from hemlockdock_core.errors import ErrorKind
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import (
     NODE_CODEC,
     Heartbeat,
@@ -59,18 +59,18 @@
         self.gaps = 0
         self.acks = []
         self.control_address = control_address
-        self.office = PostOffice(
+        self.transport = MessageTransport(
             reactor, node_id, INCARNATION, NODE_CODEC, "tcp://127.0.0.1:0", self.receive
         )
-        case.addCleanup(self.office.close)
-        address = self.office.address
+        case.addCleanup(self.transport.close)
+        address = self.transport.address
         memory_mb = 100 if role == "agent" else 0
         group = "default" if role == "agent" else ""
         self.info = NodeInfo(node_id, role, "host-1", "domain-a", address, "", group, memory_mb)
         self.sequence = 0
 
     def say(self, message):
-        self.office.send(self.control_address, message)
+        self.transport.send(self.control_address, message)
 
     def beat(self):
         self.sequence += 1
@@ -211,7 +211,7 @@
         self.addCleanup(stranger.close)
         stranger.send(b"\xc1 not a frame")
         node = LightNode(self, "entry-1", "entry", member.node_address)
-        node.office._mailbox.address = "ipc:///nowhere"
+        node.transport._mailbox.address = "ipc:///nowhere"
         node.say(Heartbeat(1, 0, 0, False, node.info, []))
         response = yield self.request(member, "GET", "/healthz")
         yield response.content()
--- a/packages/hemlockdock-control/tests/test_orders.py
+++ b/packages/hemlockdock-control/tests/test_orders.py
@@ -6,11 +6,11 @@
 
 from hemlockdock_control.orders import (
     InventoryReport,
-    OrderBook,
+    PendingOrders,
     inventory_commands,
     outcome_commands,
 )
-from hemlockdock_control.orders.order_book import REPEAT_MS
+from hemlockdock_control.orders.pending_orders import REPEAT_MS
 from hemlockdock_core.commands import (
     AdapterLoaded,
     DecideAdapter,
@@ -53,14 +53,14 @@
         return LoadedModel(self.replica_id, "m1", "v1", 40, self.fence, list(adapters))
 
 
-class OrderBookTest(OrdersCase):
+class PendingOrdersTest(OrdersCase):
     def due(self, now_ms, reports=None):
         letters = self.book.due(self.state, reports or {}, now_ms)
         return [letter.order for letter in letters]
 
     def setUp(self):
         super().setUp()
-        self.book = OrderBook(settings())
+        self.book = PendingOrders(settings())
 
     def test_an_order_is_repeated_until_its_result_is_committed(self):
         self.assertEqual([type(item) for item in self.due(0)], [LoadOrder])
--- a/packages/hemlockdock-control/tests/test_orders_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_orders_fuzz.py
@@ -9,11 +9,11 @@
 
 from hemlockdock_control.orders import (
     InventoryReport,
-    OrderBook,
+    PendingOrders,
     inventory_commands,
     outcome_commands,
 )
-from hemlockdock_control.orders.order_book import REPEAT_MS
+from hemlockdock_control.orders.pending_orders import REPEAT_MS
 from hemlockdock_core.commands import (
     DecideAdapter,
     DecideAdapterUnload,
@@ -139,7 +139,7 @@
         self.driver = StateDriver()
         self.apply(submission(1, adapters=("a1", "a2"), most_replicas=2, fencing=self.fencing))
         self.agent_by_id = {node_id: ModelAgent(node_id) for node_id in AGENTS}
-        self.book = OrderBook(settings())
+        self.book = PendingOrders(settings())
         self.now_ms = 0.0
         self.report_by_id = {}
         self.letters = []
--- a/packages/hemlockdock-control/tests/test_planner_view.py
+++ b/packages/hemlockdock-control/tests/test_planner_view.py
@@ -6,7 +6,7 @@
 
 from hemlockdock_control.membership.beats import HeardNode
 from hemlockdock_control.orders import InventoryReport
-from hemlockdock_control.service.load_board import LEARNING_MS, LoadBoard
+from hemlockdock_control.service.load_tracker import LEARNING_MS, LoadTracker
 from hemlockdock_control.service.planner_view import build_view
 from hemlockdock_core.commands import (
     AdapterLoaded,
@@ -25,7 +25,7 @@
 class BoardCase(unittest.TestCase):
     def setUp(self):
         self.arrivals = []
-        self.board = LoadBoard(settings(), lambda *what: self.arrivals.append(what))
+        self.board = LoadTracker(settings(), lambda *what: self.arrivals.append(what))
         self.board.begin(AT_MS)
 
     def report(self, node_id, load, at_ms, from_entry=True, incarnation=1):
@@ -33,7 +33,7 @@
         self.board.report(heard, [load], at_ms, from_entry)
 
 
-class LoadBoardTest(BoardCase):
+class LoadTrackerTest(BoardCase):
     def test_a_new_leader_takes_old_counts_for_no_burst(self):
         self.report("entry-1", ModelLoad("m1", 5_000, 0, 0), AT_MS)
         self.report("entry-1", ModelLoad("m1", 5_003, 0, 0), AT_MS + 1)
--- a/packages/hemlockdock-core/hemlockdock_core/links/post_office.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -7,7 +7,7 @@
 from hemlockdock_core.settings.types import check_link
 
 
-class PostOffice:
+class MessageTransport:
     """Own a process's mailbox and its outboxes, one for each peer address.
 
     Parameters
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -37,7 +37,7 @@
     ----------
     reactor : twisted reactor
     settings : Settings
-    post_office : PostOffice
+    message_transport : MessageTransport
     info : NodeInfo
     on_table : callable, optional
         Called without arguments after each change of the table.
@@ -47,10 +47,10 @@
     incarnation : int
     """
 
-    def __init__(self, reactor, settings, post_office, info, on_table=None):
+    def __init__(self, reactor, settings, message_transport, info, on_table=None):
         self._reactor = reactor
         self._settings = settings
-        self._office = post_office
+        self._transport = message_transport
         self._info = info
         self._on_table = on_table
         self._copy = TableCopy()
@@ -68,7 +68,7 @@
             SILENT_HEARTBEATS * self._heartbeat_s,
             reactor.seconds(),
         )
-        self.incarnation = post_office.incarnation
+        self.incarnation = message_transport.incarnation
         self._proposals = PendingProposals(f"{info.node_id}-{self.incarnation}", PROPOSAL_REPEAT_S)
         self._heartbeats = Repeating(reactor, self._beat)
         self._ticks = Repeating(reactor, self._tick)
@@ -111,7 +111,7 @@
         ----------
         message : Message
         """
-        self._office.send(self._choice.current.node_address, message)
+        self._transport.send(self._choice.current.node_address, message)
 
     def propose(self, command, timeout_ms):
         """Ask for a command to be committed.
--- a/packages/hemlockdock-core/tests/test_link_tls.py
+++ b/packages/hemlockdock-core/tests/test_link_tls.py
@@ -15,7 +15,7 @@
 from twisted.internet.task import deferLater
 from twisted.trial.unittest import TestCase
 
-from hemlockdock_core.links import LinkTls, PostOffice
+from hemlockdock_core.links import LinkTls, MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, Leaving
 
 START = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
@@ -78,9 +78,9 @@
     def open(self, node_id, tls):
         scheme = "tcp" if tls is None else "tls+tcp"
         listen = f"{scheme}://127.0.0.1:0"
-        office = PostOffice(reactor, node_id, 1, NODE_CODEC, listen, self.collect, tls)
-        self.addCleanup(office.close)
-        return office
+        transport = MessageTransport(reactor, node_id, 1, NODE_CODEC, listen, self.collect, tls)
+        self.addCleanup(transport.close)
+        return transport
 
     def collect(self, frame):
         self.received.append(frame.sender)
@@ -119,11 +119,11 @@
 
     def test_plain_addresses_are_refused_where_there_are_keys(self):
         tls = self.keys(self.ours, "receiver")
-        office = self.open("receiver", tls)
+        transport = self.open("receiver", tls)
         with self.assertRaises(ValueError):
-            office.send("tcp://127.0.0.1:9", Leaving("x"))
+            transport.send("tcp://127.0.0.1:9", Leaving("x"))
         with self.assertRaises(ValueError):
-            PostOffice(reactor, "x", 1, NODE_CODEC, "tcp://127.0.0.1:0", self.collect, tls)
+            MessageTransport(reactor, "x", 1, NODE_CODEC, "tcp://127.0.0.1:0", self.collect, tls)
 
 
 if __name__ == "__main__":
--- a/packages/hemlockdock-core/tests/test_links.py
+++ b/packages/hemlockdock-core/tests/test_links.py
@@ -7,20 +7,20 @@
 from twisted.internet.defer import Deferred
 from twisted.trial import unittest as trial_unittest
 
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, AnswerChunk
 from hemlockdock_core.metrics import COUNTERS
 
 WAIT_S = 240
 
 
-class PostOfficeTest(trial_unittest.TestCase):
+class MessageTransportTest(trial_unittest.TestCase):
     timeout = WAIT_S
 
     def open(self, node_id, on_frame):
-        office = PostOffice(reactor, node_id, 1, NODE_CODEC, "tcp://127.0.0.1:0", on_frame)
-        self.addCleanup(office.close)
-        return office
+        transport = MessageTransport(reactor, node_id, 1, NODE_CODEC, "tcp://127.0.0.1:0", on_frame)
+        self.addCleanup(transport.close)
+        return transport
 
     def test_many_frames_arrive_in_order(self):
         received = []
--- a/packages/hemlockdock-core/tests/test_node.py
+++ b/packages/hemlockdock-core/tests/test_node.py
@@ -35,7 +35,7 @@
 """
 
 
-class RecordingOffice:
+class RecordingTransport:
     """Record what is sent in place of sending it."""
 
     incarnation = 7
@@ -55,9 +55,9 @@
 class ControlLinkTest(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
-        self.office = RecordingOffice()
+        self.transport = RecordingTransport()
         info = NodeInfo("entry-1", "entry", "host-1", "domain-a", "tcp://127.0.0.1:9")
-        self.link = ControlLink(self.clock, parse_settings(TEXT, "t"), self.office, info)
+        self.link = ControlLink(self.clock, parse_settings(TEXT, "t"), self.transport, info)
         self.link.start()
 
     def receive(self, body):
@@ -65,17 +65,17 @@
         return self.link.handle(Frame(1, member, 1, "", body))
 
     def test_a_silent_member_is_left_and_proposals_go_to_the_next(self):
-        first = self.office.sent[0][0]
+        first = self.transport.sent[0][0]
         self.link.propose(ReadJob("j", "c"), 60_000)
         self.clock.pump([0.5] * 5)
-        addresses = {address for address, _ in self.office.of(Proposal)}
+        addresses = {address for address, _ in self.transport.of(Proposal)}
         self.assertEqual(len(addresses), 2)
-        self.assertNotEqual(self.office.of(Heartbeat)[-1][0], first)
+        self.assertNotEqual(self.transport.of(Heartbeat)[-1][0], first)
 
     def test_an_unanswered_proposal_fails_as_unknown_after_its_time(self):
         answered = self.link.propose(ReadJob("j", "c"), 1_000)
         no_leader = CommandResult(0, Refusal.of(ErrorKind.NO_CONTROL, "no leader"))
-        proposal = self.office.of(Proposal)[0][1]
+        proposal = self.transport.of(Proposal)[0][1]
         self.receive(ProposalResult(proposal.proposal_id, no_leader))
         failures = []
         answered.addErrback(failures.append)
@@ -96,7 +96,7 @@
         self.clock.pump([0.5] * 20)
         self.receive(HeartbeatAck(1, 0, True, True))
         self.assertGreaterEqual(self.link.silent_s, 10.0)
-        self.receive(HeartbeatAck(self.office.of(Heartbeat)[-1][1].sequence, 0, True, True))
+        self.receive(HeartbeatAck(self.transport.of(Heartbeat)[-1][1].sequence, 0, True, True))
         self.assertLess(self.link.silent_s, 0.5)
         self.clock.advance(30.0)
         self.receive(HeartbeatAck(1, 0, True, True))
@@ -104,18 +104,18 @@
 
     def test_a_gap_in_the_table_asks_for_what_is_missing(self):
         self.receive(TableChunk(1, 5, 0, 1, [AdapterRow("a", "m")]))
-        before = len(self.office.of(WatchTable))
+        before = len(self.transport.of(WatchTable))
         self.receive(TableDelta(1, 7, 8, [AdapterRow("b", "m")], []))
-        self.assertEqual(self.office.of(WatchTable)[before:][0][1], WatchTable(1, 5))
+        self.assertEqual(self.transport.of(WatchTable)[before:][0][1], WatchTable(1, 5))
         self.receive(TableDelta(1, 5, 8, [AdapterRow("b", "m")], ["adapter/a"]))
         self.assertEqual(set(self.link.table.adapter_by_name), {"b"})
 
     def test_info_is_sent_until_it_is_known(self):
         self.clock.advance(0.5)
-        self.assertIsNotNone(self.office.of(Heartbeat)[-1][1].info)
+        self.assertIsNotNone(self.transport.of(Heartbeat)[-1][1].info)
         self.receive(HeartbeatAck(1, 0, True, True))
         self.clock.advance(0.5)
-        self.assertIsNone(self.office.of(Heartbeat)[-1][1].info)
+        self.assertIsNone(self.transport.of(Heartbeat)[-1][1].info)
 
 
 class LoadCountsTest(unittest.TestCase):
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/caller_api.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/caller_api.py
@@ -21,7 +21,7 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     services : Services
     mint : callable
         Returns a new request id.
@@ -29,12 +29,12 @@
 
     app = Klein()
 
-    def __init__(self, desk, services, mint):
-        self._desk = desk
-        self._models = ModelCalls(desk, mint)
-        self._streams = StreamCalls(desk, mint)
-        self._jobs = JobCalls(desk, mint)
-        self._plain = PlainCalls(desk, services, mint)
+    def __init__(self, coordinator, services, mint):
+        self._coordinator = coordinator
+        self._models = ModelCalls(coordinator, mint)
+        self._streams = StreamCalls(coordinator, mint)
+        self._jobs = JobCalls(coordinator, mint)
+        self._plain = PlainCalls(coordinator, services, mint)
 
     @app.route(CHAT_PATH, methods=["POST"])
     def chat_completions(self, http_request):
@@ -75,14 +75,14 @@
     @app.route("/readyz", methods=["GET"])
     def readiness(self, http_request):
         """Tell whether the entry takes new requests."""
-        ready = self._desk.link.fresh and not self._desk.draining
+        ready = self._coordinator.link.fresh and not self._coordinator.draining
         status = "ready" if ready else "not ready"
         return json_answer(http_request, 200 if ready else 503, {"status": status})
 
     @app.route("/metrics", methods=["GET"])
     def metrics(self, http_request):
         """Write the metrics."""
-        gauges = {"entry_in_progress": self._desk.in_progress}
+        gauges = {"entry_in_progress": self._coordinator.in_progress}
         http_request.setHeader(b"content-type", METRICS_TYPE)
         return exposition(COUNTERS, LATENCIES, gauges)
 
@@ -91,7 +91,7 @@
         """Answer a call that no route takes, or that this code failed on."""
         status = getattr(failure.value, "code", None)
         if status is None:
-            self._desk.report_fault(failure)
+            self._coordinator.report_fault(failure)
             return refusal_answer(http_request, Refusal.of(ErrorKind.INTERNAL, "internal error"))
         message = f"no such call ({status})"
         return refusal_answer(http_request, Refusal.of(ErrorKind.BAD_REQUEST, message))
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/job_calls.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/job_calls.py
@@ -9,7 +9,7 @@
 from hemlockdock_entry.callers.call_reader import read_options
 from hemlockdock_entry.callers.write import json_answer, refusal_answer
 from hemlockdock_entry.intake import parse_request
-from hemlockdock_entry.jobs import JobDesk, job_id_for, job_path
+from hemlockdock_entry.jobs import JobIntake, job_id_for, job_path
 
 JOB_KIND = "job"
 ACCEPTED = 202
@@ -20,14 +20,14 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     mint : callable
         Returns a new id.
     """
 
-    def __init__(self, desk, mint):
-        self._desk = desk
-        self._jobs = JobDesk(desk)
+    def __init__(self, coordinator, mint):
+        self._coordinator = coordinator
+        self._jobs = JobIntake(coordinator)
         self._mint = mint
 
     def submit(self, http_request):
@@ -44,7 +44,7 @@
         options = read_options(http_request)
         if options.is_err():
             return refusal_answer(http_request, options.err())
-        if self._desk.draining:
+        if self._coordinator.draining:
             message = "this entry is shutting down"
             return refusal_answer(http_request, Refusal.of(ErrorKind.DRAINING, message))
         parsed = self._parse(http_request.content.read(), options.ok())
@@ -77,7 +77,7 @@
         return read.addCallback(self._answer, http_request, 200)
 
     def _parse(self, body, options):
-        table = self._desk.link.table
+        table = self._coordinator.link.table
         job_id = job_id_for(options.caller, options.key) if options.key else self._mint()
         try:
             path = job_path(body)
@@ -85,7 +85,9 @@
             path = ""
         if not options.class_name:
             options = replace(options, class_name=_job_class(table))
-        parsed = parse_request(table, path, body, options, job_id, self._desk.clock.seconds())
+        parsed = parse_request(
+            table, path, body, options, job_id, self._coordinator.clock.seconds()
+        )
         if parsed.is_ok() and parsed.ok().streaming:
             return Err(Refusal.of(ErrorKind.BAD_REQUEST, "a job cannot stream"))
         return parsed
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/model_calls.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/model_calls.py
@@ -16,13 +16,13 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     mint : callable
         Returns a new request id.
     """
 
-    def __init__(self, desk, mint):
-        self._desk = desk
+    def __init__(self, coordinator, mint):
+        self._coordinator = coordinator
         self._mint = mint
 
     def run(self, http_request, path):
@@ -41,23 +41,23 @@
         if options.is_err():
             return refusal_answer(http_request, options.err())
         parsed = parse_request(
-            self._desk.link.table,
+            self._coordinator.link.table,
             path,
             http_request.content.read(),
             options.ok(),
             self._mint(),
-            self._desk.clock.seconds(),
+            self._coordinator.clock.seconds(),
         )
         if parsed.is_err():
             return refusal_answer(http_request, _for_key(parsed.err(), options.ok().key))
         request = parsed.ok()
         finished = when_finished(http_request)
-        stall_s = self._desk.settings.entry.stall_ms / MS_PER_S
-        reply = HttpReply(http_request, self._desk.clock, request.request_id, stall_s)
+        stall_s = self._coordinator.settings.entry.stall_ms / MS_PER_S
+        reply = HttpReply(http_request, self._coordinator.clock, request.request_id, stall_s)
         exchange_type = OnceExchange if request.once else Exchange
-        exchange = exchange_type(self._desk, request, reply)
+        exchange = exchange_type(self._coordinator, request, reply)
         reply.on_gone = exchange.caller_gone
-        self._desk.submit(exchange)
+        self._coordinator.submit(exchange)
         return finished
 
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/plain_calls.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/plain_calls.py
@@ -16,14 +16,14 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     services : Services
     mint : callable
         Returns a new request id.
     """
 
-    def __init__(self, desk, services, mint):
-        self._desk = desk
+    def __init__(self, coordinator, services, mint):
+        self._coordinator = coordinator
         self._services = services
         self._mint = mint
 
@@ -45,14 +45,14 @@
         method = http_request.method.decode("ascii", "replace")
         target = service_target(http_request.uri.decode("latin-1"))
         parsed = parse_service_request(
-            self._desk.link.table,
+            self._coordinator.link.table,
             name,
             method,
             target,
             http_request.content.read(),
             options.ok(),
             self._mint(),
-            self._desk.clock.seconds(),
+            self._coordinator.clock.seconds(),
         )
         if parsed.is_err():
             refusal = parsed.err()
@@ -64,10 +64,10 @@
         reply = ServiceReply(http_request, request.request_id)
         headers = passed_headers(http_request.requestHeaders)
         call = ServiceCall(
-            self._desk, self._services, name, request, method, target, headers, reply
+            self._coordinator, self._services, name, request, method, target, headers, reply
         )
         reply.on_gone = call.caller_gone
-        self._desk.submit(call)
+        self._coordinator.submit(call)
         return finished
 
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/stream_calls.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/stream_calls.py
@@ -15,13 +15,13 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     mint : callable
         Returns a new request id.
     """
 
-    def __init__(self, desk, mint):
-        self._desk = desk
+    def __init__(self, coordinator, mint):
+        self._coordinator = coordinator
         self._mint = mint
 
     def resume(self, http_request, stream_id):
@@ -44,12 +44,12 @@
         if place is None or place.stream_id != stream_id.partition(":")[0]:
             message = "Last-Event-ID must be the id of an event of this stream"
             return refusal_answer(http_request, Refusal.of(ErrorKind.BAD_REQUEST, message))
-        now = self._desk.clock.seconds()
+        now = self._coordinator.clock.seconds()
         request = resume_request(self._mint(), options.ok().caller, now)
         finished = when_finished(http_request)
-        stall_s = self._desk.settings.entry.stall_ms / MS_PER_S
-        reply = HttpReply(http_request, self._desk.clock, request.request_id, stall_s)
-        exchange = ResumeExchange(self._desk, request, reply, place)
+        stall_s = self._coordinator.settings.entry.stall_ms / MS_PER_S
+        reply = HttpReply(http_request, self._coordinator.clock, request.request_id, stall_s)
+        exchange = ResumeExchange(self._coordinator, request, reply, place)
         reply.on_gone = exchange.caller_gone
-        self._desk.submit(exchange)
+        self._coordinator.submit(exchange)
         return finished
--- a/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_intake.py
@@ -47,16 +47,16 @@
     return CHAT_PATH if "messages" in content else COMPLETION_PATH
 
 
-class JobDesk:
+class JobIntake:
     """Accept jobs for control to keep, and read them back.
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     """
 
-    def __init__(self, desk):
-        self._desk = desk
+    def __init__(self, coordinator):
+        self._coordinator = coordinator
 
     def submit(self, request, named_model):
         """Have a job committed.
@@ -75,8 +75,8 @@
         body = JobBody(
             request.caller, request.path, request.class_name, request.repeatable, request.body
         )
-        left_ms = request.left_ms(self._desk.clock.seconds())
-        now_ms = self._desk.wall_ms()
+        left_ms = request.left_ms(self._coordinator.clock.seconds())
+        now_ms = self._coordinator.wall_ms()
         command = SubmitJob(
             request.request_id,
             request.caller,
@@ -104,8 +104,8 @@
         return self._propose(ReadJob(job_id, caller), job_id)
 
     def _propose(self, command, job_id):
-        timeout_ms = self._desk.settings.entry.claim_timeout_ms
-        answered = self._desk.link.propose(command, timeout_ms)
+        timeout_ms = self._coordinator.settings.entry.claim_timeout_ms
+        answered = self._coordinator.link.propose(command, timeout_ms)
         return answered.addCallbacks(
             _view, _unavailable, callbackArgs=(job_id,), errbackArgs=(job_id,)
         )
--- a/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_runner.py
@@ -37,22 +37,22 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     mint : callable
         Returns a new request id.
     """
 
-    def __init__(self, desk, mint):
-        self._desk = desk
+    def __init__(self, coordinator, mint):
+        self._coordinator = coordinator
         self._mint = mint
         self._held = set()
         self._model_by_claim = {}
         self._pause_by_id = {}
-        self._scans = Repeating(desk.clock, self.scan)
+        self._scans = Repeating(coordinator.clock, self.scan)
 
     def start(self):
         """Begin to look for jobs."""
-        self._scans.start(self._desk.settings.entry.wish_ms / MS_PER_S, now=False)
+        self._scans.start(self._coordinator.settings.entry.wish_ms / MS_PER_S, now=False)
 
     def stop(self):
         """End looking for jobs."""
@@ -60,10 +60,12 @@
 
     def scan(self):
         """Claim the jobs that can run now, or can no longer run in time."""
-        if self._desk.draining or not self._desk.link.fresh:
+        if self._coordinator.draining or not self._coordinator.link.fresh:
             return
-        waiting = [row for row in self._desk.link.table.job_by_id.values() if self._is_open(row)]
-        self._desk.random.shuffle(waiting)
+        waiting = [
+            row for row in self._coordinator.link.table.job_by_id.values() if self._is_open(row)
+        ]
+        self._coordinator.random.shuffle(waiting)
         # Entries that scan alike would claim alike; the sort is stable within a deadline.
         waiting.sort(key=lambda row: row.deadline_at_ms)
         for row in waiting:
@@ -74,38 +76,42 @@
 
     def _is_open(self, row):
         # A claim whose answer was lost shows as this entry's own: it is claimed again.
-        is_own = row.state == "running" and row.owner == self._desk.node_id
+        is_own = row.state == "running" and row.owner == self._coordinator.node_id
         if row.job_id in self._held or not (row.state == "waiting" or is_own):
             return False
         _, until = self._pause_by_id.get(row.job_id, (0.0, 0.0))
-        return until <= self._desk.clock.seconds()
+        return until <= self._coordinator.clock.seconds()
 
     def _consider(self, row):
         probe = self._request(row, JobBody("", "", "", True, b""))
         if probe is None:
             self._claim(row)
             return
-        if self._desk.admission.unreachable(probe, 0) is not None:
+        if self._coordinator.admission.unreachable(probe, 0) is not None:
             # Claimed only to report it: the caller learns early that it cannot be had.
             self._claim(row)
             return
         claimed = list(self._model_by_claim.values()).count(probe.model)
-        if self._desk.waiting.idle_room(probe) > claimed:
+        if self._coordinator.waiting.idle_room(probe) > claimed:
             self._claim(row, probe.model)
             return
-        self._desk.waiting.wish_if_cold(probe)
+        self._coordinator.waiting.wish_if_cold(probe)
 
     def _claim(self, row, model=""):
         self._held.add(row.job_id)
         self._model_by_claim[row.job_id] = model
-        now_ms = self._desk.wall_ms()
-        command = ClaimJob(row.job_id, self._desk.node_id, self._desk.incarnation, now_ms)
-        claimed = self._desk.link.propose(command, self._desk.settings.entry.claim_timeout_ms)
+        now_ms = self._coordinator.wall_ms()
+        command = ClaimJob(
+            row.job_id, self._coordinator.node_id, self._coordinator.incarnation, now_ms
+        )
+        claimed = self._coordinator.link.propose(
+            command, self._coordinator.settings.entry.claim_timeout_ms
+        )
         claimed.addBoth(self._claim_over, row)
         claimed.addCallbacks(
             self._claimed, self._not_claimed, callbackArgs=(row,), errbackArgs=(row,)
         )
-        claimed.addErrback(self._desk.report_fault)
+        claimed.addErrback(self._coordinator.report_fault)
 
     def _claim_over(self, outcome, row):
         del self._model_by_claim[row.job_id]
@@ -128,7 +134,7 @@
             lambda payload: self._finish(row, "done", payload),
             lambda refusal: self._refused(row, refusal, request),
         )
-        self._desk.submit(Exchange(self._desk, request, reply))
+        self._coordinator.submit(Exchange(self._coordinator, request, reply))
 
     def _not_claimed(self, failure, row):
         failure.trap(ControlUnavailableError)
@@ -150,34 +156,34 @@
         COUNTERS.increment("entry_jobs_finished", state=state)
         command = FinishJob(
             row.job_id,
-            self._desk.node_id,
-            self._desk.incarnation,
+            self._coordinator.node_id,
+            self._coordinator.incarnation,
             state,
             payload,
-            self._desk.wall_ms(),
+            self._coordinator.wall_ms(),
         )
-        done = self._desk.background.run(command)
+        done = self._coordinator.background.run(command)
         done.addCallback(lambda _: self._held.discard(row.job_id))
 
     def _pause(self, row):
         pause_s, _ = self._pause_by_id.get(row.job_id, (0.0, 0.0))
         pause_s = min(MAX_PAUSE_S, pause_s * 2 or FIRST_PAUSE_S)
-        self._pause_by_id[row.job_id] = (pause_s, self._desk.clock.seconds() + pause_s)
+        self._pause_by_id[row.job_id] = (pause_s, self._coordinator.clock.seconds() + pause_s)
 
     def _forget_ended(self):
         for job_id in list(self._pause_by_id):
-            if job_id not in self._desk.link.table.job_by_id:
+            if job_id not in self._coordinator.link.table.job_by_id:
                 del self._pause_by_id[job_id]
 
     def _request(self, row, body):
-        table = self._desk.link.table
+        table = self._coordinator.link.table
         adapter = table.adapter_by_name.get(row.model)
         model = table.model_by_name.get(adapter.model if adapter else row.model)
         if model is None:
             return None
-        now = self._desk.clock.seconds()
+        now = self._coordinator.clock.seconds()
         class_row = table.class_by_name.get(body.class_name)
-        left_s = (row.deadline_at_ms - self._desk.wall_ms()) / MS_PER_S
+        left_s = (row.deadline_at_ms - self._coordinator.wall_ms()) / MS_PER_S
         return Request(
             request_id=self._mint(),
             caller=body.caller,
--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import (
     NODE_CODEC,
     AnswerChunk,
@@ -24,7 +24,7 @@
 from hemlockdock_entry.callers import CallerApi, CallerSite
 from hemlockdock_entry.jobs import JobRunner
 from hemlockdock_entry.services import ServiceClient, Services
-from hemlockdock_entry.tasks.desk import Desk
+from hemlockdock_entry.tasks.coordinator import RequestCoordinator
 
 logger = logging.getLogger(__name__)
 
@@ -58,18 +58,18 @@
         self._settings = settings
         self._link_type = link_type
         self._tls = tls
-        self._office = None
+        self._transport = None
         self._link = None
-        self._desk = None
+        self._coordinator = None
         self._port = None
         self._site = None
         self._client = None
         self._jobs = None
 
     @property
-    def desk(self):
-        """Return the Desk, once started."""
-        return self._desk
+    def coordinator(self):
+        """Return the RequestCoordinator, once started."""
+        return self._coordinator
 
     @property
     def link(self):
@@ -87,7 +87,7 @@
         self._open_office()
         host, _, port = self._settings.listen.http.rpartition(":")
         endpoint = TCP4ServerEndpoint(self._reactor, int(port), interface=host.strip("[]"))
-        # The site needs the desk, the desk the link, and the link the port that is bound.
+        # The site needs the coordinator, that one the link, and the link the bound port.
         self._site = CallerSite(self._reactor, self._settings)
         return endpoint.listen(self._site).addCallback(self._listening)
 
@@ -98,15 +98,15 @@
         -------
         twisted.internet.defer.Deferred
         """
-        if self._desk is None:
+        if self._coordinator is None:
             return maybeDeferred(self._close)
-        logger.info("entry is draining", extra={"in_progress": self._desk.in_progress})
-        self._desk.draining = True
+        logger.info("entry is draining", extra={"in_progress": self._coordinator.in_progress})
+        self._coordinator.draining = True
         self._link.set_leaving()
         idle = Deferred()
         limit_s = self._settings.process.shutdown_ms / MS_PER_S
-        limit_call = self._reactor.callLater(limit_s, self._desk.refuse_all)
-        self._desk.when_idle(lambda: idle.callback(None))
+        limit_call = self._reactor.callLater(limit_s, self._coordinator.refuse_all)
+        self._coordinator.when_idle(lambda: idle.callback(None))
 
         def close(_):
             if limit_call.active():
@@ -117,7 +117,7 @@
 
     def _open_office(self):
         incarnation = int(time.time() * MS_PER_S)
-        self._office = PostOffice(
+        self._transport = MessageTransport(
             self._reactor,
             self._settings.process.node_id,
             incarnation,
@@ -126,7 +126,7 @@
             self._on_frame,
             self._tls,
         )
-        self.node_address = self._office.address
+        self.node_address = self._transport.address
 
     def _listening(self, port):
         self._port = port
@@ -142,29 +142,29 @@
             http_address=self.http_address,
         )
         self._link = self._link_type(
-            self._reactor, self._settings, self._office, info, on_table=self._table_changed
+            self._reactor, self._settings, self._transport, info, on_table=self._table_changed
         )
-        self._desk = Desk(
+        self._coordinator = RequestCoordinator(
             self._reactor,
             self._settings,
             self._link,
-            self._office.send,
+            self._transport.send,
             random.Random(secrets.randbits(64)),
             lambda: int(time.time() * MS_PER_S),
-            self._office.incarnation,
+            self._transport.incarnation,
         )
         self._client = ServiceClient(self._reactor)
-        services = Services(self._desk, self._client, self._desk.random)
-        self._jobs = JobRunner(self._desk, mint_request_id)
-        self._site.serve(CallerApi(self._desk, services, mint_request_id).app.resource())
+        services = Services(self._coordinator, self._client, self._coordinator.random)
+        self._jobs = JobRunner(self._coordinator, mint_request_id)
+        self._site.serve(CallerApi(self._coordinator, services, mint_request_id).app.resource())
         self._link.start()
-        self._desk.start()
+        self._coordinator.start()
         self._jobs.start()
         logger.info("entry started", extra={"http": self.http_address})
 
     def _table_changed(self):
-        if self._desk is not None:
-            self._desk.table_changed()
+        if self._coordinator is not None:
+            self._coordinator.table_changed()
 
     def _on_frame(self, frame):
         if self._link is None or self._link.handle(frame):
@@ -180,12 +180,12 @@
     @_take.register(AnswerEnd)
     @_take.register(Refused)
     def _(self, body, frame):
-        self._desk.attempts.handle(body, frame.sender)
+        self._coordinator.attempts.handle(body, frame.sender)
 
     @_take.register(Leaving)
     def _(self, body, frame):
         if body.node_id == frame.sender:
-            self._desk.router.node_leaving(body.node_id, frame.incarnation)
+            self._coordinator.router.node_leaving(body.node_id, frame.incarnation)
 
     def _close(self):
         if self._port is None:
@@ -197,14 +197,14 @@
         return closed.addCallback(self._closed)
 
     def _closed(self, _):
-        if self._desk is not None:
+        if self._coordinator is not None:
             self._jobs.stop()
-            self._desk.stop()
+            self._coordinator.stop()
             self._link.stop()
-            self._desk = None
-        if self._office is not None:
-            self._office.close()
-            self._office = None
+            self._coordinator = None
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
 
 
 def mint_request_id():
--- a/packages/hemlockdock-entry/hemlockdock_entry/services/service_call.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_call.py
@@ -23,7 +23,7 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     services : Services
     service : str
     request : Request
@@ -33,24 +33,24 @@
     reply : ServiceReply
     """
 
-    def __init__(self, desk, services, service, request, method, target, headers, reply):
+    def __init__(self, coordinator, services, service, request, method, target, headers, reply):
         self.service = service
         self.request = request
         self.attempt = None
         self.suspect = False
-        self.life, self.core = start_life(desk.ledger)
-        self._desk = desk
+        self.life, self.core = start_life(coordinator.ledger)
+        self._coordinator = coordinator
         self._services = services
         self._method = method
         self._target = target
         self._headers = headers
         self._reply = reply
-        self._claim = OnceClaim(desk, request) if request.once else None
+        self._claim = OnceClaim(coordinator, request) if request.once else None
         self._runs = {}
         self._tries = 0
         self._tried_urls = set()
         self._calls = set()
-        left_s = max(0.0, request.deadline_at - desk.clock.seconds())
+        left_s = max(0.0, request.deadline_at - coordinator.clock.seconds())
         self._later(left_s, self._deadline_passed)
 
     def begin(self):
@@ -64,9 +64,9 @@
         """Send the call to an instance, since there is room for it."""
         if self._tries == 0:
             self.life.dispatch()
-            self._desk.budget.first_try()
+            self._coordinator.budget.first_try()
         self._try()
-        hedge_ms = self._desk.settings.entry.hedge_after_ms
+        hedge_ms = self._coordinator.settings.entry.hedge_after_ms
         if hedge_ms and self.request.repeatable and self.request.kind == LOOKUP_KIND:
             self._later(hedge_ms / MS_PER_S, self._hedge)
 
@@ -126,7 +126,7 @@
         self.refuse(_refusal_for(outcome))
 
     def _try(self):
-        now = self._desk.clock.seconds()
+        now = self._coordinator.clock.seconds()
         url = self._services.take_instance(self, self._tried_urls)
         self._tries += 1
         self._tried_urls.add(url)
@@ -142,20 +142,20 @@
     def _hedge(self):
         if self.core.ended or len(self._runs) != 1:
             return
-        if not self._services.has_room(self.service) or not self._desk.budget.take():
+        if not self._services.has_room(self.service) or not self._coordinator.budget.take():
             return
         COUNTERS.increment("entry_hedges")
         self._try()
 
     def _succeeded(self, answer, running):
         url, started = self._runs.pop(running)
-        now = self._desk.clock.seconds()
+        now = self._coordinator.clock.seconds()
         self._services.lane(self.service).times.record(self.service, now - started)
         self._services.release(self, url, Outcome.ANSWERED)
         if self._claim is not None:
             self._claim.finish(RunState.RAN, self._stored(answer))
         if self.core.ended:
-            self._desk.closed(self)
+            self._coordinator.closed(self)
             return
         self._stop_runs()
         self._answer(answer)
@@ -174,7 +174,7 @@
             return
         if self.core.ended:
             self._finish_unknown(refusal)
-            self._desk.closed(self)
+            self._coordinator.closed(self)
             return
         step = next_step(
             self.request,
@@ -182,8 +182,8 @@
             self._tries,
             0,
             False,
-            self._desk.budget,
-            self._desk.clock.seconds(),
+            self._coordinator.budget,
+            self._coordinator.clock.seconds(),
         )
         if step is NextStep.REFUSE:
             if refusal.not_run is not NotRun.TRUE:
@@ -210,7 +210,7 @@
         return Refusal.of(ErrorKind.OUTCOME_UNKNOWN, refusal.message)
 
     def _stored(self, answer):
-        limit = self._desk.settings.entry.stored_answer_kb * BYTES_PER_KB
+        limit = self._coordinator.settings.entry.stored_answer_kb * BYTES_PER_KB
         if len(answer.body) > limit:
             return b""
         stored = StoredAnswer(answer.status, answer.content_type, answer.body)
@@ -218,7 +218,7 @@
 
     def _answer(self, answer):
         self.life.answer()
-        elapsed_s = self._desk.clock.seconds() - self.request.admitted_at
+        elapsed_s = self._coordinator.clock.seconds() - self.request.admitted_at
         LATENCIES.record("answer", self.request.class_name, elapsed_s)
         self._end()
         self._reply.answer(answer)
@@ -253,14 +253,14 @@
         if self._claim is not None and self._claim.held and not self._runs:
             # No try is left that could tell more.
             self._claim.finish(RunState.UNKNOWN)
-        self._desk.answered(self)
+        self._coordinator.answered(self)
 
     def _later(self, seconds, callback):
         self._calls = {call for call in self._calls if call.active()}
-        self._calls.add(self._desk.clock.callLater(seconds, callback))
+        self._calls.add(self._coordinator.clock.callLater(seconds, callback))
 
     def _broken(self, failure):
-        self._desk.report_fault(failure)
+        self._coordinator.report_fault(failure)
         self.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"))
 
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/services/services.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/services.py
@@ -9,7 +9,7 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     client : ServiceClient
     random_source : random.Random
 
@@ -18,9 +18,9 @@
     client : ServiceClient
     """
 
-    def __init__(self, desk, client, random_source):
+    def __init__(self, coordinator, client, random_source):
         self.client = client
-        self._desk = desk
+        self._coordinator = coordinator
         self._random = random_source
         self._lane_by_name = {}
 
@@ -36,7 +36,7 @@
             call.refuse(Refusal.of(ErrorKind.UNKNOWN_SERVICE, f"no service {call.service!r}"))
             return
         lane = self.lane(call.service)
-        refusal = lane.admit(row, call.request, self._desk.clock.seconds())
+        refusal = lane.admit(row, call.request, self._coordinator.clock.seconds())
         if refusal is not None:
             call.refuse(refusal)
             return
@@ -80,7 +80,7 @@
         str
             The instance's base URL.
         """
-        now = self._desk.clock.seconds()
+        now = self._coordinator.clock.seconds()
         lane = self.lane(call.service)
         url = lane.picker.choose(self._row(call.service).urls, now, avoided)
         lane.picker.taken(url, now)
@@ -98,7 +98,7 @@
         """
         lane = self.lane(call.service)
         lane.ended(call.request)
-        lane.picker.released(url, outcome, self._desk.clock.seconds())
+        lane.picker.released(url, outcome, self._coordinator.clock.seconds())
         self._pump(call.service)
 
     def lane(self, service):
@@ -114,7 +114,7 @@
         """
         lane = self._lane_by_name.get(service)
         if lane is None:
-            lane = Lane(self._desk.settings, self._random)
+            lane = Lane(self._coordinator.settings, self._random)
             self._lane_by_name[service] = lane
         return lane
 
@@ -122,12 +122,12 @@
         row = self._row(service)
         if row is None:
             return
-        now = self._desk.clock.seconds()
+        now = self._coordinator.clock.seconds()
         lane = self.lane(service)
         request = lane.next(row, now)
         while request is not None:
-            self._desk.exchange(request.request_id).run()
+            self._coordinator.exchange(request.request_id).run()
             request = lane.next(row, now)
 
     def _row(self, service):
-        return self._desk.link.table.service_by_name.get(service)
+        return self._coordinator.link.table.service_by_name.get(service)
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/admission.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/admission.py
@@ -13,12 +13,12 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     supply : SupplyView
     """
 
-    def __init__(self, desk, supply):
-        self._desk = desk
+    def __init__(self, coordinator, supply):
+        self._coordinator = coordinator
         self._supply = supply
 
     def refusal(self, request):
@@ -32,9 +32,9 @@
         -------
         Refusal or None
         """
-        if self._desk.draining:
+        if self._coordinator.draining:
             return Refusal.of(ErrorKind.DRAINING, "this entry is shutting down")
-        if not self._desk.link.fresh:
+        if not self._coordinator.link.fresh:
             return Refusal.of(ErrorKind.NO_CONTROL, "no word from control for too long")
         if self.standing(request) is Standing.REFUSED:
             return quarantined()
@@ -51,9 +51,9 @@
         -------
         Standing
         """
-        now = self._desk.clock.seconds()
-        return self._desk.suspects.standing(
-            self._desk.link.table, request.fingerprint, now, self._desk.wall_ms()
+        now = self._coordinator.clock.seconds()
+        return self._coordinator.suspects.standing(
+            self._coordinator.link.table, request.fingerprint, now, self._coordinator.wall_ms()
         )
 
     def unreachable(self, request, ahead):
@@ -72,11 +72,11 @@
         needed_s = expected_answer_s(
             self._supply.supply(request),
             ahead,
-            self._desk.service_times,
+            self._coordinator.service_times,
             request.model,
             request.kind == LIVE_KIND and request.streaming,
         )
-        if self._desk.clock.seconds() + needed_s <= request.deadline_at:
+        if self._coordinator.clock.seconds() + needed_s <= request.deadline_at:
             return None
         needed_ms = int(needed_s * MS_PER_S)
         message = f"an answer would take about {needed_ms} ms"
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
@@ -18,7 +18,7 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
         Gives the clock, the settings, the sender and the open attempts.
     request_id : str
     node : NodeRow
@@ -32,20 +32,20 @@
         Bytes that the caller has already.
     """
 
-    def __init__(self, desk, request_id, node, listener, resumable, offset=0):
+    def __init__(self, coordinator, request_id, node, listener, resumable, offset=0):
         self.node = node
         self.request_id = request_id
-        self._desk = desk
+        self._coordinator = coordinator
         self._listener = listener
         self._resumable = resumable
         self._assembler = Assembler(offset)
         self._numbers = []
         self._has_head = False
         self._closed = False
-        self._progress_at = desk.clock.seconds()
+        self._progress_at = coordinator.clock.seconds()
         self._resumes = 0
         self._length = None
-        self._stall_s = desk.settings.entry.stall_ms / MS_PER_S
+        self._stall_s = coordinator.settings.entry.stall_ms / MS_PER_S
         self._stall_call = None
 
     @property
@@ -66,14 +66,14 @@
         message : Dispatch
         """
         self._open(message.attempt)
-        self._desk.send(self.node.address, message)
+        self._coordinator.send(self.node.address, message)
         self._watch_for_stall()
 
     def resume(self):
         """Ask the agent for the rest of the answer."""
-        number = self._desk.attempts.next_number()
+        number = self._coordinator.attempts.next_number()
         self._open(number)
-        self._desk.send(self.node.address, Resume(self.request_id, number, self.offset))
+        self._coordinator.send(self.node.address, Resume(self.request_id, number, self.offset))
         COUNTERS.increment("entry_resumes")
         if self._stall_call is None:
             self._watch_for_stall()
@@ -89,7 +89,7 @@
         """Take no more frames; can be called again."""
         self._closed = True
         for number in self._numbers:
-            self._desk.attempts.close(self.request_id, number)
+            self._coordinator.attempts.close(self.request_id, number)
         if self._stall_call is not None:
             self._stall_call.cancel()
             self._stall_call = None
@@ -127,7 +127,7 @@
             return
         assembled = self._assembler.chunk(body.offset, body.data)
         if assembled.step is Step.PASS:
-            self._progress_at = self._desk.clock.seconds()
+            self._progress_at = self._coordinator.clock.seconds()
             self._resumes = 0
             self._listener.on_data(assembled.data)
             self._end_if_whole()
@@ -142,7 +142,7 @@
         if self._has_head:
             return
         self._has_head = True
-        self._progress_at = self._desk.clock.seconds()
+        self._progress_at = self._coordinator.clock.seconds()
         self._listener.on_head(body.status, body.content_type)
 
     @handle.register
@@ -163,11 +163,11 @@
     def _send_cancel(self):
         # The agent heeds the number that it last answered; a lost Resume leaves the first one.
         for number in {self._numbers[0], self._numbers[-1]}:
-            self._desk.send(self.node.address, Cancel(self.request_id, number))
+            self._coordinator.send(self.node.address, Cancel(self.request_id, number))
 
     def _open(self, number):
         self._numbers.append(number)
-        self._desk.attempts.open(self.request_id, number, self)
+        self._coordinator.attempts.open(self.request_id, number, self)
 
     def _end_if_whole(self):
         if self._length is None or not self._has_head:
@@ -184,20 +184,20 @@
             self._resume_or_fail("frames of the answer were lost")
 
     def _watch_for_stall(self):
-        self._stall_call = self._desk.clock.callLater(self._stall_s, self._check_stall)
+        self._stall_call = self._coordinator.clock.callLater(self._stall_s, self._check_stall)
 
     def _check_stall(self):
         self._stall_call = None
-        idle_s = self._desk.clock.seconds() - self._progress_at
+        idle_s = self._coordinator.clock.seconds() - self._progress_at
         if idle_s < self._stall_s:
             left_s = max(SHORTEST_CHECK_S, self._stall_s - idle_s)
-            self._stall_call = self._desk.clock.callLater(left_s, self._check_stall)
+            self._stall_call = self._coordinator.clock.callLater(left_s, self._check_stall)
             return
         if not self._resumable and not self._has_head:
             # An engine may think long before its first byte; the deadline bounds that.
             self._watch_for_stall()
             return
-        self._progress_at = self._desk.clock.seconds()
+        self._progress_at = self._coordinator.clock.seconds()
         self._resume_or_fail("the answer stalled")
 
     def _resume_or_fail(self, message):
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/coordinator.py
@@ -14,7 +14,7 @@
 from hemlockdock_entry.tasks.attempts import Attempts
 from hemlockdock_entry.tasks.background import Background
 from hemlockdock_entry.tasks.supply_view import SupplyView
-from hemlockdock_entry.tasks.waiting_room import WaitingRoom
+from hemlockdock_entry.tasks.waiting_requests import WaitingRequests
 from hemlockdock_entry.waiting import ServiceTimes
 
 logger = logging.getLogger(__name__)
@@ -22,7 +22,7 @@
 MS_PER_S = 1_000
 
 
-class Desk:
+class RequestCoordinator:
     """Keep all requests of one entry, and decide which runs where and when.
 
     Parameters
@@ -59,7 +59,7 @@
         self.loads = LoadCounts()
         self._supply = SupplyView(clock, link, self.router, self.loads)
         self.admission = Admission(self, self._supply)
-        self.waiting = WaitingRoom(self, self._supply)
+        self.waiting = WaitingRequests(self, self._supply)
         self._exchange_by_id = {}
         self._unanswered = set()
         self._on_idle = None
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -30,16 +30,16 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     request : Request
     reply : Reply
     """
 
-    def __init__(self, desk, request, reply):
-        self.desk = desk
+    def __init__(self, coordinator, request, reply):
+        self.coordinator = coordinator
         self.request = request
         self.reply = reply
-        self.life, self.core = start_life(desk.ledger)
+        self.life, self.core = start_life(coordinator.ledger)
         self.replica = None
         self.attempt = None
         self.tries = 0
@@ -49,8 +49,8 @@
         self._dispatched_at = 0.0
         self._delay_call = None
         self._grace_call = None
-        left_s = max(0.0, request.deadline_at - desk.clock.seconds())
-        self._deadline_call = desk.clock.callLater(left_s, self._deadline_passed)
+        left_s = max(0.0, request.deadline_at - coordinator.clock.seconds())
+        self._deadline_call = coordinator.clock.callLater(left_s, self._deadline_passed)
 
     @property
     def run_may_outlive_reply(self):
@@ -64,7 +64,7 @@
 
     def begin(self):
         """Start on the way to an answer."""
-        self.desk.waiting.enqueue(self)
+        self.coordinator.waiting.enqueue(self)
 
     def run_on(self, replica):
         """Send the request to a replica that has been taken for it.
@@ -78,16 +78,16 @@
 
     def send_to_agent(self):
         """Dispatch to the replica that is taken."""
-        node = self.desk.link.table.node_by_id[self.replica.node_id]
-        now = self.desk.clock.seconds()
+        node = self.coordinator.link.table.node_by_id[self.replica.node_id]
+        now = self.coordinator.clock.seconds()
         self.tries += 1
         if self.tries == 1:
-            self.desk.budget.first_try()
+            self.coordinator.budget.first_try()
             LATENCIES.record("queue_wait", self.request.class_name, now - self.request.admitted_at)
         self._dispatched_at = now
         self.life.dispatch()
         resumable = self.request.streaming or self.run_may_outlive_reply
-        self.attempt = Attempt(self.desk, self.request.request_id, node, self, resumable)
+        self.attempt = Attempt(self.coordinator, self.request.request_id, node, self, resumable)
         self.attempt.dispatch(self._dispatch_message(now, resumable))
         COUNTERS.increment("entry_dispatches")
 
@@ -109,12 +109,12 @@
 
     def on_end(self):
         """Take the end of the answer."""
-        now = self.desk.clock.seconds()
-        self.desk.service_times.record(self.request.model, now - self._dispatched_at)
-        self.desk.suspects.answered(self.request.fingerprint)
+        now = self.coordinator.clock.seconds()
+        self.coordinator.service_times.record(self.request.model, now - self._dispatched_at)
+        self.coordinator.suspects.answered(self.request.fingerprint)
         self._release(Outcome.ANSWERED)
         if self.core.ended:
-            self.desk.closed(self)
+            self.coordinator.closed(self)
             return
         self.life.answer()
         LATENCIES.record("answer", self.request.class_name, now - self.request.admitted_at)
@@ -125,7 +125,7 @@
         """Take the failure of a try."""
         self._learn_from(refusal)
         if self.core.ended:
-            self.desk.closed(self)
+            self.coordinator.closed(self)
             return
         step = next_step(
             self.request,
@@ -133,8 +133,8 @@
             self.tries,
             self.endpoints_lost,
             self.reply.passed,
-            self.desk.budget,
-            self.desk.clock.seconds(),
+            self.coordinator.budget,
+            self.coordinator.clock.seconds(),
         )
         if step is NextStep.REFUSE:
             self.refuse(refusal)
@@ -150,7 +150,7 @@
         ----------
         delay_s : float
         """
-        self._delay_call = self.desk.clock.callLater(delay_s, self._queue_now)
+        self._delay_call = self.coordinator.clock.callLater(delay_s, self._queue_now)
 
     def refuse(self, refusal):
         """Give the caller its final refusal; nothing happens where it has its answer.
@@ -173,7 +173,7 @@
         cancels = self.owns_run and not self.run_may_outlive_reply
         if self.reply.passed and self.attempt is not None and cancels:
             # The caller may reconnect for the rest of its stream.
-            self._grace_call = self.desk.clock.callLater(RECONNECT_GRACE_S, self._stop_run)
+            self._grace_call = self.coordinator.clock.callLater(RECONNECT_GRACE_S, self._stop_run)
         else:
             self._stop_run()
         self.refuse(Refusal.of(ErrorKind.CALLER_GONE, "the caller went away"))
@@ -207,7 +207,7 @@
             model=request.model,
             adapter=request.adapter,
             replica_id=self.replica.replica_id,
-            table_revision=self.desk.link.table.revision,
+            table_revision=self.coordinator.link.table.revision,
             path=request.path,
             body=request.body,
             deadline_ms=left_ms,
@@ -219,7 +219,7 @@
         )
 
     def _learn_from(self, refusal):
-        now = self.desk.clock.seconds()
+        now = self.coordinator.clock.seconds()
         outcome = Outcome.NEUTRAL
         if refusal.kind in FULL_KINDS:
             outcome = Outcome.FULL
@@ -230,7 +230,7 @@
             self.avoided_nodes.add(self.replica.node_id)
         if refusal.kind is ErrorKind.ENDPOINT_LOST and refusal.not_run is not NotRun.TRUE:
             self.endpoints_lost += 1
-            self.desk.suspects.lost_endpoint(self.request.fingerprint, now)
+            self.coordinator.suspects.lost_endpoint(self.request.fingerprint, now)
         self._release(outcome)
 
     def _deadline_passed(self):
@@ -253,18 +253,18 @@
     def _stop_run(self):
         if self._grace_call is not None and not self._grace_call.active():
             self._grace_call = None
-        self.desk.waiting.leave(self)
+        self.coordinator.waiting.leave(self)
         if self._delay_call is not None:
             self._delay_call.cancel()
             self._delay_call = None
         if self.run_may_outlive_reply or self.attempt is None:
             return
         self.attempt.cancel()
-        ran_s = self.desk.clock.seconds() - self._dispatched_at
-        self.desk.service_times.record_at_least(self.request.model, ran_s)
+        ran_s = self.coordinator.clock.seconds() - self._dispatched_at
+        self.coordinator.service_times.record_at_least(self.request.model, ran_s)
         self._release(Outcome.NEUTRAL)
         if self.core.ended:
-            self.desk.closed(self)
+            self.coordinator.closed(self)
 
     def _release(self, outcome):
         self.reader_returned()
@@ -272,10 +272,10 @@
         if self.replica is None:
             return
         replica, self.replica = self.replica, None
-        self.desk.waiting.release(self, replica, outcome)
+        self.coordinator.waiting.release(self, replica, outcome)
 
     def _end(self):
         if self._deadline_call is not None:
             self._deadline_call.cancel()
             self._deadline_call = None
-        self.desk.answered(self)
+        self.coordinator.answered(self)
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_claim.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_claim.py
@@ -13,7 +13,7 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     request : Request
 
     Attributes
@@ -22,9 +22,9 @@
         Whether the quorum has committed this entry's claim and no end of it.
     """
 
-    def __init__(self, desk, request):
+    def __init__(self, coordinator, request):
         self.held = False
-        self._desk = desk
+        self._coordinator = coordinator
         self._request = request
         self._number = 0
         key = f"{request.caller}\n{request.key}".encode()
@@ -52,16 +52,16 @@
         command = ClaimRun(
             self._key_hash,
             self._request.fingerprint,
-            self._desk.node_id,
-            self._desk.incarnation,
+            self._coordinator.node_id,
+            self._coordinator.incarnation,
             self.claim_id,
             stream_id,
             self._request.retention_s,
-            self._desk.wall_ms(),
+            self._coordinator.wall_ms(),
         )
-        left_ms = self._request.left_ms(self._desk.clock.seconds())
-        timeout_ms = max(1, min(left_ms, self._desk.settings.entry.claim_timeout_ms))
-        answered = self._desk.link.propose(command, timeout_ms)
+        left_ms = self._request.left_ms(self._coordinator.clock.seconds())
+        timeout_ms = max(1, min(left_ms, self._coordinator.settings.entry.claim_timeout_ms))
+        answered = self._coordinator.link.propose(command, timeout_ms)
         answered.addCallbacks(self._claimed, self._unavailable, callbackArgs=(stream_id,))
         return answered
 
@@ -79,11 +79,13 @@
             Fires once it is committed.
         """
         self.held = False
-        command = FinishRun(self._key_hash, self.claim_id, state, answer, self._desk.wall_ms())
-        return self._desk.background.run(command)
+        command = FinishRun(
+            self._key_hash, self.claim_id, state, answer, self._coordinator.wall_ms()
+        )
+        return self._coordinator.background.run(command)
 
     def _claimed(self, result, stream_id):
-        outcome = decide_claim(result, self._desk.node_id, stream_id)
+        outcome = decide_claim(result, self._coordinator.node_id, stream_id)
         self.held = outcome.step is ClaimStep.RUN
         return outcome
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/once_exchange.py
@@ -21,10 +21,10 @@
     or held the claim, the request reads that run's answer in place of running itself.
     """
 
-    def __init__(self, desk, request, reply):
-        super().__init__(desk, request, reply)
-        self._claim = OnceClaim(desk, request)
-        self._recorder = AnswerRecorder(desk.settings.entry.stored_answer_kb * BYTES_PER_KB)
+    def __init__(self, coordinator, request, reply):
+        super().__init__(coordinator, request, reply)
+        self._claim = OnceClaim(coordinator, request)
+        self._recorder = AnswerRecorder(coordinator.settings.entry.stored_answer_kb * BYTES_PER_KB)
         self._runs = False
         self._refusal_after_join = None
         self._known_free = False
@@ -41,8 +41,8 @@
 
     def begin(self):
         """Claim the run, or first wait for room where that comes at once."""
-        if self._claim.held or self.desk.waiting.has_room(self.request):
-            self.desk.waiting.enqueue(self)
+        if self._claim.held or self.coordinator.waiting.has_room(self.request):
+            self.coordinator.waiting.enqueue(self)
             return
         # Without room this may wait long; a resend must learn of an earlier run before that.
         self._when(self._claim.claim(), self._claimed_without_place)
@@ -118,12 +118,12 @@
             self._free()
             return
         if outcome.step is ClaimStep.RUN:
-            self.desk.waiting.enqueue(self)
+            self.coordinator.waiting.enqueue(self)
             return
         self._follow(outcome)
 
     def _claimed(self, outcome):
-        usable = self.desk.is_usable(self.replica)
+        usable = self.coordinator.is_usable(self.replica)
         if outcome.step is ClaimStep.RUN and not self.core.ended and usable:
             self._runs = True
             self.send_to_agent()
@@ -131,7 +131,7 @@
         self._release(Outcome.NEUTRAL)
         if self.core.ended:
             self._free()
-            self.desk.closed(self)
+            self.coordinator.closed(self)
             return
         if outcome.step is ClaimStep.RUN:
             freed = self._claim.finish(RunState.NOT_RUN)
@@ -177,18 +177,18 @@
 
     def _join(self, place):
         """Read the answer of the run that holds the claim; tell whether that can be tried."""
-        node = self.desk.link.table.node_by_id.get(place.node_id) if place else None
+        node = self.coordinator.link.table.node_by_id.get(place.node_id) if place else None
         if node is None or node.lost:
             return False
         self._enter_claimed()
-        self.attempt = Attempt(self.desk, place.request_id, node, self, resumable=True)
+        self.attempt = Attempt(self.coordinator, place.request_id, node, self, resumable=True)
         self.attempt.resume()
         return True
 
     def _join_failed(self, refusal):
         self.attempt = None
         if self.core.ended:
-            self.desk.closed(self)
+            self.coordinator.closed(self)
             return
         if self.reply.passed:
             self.refuse(refusal)
@@ -197,7 +197,7 @@
             self.refuse(self._refusal_after_join)
             return
         self.reply.reset()
-        self._delay_call = self.desk.clock.callLater(JOIN_POLL_S, self._claim_again)
+        self._delay_call = self.coordinator.clock.callLater(JOIN_POLL_S, self._claim_again)
 
     def _claim_again(self):
         self._delay_call = None
@@ -206,7 +206,7 @@
     def _end_joined(self):
         self.attempt = None
         if self.core.ended:
-            self.desk.closed(self)
+            self.coordinator.closed(self)
             return
         self.life.answer()
         self._end()
@@ -229,5 +229,5 @@
         deferred.addErrback(self._broken)
 
     def _broken(self, failure):
-        self.desk.report_fault(failure)
+        self.coordinator.report_fault(failure)
         self.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"))
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/resume_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/resume_exchange.py
@@ -48,7 +48,7 @@
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     request : Request
         From ``resume_request``.
     reply : Reply
@@ -56,8 +56,8 @@
         Where the caller goes on.
     """
 
-    def __init__(self, desk, request, reply, place):
-        super().__init__(desk, request, reply)
+    def __init__(self, coordinator, request, reply, place):
+        super().__init__(coordinator, request, reply)
         self._place = place
 
     @property
@@ -68,16 +68,16 @@
     def begin(self):
         """Ask the agent for the rest."""
         place = self._place
-        node = self.desk.link.table.node_by_id.get(place.node_id)
+        node = self.coordinator.link.table.node_by_id.get(place.node_id)
         if node is None or node.lost:
             message = f"agent {place.node_id!r} is not there any more"
             self.refuse(Refusal.of(ErrorKind.UNKNOWN_STREAM, message))
             return
-        earlier = self.desk.exchange(place.request_id)
+        earlier = self.coordinator.exchange(place.request_id)
         if earlier is not None:
             earlier.reader_returned()
         self.life.dispatch()
-        self.attempt = Attempt(self.desk, place.request_id, node, self, True, place.offset)
+        self.attempt = Attempt(self.coordinator, place.request_id, node, self, True, place.offset)
         self.attempt.resume()
 
     def on_end(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/waiting_room.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/waiting_requests.py
@@ -7,17 +7,17 @@
 from hemlockdock_entry.waiting import ModelQueues
 
 
-class WaitingRoom:
+class WaitingRequests:
     """Let requests wait for room, and start them in their order.
 
     Parameters
     ----------
-    desk : Desk
+    coordinator : RequestCoordinator
     supply : SupplyView
     """
 
-    def __init__(self, desk, supply):
-        self._desk = desk
+    def __init__(self, coordinator, supply):
+        self._coordinator = coordinator
         self._supply = supply
         self._queues_by_model = {}
         self._suspect_in_flight = None
@@ -32,9 +32,9 @@
         request = exchange.request
         queues = self._queues_by_model.get(request.model)
         if queues is None:
-            queues = ModelQueues(self._desk.settings)
+            queues = ModelQueues(self._coordinator.settings)
             self._queues_by_model[request.model] = queues
-        refusal = self._desk.admission.unreachable(request, queues.ahead_of(request))
+        refusal = self._coordinator.admission.unreachable(request, queues.ahead_of(request))
         if refusal is None:
             refusal = queues.add(request).err()
         if refusal is not None:
@@ -127,8 +127,10 @@
         replica : ReplicaRow
         outcome : Outcome
         """
-        self._desk.router.released(replica, outcome, self._desk.clock.seconds(), exchange.suspect)
-        self._desk.loads.ended(exchange.request.model)
+        self._coordinator.router.released(
+            replica, outcome, self._coordinator.clock.seconds(), exchange.suspect
+        )
+        self._coordinator.loads.ended(exchange.request.model)
         if self._suspect_in_flight is exchange:
             self._suspect_in_flight = None
             exchange.suspect = False
@@ -155,8 +157,8 @@
 
     def _start(self, request):
         """Start one request; tell whether it left its queue."""
-        exchange = self._desk.exchange(request.request_id)
-        standing = self._desk.admission.standing(request)
+        exchange = self._coordinator.exchange(request.request_id)
+        standing = self._coordinator.admission.standing(request)
         if standing is Standing.REFUSED:
             self.leave(exchange)
             exchange.refuse(quarantined())
@@ -168,15 +170,15 @@
         if replica is None:
             return False
         self.leave(exchange)
-        refusal = self._desk.admission.unreachable(request, 0)
+        refusal = self._coordinator.admission.unreachable(request, 0)
         if refusal is not None:
             exchange.refuse(refusal)
             return True
         exchange.suspect = suspect
         if suspect:
             self._suspect_in_flight = exchange
-        self._desk.router.taken(replica, self._desk.clock.seconds(), suspect)
-        self._desk.loads.started(request.model)
+        self._coordinator.router.taken(replica, self._coordinator.clock.seconds(), suspect)
+        self._coordinator.loads.started(request.model)
         exchange.run_on(replica)
         return True
 
@@ -188,28 +190,28 @@
 
     def _choose(self, exchange, suspect):
         request = exchange.request
-        now = self._desk.clock.seconds()
-        table = self._desk.link.table
+        now = self._coordinator.clock.seconds()
+        table = self._coordinator.link.table
         avoided = exchange.avoided_nodes
-        usable = self._desk.router.usable(table, request.model, request.adapter)
+        usable = self._coordinator.router.usable(table, request.model, request.adapter)
         if all(row.node_id in avoided for row in usable):
             # An agent that failed the request before is taken again where no other is left.
             avoided = ()
-        return self._desk.router.choose(table, request, now, avoided, suspect)
+        return self._coordinator.router.choose(table, request, now, avoided, suspect)
 
     def _refuse_unreachable(self, queues):
         ahead = 0
         for request in queues.requests():
-            refusal = self._desk.admission.unreachable(request, ahead)
+            refusal = self._coordinator.admission.unreachable(request, ahead)
             if refusal is None:
                 ahead += 1
                 continue
             queues.remove(request)
-            self._desk.exchange(request.request_id).refuse(refusal)
+            self._coordinator.exchange(request.request_id).refuse(refusal)
 
     def _wish_for(self, request, waiting):
-        left_ms = request.left_ms(self._desk.clock.seconds())
-        self._desk.link.send(
+        left_ms = request.left_ms(self._coordinator.clock.seconds())
+        self._coordinator.link.send(
             Wish(request.model, request.adapter, waiting, left_ms, request.priority)
         )
         COUNTERS.increment("entry_wishes")
--- a/packages/hemlockdock-entry/tests/support.py
+++ b/packages/hemlockdock-entry/tests/support.py
@@ -17,7 +17,7 @@
     SubmitJob,
 )
 from hemlockdock_core.errors import ErrorKind, Refusal
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import (
     NODE_CODEC,
     AnswerChunk,
@@ -40,7 +40,7 @@
 )
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_entry.intake import Request
-from hemlockdock_entry.tasks.desk import Desk
+from hemlockdock_entry.tasks.coordinator import RequestCoordinator
 
 SETTINGS = """
 [process]
@@ -190,7 +190,7 @@
 
 
 class FakeAgent:
-    """Answer dispatches over a real post office."""
+    """Answer dispatches over a real post transport."""
 
     def __init__(self, reactor, node_id, parts=(b"data: 1\n\n", b"data: [DONE]\n\n")):
         self.parts = parts
@@ -202,7 +202,9 @@
         self.drop_chunk = None
         self.refusal = None
         self.held_from = None
-        self.office = PostOffice(reactor, node_id, 1, NODE_CODEC, "tcp://127.0.0.1:0", self._take)
+        self.transport = MessageTransport(
+            reactor, node_id, 1, NODE_CODEC, "tcp://127.0.0.1:0", self._take
+        )
 
     def _take(self, frame):
         body = frame.body
@@ -217,7 +219,7 @@
             self.cancels.append(body)
 
     def _answer(self, address, body, start):
-        send = self.office.send
+        send = self.transport.send
         request_id, attempt = body.request_id, body.attempt
         if self.refusal is not None:
             send(address, Refused(request_id, attempt, self.refusal))
@@ -293,8 +295,8 @@
     return Request(**{**fields, **changes})
 
 
-def desk(routing, send=None, extra="", clock=None, records=None):
-    """Return a desk on virtual time; its link is ``desk.link``, its clock ``desk.clock``."""
+def coordinator(routing, send=None, extra="", clock=None, records=None):
+    """Return a coordinator on virtual time, with its link and clock as attributes."""
     clock = clock or Clock()
     link = FakeLink(routing, records)
 
@@ -302,7 +304,7 @@
         return int(clock.seconds() * 1000)
 
     send = send or (lambda address, message: link.sent.append(message))
-    return Desk(clock, settings(extra), link, send, random.Random(1), wall_ms)
+    return RequestCoordinator(clock, settings(extra), link, send, random.Random(1), wall_ms)
 
 
 def after(reactor, seconds):
--- a/packages/hemlockdock-entry/tests/test_desk.py
+++ b/packages/hemlockdock-entry/tests/test_coordinator.py
@@ -7,7 +7,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from support import FakeReply, RunRecords, add_replica, desk, request, table
+from support import FakeReply, RunRecords, add_replica, coordinator, request, table
 from twisted.internet.task import Clock
 
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
@@ -53,7 +53,7 @@
         self.ended = False
 
 
-class DeskMachine(RuleBasedStateMachine):
+class RequestCoordinatorMachine(RuleBasedStateMachine):
     """Drive desks by what callers, agents, control and networks may do."""
 
     def __init__(self):
@@ -64,7 +64,7 @@
         self.records = RunRecords()
         self.desks = []
         for number in range(2):
-            made = desk(self.table, self.sender(number), "", self.clock, self.records)
+            made = coordinator(self.table, self.sender(number), "", self.clock, self.records)
             made.node_id = f"entry-{number}"
             made.start()
             self.desks.append(made)
@@ -76,7 +76,7 @@
             add_replica(self.table, node_id, node_id, slots=SLOTS)
 
     def sender(self, number):
-        """Return what a desk sends messages by."""
+        """Return what a coordinator sends messages by."""
         return lambda address, message: self.arrive(number, address, message)
 
     def arrive(self, number, node_id, message):
@@ -390,22 +390,22 @@
     def setUp(self):
         rows = table()
         add_replica(rows, "x1", "x1")
-        self.desk = desk(rows)
+        self.coordinator = coordinator(rows)
 
     def send(self, number):
         asked = request(number, repeatable=False, key="k", kind="once", fingerprint="f")
         reply = FakeReply()
-        self.desk.submit(OnceExchange(self.desk, asked, reply))
+        self.coordinator.submit(OnceExchange(self.coordinator, asked, reply))
         return reply
 
     def sent(self, kind):
-        return [item for item in self.desk.link.sent if isinstance(item, kind)]
+        return [item for item in self.coordinator.link.sent if isinstance(item, kind)]
 
     def answer(self, kind, number, refusal_kind):
         message = self.sent(kind)[number]
         refusal = Refusal.of(refusal_kind, "")
         frame = Refused(message.request_id, message.attempt, refusal)
-        self.desk.attempts.handle(frame, "x1")
+        self.coordinator.attempts.handle(frame, "x1")
 
     def test_a_run_whose_outcome_is_unknown_is_not_run_again(self):
         first = self.send(1)
@@ -419,7 +419,7 @@
 
     def test_a_refusal_before_the_claim_does_not_say_not_run(self):
         self.send(1)
-        self.desk.draining = True
+        self.coordinator.draining = True
         second = self.send(2)
         self.assertIs(second.refusal.kind, ErrorKind.DRAINING)
         self.assertIs(second.refusal.not_run, NotRun.UNKNOWN)
@@ -427,32 +427,32 @@
     def test_a_run_that_the_gate_refused_is_free_to_run(self):
         self.send(1)
         self.answer(Dispatch, 0, ErrorKind.ENGINE_REFUSED)
-        self.desk.clock.advance(0.5)
+        self.coordinator.clock.advance(0.5)
         self.assertEqual(len(self.sent(Dispatch)), 2)
-        self.assertFalse(self.desk.link.records.finish_by_key)
+        self.assertFalse(self.coordinator.link.records.finish_by_key)
 
     def test_a_reader_that_leaves_another_run_holds_nothing_up(self):
         place = StreamPlace("q9", "x1")
         for number in range(2):
             asked = resume_request(f"reader-{number}", "c", 0.0)
             reply = FakeReply(streaming=True)
-            exchange = ResumeExchange(self.desk, asked, reply, place)
-            self.desk.submit(exchange)
+            exchange = ResumeExchange(self.coordinator, asked, reply, place)
+            self.coordinator.submit(exchange)
             ids = ("q9", self.sent(Resume)[-1].attempt)
-            self.desk.attempts.handle(AnswerHead(*ids, 200, "text/event-stream"), "x1")
-            self.desk.attempts.handle(AnswerChunk(*ids, 0, b"data"), "x1")
+            self.coordinator.attempts.handle(AnswerHead(*ids, 200, "text/event-stream"), "x1")
+            self.coordinator.attempts.handle(AnswerChunk(*ids, 0, b"data"), "x1")
             self.assertTrue(reply.passed)
             exchange.caller_gone()
             idle = []
-            self.desk.when_idle(lambda idle=idle: idle.append(True))
+            self.coordinator.when_idle(lambda idle=idle: idle.append(True))
             self.assertTrue(idle)
         self.assertFalse(self.sent(Cancel))
 
 
-DeskTest = DeskMachine.TestCase
-DeskTest.settings = fuzz_settings()
+RequestCoordinatorTest = RequestCoordinatorMachine.TestCase
+RequestCoordinatorTest.settings = fuzz_settings()
 if os.environ.get("FUZZ_SEED"):
-    DeskTest = seed(int(os.environ["FUZZ_SEED"]))(DeskTest)
+    RequestCoordinatorTest = seed(int(os.environ["FUZZ_SEED"]))(RequestCoordinatorTest)
 
 
 if __name__ == "__main__":
--- a/packages/hemlockdock-entry/tests/test_jobs.py
+++ b/packages/hemlockdock-entry/tests/test_jobs.py
@@ -3,7 +3,7 @@
 import unittest
 
 import msgspec
-from support import FakeReply, add_replica, desk, request, table
+from support import FakeReply, add_replica, coordinator, request, table
 
 from hemlockdock_core.commands import SubmitJob
 from hemlockdock_core.errors import ErrorKind, Refusal
@@ -20,10 +20,10 @@
 class JobRunnerTest(unittest.TestCase):
     def setUp(self):
         self.table = table(load_ms=5_000, slots=2)
-        self.desk = desk(self.table)
-        self.link = self.desk.link
+        self.coordinator = coordinator(self.table)
+        self.link = self.coordinator.link
         self.count = 0
-        self.runner = JobRunner(self.desk, self.mint)
+        self.runner = JobRunner(self.coordinator, self.mint)
 
     def mint(self):
         self.count += 1
@@ -59,11 +59,11 @@
             AnswerChunk(*ids, 0, b"{}"),
             AnswerEnd(*ids, 2),
         ):
-            self.desk.attempts.handle(frame, "x1")
+            self.coordinator.attempts.handle(frame, "x1")
 
     def refuse(self, dispatch, kind):
         frame = Refused(dispatch.request_id, dispatch.attempt, Refusal.of(kind, ""))
-        self.desk.attempts.handle(frame, "x1")
+        self.coordinator.attempts.handle(frame, "x1")
 
     def test_a_job_waits_for_a_cold_model_and_then_for_idle_room(self):
         self.submit("j1")
@@ -73,7 +73,7 @@
         add_replica(self.table, "x1", slots=2)
         replies = [FakeReply() for _ in range(2)]
         for number, reply in enumerate(replies):
-            self.desk.submit(Exchange(self.desk, request(number), reply))
+            self.coordinator.submit(Exchange(self.coordinator, request(number), reply))
         self.runner.scan()
         self.assertEqual(self.state("j1"), "waiting")
         for dispatch in self.sent(Dispatch):
@@ -102,7 +102,7 @@
 
     def test_what_failed_is_given_back_only_where_it_may_run_again(self):
         add_replica(self.table, "x1", slots=2)
-        self.desk.budget.take = lambda: False
+        self.coordinator.budget.take = lambda: False
         for job_id, repeatable in (("again", True), ("single", False)):
             self.submit(job_id, repeatable=repeatable)
             self.runner.scan()
@@ -112,7 +112,7 @@
         dispatched = len(self.sent(Dispatch))
         self.runner.scan()
         self.assertEqual(len(self.sent(Dispatch)), dispatched)
-        self.desk.clock.advance(1.5)
+        self.coordinator.clock.advance(1.5)
         self.runner.scan()
         self.assertEqual(self.state("again"), "running")
         self.assertEqual(self.state("single"), "failed")
--- a/packages/hemlockdock-entry/tests/test_service.py
+++ b/packages/hemlockdock-entry/tests/test_service.py
@@ -44,10 +44,10 @@
     def start(self, extra="", parts=None):
         self.routing = table()
         self.agent = FakeAgent(reactor, "agent-1")
-        self.addCleanup(self.agent.office.close)
+        self.addCleanup(self.agent.transport.close)
         if parts is not None:
             self.agent.parts = parts
-        add_replica(self.routing, "agent-1", self.agent.office.address)
+        add_replica(self.routing, "agent-1", self.agent.transport.address)
         self.link = FakeLink(self.routing)
         self.entry = yield self.start_entry(extra)
         self.url = f"http://{self.entry.http_address}"
@@ -278,7 +278,7 @@
         while not self.agent.cancels:
             yield after(reactor, 0.01)
         self.assertEqual(self.agent.cancels[0].request_id, self.agent.dispatches[0].request_id)
-        self.assertEqual(self.entry.desk.in_progress, 0)
+        self.assertEqual(self.entry.coordinator.in_progress, 0)
 
     @inlineCallbacks
     def test_a_shutdown_finishes_what_runs_and_refuses_what_comes(self):
@@ -300,8 +300,8 @@
         yield self.start()
         self.agent.refusal = Refusal.of(ErrorKind.DRAINING, "leaving")
         other = FakeAgent(reactor, "agent-2")
-        self.addCleanup(other.office.close)
-        add_replica(self.routing, "agent-2", other.office.address)
+        self.addCleanup(other.transport.close)
+        add_replica(self.routing, "agent-2", other.transport.address)
         for _ in range(3):
             yield self.check_alive()
         self.assertEqual(len(other.dispatches), 3)
@@ -320,4 +320,4 @@
             yield after(reactor, 0.02)
         caller.transport.resumeProducing()
         yield caller.ended
-        self.assertEqual(self.entry.desk.in_progress, 0)
+        self.assertEqual(self.entry.coordinator.in_progress, 0)
--- a/packages/hemlockdock-entry/tests/test_streams.py
+++ b/packages/hemlockdock-entry/tests/test_streams.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from support import FakeReply, add_replica, desk, request, table
+from support import FakeReply, add_replica, coordinator, request, table
 from twisted.internet.task import Clock
 
 from hemlockdock_core.messages import AnswerChunk, AnswerEnd, AnswerHead, Cancel, Dispatch, Resume
@@ -83,7 +83,7 @@
         link = FaultyLink(clock, None, random.Random(SEED), loss)
         routing = table(slots=STREAMS)
         add_replica(routing, "agent-1", "agent-1", slots=STREAMS)
-        made = desk(routing, link.send, "[entry]\nstall_ms = 1000\n", clock)
+        made = coordinator(routing, link.send, "[entry]\nstall_ms = 1000\n", clock)
         link.made = made
         replies = []
         for number in range(STREAMS):
--- a/tools/benchmarks/agent_bench_parts.py
+++ b/tools/benchmarks/agent_bench_parts.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import (
     NODE_CODEC,
     AnswerChunk,
@@ -41,15 +41,15 @@
     """
 
     def __init__(self, reactor):
-        self._office = PostOffice(reactor, "c1", 1, NODE_CODEC, ANY_ADDRESS, self._take)
+        self._transport = MessageTransport(reactor, "c1", 1, NODE_CODEC, ANY_ADDRESS, self._take)
         self._loaded = Deferred()
         self._ordered = False
-        self.address = self._office.address
+        self.address = self._transport.address
         self.agent_address = ""
 
     def close(self):
         """Close the mailbox."""
-        self._office.close()
+        self._transport.close()
 
     def load_model(self):
         """Wait until the agent has loaded replica r1.
@@ -75,7 +75,7 @@
             self._loaded.callback(None)
 
     def _send(self, message):
-        self._office.send(self.agent_address, message)
+        self._transport.send(self.agent_address, message)
 
 
 class BenchEntry:
@@ -87,14 +87,16 @@
     """
 
     def __init__(self, reactor):
-        self._office = PostOffice(reactor, "entry-1", 1, NODE_CODEC, ANY_ADDRESS, self._take)
+        self._transport = MessageTransport(
+            reactor, "entry-1", 1, NODE_CODEC, ANY_ADDRESS, self._take
+        )
         self._open = 0
         self._chunks = 0
         self._done = None
 
     def close(self):
         """Close the mailbox."""
-        self._office.close()
+        self._transport.close()
 
     def run(self, agent_address, name, requests, tokens, streaming):
         """Run requests side by side.
@@ -132,7 +134,7 @@
                 run_once=False,
                 resumable=streaming,
             )
-            self._office.send(agent_address, dispatch)
+            self._transport.send(agent_address, dispatch)
         return self._done
 
     def _take(self, frame):
--- a/tools/benchmarks/bench_overload.py
+++ b/tools/benchmarks/bench_overload.py
@@ -36,7 +36,7 @@
     load : float
         Offered requests over capacity.
     change : callable, optional
-        Takes the desk before the run, to take a mechanism out.
+        Takes the coordinator before the run, to take a mechanism out.
     failure_rate : float, optional
     entry : str, optional
         INI lines of the ``entry`` section.
--- a/tools/benchmarks/compare_overload.py
+++ b/tools/benchmarks/compare_overload.py
@@ -55,9 +55,9 @@
         return goodput(load)
 
 
-def never_early(desk):
-    """Let a desk refuse nothing before its deadline."""
-    desk.admission.unreachable = lambda request, ahead: None
+def never_early(coordinator):
+    """Let a coordinator refuse nothing before its deadline."""
+    coordinator.admission.unreachable = lambda request, ahead: None
 
 
 def print_row(name, values):
@@ -98,7 +98,7 @@
         return (HIT_S if hit else MISS_S) * (0.5 + 0.5 * source.expovariate(1.0))
 
     world = EntryWorld(SEED, ENDPOINTS, SLOTS, service_s)
-    world.desks[0].router = router_type("a", random.Random(SEED))
+    world.coordinators[0].router = router_type("a", random.Random(SEED))
     source = random.Random(SEED + 9)
     rate = load * CAPACITY
 
--- a/tools/benchmarks/entry_world.py
+++ b/tools/benchmarks/entry_world.py
@@ -1,4 +1,4 @@
-"""Drive entries' desks by seeded traces on virtual time."""
+"""Drive entries' coordinators by seeded traces on virtual time."""
 
 import random
 
@@ -9,7 +9,7 @@
 from hemlockdock_core.rows import ClassRow, ModelRow, RoutingTable
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_entry.intake import Request
-from hemlockdock_entry.tasks.desk import Desk
+from hemlockdock_entry.tasks.coordinator import RequestCoordinator
 from hemlockdock_entry.tasks.exchange import Exchange
 
 SETTINGS = """
@@ -131,7 +131,7 @@
         )
         for number in range(entries):
             settings = parse_settings(SETTINGS.format(number=number, entry=entry), "bench")
-            desk = Desk(
+            coordinator = RequestCoordinator(
                 self.clock,
                 settings,
                 QuietLink(self.table),
@@ -139,13 +139,13 @@
                 random.Random(seed + 2 + number),
                 lambda: int(self.clock.seconds() * 1000),
             )
-            desk.start()
-            self.endpoints.desks.append(desk)
+            coordinator.start()
+            self.endpoints.coordinators.append(coordinator)
 
     @property
-    def desks(self):
-        """Return the entries' desks."""
-        return self.endpoints.desks
+    def coordinators(self):
+        """Return the entries' coordinators."""
+        return self.endpoints.coordinators
 
     def submit(self, deadline_s, body="", entry=0, caller="", repeatable=True):
         """Send one request.
@@ -185,8 +185,8 @@
         )
         caller = Caller(self.clock, request)
         self.callers.append(caller)
-        desk = self.desks[entry]
-        desk.submit(Exchange(desk, request, caller))
+        coordinator = self.coordinators[entry]
+        coordinator.submit(Exchange(coordinator, request, caller))
         return caller
 
     def arrive(self, rate, until_s, submit):
--- a/tools/benchmarks/light_watcher.py
+++ b/tools/benchmarks/light_watcher.py
@@ -2,7 +2,7 @@
 
 from twisted.internet.task import LoopingCall
 
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, Frame
 from hemlockdock_core.node import ControlLink
 from hemlockdock_core.node_info import NodeInfo
@@ -44,12 +44,12 @@
         text = SETTINGS.format(node_id=node_id, member_id=member_id, address=service.node_address)
         settings = parse_settings(text, node_id)
         self.frame_bytes = 0
-        self._office = PostOffice(
+        self._transport = MessageTransport(
             reactor, node_id, 1, CountingCodec(self), "tcp://127.0.0.1:0", self._receive
         )
         role = "entry" if inventory is None else "agent"
-        info = NodeInfo(node_id, role, f"host-{node_id}", "domain-1", self._office.address)
-        self._link = ControlLink(reactor, settings, self._office, info)
+        info = NodeInfo(node_id, role, f"host-{node_id}", "domain-1", self._transport.address)
+        self._link = ControlLink(reactor, settings, self._transport, info)
         self._link.start()
         self._repeats = LoopingCall(self._link.send, inventory)
         self._repeats.clock = reactor
@@ -67,7 +67,7 @@
         if self._repeats.running:
             self._repeats.stop()
         self._link.stop()
-        self._office.close()
+        self._transport.close()
 
     def _receive(self, frame):
         self._link.handle(frame)
--- a/tools/benchmarks/lookup_world.py
+++ b/tools/benchmarks/lookup_world.py
@@ -93,10 +93,10 @@
 
     def __init__(self, seed, slow_part=0.0, entry=""):
         self.world = EntryWorld(seed, MODEL_ENDPOINTS, MODEL_SLOTS, _model_s, entry=entry)
-        self.desk = self.world.desks[0]
+        self.coordinator = self.world.desks[0]
         self.world.table.put(ServiceRow("venues", URLS, "lookup", ["GET"], IN_FLIGHT))
         client = VirtualClient(self.world.clock, random.Random(seed + 3), slow_part)
-        self._services = Services(self.desk, client, random.Random(seed + 4))
+        self._services = Services(self.coordinator, client, random.Random(seed + 4))
         self._count = 0
 
     def p99_s(self, rush):
@@ -146,8 +146,10 @@
             fingerprint=f"s{self._count}",
         )
         reply = LookupCaller(clock)
-        call = ServiceCall(self.desk, self._services, "venues", request, method, "/", {}, reply)
-        self.desk.submit(call)
+        call = ServiceCall(
+            self.coordinator, self._services, "venues", request, method, "/", {}, reply
+        )
+        self.coordinator.submit(call)
         return reply
 
 
--- a/tools/benchmarks/stream_peer.py
+++ b/tools/benchmarks/stream_peer.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import DeferredList
 from twisted.internet.task import LoopingCall
 
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, AnswerChunk, AnswerEnd, AnswerHead, Dispatch
 
 TOKENS_PER_STREAM = 400
@@ -24,7 +24,9 @@
     """Answer each dispatch with a stream, one token a turn, as engines do."""
 
     def __init__(self):
-        self.office = PostOffice(reactor, "agent-1", 1, NODE_CODEC, "tcp://127.0.0.1:0", self._take)
+        self.transport = MessageTransport(
+            reactor, "agent-1", 1, NODE_CODEC, "tcp://127.0.0.1:0", self._take
+        )
         self._open = {}
         self._turns = LoopingCall(self._turn)
         self._turns.start(TURN_S)
@@ -32,7 +34,7 @@
     def _take(self, frame):
         if isinstance(frame.body, Dispatch):
             ids = (frame.body.request_id, frame.body.attempt)
-            self.office.send(frame.reply_to, AnswerHead(*ids, 200, "text/event-stream"))
+            self.transport.send(frame.reply_to, AnswerHead(*ids, 200, "text/event-stream"))
             self._open[ids] = (frame.reply_to, 0)
 
     def _turn(self):
@@ -40,10 +42,10 @@
             offset = sent * len(TOKEN)
             if sent == TOKENS_PER_STREAM:
                 del self._open[ids]
-                self.office.send(address, AnswerEnd(*ids, offset))
+                self.transport.send(address, AnswerEnd(*ids, offset))
                 continue
             self._open[ids] = (address, sent + 1)
-            self.office.send(address, AnswerChunk(*ids, offset, TOKEN))
+            self.transport.send(address, AnswerChunk(*ids, offset, TOKEN))
 
 
 def read_streams(url):
@@ -59,12 +61,12 @@
 def main():
     """Print the agent's address, then read streams from the URL given on standard input."""
     agent = StreamAgent()
-    print(agent.office.address, flush=True)
+    print(agent.transport.address, flush=True)
     url = sys.stdin.readline().strip()
 
     def count(results):
         print(sum(body.count(TOKEN) for _, body in results), flush=True)
-        agent.office.close()
+        agent.transport.close()
         reactor.stop()
 
     reactor.callWhenRunning(lambda: read_streams(url).addCallback(count))
--- a/tools/benchmarks/traces/generate.py
+++ b/tools/benchmarks/traces/generate.py
@@ -142,7 +142,7 @@
             self._add(at_ms, model)
 
     def _add_group(self, models):
-        # A crew or desk starts near its habitual hour, one model first and the others soon.
+        # A crew or coordinator starts near its habitual hour, one model first and the others soon.
         low, high = self._shape.work_hours
         habit = low + abs(self._random.gauss(0.5, 0.6))
         for day in range(DAYS):
--- a/tools/benchmarks/traces/shape.py
+++ b/tools/benchmarks/traces/shape.py
@@ -16,9 +16,9 @@
     busy_models, grouped_models, nightly_models, rare_models : int
         Models by how they are called.
     group_size : int
-        Models that one crew or desk uses together.
+        Models that one crew or coordinator uses together.
     sessions_a_day : float
-        Of one crew or desk, on a working day.
+        Of one crew or coordinator, on a working day.
     work_hours : tuple of (float, float)
     rush : bool
         Whether a festival rush falls on the second judged day.
--- a/tools/benchmarks/virtual_endpoints.py
+++ b/tools/benchmarks/virtual_endpoints.py
@@ -31,7 +31,7 @@
 
     Attributes
     ----------
-    desks : list of Desk
+    coordinators : list of RequestCoordinator
     lost : int
         Engines that crashed.
     failure_rate : float
@@ -40,7 +40,7 @@
     """
 
     def __init__(self, clock, table, random_source, count, slots, service_s):
-        self.desks = []
+        self.coordinators = []
         self.lost = 0
         self.failure_rate = 0.0
         self.poison = ""
@@ -61,7 +61,7 @@
         Parameters
         ----------
         number : int
-            Index of the entry's desk.
+            Index of the entry's coordinator.
 
         Returns
         -------
@@ -134,12 +134,12 @@
         self._tell_all()
 
     def _tell_all(self):
-        for desk in self.desks:
-            desk.table_changed()
+        for coordinator in self.coordinators:
+            coordinator.table_changed()
 
     def _refuse(self, number, node_id, message, kind):
         refusal = Refusal.of(kind, kind.value)
         self._reply(number, node_id, Refused(message.request_id, message.attempt, refusal))
 
     def _reply(self, number, node_id, frame):
-        self._clock.callLater(LINK_S, self.desks[number].attempts.handle, frame, node_id)
+        self._clock.callLater(LINK_S, self.coordinators[number].attempts.handle, frame, node_id)
--- a/tools/mutants/control.py
+++ b/tools/mutants/control.py
@@ -99,14 +99,14 @@
     ),
     Mutant(
         "an unload goes out with the fence of the load",
-        f"{ROOT}/orders/order_book.py",
+        f"{ROOT}/orders/pending_orders.py",
         "yield UnloadOrder(replica.replica_id, replica.unload_fence, node.incarnation)",
         "yield UnloadOrder(replica.replica_id, replica.fence, node.incarnation)",
         ORDERS_FUZZ,
     ),
     Mutant(
         "several orders at once go to engines that ignore fences",
-        f"{ROOT}/orders/order_book.py",
+        f"{ROOT}/orders/pending_orders.py",
         "orders = orders[:1]",
         "orders = orders[:]",
         ORDERS_FUZZ,
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -4,7 +4,7 @@
 
 ENTRY = "packages/hemlockdock-entry/hemlockdock_entry/"
 TESTS = "packages/hemlockdock-entry/tests/"
-DESK = TESTS + "test_desk.py"
+DESK = TESTS + "test_coordinator.py"
 DECISIONS = TESTS + "test_decisions.py"
 STREAMS = TESTS + "test_streams.py"
 SERVICE = TESTS + "test_service.py"
@@ -61,7 +61,7 @@
     ),
     Mutant(
         "forget requests in flight at a node that is lost",
-        ENTRY + "tasks/desk.py",
+        ENTRY + "tasks/coordinator.py",
         "            if gone:\n",
         "            if node is None:\n",
         DESK,
@@ -69,7 +69,7 @@
     Mutant(
         "leave a request past its deadline in the queue",
         ENTRY + "tasks/exchange.py",
-        "        self.desk.waiting.leave(self)\n",
+        "        self.coordinator.waiting.leave(self)\n",
         "",
         DESK,
     ),
--- a/tools/slopes/slopes_claims.py
+++ b/tools/slopes/slopes_claims.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import deferLater
 
 from hemlockdock_core.commands import ClaimRun
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, NodeInfo
 from hemlockdock_core.node import ControlLink
 from hemlockdock_core.settings import load_settings
@@ -46,11 +46,11 @@
         self._failures = []
         self._serial = 0
         self.processor_us = []
-        self._office = PostOffice(
+        self._transport = MessageTransport(
             self._reactor, "entry-1", 1, NODE_CODEC, "tcp://127.0.0.1:0", self._receive
         )
-        info = NodeInfo("entry-1", "entry", "host-1", "domain-1", self._office.address)
-        self._link = ControlLink(self._reactor, settings, self._office, info)
+        info = NodeInfo("entry-1", "entry", "host-1", "domain-1", self._transport.address)
+        self._link = ControlLink(self._reactor, settings, self._transport, info)
 
     def run(self):
         """Run until every size is measured."""
@@ -67,7 +67,7 @@
         work = self._measure()
         work.addErrback(self._failures.append)
         work.addBoth(lambda _: self._link.stop())
-        work.addBoth(lambda _: self._office.close())
+        work.addBoth(lambda _: self._transport.close())
         work.addBoth(lambda _: self._reactor.stop())
 
     @inlineCallbacks
--- a/tools/slopes/slopes_watchers.py
+++ b/tools/slopes/slopes_watchers.py
@@ -10,7 +10,7 @@
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.task import deferLater
 
-from hemlockdock_core.links import PostOffice
+from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, NodeInfo
 from hemlockdock_core.node import ControlLink
 from hemlockdock_core.settings import load_settings
@@ -80,7 +80,7 @@
 
     def _join(self, node_id):
         links = []
-        office = PostOffice(
+        transport = MessageTransport(
             self._reactor,
             node_id,
             1,
@@ -88,15 +88,15 @@
             "tcp://127.0.0.1:0",
             lambda frame: links[0].handle(frame),
         )
-        info = NodeInfo(node_id, "entry", f"host-{node_id}", "domain-1", office.address)
-        links.append(ControlLink(self._reactor, self._settings, office, info))
+        info = NodeInfo(node_id, "entry", f"host-{node_id}", "domain-1", transport.address)
+        links.append(ControlLink(self._reactor, self._settings, transport, info))
         links[0].start()
-        self._parts.append((office, links[0]))
+        self._parts.append((transport, links[0]))
 
     def _close(self):
-        for office, link in self._parts:
+        for transport, link in self._parts:
             link.stop()
-            office.close()
+            transport.close()
 
 
 def run_size(count):
