--- a/tools/run_mutants.py
+++ b/tools/run_mutants.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).parent
 REPOSITORY = ROOT.parent
 TEST_TIMEOUT_S = 300
-PARALLEL_RUNS = 4
+PARALLEL_RUNS = 8
 
 
 def all_mutants(wanted):
