Refuse an order timeout that outlasts the silence of an agent without fences

Cause: with the defaults (120 s, 30 s) a freshly started agent of an engine that ignores fences, cut off from control, could not unload before its replicas stopped counting.

--- a/packages/hemlockdock-core/hemlockdock_core/settings/settings.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/settings.py
@@ -9,6 +9,7 @@
     AgentSection,
     ControlSection,
     EntrySection,
+    FencingSetting,
     ListenSection,
     MembershipSection,
     ProcessSection,
@@ -70,10 +71,23 @@
             yield "process", "roles", "agent alone: an endpoint host has one slot for it"
         if Role.AGENT in roles and not self.agent.engine_url:
             yield "agent", "engine_url", "the engine's URL, since roles has agent"
+        yield from self._timeout_contradictions()
         yield from self._member_contradictions()
         yield from self._folder_contradictions()
         yield from self._tls_contradictions()
 
+    def _timeout_contradictions(self):
+        if Role.AGENT not in self.process.roles:
+            return
+        if self.agent.fencing is not FencingSetting.IGNORED:
+            return
+        # A fresh agent of such an engine waits out an order before its first one, and has to have
+        # everything unloaded before control counts it no more.
+        limit_ms = self.membership.certain_after_ms // 2
+        if self.agent.order_timeout_ms > limit_ms:
+            expected = f"at most {limit_ms}, half of certain_after_ms, since fencing is ignored"
+            yield "agent", "order_timeout_ms", expected
+
     def _member_contradictions(self):
         member_ids = []
         for text in self.control.members:
--- a/packages/hemlockdock-core/tests/test_settings.py
+++ b/packages/hemlockdock-core/tests/test_settings.py
@@ -54,6 +54,14 @@
         }
         self.assertEqual(paths, expected)
 
+    def test_an_engine_without_fences_needs_a_short_order_timeout(self):
+        text = GOOD.replace("roles = entry", "roles = agent")
+        text += "[agent]\nengine_url = http://127.0.0.1:1\nfencing = ignored\n"
+        with self.assertRaises(InvalidInputError) as caught:
+            parse_settings(text, "agent.ini")
+        self.assertEqual(caught.exception.errors[0].path, "[agent] order_timeout_ms")
+        parse_settings(text + "order_timeout_ms = 15000\n", "agent.ini")
+
 
 if __name__ == "__main__":
     unittest.main()
