Stamp commands with the wall clock, not with the timers' clock

Cause: found by running the quickstart: with timers on a monotonic clock, decisions were stamped by uptime and compared with the wall clock, so that each load was taken to hang 100 ms after its decision (9 loads before one ended).

--- a/packages/hemlockdock-agent/hemlockdock_agent/service.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/service.py
@@ -1,7 +1,6 @@
 """Guard one engine: its orders and its requests."""
 
 import logging
-import time
 
 from twisted.internet.defer import inlineCallbacks, maybeDeferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
@@ -13,11 +12,10 @@
 from hemlockdock_agent.session_start import SessionStart
 from hemlockdock_agent.status_pages import StatusPages
 from hemlockdock_core.node import ControlLink
+from hemlockdock_core.wall_clock import wall_ms
 
 logger = logging.getLogger(__name__)
 
-MS_PER_S = 1_000
-
 
 class AgentService:
     """Guard one engine: its orders and its requests.
@@ -95,9 +93,8 @@
         self._lock.release()
 
     def _join(self, listen, earlier):
-        wall_ms = int(time.time() * MS_PER_S)
         floor = earlier.incarnation if earlier is not None else 0
-        incarnation = next_incarnation(self._settings.process.data_folder, wall_ms, floor)
+        incarnation = next_incarnation(self._settings.process.data_folder, wall_ms(), floor)
         self._session = AgentSession(
             self._reactor,
             self._settings,
--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -1,7 +1,6 @@
 """Run an agent under one incarnation number."""
 
 import logging
-import time
 from functools import singledispatchmethod
 
 from twisted.internet.defer import Deferred
@@ -30,6 +29,7 @@
 )
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.repeating import Repeating
+from hemlockdock_core.wall_clock import wall_ms
 
 logger = logging.getLogger(__name__)
 
@@ -307,7 +307,7 @@
             table.quarantine_by_fingerprint.get(dispatch.fingerprint),
             self._watch.suspects,
             gate.boot_id,
-            int(time.time() * MS_PER_S),
+            wall_ms(),
         )
 
     def _is_busy(self, replica_id):
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -28,6 +28,7 @@
 from hemlockdock_control.consensus.timing import Timing
 from hemlockdock_control.storage.disk import Disk
 from hemlockdock_control.storage.member_storage import MemberStorage
+from hemlockdock_core.wall_clock import wall_ms
 
 logger = logging.getLogger(__name__)
 
@@ -308,7 +309,7 @@
     def _open(self, disk):
         settings = self._settings
         self._storage = MemberStorage(disk, settings.control.cluster, self._member_id)
-        incarnation = int(time.time() * MS_PER_S)
+        incarnation = wall_ms()
         self._links = PeerLinks(self._reactor, settings, incarnation, self._receive, self._tls)
         self._hellos = HelloTask(settings, self._storage, self._links, self._begin)
 
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -1,7 +1,6 @@
 """Assemble a control member."""
 
 import logging
-import time
 
 import pynng
 from twisted.internet.defer import inlineCallbacks
@@ -28,6 +27,7 @@
 from hemlockdock_core.messages import NODE_CODEC, OrderOutcome
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import ReplicaState
+from hemlockdock_core.wall_clock import wall_ms
 
 logger = logging.getLogger(__name__)
 
@@ -173,7 +173,7 @@
 
     def wall_ms(self):
         """Return the wall clock, in milliseconds since 1970."""
-        return int(time.time() * 1_000)
+        return wall_ms()
 
     def _every(self, period_ms, work):
         loop = LoopingCall(_guarded(work))
--- a/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
@@ -11,6 +11,7 @@
 from hemlockdock_core.commands import CommandResult, ReadJob
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.wall_clock import wall_ms
 
 # Nodes repeat what is not answered, so a lost relay should end soon; operators do not.
 NODE_RELAY_TIMEOUT_S = 1.0
@@ -29,12 +30,15 @@
     reactor : twisted reactor
     replicator : Replicator
     machine : ClusterMachine
+    read_wall_ms : callable, optional
+        Returns the wall clock that commands are stamped with.
     """
 
-    def __init__(self, reactor, replicator, machine):
+    def __init__(self, reactor, replicator, machine, read_wall_ms=wall_ms):
         self._reactor = reactor
         self._replicator = replicator
         self._machine = machine
+        self._wall_ms = read_wall_ms
         self._waiting_by_ticket = {}
         self._in_flight = 0
 
@@ -134,7 +138,7 @@
         at_ms = getattr(command, "at_ms", None)
         if at_ms is None:
             return command
-        now_ms = max(int(self._reactor.seconds() * 1_000), self._machine.state.now_ms, 1)
+        now_ms = max(self._wall_ms(), self._machine.state.now_ms, 1)
         return msgspec.structs.replace(command, at_ms=now_ms)
 
     def _settled(self, result):
--- /dev/null
+++ b/packages/hemlockdock-control/tests/test_proposer.py
@@ -0,0 +1,28 @@
+"""Test that commands are stamped with the wall clock and not with the timers' clock."""
+
+import unittest
+
+from support import FakeReplicator, settings
+from twisted.internet.task import Clock
+
+from hemlockdock_control.service.proposer import Proposer
+from hemlockdock_control.state import ClusterMachine
+from hemlockdock_core.commands import ReleaseQuarantine
+
+WALL_MS = 1_796_000_000_000
+
+
+class ProposerTest(unittest.TestCase):
+    def test_a_command_carries_the_wall_clock_though_timers_count_from_the_start(self):
+        clock = Clock()
+        machine = ClusterMachine(settings())
+        replicator = FakeReplicator(clock, settings(), machine)
+        replicator.start()
+        proposer = Proposer(clock, replicator, machine, lambda: WALL_MS)
+        proposer.propose(ReleaseQuarantine("f", "operator", 0))
+        clock.advance(1.0)
+        self.assertEqual(machine.state.now_ms, WALL_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -3,7 +3,6 @@
 import logging
 import random
 import secrets
-import time
 from functools import singledispatchmethod
 
 from twisted.internet.defer import Deferred, maybeDeferred
@@ -21,6 +20,7 @@
 )
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import ControlLink
+from hemlockdock_core.wall_clock import wall_ms
 from hemlockdock_entry.callers import CallerApi, CallerSite
 from hemlockdock_entry.jobs import JobRunner
 from hemlockdock_entry.services import ServiceClient, Services
@@ -116,7 +116,7 @@
         return idle.addCallback(close)
 
     def _open_office(self):
-        incarnation = int(time.time() * MS_PER_S)
+        incarnation = wall_ms()
         self._transport = MessageTransport(
             self._reactor,
             self._settings.process.node_id,
@@ -150,7 +150,7 @@
             self._link,
             self._transport.send,
             random.Random(secrets.randbits(64)),
-            lambda: int(time.time() * MS_PER_S),
+            wall_ms,
             self._transport.incarnation,
         )
         self._client = ServiceClient(self._reactor)
