--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest as trial_unittest
 
 from hemlockdock_agent.lifecycle import EngineLockedError
 from hemlockdock_agent.service import AgentService
@@ -131,7 +131,7 @@
         return frames[-1] if frames and isinstance(frames[-1], kind) else None
 
 
-class AgentServiceTest(TestCase):
+class AgentServiceTest(trial_unittest.TestCase):
     timeout = WAIT_S
 
     @inlineCallbacks
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -4,7 +4,6 @@
 
 import pynng
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.task import LoopingCall
 
 from hemlockdock_control.admin import AdminListener, AdminPages
 from hemlockdock_control.consensus import Replicator
@@ -26,6 +25,7 @@
 from hemlockdock_core.links import LinkTls, MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, OrderOutcome
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.repeating import Repeating
 from hemlockdock_core.rows import ReplicaState
 from hemlockdock_core.wall_clock import wall_ms
 
@@ -163,11 +163,10 @@
         """
         yield self._admin.stop()
         for loop in self._loops:
-            if loop.running:
-                loop.stop()
+            loop.stop()
         self.volatile.platform.stop()
         yield self.replicator.stop()
-        self._proposer.stop()
+        self._proposer.give_up()
         self._transport.close()
         logger.info("control stopped")
 
@@ -176,8 +175,7 @@
         return wall_ms()
 
     def _every(self, period_ms, work):
-        loop = LoopingCall(_guarded(work))
-        loop.clock = self._reactor
+        loop = Repeating(self._reactor, work)
         loop.start(period_ms / 1_000, now=False)
         self._loops.append(loop)
 
@@ -188,6 +186,9 @@
     def _digest(self):
         leader_id = self.replicator.leader_id
         self._digests += 1
+        if self._led_by and leader_id != self._led_by:
+            # The old leader may never answer what was relayed to it.
+            self._proposer.give_up()
         if leader_id and leader_id != self._led_by:
             self._nodes.tell_leader_all()
         elif self._digests % DIGESTS_PER_COPY == 0:
@@ -265,15 +266,3 @@
             if member.member_id == self._settings.process.node_id:
                 return member.node_address
         raise ValueError(f"{self._settings.process.node_id!r} is no member")
-
-
-def _guarded(work):
-    def run():
-        try:
-            work()
-        except Exception:
-            # One bad turn must not end the loop; the next one starts from the state anew.
-            COUNTERS.increment("control_loop_failures")
-            logger.exception("loop failed", extra={"loop": work.__name__})
-
-    return run
--- a/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
@@ -112,8 +112,8 @@
             return
         waiting.callback(answer.result)
 
-    def stop(self):
-        """End everything that waits for a leader."""
+    def give_up(self):
+        """End everything that waits for a leader, which may be lost, with an unknown outcome."""
         for waiting in list(self._waiting_by_ticket.values()):
             waiting.cancel()
 
--- a/packages/hemlockdock-control/tests/test_control_service.py
+++ b/packages/hemlockdock-control/tests/test_control_service.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.protocol import ClientCreator, Protocol
 from twisted.internet.task import deferLater
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest as trial_unittest
 
 from hemlockdock_control.admin.limited_site import MAX_BODY_BYTES
 from hemlockdock_control.service import ControlService
@@ -109,7 +109,7 @@
             self.table.put(row)
 
 
-class ServiceCase(TestCase):
+class ServiceCase(trial_unittest.TestCase):
     timeout = 240
 
     def folder(self):
--- a/packages/hemlockdock-control/tests/test_membership.py
+++ b/packages/hemlockdock-control/tests/test_membership.py
@@ -6,7 +6,7 @@
 from support import StateDriver, node_info, settings
 from twisted.internet import reactor
 from twisted.internet.task import Clock, deferLater
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest as trial_unittest
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
@@ -178,7 +178,7 @@
         return self.body
 
 
-class PlatformListTest(TestCase):
+class PlatformListTest(trial_unittest.TestCase):
     timeout = 240
 
     def test_a_list_is_read_and_a_bad_one_drops_the_last(self):
--- a/packages/hemlockdock-control/tests/test_proposer.py
+++ b/packages/hemlockdock-control/tests/test_proposer.py
@@ -4,15 +4,17 @@
 
 from support import FakeReplicator, settings
 from twisted.internet.task import Clock
+from twisted.trial import unittest as trial_unittest
 
 from hemlockdock_control.service.proposer import Proposer
 from hemlockdock_control.state import ClusterMachine
 from hemlockdock_core.commands import ReleaseQuarantine
+from hemlockdock_core.errors import ErrorKind
 
 WALL_MS = 1_796_000_000_000
 
 
-class ProposerTest(unittest.TestCase):
+class ProposerTest(trial_unittest.SynchronousTestCase):
     def test_a_command_carries_the_wall_clock_though_timers_count_from_the_start(self):
         clock = Clock()
         machine = ClusterMachine(settings())
@@ -23,6 +25,16 @@
         clock.advance(1.0)
         self.assertEqual(machine.state.now_ms, WALL_MS)
 
+    def test_what_waits_for_a_lost_leader_ends_as_unknown_and_not_at_its_timeout(self):
+        replicator = FakeReplicator(Clock(), settings(), None)
+        replicator.leader_id = "control-2"
+        proposer = Proposer(Clock(), replicator, None)
+        outcome = proposer.propose(ReleaseQuarantine("f", "operator", 0))
+        self.assertNoResult(outcome)
+        proposer.give_up()
+        refusal = self.successResultOf(outcome).refusal
+        self.assertEqual(refusal.kind, ErrorKind.OUTCOME_UNKNOWN)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-control/tests/test_replicator.py
+++ b/packages/hemlockdock-control/tests/test_replicator.py
@@ -10,7 +10,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import gatherResults, inlineCallbacks
 from twisted.internet.task import deferLater
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest as trial_unittest
 
 from hemlockdock_control.consensus import (
     ChangeRefusedError,
@@ -36,7 +36,7 @@
             return port
 
 
-class ReplicatorTest(TestCase):
+class ReplicatorTest(trial_unittest.TestCase):
     timeout = WAIT_S
 
     def setUp(self):
--- a/packages/hemlockdock-core/tests/test_link_tls.py
+++ b/packages/hemlockdock-core/tests/test_link_tls.py
@@ -13,7 +13,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest as trial_unittest
 
 from hemlockdock_core.links import LinkTls, MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, Leaving
@@ -64,7 +64,7 @@
         return builder.add_extension(names, critical=False).sign(self._key, hashes.SHA256())
 
 
-class LinkTlsTest(TestCase):
+class LinkTlsTest(trial_unittest.TestCase):
     timeout = 240
 
     def setUp(self):
--- a/packages/hemlockdock-entry/tests/test_service.py
+++ b/packages/hemlockdock-entry/tests/test_service.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest as trial_unittest
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import Wish
@@ -37,7 +37,7 @@
         self.ended.callback(self.received)
 
 
-class EntryCase(TestCase):
+class EntryCase(trial_unittest.TestCase):
     timeout = TIMEOUT_S
 
     @inlineCallbacks
--- a/packages/hemlockdock-standins/tests/test_engine.py
+++ b/packages/hemlockdock-standins/tests/test_engine.py
@@ -6,7 +6,7 @@
 import treq
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
-from twisted.trial.unittest import TestCase
+from twisted.trial import unittest as trial_unittest
 from twisted.web.client import Agent, HTTPConnectionPool
 
 from hemlockdock_standins.engine import EngineOptions, StandInEngine
@@ -14,7 +14,7 @@
 WAIT_S = 240
 
 
-class StandInEngineTest(TestCase):
+class StandInEngineTest(trial_unittest.TestCase):
     timeout = WAIT_S
 
     @inlineCallbacks
