--- a/packages/hemlockdock-entry/tests/test_service.py
+++ b/packages/hemlockdock-entry/tests/test_service.py
@@ -17,7 +17,7 @@
 from hemlockdock_entry.service import EntryService
 from hemlockdock_standins.service import StandInService
 
-TIMEOUT_S = 240
+TIMEOUT_S = 20
 SHORT = "[entry]\nheader_timeout_ms = 200\nbody_limit_kb = 1\n"
 STALL = "[entry]\nstall_ms = 200\n"
 JSON_TYPE = "application/json"
