--- a/packages/hemlockdock-entry/tests/test_coordinator.py
+++ b/packages/hemlockdock-entry/tests/test_coordinator.py
@@ -384,6 +384,29 @@
     )
 
 
+class DeadlineTest(unittest.TestCase):
+    def refusal_at_deadline(self, with_replica):
+        """Return what a caller is told whose deadline passes without an answer."""
+        rows = table()
+        if with_replica:
+            add_replica(rows, "x1", "x1")
+        made = coordinator(rows)
+        reply = FakeReply()
+        made.submit(Exchange(made, request(1, deadline_at=2.0), reply))
+        dispatches = [item for item in made.link.sent if isinstance(item, Dispatch)]
+        self.assertEqual(len(dispatches), int(with_replica))
+        made.clock.pump([0.5] * 5)
+        return reply.refusal
+
+    def test_a_dispatched_request_is_not_said_not_to_have_run(self):
+        refusal = self.refusal_at_deadline(with_replica=True)
+        self.assertIs(refusal.kind, ErrorKind.DEADLINE_PASSED)
+        self.assertIs(refusal.not_run, NotRun.UNKNOWN)
+
+    def test_a_request_that_never_left_is_said_not_to_have_run(self):
+        self.assertIs(self.refusal_at_deadline(with_replica=False).not_run, NotRun.TRUE)
+
+
 class OnceTest(unittest.TestCase):
     """Test what a resend of a key meets."""
 
