Wait until a stand-in engine's connections are gone when it stops

Cause: a connection accepted while the others were dropped outlived the test (seen once: unclean reactor in the agent's tests).

--- a/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/engine.py
@@ -2,7 +2,8 @@
 
 import itertools
 
-from twisted.internet.defer import maybeDeferred, succeed
+from twisted.internet.defer import inlineCallbacks, maybeDeferred, succeed
+from twisted.internet.task import deferLater
 from twisted.protocols.policies import WrappingFactory
 from twisted.web.server import Site
 
@@ -18,6 +19,7 @@
 LOOPBACK = "127.0.0.1"
 MS_PER_S = 1_000.0
 BACKLOG = 256
+DRAIN_POLL_S = 0.01
 
 _boot_numbers = itertools.count(1)
 
@@ -84,6 +86,7 @@
         self._listen()
         return succeed(None)
 
+    @inlineCallbacks
     def stop(self):
         """Drop all connections and stop listening.
 
@@ -96,7 +99,11 @@
             self._restart_call = None
         if self._owns_store:
             self.store.close()
-        return self._close()
+        yield self._close()
+        while self._factory.protocols:
+            # A connection may have been accepted while the others were dropped.
+            self._factory.abort_connections()
+            yield deferLater(self._reactor, DRAIN_POLL_S)
 
     def crash(self):
         """Drop all connections and all that is loaded; listen again after a while."""
