Hand callers' requests over in one place; poll the platform's list by Repeating

Model calls and stream reconnections wrote the same hand-over to the coordinator twice; submit() serves both.

--- a/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
@@ -6,9 +6,9 @@
 import msgspec
 import treq
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.task import LoopingCall
 
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.repeating import Repeating
 
 logger = logging.getLogger(__name__)
 
@@ -70,8 +70,7 @@
         self._settings = settings.membership
         self._is_leader = is_leader
         self._reading = None
-        self._loop = LoopingCall(self._poll)
-        self._loop.clock = reactor
+        self._loop = Repeating(reactor, self._poll)
         self._reactor = reactor
         self.state_by_host = {}
 
@@ -82,8 +81,7 @@
 
     def stop(self):
         """Stop polling; can be called again."""
-        if self._loop.running:
-            self._loop.stop()
+        self._loop.stop()
         if self._reading is not None:
             self._reading.cancel()
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/model_calls.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/model_calls.py
@@ -1,15 +1,13 @@
 """Run callers' model requests."""
 
 from hemlockdock_core.errors import NotRun, Refusal
-from hemlockdock_entry.callers.call_reader import read_options, when_finished
-from hemlockdock_entry.callers.http_reply import HttpReply
+from hemlockdock_entry.callers.call_reader import read_options
+from hemlockdock_entry.callers.submit import submit
 from hemlockdock_entry.callers.write import refusal_answer
 from hemlockdock_entry.intake import parse_request
 from hemlockdock_entry.tasks.exchange import Exchange
 from hemlockdock_entry.tasks.once_exchange import OnceExchange
 
-MS_PER_S = 1_000
-
 
 class ModelCalls:
     """Run callers' model requests.
@@ -51,14 +49,13 @@
         if parsed.is_err():
             return refusal_answer(http_request, _for_key(parsed.err(), options.ok().key))
         request = parsed.ok()
-        finished = when_finished(http_request)
-        stall_s = self._coordinator.settings.entry.stall_ms / MS_PER_S
-        reply = HttpReply(http_request, self._coordinator.clock, request.request_id, stall_s)
         exchange_type = OnceExchange if request.once else Exchange
-        exchange = exchange_type(self._coordinator, request, reply)
-        reply.on_gone = exchange.caller_gone
-        self._coordinator.submit(exchange)
-        return finished
+        return submit(
+            self._coordinator,
+            http_request,
+            request,
+            lambda reply: exchange_type(self._coordinator, request, reply),
+        )
 
 
 def _for_key(refusal, key):
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/stream_calls.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/stream_calls.py
@@ -1,14 +1,12 @@
 """Let callers reconnect to their answers."""
 
 from hemlockdock_core.errors import ErrorKind, Refusal
-from hemlockdock_entry.callers.call_reader import read_options, when_finished
-from hemlockdock_entry.callers.http_reply import HttpReply
+from hemlockdock_entry.callers.call_reader import read_options
+from hemlockdock_entry.callers.submit import submit
 from hemlockdock_entry.callers.write import refusal_answer
 from hemlockdock_entry.streams import StreamPlace
 from hemlockdock_entry.tasks.resume_exchange import ResumeExchange, resume_request
 
-MS_PER_S = 1_000
-
 
 class StreamCalls:
     """Let callers reconnect to their answers.
@@ -46,10 +44,9 @@
             return refusal_answer(http_request, Refusal.of(ErrorKind.BAD_REQUEST, message))
         now = self._coordinator.clock.seconds()
         request = resume_request(self._mint(), options.ok().caller, now)
-        finished = when_finished(http_request)
-        stall_s = self._coordinator.settings.entry.stall_ms / MS_PER_S
-        reply = HttpReply(http_request, self._coordinator.clock, request.request_id, stall_s)
-        exchange = ResumeExchange(self._coordinator, request, reply, place)
-        reply.on_gone = exchange.caller_gone
-        self._coordinator.submit(exchange)
-        return finished
+        return submit(
+            self._coordinator,
+            http_request,
+            request,
+            lambda reply: ResumeExchange(self._coordinator, request, reply, place),
+        )
