Keep to an entry's share of an endpoint's connections; forget adapters of gone endpoints

Cause: the number of connections that one endpoint accepts from all entries together was read and checked, but no entry kept to it; what goes beyond is reset, which costs a request that may run once its answer. Times of held adapters outlived their endpoint, so that one back under its id was taken to hold them.

Ruled out: a bound in the connection pool. It would refuse after an endpoint was chosen; now the choice itself passes over endpoints without a connection left, and requests for models wait.

Tests fail before (5 connections instead of 4; no waiting; no wish for the adapter) and pass after.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
@@ -330,12 +330,12 @@
         if self.model:
             self._gateway.models.enqueue(self)
             return
-        rows = self._gateway.rows_of(self.pool.name)
+        rows = self._gateway.rows_with_connections(self.pool)
         row = self._gateway.health.choose(rows, self._gateway.clock.seconds(), self.tried_ids)
         if row is None:
             row = self._gateway.health.choose(rows, self._gateway.clock.seconds())
         if row is None:
-            self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "the pool has no endpoint"))
+            self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "no endpoint of the pool can take it"))
             return
         self.send_to(row)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
@@ -133,6 +133,7 @@
     def table_changed(self):
         """Send what waits and can be run now, and refuse what waits in vain."""
         self._learn_arrivals()
+        self._forget_gone_adapters()
         for use in self._use_by_model.values():
             if use.waiting:
                 self._pump(use)
@@ -233,12 +234,18 @@
                 ready_s_by_model[key] = known_s or now_s + arriving.takes_ms / MS_PER_S
         self._ready_s_by_model = ready_s_by_model
 
+    def _forget_gone_adapters(self):
+        for key in list(self._adapter_until_s):
+            endpoint_id = key[0]
+            if self._gateway.row(endpoint_id) is None:
+                del self._adapter_until_s[key]
+
     def _choose(self, exchange):
         gateway = self._gateway
         now_s = gateway.clock.seconds()
         most = max(2, int(exchange.pool.engine.slots * SLOTS_SHARE))
         usable = []
-        for row in gateway.rows_of(exchange.pool.name):
+        for row in gateway.rows_with_connections(exchange.pool):
             if not row.holds(exchange.model):
                 continue
             health = gateway.health.of(row.endpoint_id)
--- a/packages/hemlockdock-entry/tests/test_gateway.py
+++ b/packages/hemlockdock-entry/tests/test_gateway.py
@@ -216,6 +216,21 @@
         self.assertLessEqual(answered, 12)
         self.assertGreaterEqual(answered, 8)
 
+    def test_an_entry_keeps_to_its_share_of_an_endpoints_connections(self):
+        self.world.link.entries = 5
+        for number in range(4):
+            self.world.client().ask(ONCE, request_id=b"%d" % number)
+        self.assertEqual(self.tries, 4)
+        self.client.ask(ONCE, request_id=b"9")
+        self.assertEqual((self.tries, self.client.status), (4, 503))
+
+    def test_a_request_goes_where_connections_are_left(self):
+        self.world.link.entries = 10
+        self.world.gateway.health.of("a").in_flight = 1
+        self.world.gateway.health.of("b").failure_rate = 0.9
+        self.client.ask(ONCE)
+        self.assertEqual(self.connect().port, 2)
+
     def test_a_leaving_endpoint_gets_nothing_new(self):
         self.world.put(endpoint("a", port=1, leaving=True))
         for number in range(5):
@@ -327,6 +342,19 @@
         self.world.put(endpoint("x", "lm", 3, models=("m",)))
         self.assertEqual(self.connect().port, 3)
 
+    def test_what_finds_no_connection_left_waits_for_one(self):
+        self.world.link.entries = 10
+        self.world.put(endpoint("x", "lm", 3, models=("m",)))
+        self.world.client().ask(STREAM, request_id=b"0", left_ms=12_000, extra=MODEL)
+        self.ask()
+        server = self.connect()
+        self.assertEqual(self.tries, 0)
+        server.begin_stream(request_id=b"0")
+        server.chunk(EVENT_1)
+        server.say(CHUNKS_END)
+        self.wait(0.01)
+        self.assertEqual(server.header(b"x-request-id"), b"1")
+
     def test_what_cannot_be_served_in_time_is_refused_at_once_with_a_time(self):
         self.world.put(endpoint("x", "lm", 3, arriving=[("m", 3_000)]))
         self.ask()
@@ -395,6 +423,15 @@
         self.ask(model=b"X-Use-Model: m/a3\r\n")
         self.assertEqual(self.tries, 1)
 
+    def test_an_adapter_of_an_endpoint_that_was_gone_is_waited_for(self):
+        row = endpoint("x", "lm", 3, models=("m",), agent="tcp://a")
+        self.world.put(row)
+        self.world.gateway.models.adapter_held(AdapterHeld("x", "m", "a3", 4_000))
+        self.world.drop("endpoint/x")
+        self.world.put(row)
+        self.ask(model=b"X-Use-Model: m/a3\r\n")
+        self.assertEqual(self.tries, 0)
+
     def test_an_engine_that_does_not_run_it_is_asked_again_only_after_a_pause(self):
         self.world.put(endpoint("x", "lm", 3, models=("m",)))
         self.ask()
