Learn how many loads the weight store carries at once, in place of four

Cause: on the grown deployments the store carries one load at full speed, and nobody tells; up to six were begun at once.

Now StoreSpeed begins with two, doubles while loads end in time, and lowers the number as soon as one is late; it is kept while others lead. Nothing goes beyond full speed before it is known.

Weighed: one at first, and four.

Conclusion: engines are no longer taken for loads that can't end; on milestone sites the first loads of a leader come a little later than with a fixed four.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
@@ -6,7 +6,6 @@
 from hemlockdock_core.wire import EngineReport, LoadedModel
 
 MS_PER_S = 1_000.0
-FULL_SPEED_LOADS = 4
 
 
 class LabEngine:
@@ -21,18 +20,17 @@
     Attributes
     ----------
     runs_by_model : dict of str to int
-    store_loading : bool
     """
 
     def __init__(self, scenario, name, resident=(), on_disk=()):
         self.name = name
         self.runs_by_model = {}
-        self.store_loading = False
         self._scenario = scenario
         self._resident = list(resident)
         self._disk = OrderedDict((model, None) for model in on_disk)
         self._memory = OrderedDict()
         self._change = None
+        self._store = None
         self._number = 0
         self._facts = 0
         for model in self._resident:
@@ -88,13 +86,12 @@
         """Tell whether the models that make room run nothing any more."""
         return all(not self.runs_by_model.get(model) for model in self._change.unload)
 
-    def begin_load(self, engines):
+    def begin_load(self, store):
         """Make room and begin the load.
 
         Parameters
         ----------
-        engines : iterable of LabEngine
-            All of them: loads from the store slow each other down.
+        store : LabStore
 
         Returns
         -------
@@ -109,9 +106,8 @@
             return spec.memory_load_ms / MS_PER_S
         if spec.name in self._disk:
             return spec.disk_load_ms / MS_PER_S
-        self.store_loading = True
-        loading = sum(engine.store_loading for engine in engines)
-        return spec.store_load_ms / MS_PER_S * max(1.0, loading / FULL_SPEED_LOADS)
+        self._store = store
+        return store.begin(spec.store_load_ms / MS_PER_S)
 
     def end_load(self):
         """Have the model loaded."""
@@ -120,7 +116,9 @@
         self._keep(self._memory, model, self._scenario.host_cache_mb)
         self._keep(self._disk, model, self._scenario.disk_cache_mb)
         self._change = None
-        self.store_loading = False
+        if self._store is not None:
+            self._store.end()
+            self._store = None
 
     def report(self):
         """Return what its agent reports.
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/scenario.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/scenario.py
@@ -74,11 +74,15 @@
         Time of one token of a large model; small ones are faster in proportion.
     copies_on_disk : int
         Hosts that have a model's weights at the start.
+    models_on_disk : float
+        Part of the models that any host has at the start.
     classes : tuple of TrafficClass
     shift_s : float
         Time after which the demand moves on by two busy models.
     lost_s : float
         When an engine is lost and replaced by an empty one; 0 for never.
+    store_at_once : int
+        Loads that the weight store carries at full speed.
     """
 
     name: str
@@ -97,6 +101,8 @@
     classes: tuple
     shift_s: float = 13.0
     lost_s: float = 0.0
+    store_at_once: int = 4
+    models_on_disk: float = 1.0
 
     @property
     def models(self):
@@ -246,5 +252,27 @@
             ),
             lost_s=8.0,
         ),
+        Scenario(
+            "grown",
+            26,
+            10,
+            96,
+            (34_300.0, 16_100.0),
+            83_000.0,
+            320_000.0,
+            56_000.0,
+            13_200,
+            390,
+            510,
+            5.0,
+            1,
+            (
+                TrafficClass("section", 92.0, False, 500, 12_000, 200, 2, 245),
+                TrafficClass("report", 40.0, True, 2_000, 20_000, 200, 1, 245),
+                TrafficClass("label", 90.0, False, 1_500, 4_000, 200, 0, 42),
+            ),
+            store_at_once=1,
+            models_on_disk=0.7,
+        ),
     )
 }
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/world.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/world.py
@@ -9,6 +9,7 @@
 
 from hemlockdock_cli.lab.engine import LabEngine
 from hemlockdock_cli.lab.scenario import POOL, draw_requests
+from hemlockdock_cli.lab.store import LabStore
 from hemlockdock_control.fleet.demand import DemandBoard
 from hemlockdock_control.fleet.placement import Placement
 from hemlockdock_control.fleet.registry import AgentReport, EndpointRegistry
@@ -59,13 +60,12 @@
     Attributes
     ----------
     result_by_class : dict of str to ClassResult
-    store_loads : int
     """
 
     def __init__(self, scenario, choice_type, seed, length_s):
         self.result_by_class = {c.name: ClassResult() for c in scenario.classes}
-        self.store_loads = 0
         self._scenario = scenario
+        self._store = LabStore(scenario.store_at_once)
         self._pool = scenario.pool
         self._length_s = length_s
         self._now_s = -LEAD_S
@@ -83,6 +83,11 @@
             self.result_by_class[request.traffic.name].asked += 1
             self._at(request.at_s, self._came, request)
 
+    @property
+    def store_loads(self):
+        """Return how many loads the weight store began."""
+        return self._store.begun
+
     def run(self):
         """Play everything.
 
@@ -102,7 +107,8 @@
         models = self._scenario.models
         names = [f"e{number}" for number in range(self._scenario.engines)]
         disk_by_name = {name: [] for name in names}
-        for model in models:
+        at_hand = round(len(models) * self._scenario.models_on_disk)
+        for model in models[:at_hand]:
             for name in source.sample(names, self._scenario.copies_on_disk):
                 disk_by_name[name].append(model)
         for position, name in enumerate(names):
@@ -151,15 +157,15 @@
                 self._at(self._now_s + NOTICE_S, self._advance, engine)
         for model in list(self._waiting_by_model):
             self._serve(model)
-        if self._now_s < self._length_s or any(self._waiting_by_model.values()):
+        # A refused request that comes back later is an event still to come.
+        if self._now_s < self._length_s or any(self._waiting_by_model.values()) or self._events:
             self._at(self._now_s + DECIDE_S, self._decide)
 
     def _advance(self, engine):
         if not engine.unload_ready():
             self._at(self._now_s + DECIDE_S, self._advance, engine)
             return
-        takes_s = engine.begin_load(self._engine_by_name.values())
-        self.store_loads += engine.store_loading
+        takes_s = engine.begin_load(self._store)
         self._at(self._now_s + takes_s, self._loaded, engine)
 
     def _loaded(self, engine):
@@ -244,7 +250,9 @@
             return
         request.returns += 1
         after_ms = return_after_ms(
-            self._deadline_s(request), self._ready_s(request.model), self._now_s
+            self._deadline_s(request),
+            self._ready_s(request.model),
+            self._now_s,
         )
         self._at(self._now_s + after_ms / MS_PER_S, self._came, request)
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -8,13 +8,12 @@
 
 from dataclasses import dataclass
 
-STORE_LOADS_AT_ONCE = 4
 # Loads for models that few ask for leave room for one that many wait for.
-STORE_LOADS_FOR_FEW = 3
+STORE_LOADS_KEPT_FOR_MANY = 1
 MANY_REQUESTS = 4.0
 # Beyond full speed all loads take longer; a model that so many wait for is worth it.
 VERY_MANY_REQUESTS = 12.0
-STORE_LOADS_FOR_VERY_MANY = 6
+STORE_LOADS_FOR_VERY_MANY = 1.5
 # Demand may move to any model; one that a single host has can then be had nowhere else.
 ONLY_HOLDER_RATE_PER_S = 0.1
 # Part of a model's requests that wait while its engine takes no orders for adapters.
@@ -235,11 +234,13 @@
         # An engine that has the weights at hand is mostly free long before the store's load ends.
         if spec.name in self._at_hand and not from_store:
             return False
-        most = STORE_LOADS_FOR_FEW
+        store = self._memory.store
+        at_once = store.at_once
+        most = max(1, at_once - STORE_LOADS_KEPT_FOR_MANY)
         if gain >= MANY_REQUESTS:
-            most = STORE_LOADS_AT_ONCE
-        if gain >= VERY_MANY_REQUESTS:
-            most = STORE_LOADS_FOR_VERY_MANY
+            most = at_once
+        if gain >= VERY_MANY_REQUESTS and store.is_known:
+            most = int(at_once * STORE_LOADS_FOR_VERY_MANY)
         return self._store_loads < most
 
     def _ahead(self):
@@ -275,7 +276,7 @@
             return "memory", spec.memory_load_ms / MS_PER_S
         if spec.name in view.report.on_host_disk:
             return "disk", spec.disk_load_ms / MS_PER_S
-        crowding = max(1.0, (self._store_loads + 1) / STORE_LOADS_AT_ONCE)
+        crowding = max(1.0, (self._store_loads + 1) / self._memory.store.at_once)
         return "store", crowding * spec.store_load_ms / MS_PER_S
 
     def _victims(self, view, spec, may_displace_busy):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -9,6 +9,7 @@
 from hemlockdock_control.fleet.engine_view import EngineView, PendingChange
 from hemlockdock_control.fleet.model_choice import ModelChoice
 from hemlockdock_control.fleet.placement_memory import PlacementMemory
+from hemlockdock_control.fleet.store_speed import StoreSpeed
 from hemlockdock_core.messages import ChangeModels, EngineFacts
 
 logger = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
 WITHHOLD_RATE_PER_S = 0.5
 # An agent acknowledges at once; what it doesn't acknowledge was lost.
 RESEND_S = 0.4
+MS_PER_S = 1_000.0
 # Several loads at the store's slowest; after that the change is given up.
 GIVE_UP_S = 45.0
 # All agents have found the leader by then.
@@ -52,16 +54,20 @@
     ----------
     pending_by_id : dict of str to PendingChange
         By endpoint id.
+    store : StoreSpeed
+        Kept while others lead: the store stays the same.
     """
 
     def __init__(self, choice_type=ModelChoice):
         self._choice_type = choice_type
+        self.store = StoreSpeed()
         self.clear()
 
     def clear(self):
         """Forget everything: another member may have led meanwhile."""
         self.pending_by_id = {}
-        self._memory = PlacementMemory()
+        self.store.forget_loads()
+        self._memory = PlacementMemory(self.store)
         self._counter = 0
         self._began_s = None
 
@@ -96,6 +102,7 @@
         list of Letter
         """
         letters = []
+        self.store.check(now_s)
         for pool in pools:
             if pool.engine is None:
                 continue
@@ -149,6 +156,8 @@
             if not is_gone and not is_late and not is_over:
                 continue
             del self.pending_by_id[endpoint_id]
+            loaded = is_over and view.report.model(pending.message.load) is not None
+            self.store.ended(pending.message.number, loaded, now_s)
             if view is not None:
                 view.pending = None
                 self._note_end(view, pending.message.load, now_s)
@@ -188,6 +197,9 @@
         )
         self.pending_by_id[view.endpoint_id] = pending
         view.pending = pending
+        if choice.source == "store":
+            nominal_s = choice.model.store_load_ms / MS_PER_S
+            self.store.began(message.number, nominal_s, now_s + withhold_s)
         logger.info(
             "exchange decided",
             extra={
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_memory.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_memory.py
@@ -1,5 +1,7 @@
 """Remember what one moment's view of the engines doesn't show."""
 
+from hemlockdock_control.fleet.store_speed import StoreSpeed
+
 # A model that was just loaded gets its first request within this time.
 SETTLING_S = 0.4
 # After an exchange that failed, the same one isn't tried again for this long.
@@ -52,9 +54,19 @@
 
 
 class PlacementMemory:
-    """Remember what one moment's view doesn't show."""
+    """Remember what one moment's view doesn't show.
+
+    Parameters
+    ----------
+    store : StoreSpeed, optional
+
+    Attributes
+    ----------
+    store : StoreSpeed
+    """
 
-    def __init__(self):
+    def __init__(self, store=None):
+        self.store = store or StoreSpeed()
         self._first = set()
         self._seen_ids = set()
         self._last_new_s = 0.0
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -59,7 +59,15 @@
     return EngineView(endpoint_id, f"tcp://{endpoint_id}", found, 0, False, 1, pending)
 
 
-def demand(model, arrivals=0, waiting=0, in_flight=0, in_time=0, target_left_ms=0, urgency=1):
+def demand(
+    model,
+    arrivals=0,
+    waiting=0,
+    in_flight=0,
+    in_time=0,
+    target_left_ms=0,
+    urgency=1,
+):
     return ModelDemand(POOL, model, arrivals, waiting, in_flight, in_time, target_left_ms, urgency)
 
 
@@ -71,6 +79,7 @@
         self.board = DemandBoard()
         self.views = {}
         self.memory = PlacementMemory()
+        self.memory.store.at_once = 4
 
     def ask(self, *demands, now_s=LATE_S, entry="e"):
         self.board.take(entry, DemandReport(demands), now_s)
@@ -179,8 +188,19 @@
         self.wait("rare", waiting=5)
         self.assertEqual(self.choices(), [])
         self.wait("rare", waiting=20)
+        self.assertEqual(self.choices(), [], "the store's speed is not known yet")
+        self.memory.store.is_known = True
         self.assertEqual(self.choices()[0][:2], ("x", "rare"))
 
+    def test_no_more_is_fetched_than_the_store_carries(self):
+        message = ChangeModels(1, 1, "y", (), "other")
+        pending = PendingChange(message, 1, "store", LATE_S, LATE_S + 6)
+        self.views = {"y": view("y", report(), pending), "x": view("x", report())}
+        self.wait("rare", waiting=20)
+        self.assertEqual(self.choices()[0][:2], ("x", "rare"))
+        self.memory.store.at_once = 1
+        self.assertEqual(self.choices(), [])
+
     def test_a_load_from_the_store_does_not_displace_what_many_ask_for(self):
         """It would be missed for as long as the load takes."""
         self.warm_up(hot=4, other=4)
@@ -296,6 +316,21 @@
         self.report(number, changing=True)
         self.assertEqual(self.decide(RESEND_S + SLACK_S), [])
 
+    def test_what_was_learnt_of_the_store_outlasts_a_change_of_leader(self):
+        self.models = ()
+        self.pool = pool(spec("rare"), spec("only-in-store"))
+        self.report()
+        self.facts_number = self.decide()[0].number
+        self.report()
+        self.wait_for("only-in-store")
+        number = self.decide()[0].number
+        for _ in range(12):
+            self.now_s += 1.0
+            self.report(number, changing=True)
+            self.decide()
+        self.placement.clear()
+        self.assertEqual(self.placement.store.at_once, 1)
+
     def test_an_exchange_is_over_when_the_agent_says_so(self):
         self.begin_exchange()
         self.decide()
