Refuse at once what only the weight store has, where its load takes longer than clients wait

Cause: a request for a model that no host has was held until its client's patience ended (2 s, 8 s for a target of 2 s), though its load takes 6 or 13.2 s and nobody had begun it.

Now entries learn which weights lie on each host, and refuse at once where the least time to the model is longer than the client waits, with that time as Retry-After as far as clients keep to it. Refused clients that come back are counted, and the leader fetches for them as for those that wait. While any host of the pool is unknown nothing is taken for missing; a request that waits for a place at an engine that has its model waits as before.

Ruled out: telling entries the store's queue; which model goes next changes with what is asked for.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/world.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/world.py
@@ -16,6 +16,7 @@
 from hemlockdock_core.messages import ChangeModels, DemandReport, ModelDemand
 from hemlockdock_core.settings.sections import FleetSection
 from hemlockdock_core.wire import ListedEndpoint
+from hemlockdock_entry.gateway.model_supply import ModelSupply
 from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
 
 MS_PER_S = 1_000.0
@@ -77,6 +78,8 @@
         self._board = DemandBoard()
         self._engine_by_name = {}
         self._waiting_by_model = {}
+        self._return_s_by_model = {}
+        self._supply = ModelSupply()
         self._arrivals_by_model = {}
         self._build(random.Random(seed))
         for request in draw_requests(scenario, seed, length_s):
@@ -155,6 +158,8 @@
                 engine.learn_facts(letter.message)
             elif engine.take_change(letter.message):
                 self._at(self._now_s + NOTICE_S, self._advance, engine)
+        rows = self._registry.rows(self._now_s, self._placement)
+        self._supply.learn(rows.values(), self._now_s)
         for model in list(self._waiting_by_model):
             self._serve(model)
         # A refused request that comes back later is an event still to come.
@@ -242,7 +247,8 @@
         patience = Patience.of(
             request.traffic.route, self._fleet, request.came_s, self._deadline_s(request)
         )
-        return may_wait(patience, self._ready_s(request.model), self._now_s)
+        least_s = self._supply.least_s(self._pool, request.model)
+        return may_wait(patience, self._ready_s(request.model), self._now_s, least_s)
 
     def _refuse(self, request):
         if request.returns:
@@ -253,8 +259,16 @@
             self._deadline_s(request),
             self._ready_s(request.model),
             self._now_s,
+            self._supply.least_s(self._pool, request.model),
         )
-        self._at(self._now_s + after_ms / MS_PER_S, self._came, request)
+        return_s = self._now_s + after_ms / MS_PER_S
+        self._return_s_by_model.setdefault(request.model, []).append(return_s)
+        self._at(return_s, self._came, request)
+
+    def _returning(self, model):
+        times = [at_s for at_s in self._return_s_by_model.get(model, []) if at_s > self._now_s]
+        self._return_s_by_model[model] = times
+        return len(times)
 
     def _tell(self, model):
         waiting = self._waiting_by_model.get(model, [])
@@ -273,5 +287,6 @@
             len(left),
             round(min(left) * MS_PER_S) if left else 0,
             min((request.traffic.urgency for request in waiting), default=0),
+            self._returning(model),
         )
         self._board.take("entry", DemandReport((demand,)), self._now_s)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
@@ -38,6 +38,11 @@
         """Return how many requests wait."""
         return sum(demand.waiting for demand in self.demand_by_entry.values())
 
+    @property
+    def returning(self):
+        """Return how many refused requests will come back."""
+        return sum(demand.returning for demand in self.demand_by_entry.values())
+
     @property
     def urgency(self):
         """Return the urgency of the most urgent waiting request; 0 is the most urgent."""
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -131,13 +131,16 @@
         """
         awaited = []
         for name, use in self._use_by_name.items():
-            if use is None or not use.waiting or self._copies_by_name.get(name, 0):
+            if use is None or self._copies_by_name.get(name, 0):
+                continue
+            wanted = use.waiting + use.returning
+            if not wanted:
                 continue
             target_s = use.first_target_s(self._now_s + self._quickest_s(name))
             if target_s is not None:
                 awaited.append((0, use.urgency, target_s, name))
             else:
-                awaited.append((1, use.urgency, -use.waiting, name))
+                awaited.append((1, use.urgency, -wanted, name))
         awaited.sort()
         for _, _, _, name in awaited:
             yield self._spec_by_name[name], self._use_by_name[name]
@@ -157,8 +160,8 @@
                 yield self._spec_by_name[name], excess
 
     def _for_waiting(self, spec, use):
-        reason = f"{use.waiting} waiting"
-        gain = use.waiting + use.rate_now(self._now_s) * HORIZON_S
+        reason = f"{use.waiting} waiting, {use.returning} returning"
+        gain = use.waiting + use.returning + use.rate_now(self._now_s) * HORIZON_S
         waited_s = self._now_s - use.waiting_since_s
         limit_s = MANY_WAIT_S if use.waiting >= MANY_REQUESTS else LONG_WAIT_S
         choice = self._best(spec, gain, waited_s >= limit_s, reason)
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -67,8 +67,11 @@
     in_time=0,
     target_left_ms=0,
     urgency=1,
+    returning=0,
 ):
-    return ModelDemand(POOL, model, arrivals, waiting, in_flight, in_time, target_left_ms, urgency)
+    return ModelDemand(
+        POOL, model, arrivals, waiting, in_flight, in_time, target_left_ms, urgency, returning
+    )
 
 
 class ChoiceTest(unittest.TestCase):
@@ -146,6 +149,12 @@
         self.wait("rare", in_time=1, target_left_ms=9_000)
         self.assertEqual(self.choices()[0], ("y", "rare", (), "store"))
 
+    def test_clients_that_will_come_back_are_fetched_for(self):
+        self.views = {"y": view("y", report())}
+        self.warm_up(hot=1)
+        self.ask(demand("rare", 2, returning=2))
+        self.assertEqual(self.choices()[0], ("y", "rare", (), "store"))
+
     def test_memory_is_preferred_to_disk(self):
         self.views = {
             "x": view("x", report(disk=("rare",))),
@@ -382,6 +391,15 @@
         later = self.registry.rows(REPORT_FRESH_S + 0.1, self.placement)
         self.assertEqual(sorted(later), ["e", "new"])
 
+    def test_entries_learn_which_weights_a_host_has(self):
+        self.registry.take_directory([listed()])
+        self.assertIsNone(self.registry.rows(0.0, self.placement)["e"].at_hand)
+        body = EndpointReport(
+            POOL, listed().address, report(disk=("b", "a"), memory=("b",)), 0, False, 0
+        )
+        self.registry.take_report(AgentReport("tcp://a", 1, body, 0.0))
+        self.assertEqual(self.registry.rows(0.0, self.placement)["e"].at_hand, ("a", "b"))
+
     def test_a_leaving_endpoint_is_shown_as_such(self):
         self.registry.take_directory([listed(leaving=True)])
         self.assertTrue(self.registry.rows(0.0, self.placement)["e"].leaving)
--- a/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
@@ -98,6 +98,8 @@
         Time until the first of those targets passes; 0 where there is none.
     urgency : int
         Of the most urgent waiting request; 0 is the most urgent.
+    returning : int
+        Requests that were refused, and whose clients will come back.
     """
 
     pool: str
@@ -108,6 +110,7 @@
     in_time: int
     target_left_ms: int
     urgency: int
+    returning: int = 0
 
 
 class DemandReport(Message, frozen=True):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
@@ -28,6 +28,8 @@
 FIRST_BYTE_LEAST_S = 0.6
 # With less time left, the answer that is waited for is as likely as another one.
 SHORTEST_TRY_S = 0.25
+# A client with so much less time than its route gives has been refused before.
+CAME_BACK_MS = 100
 # Connections that one request may fail to get before its client is told to come back.
 MOST_UNSENT = 6
 
@@ -50,6 +52,8 @@
     deadline_s : float
     target_s : float
         Until when an answer has its full worth.
+    is_first : bool
+        Whether the client asks for the first time, as far as its time left tells.
     """
 
     def __init__(self, gateway, connection, request):
@@ -75,6 +79,7 @@
         self.tried_ids = set()
         self.queued = False
         self.reserved_id = ""
+        self.is_first = True
 
     @property
     def request_id(self):
@@ -355,6 +360,7 @@
         self.deadline_s = received_s + limit_ms / MS_PER_S
         # A client that comes back has less time left than its route gives it at first.
         waited_ms = max(0, self.route.timeout_ms - limit_ms)
+        self.is_first = waited_ms < CAME_BACK_MS
         self.target_s = received_s + (self.route.target_ms - waited_ms) / MS_PER_S
         delay_s = max(0.0, self.left_s - DEADLINE_MARGIN_S)
         self._deadline_call = self._gateway.clock.callLater(delay_s, self._deadline_passed)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
@@ -6,6 +6,7 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import AdapterWish, DemandReport, ModelDemand
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_entry.gateway.model_supply import ModelSupply
 from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
 
 logger = logging.getLogger(__name__)
@@ -29,6 +30,8 @@
     arrivals : int
     in_flight : int
     waiting : list of Exchange
+    return_at_s : list of float
+        When refused clients will be back.
     """
 
     pool: str
@@ -36,6 +39,12 @@
     arrivals: int = 0
     in_flight: int = 0
     waiting: list = field(default_factory=list)
+    return_at_s: list = field(default_factory=list)
+
+    @property
+    def is_wanted(self):
+        """Tell whether anything waits, runs or will come back."""
+        return bool(self.waiting or self.in_flight or self.return_at_s)
 
     def demand(self, now_s):
         """Return the use as the leader is told of it.
@@ -48,6 +57,7 @@
         -------
         ModelDemand
         """
+        self.return_at_s = [at_s for at_s in self.return_at_s if at_s > now_s]
         left = [item.target_s - now_s for item in self.waiting if item.target_s > now_s]
         target_left_ms = round(min(left) * MS_PER_S) if left else 0
         return ModelDemand(
@@ -59,6 +69,7 @@
             len(left),
             target_left_ms,
             min((item.route.urgency for item in self.waiting), default=0),
+            len(self.return_at_s),
         )
 
 
@@ -78,7 +89,7 @@
         self._adapter_until_s = {}
         self._adapter_waiting = {}
         self._reported_s = 0.0
-        self._ready_s_by_model = {}
+        self._supply = ModelSupply()
 
     def enqueue(self, exchange):
         """Let a request wait until an endpoint can run it.
@@ -132,7 +143,7 @@
 
     def table_changed(self):
         """Send what waits and can be run now, and refuse what waits in vain."""
-        self._learn_arrivals()
+        self._supply.learn(self._gateway.all_rows(), self._gateway.clock.seconds())
         self._forget_gone_adapters()
         for use in self._use_by_model.values():
             if use.waiting:
@@ -182,7 +193,7 @@
         if now_s - self._reported_s < REPORT_REPEAT_S:
             return
         for key, use in self._use_by_model.items():
-            if use.waiting or use.in_flight:
+            if use.is_wanted:
                 self._changed.add(key)
         if self._changed:
             self._report()
@@ -211,29 +222,22 @@
     def _refuse_if_hopeless(self, use, exchange):
         gateway = self._gateway
         now_s = gateway.clock.seconds()
-        ready_s = self._ready_s_by_model.get((use.pool, use.model))
+        ready_s = self._supply.ready_s(use.pool, use.model)
+        least_s = self._supply.least_s(exchange.pool, use.model)
         patience = Patience.of(
             exchange.route, gateway.fleet, exchange.request.received_s, exchange.deadline_s
         )
-        if may_wait(patience, ready_s, now_s):
+        if may_wait(patience, ready_s, now_s, least_s):
             return
         if exchange.may_have_run:
             kind, why = ErrorKind.ENDPOINT_LOST, "no other endpoint can go on with it in time"
         else:
             kind, why = ErrorKind.DEADLINE_UNREACHABLE, "the model is not there in time"
-        after_ms = return_after_ms(exchange.deadline_s, ready_s, now_s)
+        after_ms = return_after_ms(exchange.deadline_s, ready_s, now_s, least_s)
+        if exchange.is_first:
+            use.return_at_s.append(now_s + after_ms / MS_PER_S)
         exchange.refuse(Refusal.of(kind, why, retry_after_ms=after_ms))
 
-    def _learn_arrivals(self):
-        now_s = self._gateway.clock.seconds()
-        ready_s_by_model = {}
-        for row in self._gateway.all_rows():
-            for arriving in row.arriving:
-                key = (row.pool, arriving.name)
-                known_s = self._ready_s_by_model.get(key)
-                ready_s_by_model[key] = known_s or now_s + arriving.takes_ms / MS_PER_S
-        self._ready_s_by_model = ready_s_by_model
-
     def _forget_gone_adapters(self):
         for key in list(self._adapter_until_s):
             endpoint_id = key[0]
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_supply.py
@@ -0,0 +1,86 @@
+"""Know from the routing table when models can be had."""
+
+MS_PER_S = 1_000
+
+
+class ModelSupply:
+    """Hold which models come, and which could come soon."""
+
+    def __init__(self):
+        self._ready_s_by_model = {}
+        self._at_hand_by_pool = {}
+        self._resident = set()
+
+    def learn(self, rows, now_s):
+        """Take the endpoints as they are now.
+
+        Parameters
+        ----------
+        rows : iterable of EndpointRow
+        now_s : float
+        """
+        ready_s_by_model = {}
+        at_hand_by_pool = {}
+        resident = set()
+        for row in rows:
+            for arriving in row.arriving:
+                key = (row.pool, arriving.name)
+                known_s = self._ready_s_by_model.get(key)
+                ready_s_by_model[key] = known_s or now_s + arriving.takes_ms / MS_PER_S
+            if row.leaving:
+                continue
+            _add_at_hand(at_hand_by_pool, row)
+            for model in row.models:
+                resident.add((row.pool, model.name))
+        self._ready_s_by_model = ready_s_by_model
+        self._at_hand_by_pool = at_hand_by_pool
+        self._resident = resident
+
+    def ready_s(self, pool, model):
+        """Return when a model will be there, None where nobody has decided on it.
+
+        Parameters
+        ----------
+        pool, model : str
+
+        Returns
+        -------
+        float or None
+        """
+        return self._ready_s_by_model.get((pool, model))
+
+    def least_s(self, pool, model):
+        """Return the least time in which a model can be there that nobody has decided on.
+
+        It is 0 for a model that an engine has: its requests wait for a place only.
+
+        Parameters
+        ----------
+        pool : PoolRow
+            With an engine.
+        model : str
+
+        Returns
+        -------
+        float
+        """
+        if (pool.name, model) in self._resident:
+            return 0.0
+        at_hand = self._at_hand_by_pool.get(pool.name)
+        for spec in pool.engine.models:
+            if spec.name != model:
+                continue
+            if at_hand is None or model in at_hand:
+                return spec.memory_load_ms / MS_PER_S
+            return spec.store_load_ms / MS_PER_S
+        return 0.0
+
+
+def _add_at_hand(at_hand_by_pool, row):
+    """Add what one host has; None where any host of the pool isn't known."""
+    known = at_hand_by_pool.setdefault(row.pool, set())
+    if row.at_hand is None:
+        at_hand_by_pool[row.pool] = None
+    elif known is not None:
+        known.update(row.at_hand)
+        known.update(model.name for model in row.models)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
@@ -53,7 +53,7 @@
         return cls(min(deadline_s, received_s + patience_ms / MS_PER_S))
 
 
-def may_wait(patience, ready_s, now_s):
+def may_wait(patience, ready_s, now_s, least_s=0.0):
     """Tell whether a request should wait for a model that is ready at a time.
 
     Parameters
@@ -62,17 +62,19 @@
     ready_s : float or None
         None where nobody knows yet.
     now_s : float
+    least_s : float, optional
+        Time in which the model can be there at the earliest, where nobody knows yet.
 
     Returns
     -------
     bool
     """
     if ready_s is None:
-        return now_s + FIRST_EVENT_S < patience.until_s
+        ready_s = now_s + least_s
     return max(ready_s, now_s) + FIRST_EVENT_S < patience.until_s
 
 
-def return_after_ms(deadline_s, ready_s, now_s):
+def return_after_ms(deadline_s, ready_s, now_s, least_s=0.0):
     """Return when a refused client should come back.
 
     Parameters
@@ -81,11 +83,16 @@
     ready_s : float or None
         When its model will be there; None where nobody knows.
     now_s : float
+    least_s : float, optional
+        Time in which the model can be there at the earliest, where nobody knows.
 
     Returns
     -------
     int
     """
     longest_s = max(0.0, (deadline_s - now_s) * LONGEST_RETURN - RETURN_MARGIN_S)
-    wanted_s = UNKNOWN_RETURN_S if ready_s is None else ready_s + READY_MARGIN_S - now_s
+    if ready_s is None:
+        wanted_s = max(UNKNOWN_RETURN_S, least_s + READY_MARGIN_S)
+    else:
+        wanted_s = ready_s + READY_MARGIN_S - now_s
     return round(min(max(wanted_s, LEAST_RETURN_S), max(longest_s, 0.0)) * MS_PER_S)
--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -192,7 +192,9 @@
     )
 
 
-def endpoint(name, pool="shop", port=1, models=(), leaving=False, agent="", arriving=()):
+def endpoint(
+    name, pool="shop", port=1, models=(), leaving=False, agent="", arriving=(), at_hand=None
+):
     return EndpointRow(
         name,
         pool,
@@ -203,6 +205,7 @@
         tuple(ResidentModel(model, 1) for model in models),
         agent,
         tuple(ArrivingModel(*item) for item in arriving),
+        at_hand,
     )
 
 
--- a/packages/hemlockdock-entry/tests/test_gateway_decisions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_decisions.py
@@ -111,6 +111,15 @@
         self.assertFalse(may_wait(self.patience(), 101.9, 100.0))
         self.assertFalse(may_wait(self.patience(), 100.0, 101.9))
 
+    def test_nothing_is_waited_for_that_cannot_be_there_in_time(self):
+        self.assertTrue(may_wait(self.patience(), None, 100.0, least_s=1.7))
+        self.assertFalse(may_wait(self.patience(), None, 100.0, least_s=1.8))
+        self.assertTrue(may_wait(self.patience(), 101.5, 100.0, least_s=6.0))
+
+    def test_a_client_comes_back_when_the_model_can_be_there(self):
+        self.assertEqual(return_after_ms(120.0, None, 100.0, least_s=6.0), 6_200)
+        self.assertEqual(return_after_ms(112.0, None, 100.0, least_s=6.0), 3_900)
+
     def test_the_time_of_return_is_one_that_clients_keep_to(self):
         self.assertEqual(return_after_ms(112.0, 103.0, 100.0), 3_200)
         self.assertEqual(return_after_ms(112.0, 106.0, 100.0), 3_900)
