Let adapters take turns in an engine's slots, and end one's turn while others wait

Cause: an adapter that entries were told of stayed for 4.5 s, and each further request for it began that time anew, so that eight adapters could keep the slots for ever.

Now an adapter's turn is 0.4 s and 0.2 s for what is on its way (asking again takes milliseconds), and entries are not told of the adapter that had its turn first while another has waited for 0.25 s. While the engine exchanges models no slot can change hands, and none gives way.

Played load (16 adapters, 8 slots): longest wait 7.5 s, that is for ever, before, under 1.5 s after.

--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/adapters.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/adapters.py
@@ -1,11 +1,18 @@
-"""Decide which adapters an engine holds, for entries that ask for them."""
+"""Decide which adapters an engine holds, for entries that ask for them.
+
+It answers a load in which more adapters are asked for than an engine has slots: they take turns.
+One that is asked for again and again gives way, too, once another has waited for some time.
+"""
 
 from dataclasses import dataclass, field
 
-# Entries may rely on an adapter for this long after they asked for it.
-HELD_S = 4.0
+# Entries may rely on an adapter for this long after they asked for it; asking takes some
+# milliseconds, and slots can change hands only after that time.
+HELD_S = 0.4
+# One that has waited for this long gets the next slot, also of an adapter that is asked for still.
+TURN_S = 0.25
 # An entry may send just before that time is over; what runs keeps its adapter by itself.
-MARGIN_S = 0.5
+MARGIN_S = 0.2
 MOST_ARRIVING = 4
 # An order for an adapter shows in the engine's report by then, or it was lost.
 ARRIVAL_TIMEOUT_S = 0.6
@@ -26,6 +33,10 @@
         When it was last asked for.
     ordered_s : float
         When its load was last ordered.
+    since_s : float
+        Since when entries have been waiting to hear of it.
+    had_turn : bool
+        Whether entries were told of it since it was loaded.
     waiting : set of str
         Mailboxes of entries that wait to hear of it.
     """
@@ -35,6 +46,8 @@
     until_s: float = 0.0
     asked_s: float = 0.0
     ordered_s: float = float("-inf")
+    since_s: float = 0.0
+    had_turn: bool = False
     waiting: set = field(default_factory=set)
 
 
@@ -79,6 +92,8 @@
         """
         wanted = self.wanted_by_name.setdefault((model, adapter), WantedAdapter(model, adapter))
         wanted.asked_s = now_s
+        if not wanted.waiting:
+            wanted.since_s = now_s
         wanted.waiting.add(entry_address)
         return wanted
 
@@ -96,8 +111,9 @@
             With the entries' mailboxes, and whether it is loaded.
         """
         told = []
-        for wanted in self.wanted_by_name.values():
-            if not wanted.waiting:
+        giving_way = self._giving_way(report, now_s)
+        for key, wanted in self.wanted_by_name.items():
+            if not wanted.waiting or key in giving_way:
                 continue
             model = report.model(wanted.model)
             loaded = model is not None and wanted.adapter in model.adapters
@@ -105,6 +121,7 @@
                 continue
             if loaded:
                 wanted.until_s = now_s + HELD_S + MARGIN_S
+                wanted.had_turn = True
             told.append((wanted, wanted.waiting, loaded))
             wanted.waiting = set()
         return told
@@ -134,6 +151,31 @@
             return None, None
         return wanted, victim
 
+    def _giving_way(self, report, now_s):
+        """Return loaded adapters that entries are not told of: others have waited for long."""
+        if report.busy:
+            # No slot can change hands meanwhile.
+            return frozenset()
+        overdue = 0
+        held = set(_held(report))
+        for key, wanted in self.wanted_by_name.items():
+            if key in held:
+                continue
+            wanted.had_turn = False
+            if not wanted.waiting or report.model(wanted.model) is None:
+                continue
+            if now_s - wanted.since_s >= TURN_S:
+                overdue += 1
+        if not overdue:
+            return frozenset()
+        oldest = []
+        for name in held:
+            wanted = self.wanted_by_name.get(name)
+            if wanted is not None and wanted.had_turn:
+                oldest.append((wanted.until_s, name))
+        oldest.sort()
+        return frozenset(name for _, name in oldest[:overdue])
+
     def _next_wanted(self, report, now_s):
         first = None
         arriving = {(name.model, name.adapter) for name in report.arriving}
@@ -145,7 +187,7 @@
             model = report.model(wanted.model)
             if model is None or wanted.adapter in model.adapters:
                 continue
-            if first is None or wanted.asked_s < first.asked_s:
+            if first is None or wanted.since_s < first.since_s:
                 first = wanted
         return first
 
@@ -157,7 +199,7 @@
             wanted = self.wanted_by_name.get(name)
             if wanted is None:
                 idle.append((0.0, name))
-            elif wanted.until_s <= now_s and not wanted.waiting:
+            elif wanted.until_s <= now_s:
                 idle.append((wanted.asked_s, name))
         return min(idle)[1] if idle else None
 
--- a/packages/hemlockdock-agent/tests/test_fleet.py
+++ b/packages/hemlockdock-agent/tests/test_fleet.py
@@ -121,6 +121,37 @@
         self.desk.ask("a", "x", "tcp://e", 10.0)
         self.assertEqual(self.next(report(("a/y+z",)), 9.0 + HELD_S), (None, None))
 
+    def test_many_adapters_take_turns_in_few_slots(self):
+        """Play a load in which twice as many are asked for as there are slots."""
+        names = [f"a{number}" for number in range(16)]
+        held, asked_s, longest_s = set(), {}, 0.0
+        for tick in range(400):
+            now_s = 10.0 + 0.02 * tick
+            name = names[tick * 7 % 16]
+            if tick % 3 == 0:
+                self.desk.ask("a", name, "tcp://e", now_s)
+                asked_s.setdefault(name, now_s)
+            found = report(("a/" + "+".join(sorted(held)),) if held else ("a",))
+            for wanted, _, _ in self.desk.answers(found, now_s):
+                longest_s = max(longest_s, now_s - asked_s.pop(wanted.adapter))
+            wanted, victim = self.next(found, now_s, slots=8, room_mb=200.0)
+            if victim is not None:
+                held.discard(victim[1])
+            elif wanted is not None:
+                held.add(wanted[1])
+        waiting_s = [now_s - at_s for at_s in asked_s.values()]
+        self.assertLess(max([longest_s, *waiting_s]), 1.5)
+
+    def test_none_gives_way_while_the_engine_exchanges_models(self):
+        """No adapter can be loaded meanwhile, so that a slot would change hands for nobody."""
+        self.desk.ask("a", "x", "tcp://e", 10.0)
+        self.desk.answers(report(("a/x",)), 10.0)
+        self.desk.ask("a", "y", "tcp://e", 10.0)
+        self.desk.ask("a", "x", "tcp://e", 11.0)
+        self.assertEqual(self.desk.answers(report(("a/x",)), 11.0), [])
+        told = self.desk.answers(report(("a/x",), busy=True), 11.1)
+        self.assertEqual([wanted.adapter for wanted, _, _ in told], ["x"])
+
     def test_one_that_is_in_use_is_left_alone_for_a_while(self):
         self.desk.ask("a", "x", "tcp://e", 10.0)
         first = self.next(report(("a/y+z",)))[1]
