Send a plain request again, as the same try, where nothing was heard of it

Cause: a dispatch that a breaking link dropped was noticed for streams and run-once requests only; a plain request waited for its deadline.

Ruled out by runs: a hang of the agent (100 traced runs met none).

The agent already answered a repeated try by ALREADY_RAN; after a repeat that means that its answer was lost: a repeatable request runs again, another one is told.

Conclusion: a lost dispatch costs a second. The lost frame itself was not caught in a trace.

--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
@@ -2,6 +2,8 @@
 
 from functools import singledispatchmethod
 
+import msgspec
+
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 from hemlockdock_core.messages import AnswerChunk, AnswerEnd, AnswerHead, Cancel, Refused, Resume
 from hemlockdock_core.metrics import COUNTERS
@@ -9,6 +11,10 @@
 
 MS_PER_S = 1_000
 MAX_RESUMES_WITHOUT_PROGRESS = 3
+# Links drop frames when they break. A request that nothing was heard of is sent again, as the same
+# try, which an agent runs once; ever less often, since engines may think long.
+FIRST_REPEAT_S = 1.0
+REPEAT_GROWTH = 2.0
 # Rounding must not make the next check due at the very same time.
 SHORTEST_CHECK_S = 0.01
 
@@ -47,6 +53,9 @@
         self._length = None
         self._stall_s = coordinator.settings.entry.stall_ms / MS_PER_S
         self._stall_call = None
+        self._dispatch = None
+        self._repeat_call = None
+        self._repeats = 0
 
     @property
     def offset(self):
@@ -68,6 +77,9 @@
         self._open(message.attempt)
         self._coordinator.send(self.node.address, message)
         self._watch_for_stall()
+        if not self._resumable:
+            self._dispatch = message
+            self._repeat_later(FIRST_REPEAT_S)
 
     def resume(self):
         """Ask the agent for the rest of the answer."""
@@ -93,6 +105,7 @@
         if self._stall_call is not None:
             self._stall_call.cancel()
             self._stall_call = None
+        self._stop_repeating()
 
     def fail(self, kind, message, not_run=None):
         """End the try by what the entry itself found.
@@ -142,6 +155,7 @@
         if self._has_head:
             return
         self._has_head = True
+        self._stop_repeating()
         self._progress_at = self._coordinator.clock.seconds()
         self._listener.on_head(body.status, body.content_type)
 
@@ -157,6 +171,9 @@
             # An answer to a resumption that a newer one has replaced.
             COUNTERS.increment("entry_frames_discarded")
             return
+        if body.refusal.kind is ErrorKind.ALREADY_RAN and self._repeats:
+            self.fail(ErrorKind.STREAM_STALLED, "the answer was lost on the way")
+            return
         self.close()
         self._listener.on_failed(body.refusal)
 
@@ -183,6 +200,24 @@
         if self._resumes == 0:
             self._resume_or_fail("frames of the answer were lost")
 
+    def _repeat_later(self, delay_s):
+        clock = self._coordinator.clock
+        self._repeat_call = clock.callLater(delay_s, self._repeat, delay_s)
+
+    def _repeat(self, waited_s):
+        self._repeat_call = None
+        self._repeats += 1
+        left_ms = max(0, self._dispatch.deadline_ms - round(waited_s * MS_PER_S))
+        self._dispatch = msgspec.structs.replace(self._dispatch, deadline_ms=left_ms)
+        self._coordinator.send(self.node.address, self._dispatch)
+        COUNTERS.increment("entry_dispatches_repeated")
+        self._repeat_later(waited_s * REPEAT_GROWTH)
+
+    def _stop_repeating(self):
+        if self._repeat_call is not None:
+            self._repeat_call.cancel()
+            self._repeat_call = None
+
     def _watch_for_stall(self):
         self._stall_call = self._coordinator.clock.callLater(self._stall_s, self._check_stall)
 
