Check a fleet's routes without a running system; take no bound on connections for a bound of 1

'check routes' reads any adapter's form and names each bad field with what is expected.

Seen on reading the pool's fields again: a pool that names no number of connections was bound to one an entry since; it has no bound now. Test first (1 instead of 5 requests sent).

--- a/packages/hemlockdock-cli/hemlockdock_cli/check.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/check.py
@@ -6,7 +6,11 @@
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_core.errors import InvalidInputError
 from hemlockdock_core.manifest import manifest_digest, parse_manifest
+from hemlockdock_core.routes import route_errors
 from hemlockdock_core.settings import load_settings
+from hemlockdock_core.wire import find_wire
+
+OWN_WIRE = "hemlockdock_core.wire.own"
 
 
 class Check:
@@ -52,6 +56,29 @@
         manifest = self.parse(file)
         print(f"{file}: manifest {manifest.number} is valid, digest {manifest_digest(manifest)}")
 
+    def routes(self, file, wire=OWN_WIRE):
+        """Check routes, pools and limits of a fleet, and name every bad field.
+
+        Parameters
+        ----------
+        file : str
+        wire : str, optional
+            Module of the adapter whose form the file has.
+        """
+        try:
+            manifest = find_wire(wire).decode_routes(Path(file).read_bytes())
+        except OSError as error:
+            raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from None
+        except ImportError as error:
+            raise CommandError(ExitCode.BAD_INPUT, f"wire {wire}: {error}") from None
+        except InvalidInputError as error:
+            raise CommandError(ExitCode.BAD_INPUT, _lines(error)) from None
+        problems = route_errors(manifest, str(file))
+        if problems:
+            raise CommandError(ExitCode.BAD_INPUT, _lines(InvalidInputError(problems)))
+        routes, pools = len(manifest.routes), len(manifest.pools)
+        print(f"{file}: number {manifest.number} is valid, {routes} routes, {pools} pools")
+
     def parse(self, file):
         """Return a validated manifest.
 
--- a/packages/hemlockdock-cli/tests/test_commands.py
+++ b/packages/hemlockdock-cli/tests/test_commands.py
@@ -10,6 +10,9 @@
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_cli.main import main
 from hemlockdock_cli.tables import section_lines
+from hemlockdock_core.routes import RouteManifest
+from hemlockdock_core.rows import LimitsRow, PoolRow, RouteKind, RouteRow, WeightedPool
+from hemlockdock_core.wire import own
 
 SETTINGS = """
 [process]
@@ -64,6 +67,31 @@
         self.assertIn("format_version: ", errors)
         self.assertIn("deployment: ", errors)
 
+    def routes(self, number=3, pool="p"):
+        limits = LimitsRow(number, 1_000, 10_000, 3_000, 15_000)
+        target = (WeightedPool(pool, 1.0),)
+        route = RouteRow("r", "shop", "/a/", RouteKind.IDEMPOTENT, 500, 100, 1, target)
+        manifest = RouteManifest(limits, (route,), (PoolRow("p", "/", 10),))
+        return self.write("routes.json", own.WIRE.encode_routes(manifest).decode())
+
+    def test_good_routes_are_said_to_be_valid(self):
+        code, output, _ = run("check", "routes", self.routes())
+        self.assertEqual(code, ExitCode.OK)
+        self.assertIn("number 3 is valid, 1 routes, 1 pools", output)
+
+    def test_a_bad_route_is_named_with_what_is_expected(self):
+        code, output, errors = run("check", "routes", self.routes(pool="unknown"))
+        self.assertEqual((code, output), (ExitCode.BAD_INPUT, ""))
+        self.assertIn("routes[0].pools: ", errors)
+        self.assertIn("a known pool", errors)
+
+    def test_routes_that_cannot_be_read_and_an_unknown_adapter_are_named(self):
+        path = self.write("bad.json", '{"limits": 1')
+        for arguments, named in (((path,), "(text)"), ((path, "--wire", "no.such"), "no.such")):
+            code, _, errors = run("check", "routes", *arguments)
+            self.assertEqual(code, ExitCode.BAD_INPUT)
+            self.assertIn(named, errors)
+
     def test_a_bad_manifest_is_refused_before_control_is_called(self):
         path = self.write("bad.json", "no json")
         code, _, errors = run("--admin", "127.0.0.1:9", "submit", path)
--- a/packages/hemlockdock-core/hemlockdock_core/rows/pool_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/pool_row.py
@@ -73,7 +73,7 @@
     name : str
     probe_path : str
     most_connections : int
-        Connections that one endpoint accepts, from all hosts together.
+        Connections that one endpoint accepts, from all hosts together; 0 where none is told.
     engine : EngineSpec or None
         None for a pool of plain services.
     """
--- a/packages/hemlockdock-core/hemlockdock_core/wire/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/__init__.py
@@ -10,7 +10,7 @@
     OrderAnswer,
 )
 from hemlockdock_core.wire.headers import HeaderNames
-from hemlockdock_core.wire.load import load_wire
+from hemlockdock_core.wire.load import find_wire, load_wire
 from hemlockdock_core.wire.wire import OperatorPaths, Wire
 
 __all__ = [
@@ -25,5 +25,6 @@
     "OrderAction",
     "OrderAnswer",
     "Wire",
+    "find_wire",
     "load_wire",
 ]
--- a/packages/hemlockdock-core/hemlockdock_core/wire/load.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/load.py
@@ -19,4 +19,23 @@
     ImportError
         Where the module can't be imported.
     """
-    return importlib.import_module(settings.fleet.wire).WIRE
+    return find_wire(settings.fleet.wire)
+
+
+def find_wire(module):
+    """Return an adapter by its module.
+
+    Parameters
+    ----------
+    module : str
+
+    Returns
+    -------
+    Wire
+
+    Raises
+    ------
+    ImportError
+        Where the module can't be imported.
+    """
+    return importlib.import_module(module).WIRE
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -238,24 +238,11 @@
         """
         return self._link.table.endpoint_by_id.get(endpoint_id)
 
-    def connections_share(self, pool):
-        """Return how many connections to one endpoint this entry may have in use.
-
-        An endpoint resets those beyond what it accepts from all entries together.
-
-        Parameters
-        ----------
-        pool : PoolRow
-
-        Returns
-        -------
-        int
-        """
-        return max(1, pool.most_connections // max(1, self.entries))
-
     def rows_with_connections(self, pool):
         """Return a pool's endpoints to which this entry may send one more request.
 
+        An endpoint resets connections beyond what it accepts from all entries together.
+
         Parameters
         ----------
         pool : PoolRow
@@ -264,12 +251,11 @@
         -------
         list of EndpointRow
         """
-        share = self.connections_share(pool)
-        rows = []
-        for row in self.rows_of(pool.name):
-            if self.health.of(row.endpoint_id).in_flight < share:
-                rows.append(row)
-        return rows
+        rows = self.rows_of(pool.name)
+        if not pool.most_connections:
+            return rows
+        share = max(1, pool.most_connections // max(1, self.entries))
+        return [row for row in rows if self.health.of(row.endpoint_id).in_flight < share]
 
     def has_other(self, exchange, row):
         """Tell whether another endpoint could run a request now.
--- a/packages/hemlockdock-entry/tests/test_gateway.py
+++ b/packages/hemlockdock-entry/tests/test_gateway.py
@@ -5,7 +5,7 @@
 from support_gateway import IDEMPOTENT, ONCE, ONCE_STREAM, STREAM, GatewayWorld, endpoint
 
 from hemlockdock_core.messages import AdapterHeld, AdapterWish, DemandReport
-from hemlockdock_core.rows import LimitsRow
+from hemlockdock_core.rows import LimitsRow, PoolRow
 
 MODEL = b"X-Use-Model: m\r\n"
 EVENT_1 = b"id: 1\ndata: x\n\n"
@@ -224,6 +224,12 @@
         self.client.ask(ONCE, request_id=b"9")
         self.assertEqual((self.tries, self.client.status), (4, 503))
 
+    def test_a_pool_that_names_no_bound_has_none(self):
+        self.world.put(PoolRow("shop", "/", 0))
+        for number in range(5):
+            self.world.client().ask(ONCE, request_id=b"%d" % number)
+        self.assertEqual(self.tries, 5)
+
     def test_a_request_goes_where_connections_are_left(self):
         self.world.link.entries = 10
         self.world.gateway.health.of("a").in_flight = 1
