Begin with four loads from the store at once, and grow by one

Cause: with two at first, the time before the traffic brings two models in place of six where the store carries four.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_speed.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_speed.py
@@ -6,14 +6,13 @@
 
 from dataclasses import dataclass
 
-FIRST_AT_ONCE = 2
+# Where the store carries fewer, the loads that it can't carry only come later.
+FIRST_AT_ONCE = 4
 MOST_AT_ONCE = 16
 # A load takes a little longer than its nominal time: orders, reports and the exchange before it.
 SLOW_FACTOR = 1.2
 # A load that ends a little late for other reasons still shows the next whole number.
 ROUND_UP = 0.25
-# Growth before any load was slow, in which the number is found quickly.
-GROWTH = 2
 # After loads were slow, one more is tried at most this often.
 RETRY_S = 30.0
 
@@ -52,7 +51,7 @@
         self.at_once = FIRST_AT_ONCE
         self.is_known = False
         self._load_by_number = {}
-        self._changed_s = None
+        self._slow_s = None
 
     def began(self, number, nominal_s, now_s):
         """Take the begin of a load.
@@ -108,15 +107,15 @@
                 self._lower(load, took_s, now_s)
 
     def _grow(self, now_s):
-        if self._changed_s is None:
-            self.at_once = min(MOST_AT_ONCE, self.at_once * GROWTH)
-        elif now_s - self._changed_s >= RETRY_S:
-            self.at_once = min(MOST_AT_ONCE, self.at_once + 1)
-            self._changed_s = now_s
+        if self._slow_s is not None and now_s - self._slow_s < RETRY_S:
+            return
+        self.at_once = min(MOST_AT_ONCE, self.at_once + 1)
+        if self._slow_s is not None:
+            self._slow_s = now_s
 
     def _lower(self, load, took_s, now_s):
         self.is_known = True
         carried = max(1, int(load.most * load.nominal_s / took_s + ROUND_UP))
         if carried < self.at_once:
             self.at_once = carried
-            self._changed_s = now_s
+            self._slow_s = now_s
