--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 
 from hemlockdock_core.errors import ErrorKind, Refusal
-from hemlockdock_core.messages import AdapterWish, DemandReport, ModelDemand
-from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.messages import DemandReport, ModelDemand
+from hemlockdock_entry.gateway.adapter_waits import AdapterWaits
 from hemlockdock_entry.gateway.model_supply import ModelSupply
 from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
 
@@ -14,8 +14,6 @@
 MS_PER_S = 1_000
 REPORT_DELAY_S = 0.004
 REPORT_REPEAT_S = 0.25
-# An adapter takes some milliseconds; an agent that doesn't answer by then is not reached.
-ADAPTER_TIMEOUT_S = 0.7
 # Part of an endpoint's slots that one entry fills; others send requests there, too.
 SLOTS_SHARE = 0.6
 
@@ -86,8 +84,7 @@
         self._use_by_model = {}
         self._changed = set()
         self._report_call = None
-        self._adapter_until_s = {}
-        self._adapter_waiting = {}
+        self._adapters = AdapterWaits(gateway, self._settle_adapter)
         self._reported_s = 0.0
         self._supply = ModelSupply()
 
@@ -125,7 +122,7 @@
         if exchange in use.waiting:
             use.waiting.remove(exchange)
             self._note_change(use)
-        if self._stop_waiting(exchange):
+        if self._adapters.leave(exchange):
             self._free_place(exchange)
 
     def released(self, exchange):
@@ -144,7 +141,7 @@
     def table_changed(self):
         """Send what waits and can be run now, and refuse what waits in vain."""
         self._supply.learn(self._gateway.all_rows(), self._gateway.clock.seconds())
-        self._forget_gone_adapters()
+        self._adapters.forget_gone()
         for use in self._use_by_model.values():
             if use.waiting:
                 self._pump(use)
@@ -154,9 +151,8 @@
         for use in self._use_by_model.values():
             if use.waiting:
                 self._pump(use)
-        for waiting in list(self._adapter_waiting.values()):
-            for exchange in list(waiting):
-                self._refuse_if_hopeless(self._use(exchange), exchange)
+        for exchange in self._adapters.all_waiting():
+            self._refuse_if_hopeless(self._use(exchange), exchange)
 
     def refuse_all(self, refusal):
         """Refuse everything that waits.
@@ -168,9 +164,8 @@
         for use in self._use_by_model.values():
             for exchange in list(use.waiting):
                 exchange.refuse(refusal)
-        for waiting in list(self._adapter_waiting.values()):
-            for exchange in list(waiting):
-                exchange.refuse(refusal)
+        for exchange in self._adapters.all_waiting():
+            exchange.refuse(refusal)
 
     def adapter_held(self, message):
         """Take an agent's word on an adapter.
@@ -179,13 +174,7 @@
         ----------
         message : AdapterHeld
         """
-        key = (message.endpoint_id, message.model, message.adapter)
-        waiting = self._adapter_waiting.pop(key, [])
-        if message.held_ms:
-            now_s = self._gateway.clock.seconds()
-            self._adapter_until_s[key] = now_s + message.held_ms / MS_PER_S
-        for exchange in waiting:
-            self._settle_adapter(exchange, bool(message.held_ms))
+        self._adapters.take(message)
 
     def repeat_report(self):
         """Tell the leader of all that waits or runs; a report may have been lost."""
@@ -238,12 +227,6 @@
             use.return_at_s.append(now_s + after_ms / MS_PER_S)
         exchange.refuse(Refusal.of(kind, why, retry_after_ms=after_ms))
 
-    def _forget_gone_adapters(self):
-        for key in list(self._adapter_until_s):
-            endpoint_id = key[0]
-            if self._gateway.row(endpoint_id) is None:
-                del self._adapter_until_s[key]
-
     def _choose(self, exchange):
         gateway = self._gateway
         now_s = gateway.clock.seconds()
@@ -257,56 +240,26 @@
                 usable.append(row)
         preferred = frozenset()
         if exchange.adapter:
-            preferred = self._holders(exchange, usable, now_s)
+            preferred = self._holders(exchange, usable)
         row = gateway.health.choose(usable, now_s, exchange.tried_ids, preferred)
         if row is None and exchange.tried_ids:
             row = gateway.health.choose(usable, now_s, frozenset(), preferred)
         return row
 
-    def _holders(self, exchange, rows, now_s):
-        holders = set()
-        for row in rows:
-            key = (row.endpoint_id, exchange.model, exchange.adapter)
-            if self._adapter_until_s.get(key, 0.0) > now_s:
-                holders.add(row.endpoint_id)
-        return holders
+    def _holders(self, exchange, rows):
+        held = [row.endpoint_id for row in rows if self._adapters.is_held(exchange, row)]
+        return frozenset(held)
 
     def _send(self, exchange, row):
         if not exchange.adapter:
             exchange.send_to(row)
             return
-        key = (row.endpoint_id, exchange.model, exchange.adapter)
-        self._wish(key, row)
-        if self._adapter_until_s.get(key, 0.0) > self._gateway.clock.seconds():
+        self._adapters.wish(exchange, row)
+        if self._adapters.is_held(exchange, row):
             exchange.send_to(row)
             return
-        self._adapter_waiting.setdefault(key, []).append(exchange)
-        exchange.reserved_id = row.endpoint_id
         self._gateway.health.of(row.endpoint_id).in_flight += 1
-        self._gateway.clock.callLater(
-            ADAPTER_TIMEOUT_S, self._adapter_late, exchange, row.endpoint_id
-        )
-
-    def _wish(self, key, row):
-        if row.agent_address:
-            self._gateway.send(row.agent_address, AdapterWish(*key))
-
-    def _adapter_late(self, exchange, endpoint_id):
-        if exchange.reserved_id != endpoint_id or not self._stop_waiting(exchange):
-            return
-        COUNTERS.increment("gateway_adapters_late")
-        self._settle_adapter(exchange, False)
-
-    def _stop_waiting(self, exchange):
-        """Take a request out of those that wait for an adapter; tell whether it was there."""
-        key = (exchange.reserved_id, exchange.model, exchange.adapter)
-        waiting = self._adapter_waiting.get(key, [])
-        if exchange not in waiting:
-            return False
-        waiting.remove(exchange)
-        if not waiting:
-            del self._adapter_waiting[key]
-        return True
+        self._adapters.wait(exchange, row)
 
     def _free_place(self, exchange):
         """Give back the place that was kept for a request while it waited for an adapter."""
