--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
@@ -7,14 +7,13 @@
 from hemlockdock_core.rows import RouteKind
 from hemlockdock_entry.gateway.answer_writer import AnswerWriter
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
-from hemlockdock_entry.gateway.messages import passed_headers, write_head
+from hemlockdock_entry.gateway.forwarded_request import forwarded_request
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1_000
 HOST = b"host"
-CONNECTION = b"connection"
 CONTENT_ENCODING = b"content-encoding"
 # Control that was not there at once takes about an election more.
 NO_ROUTES_RETRY_MS = 800
@@ -159,7 +158,8 @@
         self._relays = False
         self._body = []
         self._body_bytes = 0
-        self._try = EndpointTry(self, row, self.request_id, self._request_bytes(row))
+        data = forwarded_request(self, row, self._gateway, self._answer.last_event_id)
+        self._try = EndpointTry(self, row, self.request_id, data)
         health = self._gateway.health.of(row.endpoint_id)
         health.in_flight += 1
         self._try.begin(self._gateway.channels(row), self._gateway.clock.seconds())
@@ -393,26 +393,6 @@
             return
         self.refuse(Refusal.of(ErrorKind.DEADLINE_UNREACHABLE, "the deadline passed"))
 
-    def _request_bytes(self, row):
-        names = self._gateway.headers
-        request = self.request
-        connection_value = request.value_by_name.get(CONNECTION, b"")
-        headers = passed_headers(request.headers, connection_value, self._gateway.dropped_headers)
-        left_ms = max(1, int(self.left_s * MS_PER_S))
-        headers.append((names.time_left_ms, b"%d" % left_ms))
-        headers.append((names.expected_endpoint, row.endpoint_id.encode()))
-        if self.model:
-            headers.append((names.priority, b"%d" % min(9, self.route.urgency)))
-        if request.body or b"content-length" in request.value_by_name:
-            headers.append((b"Content-Length", b"%d" % len(request.body)))
-        elif b"transfer-encoding" in request.value_by_name:
-            headers.append((b"Content-Length", b"0"))
-        if self._answer.last_event_id:
-            headers = [item for item in headers if item[0].lower() != names.last_event_id]
-            headers.append((names.last_event_id, self._answer.last_event_id))
-        line = request.method + b" " + request.target + b" HTTP/1.1"
-        return write_head(line, headers) + request.body
-
     def _break_off(self, reason):
         self._log("broken_off", reason)
         COUNTERS.increment("gateway_streams_broken_off")
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/forwarded_request.py
@@ -0,0 +1,45 @@
+"""Write a client's request as an endpoint gets it."""
+
+from hemlockdock_entry.gateway.messages import passed_headers, write_head
+
+MS_PER_S = 1_000
+CONNECTION = b"connection"
+CONTENT_LENGTH = b"Content-Length"
+LEAST_URGENT = 9
+
+
+def forwarded_request(exchange, row, gateway, last_event_id):
+    """Return a request's bytes for one endpoint.
+
+    Parameters
+    ----------
+    exchange : Exchange
+    row : EndpointRow
+        The only endpoint that is to run it.
+    gateway : Gateway
+        With the names of headers, and those that are not passed on.
+    last_event_id : bytes
+        The last event that the client has; empty where it has none.
+
+    Returns
+    -------
+    bytes
+    """
+    names = gateway.headers
+    request = exchange.request
+    connection_value = request.value_by_name.get(CONNECTION, b"")
+    headers = passed_headers(request.headers, connection_value, gateway.dropped_headers)
+    left_ms = max(1, int(exchange.left_s * MS_PER_S))
+    headers.append((names.time_left_ms, b"%d" % left_ms))
+    headers.append((names.expected_endpoint, row.endpoint_id.encode()))
+    if exchange.model:
+        headers.append((names.priority, b"%d" % min(LEAST_URGENT, exchange.route.urgency)))
+    if request.body or b"content-length" in request.value_by_name:
+        headers.append((CONTENT_LENGTH, b"%d" % len(request.body)))
+    elif b"transfer-encoding" in request.value_by_name:
+        headers.append((CONTENT_LENGTH, b"0"))
+    if last_event_id:
+        headers = [item for item in headers if item[0].lower() != names.last_event_id]
+        headers.append((names.last_event_id, last_event_id))
+    line = request.method + b" " + request.target + b" HTTP/1.1"
+    return write_head(line, headers) + request.body
