Seek the leader often while none is known, and read the directory as soon as one leads

Entries, started 0.3 s before control, asked again 1.0 s after their start; agents were heard at 36.78 to 37.48; the new leader's endpoints came with the next poll, at 36.78; models were exchanged from 37.48 on. Nodes asked one member at 0.5 s, and all only after 0.6 s of silence, counted from their start.

Now a node of a fleet that knows no leader, or whose leader is quiet, asks every member each 0.2 s, and a member that comes to lead reads the directory at once.

Ruled out: a shorter first election: a member that has just started may have acknowledged a lease.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -227,6 +227,8 @@
         self._demand.clear()
         self._placement.clear()
         self._recording = False
+        # Without the directory no entry gets an endpoint from a new leader.
+        self._read_directory()
 
     def _send(self, address, message):
         self._transport.send(address, message)
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -24,6 +24,9 @@
 SILENT_HEARTBEATS = 3
 # In a fleet, any member can tell where the leader is; they are all asked after this.
 QUIET_HEARTBEATS = 1.2
+# A node of a fleet that knows no leader, or whose leader is quiet, asks this often: everything that
+# it serves waits for the answer.
+SEEK_S = 0.2
 PROPOSAL_REPEAT_S = 0.4
 TICK_S = 0.1
 MOST_UNACKNOWLEDGED = 256
@@ -65,6 +68,7 @@
         self._sequence = 0
         self._info_known = False
         self._fresh_s = None
+        self._beat_s = 0.0
         self._changed_load_by_model = {}
         self._sent_loads_by_sequence = {}
         self._sent_s_by_sequence = {}
@@ -78,7 +82,7 @@
         self.incarnation = message_transport.incarnation
         self.entries = ASSUMED_ENTRIES
         self._proposals = PendingProposals(f"{info.node_id}-{self.incarnation}", PROPOSAL_REPEAT_S)
-        self._heartbeats = Repeating(reactor, self._beat)
+        self._heartbeats = Repeating(reactor, self._beat_regularly)
         self._ticks = Repeating(reactor, self._tick)
 
     @property
@@ -234,12 +238,18 @@
         """
         self._choice.learn_seeds(settings.members)
 
+    def _beat_regularly(self):
+        # A node that seeks the leader may just have asked everyone.
+        if not self._sequence or self._reactor.seconds() - self._beat_s >= SEEK_S / 2:
+            self._beat()
+
     def _beat(self):
         silent = self._choice.current
         if self._choice.check(self._reactor.seconds()):
             # The connection may have gone silent for good; a new one is made when it is needed.
             self._transport.forget(silent.node_address)
             self._moved()
+        self._beat_s = self._reactor.seconds()
         self._sequence += 1
         loads = list(self._changed_load_by_model.values())
         self._sent_loads_by_sequence[self._sequence] = loads
@@ -254,16 +264,19 @@
             None if self._info_known else self._info,
             loads,
         )
-        if not self._asks_all():
+        # The first one goes to one member: mostly a leader is there.
+        if self._sequence == 1 or not self._seeks_leader():
             self.send(heartbeat)
             return
         for member in self._choice.all:
             self._transport.send(member.node_address, heartbeat)
 
-    def _asks_all(self):
-        """Tell whether every member is asked where the leader is, since the chosen one is quiet."""
+    def _seeks_leader(self):
+        """Tell whether every member is asked where the leader is: none is known, or it is quiet."""
         if not self._settings.in_fleet:
             return False
+        if self._fresh_s is None:
+            return True
         return self._choice.is_quiet(self._reactor.seconds(), QUIET_HEARTBEATS * self._heartbeat_s)
 
     def _moved(self):
@@ -279,6 +292,8 @@
             self.send(proposal)
         if self._copy.table.revision == 0:
             self._watch()
+        if self._seeks_leader() and self._reactor.seconds() - self._beat_s >= SEEK_S - TICK_S / 2:
+            self._beat()
 
     def _watch(self):
         if not self._watches:
--- a/packages/hemlockdock-core/tests/test_fleet_link.py
+++ b/packages/hemlockdock-core/tests/test_fleet_link.py
@@ -80,6 +80,22 @@
         self.clock.advance(0.5)
         self.assertEqual(sorted(self.heartbeats()), [address(ip) for ip in HOSTS])
 
+    def test_a_node_that_knows_no_leader_asks_everyone_often(self):
+        """After a stop of everything, nodes mostly start before control does."""
+        self.assertEqual(len(self.heartbeats()), 1)
+        self.clock.pump([0.1] * 4)
+        self.assertEqual(sorted(self.heartbeats()), sorted(2 * [address(ip) for ip in HOSTS]))
+        self.acknowledge("127.0.0.1", "127.0.0.1")
+        self.clock.pump([0.1] * 4)
+        self.assertLessEqual(len(self.heartbeats()), 1)
+
+    def test_so_does_one_whose_leader_is_quiet(self):
+        self.acknowledge("127.0.0.1", "127.0.0.1")
+        self.clock.pump([0.1] * 6)
+        self.heartbeats()
+        self.clock.pump([0.1] * 6)
+        self.assertGreaterEqual(len(self.heartbeats()), 3 * len(HOSTS))
+
     def test_a_leader_that_was_given_up_is_not_gone_back_to_at_once(self):
         self.acknowledge("127.0.0.1", "127.0.0.1")
         self.clock.pump([0.5] * 5)
