--- a/tools/benchmarks/bench_control_table.py
+++ b/tools/benchmarks/bench_control_table.py
@@ -26,6 +26,8 @@
 DAY_S = 86_400
 IDLE_S = 8
 POLL_S = 0.002
+UNAVAILABLE = 503
+RETRY_S = 0.05
 IN_FORCE_BOUND_S = 2.0
 TRAFFIC_BOUND = 2_000.0
 SEED = 0
@@ -156,11 +158,16 @@
     @inlineCallbacks
     def _submit(self, number):
         url = f"http://{self._services[0].admin_address}/v1/manifest?wait_ms=0"
-        body = WholeBody(manifest_json(number))
-        response = yield Agent(self._reactor).request(b"POST", url.encode(), None, body)
-        text = yield readBody(response)
-        if response.code != 200:
-            raise RuntimeError(f"manifest refused: {text}")
+        while True:
+            body = WholeBody(manifest_json(number))
+            response = yield Agent(self._reactor).request(b"POST", url.encode(), None, body)
+            text = yield readBody(response)
+            if response.code == 200:
+                return
+            # A member that hasn't heard the new leader yet asks its clients to come back.
+            if response.code != UNAVAILABLE:
+                raise RuntimeError(f"manifest refused: {text}")
+            yield deferLater(self._reactor, RETRY_S)
 
     @inlineCallbacks
     def _until(self, condition):
--- a/tools/run_benchmarks.py
+++ b/tools/run_benchmarks.py
@@ -2,6 +2,8 @@
 
 import importlib
 import sys
+import traceback
+from dataclasses import dataclass, field
 from pathlib import Path
 
 ROOT = Path(__file__).parent
@@ -27,6 +29,51 @@
         yield module
 
 
+@dataclass(slots=True)
+class Outcome:
+    """Hold what went wrong.
+
+    Attributes
+    ----------
+    past_bound : list of str
+        Figures.
+    failed : list of str
+        Benchmarks that ended by an error.
+    """
+
+    past_bound: list = field(default_factory=list)
+    failed: list = field(default_factory=list)
+
+
+def run(benchmarks, output):
+    """Run benchmarks one after the other; an error in one doesn't hide the others.
+
+    Parameters
+    ----------
+    benchmarks : iterable of module
+        With ``measure()``, which yields figures.
+    output : file
+        Gets one line for each figure.
+
+    Returns
+    -------
+    Outcome
+    """
+    outcome = Outcome()
+    for module in benchmarks:
+        try:
+            for figure in module.measure():
+                print(figure.line(), file=output, flush=True)
+                print(figure.line(), flush=True)
+                if not figure.holds:
+                    outcome.past_bound.append(figure.name)
+        except Exception:
+            # Whatever a benchmark ends by, it is reported, and the next one is run.
+            traceback.print_exc()
+            outcome.failed.append(module.__name__)
+    return outcome
+
+
 def main():
     """Run the benchmarks named on the command line, or all of them."""
     sys.path.insert(0, str(ROOT))
@@ -34,16 +81,13 @@
     virtual_only = "--virtual" in arguments
     wanted = [item for item in arguments if not item.startswith("--")]
     OUTPUT.parent.mkdir(exist_ok=True)
-    broken = []
     with OUTPUT.open("w") as output:
-        for module in modules(wanted, virtual_only):
-            for figure in module.measure():
-                print(figure.line(), file=output, flush=True)
-                print(figure.line(), flush=True)
-                if not figure.holds:
-                    broken.append(figure.name)
-    if broken:
-        print(f"past their bounds: {', '.join(broken)}", file=sys.stderr)
+        outcome = run(modules(wanted, virtual_only), output)
+    if outcome.past_bound:
+        print(f"past their bounds: {', '.join(outcome.past_bound)}", file=sys.stderr)
+    if outcome.failed:
+        print(f"ended by an error: {', '.join(outcome.failed)}", file=sys.stderr)
+    if outcome.past_bound or outcome.failed:
         sys.exit(1)
 
 
