--- a/packages/hemlockdock-standins/hemlockdock_standins/fleet/__main__.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/fleet/__main__.py
@@ -10,7 +10,7 @@
 SLOTS = 8
 
 
-def run(directory, engines, services):
+def run(directory, engines, services, listed_port=0):
     """Listen for everything.
 
     Parameters
@@ -19,6 +19,8 @@
         ``ip:port`` of the directory.
     engines, services : str
         Comma-separated ``ip:port`` of each endpoint of the pools ``lm`` and ``shop``.
+    listed_port : int, optional
+        Port at which the directory lists all of them, where something stands before them.
     """
     listing = FleetDirectory()
     _listen(directory, listing)
@@ -26,8 +28,10 @@
         for address in addresses.split(","):
             endpoint_id = f"{pool}-{address}"
             _listen(address, FleetEngine(reactor, endpoint_id, models))
+            ip, _, port = address.rpartition(":")
+            listed = f"{ip}:{listed_port or port}"
             listing.row_by_id[endpoint_id] = EndpointRow(
-                endpoint_id, pool, address, "domain-a", SLOTS, False
+                endpoint_id, pool, listed, "domain-a", SLOTS, False
             )
     reactor.run()
 
--- a/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
@@ -15,9 +15,31 @@
 MISDIRECTED = 421
 PROBE_PATH = "/"
 
+LEDGER_PATH = "/ledger"
+
 ORDER_DECODER = msgspec.json.Decoder(EngineOrder)
 
 
+class Ledger(msgspec.Struct):
+    """Hold what an engine has seen, for tests to judge.
+
+    Attributes
+    ----------
+    endpoint_id : str
+    runs : list of str
+        Ids of the requests that were run, in order.
+    orders : list of EngineOrder
+        Those that were accepted, in order.
+    most_models : int
+        Most models that were loaded at any time.
+    """
+
+    endpoint_id: str
+    runs: list[str]
+    orders: list[EngineOrder]
+    most_models: int
+
+
 class FleetEngine(Resource):
     """Answer requests, reports and orders of one engine.
 
@@ -30,8 +52,7 @@
 
     Attributes
     ----------
-    runs : list of str
-        Ids of the requests that were run, in order.
+    ledger : Ledger
     """
 
     isLeaf = True
@@ -43,13 +64,15 @@
         self._models = set(models)
         self._sequence = 0
         self._busy = False
-        self.runs = []
+        self.ledger = Ledger(endpoint_id, [], [], len(self._models))
 
     def render(self, request):
         """Answer one call."""
         path = request.path.decode()
         if path == WIRE.report_path:
             return msgspec.json.encode(self._report())
+        if path == LEDGER_PATH:
+            return msgspec.json.encode(self.ledger)
         if not self._is_meant(request):
             request.setResponseCode(MISDIRECTED)
             return b""
@@ -90,6 +113,7 @@
             return b""
         self._sequence += 1
         self._busy = True
+        self.ledger.orders.append(order)
         self._reactor.callLater(LOAD_S, self._carry_out, order)
         request.setResponseCode(ACCEPTED)
         return b""
@@ -98,6 +122,7 @@
         self._busy = False
         if order.action is OrderAction.LOAD:
             self._models.add(order.model)
+            self.ledger.most_models = max(self.ledger.most_models, len(self._models))
         else:
             self._models.discard(order.model)
 
@@ -109,8 +134,9 @@
         if model is not None and model not in self._models:
             request.setResponseCode(MISDIRECTED)
             return b""
-        self.runs.append(request_id)
-        request.setHeader(HEADERS.signature, f"{self._endpoint_id}.{len(self.runs)}")
+        self.ledger.runs.append(request_id)
+        mark = f"{self._endpoint_id}.{len(self.ledger.runs)}"
+        request.setHeader(HEADERS.signature, mark)
         if model is None:
             return b"ran " + request_id.encode()
         request.setHeader(b"Content-Type", b"text/event-stream")
--- /dev/null
+++ b/tools/soak/clients.py
@@ -0,0 +1,144 @@
+"""Send requests as clients do, over kept connections, and remember what came of each."""
+
+import http.client
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from soak.fleet import CALL_TIMEOUT_S, HTTP_PORT, MODELS, Answer, exchange
+
+PAUSE_S = 0.05
+TIME_LEFT_MS = 9_000
+KINDS = ("read", "write", "live")
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """Remember one request and its answer.
+
+    Attributes
+    ----------
+    request_id, kind : str
+    ended_s : float
+        Monotonic.
+    answer : Answer
+    """
+
+    request_id: str
+    kind: str
+    ended_s: float
+    answer: Answer
+
+
+class Client:
+    """Send one request after the other from a thread of its own.
+
+    Parameters
+    ----------
+    name : str
+    entry_ips : list of str
+    seed : int
+
+    Attributes
+    ----------
+    sent : list of Sent
+    """
+
+    def __init__(self, name, entry_ips, seed):
+        self.sent = []
+        self._name = name
+        self._entry_ips = entry_ips
+        self._random = random.Random(f"{seed}-{name}")
+        self._connection_by_ip = {}
+        self._stops = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        """Begin."""
+        self._thread.start()
+
+    def stop(self):
+        """End after the request that is under way."""
+        self._stops.set()
+        self._thread.join()
+
+    def _run(self):
+        number = 0
+        while not self._stops.is_set():
+            number += 1
+            self._send(f"{self._name}-{number}", self._random.choice(KINDS))
+            time.sleep(self._random.uniform(0.0, 2 * PAUSE_S))
+
+    def _send(self, request_id, kind):
+        ip = self._random.choice(self._entry_ips)
+        connection = self._connection_by_ip.get(ip)
+        if connection is None:
+            connection = http.client.HTTPConnection(ip, HTTP_PORT, timeout=CALL_TIMEOUT_S)
+            self._connection_by_ip[ip] = connection
+        headers = {
+            "Host": "shop.test",
+            "X-Request-Id": request_id,
+            "X-Time-Left-Ms": str(TIME_LEFT_MS),
+        }
+        if kind == "live":
+            headers["X-Use-Model"] = self._random.choice(MODELS)
+        answer = exchange(connection, "POST", f"/{kind}/x", b"body", headers)
+        self.sent.append(Sent(request_id, kind, time.monotonic(), answer))
+
+
+class Operator:
+    """Put routes in force, and read them back, from a thread of its own.
+
+    Parameters
+    ----------
+    fleet : LocalFleet
+    submit : callable
+        Takes a number and an address; returns a status.
+    read : callable
+        Takes an address; returns the number that is in force there, None where it isn't told.
+    seed : int
+
+    Attributes
+    ----------
+    acknowledged : list of (float, int)
+        When a number was acknowledged, monotonic.
+    reads : list of (float, int)
+        When a read was sent, and the number that it brought.
+    submitted : set of int
+    """
+
+    def __init__(self, fleet, submit, read, seed):
+        self.acknowledged = []
+        self.reads = []
+        self.submitted = set()
+        self._ips = fleet.plan.control_ips
+        self._submit = submit
+        self._read = read
+        self._random = random.Random(f"{seed}-operator")
+        self._stops = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        """Begin."""
+        self._thread.start()
+
+    def stop(self):
+        """End after the call that is under way."""
+        self._stops.set()
+        self._thread.join()
+
+    def _run(self):
+        number = 100
+        while not self._stops.is_set():
+            ip = self._random.choice(self._ips)
+            if self._random.random() < 0.3:
+                number += self._random.randint(1, 3)
+                self.submitted.add(number)
+                if self._submit(number, ip) == 200:
+                    self.acknowledged.append((time.monotonic(), number))
+            sent_s = time.monotonic()
+            found = self._read(ip)
+            if found is not None:
+                self.reads.append((sent_s, found))
+            time.sleep(self._random.uniform(0.0, 4 * PAUSE_S))
--- /dev/null
+++ b/tools/soak/fleet.py
@@ -0,0 +1,321 @@
+"""Start, signal and end the real processes of a small fleet on loopback."""
+
+import http.client
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from hemlockdock_core.routes import RouteManifest
+from hemlockdock_core.rows import (
+    EngineSpec,
+    LimitsRow,
+    ModelSpec,
+    PoolRow,
+    RouteKind,
+    RouteRow,
+    WeightedPool,
+)
+
+ADMIN_PORT = 27_401
+NODE_PORT = 27_402
+PEER_PORT = 27_403
+HTTP_PORT = 27_404
+READY_PORT = 27_405
+DIRECTORY_PORT = 27_406
+ENGINE_PORT = 27_407
+SERVICE_PORT = 27_408
+PROXY_PORT = 27_409
+WAIT_S = 60
+POLL_S = 0.1
+CALL_TIMEOUT_S = 15
+MODELS = ("m0", "m1")
+STANDINS = "standins"
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """Hold where the processes of a fleet listen.
+
+    Attributes
+    ----------
+    block : str
+        The first three bytes of every address.
+    controls, entries, agents : int
+        How many there are.
+    uses_proxies : bool
+        Whether endpoints are listed at ``PROXY_PORT`` of their addresses.
+    """
+
+    block: str = "127.0.71"
+    controls: int = 3
+    entries: int = 1
+    agents: int = 1
+    uses_proxies: bool = False
+
+    def ips(self, first, count):
+        """Return addresses from one on."""
+        return [f"{self.block}.{first + number}" for number in range(count)]
+
+    @property
+    def control_ips(self):
+        """Return the addresses of control members."""
+        return self.ips(1, self.controls)
+
+    @property
+    def entry_ips(self):
+        """Return the addresses of entries."""
+        return self.ips(41, self.entries)
+
+    @property
+    def agent_ips(self):
+        """Return the addresses of agents, and of the engines beside them."""
+        return self.ips(81, self.agents)
+
+    @property
+    def service_ips(self):
+        """Return the addresses of the plain services."""
+        return self.ips(121, 2)
+
+    @property
+    def standin_ip(self):
+        """Return the address of the directory."""
+        return f"{self.block}.161"
+
+    def listed(self, ip, port):
+        """Return the address at which an endpoint is reached."""
+        return f"{ip}:{PROXY_PORT if self.uses_proxies else port}"
+
+
+def manifest(number):
+    """Return a route manifest for two engines' models and a plain pool.
+
+    Parameters
+    ----------
+    number : int
+
+    Returns
+    -------
+    RouteManifest
+    """
+    models = tuple(ModelSpec(name, 30.0, 0, 0.0, 500, 200, 300) for name in MODELS)
+    engine = EngineSpec(8, 1_000, 1, 40.0, 4, 0.0, 0.0, 9.0, models)
+    routes = (
+        _route("read", RouteKind.IDEMPOTENT, "shop"),
+        _route("write", RouteKind.AT_MOST_ONCE, "shop"),
+        _route("live", RouteKind.STREAM, "lm"),
+    )
+    limits = LimitsRow(number, 16_384, 1_000_000, 3_000, 15_000)
+    return RouteManifest(limits, routes, (PoolRow("shop", "/", 60), PoolRow("lm", "/", 60, engine)))
+
+
+def _route(name, kind, pool):
+    pools = (WeightedPool(pool, 1.0),)
+    return RouteRow(name, "shop.test", f"/{name}/", kind, 10_000, 5_000, 1, pools, 2)
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold what a call brought.
+
+    Attributes
+    ----------
+    status : int or None
+        None where no whole answer came.
+    body : bytes
+    signature : str
+        The endpoint's mark; empty where there is none.
+    """
+
+    status: int | None
+    body: bytes = b""
+    signature: str = ""
+
+
+class LocalFleet:
+    """Own the processes of one fleet.
+
+    Parameters
+    ----------
+    plan : FleetPlan
+    folder : pathlib.Path
+        For settings, logs and the members' data.
+
+    Attributes
+    ----------
+    process_by_name : dict of str to subprocess.Popen
+        The latest of each name: an address, or ``standins``.
+    """
+
+    def __init__(self, plan, folder):
+        self.plan = plan
+        self.process_by_name = {}
+        self._folder = folder
+        self._role_by_name = {}
+        self._started = []
+
+    def start(self):
+        """Start everything."""
+        plan = self.plan
+        engines = [f"{ip}:{ENGINE_PORT}" for ip in plan.agent_ips]
+        services = [f"{ip}:{SERVICE_PORT}" for ip in plan.service_ips]
+        arguments = [
+            f"--directory={plan.standin_ip}:{DIRECTORY_PORT}",
+            f"--engines={','.join(engines)}",
+            f"--services={','.join(services)}",
+        ]
+        if plan.uses_proxies:
+            arguments.append(f"--listed_port={PROXY_PORT}")
+        self._run(STANDINS, "hemlockdock_standins.fleet", *arguments)
+        for role, ips in self._ips_by_role().items():
+            for ip in ips:
+                self._role_by_name[ip] = role
+                self.restart(ip)
+
+    def restart(self, name, is_first=True):
+        """Start a process, or start it again.
+
+        Parameters
+        ----------
+        name : str
+        is_first : bool, optional
+            Whether its settings say that the whole fleet starts for the first time.
+        """
+        role = self._role_by_name[name]
+        path = self._folder / f"{role}-{name}.ini"
+        path.write_text(self._settings(role, name, is_first))
+        self._run(name, "hemlockdock_daemon", f"--settings={path}")
+
+    def wipe(self, name):
+        """Empty a member's data folder."""
+        for path in self._data(name).iterdir():
+            path.unlink()
+
+    def kill(self, name):
+        """End a process at once."""
+        process = self.process_by_name[name]
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+    def signal(self, name, number):
+        """Send a signal; nothing happens where the process has ended."""
+        process = self.process_by_name[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def end(self):
+        """End every process that was started, by its id."""
+        for process in self._started:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+
+    def call(self, ip, port, method, path, body=None, headers=None):
+        """Make one call on a connection of its own.
+
+        Returns
+        -------
+        Answer
+        """
+        connection = http.client.HTTPConnection(ip, port, timeout=CALL_TIMEOUT_S)
+        try:
+            return exchange(connection, method, path, body, headers)
+        finally:
+            connection.close()
+
+    def until(self, what, check):
+        """Wait until a check holds, however busy the machine is.
+
+        Raises
+        ------
+        AssertionError
+            With the ends of the logs.
+        """
+        end = time.monotonic() + WAIT_S
+        while time.monotonic() < end:
+            found = check()
+            if found:
+                return found
+            time.sleep(POLL_S)
+        logs = "".join(path.read_text()[-2_000:] for path in self._folder.glob("*.log"))
+        raise AssertionError(f"{what} within {WAIT_S} s\n{logs}")
+
+    def _ips_by_role(self):
+        plan = self.plan
+        return {"control": plan.control_ips, "entry": plan.entry_ips, "agent": plan.agent_ips}
+
+    def _data(self, name):
+        return self._folder / f"data-{name}"
+
+    def _settings(self, role, ip, is_first):
+        data = self._data(ip)
+        data.mkdir(exist_ok=True)
+        plan = self.plan
+        lines = [
+            "[process]",
+            f"node_id = {role}-{ip}",
+            f"roles = {role}",
+            f"host = {ip}",
+            "failure_domain = domain-a",
+            f"data_folder = {data if role == 'control' else ''}",
+            "[listen]",
+            f"links = tcp://{ip}:{NODE_PORT}",
+            f"http = {ip}:{HTTP_PORT}",
+            f"admin = {ip}:{ADMIN_PORT}",
+            f"ready = {ip}:{READY_PORT}",
+            "[fleet]",
+            "seeds = " + ",".join(f"{seed}:{ADMIN_PORT}" for seed in plan.control_ips[:3]),
+            f"first_start = {str(is_first).lower()}",
+            f"node_port = {NODE_PORT}",
+            f"peer_port = {PEER_PORT}",
+            f"directory = {plan.standin_ip}:{DIRECTORY_PORT}",
+            f"engine = {plan.listed(ip, ENGINE_PORT)}",
+            "pool = lm",
+        ]
+        return "\n".join(lines) + "\n"
+
+    def _run(self, name, module, *arguments):
+        with (self._folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                env={**os.environ},
+            )
+        self.process_by_name[name] = process
+        self._started.append(process)
+
+
+def exchange(connection, method, path, body=None, headers=None):
+    """Make one call on a connection that may be kept.
+
+    Parameters
+    ----------
+    connection : http.client.HTTPConnection
+    method, path : str
+    body : bytes, optional
+    headers : dict of str to str, optional
+
+    Returns
+    -------
+    Answer
+    """
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        data = answer.read()
+    except (OSError, http.client.HTTPException):
+        # No whole answer: what the client may know of it is just that.
+        connection.close()
+        return Answer(None)
+    return Answer(answer.status, data, answer.getheader("X-Answer-Signature") or "")
+
+
+def log_paths(folder):
+    """Return the logs of a fleet's processes."""
+    return sorted(Path(folder).glob("*.log"))
