Begin one load at a time at a slow store that is not known, and count those of another leader

Until it is known what the store carries, no more loads are begun than one after the other takes 12 s, but for a model that very many wait for, which shows what it carries; one load that ended in time no longer counts as knowledge of two; engines whose change this leader didn't ask for count as loads under way. Tests: three fail before.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/hemlockdock-$(p)) $(CURDIR)/platform)
 
-.PHONY: help setup test format lint imports unit counts demo serve bench fuzz mutants slopes acceptance docs clean
+.PHONY: help setup test format lint imports unit counts demo serve bench fuzz soak mutants slopes acceptance docs clean
 
 help:
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -47,6 +47,9 @@
 fuzz: setup ## longer stateful fuzzing with a printed seed
 	$(PYTHON) tools/run_fuzz.py
 
+soak: setup ## faults on real processes, by seeds; SOAK="--seeds 50 --first 1000"
+	$(PYTHON) tools/run_soak.py $(SOAK)
+
 mutants: setup ## show that the deliberate faults are caught
 	$(PYTHON) tools/run_mutants.py
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -41,8 +41,9 @@
 # A copy that was fetched from the store is reckoned to be of use for this long.
 LASTING_S = 12.0
 EARLY_GAIN = 20.0
-# Loads that nobody asked for may keep a store that carries one of them for this long.
-AHEAD_STORE_S = 12.0
+# Before it is known how much the store carries, a store that carries one load is taken for this
+# long at most: others will be asked for, and stand behind what was begun.
+UNKNOWN_STORE_S = 12.0
 # What a model is worth more than another before it displaces it with nobody waiting.
 GAIN_MARGIN_PER_S = 0.2
 
@@ -105,6 +106,9 @@
             self._at_hand |= view.report.in_host_memory | view.report.on_host_disk
             if view.pending is not None and view.pending.source == "store":
                 self._store_loads += 1
+            if view.pending is None and view.changing:
+                # Another leader had it begun, maybe from the store.
+                self._store_loads += 1
             if view.is_free:
                 self._free.append(view)
 
@@ -241,6 +245,8 @@
             return False
         store = self._memory.store
         at_once = store.at_once
+        if not store.is_known and gain < VERY_MANY_REQUESTS:
+            at_once = min(at_once, _carried_by_any(spec))
         most = max(1, at_once - STORE_LOADS_KEPT_FOR_MANY)
         if gain >= MANY_REQUESTS:
             most = at_once
@@ -258,8 +264,7 @@
             return None
         if self._memory.may_fetch_ahead(self._now_s) and self._is_early:
             for name, spec in self._spec_by_name.items():
-                most = max(1, int(AHEAD_STORE_S * MS_PER_S / max(1, spec.store_load_ms)))
-                if self._store_loads >= most:
+                if self._store_loads >= _carried_by_any(spec):
                     continue
                 if name in self._at_hand or self._copies_by_name.get(name, 0):
                     continue
@@ -339,3 +344,8 @@
         if use is None:
             return 0
         return use.in_flight // max(1, self._copies_by_name.get(name, 1))
+
+
+def _carried_by_any(spec):
+    """Return how many loads of a model may be begun at a store that is not known."""
+    return max(1, int(UNKNOWN_STORE_S * MS_PER_S / max(1, spec.store_load_ms)))
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_speed.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_speed.py
@@ -47,7 +47,7 @@
     at_once : int
         Loads that the store is taken to carry at full speed.
     is_known : bool
-        Whether any load has shown it.
+        Whether any load beside another, or one that was late, has shown it.
     """
 
     def __init__(self):
@@ -93,7 +93,7 @@
         if took_s > SLOW_FACTOR * load.nominal_s:
             self._lower(load, took_s, now_s)
             return
-        self.is_known = True
+        self.is_known = self.is_known or load.found > 1
         if load.found >= self.at_once:
             self._grow(now_s)
 
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -28,8 +28,8 @@
 SLACK_S = 0.001
 
 
-def spec(name, mb=34.0):
-    return ModelSpec(name, mb, 0, 0.0, 6_000, 390, 510)
+def spec(name, mb=34.0, store_load_ms=6_000):
+    return ModelSpec(name, mb, 0, 0.0, store_load_ms, 390, 510)
 
 
 def pool(*models):
@@ -210,6 +210,33 @@
         self.memory.store.at_once = 1
         self.assertEqual(self.choices(), [])
 
+    def begun(self, name, store_load_ms, waiting):
+        """Return what is fetched beside one load from the store, before its speed is known."""
+        message = ChangeModels(1, 1, "y", (), "other")
+        pending = PendingChange(message, 1, "store", LATE_S, LATE_S + 6)
+        self.models = [spec(name, store_load_ms=store_load_ms)]
+        self.memory = PlacementMemory()
+        self.views = {"y": view("y", report(), pending), "x": view("x", report())}
+        self.wait(name, waiting=waiting)
+        return [choice[1] for choice in self.choices()]
+
+    def test_a_slow_store_that_is_not_known_gets_one_load_at_a_time(self):
+        """Where it carries no more, one that many wait for would stand behind the others."""
+        self.assertEqual(self.begun("rare", 13_200, 5), [])
+        self.assertEqual(self.begun("quick", 6_000, 5), ["quick"])
+
+    def test_a_second_one_that_very_many_wait_for_shows_what_it_carries(self):
+        self.assertEqual(self.begun("rare", 13_200, 20), ["rare"])
+
+    def test_loads_that_another_leader_began_count(self):
+        busy = report()
+        self.models = [spec("rare", store_load_ms=13_200)]
+        self.memory = PlacementMemory()
+        self.views = {"y": view("y", busy), "x": view("x", report())}
+        self.views["y"].changing = True
+        self.wait("rare", waiting=5)
+        self.assertEqual(self.choices(), [])
+
     def test_a_load_from_the_store_does_not_displace_what_many_ask_for(self):
         """It would be missed for as long as the load takes."""
         self.warm_up(hot=4, other=4)
--- a/packages/hemlockdock-control/tests/test_fleet_store_speed.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_speed.py
@@ -76,6 +76,12 @@
     def test_a_store_that_carries_more_than_may_ever_run(self):
         self.assertEqual(self.learnt(99, 30 * NOMINAL_S), [MOST_AT_ONCE, MOST_AT_ONCE])
 
+    def test_one_load_that_ended_in_time_says_nothing_of_two(self):
+        speed = StoreSpeed()
+        speed.began(1, NOMINAL_S, 0.0)
+        speed.ended(1, True, NOMINAL_S)
+        self.assertFalse(speed.is_known)
+
     def test_it_is_known_only_once_a_load_has_ended_or_is_late(self):
         speed = StoreSpeed()
         store = PlayedStore(4, speed)
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -61,16 +61,25 @@
     def stop(self):
         """End after the request that is under way."""
         self._stops.set()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
+        for connection in self._connection_by_ip.values():
+            connection.close()
 
     def _run(self):
         number = 0
         while not self._stops.is_set():
             number += 1
-            self._send(f"{self._name}-{number}", self._random.choice(KINDS))
+            self.ask(f"{self._name}-{number}", self._random.choice(KINDS))
             time.sleep(self._random.uniform(0.0, 2 * PAUSE_S))
 
-    def _send(self, request_id, kind):
+    def ask(self, request_id, kind):
+        """Send one request and wait for its answer.
+
+        Parameters
+        ----------
+        request_id, kind : str
+        """
         ip = self._random.choice(self._entry_ips)
         connection = self._connection_by_ip.get(ip)
         if connection is None:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -110,7 +110,7 @@
             worker.start()
         self._play()
         self._fleet.until("a request served after the faults", lambda: self._serves(ask))
-        for worker in (*clients, operator):
+        for worker in (*clients, operator, ask):
             worker.stop()
         time.sleep(SETTLE_S)
         return self._judge([*clients, ask], operator, folder)
@@ -137,7 +137,7 @@
     def _serves(self, client):
         before = len(client.sent)
         for number, kind in enumerate(("read", "write", "live")):
-            client._send(f"f{before + number}", kind)
+            client.ask(f"f{before + number}", kind)
         return all(item.answer.status == 200 for item in client.sent[before:])
 
     def _submit(self, number, ip):
