--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -29,8 +29,10 @@
         try:
             result = SoakRun(seed, seconds).run()
         except AssertionError as error:
-            print(f"seed {seed}: {error}", flush=True)
+            print(f"seed {seed}: {str(error).splitlines()[0]}", flush=True)
             failed.append(seed)
+            folder = _folder(seed)
+            (folder / "error.txt").write_text(str(error))
             continue
         print(
             f"seed {seed}: {len(result.faults)} faults, {result.served} of {result.requests} "
@@ -46,8 +48,7 @@
 
 
 def _keep(result):
-    folder = KEPT / f"seed-{result.seed}"
-    folder.mkdir(parents=True, exist_ok=True)
+    folder = _folder(result.seed)
     for breach in result.breaches:
         print(f"  {breach.rule}: {breach.what}", flush=True)
     for fault in result.faults:
@@ -56,5 +57,11 @@
         (folder / name).write_text(text)
 
 
+def _folder(seed):
+    folder = KEPT / f"seed-{seed}"
+    folder.mkdir(parents=True, exist_ok=True)
+    return folder
+
+
 if __name__ == "__main__":
     fire.Fire(main)
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -11,6 +11,9 @@
 PAUSE_S = 0.05
 TIME_LEFT_MS = 9_000
 KINDS = ("read", "write", "live")
+# Part of an operator's calls that change routes; the others read them back.
+CHANGE_PART = 0.3
+FIRST_NUMBER = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,10 +141,10 @@
         self._thread.join()
 
     def _run(self):
-        number = 100
+        number = FIRST_NUMBER
         while not self._stops.is_set():
             ip = self._random.choice(self._ips)
-            if self._random.random() < 0.3:
+            if self._random.random() < CHANGE_PART:
                 number += self._random.randint(1, 3)
                 self.submitted.add(number)
                 if self._submit(number, ip) == 200:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,7 +10,10 @@
 # Time between the begins of two faults; most last longer, so that they overlap.
 GAP_S = (0.2, 1.6)
 LENGTH_S = (0.3, 4.0)
-MOST_CONTROLS_HARMED = 1
+# Part of the faults that harm an endpoint's connections; the others harm processes.
+HARM_PART = 0.35
+# A member that comes back takes part again after this time.
+CATCH_UP_S = 5.0
 
 
 class FaultKind(Enum):
@@ -74,14 +77,13 @@
         key = "control" if is_control else fault.target
         if busy_until_s.get(key, 0.0) > at_s:
             continue
-        # A member that comes back takes part again some seconds later.
-        busy_until_s[key] = fault.until_s + (5.0 if is_control else 0.0)
+        busy_until_s[key] = fault.until_s + (CATCH_UP_S if is_control else 0.0)
         faults.append(fault)
 
 
 def _draw(plan, source, at_s):
     until_s = at_s + source.uniform(*LENGTH_S)
-    if source.random() < 0.35:
+    if source.random() < HARM_PART:
         target = source.choice(plan.agent_ips + plan.service_ips)
         harm = source.choice([harm for harm in Harm if harm is not Harm.NONE])
         return Fault(at_s, until_s, FaultKind.HARM, target, harm)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from dataclasses import dataclass
-from pathlib import Path
 
 from hemlockdock_core.routes import RouteManifest
 from hemlockdock_core.rows import (
@@ -314,8 +313,3 @@
         connection.close()
         return Answer(None)
     return Answer(answer.status, data, answer.getheader("X-Answer-Signature") or "")
-
-
-def log_paths(folder):
-    """Return the logs of a fleet's processes."""
-    return sorted(Path(folder).glob("*.log"))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -9,7 +9,7 @@
 
 from hemlockdock_core.wire.own import WIRE
 from hemlockdock_standins.fleet.engine import LEDGER_PATH, Ledger
-from soak.clients import Client, Operator
+from soak.clients import FIRST_NUMBER, Client, Operator
 from soak.faults import FaultRunner, draw_faults
 from soak.fleet import (
     ADMIN_PORT,
@@ -24,7 +24,6 @@
 from soak.proxy import Proxy, ProxyLoop
 
 CLIENTS = 6
-FIRST_NUMBER = 100
 STEP_S = 0.02
 # A block of loopback addresses for each seed, so that two runs don't meet.
 BLOCKS = 200
