--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -101,6 +101,11 @@
         except OSError:
             writer.transport.abort()
             return
+        if self.harm is Harm.RESET:
+            # It was told so while the far side was dialled.
+            writer.transport.abort()
+            far_writer.transport.abort()
+            return
         self._open |= {writer, far_writer}
         await asyncio.gather(
             self._pass_on(reader, far_writer, Harm.CUT_REQUESTS),
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -141,6 +141,17 @@
             if not near.recv(9):
                 raise ConnectionResetError
 
+    def test_a_connection_that_is_being_made_is_reset_too(self):
+        """The far side has it before the proxy knows of it."""
+        for _ in range(50):
+            near = socket.create_connection((HOST, PROXY_PORT), timeout=10)
+            self.addCleanup(near.close)
+            self.proxy.set_harm(Harm.RESET)
+            with self.assertRaises(ConnectionError):
+                if not near.recv(9):
+                    raise ConnectionResetError
+            self.proxy.set_harm(Harm.NONE)
+
     def test_one_way_is_cut(self):
         near, far = self.connect()
         self.proxy.set_harm(Harm.CUT_ANSWERS)
