--- a/packages/hemlockdock-cli/hemlockdock_cli/demo/steps.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/demo/steps.py
@@ -67,7 +67,12 @@
         return "accepted" if answer and answer.get("number") == 1 else f"{answer}"
 
     async def _try_submit(self, body):
-        return await self._admin.request("POST", "/v1/manifest", body)
+        answer = await self._admin.request("POST", "/v1/manifest", body)
+        # Control waits only for nodes that it knows: on a busy host some may not have joined yet,
+        # and an entry that lacks the manifest truly knows no model.
+        reached = (answer.get("in_force") or {}).get("reached", 0)
+        nodes = len(self._cluster.engines) + len(self._cluster.entry_addresses)
+        return answer if reached >= nodes else None
 
     async def _until(self, action, *arguments):
         deadline = self._reactor.seconds() + PATIENCE_S
