Take addresses apart in one place; listen for operators in one place

The split of ip:port stood at ten places, the IP number of a link at three: SocketAddress.parse and link_ip serve all. The fleet's control had its own copy of AdminListener's port, counter and end; the listener takes what answers the calls now, and both services use it.

--- a/packages/hemlockdock-agent/hemlockdock_agent/service.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/service.py
@@ -11,6 +11,7 @@
 from hemlockdock_agent.session import AgentSession
 from hemlockdock_agent.session_start import SessionStart
 from hemlockdock_agent.status_pages import StatusPages
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.node import ControlLink
 from hemlockdock_core.wall_clock import wall_ms
 
@@ -116,11 +117,11 @@
         self._join(old.address, old)
 
     def _listen(self):
-        host, _, port = self._settings.listen.http.rpartition(":")
+        address = SocketAddress.parse(self._settings.listen.http)
         site = Site(StatusPages(self._problem, self._gauges).app.resource())
         site.noisy = False
         site.log = lambda request: None
-        endpoint = TCP4ServerEndpoint(self._reactor, int(port), interface=host.strip("[]"))
+        endpoint = TCP4ServerEndpoint(self._reactor, address.port, interface=address.host)
         return endpoint.listen(site).addCallback(self._listening)
 
     def _listening(self, port):
--- a/packages/hemlockdock-control/hemlockdock_control/admin/listener.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/listener.py
@@ -3,8 +3,8 @@
 from twisted.internet.defer import maybeDeferred, succeed
 from twisted.internet.error import CannotListenError
 
-from hemlockdock_control.admin.api import AdminApi
 from hemlockdock_control.admin.limited_site import LimitedSite
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.metrics import COUNTERS
 
 
@@ -15,15 +15,17 @@
     ----------
     reactor : twisted reactor
     settings : hemlockdock_core.settings.Settings
-    replicator : Replicator
-    proposer : Proposer
-    pages : AdminPages
+    resource : twisted.web.resource.Resource
+        Answers the operators' calls.
+    idle : callable, optional
+        Returns a Deferred that fires once no call is under way.
     """
 
-    def __init__(self, reactor, settings, replicator, proposer, pages):
+    def __init__(self, reactor, settings, resource, idle=None):
         self._reactor = reactor
         self._settings = settings
-        self._api = AdminApi(reactor, settings, replicator, proposer, pages)
+        self._resource = resource
+        self._idle = idle or (lambda: succeed(None))
         self._port = None
         self._site = None
 
@@ -40,12 +42,10 @@
         ------
         twisted.internet.error.CannotListenError
         """
-        interface, _, port = self._settings.listen.admin.rpartition(":")
-        self._site = LimitedSite(self._api.app.resource(), self._reactor)
+        address = SocketAddress.parse(self._settings.listen.admin)
+        self._site = LimitedSite(self._resource, self._reactor)
         try:
-            self._port = self._reactor.listenTCP(
-                int(port), self._site, interface=interface.strip("[]")
-            )
+            self._port = self._reactor.listenTCP(address.port, self._site, interface=address.host)
         except CannotListenError:
             COUNTERS.increment("admin_listen_failures")
             raise
@@ -60,6 +60,6 @@
         if self._port is None:
             return succeed(None)
         stopped = maybeDeferred(self._port.stopListening)
-        stopped.addCallback(lambda _: self._api.idle())
+        stopped.addCallback(lambda _: self._idle())
         stopped.addCallback(lambda _: self._site.close_connections())
         return stopped
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/seeding.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/seeding.py
@@ -13,6 +13,7 @@
 from hemlockdock_control.storage.errors import ForeignFolderError
 from hemlockdock_control.storage.identity import FORMAT, Identity, Standing
 from hemlockdock_control.storage.member_storage import MemberStorage
+from hemlockdock_core.addresses import link_ip
 
 JOINER_MARK = "+"
 JOINER_BYTES = 6
@@ -29,7 +30,7 @@
     -------
     str
     """
-    return settings.listen.links.partition("://")[2].rpartition(":")[0]
+    return link_ip(settings.listen.links)
 
 
 def ip_of(member_id):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -3,9 +3,8 @@
 import logging
 
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.error import CannotListenError
 
-from hemlockdock_control.admin.limited_site import LimitedSite
+from hemlockdock_control.admin.listener import AdminListener
 from hemlockdock_control.consensus import Replicator
 from hemlockdock_control.consensus.seeding import own_ip
 from hemlockdock_control.fleet.demand import DemandBoard
@@ -22,7 +21,6 @@
 from hemlockdock_core.http import HttpClient
 from hemlockdock_core.links import LinkTls, MessageTransport
 from hemlockdock_core.messages import NODE_CODEC
-from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.repeating import Repeating
 from hemlockdock_core.wall_clock import wall_ms
 from hemlockdock_core.wire import load_wire
@@ -58,8 +56,6 @@
         self._tls = tls or LinkTls.of(settings)
         self._wire = load_wire(settings)
         self._transport = None
-        self._site = None
-        self._port = None
         self._loops = []
         self._recording = False
         self._decide_call = None
@@ -72,6 +68,8 @@
         self._proposer = Proposer(reactor, self.replicator, self.machine)
         self._feed = TableFeed(self._send)
         self._peers = FleetPeers(self.replicator, self._proposer, self.machine)
+        api = RouteApi(reactor, self._wire, self._proposer, self.machine, self._peers.read_document)
+        self._admin = AdminListener(reactor, settings, api)
         self._placement = Placement()
         self._nodes = FleetNodes(
             settings,
@@ -88,8 +86,7 @@
     @property
     def admin_address(self):
         """Return ``ip:port`` of the operators' HTTP, once started."""
-        host = self._port.getHost()
-        return f"{host.host}:{host.port}"
+        return self._admin.address
 
     def start(self):
         """Open the data folder, join the other members and listen."""
@@ -105,7 +102,7 @@
             self._tls,
         )
         self.replicator.start()
-        self._listen()
+        self._admin.start()
         self._every(PUSH_MS, self._push)
         self._every(DECIDE_MS, self._decide)
         self._every(TIDY_MS, self._tidy)
@@ -120,9 +117,7 @@
         -------
         Deferred
         """
-        if self._port is not None:
-            yield self._port.stopListening()
-            yield self._site.close_connections()
+        yield self._admin.stop()
         for loop in self._loops:
             loop.stop()
         yield self.replicator.stop()
@@ -139,18 +134,6 @@
         """
         self.replicator.learn_seeds(settings)
 
-    def _listen(self):
-        interface, _, port = self._settings.listen.admin.rpartition(":")
-        api = RouteApi(
-            self._reactor, self._wire, self._proposer, self.machine, self._peers.read_document
-        )
-        self._site = LimitedSite(api, self._reactor)
-        try:
-            self._port = self._reactor.listenTCP(int(port), self._site, interface=interface)
-        except CannotListenError:
-            COUNTERS.increment("admin_listen_failures")
-            raise
-
     def _every(self, period_ms, work):
         loop = Repeating(self._reactor, work)
         loop.start(period_ms / MS_PER_S, now=False)
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -5,7 +5,7 @@
 import pynng
 from twisted.internet.defer import inlineCallbacks
 
-from hemlockdock_control.admin import AdminListener, AdminPages
+from hemlockdock_control.admin import AdminApi, AdminListener, AdminPages
 from hemlockdock_control.consensus import Replicator
 from hemlockdock_control.consensus.replicator import clock_ms
 from hemlockdock_control.hub import TableFeed
@@ -94,7 +94,8 @@
         )
         pages = AdminPages(settings, self)
         self._members = MemberFront(self.replicator, self._proposer, self._nodes, pages, contact)
-        self._admin = AdminListener(reactor, settings, self.replicator, self._proposer, pages)
+        api = AdminApi(reactor, settings, self.replicator, self._proposer, pages)
+        self._admin = AdminListener(reactor, settings, api.app.resource(), api.idle)
         self._loops = []
 
     @property
--- a/packages/hemlockdock-core/hemlockdock_core/http/client.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/client.py
@@ -8,6 +8,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.http.response_reader import MalformedResponseError, ResponseReader
 
 logger = logging.getLogger(__name__)
@@ -141,8 +142,7 @@
 
     def __init__(self, reactor, address):
         self._reactor = reactor
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._address = SocketAddress.parse(address)
         self._waiting = deque()
         self._current = None
         self._connection = None
@@ -203,7 +203,7 @@
             return
         if self._connector is None:
             self._connector = self._reactor.connectTCP(
-                self._host, self._port, self, timeout=CONNECT_TIMEOUT_S
+                self._address.host, self._address.port, self, timeout=CONNECT_TIMEOUT_S
             )
 
     def _send(self):
--- a/packages/hemlockdock-core/hemlockdock_core/links/link_tls.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/link_tls.py
@@ -4,6 +4,8 @@
 
 import pynng
 
+from hemlockdock_core.addresses import link_ip
+
 TLS_SCHEME = "tls+tcp://"
 
 
@@ -62,8 +64,7 @@
         -------
         pynng.TLSConfig
         """
-        host = address.removeprefix(TLS_SCHEME).rpartition(":")[0].strip("[]")
-        return self._config(pynng.TLSConfig.MODE_CLIENT, host)
+        return self._config(pynng.TLSConfig.MODE_CLIENT, link_ip(address))
 
     def _config(self, mode, server_name=None):
         return pynng.TLSConfig(
--- a/packages/hemlockdock-core/hemlockdock_core/metrics/listener.py
+++ b/packages/hemlockdock-core/hemlockdock_core/metrics/listener.py
@@ -4,6 +4,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.metrics.counters import COUNTERS
 from hemlockdock_core.metrics.latencies import LATENCIES
 
@@ -44,11 +45,11 @@
 
     def start(self):
         """Listen."""
-        interface, _, port = self._address.rpartition(":")
+        address = SocketAddress.parse(self._address)
         site = Site(MetricsPage())
         site.noisy = False
         site.log = lambda request: None
-        self._port = self._reactor.listenTCP(int(port), site, interface=interface)
+        self._port = self._reactor.listenTCP(address.port, site, interface=address.host)
 
     def stop(self):
         """Stop listening.
--- a/packages/hemlockdock-core/hemlockdock_core/node/member_choice.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/member_choice.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+from hemlockdock_core.addresses import link_ip
 from hemlockdock_core.settings.member_address import MemberAddress
 
 # A leader that was just given up on isn't gone back to before another can be elected.
@@ -138,8 +139,7 @@
 
 
 def _member_at(node_address):
-    ip = node_address.partition("://")[2].rpartition(":")[0]
-    return MemberAddress(ip, node_address, "")
+    return MemberAddress(link_ip(node_address), node_address, "")
 
 
 def _position(members, node_address):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_channel.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_channel.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.http import MalformedResponseError, ResponseReader
 from hemlockdock_core.metrics import COUNTERS
 
@@ -174,8 +175,7 @@
 
     def __init__(self, reactor, address, request_id_name):
         self._reactor = reactor
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._address = SocketAddress.parse(address)
         self._request_id_name = request_id_name
         self._idle = []
         self._closed = False
@@ -202,7 +202,7 @@
         COUNTERS.increment("gateway_connections_opened")
         connecting = _Connecting(self, endpoint_try)
         connecting.connector = self._reactor.connectTCP(
-            self._host, self._port, connecting, timeout=CONNECT_TIMEOUT_S
+            self._address.host, self._address.port, connecting, timeout=CONNECT_TIMEOUT_S
         )
         return connecting
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory
 
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.links import LinkTls
 from hemlockdock_core.messages import AdapterHeld
@@ -111,9 +112,9 @@
         self._link.learn_seeds(settings)
 
     def _listen(self, address, factory):
-        interface, _, port = address.rpartition(":")
+        parsed = SocketAddress.parse(address)
         self._ports.append(
-            self._reactor.listenTCP(int(port), factory, backlog=BACKLOG, interface=interface)
+            self._reactor.listenTCP(parsed.port, factory, backlog=BACKLOG, interface=parsed.host)
         )
 
     def _ready(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.messages import (
     AnswerChunk,
     AnswerEnd,
@@ -82,8 +83,8 @@
             Fires once callers can connect.
         """
         self._open_office()
-        host, _, port = self._settings.listen.http.rpartition(":")
-        endpoint = TCP4ServerEndpoint(self._reactor, int(port), interface=host.strip("[]"))
+        address = SocketAddress.parse(self._settings.listen.http)
+        endpoint = TCP4ServerEndpoint(self._reactor, address.port, interface=address.host)
         # The site needs the coordinator, that one the link, and the link the bound port.
         self._site = CallerSite(self._reactor, self._settings)
         return endpoint.listen(self._site).addCallback(self._listening)
--- a/packages/hemlockdock-standins/hemlockdock_standins/fleet/__main__.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/fleet/__main__.py
@@ -4,6 +4,7 @@
 from twisted.internet import reactor
 from twisted.web.server import Site
 
+from hemlockdock_core.addresses import SocketAddress
 from hemlockdock_core.rows import EndpointRow
 from hemlockdock_standins.fleet import FleetDirectory, FleetEngine
 
@@ -28,8 +29,8 @@
         for address in addresses.split(","):
             endpoint_id = f"{pool}-{address}"
             _listen(address, FleetEngine(reactor, endpoint_id, models))
-            ip, _, port = address.rpartition(":")
-            listed = f"{ip}:{listed_port or port}"
+            parsed = SocketAddress.parse(address)
+            listed = f"{parsed.host}:{listed_port or parsed.port}"
             listing.row_by_id[endpoint_id] = EndpointRow(
                 endpoint_id, pool, listed, "domain-a", SLOTS, False
             )
@@ -37,8 +38,8 @@
 
 
 def _listen(address, resource):
-    ip, _, port = address.rpartition(":")
-    reactor.listenTCP(int(port), Site(resource), interface=ip)
+    parsed = SocketAddress.parse(address)
+    reactor.listenTCP(parsed.port, Site(resource), interface=parsed.host)
 
 
 if __name__ == "__main__":
