Find a model's description by one method, and a model's outlook once for all that wait

Three places walked an engine's models for one name; EngineSpec.model serves them. For each waiting request the least time to its model was found anew on every pass, over all models; it is found once a pass now. No change of behaviour.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
@@ -101,7 +101,7 @@
         for model in self._change.unload:
             if model in self._resident:
                 self._resident.remove(model)
-        spec = next(m for m in self._scenario.pool.engine.models if m.name == self._change.load)
+        spec = self._scenario.pool.engine.model(self._change.load)
         if spec.name in self._memory:
             return spec.memory_load_ms / MS_PER_S
         if spec.name in self._disk:
--- a/packages/hemlockdock-core/hemlockdock_core/rows/pool_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/pool_row.py
@@ -64,6 +64,22 @@
     store_loads_per_s: float
     models: tuple[ModelSpec, ...]
 
+    def model(self, name):
+        """Return a model's description, None for one that the engines don't have.
+
+        Parameters
+        ----------
+        name : str
+
+        Returns
+        -------
+        ModelSpec or None
+        """
+        for spec in self.models:
+            if spec.name == name:
+                return spec
+        return None
+
 
 class PoolRow(BaseRow, frozen=True):
     """Describe one pool.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_desk.py
@@ -95,7 +95,7 @@
         ----------
         exchange : Exchange
         """
-        if not _is_known(exchange):
+        if exchange.pool.engine.model(exchange.model) is None:
             # Nothing is kept of names that clients make up.
             refusal = Refusal.of(ErrorKind.NO_CAPACITY, "no engine of the pool has this model")
             exchange.refuse(refusal)
@@ -152,7 +152,7 @@
             if use.waiting:
                 self._pump(use)
         for exchange in self._adapters.all_waiting():
-            self._refuse_if_hopeless(self._use(exchange), exchange)
+            self._refuse_hopeless(self._use(exchange), [exchange])
 
     def refuse_all(self, refusal):
         """Refuse everything that waits.
@@ -200,24 +200,30 @@
             exchange = use.waiting[0]
             row = self._choose(exchange)
             if row is None:
-                for waiting in list(use.waiting):
-                    self._refuse_if_hopeless(use, waiting)
+                self._refuse_hopeless(use, list(use.waiting))
                 return
             use.waiting.pop(0)
             use.in_flight += 1
             self._note_change(use)
             self._send(exchange, row)
 
-    def _refuse_if_hopeless(self, use, exchange):
-        gateway = self._gateway
-        now_s = gateway.clock.seconds()
+    def _refuse_hopeless(self, use, exchanges):
+        """Refuse those of a model's requests that can't be served in their clients' time."""
+        now_s = self._gateway.clock.seconds()
         ready_s = self._supply.ready_s(use.pool, use.model)
-        least_s = self._supply.least_s(exchange.pool, use.model)
-        patience = Patience.of(
-            exchange.route, gateway.fleet, exchange.request.received_s, exchange.deadline_s
-        )
-        if may_wait(patience, ready_s, now_s, least_s):
-            return
+        least_s = self._supply.least_s(exchanges[0].pool, use.model)
+        for exchange in exchanges:
+            patience = Patience.of(
+                exchange.route,
+                self._gateway.fleet,
+                exchange.request.received_s,
+                exchange.deadline_s,
+            )
+            if not may_wait(patience, ready_s, now_s, least_s):
+                self._refuse_in_vain(use, exchange, ready_s, least_s)
+
+    def _refuse_in_vain(self, use, exchange, ready_s, least_s):
+        now_s = self._gateway.clock.seconds()
         if exchange.may_have_run:
             kind, why = ErrorKind.ENDPOINT_LOST, "no other endpoint can go on with it in time"
         else:
@@ -299,7 +305,3 @@
 
 def _order(exchange):
     return (exchange.route.urgency, exchange.deadline_s)
-
-
-def _is_known(exchange):
-    return any(model.name == exchange.model for model in exchange.pool.engine.models)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_supply.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_supply.py
@@ -66,14 +66,13 @@
         """
         if (pool.name, model) in self._resident:
             return 0.0
+        spec = pool.engine.model(model)
+        if spec is None:
+            return 0.0
         on_host = self._on_host_by_pool.get(pool.name)
-        for spec in pool.engine.models:
-            if spec.name != model:
-                continue
-            if on_host is None or model in on_host:
-                return spec.memory_load_ms / MS_PER_S
-            return spec.store_load_ms / MS_PER_S
-        return 0.0
+        if on_host is None or model in on_host:
+            return spec.memory_load_ms / MS_PER_S
+        return spec.store_load_ms / MS_PER_S
 
 
 def _add_on_host(on_host_by_pool, row):
