Use the memory of recent models directly; sort what a host has once a report

PlacementMemory passed four calls on to its two RecentModels with a docstring each; its users call those. Whether an exchange brought its model was asked twice at its end. The test of a model that was just loaded notes it by the new name, and asserts as before.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -103,7 +103,7 @@
         for view in views.values():
             for name in view.resident:
                 self._copies_by_name[name] = self._copies_by_name.get(name, 0) + 1
-            self._at_hand |= view.report.in_host_memory | view.report.on_host_disk
+            self._at_hand |= view.report.on_host
             if view.pending is not None and view.pending.source == "store":
                 self._store_loads += 1
             if view.pending is None and view.changing:
@@ -183,7 +183,7 @@
         for view in self._free:
             if spec.name in view.resident:
                 continue
-            if self._memory.has_failed(view.endpoint_id, spec.name, self._now_s):
+            if self._memory.failures.has(view.endpoint_id, spec.name, self._now_s):
                 continue
             source, load_s = self._load_time(view, spec)
             if source == "store" and not self._may_use_store(spec, gain, from_store):
@@ -224,7 +224,7 @@
     def _blocked_rate(self, view, spec):
         """Return the requests a second that wait while an engine can't exchange models."""
         rate = 0.0
-        for name in view.report.in_host_memory | view.report.on_host_disk:
+        for name in view.report.on_host:
             if name == spec.name or self._copies_by_name.get(name, 0):
                 continue
             holders = sum(1 for other in self._views.values() if other.has_at_hand(name))
@@ -301,7 +301,7 @@
         free_mb = self._engine.weights_mb - sum(self._need_mb(name) for name in view.resident)
         candidates = []
         for name in view.resident:
-            if self._memory.is_settling(view.endpoint_id, name, self._now_s):
+            if self._memory.loads.has(view.endpoint_id, name, self._now_s):
                 continue
             busy = self._runs(name) > 0
             if busy and not may_displace_busy:
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -156,11 +156,13 @@
             if not is_gone and not is_late and not is_over:
                 continue
             del self.pending_by_id[endpoint_id]
-            loaded = is_over and view.report.model(pending.message.load) is not None
-            self.store.ended(pending.message.number, loaded, now_s)
+            model = pending.message.load
+            loaded = view is not None and view.report.model(model) is not None
+            self.store.ended(pending.message.number, is_over and loaded, now_s)
             if view is not None:
                 view.pending = None
-                self._note_end(view, pending.message.load, now_s)
+                lately = self._memory.loads if loaded else self._memory.failures
+                lately.note(endpoint_id, model, now_s)
             logger.info(
                 "exchange over",
                 extra={
@@ -171,12 +173,6 @@
                 },
             )
 
-    def _note_end(self, view, model, now_s):
-        if view.report.model(model) is None:
-            self._memory.failed(view.endpoint_id, model, now_s)
-            return
-        self._memory.loaded(view.endpoint_id, model, now_s)
-
     def _add(self, choice, view, now_s, term):
         self._counter += 1
         message = ChangeModels(
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_memory.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_memory.py
@@ -63,6 +63,10 @@
     Attributes
     ----------
     store : StoreSpeed
+    loads : RecentModels
+        Models whose requests are still on their way.
+    failures : RecentModels
+        Exchanges that ended without their model.
     """
 
     def __init__(self, store=None):
@@ -70,8 +74,8 @@
         self._first = set()
         self._seen_ids = set()
         self._last_new_s = 0.0
-        self._loads = RecentModels(SETTLING_S)
-        self._failures = RecentModels(FAILED_PAUSE_S)
+        self.loads = RecentModels(SETTLING_S)
+        self.failures = RecentModels(FAILED_PAUSE_S)
 
     def see(self, views, now_s):
         """Note which models engines held when they were first seen.
@@ -126,51 +130,3 @@
         bool
         """
         return model in self._first
-
-    def loaded(self, endpoint_id, model, now_s):
-        """Note that a model was loaded.
-
-        Parameters
-        ----------
-        endpoint_id, model : str
-        now_s : float
-        """
-        self._loads.note(endpoint_id, model, now_s)
-
-    def failed(self, endpoint_id, model, now_s):
-        """Note that an exchange ended without the model.
-
-        Parameters
-        ----------
-        endpoint_id, model : str
-        now_s : float
-        """
-        self._failures.note(endpoint_id, model, now_s)
-
-    def has_failed(self, endpoint_id, model, now_s):
-        """Tell whether an exchange ended without the model just now.
-
-        Parameters
-        ----------
-        endpoint_id, model : str
-        now_s : float
-
-        Returns
-        -------
-        bool
-        """
-        return self._failures.has(endpoint_id, model, now_s)
-
-    def is_settling(self, endpoint_id, model, now_s):
-        """Tell whether a model was loaded so lately that its requests are still on their way.
-
-        Parameters
-        ----------
-        endpoint_id, model : str
-        now_s : float
-
-        Returns
-        -------
-        bool
-        """
-        return self._loads.has(endpoint_id, model, now_s)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -1,6 +1,7 @@
 """Join what the directory and the agents say into the rows that entries route by."""
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from hemlockdock_core.rows import ArrivingModel, EndpointRow, ResidentModel
 
@@ -9,7 +10,7 @@
 MS_PER_S = 1_000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class AgentReport:
     """Hold an agent's latest report.
 
@@ -27,6 +28,14 @@
     body: object
     heard_s: float
 
+    @cached_property
+    def on_host(self):
+        """Return the models whose weights lie on the host, in order: rows are compared by them.
+
+        Rows are made far more often than reports come.
+        """
+        return tuple(sorted(self.body.report.on_host))
+
 
 class EndpointRegistry:
     """Hold what is known of endpoints while this member leads."""
@@ -127,8 +136,7 @@
     resident.sort(key=lambda model: model.name)
     on_host = None
     if report is not None and report.body.answers:
-        known = report.body.report
-        on_host = tuple(sorted(known.in_host_memory | known.on_host_disk))
+        on_host = report.on_host
     arriving = ()
     pending = placement.pending_by_id.get(listed.endpoint_id)
     if pending is not None:
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -292,7 +292,7 @@
     def test_a_model_that_was_just_loaded_gets_time_for_its_requests(self):
         self.views = {"x": view("x", report(("warm", "hot"), disk=("rare",)))}
         self.warm_up(hot=9)
-        self.memory.loaded("x", "warm", LATE_S - 0.1)
+        self.memory.loads.note("x", "warm", LATE_S - 0.1)
         self.wait("rare", in_time=1, target_left_ms=2_000)
         self.assertEqual(self.choices(), [])
 
--- a/packages/hemlockdock-core/hemlockdock_core/wire/engine.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/engine.py
@@ -77,6 +77,11 @@
     cache_used_tokens: int
     cache_tokens: int
 
+    @property
+    def on_host(self):
+        """Return the models whose weights lie on the host."""
+        return self.in_host_memory | self.on_host_disk
+
     def model(self, name):
         """Return a loaded model, None where it isn't.
 
