--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/adapters.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/adapters.py
@@ -111,7 +111,9 @@
             With the entries' mailboxes, and whether it is loaded.
         """
         told = []
-        giving_way = self._giving_way(report, now_s)
+        held = frozenset(_held(report))
+        self._end_turns(held)
+        giving_way = self._giving_way(report, held, now_s)
         for key, wanted in self.wanted_by_name.items():
             if not wanted.waiting or key in giving_way:
                 continue
@@ -151,18 +153,20 @@
             return None, None
         return wanted, victim
 
-    def _giving_way(self, report, now_s):
+    def _end_turns(self, held):
+        """Note of adapters that are loaded no more that they have a turn before them."""
+        for key, wanted in self.wanted_by_name.items():
+            if key not in held:
+                wanted.had_turn = False
+
+    def _giving_way(self, report, held, now_s):
         """Return loaded adapters that entries are not told of: others have waited for long."""
         if report.busy:
             # No slot can change hands meanwhile.
             return frozenset()
         overdue = 0
-        held = set(_held(report))
         for key, wanted in self.wanted_by_name.items():
-            if key in held:
-                continue
-            wanted.had_turn = False
-            if not wanted.waiting or report.model(wanted.model) is None:
+            if key in held or not wanted.waiting or report.model(wanted.model) is None:
                 continue
             if now_s - wanted.since_s >= TURN_S:
                 overdue += 1
