Read and check routes in one place; write refusals as text in one place

The operator's API and 'check routes' each decoded and then checked: read_routes does both. 'check' turned errors of reading into lines at two places, the gateway wrote a refusal's text at two. A counter of which only being above 0 mattered is a flag; Exchange.is_sent had no user. No change of behaviour.

--- a/packages/hemlockdock-cli/hemlockdock_cli/check.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/check.py
@@ -6,7 +6,7 @@
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_core.errors import InvalidInputError
 from hemlockdock_core.manifest import manifest_digest, parse_manifest
-from hemlockdock_core.routes import route_errors
+from hemlockdock_core.routes import read_routes
 from hemlockdock_core.settings import load_settings
 from hemlockdock_core.wire import find_wire
 
@@ -66,16 +66,10 @@
             Module of the adapter whose form the file has.
         """
         try:
-            manifest = find_wire(wire).decode_routes(Path(file).read_bytes())
-        except OSError as error:
-            raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from None
+            adapter = find_wire(wire)
         except ImportError as error:
             raise CommandError(ExitCode.BAD_INPUT, f"wire {wire}: {error}") from None
-        except InvalidInputError as error:
-            raise CommandError(ExitCode.BAD_INPUT, _lines(error)) from None
-        problems = route_errors(manifest, str(file))
-        if problems:
-            raise CommandError(ExitCode.BAD_INPUT, _lines(InvalidInputError(problems)))
+        manifest = _read(file, lambda data: read_routes(adapter, data, str(file)))
         routes, pools = len(manifest.routes), len(manifest.pools)
         print(f"{file}: number {manifest.number} is valid, {routes} routes, {pools} pools")
 
@@ -94,12 +88,17 @@
         ------
         CommandError
         """
-        try:
-            return parse_manifest(Path(file).read_bytes(), str(file))
-        except OSError as error:
-            raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from None
-        except InvalidInputError as error:
-            raise CommandError(ExitCode.BAD_INPUT, _lines(error)) from None
+        return _read(file, lambda data: parse_manifest(data, str(file)))
+
+
+def _read(file, parse):
+    """Return what a file's bytes are parsed to; every problem is a line of the error."""
+    try:
+        return parse(Path(file).read_bytes())
+    except OSError as error:
+        raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from None
+    except InvalidInputError as error:
+        raise CommandError(ExitCode.BAD_INPUT, _lines(error)) from None
 
 
 def _lines(error):
--- a/packages/hemlockdock-core/hemlockdock_core/routes/check.py
+++ b/packages/hemlockdock-core/hemlockdock_core/routes/check.py
@@ -1,6 +1,32 @@
 """Find what is wrong with a route manifest."""
 
-from hemlockdock_core.errors import FieldError
+from hemlockdock_core.errors import FieldError, InvalidInputError
+
+
+def read_routes(wire, data, source):
+    """Return the route manifest that an operator's text holds, if nothing is wrong with it.
+
+    Parameters
+    ----------
+    wire : Wire
+        The adapter whose form the text has.
+    data : bytes
+    source : str
+        What to call the input in errors.
+
+    Returns
+    -------
+    RouteManifest
+
+    Raises
+    ------
+    InvalidInputError
+    """
+    manifest = wire.decode_routes(data)
+    errors = route_errors(manifest, source)
+    if errors:
+        raise InvalidInputError(errors)
+    return manifest
 
 
 def route_errors(manifest, source):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/answer_writer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/answer_writer.py
@@ -3,7 +3,12 @@
 from hemlockdock_core.errors import NotRun
 from hemlockdock_core.metrics import LATENCIES
 from hemlockdock_entry.gateway.event_stream import EventSplitter
-from hemlockdock_entry.gateway.messages import passed_headers, status_line, write_head
+from hemlockdock_entry.gateway.messages import (
+    passed_headers,
+    refusal_answer,
+    status_line,
+    write_head,
+)
 
 MS_PER_S = 1_000
 CONNECTION = b"connection"
@@ -66,15 +71,14 @@
         refusal : Refusal
         request_id : bytes
         """
-        body = refusal.message.encode()
-        headers = [(b"Content-Type", b"text/plain"), (b"Content-Length", b"%d" % len(body))]
+        headers = []
         if request_id:
             headers.append((self._gateway.headers.request_id, request_id))
         if refusal.retry_after_ms is not None and refusal.not_run is NotRun.TRUE:
             seconds = b"%.2f" % (refusal.retry_after_ms / MS_PER_S)
             headers.append((b"Retry-After", seconds))
         headers.extend(self._connection_headers())
-        self._connection.write(write_head(status_line(refusal.status), headers) + body)
+        self._connection.write(refusal_answer(refusal, headers))
 
     def deliver(self, head, body):
         """Write an endpoint's whole answer.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -8,7 +8,7 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_entry.gateway.messages import ClientRequest, status_line, write_head
+from hemlockdock_entry.gateway.messages import ClientRequest, refusal_answer
 
 logger = logging.getLogger(__name__)
 
@@ -242,11 +242,5 @@
             return
         COUNTERS.increment("gateway_refusals", kind=refusal.kind.value)
         logger.info("request refused", extra={"kind": refusal.kind.value, "why": refusal.message})
-        body = refusal.message.encode()
-        headers = [
-            (b"Content-Type", b"text/plain"),
-            (b"Content-Length", b"%d" % len(body)),
-            (b"Connection", b"close"),
-        ]
-        self.transport.write(write_head(status_line(refusal.status), headers) + body)
+        self.transport.write(refusal_answer(refusal, [(b"Connection", b"close")]))
         self.transport.loseConnection()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange.py
@@ -95,11 +95,6 @@
         """Tell whether any try so far may have run."""
         return self._may_have_run
 
-    @property
-    def is_sent(self):
-        """Tell whether an endpoint has the request now."""
-        return self._try is not None
-
     @property
     def left_s(self):
         """Return the time left, in seconds."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
@@ -141,6 +141,24 @@
     return b"\r\n".join(parts) + b"\r\n\r\n"
 
 
+def refusal_answer(refusal, headers):
+    """Return a refusal's whole answer.
+
+    Parameters
+    ----------
+    refusal : Refusal
+    headers : iterable of (bytes, bytes)
+        Beside those of the body.
+
+    Returns
+    -------
+    bytes
+    """
+    body = refusal.message.encode()
+    of_body = [(b"Content-Type", b"text/plain"), (b"Content-Length", b"%d" % len(body))]
+    return write_head(status_line(refusal.status), [*of_body, *headers]) + body
+
+
 def status_line(status):
     """Return the first line of a response.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/attempt.py
@@ -55,7 +55,7 @@
         self._stall_call = None
         self._dispatch = None
         self._repeat_call = None
-        self._repeats = 0
+        self._was_repeated = False
 
     @property
     def offset(self):
@@ -171,7 +171,7 @@
             # An answer to a resumption that a newer one has replaced.
             COUNTERS.increment("entry_frames_discarded")
             return
-        if body.refusal.kind is ErrorKind.ALREADY_RAN and self._repeats:
+        if body.refusal.kind is ErrorKind.ALREADY_RAN and self._was_repeated:
             self.fail(ErrorKind.STREAM_STALLED, "the answer was lost on the way")
             return
         self.close()
@@ -206,7 +206,7 @@
 
     def _repeat(self, waited_s):
         self._repeat_call = None
-        self._repeats += 1
+        self._was_repeated = True
         left_ms = max(0, self._dispatch.deadline_ms - round(waited_s * MS_PER_S))
         self._dispatch = msgspec.structs.replace(self._dispatch, deadline_ms=left_ms)
         self._coordinator.send(self.node.address, self._dispatch)
