Say once how the soak and the fleet's test put routes in force; draw panels in one place

The fleet's own test and the soak each had their loop over members, their reading back and their headers of a request; LocalFleet and request_headers serve both, and the operator of the soak takes the fleet in place of two callables. Two plots laid out and wrote their panels alike: plots.panels.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/plot.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/plot.py
@@ -1,5 +1,7 @@
 """Draw how long clients waited under each policy."""
 
+from hemlockdock_cli.plots import panels
+
 INCHES_WIDE = 8
 INCHES_HIGH_A_CLASS = 2.6
 
@@ -13,24 +15,16 @@
     path : str
         Its suffix says the format.
     """
-    # Only this command needs it, and it takes a second to load.
-    from matplotlib import pyplot
-
     classes = list(dict.fromkeys(row.traffic for row in rows))
-    size = (INCHES_WIDE, INCHES_HIGH_A_CLASS * len(classes))
-    figure, panels = pyplot.subplots(len(classes), sharex=True, squeeze=False, figsize=size)
-    for traffic, axes in zip(classes, panels[:, 0], strict=True):
+    with panels(path, classes, INCHES_WIDE, INCHES_HIGH_A_CLASS) as axes_by_class:
         for row in rows:
-            if row.traffic != traffic:
-                continue
             # What was refused was never served: the line ends below 100 percent.
             served = (row.in_time + row.late) / 100.0
             waits = [wait_s for _, wait_s in row.wait_s_by_percent]
-            axes.plot(waits, [p * served for p, _ in row.wait_s_by_percent], label=row.policy)
-        axes.set_ylabel(f"{traffic}, % served")
-        axes.set_xscale("log")
-    panels[0, 0].legend()
-    panels[-1, 0].set_xlabel("wait for the first event, s")
-    figure.tight_layout()
-    figure.savefig(path)
-    pyplot.close(figure)
+            percents = [percent * served for percent, _ in row.wait_s_by_percent]
+            axes_by_class[row.traffic].plot(waits, percents, label=row.policy)
+        for traffic, axes in axes_by_class.items():
+            axes.set_ylabel(f"{traffic}, % served")
+            axes.set_xscale("log")
+        axes_by_class[classes[0]].legend()
+        axes_by_class[classes[-1]].set_xlabel("wait for the first event, s")
--- a/packages/hemlockdock-cli/hemlockdock_cli/report/plot.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/report/plot.py
@@ -1,5 +1,7 @@
 """Draw records: the worth of each day over the runs of a site, with the day's marks."""
 
+from hemlockdock_cli.plots import panels
+
 INCHES_WIDE = 9
 INCHES_HIGH_A_DAY = 1.8
 
@@ -19,22 +21,15 @@
     int
         How many runs are shown; nothing is written for 0.
     """
-    # Only this command needs it, and it takes a second to load.
-    from matplotlib import pyplot
-
     runs = [record for record in records if record.site == site and record.score is not None]
     names = [day.name for day in runs[-1].days if day.high_mark is not None] if runs else []
     if not names:
         return 0
-    size = (INCHES_WIDE, INCHES_HIGH_A_DAY * len(names))
-    figure, panels = pyplot.subplots(len(names), sharex=True, squeeze=False, figsize=size)
-    for name, axes in zip(names, panels[:, 0], strict=True):
-        _draw_day(axes, runs, name)
-    panels[-1, 0].set_xlabel("run, the oldest first")
-    figure.suptitle(f"{site}: worth by day")
-    figure.tight_layout()
-    figure.savefig(path)
-    pyplot.close(figure)
+    with panels(path, names, INCHES_WIDE, INCHES_HIGH_A_DAY) as axes_by_day:
+        for name, axes in axes_by_day.items():
+            _draw_day(axes, runs, name)
+        axes_by_day[names[0]].figure.suptitle(f"{site}: worth by day")
+        axes_by_day[names[-1]].set_xlabel("run, the oldest first")
     return len(runs)
 
 
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -6,10 +6,10 @@
 import time
 from dataclasses import dataclass
 
-from soak.fleet import CALL_TIMEOUT_S, HTTP_PORT, MODELS, Answer, exchange
+from hemlockdock_core.wire.own import WIRE
+from soak.fleet import CALL_TIMEOUT_S, HTTP_PORT, MODELS, OK, Answer, exchange, request_headers
 
 PAUSE_S = 0.05
-TIME_LEFT_MS = 9_000
 KINDS = ("read", "write", "live")
 # Part of an operator's calls that change routes; the others read them back.
 CHANGE_PART = 0.3
@@ -88,13 +88,8 @@
         if connection is None:
             connection = http.client.HTTPConnection(ip, HTTP_PORT, timeout=CALL_TIMEOUT_S)
             self._connection_by_ip[ip] = connection
-        headers = {
-            "Host": "shop.test",
-            "X-Request-Id": request_id,
-            "X-Time-Left-Ms": str(TIME_LEFT_MS),
-        }
-        if kind == "live":
-            headers["X-Use-Model"] = self._random.choice(MODELS)
+        model = self._random.choice(MODELS) if kind == "live" else ""
+        headers = request_headers(request_id, model)
         answer = exchange(connection, "POST", f"/{kind}/x", b"body", headers)
         self.sent.append(Sent(request_id, kind, time.monotonic(), answer))
 
@@ -105,10 +100,6 @@
     Parameters
     ----------
     fleet : LocalFleet
-    submit : callable
-        Takes a number and an address; returns a status.
-    read : callable
-        Takes an address; returns the number that is in force there, None where it isn't told.
     seed : int
 
     Attributes
@@ -120,13 +111,11 @@
     submitted : set of int
     """
 
-    def __init__(self, fleet, submit, read, seed):
+    def __init__(self, fleet, seed):
         self.acknowledged = []
         self.reads = []
         self.submitted = set()
-        self._ips = fleet.plan.control_ips
-        self._submit = submit
-        self._read = read
+        self._fleet = fleet
         self._random = random.Random(f"{seed}-operator")
         self._stops = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -143,14 +132,30 @@
     def _run(self):
         number = FIRST_NUMBER
         while not self._stops.is_set():
-            ip = self._random.choice(self._ips)
+            ip = self._random.choice(self._fleet.plan.control_ips)
             if self._random.random() < CHANGE_PART:
                 number += self._random.randint(1, 3)
                 self.submitted.add(number)
-                if self._submit(number, ip) == 200:
+                if self._fleet.submit(number, ip) == OK:
                     self.acknowledged.append((time.monotonic(), number))
             sent_s = time.monotonic()
-            found = self._read(ip)
+            found = read_number(self._fleet, ip)
             if found is not None:
                 self.reads.append((sent_s, found))
             time.sleep(self._random.uniform(0.0, 4 * PAUSE_S))
+
+
+def read_number(fleet, ip):
+    """Return the number of the routes that are read at one member, None where it isn't told.
+
+    Parameters
+    ----------
+    fleet : LocalFleet
+    ip : str
+
+    Returns
+    -------
+    int or None
+    """
+    text = fleet.routes(ip)
+    return None if text is None else WIRE.decode_routes(text).number
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -18,6 +18,7 @@
     RouteRow,
     WeightedPool,
 )
+from hemlockdock_core.wire.own import WIRE
 
 ADMIN_PORT = 27_401
 NODE_PORT = 27_402
@@ -32,6 +33,9 @@
 POLL_S = 0.1
 CALL_TIMEOUT_S = 15
 MODELS = ("m0", "m1")
+TIME_LEFT_MS = 9_000
+ROUTES = WIRE.operator_paths.submit.decode()
+OK = 200
 STANDINS = "standins"
 
 
@@ -227,6 +231,26 @@
         finally:
             connection.close()
 
+    def submit(self, number, ip):
+        """Submit routes at one member.
+
+        Returns
+        -------
+        int or None
+            The status.
+        """
+        text = WIRE.encode_routes(manifest(number))
+        return self.call(ip, ADMIN_PORT, "POST", ROUTES, text).status
+
+    def submit_anywhere(self, number):
+        """Tell whether any member acknowledged routes."""
+        return any(self.submit(number, ip) == OK for ip in self.plan.control_ips)
+
+    def routes(self, ip):
+        """Return the routes' text that is read at one member, None where it isn't told."""
+        answer = self.call(ip, ADMIN_PORT, "GET", ROUTES)
+        return answer.body if answer.status == OK else None
+
     def until(self, what, check):
         """Wait until a check holds, however busy the machine is.
 
@@ -290,6 +314,28 @@
         self._started.append(process)
 
 
+def request_headers(request_id, model=""):
+    """Return the headers of a client's request.
+
+    Parameters
+    ----------
+    request_id : str
+    model : str, optional
+
+    Returns
+    -------
+    dict of str to str
+    """
+    headers = {
+        "Host": "shop.test",
+        "X-Request-Id": request_id,
+        "X-Time-Left-Ms": str(TIME_LEFT_MS),
+    }
+    if model:
+        headers["X-Use-Model"] = model
+    return headers
+
+
 def exchange(connection, method, path, body=None, headers=None):
     """Make one call on a connection that may be kept.
 
--- a/tools/soak/oracle.py
+++ b/tools/soak/oracle.py
@@ -3,7 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-OK = 200
+from soak.fleet import OK
+
 # These promise that a request hasn't run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
 ONCE_KINDS = frozenset(("write", "live"))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -7,19 +7,10 @@
 
 import msgspec
 
-from hemlockdock_core.wire.own import WIRE
 from hemlockdock_standins.fleet.engine import LEDGER_PATH, Ledger
-from soak.clients import FIRST_NUMBER, Client, Operator
+from soak.clients import FIRST_NUMBER, KINDS, Client, Operator, read_number
 from soak.faults import FaultRunner, draw_faults
-from soak.fleet import (
-    ADMIN_PORT,
-    ENGINE_PORT,
-    PROXY_PORT,
-    SERVICE_PORT,
-    FleetPlan,
-    LocalFleet,
-    manifest,
-)
+from soak.fleet import ENGINE_PORT, OK, PROXY_PORT, SERVICE_PORT, FleetPlan, LocalFleet
 from soak.oracle import engine_breaches, request_breaches, route_breaches
 from soak.proxy import Proxy, ProxyLoop
 
@@ -97,22 +88,22 @@
     def _run(self, loop, folder):
         self._start_proxies(loop)
         self._fleet.start()
-        self._fleet.until("routes accepted", lambda: self._accepted(FIRST_NUMBER))
-        ask = Client("first", self._plan.entry_ips, self._seed)
-        self._fleet.until("a request served", lambda: self._serves(ask))
+        self._fleet.until("routes accepted", lambda: self._fleet.submit_anywhere(FIRST_NUMBER))
+        prober = Client("first", self._plan.entry_ips, self._seed)
+        self._fleet.until("a request served", lambda: self._serves(prober))
         clients = [
             Client(f"c{number}", self._plan.entry_ips, self._seed) for number in range(CLIENTS)
         ]
-        operator = Operator(self._fleet, self._submit, self._read, self._seed)
+        operator = Operator(self._fleet, self._seed)
         operator.submitted.add(FIRST_NUMBER)
         for worker in (*clients, operator):
             worker.start()
         self._play()
-        self._fleet.until("a request served after the faults", lambda: self._serves(ask))
-        for worker in (*clients, operator, ask):
+        self._fleet.until("a request served after the faults", lambda: self._serves(prober))
+        for worker in (*clients, operator, prober):
             worker.stop()
         time.sleep(SETTLE_S)
-        return self._judge([*clients, ask], operator, folder)
+        return self._judge([*clients, prober], operator, folder)
 
     def _start_proxies(self, loop):
         for ip in self._plan.agent_ips:
@@ -135,30 +126,16 @@
 
     def _serves(self, client):
         before = len(client.sent)
-        for number, kind in enumerate(("read", "write", "live")):
+        for number, kind in enumerate(KINDS):
             client.ask(f"f{before + number}", kind)
-        return all(item.answer.status == 200 for item in client.sent[before:])
-
-    def _submit(self, number, ip):
-        text = WIRE.encode_routes(manifest(number))
-        return self._fleet.call(ip, ADMIN_PORT, "POST", "/v1/routes", text).status
-
-    def _accepted(self, number):
-        return any(self._submit(number, ip) == 200 for ip in self._plan.control_ips)
-
-    def _read(self, ip):
-        answer = self._fleet.call(ip, ADMIN_PORT, "GET", "/v1/routes")
-        return WIRE.decode_routes(answer.body).number if answer.status == 200 else None
+        return all(item.answer.status == OK for item in client.sent[before:])
 
     def _final_number(self):
-        found = []
-
         def read():
-            found.extend(n for n in map(self._read, self._plan.control_ips) if n is not None)
-            return found
+            found = [read_number(self._fleet, ip) for ip in self._plan.control_ips]
+            return [number for number in found if number is not None]
 
-        self._fleet.until("routes read at the end", read)
-        return max(found)
+        return max(self._fleet.until("routes read at the end", read))
 
     def _ledgers(self):
         places = [(ip, ENGINE_PORT) for ip in self._plan.agent_ips]
@@ -174,7 +151,7 @@
         ledgers = self._ledgers()
         result = SoakResult(self._seed, self._faults)
         result.requests = len(sent)
-        result.served = sum(item.answer.status == 200 for item in sent)
+        result.served = sum(item.answer.status == OK for item in sent)
         result.changes = len(operator.acknowledged)
         result.breaches += request_breaches(sent, ledgers)
         result.breaches += engine_breaches(ledgers)
--- a/tools/tests/test_local_fleet.py
+++ b/tools/tests/test_local_fleet.py
@@ -17,6 +17,7 @@
     FleetPlan,
     LocalFleet,
     manifest,
+    request_headers,
 )
 from soak.oracle import EVENTS  # noqa: E402
 
@@ -37,28 +38,14 @@
         return self.fleet.call(self.entry, READY_PORT, "GET", "/readyz").status == 200
 
     def submit(self, number):
-        text = WIRE.encode_routes(manifest(number))
-
-        def accepted():
-            for ip in self.controls:
-                if self.fleet.call(ip, ADMIN_PORT, "POST", "/v1/routes", text).status == 200:
-                    return True
-            return False
-
-        self.fleet.until("routes accepted", accepted)
-        return text
+        self.fleet.until("routes accepted", lambda: self.fleet.submit_anywhere(number))
+        return WIRE.encode_routes(manifest(number))
 
     def read(self):
-        for ip in self.controls:
-            answer = self.fleet.call(ip, ADMIN_PORT, "GET", "/v1/routes")
-            if answer.status == 200:
-                return answer.body
-        return None
+        return next(filter(None, map(self.fleet.routes, self.controls)), None)
 
     def ask(self, path, number, model=""):
-        headers = {"Host": "shop.test", "X-Request-Id": str(number), "X-Time-Left-Ms": "9000"}
-        if model:
-            headers["X-Use-Model"] = model
+        headers = request_headers(str(number), model)
         return self.fleet.call(self.entry, HTTP_PORT, "POST", path, b"body", headers)
 
     def streams(self, number, model):
@@ -95,7 +82,7 @@
         self.fleet.restart(lost, is_first=False)
         self.fleet.until(
             "the member is back",
-            lambda: self.fleet.call(lost, ADMIN_PORT, "GET", "/v1/routes").body == newer,
+            lambda: self.fleet.routes(lost) == newer,
         )
 
     def drain(self):
