control/fleet: log how many loads the leader counts at the weight store

'weight store use changed' says it, one line each time it changes; 'exchange decided' says how long it may take.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -8,13 +8,8 @@
 
 from dataclasses import dataclass
 
-# Concurrent store loads that models in low demand must leave free for a model in high demand.
-RESERVED_STORE_LOADS = 1
-HIGH_DEMAND_REQUESTS = 4.0
-# At this demand, a load is worth exceeding the store's full speed, although all loads then take
-# longer.
-VERY_HIGH_DEMAND_REQUESTS = 12.0
-STORE_OVERCOMMIT_FACTOR = 1.5
+from hemlockdock_control.fleet.store_admission import HIGH_DEMAND_REQUESTS, StoreAdmission
+
 # Assumed request rate for a model whose only local copy is on the blocked host: demand may shift to
 # it, and no other host could load it quickly.
 SOLE_HOLDER_RATE_PER_S = 0.1
@@ -46,9 +41,6 @@
 # Period over which the local copy left by a load from the store counts as a benefit.
 STORE_COPY_HORIZON_S = 12.0
 PREFETCH_GAIN = 20.0
-# Until the store's concurrency is measured, the loads in progress may take at most this long if the
-# store runs them one at a time: models requested later have to wait for all of them.
-UNMEASURED_STORE_BACKLOG_S = 12.0
 # Minimum advantage in request rate for which one model replaces another without waiting requests.
 RATE_MARGIN_PER_S = 0.2
 
@@ -91,9 +83,14 @@
     demand : DemandAggregator
     history : PlacementHistory
     now_s : float
+
+    Attributes
+    ----------
+    store : StoreAdmission
     """
 
     def __init__(self, pool, views, demand, history, now_s):
+        self.store = StoreAdmission(history.store, views.values())
         self._engine = pool.engine
         self._views = views
         self._history = history
@@ -105,17 +102,11 @@
         self._is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
         self._copies_by_name = {}
         self._models_on_hosts = set()
-        self._store_loads = 0
         self._idle_views = []
         for view in views.values():
             for name in view.resident:
                 self._copies_by_name[name] = self._copies_by_name.get(name, 0) + 1
             self._models_on_hosts |= view.report.on_host
-            if view.pending is not None and view.pending.source == "store":
-                self._store_loads += 1
-            if view.pending is None and view.changing:
-                # A previous leader started this change, possibly a load from the store.
-                self._store_loads += 1
             if view.is_free:
                 self._idle_views.append(view)
 
@@ -258,16 +249,7 @@
         # An engine on a host with the weights usually becomes idle long before a store load ends.
         if spec.name in self._models_on_hosts and not from_store:
             return False
-        store = self._history.store
-        concurrency_limit = store.concurrency_limit
-        if not store.is_measured and gain < VERY_HIGH_DEMAND_REQUESTS:
-            concurrency_limit = min(concurrency_limit, _unmeasured_store_limit(spec))
-        limit = max(1, concurrency_limit - RESERVED_STORE_LOADS)
-        if gain >= HIGH_DEMAND_REQUESTS:
-            limit = concurrency_limit
-        if gain >= VERY_HIGH_DEMAND_REQUESTS and store.is_measured:
-            limit = int(concurrency_limit * STORE_OVERCOMMIT_FACTOR)
-        return self._store_loads < limit
+        return self.store.may_start(spec, gain)
 
     def _ahead(self):
         """Return a speculative exchange that no request waits for yet, or None.
@@ -279,7 +261,7 @@
             return None
         if self._history.may_prefetch(self._now_s) and self._is_early:
             for name, spec in self._spec_by_name.items():
-                if self._store_loads >= _unmeasured_store_limit(spec):
+                if not self.store.may_prefetch(spec):
                     continue
                 if name in self._models_on_hosts or self._copies_by_name.get(name, 0):
                     continue
@@ -303,15 +285,14 @@
         for name in choice.unload:
             self._copies_by_name[name] -= 1
         if choice.source == "store":
-            self._store_loads += 1
+            self.store.record_start()
 
     def _source_and_load_s(self, view, spec):
         if spec.name in view.report.in_host_memory:
             return "memory", spec.memory_load_ms / MS_PER_S
         if spec.name in view.report.on_host_disk:
             return "disk", spec.disk_load_ms / MS_PER_S
-        crowding = max(1.0, (self._store_loads + 1) / self._history.store.concurrency_limit)
-        return "store", crowding * spec.store_load_ms / MS_PER_S
+        return "store", self.store.load_s(spec)
 
     def _select_victims(self, view, spec, may_evict_busy):
         required_mb = self._required_mb(spec.name)
@@ -361,8 +342,3 @@
         if use is None:
             return 0
         return use.in_flight // max(1, self._copies_by_name.get(name, 1))
-
-
-def _unmeasured_store_limit(spec):
-    """Return how many loads of a model may be in progress before the store is measured."""
-    return max(1, int(UNMEASURED_STORE_BACKLOG_S * MS_PER_S / max(1, spec.store_load_ms)))
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -71,6 +71,7 @@
         self._history = PlacementHistory(self.store)
         self._change_counter = 0
         self._first_view_s = None
+        self._logged_store_use_by_pool = {}
 
     def withheld(self, endpoint_id):
         """Return the models to which entries must route no more requests.
@@ -115,6 +116,7 @@
                 continue
             self._history.observe(views.values(), now_s)
             choice = self._policy(pool, views, demand, self._history, now_s)
+            self._log_store_use(pool, choice.store)
             for chosen in choice.choices():
                 self._start_change(chosen, views[chosen.endpoint_id], now_s, term)
             messages.extend(self._due_messages(views, now_s))
@@ -209,10 +211,27 @@
                 "load": message.load,
                 "unload": message.unload,
                 "source": choice.source,
+                "takes_s": round(choice.takes_s, 3),
                 "reason": choice.reason,
             },
         )
 
+    def _log_store_use(self, pool, store):
+        use = (store.decided_loads, store.inherited_loads, store.concurrency_limit)
+        if self._logged_store_use_by_pool.get(pool.name) == use:
+            return
+        self._logged_store_use_by_pool[pool.name] = use
+        logger.info(
+            "weight store use changed",
+            extra={
+                "pool": pool.name,
+                "decided_loads": store.decided_loads,
+                "inherited_loads": store.inherited_loads,
+                "concurrency_limit": store.concurrency_limit,
+                "is_measured": self.store.is_measured,
+            },
+        )
+
     def _due_messages(self, views, now_s):
         for endpoint_id, pending in self.pending_by_id.items():
             view = views.get(endpoint_id)
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -400,6 +400,14 @@
         self.assertEqual(self.placement.pending_by_id, {})
         self.assertEqual([model.name for model in self.rows()["e"].models], ["rare"])
 
+    def test_a_change_of_the_store_use_is_logged_once(self):
+        self.report(change_number=7, changing=True)
+        with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
+            self.decide()
+            self.decide()
+        uses = [record for record in logs.records if "store use" in record.msg]
+        self.assertEqual([(use.decided_loads, use.inherited_loads) for use in uses], [(0, 1)])
+
 
 class RegistryTest(unittest.TestCase):
     def setUp(self):
