fleet: a load from the store no longer counts as a copy of its model

Cause: placement counted a model as present as soon as any load of it was decided. That holds for a load from a host, which takes half a second, but not for one from the store. So the model was not loaded from a host that returned, and the loaded copy of a model counted as one of two, so that it could be evicted for a single request. Entries believed the same: the load that they heard of first stood for the model, even if a later one ends sooner, or a host has the weights.

Evidence: 'exchange decided' for leje24cfd4 with source=store at 11.5 s, its end at 37.9 s, no other one, though 'endpoint changed' shows its weights on an idle host from 14.5 s on.

Change: loads from the store are kept apart from copies; they only keep the same model from being loaded from the store twice. Entries take the earliest load, and disregard one from the store while a host has the weights.

Tests: four fail on the code before ([] != [('x', 'rare', (), 'disk')], [('x', 'rare', ('hot',), 'disk')] != [], twice 503 is not None).

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/simulation.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/simulation.py
@@ -236,10 +236,7 @@
         self._report_demand(model)
 
     def _model_ready_s(self, model):
-        for pending in self._placement.pending_by_id.values():
-            if pending.message.load == model:
-                return pending.ready_s
-        return None
+        return self._supply.ready_s(self._pool, model, self._now_s)
 
     def _deadline_s(self, request):
         return request.first_arrival_s + request.traffic.deadline_ms / MS_PER_S
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
@@ -70,6 +70,13 @@
                 names.add(self.pending.message.load)
         return names
 
+    @property
+    def coming_from_store(self):
+        """Return the name of the model that is being loaded from the store, or an empty string."""
+        if self.pending is None or self.pending.source != "store":
+            return ""
+        return self.pending.message.load
+
     @property
     def is_free(self):
         """Tell whether the engine can accept another change."""
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -101,10 +101,15 @@
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
         self._is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
         self._copies_by_name = {}
+        # Not copies: requests can't wait for them, and a host with the weights is far sooner.
+        self._coming_from_store = set()
         self._models_on_hosts = set()
         self._idle_views = []
         for view in views.values():
             for name in view.resident:
+                if name == view.coming_from_store:
+                    self._coming_from_store.add(name)
+                    continue
                 self._copies_by_name[name] = self._copies_by_name.get(name, 0) + 1
             self._models_on_hosts |= view.report.on_host
             if view.is_free:
@@ -188,6 +193,8 @@
             if self._history.recent_failures.contains(view.endpoint_id, spec.name, self._now_s):
                 continue
             source, load_s = self._source_and_load_s(view, spec)
+            if source == "store" and spec.name in self._coming_from_store:
+                continue
             if source == "store" and not self._may_use_store(spec, gain, from_store):
                 continue
             victims = self._select_victims(view, spec, may_evict_busy and source != "store")
@@ -281,11 +288,14 @@
         self._idle_views = [
             view for view in self._idle_views if view.endpoint_id != choice.endpoint_id
         ]
-        self._copies_by_name[choice.model.name] = self._copies_by_name.get(choice.model.name, 0) + 1
         for name in choice.unload:
             self._copies_by_name[name] -= 1
+        name = choice.model.name
         if choice.source == "store":
+            self._coming_from_store.add(name)
             self.store.record_start()
+            return
+        self._copies_by_name[name] = self._copies_by_name.get(name, 0) + 1
 
     def _source_and_load_s(self, view, spec):
         if spec.name in view.report.in_host_memory:
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -237,6 +237,31 @@
         self.add_waiting("rare", waiting=5)
         self.assertEqual(self.choices(), [])
 
+    def put_store_load(self, endpoint_id, model):
+        """Add an engine that a model is being loaded on from the store."""
+        message = ChangeModels(1, 1, endpoint_id, (), model)
+        pending = PendingChange(message, 1, "store", NOW_S - 5, NOW_S + 8)
+        self.views[endpoint_id] = view(endpoint_id, report(), pending)
+
+    def test_a_model_coming_from_the_store_is_loaded_from_a_host_that_has_returned(self):
+        self.put_store_load("y", "rare")
+        self.views["x"] = view("x", report(disk=("rare",)))
+        self.add_waiting("rare", waiting=5)
+        self.assertEqual(self.choices(), [("x", "rare", (), "disk")])
+
+    def test_a_copy_coming_from_the_store_does_not_make_the_loaded_one_redundant(self):
+        self.warm_up(hot=9, warm=9)
+        self.put_store_load("y", "hot")
+        self.views["x"] = view("x", report(("hot", "warm"), disk=("rare", "hot", "warm")))
+        self.add_waiting("rare", in_time=1, target_left_ms=2_000)
+        self.assertEqual(self.choices(), [])
+
+    def test_a_model_coming_from_the_store_is_not_loaded_from_it_again(self):
+        self.put_store_load("y", "rare")
+        self.views["x"] = view("x", report())
+        self.add_waiting("rare", waiting=20)
+        self.assertEqual(self.choices(), [])
+
     def test_a_load_from_the_store_does_not_evict_models_in_high_demand(self):
         """The evicted model would be unavailable for as long as the load takes."""
         self.warm_up(hot=4, other=4)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_availability.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_availability.py
@@ -1,14 +1,38 @@
 """Estimate from the routing table when models will be available."""
 
+from dataclasses import dataclass
+
 MS_PER_S = 1_000
 
 
+@dataclass(frozen=True, slots=True)
+class DecidedLoad:
+    """A load of a model that was decided and is not finished yet.
+
+    Attributes
+    ----------
+    ready_s : float
+        Time at which it is expected to end.
+    takes_ms : int
+        Expected duration.
+    """
+
+    ready_s: float
+    takes_ms: int
+
+
 class ModelAvailability:
     """Models that are loaded, being loaded, or stored on a host."""
 
     def __init__(self):
-        self._ready_s_by_model = {}
-        self._on_host_by_pool = {}
+        self._load_by_endpoint = {}
+        self._clear_endpoints()
+
+    def _clear_endpoints(self):
+        self._loads_by_model = {}
+        self._on_host = set()
+        self._pools_with_known_hosts = set()
+        self._pools_with_unknown_hosts = set()
         self._resident = set()
 
     def update(self, rows, now_s):
@@ -19,35 +43,46 @@
         rows : iterable of EndpointRow
         now_s : float
         """
-        ready_s_by_model = {}
-        on_host_by_pool = {}
-        resident = set()
+        load_by_endpoint = {}
+        self._clear_endpoints()
         for row in rows:
             for arriving in row.arriving:
-                key = (row.pool, arriving.name)
-                known_s = self._ready_s_by_model.get(key)
-                ready_s_by_model[key] = known_s or now_s + arriving.takes_ms / MS_PER_S
+                key = (row.endpoint_id, row.pool, arriving.name)
+                ready_s = now_s + arriving.takes_ms / MS_PER_S
+                load = self._load_by_endpoint.get(key) or DecidedLoad(ready_s, arriving.takes_ms)
+                load_by_endpoint[key] = load
+                self._loads_by_model.setdefault((row.pool, arriving.name), []).append(load)
             if row.leaving:
                 continue
-            _add_host_models(on_host_by_pool, row)
+            self._add_host_models(row)
             for model in row.models:
-                resident.add((row.pool, model.name))
-        self._ready_s_by_model = ready_s_by_model
-        self._on_host_by_pool = on_host_by_pool
-        self._resident = resident
+                self._resident.add((row.pool, model.name))
+        self._load_by_endpoint = load_by_endpoint
 
-    def ready_s(self, pool, model):
+    def ready_s(self, pool, model, now_s):
         """Return when a model will be loaded, or None if no load of it was decided.
 
+        A load from the store is disregarded if a host has the weights and would be sooner.
+
         Parameters
         ----------
-        pool, model : str
+        pool : PoolRow
+            A pool with an engine.
+        model : str
+        now_s : float
 
         Returns
         -------
         float or None
         """
-        return self._ready_s_by_model.get((pool, model))
+        key = (pool.name, model)
+        earliest_s = None
+        for load in self._loads_by_model.get(key, ()):
+            if key in self._on_host and _is_slower_than_host(load, pool.engine.model(model), now_s):
+                continue
+            if earliest_s is None or load.ready_s < earliest_s:
+                earliest_s = load.ready_s
+        return earliest_s
 
     def least_s(self, pool, model):
         """Return the minimum time to load a model whose load was not decided yet.
@@ -69,17 +104,24 @@
         spec = pool.engine.model(model)
         if spec is None:
             return 0.0
-        on_host = self._on_host_by_pool.get(pool.name)
-        if on_host is None or model in on_host:
+        if self._may_be_on_host(pool, model):
             return spec.memory_load_ms / MS_PER_S
         return spec.store_load_ms / MS_PER_S
 
+    def _add_host_models(self, row):
+        if row.on_host is None:
+            self._pools_with_unknown_hosts.add(row.pool)
+            return
+        self._pools_with_known_hosts.add(row.pool)
+        self._on_host.update((row.pool, model) for model in row.on_host)
+        self._on_host.update((row.pool, model.name) for model in row.models)
+
+    def _may_be_on_host(self, pool, model):
+        if (pool.name, model) in self._on_host or pool.name in self._pools_with_unknown_hosts:
+            return True
+        return pool.name not in self._pools_with_known_hosts
+
 
-def _add_host_models(on_host_by_pool, row):
-    """Add the models on an endpoint's host; None if any host of the pool is unknown."""
-    known = on_host_by_pool.setdefault(row.pool, set())
-    if row.on_host is None:
-        on_host_by_pool[row.pool] = None
-    elif known is not None:
-        known.update(row.on_host)
-        known.update(model.name for model in row.models)
+def _is_slower_than_host(load, spec, now_s):
+    is_from_store = load.takes_ms >= spec.store_load_ms
+    return is_from_store and load.ready_s > now_s + spec.disk_load_ms / MS_PER_S
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -210,8 +210,9 @@
     def _refuse_unservable(self, use, exchanges):
         """Refuse the requests of a model that can't be served within their clients' patience."""
         now_s = self._gateway.clock.seconds()
-        ready_s = self._supply.ready_s(use.pool, use.model)
-        least_s = self._supply.least_s(exchanges[0].pool, use.model)
+        pool = exchanges[0].pool
+        ready_s = self._supply.ready_s(pool, use.model, now_s)
+        least_s = self._supply.least_s(pool, use.model)
         for exchange in exchanges:
             patience = Patience.of(
                 exchange.route,
--- a/packages/hemlockdock-entry/tests/test_gateway.py
+++ b/packages/hemlockdock-entry/tests/test_gateway.py
@@ -410,6 +410,21 @@
         self.send_request()
         self.assertIsNone(self.client.status)
 
+    def test_request_waits_for_a_host_that_has_its_model_while_the_store_delivers_it(self):
+        self.harness.put_rows(
+            endpoint("x", "lm", 3, arriving=[("m", 6_100)], on_host=("n",)),
+            endpoint("y", "lm", 4, on_host=("m",)),
+        )
+        self.send_request()
+        self.assertIsNone(self.client.status)
+
+    def test_the_earliest_of_two_loads_of_a_model_counts(self):
+        slow = endpoint("x", "lm", 3, arriving=[("m", 3_000)])
+        self.harness.put_rows(slow)
+        self.harness.put_rows(slow, endpoint("y", "lm", 4, arriving=[("m", 500)]))
+        self.send_request()
+        self.assertIsNone(self.client.status)
+
     def test_waiting_request_is_refused_before_its_clients_patience_ends(self):
         """A load takes at least 0.3 s, so the refusal comes that much before the client leaves."""
         self.harness.put_rows(endpoint("x", "lm", 3))
