--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
@@ -158,9 +158,13 @@
         self._polling = False
         if report is None:
             self._failed_polls += 1
+            if self._failed_polls == MAX_FAILED_POLLS:
+                logger.info("engine unreachable", extra={"failed_polls": self._failed_polls})
             if self._report is not None and self._failed_polls >= MAX_FAILED_POLLS:
                 self._send_report()
             return
+        if self._failed_polls >= MAX_FAILED_POLLS:
+            logger.info("engine reachable again", extra={"failed_polls": self._failed_polls})
         self._failed_polls = 0
         self._handle_report(report)
 
