agent/fleet: an order without an answer no longer hides the engine's reports

Cause: an agent sent reports, orders and probes on one connection, which carries one request at a time. A report that waited behind an order without an answer (1.5 s) ran into its own timeout of 0.25 s, three of these made the engine 'not responding', and the leader dropped its models: their requests were refused, the models loaded again elsewhere, even from the store, and the exchange in progress counted as 'gone' while it went on. A probe that waits for a free slot (2 s) did the same.

Change: a client's connections to one address can be named; requests wait only for earlier ones on the same connection. Reports, orders and probes of an agent have one each.

--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/engine_client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/engine_client.py
@@ -14,6 +14,11 @@
 ORDER_TIMEOUT_S = 1.5
 # A probe waits for a free slot on the engine like any other request.
 PROBE_TIMEOUT_S = 2.0
+# Separate connections: an order without an answer, or a probe that waits for a slot, must not make
+# the engine appear not to respond.
+REPORT_CONNECTION = "reports"
+ORDER_CONNECTION = "orders"
+PROBE_CONNECTION = "probes"
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
@@ -43,7 +48,7 @@
         """
         path = self._wire.report_path
         try:
-            body = yield self._client.read(self._address, path, REPORT_TIMEOUT_S)
+            body = yield self._client.read(self._address, path, REPORT_TIMEOUT_S, REPORT_CONNECTION)
             return self._wire.decode_report(body)
         except (CallFailedError, ValueError) as error:
             logger.debug("engine report failed", extra={"problem": str(error)})
@@ -64,7 +69,11 @@
         """
         try:
             answer = yield self._client.call(
-                "GET", self._address, probe_path, timeout_s=PROBE_TIMEOUT_S
+                "GET",
+                self._address,
+                probe_path,
+                timeout_s=PROBE_TIMEOUT_S,
+                connection=PROBE_CONNECTION,
             )
         except CallFailedError as error:
             logger.info("endpoint id request failed", extra={"problem": str(error)})
@@ -96,6 +105,7 @@
                 headers,
                 self._wire.encode_order(order),
                 ORDER_TIMEOUT_S,
+                ORDER_CONNECTION,
             )
         except CallFailedError as error:
             order_answer = EngineOrderResponse.UNKNOWN if error.sent else EngineOrderResponse.BUSY
--- a/packages/hemlockdock-core/hemlockdock_core/http/client.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/client.py
@@ -1,4 +1,7 @@
-"""An HTTP/1.1 client with one persistent connection and one request at a time per address."""
+"""An HTTP/1.1 client with persistent connections that carry one request at a time.
+
+There is one connection per address, unless callers name several.
+"""
 
 import logging
 from collections import deque
@@ -56,7 +59,7 @@
 
 
 class HttpClient:
-    """An HTTP client that sends requests to one address in order on one connection.
+    """An HTTP client that sends the requests of each connection in order.
 
     Parameters
     ----------
@@ -65,9 +68,11 @@
 
     def __init__(self, reactor):
         self._reactor = reactor
-        self._request_queue_by_address = {}
+        self._queue_by_connection = {}
 
-    def call(self, method, address, path, headers=(), body=b"", timeout_s=1.0):
+    def call(
+        self, method, address, path, headers=(), body=b"", timeout_s=1.0, connection="default"
+    ):
         """Send a request.
 
         Parameters
@@ -80,6 +85,9 @@
         body : bytes, optional
         timeout_s : float, optional
             Time limit for the request, including the wait for earlier requests.
+        connection : str, optional
+            Name of the connection to the address. Requests wait only for earlier ones on the same
+            connection.
 
         Returns
         -------
@@ -91,13 +99,14 @@
         if body or method == "POST":
             lines.append(f"Content-Length: {len(body)}")
         data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
-        request_queue = self._request_queue_by_address.get(address)
+        key = (address, connection)
+        request_queue = self._queue_by_connection.get(key)
         if request_queue is None:
             request_queue = _RequestQueue(self._reactor, address)
-            self._request_queue_by_address[address] = request_queue
+            self._queue_by_connection[key] = request_queue
         return request_queue.add(data, timeout_s)
 
-    def read(self, address, path, timeout_s):
+    def read(self, address, path, timeout_s, connection="default"):
         """Send a GET request and return the response body.
 
         Parameters
@@ -106,29 +115,22 @@
             ``ip:port``.
         path : str
         timeout_s : float
+        connection : str, optional
 
         Returns
         -------
         Deferred of bytes
             Fails with CallFailedError, or with ValueError if the status is not 200.
         """
-        return self.call("GET", address, path, timeout_s=timeout_s).addCallback(_body_if_ok)
-
-    def forget(self, address):
-        """Close the connection to an address.
-
-        Parameters
-        ----------
-        address : str
-        """
-        request_queue = self._request_queue_by_address.pop(address, None)
-        if request_queue is not None:
-            request_queue.close()
+        response = self.call("GET", address, path, timeout_s=timeout_s, connection=connection)
+        return response.addCallback(_body_if_ok)
 
     def close(self):
         """Close all connections and fail pending requests."""
-        for address in list(self._request_queue_by_address):
-            self.forget(address)
+        queues = list(self._queue_by_connection.values())
+        self._queue_by_connection = {}
+        for request_queue in queues:
+            request_queue.close()
 
 
 def _body_if_ok(response):
