fleet: an exchange that this leader did not decide counts as what it loads

Cause: a leader knew of the exchanges of an earlier one (and of its own ones that it had given up as 'gone') only that they went on, and counted each as a load from the store. Most load from a disk. On a store that is not measured and whose loads take long, one such exchange is enough to let no load begin. Nor did it know their models: it could load them again elsewhere.

Change: the report of an agent names the model that its change loads. The leader counts it at the store if the host does not have the weights, else as a copy that is about to be there. Reports without the name, of agents of an earlier build, count as before.

Tests: the one of test_lab fails on the code before ([] != [('e1', 'm1')]); that of test_fleet_placement needs the new field (AttributeError before).

--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
@@ -292,6 +292,7 @@
             self._facts_number,
             self._failed_polls < MAX_FAILED_POLLS,
             self._reported_endpoint_id,
+            "" if self._change is None else self._change.message.load,
         )
         if message == self._sent_report and now_s - self._sent_s < REPORT_REPEAT_S:
             return
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
@@ -152,6 +152,7 @@
             self._change_number,
             self._change is not None,
             self._facts_number,
+            changing_to="" if self._change is None else self._change.load,
         )
 
     def _cache_copy(self, cache, model, capacity_mb):
--- a/packages/hemlockdock-cli/tests/test_lab.py
+++ b/packages/hemlockdock-cli/tests/test_lab.py
@@ -3,12 +3,19 @@
 import logging
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from hemlockdock_cli.lab import plot_waits, result_lines, run_experiment
 from hemlockdock_cli.lab.baselines import find_policy
-from hemlockdock_cli.lab.scenario import SCENARIOS, generate_requests
+from hemlockdock_cli.lab.engine import SimulatedEngine
+from hemlockdock_cli.lab.scenario import POOL, SCENARIOS, generate_requests
 from hemlockdock_control.fleet import model_choice
+from hemlockdock_control.fleet.demand import DemandAggregator
+from hemlockdock_control.fleet.placement import Placement
+from hemlockdock_control.fleet.registry import AgentReport, EndpointRegistry
+from hemlockdock_core.messages import ChangeModels, DemandReport, ModelDemand
+from hemlockdock_core.wire import ListedEndpoint
 
 DURATION_S = 20.0
 SEEDS = [101, 102]
@@ -20,6 +27,40 @@
     return {(row.policy, row.traffic): row for row in rows}
 
 
+class LeaderChangeTest(unittest.TestCase):
+    def setUp(self):
+        self.scenario = replace(SCENARIOS["grown"], engines=2, busy_models=1, rare_models=1)
+        self.engines = [
+            SimulatedEngine(self.scenario, "e0", on_disk=("m0",)),
+            SimulatedEngine(self.scenario, "e1"),
+        ]
+        self.registry = EndpointRegistry()
+        self.registry.set_directory(
+            [
+                ListedEndpoint(engine.name, POOL, engine.name, "d", 32, False, ())
+                for engine in self.engines
+            ]
+        )
+
+    def decided_changes(self, placement, model, now_s, term):
+        """Return the changes that a leader decides while requests wait for a model."""
+        board = DemandAggregator()
+        demand = ModelDemand(POOL, model, 5, 5, 0, 0, 0, 1, 0)
+        board.record_report("entry", DemandReport((demand,)), now_s)
+        for engine in self.engines:
+            self.registry.record_report(AgentReport(engine.name, 1, engine.report(), now_s))
+        rows = self.registry.rows(now_s, placement)
+        messages = placement.decide([self.scenario.pool], rows, self.registry, board, now_s, term)
+        return [m.message for m in messages if isinstance(m.message, ChangeModels)]
+
+    def test_a_new_leader_uses_the_store_while_engines_finish_exchanges_from_disk(self):
+        first = self.decided_changes(Placement(), "m0", 10.0, 1)
+        self.assertEqual([change.load for change in first], ["m0"])
+        self.engines[0].accept_change(first[0])
+        second = self.decided_changes(Placement(), "m1", 10.5, 2)
+        self.assertEqual([(change.endpoint_id, change.load) for change in second], [("e1", "m1")])
+
+
 class LabTest(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
@@ -50,6 +50,9 @@
     facts_number : int
         Number of the last ``EngineFacts`` that the agent has received.
     pending : PendingChange or None
+        Change that this leader decided.
+    changing_to : str
+        Model that the agent is loading, also for an earlier leader; empty if none or not reported.
     """
 
     endpoint_id: str
@@ -59,6 +62,7 @@
     changing: bool
     facts_number: int
     pending: PendingChange | None
+    changing_to: str = ""
 
     @property
     def resident(self):
@@ -68,14 +72,22 @@
             names -= set(self.pending.message.unload)
             if self.pending.message.load:
                 names.add(self.pending.message.load)
+        elif self.changing_to:
+            names.add(self.changing_to)
         return names
 
     @property
     def coming_from_store(self):
         """Return the name of the model that is being loaded from the store, or an empty string."""
-        if self.pending is None or self.pending.source != "store":
-            return ""
-        return self.pending.message.load
+        if self.pending is not None:
+            return self.pending.message.load if self.pending.source == "store" else ""
+        # The weights are listed among those of the host only once they have arrived.
+        return "" if self.has_local_weights(self.changing_to) else self.changing_to
+
+    @property
+    def occupies_store(self):
+        """Tell whether the change in progress loads from the store, or may do so."""
+        return bool(self.coming_from_store) or (self.changing and not self.changing_to)
 
     @property
     def is_free(self):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -151,6 +151,7 @@
                 body.changing,
                 body.facts_number,
                 self.pending_by_id.get(row.endpoint_id),
+                body.changing_to,
             )
         return views
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -30,7 +30,7 @@
     decided_loads : int
         Loads that this leader decided.
     inherited_loads : int
-        Loads that a previous leader may have decided.
+        Loads that an earlier leader decided.
     """
 
     def __init__(self, estimator, views):
@@ -38,9 +38,11 @@
         self.decided_loads = 0
         self.inherited_loads = 0
         for view in views:
+            if not view.occupies_store:
+                continue
             if view.pending is not None:
-                self.decided_loads += view.pending.source == "store"
-            elif view.changing:
+                self.decided_loads += 1
+            else:
                 self.inherited_loads += 1
 
     @property
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -262,6 +262,14 @@
         self.add_waiting("rare", waiting=20)
         self.assertEqual(self.choices(), [])
 
+    def test_a_model_that_an_earlier_leader_loads_is_not_loaded_elsewhere(self):
+        for source in ({"disk": ("rare",)}, {}):
+            self.views = {"y": view("y", report(**source)), "x": view("x", report(**source))}
+            self.views["y"].changing = True
+            self.views["y"].changing_to = "rare"
+            self.add_waiting("rare", waiting=20)
+            self.assertEqual(self.choices(), [], source)
+
     def test_a_load_from_the_store_does_not_evict_models_in_high_demand(self):
         """The evicted model would be unavailable for as long as the load takes."""
         self.warm_up(hot=4, other=4)
--- a/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
@@ -26,6 +26,8 @@
         Whether the engine responds now; if not, ``report`` is the last one received.
     endpoint_id : str
         Endpoint id that the engine reports; empty until it has been probed.
+    changing_to : str
+        Model that the change in progress loads; empty if there is none.
     """
 
     pool: str
@@ -36,6 +38,7 @@
     facts_number: int
     answers: bool = True
     endpoint_id: str = ""
+    changing_to: str = ""
 
 
 class EngineFacts(Message, frozen=True):
