agent/fleet: send an unanswered order again after 0.3 s

Cause: an agent waited 1.5 s for the answer, and sent no other order of that engine meanwhile, although the engine runs on the same host and answers within milliseconds, and an order that is sent twice is carried out once, as it names how many orders were accepted before it.

Evidence: 'order unanswered' 1.5 s after each such order; 'change accepted' to 'change finished' of side-chimal-bodega-3 6.9 s, from 2.7 s on.

Test: fails on the code before ([] != [EngineOrderResponse.UNKNOWN]).

--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/engine_client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/engine_client.py
@@ -11,7 +11,8 @@
 
 # Short, since the engine runs on the same host.
 REPORT_TIMEOUT_S = 0.25
-ORDER_TIMEOUT_S = 1.5
+# An order that is sent again is carried out once, as it carries its sequence number.
+ORDER_TIMEOUT_S = 0.3
 # A probe waits for a free slot on the engine like any other request.
 PROBE_TIMEOUT_S = 2.0
 # Separate connections: an order without an answer, or a probe that waits for a slot, must not make
--- a/packages/hemlockdock-agent/tests/test_fleet_engine_client.py
+++ b/packages/hemlockdock-agent/tests/test_fleet_engine_client.py
@@ -7,7 +7,7 @@
 from hemlockdock_agent.fleet.engine_client import FleetEngineClient
 from hemlockdock_core.http import HttpClient
 from hemlockdock_core.settings import parse_settings
-from hemlockdock_core.wire import EngineOrder, OrderAction, load_wire
+from hemlockdock_core.wire import EngineOrder, EngineOrderResponse, OrderAction, load_wire
 
 ENGINE = "127.0.0.1:8300"
 PROBE_PATH = "/health"
@@ -79,6 +79,13 @@
         self.client.endpoint_id(PROBE_PATH)
         self.assertEqual(self.report(), ["{}"])
 
+    def test_an_unanswered_order_does_not_hold_up_later_ones_for_seconds(self):
+        answers = []
+        self.client.order(ORDER, "e").addCallback(answers.append)
+        self.engine.run()
+        self.reactor.advance(0.5)
+        self.assertEqual(answers, [EngineOrderResponse.UNKNOWN])
+
 
 if __name__ == "__main__":
     unittest.main()
