control/fleet: no load from the store just before another one ends

Cause: for a model in very high demand a load was begun beside another one whatever that had left to do. On a store that carries one load, each one beside it takes twice as long, from its beginning on.

Change: beyond full speed, a load begins only if it ends sooner than one that waits for the next end: a load's time over the number that the store carries is less than what is left of the load that ends first. While that number is not measured, at least a third of a load has to be left. Beside a load of an earlier leader, whose end is not known, none begins.

Test: fails on the code before (['rare'] != []).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -256,7 +256,7 @@
         # An engine on a host with the weights usually becomes idle long before a store load ends.
         if spec.name in self._models_on_hosts and not from_store:
             return False
-        return self.store.may_start(spec, gain)
+        return self.store.may_start(spec, gain, self._now_s)
 
     def _ahead(self):
         """Return a speculative exchange that no request waits for yet, or None.
@@ -293,7 +293,7 @@
         name = choice.model.name
         if choice.source == "store":
             self._coming_from_store.add(name)
-            self.store.record_start()
+            self.store.record_start(self._now_s + choice.takes_s)
             return
         self._copies_by_name[name] = self._copies_by_name.get(name, 0) + 1
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -7,13 +7,16 @@
 # Concurrent store loads that models in low demand must leave free for a model in high demand.
 RESERVED_STORE_LOADS = 1
 HIGH_DEMAND_REQUESTS = 4.0
-# At this demand, a load is worth exceeding the store's full speed, although all loads then take
-# longer.
+# At this demand, a load may exceed the store's full speed if it ends sooner than one that waits for
+# another load to end.
 VERY_HIGH_DEMAND_REQUESTS = 12.0
 STORE_OVERCOMMIT_FACTOR = 1.5
 # Until the store's concurrency is measured, the loads in progress may take at most this long if the
 # store runs them one at a time: models requested later have to wait for all of them.
 UNMEASURED_STORE_BACKLOG_S = 12.0
+# Until then, a second load starts only while the first one has at least this fraction of its
+# duration left: later, there is little to gain, and twice the duration to lose.
+MIN_FRACTION_LEFT = 1 / 3
 MS_PER_S = 1_000.0
 
 
@@ -37,13 +40,17 @@
         self._estimator = estimator
         self.decided_loads = 0
         self.inherited_loads = 0
+        self._next_end_s = float("inf")
         for view in views:
             if not view.occupies_store:
                 continue
             if view.pending is not None:
                 self.decided_loads += 1
+                self._next_end_s = min(self._next_end_s, view.pending.ready_s)
             else:
                 self.inherited_loads += 1
+                # Its end is not known, and may be near.
+                self._next_end_s = float("-inf")
 
     @property
     def active_loads(self):
@@ -55,9 +62,16 @@
         """Return the estimated number of concurrent loads at full speed."""
         return self._estimator.concurrency_limit
 
-    def record_start(self):
-        """Count a load that was decided in this round."""
+    def record_start(self, ends_s):
+        """Count a load that was decided in this round.
+
+        Parameters
+        ----------
+        ends_s : float
+            Expected end of the load.
+        """
         self.decided_loads += 1
+        self._next_end_s = min(self._next_end_s, ends_s)
 
     def load_s(self, spec):
         """Return the expected duration of a load that starts now.
@@ -73,7 +87,7 @@
         crowding = max(1.0, (self.active_loads + 1) / self._estimator.concurrency_limit)
         return crowding * spec.store_load_ms / MS_PER_S
 
-    def may_start(self, spec, demand):
+    def may_start(self, spec, demand, now_s):
         """Tell whether a load for waiting requests may start.
 
         Parameters
@@ -81,21 +95,31 @@
         spec : ModelSpec
         demand : float
             Number of requests that wait for the model or will soon.
+        now_s : float
 
         Returns
         -------
         bool
         """
-        concurrency_limit = self._estimator.concurrency_limit
-        is_measured = self._estimator.is_measured
-        if not is_measured and demand < VERY_HIGH_DEMAND_REQUESTS:
-            concurrency_limit = min(concurrency_limit, _unmeasured_limit(spec))
-        limit = max(1, concurrency_limit - RESERVED_STORE_LOADS)
+        full_speed_loads = self._estimator.concurrency_limit
+        if not self._estimator.is_measured:
+            full_speed_loads = min(full_speed_loads, _unmeasured_limit(spec))
+        limit = max(1, full_speed_loads - RESERVED_STORE_LOADS)
         if demand >= HIGH_DEMAND_REQUESTS:
-            limit = concurrency_limit
-        if demand >= VERY_HIGH_DEMAND_REQUESTS and is_measured:
-            limit = int(concurrency_limit * STORE_OVERCOMMIT_FACTOR)
-        return self.active_loads < limit
+            limit = full_speed_loads
+        if self.active_loads < limit:
+            return True
+        return demand >= VERY_HIGH_DEMAND_REQUESTS and self._may_exceed_full_speed(spec, now_s)
+
+    def _may_exceed_full_speed(self, spec, now_s):
+        load_s = spec.store_load_ms / MS_PER_S
+        wait_s = self._next_end_s - now_s
+        limit = self._estimator.concurrency_limit
+        if not self._estimator.is_measured:
+            return self.active_loads < limit and wait_s >= MIN_FRACTION_LEFT * load_s
+        # Each load beyond the limit makes this one longer by a share of a load at full speed.
+        is_sooner = wait_s > load_s / limit
+        return is_sooner and self.active_loads < int(limit * STORE_OVERCOMMIT_FACTOR)
 
     def may_prefetch(self, spec):
         """Tell whether a load that no request waits for may start.
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -201,6 +201,27 @@
         self.history.store.is_measured = True
         self.assertEqual(self.choices()[0][:2], ("x", "rare"))
 
+    def chosen_beside_a_load_that_ends_in(self, remaining_s, is_measured):
+        """Return the models loaded from a store that carries one load, for very high demand."""
+        message = ChangeModels(1, 1, "y", (), "other")
+        pending = PendingChange(message, 1, "store", NOW_S, NOW_S + remaining_s)
+        self.models = [spec("rare", store_load_ms=13_200)]
+        self.history = PlacementHistory()
+        if is_measured:
+            self.history.store.is_measured = True
+            self.history.store.concurrency_limit = 1
+        self.views = {"y": view("y", report(), pending), "x": view("x", report())}
+        self.add_waiting("rare", waiting=40)
+        return [choice[1] for choice in self.choices()]
+
+    def test_a_load_from_the_store_does_not_start_just_before_another_one_ends(self):
+        self.assertEqual(self.chosen_beside_a_load_that_ends_in(0.7, is_measured=False), [])
+        self.assertEqual(self.chosen_beside_a_load_that_ends_in(8.0, is_measured=False), ["rare"])
+
+    def test_a_store_measured_to_carry_one_load_gets_no_second_one(self):
+        self.history.store.is_measured = True
+        self.assertEqual(self.chosen_beside_a_load_that_ends_in(13.0, is_measured=True), [])
+
     def test_the_store_limit_bounds_concurrent_loads(self):
         message = ChangeModels(1, 1, "y", (), "other")
         pending = PendingChange(message, 1, "store", NOW_S, NOW_S + 6)
