control/fleet: loads of engines that leave or do not respond still use the store

Cause: the leader looked only at engines that it can use. Of one that leaves, or that its agent can't reach for a moment, it forgot the load too, though that goes on and the store with it.

Change: placement keeps the reports of engines that it can't use, and counts their loads at the store.

Test: fails on the code before (['only-in-store'] != []).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -90,7 +90,7 @@
     """
 
     def __init__(self, pool, views, demand, history, now_s):
-        self.store = StoreAdmission(history.store, views.values())
+        self.store = StoreAdmission(history.store, [*views.values(), *history.unavailable])
         self._engine = pool.engine
         self._views = views
         self._history = history
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -109,12 +109,13 @@
         for pool in pools:
             if pool.engine is None:
                 continue
-            views = self._build_views(pool, rows, registry, now_s)
+            views, unavailable = self._build_views(pool, rows, registry, now_s)
             messages.extend(_facts_messages(pool, views, term))
             self._finish_changes(pool, views, now_s)
             if not self._has_enough_reports(pool, rows, views, now_s):
                 continue
             self._history.observe(views.values(), now_s)
+            self._history.unavailable = tuple(unavailable.values())
             choice = self._policy(pool, views, demand, self._history, now_s)
             self._log_store_use(pool, choice.store)
             for chosen in choice.choices():
@@ -135,15 +136,19 @@
         )
 
     def _build_views(self, pool, rows, registry, now_s):
+        """Return the views of the engines that can be used, and of those that can't."""
         views = {}
+        unavailable = {}
         for row in rows.values():
-            if row.pool != pool.name or row.leaving:
+            if row.pool != pool.name:
                 continue
             report = registry.current_report(row.endpoint_id, row.address, now_s)
-            if report is None or not report.body.answers:
+            if report is None:
                 continue
             body = report.body
-            views[row.endpoint_id] = EngineView(
+            is_available = body.answers and not row.leaving
+            target = views if is_available else unavailable
+            target[row.endpoint_id] = EngineView(
                 row.endpoint_id,
                 report.agent_address,
                 body.report,
@@ -153,7 +158,7 @@
                 self.pending_by_id.get(row.endpoint_id),
                 body.changing_to,
             )
-        return views
+        return views, unavailable
 
     def _finish_changes(self, pool, views, now_s):
         for endpoint_id, pending in list(self.pending_by_id.items()):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -69,10 +69,13 @@
         Loaded models whose first requests may not have arrived yet.
     recent_failures : RecentModelEvents
         Exchanges that ended without the model being loaded.
+    unavailable : tuple of EngineView
+        Engines that are leaving or do not respond. Their loads from the store go on.
     """
 
     def __init__(self, store=None):
         self.store = store or StoreConcurrencyEstimator()
+        self.unavailable = ()
         self._initial_models = set()
         self._seen_ids = set()
         self._last_new_engine_s = 0.0
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -366,7 +366,7 @@
         self.facts_number = 0
         self.models = ("warm",)
 
-    def report(self, change_number=0, changing=False, incarnation=1):
+    def report(self, change_number=0, changing=False, incarnation=1, changing_to=""):
         body = EndpointReport(
             POOL,
             listed().address,
@@ -374,6 +374,7 @@
             change_number,
             changing,
             self.facts_number,
+            changing_to=changing_to,
         )
         self.registry.record_report(AgentReport("tcp://a", incarnation, body, self.now_s))
 
@@ -454,6 +455,18 @@
         self.assertEqual(self.placement.pending_by_id, {})
         self.assertEqual([model.name for model in self.rows()["e"].models], ["rare"])
 
+    def test_the_store_is_not_free_while_an_engine_that_leaves_loads_from_it(self):
+        staying = listed("staying")
+        self.registry.set_directory([listed(leaving=True), staying])
+        self.pool = pool(spec("rare"), spec("warm"), spec("only-in-store", store_load_ms=13_200))
+        self.report_waiting("only-in-store")
+        for changing_to, expected in (("only-in-store", []), ("", ["only-in-store"])):
+            self.report(1, changing=bool(changing_to), changing_to=changing_to)
+            body = EndpointReport(POOL, staying.address, report(), 0, False, 0)
+            self.registry.record_report(AgentReport("tcp://s", 1, body, self.now_s))
+            loads = [m.load for m in self.decide() if isinstance(m, ChangeModels)]
+            self.assertEqual(loads, expected)
+
     def test_a_change_of_the_store_use_is_logged_once(self):
         self.report(change_number=7, changing=True)
         with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
