control/fleet: no load from the store for what a host is about to load

Cause: after 1 s of waiting in vain for an engine on a host with the weights, the store was taken; but after 1.2 s a model with requests in flight may be evicted, which let the host load it.

Change: the store is no way out as long as evicting such a model is one.

Test: fails on the code before ([('y', 'rare', (), 'store')] != []).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -182,6 +182,9 @@
             return choice
         if use.waiting < HIGH_DEMAND_REQUESTS or waited_s < STORE_FALLBACK_AFTER_S:
             return None
+        if self._cheapest_exchange(spec, gain, True, reason) is not None:
+            # A host is going to load it, at the expense of a model with requests in flight.
+            return None
         # The engines on the hosts with its weights hold models of at least the same value.
         return self._cheapest_exchange(spec, gain, False, reason, from_store=True)
 
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -258,6 +258,17 @@
         self.add_waiting("rare", waiting=5)
         self.assertEqual(self.choices(), [])
 
+    def test_the_store_is_not_used_if_a_host_is_about_to_evict_a_busy_model(self):
+        self.models = [spec("warm", 60.0), spec("rare")]
+        self.views = {
+            "x": view("x", report(("warm",), disk=("warm", "rare"))),
+            "y": view("y", report()),
+        }
+        self.report_demand(demand("warm", 1, in_flight=1), now_s=NOW_S - 3.0)
+        self.add_waiting("rare", waiting=5)
+        self.assertEqual(self.choices(NOW_S + 1.1), [])
+        self.assertEqual(self.choices(NOW_S + 1.3), [("x", "rare", ("warm",), "disk")])
+
     def put_store_load(self, endpoint_id, model):
         """Add an engine that a model is being loaded on from the store."""
         message = ChangeModels(1, 1, endpoint_id, (), model)
