control/fleet: wait for a crashed engine's host before the store is used

Cause: a model whose last host does not respond counted as one that only the store has.

Change: the leader remembers the weights on hosts that stopped responding, and asks the store for them only after 8 s, or the time of a load if that is less; at once if the engine was leaving. A leader that was not there before takes them from the last reports that the agents of such engines repeat. The history of placement is kept for each pool.

Tests: the first fails on the code before ([('y', 'rare', (), 'store')] != []); the others need what is new (TypeError, AttributeError before).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -257,7 +257,8 @@
 
     def _may_use_store(self, spec, gain, from_store):
         # An engine on a host with the weights usually becomes idle long before a store load ends.
-        if spec.name in self._models_on_hosts and not from_store:
+        is_on_host = spec.name in self._models_on_hosts
+        if not from_store and (is_on_host or self._history.may_return(spec, self._now_s)):
             return False
         return self.store.may_start(spec, gain, self._now_s)
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -68,7 +68,7 @@
         """Discard all changes and history: another member may have led in the meantime."""
         self.pending_by_id = {}
         self.store.forget_active_loads()
-        self._history = PlacementHistory(self.store)
+        self._history_by_pool = {}
         self._change_counter = 0
         self._first_view_s = None
         self._logged_store_use_by_pool = {}
@@ -111,18 +111,26 @@
                 continue
             views, unavailable = self._build_views(pool, rows, registry, now_s)
             messages.extend(_facts_messages(pool, views, term))
-            self._finish_changes(pool, views, now_s)
+            history = self._history_of(pool)
+            self._finish_changes(history, views, now_s)
             if not self._has_enough_reports(pool, rows, views, now_s):
                 continue
-            self._history.observe(views.values(), now_s)
-            self._history.unavailable = tuple(unavailable.values())
-            choice = self._policy(pool, views, demand, self._history, now_s)
+            leaving_ids = {row.endpoint_id for row in rows.values() if row.leaving}
+            unresponsive = registry.unresponsive_hosts(pool.name, now_s)
+            history.observe(views.values(), now_s, leaving_ids, unresponsive)
+            history.unavailable = tuple(unavailable.values())
+            choice = self._policy(pool, views, demand, history, now_s)
             self._log_store_use(pool, choice.store)
             for chosen in choice.choices():
                 self._start_change(chosen, views[chosen.endpoint_id], now_s, term)
             messages.extend(self._due_messages(views, now_s))
         return messages
 
+    def _history_of(self, pool):
+        if pool.name not in self._history_by_pool:
+            self._history_by_pool[pool.name] = PlacementHistory(self.store)
+        return self._history_by_pool[pool.name]
+
     def _has_enough_reports(self, pool, rows, views, now_s):
         """Tell whether all agents have reported or have had enough time to do so."""
         if self._first_view_s is None and views:
@@ -160,7 +168,7 @@
             )
         return views, unavailable
 
-    def _finish_changes(self, pool, views, now_s):
+    def _finish_changes(self, history, views, now_s):
         for endpoint_id, pending in list(self.pending_by_id.items()):
             view = views.get(endpoint_id)
             is_gone = view is None and now_s - pending.decided_s > RESEND_S
@@ -174,7 +182,7 @@
             self.store.record_end(pending.message.number, is_finished and loaded, now_s)
             if view is not None:
                 view.pending = None
-                recent = self._history.recent_loads if loaded else self._history.recent_failures
+                recent = history.recent_loads if loaded else history.recent_failures
                 recent.note(endpoint_id, model, now_s)
             logger.info(
                 "exchange over",
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -1,4 +1,6 @@
-"""History that placement needs beyond the current snapshot of the engines."""
+"""History that placement needs beyond the current snapshot of a pool's engines."""
+
+from dataclasses import dataclass
 
 from hemlockdock_control.fleet.store_concurrency import StoreConcurrencyEstimator
 
@@ -12,6 +14,27 @@
 # Only within this time after discovery are models without a copy on any host prefetched from the
 # store before they are requested.
 PREFETCH_WINDOW_S = 1.0
+# An engine that crashes is usually started again on its host within this time. The host's disk
+# keeps the weights.
+RESTART_S = 8.0
+# Longer than any such wait.
+HOST_RETENTION_S = 120.0
+MS_PER_S = 1_000.0
+
+
+@dataclass(slots=True)
+class KnownHost:
+    """The weights on the host of an engine, as last reported.
+
+    Attributes
+    ----------
+    models : frozenset of str
+    absent_since_s : float or None
+        Time since which the engine does not respond; None if it does.
+    """
+
+    models: frozenset
+    absent_since_s: float | None = None
 
 
 class RecentModelEvents:
@@ -56,7 +79,7 @@
 
 
 class PlacementHistory:
-    """History of discovered engines, model loads and failed exchanges.
+    """History of a pool: discovered engines, model loads and failed exchanges.
 
     Parameters
     ----------
@@ -77,19 +100,28 @@
         self.store = store or StoreConcurrencyEstimator()
         self.unavailable = ()
         self._initial_models = set()
+        self._host_by_endpoint = {}
+        self._unresponsive_by_address = {}
         self._seen_ids = set()
         self._last_new_engine_s = 0.0
         self.recent_loads = RecentModelEvents(NEW_MODEL_GRACE_S)
         self.recent_failures = RecentModelEvents(FAILED_RETRY_DELAY_S)
 
-    def observe(self, views, now_s):
-        """Record the models that newly discovered engines have loaded.
+    def observe(self, views, now_s, leaving_ids=frozenset(), unresponsive=None):
+        """Record what engines that respond hold, and which ones have stopped responding.
 
         Parameters
         ----------
         views : iterable of EngineView
+            Engines that respond.
         now_s : float
+        leaving_ids : set of str, optional
+            Endpoints that are being removed; their hosts do not return.
+        unresponsive : dict of str to frozenset of str, optional
+            Models on the hosts of engines that do not respond to their agent, by engine address.
         """
+        self._observe_hosts(views, now_s, leaving_ids)
+        self._observe_unresponsive(unresponsive or {}, now_s)
         for view in views:
             if view.endpoint_id in self._seen_ids:
                 continue
@@ -97,6 +129,50 @@
             self._last_new_engine_s = now_s
             self._initial_models |= {model.name for model in view.report.models}
 
+    def _observe_hosts(self, views, now_s, leaving_ids):
+        responding_ids = set()
+        for view in views:
+            responding_ids.add(view.endpoint_id)
+            self._host_by_endpoint[view.endpoint_id] = KnownHost(view.report.on_host)
+        for endpoint_id in leaving_ids:
+            self._host_by_endpoint.pop(endpoint_id, None)
+        for endpoint_id, host in list(self._host_by_endpoint.items()):
+            if endpoint_id in responding_ids:
+                continue
+            if host.absent_since_s is None:
+                host.absent_since_s = now_s
+            elif now_s - host.absent_since_s > HOST_RETENTION_S:
+                del self._host_by_endpoint[endpoint_id]
+
+    def _observe_unresponsive(self, unresponsive, now_s):
+        """Record engines that may have crashed before this member became the leader."""
+        known = self._unresponsive_by_address
+        self._unresponsive_by_address = {}
+        for address, models in unresponsive.items():
+            since_s = known[address].absent_since_s if address in known else now_s
+            self._unresponsive_by_address[address] = KnownHost(models, since_s)
+
+    def may_return(self, spec, now_s):
+        """Tell whether a host with a model's weights may respond sooner than the store delivers.
+
+        Parameters
+        ----------
+        spec : ModelSpec
+        now_s : float
+
+        Returns
+        -------
+        bool
+        """
+        wait_s = min(RESTART_S, spec.store_load_ms / MS_PER_S)
+        hosts = [*self._host_by_endpoint.values(), *self._unresponsive_by_address.values()]
+        for host in hosts:
+            if host.absent_since_s is None or spec.name not in host.models:
+                continue
+            if now_s - host.absent_since_s < wait_s:
+                return True
+        return False
+
     def is_settled(self, now_s):
         """Tell whether no new engine has been discovered recently.
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -90,6 +90,30 @@
         report = self._fresh_report(address, now_s)
         return None if _is_for_other_endpoint(report, endpoint_id) else report
 
+    def unresponsive_hosts(self, pool, now_s):
+        """Return the models on the hosts of engines that do not respond to their agents.
+
+        Engines that were leaving when they last responded are left out.
+
+        Parameters
+        ----------
+        pool : str
+        now_s : float
+
+        Returns
+        -------
+        dict of str to frozenset of str
+            Keyed by engine address.
+        """
+        hosts = {}
+        for address in self._report_by_engine:
+            report = self._fresh_report(address, now_s)
+            if report is None or report.body.answers or report.body.pool != pool:
+                continue
+            if not report.body.report.leaving:
+                hosts[address] = report.body.report.on_host
+        return hosts
+
     def _fresh_report(self, address, now_s):
         report = self._report_by_engine.get(address)
         if report is None or now_s - report.received_s > REPORT_MAX_AGE_S:
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -1,6 +1,7 @@
 """Test which model exchanges placement chooses, and how endpoint rows are built."""
 
 import unittest
+from dataclasses import replace
 
 from hemlockdock_control.fleet.demand import DemandAggregator
 from hemlockdock_control.fleet.engine_view import EngineView, PendingChange
@@ -294,6 +295,36 @@
         self.add_waiting("rare", waiting=20)
         self.assertEqual(self.choices(), [])
 
+    def lose_the_host_of_rare(self, **leaving):
+        """Remove the only host with a model that requests wait for, half a second ago."""
+        self.models = [spec("rare")]
+        self.views = {"x": view("x", report(disk=("rare",))), "y": view("y", report())}
+        self.history.observe(self.views.values(), NOW_S - 1.0)
+        self.history.observe(self.views.values(), NOW_S - 0.5, **leaving)
+        del self.views["x"]
+        self.history.observe(self.views.values(), NOW_S - 0.5)
+        self.add_waiting("rare", waiting=20)
+
+    def test_the_store_is_not_used_for_a_model_whose_host_may_return(self):
+        self.lose_the_host_of_rare()
+        self.assertEqual(self.choices(), [])
+        self.assertEqual(self.choices(NOW_S + 6.0)[0], ("y", "rare", (), "store"))
+
+    def test_a_new_leader_waits_for_a_host_that_its_agent_still_reports(self):
+        self.models = [spec("rare")]
+        self.views = {"y": view("y", report())}
+        unresponsive = {"10.0.0.1:1": frozenset({"rare"})}
+        for at_s in (NOW_S - 6.0, NOW_S):
+            self.history.observe(self.views.values(), at_s, unresponsive=unresponsive)
+            self.report_demand(demand("rare", 20, 20), now_s=at_s)
+            chosen = ModelChoice(pool(*self.models), self.views, self.board, self.history, at_s)
+            sources = [choice.source for choice in chosen.choices()]
+            self.assertEqual(sources, [] if at_s < NOW_S else ["store"])
+
+    def test_a_model_of_a_host_that_left_is_loaded_from_the_store_at_once(self):
+        self.lose_the_host_of_rare(leaving_ids={"x"})
+        self.assertEqual(self.choices()[0], ("y", "rare", (), "store"))
+
     def test_a_model_that_an_earlier_leader_loads_is_not_loaded_elsewhere(self):
         for source in ({"disk": ("rare",)}, {}):
             self.views = {"y": view("y", report(**source)), "x": view("x", report(**source))}
@@ -527,6 +558,15 @@
         later = self.registry.rows(REPORT_MAX_AGE_S + 0.1, self.placement)
         self.assertEqual(sorted(later), ["e", "new"])
 
+    def test_an_engine_that_does_not_respond_keeps_its_weights_unless_it_leaves(self):
+        self.registry.set_directory([listed()])
+        for leaving, expected in ((False, {listed().address: {"a"}}), (True, {})):
+            last = replace(report(disk=("a",)), leaving=leaving)
+            body = EndpointReport(POOL, listed().address, last, 0, False, 0, answers=False)
+            self.registry.record_report(AgentReport("tcp://a", 1, body, 0.0))
+            self.assertEqual(self.registry.unresponsive_hosts(POOL, 0.0), expected)
+            self.assertEqual(self.registry.unresponsive_hosts("other", 0.0), {})
+
     def test_rows_list_the_weights_on_the_host(self):
         self.registry.set_directory([listed()])
         self.assertIsNone(self.registry.rows(0.0, self.placement)["e"].on_host)
