--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
@@ -9,6 +9,7 @@
 from hemlockdock_agent.fleet.engine_client import FleetEngineClient
 from hemlockdock_agent.fleet.memory import EngineMemory
 from hemlockdock_agent.fleet.model_change import ChangeStep, ModelChange
+from hemlockdock_agent.fleet.reachability import EngineReachability
 from hemlockdock_core.http import HttpClient
 from hemlockdock_core.links import LinkTls
 from hemlockdock_core.messages import (
@@ -30,8 +31,6 @@
 REPORT_REPEAT_S = 0.8
 # Poll interval while the engine executes an order.
 BUSY_POLL_S = 0.025
-# After this many failed polls in a row, the engine is reported as not responding.
-MAX_FAILED_POLLS = 3
 # Delay before an order that the engine did not accept is sent again.
 ORDER_RETRY_S = 0.03
 
@@ -68,7 +67,7 @@
         self._memory = None
         self._facts_number = 0
         self._paused_until_s = 0.0
-        self._failed_polls = 0
+        self._reachability = EngineReachability()
         self._adapters = AdapterScheduler()
         self._order_in_flight = False
         self._polling = False
@@ -157,15 +156,11 @@
         report = yield self._engine.report()
         self._polling = False
         if report is None:
-            self._failed_polls += 1
-            if self._failed_polls == MAX_FAILED_POLLS:
-                logger.info("engine unreachable", extra={"failed_polls": self._failed_polls})
-            if self._report is not None and self._failed_polls >= MAX_FAILED_POLLS:
+            self._reachability.poll_failed()
+            if self._report is not None and not self._reachability.is_reachable:
                 self._send_report()
             return
-        if self._failed_polls >= MAX_FAILED_POLLS:
-            logger.info("engine reachable again", extra={"failed_polls": self._failed_polls})
-        self._failed_polls = 0
+        self._reachability.poll_succeeded()
         self._handle_report(report)
 
     def _handle_report(self, report):
@@ -290,7 +285,7 @@
             self._change_number,
             self._change is not None,
             self._facts_number,
-            self._failed_polls < MAX_FAILED_POLLS,
+            self._reachability.is_reachable,
             self._reported_endpoint_id,
             "" if self._change is None else self._change.message.load,
         )
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -6,8 +6,9 @@
 seconds, during which the engine cannot exchange any other model.
 """
 
-from dataclasses import dataclass
-
+from hemlockdock_control.fleet.eviction import EvictionCandidate, choose_evictions, required_mb
+from hemlockdock_control.fleet.model_copies import ModelCopies
+from hemlockdock_control.fleet.model_exchange import ModelExchange
 from hemlockdock_control.fleet.store_admission import HIGH_DEMAND_REQUESTS, StoreAdmission
 
 # Assumed request rate for a model whose only local copy is on the blocked host: demand may shift to
@@ -45,34 +46,6 @@
 RATE_MARGIN_PER_S = 0.2
 
 
-@dataclass(frozen=True, slots=True)
-class ModelExchange:
-    """One exchange of models on an engine.
-
-    Attributes
-    ----------
-    endpoint_id : str
-    model : ModelSpec
-    unload : tuple of str
-    source : str
-        Where the weights are loaded from: ``memory``, ``disk`` or ``store``.
-    takes_s : float
-        Expected duration.
-    unload_rate_per_s : float
-        Request rate of the models to be unloaded.
-    reason : str
-        Explanation for the log.
-    """
-
-    endpoint_id: str
-    model: object
-    unload: tuple
-    source: str
-    takes_s: float
-    unload_rate_per_s: float
-    reason: str
-
-
 class ModelChoice:
     """Choose exchanges of models for one pool in one placement round.
 
@@ -100,20 +73,9 @@
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
         self._is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
-        self._copies_by_name = {}
-        # Not copies: requests can't wait for them, and a host with the weights is far sooner.
-        self._coming_from_store = set()
-        self._models_on_hosts = set()
-        self._idle_views = []
-        for view in views.values():
-            for name in view.resident:
-                if name == view.coming_from_store:
-                    self._coming_from_store.add(name)
-                    continue
-                self._copies_by_name[name] = self._copies_by_name.get(name, 0) + 1
-            self._models_on_hosts |= view.report.on_host
-            if view.is_free:
-                self._idle_views.append(view)
+        self._copies = ModelCopies(views.values())
+        self._copies_by_name = self._copies.count_by_name
+        self._idle_views = [view for view in views.values() if view.is_free]
 
     def choices(self):
         """Yield the exchanges to start now, at most one per endpoint."""
@@ -156,7 +118,7 @@
 
     def _fastest_first_event_s(self, name):
         spec = self._spec_by_name[name]
-        load_ms = spec.disk_load_ms if name in self._models_on_hosts else spec.store_load_ms
+        load_ms = spec.disk_load_ms if name in self._copies.on_hosts else spec.store_load_ms
         return load_ms / MS_PER_S + FIRST_EVENT_S
 
     def _crowded(self):
@@ -178,7 +140,7 @@
             else BUSY_EVICTION_WAIT_S
         )
         choice = self._cheapest_exchange(spec, gain, waited_s >= limit_s, reason)
-        if choice is not None or spec.name not in self._models_on_hosts:
+        if choice is not None or spec.name not in self._copies.on_hosts:
             return choice
         if use.waiting < HIGH_DEMAND_REQUESTS or waited_s < STORE_FALLBACK_AFTER_S:
             return None
@@ -196,7 +158,7 @@
             if self._history.recent_failures.contains(view.endpoint_id, spec.name, self._now_s):
                 continue
             source, load_s = self._source_and_load_s(view, spec)
-            if source == "store" and spec.name in self._coming_from_store:
+            if source == "store" and spec.name in self._copies.coming_from_store:
                 continue
             if source == "store" and not self._may_use_store(spec, gain, from_store):
                 continue
@@ -257,7 +219,7 @@
 
     def _may_use_store(self, spec, gain, from_store):
         # An engine on a host with the weights usually becomes idle long before a store load ends.
-        is_on_host = spec.name in self._models_on_hosts
+        is_on_host = spec.name in self._copies.on_hosts
         if not from_store and (is_on_host or self._history.may_return(spec, self._now_s)):
             return False
         return self.store.may_start(spec, gain, self._now_s)
@@ -274,7 +236,7 @@
             for name, spec in self._spec_by_name.items():
                 if not self.store.may_prefetch(spec):
                     continue
-                if name in self._models_on_hosts or self._copies_by_name.get(name, 0):
+                if name in self._copies.on_hosts or self._copies_by_name.get(name, 0):
                     continue
                 choice = self._cheapest_exchange(spec, PREFETCH_GAIN, False, "no copy anywhere")
                 if choice is not None:
@@ -292,14 +254,9 @@
         self._idle_views = [
             view for view in self._idle_views if view.endpoint_id != choice.endpoint_id
         ]
-        for name in choice.unload:
-            self._copies_by_name[name] -= 1
-        name = choice.model.name
+        self._copies.apply(choice)
         if choice.source == "store":
-            self._coming_from_store.add(name)
             self.store.record_start(self._now_s + choice.takes_s)
-            return
-        self._copies_by_name[name] = self._copies_by_name.get(name, 0) + 1
 
     def _source_and_load_s(self, view, spec):
         if spec.name in view.report.in_host_memory:
@@ -309,39 +266,21 @@
         return "store", self.store.load_s(spec)
 
     def _select_victims(self, view, spec, may_evict_busy):
-        required_mb = self._required_mb(spec.name)
         free_mb = self._engine.weights_mb - sum(self._required_mb(name) for name in view.resident)
         candidates = []
         for name in view.resident:
             if self._history.recent_loads.contains(view.endpoint_id, name, self._now_s):
                 continue
-            busy = self._requests_per_copy(name) > 0
-            if busy and not may_evict_busy:
+            is_busy = self._requests_per_copy(name) > 0
+            if is_busy and not may_evict_busy:
                 continue
-            candidates.append((busy, self._value(name), name))
-        candidates.sort()
-        victims = []
-        for _, _, name in candidates:
-            if free_mb >= required_mb:
-                break
-            victims.append(name)
-            free_mb += self._required_mb(name)
-        if free_mb < required_mb:
-            return None
-        # A small model selected early may be unnecessary once a larger one is selected.
-        for name in list(victims):
-            if free_mb - self._required_mb(name) >= required_mb:
-                victims.remove(name)
-                free_mb -= self._required_mb(name)
-        return tuple(victims)
+            candidates.append(
+                EvictionCandidate(is_busy, self._value(name), name, self._required_mb(name))
+            )
+        return choose_evictions(candidates, free_mb, self._required_mb(spec.name))
 
     def _required_mb(self, name):
-        spec = self._spec_by_name.get(name)
-        if spec is None:
-            # The size of a model that the manifest no longer lists is unknown.
-            return self._engine.weights_mb
-        adapters = min(spec.adapters, self._engine.adapter_slots)
-        return spec.weights_mb + spec.adapter_mb * adapters
+        return required_mb(self._engine, self._spec_by_name.get(name))
 
     def _value(self, name):
         """Return the request rate per copy of a model."""
