agent/fleet: a change goes on while an engine that leaves still loads

Cause: as soon as an engine was leaving, its agent took the change for ended, though the engine went on with the order. So the leader counted the store as free; counts what such engines load, but goes by the agents' reports.

Evidence: 'change finished' with 'the engine leaves' at 16.2 s, 9.7 s after the load began; 'weight store use changed' says 0 loads at 19.4 s.

Test: fails on the code before (DONE is not WAIT).

--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/model_change.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/model_change.py
@@ -69,10 +69,10 @@
         message = self.message
         if report.started_ms != self._engine_started_ms:
             return NextStep(ChangeStep.DONE, reason="the engine started anew")
-        if report.leaving:
-            return NextStep(ChangeStep.DONE, reason="the engine leaves")
         if report.busy:
             return NextStep(ChangeStep.WAIT)
+        if report.leaving:
+            return NextStep(ChangeStep.DONE, reason="the engine leaves")
         for name in message.unload:
             if report.model(name) is not None:
                 return NextStep(
--- a/packages/hemlockdock-agent/tests/test_fleet.py
+++ b/packages/hemlockdock-agent/tests/test_fleet.py
@@ -84,6 +84,9 @@
         self.assertIs(found.order.action, OrderAction.UNLOAD)
         self.assertEqual(self.step(report(("a/x+y+z+w",)), (), room_mb=71.0).reason, "no room")
 
+    def test_a_change_goes_on_while_an_engine_that_leaves_executes_its_order(self):
+        self.assertIs(self.step(report(busy=True, leaving=True)).step, ChangeStep.WAIT)
+
     def test_an_engine_restart_or_departure_ends_the_change(self):
         self.assertIs(self.step(report(("a",), started_ms=2)).step, ChangeStep.DONE)
         self.assertIs(self.step(report(("a",), leaving=True)).step, ChangeStep.DONE)
