--- a/packages/hemlockdock-agent/tests/test_fleet.py
+++ b/packages/hemlockdock-agent/tests/test_fleet.py
@@ -10,6 +10,7 @@
 )
 from hemlockdock_agent.fleet.memory import EngineMemory
 from hemlockdock_agent.fleet.model_change import ChangeStep, ModelChange
+from hemlockdock_agent.fleet.reachability import EngineReachability
 from hemlockdock_core.messages import ChangeModels
 from hemlockdock_core.rows import EngineSpec, ModelSpec
 from hemlockdock_core.wire import AdapterName, EngineReport, LoadedModel, OrderAction
@@ -92,6 +93,23 @@
         self.assertIs(self.step(report(("a",), leaving=True)).step, ChangeStep.DONE)
 
 
+class EngineReachabilityTest(unittest.TestCase):
+    def test_an_engine_is_unreachable_after_three_failed_polls_in_a_row(self):
+        reachability = EngineReachability()
+        with self.assertLogs("hemlockdock_agent.fleet.reachability", "INFO") as logs:
+            for succeeded in (False, False, True, False, False, False):
+                self.assertTrue(reachability.is_reachable)
+                if succeeded:
+                    reachability.poll_succeeded()
+                else:
+                    reachability.poll_failed()
+            self.assertFalse(reachability.is_reachable)
+            reachability.poll_succeeded()
+        self.assertTrue(reachability.is_reachable)
+        messages = [record.getMessage() for record in logs.records]
+        self.assertEqual(messages, ["engine unreachable", "engine reachable again"])
+
+
 class AdapterSchedulerTest(unittest.TestCase):
     def setUp(self):
         self.scheduler = AdapterScheduler()
--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -14,7 +14,9 @@
 SEEDING = CONTROL_TESTS + "test_seeding.py"
 PLACEMENT = CONTROL_TESTS + "test_fleet_placement.py"
 AGENT = "packages/hemlockdock-agent/hemlockdock_agent/fleet/"
-AGENT_TEST = "packages/hemlockdock-agent/tests/test_fleet.py"
+AGENT_TESTS = "packages/hemlockdock-agent/tests/"
+AGENT_TEST = AGENT_TESTS + "test_fleet.py"
+LAB = "packages/hemlockdock-cli/tests/test_lab.py"
 
 MUTANTS = [
     Mutant(
@@ -136,16 +138,15 @@
     Mutant(
         "displace a model that runs requests",
         FLEET + "model_choice.py",
-        "            if busy and not may_evict_busy:\n                continue\n",
+        "            if is_busy and not may_evict_busy:\n                continue\n",
         "",
         PLACEMENT,
     ),
     Mutant(
         "load from the store what lies on a host",
         FLEET + "model_choice.py",
-        "        if spec.name in self._models_on_hosts and not from_store:\n"
-        "            return False\n",
-        "",
+        "if not from_store and (is_on_host or ",
+        "if not from_store and (",
         PLACEMENT,
     ),
     Mutant(
@@ -186,8 +187,8 @@
     Mutant(
         "take a model for missing while a host is not known",
         GATEWAY + "model_availability.py",
-        "if on_host is None or model in on_host:",
-        "if on_host is not None and model in on_host:",
+        "if (pool.name, model) in self._on_host or pool.name in self._pools_with_unknown_hosts:",
+        "if (pool.name, model) in self._on_host:",
         WHOLE,
     ),
     Mutant(
@@ -220,11 +221,60 @@
     ),
     Mutant(
         "forget the loads that another leader began",
-        FLEET + "model_choice.py",
-        "if view.pending is None and view.changing:",
+        FLEET + "store_admission.py",
+        "if not view.occupies_store:",
+        "if view.pending is None:",
+        PLACEMENT,
+    ),
+    Mutant(
+        "count a load from the store as a copy",
+        FLEET + "model_copies.py",
+        "if name == view.coming_from_store:",
+        "if False:",
+        PLACEMENT,
+    ),
+    Mutant(
+        "count every change of an earlier leader as a load from the store",
+        FLEET + "engine_view.py",
+        "return bool(self.coming_from_store) or (self.changing and not self.changing_to)",
+        "return bool(self.coming_from_store) or self.changing",
+        LAB,
+    ),
+    Mutant(
+        "forget what engines that leave load from the store",
+        FLEET + "placement.py",
+        "history.unavailable = tuple(unavailable.values())",
+        "history.unavailable = ()",
+        PLACEMENT,
+    ),
+    Mutant(
+        "begin a load from the store just before another one ends",
+        FLEET + "store_admission.py",
+        "return self.active_loads < limit and wait_s >= MIN_FRACTION_LEFT * load_s",
+        "return self.active_loads < limit",
+        PLACEMENT,
+    ),
+    Mutant(
+        "load from the store at once what a crashed host has",
+        FLEET + "placement_history.py",
+        "if now_s - host.absent_since_s < wait_s:",
         "if False:",
         PLACEMENT,
     ),
+    Mutant(
+        "send reports behind orders",
+        AGENT + "engine_client.py",
+        'REPORT_CONNECTION = "reports"',
+        'REPORT_CONNECTION = "orders"',
+        AGENT_TESTS + "test_fleet_engine_client.py",
+    ),
+    Mutant(
+        "end a change while an engine that leaves still loads",
+        AGENT + "model_change.py",
+        "if report.busy:",
+        "if report.busy and not report.leaving:",
+        AGENT_TEST,
+    ),
     Mutant(
         "fetch nothing for clients that will come back",
         FLEET + "model_choice.py",
