control/fleet: a load from the store counts as a copy if no host could load it

The store is also used as a way out, when the engines on the hosts with the weights hold models of the same value. Such a load stands for the hosts, and one that ends soon for those who wait; neither needs a second one.

Change: a load from the store counts as a copy if it was the way out, or as long as it is expected to end within 6.5 s.

Tests: both fail on the code before ([('x', 'rare', (), 'disk')] != []; AttributeError for the new field).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
@@ -23,6 +23,8 @@
         the models to be unloaded.
     sent_s : float
         Time at which it was last sent to the agent.
+    is_fallback : bool
+        Whether the store is used because the hosts with the weights can't load the model.
     """
 
     message: ChangeModels
@@ -32,6 +34,7 @@
     ready_s: float
     not_before_s: float = float("-inf")
     sent_s: float = float("-inf")
+    is_fallback: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -73,7 +73,7 @@
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
         self._is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
-        self._copies = ModelCopies(views.values())
+        self._copies = ModelCopies(views.values(), now_s)
         self._copies_by_name = self._copies.count_by_name
         self._idle_views = [view for view in views.values() if view.is_free]
 
@@ -178,7 +178,7 @@
                 why = f"{reason}, harm {harm:.2f}"
                 rate = sum(self._value(name) for name in victims)
                 best = cost, ModelExchange(
-                    view.endpoint_id, spec, victims, source, takes_s, rate, why
+                    view.endpoint_id, spec, victims, source, takes_s, rate, why, from_store
                 )
         return None if best is None else best[1]
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
@@ -1,4 +1,8 @@
-"""Count the copies of models that a pool's engines have, or will have within a second."""
+"""Count the copies of models that a pool's engines have, or will have soon."""
+
+# Clients give up after some seconds of waiting. A load from the store that ends within this time
+# still serves most of those that wait, and a second load would take another model's place.
+SOON_S = 6.5
 
 
 class ModelCopies:
@@ -7,19 +11,20 @@
     Parameters
     ----------
     views : iterable of EngineView
+    now_s : float
 
     Attributes
     ----------
     count_by_name : dict of str to int
-        Models that are loaded, or are being loaded from a host.
+        Models that are loaded or will be soon.
     coming_from_store : set of str
-        Models that are being loaded from the store. They don't count as copies: a host that has
-        the weights would be far sooner.
+        Models that are being loaded from the store. Those that take longer don't count as copies,
+        as a host that has the weights would be far sooner, unless no such host can load the model.
     on_hosts : set of str
         Models whose weights some host has.
     """
 
-    def __init__(self, views):
+    def __init__(self, views, now_s):
         self.count_by_name = {}
         self.coming_from_store = set()
         self.on_hosts = set()
@@ -28,7 +33,8 @@
             for name in view.resident:
                 if name == view.coming_from_store:
                     self.coming_from_store.add(name)
-                    continue
+                    if not _counts_as_copy(view.pending, now_s):
+                        continue
                 self.count_by_name[name] = self.count_by_name.get(name, 0) + 1
 
     def apply(self, exchange):
@@ -43,5 +49,13 @@
         name = exchange.model.name
         if exchange.source == "store":
             self.coming_from_store.add(name)
-            return
+            if exchange.takes_s > SOON_S and not exchange.is_fallback:
+                return
         self.count_by_name[name] = self.count_by_name.get(name, 0) + 1
+
+
+def _counts_as_copy(pending, now_s):
+    if pending is None:
+        # An earlier leader decided the load; its end is not known.
+        return False
+    return pending.is_fallback or now_s <= pending.ready_s <= now_s + SOON_S
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_exchange.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_exchange.py
@@ -20,6 +20,8 @@
         Request rate of the models to be unloaded.
     reason : str
         Explanation for the log.
+    is_fallback : bool
+        Whether the store is used because the hosts with the weights can't load the model.
     """
 
     endpoint_id: str
@@ -29,3 +31,4 @@
     takes_s: float
     unload_rate_per_s: float
     reason: str
+    is_fallback: bool = False
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -211,6 +211,7 @@
             now_s,
             now_s + WITHHOLD_S + choice.takes_s,
             now_s + withhold_s,
+            is_fallback=choice.is_fallback,
         )
         self.pending_by_id[view.endpoint_id] = pending
         view.pending = pending
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -270,10 +270,10 @@
         self.assertEqual(self.choices(NOW_S + 1.1), [])
         self.assertEqual(self.choices(NOW_S + 1.3), [("x", "rare", ("warm",), "disk")])
 
-    def put_store_load(self, endpoint_id, model):
+    def put_store_load(self, endpoint_id, model, left_s=8):
         """Add an engine that a model is being loaded on from the store."""
         message = ChangeModels(1, 1, endpoint_id, (), model)
-        pending = PendingChange(message, 1, "store", NOW_S - 5, NOW_S + 8)
+        pending = PendingChange(message, 1, "store", NOW_S - 5, NOW_S + left_s)
         self.views[endpoint_id] = view(endpoint_id, report(), pending)
 
     def test_a_model_coming_from_the_store_is_loaded_from_a_host_that_has_returned(self):
@@ -282,6 +282,23 @@
         self.add_waiting("rare", waiting=5)
         self.assertEqual(self.choices(), [("x", "rare", (), "disk")])
 
+    def test_a_model_that_the_store_delivers_soon_is_not_loaded_from_a_host_too(self):
+        self.views["x"] = view("x", report(disk=("rare",)))
+        self.add_waiting("rare", waiting=5)
+        self.put_store_load("y", "rare", left_s=4)
+        self.assertEqual(self.choices(), [])
+        self.put_store_load("y", "rare", left_s=-1)
+        self.assertEqual(self.choices(), [("x", "rare", (), "disk")], "it is overdue")
+
+    def test_a_model_that_no_host_could_load_is_not_loaded_from_one_while_the_store_delivers_it(
+        self,
+    ):
+        self.views["x"] = view("x", report(disk=("rare",)))
+        self.add_waiting("rare", waiting=5)
+        self.put_store_load("y", "rare")
+        self.views["y"].pending.is_fallback = True
+        self.assertEqual(self.choices(), [])
+
     def test_a_copy_coming_from_the_store_does_not_make_the_loaded_one_redundant(self):
         self.warm_up(hot=9, warm=9)
         self.put_store_load("y", "hot")
--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -229,7 +229,7 @@
     Mutant(
         "count a load from the store as a copy",
         FLEET + "model_copies.py",
-        "if name == view.coming_from_store:",
+        "if not _counts_as_copy(view.pending, now_s):",
         "if False:",
         PLACEMENT,
     ),
