--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -162,6 +162,7 @@
     def __init__(self, gateway):
         self.connection = ClientConnection(gateway)
         self.transport = ClientTransport()
+        self._version = b"1.1"
         self.connection.makeConnection(self.transport)
 
     @property
@@ -175,17 +176,48 @@
             return None
         return int(self.received.rpartition(b"HTTP/1.1 ")[2][:3])
 
-    def send_request(self, path, request_id=b"1", left_ms=1_000, extra=b"", body=b""):
+    def response(self):
+        """Return the status and the body of the only response, and whether it looks complete."""
+        head, _, rest = self.received.partition(b"\r\n\r\n")
+        if not head or self.received.count(b"HTTP/1.1 ") != 1:
+            return None, self.received, False
+        status = int(head.split(b" ")[1])
+        lines = head.lower().split(b"\r\n")
+        if b"transfer-encoding: chunked" in lines:
+            if self._version == b"1.0":
+                return status, rest, False
+            return status, *_decode_chunks(rest)
+        for line in lines:
+            if line.startswith(b"content-length: "):
+                return status, rest, len(rest) == int(line.partition(b": ")[2])
+        closed = self.transport.disconnecting and not self.transport.aborted
+        return status, rest, closed
+
+    def send_request(
+        self, path, request_id=b"1", left_ms=1_000, extra=b"", body=b"", version=b"1.1"
+    ):
+        self._version = version
         length = b"Content-Length: %d\r\n" % len(body) if body else b""
         self.connection.dataReceived(
-            b"POST %b HTTP/1.1\r\nHost: shop\r\nX-Request-Id: %b\r\nX-Time-Left-Ms: %d\r\n"
-            b"%b%b\r\n%b" % (path.encode(), request_id, left_ms, extra, length, body)
+            b"POST %b HTTP/%b\r\nHost: shop\r\nX-Request-Id: %b\r\nX-Time-Left-Ms: %d\r\n"
+            b"%b%b\r\n%b" % (path.encode(), version, request_id, left_ms, extra, length, body)
         )
 
     def disconnect_client(self):
         self.connection.connectionLost(Failure(ConnectionDone()))
 
 
+def _decode_chunks(data):
+    parts = []
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        if size == b"0":
+            return b"".join(parts), True
+        parts.append(data[: int(size, 16)])
+        data = data[int(size, 16) + 2 :]
+    return b"".join(parts), False
+
+
 def route(name, prefix, kind, pool="shop", resumable=False, most_endpoints=2, timeout_ms=5_000):
     return RouteRow(
         name,
