entry: a stream that ends inside an event is broken off on every route

The test failed before.

Cause: an answer without a length or chunks ends with its connection, and a crash that closes the connection looks like that end. A stream's own format shows whether it ended inside an event, but the entry kept track of events only where it may need the last event's id, on resumable routes; on others it passed bytes through, and added the last chunk itself at any clean end.

A framed response that ends so is no different.

Why this works: the check no longer depends on the route. All streams pass whole events only, so that no part of an event is ever delivered, and a stream that stops inside one is aborted, or continued where the route allows it. An event without an end is given up at the limit for buffered responses.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/event_stream.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/event_stream.py
@@ -28,6 +28,11 @@
         """Return whether an incomplete event is buffered; blank lines are none."""
         return bool(self._partial.strip(LINE_END_BYTES))
 
+    @property
+    def partial_bytes(self):
+        """Return the number of buffered bytes."""
+        return len(self._partial)
+
     def discard_partial(self):
         """Discard the buffered incomplete event."""
         self._partial = b""
@@ -53,6 +58,16 @@
             self.last_id = ids[-1]
         return whole
 
+    def flush(self):
+        """Return the bytes after the last complete event, and remove them from the buffer.
+
+        Returns
+        -------
+        bytes
+        """
+        rest, self._partial = self._partial, b""
+        return rest
+
 
 def _end_of_last_event(data):
     end = 0
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -244,13 +244,12 @@
         """
         if self._is_streaming:
             self._response_writer.write_stream_data(endpoint_try.head, data, self.route)
+            if self._response_writer.partial_event_bytes > MAX_BUFFERED_BYTES:
+                self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
             return
         self._body_bytes += len(data)
         if self._body_bytes > MAX_BUFFERED_BYTES:
-            endpoint_try.cancel()
-            self.on_try_ended(
-                endpoint_try, TryOutcome.UNKNOWN, "the response exceeds the buffer limit"
-            )
+            self._stop_oversized(endpoint_try, "the response exceeds the buffer limit")
             return
         self._body.append(data)
 
@@ -266,7 +265,7 @@
                 endpoint_try, endpoint_try.outcome, f"status {endpoint_try.head.status}"
             )
             return
-        if self.route.resumable and self._response_writer.has_partial_event:
+        if self._response_writer.has_partial_event:
             self.on_try_ended(
                 endpoint_try, TryOutcome.BROKEN_OFF, "the stream ended inside an event"
             )
@@ -330,6 +329,10 @@
         )
         self._apply_move(move, endpoint_try)
 
+    def _stop_oversized(self, endpoint_try, problem):
+        endpoint_try.cancel()
+        self.on_try_ended(endpoint_try, TryOutcome.UNKNOWN, problem)
+
     def _apply_move(self, move, endpoint_try):
         if move is NextMove.TRY_AGAIN:
             self._response_writer.discard_partial_event()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_writer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_writer.py
@@ -58,6 +58,11 @@
         """Return whether the stream's last event is incomplete so far."""
         return self._splitter is not None and self._splitter.has_partial
 
+    @property
+    def partial_event_bytes(self):
+        """Return the number of bytes that are buffered of an incomplete event."""
+        return 0 if self._splitter is None else self._splitter.partial_bytes
+
     def discard_partial_event(self):
         """Discard the buffered incomplete event: another endpoint sends it again in full."""
         if self._splitter is not None:
@@ -94,7 +99,7 @@
         self._connection.write(format_head(status_line(head.status), headers) + body)
 
     def write_stream_data(self, head, data, route):
-        """Write part of a stream; only complete events if the stream is resumable.
+        """Write the complete events of a part of a stream.
 
         Parameters
         ----------
@@ -105,11 +110,9 @@
         """
         if self._splitter is None:
             self._splitter = EventSplitter()
-        whole_events = self._splitter.feed(data)
-        if route.resumable:
-            data = whole_events
-            if not data:
-                return
+        data = self._splitter.feed(data)
+        if not data:
+            return
         self._record_event_time(route)
         if self.started:
             self._connection.write(_chunk(data))
@@ -123,8 +126,11 @@
         ----------
         head : ResponseHead
         """
+        rest = b"" if self._splitter is None else self._splitter.flush()
         if not self.started:
-            self._start_stream(head, b"")
+            self._start_stream(head, rest)
+        elif rest:
+            self._connection.write(_chunk(rest))
         self._connection.write(LAST_CHUNK)
 
     def _start_stream(self, head, data):
--- a/packages/hemlockdock-entry/tests/test_gateway_endings.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_endings.py
@@ -158,7 +158,6 @@
             other.send_bytes(LAST_CHUNK)
             self.assertEqual(self.client.response(), (200, EVENT_1 + EVENT_2 + EVENT_3, True))
 
-    @unittest.expectedFailure
     def test_a_stream_cut_inside_an_event_is_not_framed_as_complete(self):
         for ending in endings():
             if ending.sent in INSIDE_AN_EVENT:
@@ -201,10 +200,18 @@
     def test_events_split_over_segments_reach_the_client_whole(self):
         server = self.send_request(NON_RESUMABLE_STREAM_PATH)
         server.begin_answer(None)
-        for byte in EVENT_1 + EVENT_2:
+        for byte in EVENT_1 + EVENT_2 + b"\n":
             server.send_bytes(bytes([byte]))
         server.close(cleanly=True)
-        self.assertEqual(self.client.response(), (200, EVENT_1 + EVENT_2, True))
+        self.assertEqual(self.client.response(), (200, EVENT_1 + EVENT_2 + b"\n", True))
+
+    def test_an_event_without_an_end_does_not_fill_the_memory(self):
+        server = self.send_request(NON_RESUMABLE_STREAM_PATH)
+        server.begin_answer(None)
+        for _ in range(9):
+            server.send_bytes(b"x" * 1024 * 1024)
+        self.assertTrue(server.transport.aborted)
+        self.assert_not_framed_as_complete()
 
 
 class PlainAnswerEndingTest(EndingsTestCase):
