agent: tell a clean close from a reset where a body has no marked end

Twisted's HTTP client reports the end of a body without a length or chunks as PotentialDataLoss, after a clean close and after a reset alike. The agent took both for a broken connection, so that a whole answer of an engine that marks no end was asked for again and failed after its run.

--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -6,13 +6,14 @@
 import msgspec
 import treq
 from twisted.internet.defer import inlineCallbacks, succeed
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
 from hemlockdock_agent.engine.inventory import EngineInventory
 from hemlockdock_agent.engine.order_reply import OrderReply
+from hemlockdock_core.http.close_tracker import CloseTracker
 
 logger = logging.getLogger(__name__)
 
@@ -58,9 +59,15 @@
     ----------
     reactor : twisted reactor
     settings : Settings
+
+    Attributes
+    ----------
+    close_tracker : CloseTracker
+        Tells how the connection to the engine that is just being closed has ended.
     """
 
     def __init__(self, reactor, settings):
+        self.close_tracker = CloseTracker()
         self._reactor = reactor
         self._url = settings.agent.engine_url.rstrip("/")
         self._pool = HTTPConnectionPool(reactor, persistent=True)
@@ -68,7 +75,7 @@
         # A request whose connection was closed may have run, so it must not be retried here.
         self._pool.retryAutomatically = False
         self._calls = set()
-        self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._agent = self.close_tracker.open_agent(reactor, self._pool, CONNECT_TIMEOUT_S)
 
     def close(self):
         """Cancel pending calls and close idle connections.
--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/executor.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/executor.py
@@ -6,8 +6,8 @@
 from twisted.web.client import RequestNotSent
 
 from hemlockdock_agent.requests.answer_reader import AnswerReader
-from hemlockdock_agent.requests.body_receiver import BodyReceiver
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.http.body_receiver import BodyReceiver
 from hemlockdock_core.metrics import COUNTERS
 
 logger = logging.getLogger(__name__)
@@ -179,15 +179,15 @@
     def _response_received(self, response, run):
         self._calls_by_run.pop(run, None)
         if run.ended:
-            response.deliverBody(BodyReceiver(_ignore, _ignore))
+            self._discard_body(response)
             return
         if response.code in REFUSING_STATUSES:
-            response.deliverBody(BodyReceiver(_ignore, _ignore))
+            self._discard_body(response)
             refusal = Refusal.of(ErrorKind.ENGINE_REFUSED, f"the engine answered {response.code}")
             self.fail(run, refusal)
             return
         if response.code >= HTTP_SERVER_ERROR:
-            response.deliverBody(BodyReceiver(_ignore, _ignore))
+            self._discard_body(response)
             refusal = Refusal.of(ErrorKind.ENGINE_FAILED, f"the engine answered {response.code}")
             self.fail(run, refusal)
             return
@@ -208,12 +208,16 @@
 
     def _receive(self, response, run):
         receiver = BodyReceiver(
+            self._engine.close_tracker,
             lambda data: self._data_received(run, data),
             lambda is_complete: self._body_ended(run, is_complete),
         )
         self._receiver_by_run[run] = receiver
         response.deliverBody(receiver)
 
+    def _discard_body(self, response):
+        response.deliverBody(BodyReceiver(self._engine.close_tracker, _ignore, _ignore))
+
     def _data_received(self, run, data):
         run.last_progress_ms = self._now_ms()
         run.resumptions = 0
@@ -235,10 +239,10 @@
     def _resumed(self, response, run):
         self._calls_by_run.pop(run, None)
         if run.ended:
-            response.deliverBody(BodyReceiver(_ignore, _ignore))
+            self._discard_body(response)
             return
         if response.code != HTTP_OK:
-            response.deliverBody(BodyReceiver(_ignore, _ignore))
+            self._discard_body(response)
             # The engine no longer has the rest of the answer; it may have restarted.
             run.resumptions = MAX_RESUMPTIONS
             self._on_connection_lost(run)
--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/body_receiver.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/body_receiver.py
@@ -1,7 +1,8 @@
-"""Stream the response bodies of the engine."""
+"""Receive the body of a response from twisted's HTTP client."""
 
 from twisted.internet.protocol import Protocol
 from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
 
 
 class BodyReceiver(Protocol):
@@ -9,13 +10,16 @@
 
     Parameters
     ----------
+    tracker : CloseTracker
+        Of the client that received the response.
     on_data : callable
         Takes bytes.
     on_end : callable
         Takes whether the body is complete.
     """
 
-    def __init__(self, on_data, on_end):
+    def __init__(self, tracker, on_data, on_end):
+        self._tracker = tracker
         self._on_data = on_data
         self._on_end = on_end
         self._closed = False
@@ -32,7 +36,14 @@
             self._on_data(data)
 
     def connectionLost(self, reason):
-        """Report the end of the body; it is complete only if HTTP framing marks its end."""
-        if not self._closed:
-            self._closed = True
-            self._on_end(bool(reason.check(ResponseDone)))
+        """Report the end of the body.
+
+        It is complete if the response marks its end, or if it has neither a length nor chunks and
+        the peer closed the connection without a reset.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        has_unmarked_end = reason.check(PotentialDataLoss) is not None
+        is_whole = reason.check(ResponseDone) is not None
+        self._on_end(is_whole or (has_unmarked_end and self._tracker.closed_cleanly))
--- a/tools/mutants/agent.py
+++ b/tools/mutants/agent.py
@@ -161,8 +161,8 @@
     ),
     Mutant(
         "a broken connection looks like a whole answer",
-        f"{AGENT}/requests/body_receiver.py",
-        "self._on_end(bool(reason.check(ResponseDone)))",
+        "packages/hemlockdock-core/hemlockdock_core/http/body_receiver.py",
+        "self._on_end(is_whole or (has_unmarked_end and self._tracker.closed_cleanly))",
         "self._on_end(True)",
         SERVICE_TEST,
     ),
