entry: a plain service's answer that was reset is not complete

The test failed before: where a plain service answered without a length or chunks and its connection was reset on the way, the caller got the part that had come as a complete answer, with a length of the entry's own. A run-once call also recorded it as the answer of its run.

Cause: treq's content() takes PotentialDataLoss for the end of a body, which twisted reports after a reset too. The body is now read by BodyReceiver, which knows how the connection ended; a cut answer is a call that was broken off, whose outcome is not known. The same test showed that a cancelled call kept its connection while its body was read; it now closes it.

--- a/packages/hemlockdock-entry/hemlockdock_entry/services/service_client.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_client.py
@@ -1,10 +1,13 @@
 """Send HTTP requests to plain services."""
 
 import treq
-from twisted.internet.error import ConnectError
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectionLost
+from twisted.web.client import HTTPConnectionPool
 
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.http.body_receiver import BodyReceiver
+from hemlockdock_core.http.close_tracker import CloseTracker
 from hemlockdock_entry.services.headers import forwarded_headers
 from hemlockdock_entry.services.service_answer import ServiceAnswer
 
@@ -38,7 +41,8 @@
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_INSTANCE
         # Retries by the HTTP library would bypass the retry budget.
         self._pool.retryAutomatically = False
-        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._close_tracker = CloseTracker()
+        agent = self._close_tracker.open_agent(reactor, self._pool, CONNECT_TIMEOUT_S)
         self._client = treq.client.HTTPClient(agent)
 
     def call(self, method, url, headers, body):
@@ -58,7 +62,7 @@
         answered = self._client.request(
             method, url, headers=headers, data=body, allow_redirects=False, unbuffered=True
         )
-        answered.addCallback(_read)
+        answered.addCallback(self._read)
         answered.addErrback(_failed)
         return answered
 
@@ -71,11 +75,20 @@
         """
         return self._pool.closeCachedConnections()
 
+    def _read(self, response):
+        headers = forwarded_headers(response.headers)
+        parts = []
 
-def _read(response):
-    headers = forwarded_headers(response.headers)
-    body = response.content()
-    return body.addCallback(lambda data: ServiceAnswer(response.code, headers, data))
+        def end(is_complete):
+            if is_complete:
+                body.callback(ServiceAnswer(response.code, headers, b"".join(parts)))
+                return
+            body.errback(ConnectionLost("the answer is incomplete"))
+
+        receiver = BodyReceiver(self._close_tracker, parts.append, end)
+        body = Deferred(lambda _: receiver.close())
+        response.deliverBody(receiver)
+        return body
 
 
 def _failed(failure):
