agent: a stream that ends inside an event is not complete

The test failed before, with a stand-in engine that ends its response, last chunk and all, inside an event: the agent sent the end of the answer, and the entry wrote the part of the event and ended the caller's stream as complete.

Cause: as in the gateway, the framing alone decided that a stream was whole. The agent now follows the ends of events, and takes such an end for a broken connection: it asks the engine for the rest, and refuses the stream after the usual number of attempts. The ends of events are found by one module for the gateway and for the agent.

Looked at and left: control and the agents' orders read JSON documents, where a cut one can't be decoded, and only the status of an order counts.

--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/executor.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/executor.py
@@ -221,13 +221,14 @@
     def _data_received(self, run, data):
         run.last_progress_ms = self._now_ms()
         run.resumptions = 0
+        run.event_ends.feed(data)
         self._answer_sender.send_data(run, data)
 
     def _body_ended(self, run, is_complete):
         self._receiver_by_run.pop(run, None)
         if run.ended:
             return
-        if not is_complete:
+        if not is_complete or run.inside_event:
             self._on_connection_lost(run)
             return
         if not self._gate.end(run, None):
--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/run.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/run.py
@@ -1,11 +1,14 @@
 """Define the state of one attempt at a request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hemlockdock_agent.answers.buffer import AnswerBuffer
 from hemlockdock_agent.requests.answer_reader import AnswerReader
+from hemlockdock_core.http.event_end import EventEndTracker
 from hemlockdock_core.messages import Dispatch
 
+EVENT_STREAM = "text/event-stream"
+
 
 @dataclass(slots=True, eq=False)
 class Run:
@@ -26,6 +29,8 @@
     content_type : str
     offset : int
         Number of bytes of the answer received so far.
+    event_ends : EventEndTracker
+        Used if the answer is an event stream.
     last_progress_ms : float
         When the engine last sent bytes, or was last asked to resume.
     resumptions : int
@@ -43,6 +48,7 @@
     status: int = 0
     content_type: str = ""
     offset: int = 0
+    event_ends: EventEndTracker = field(default_factory=EventEndTracker)
     last_progress_ms: float = 0.0
     resumptions: int = 0
     in_doubt: bool = False
@@ -58,6 +64,12 @@
         """Return the request's id."""
         return self.dispatch.request_id
 
+    @property
+    def inside_event(self):
+        """Return whether the answer is an event stream whose last event is incomplete so far."""
+        is_event_stream = self.content_type.lower().startswith(EVENT_STREAM)
+        return is_event_stream and self.event_ends.inside_event
+
     @property
     def streaming(self):
         """Return whether the answer is streamed."""
--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -210,6 +210,13 @@
         self.assertEqual(self.entry.body(("q4", 1)), answer_body(plain, 20))
         self.assertEqual(self.engine.ledger.most_runs(), 1)
 
+    @inlineCallbacks
+    def test_a_stream_that_an_engine_ends_inside_an_event_is_not_taken_for_complete(self):
+        yield self.load()
+        body = self.send("q1", marker="#cut")
+        yield self.until(lambda: self.entry.last(("q1", 1), AnswerEnd))
+        self.assertEqual(self.entry.body(("q1", 1)), stream_body(body, 20))
+
     @inlineCallbacks
     def test_a_stream_that_stays_stalled_ends_with_a_refusal(self):
         yield self.load()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/event_stream.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/event_stream.py
@@ -2,8 +2,8 @@
 
 import re
 
-EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
-LINE_END_BYTES = b"\r\n"
+from hemlockdock_core.http.event_end import EVENT_ENDS, end_of_last_event, is_inside_event
+
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\n\r]*)")
 
 
@@ -26,7 +26,7 @@
     @property
     def has_partial(self):
         """Return whether an incomplete event is buffered; blank lines are none."""
-        return bool(self._partial.strip(LINE_END_BYTES))
+        return is_inside_event(self._partial)
 
     @property
     def partial_bytes(self):
@@ -49,7 +49,7 @@
         bytes
         """
         data = self._partial + data
-        end = _end_of_last_event(data)
+        end = end_of_last_event(data)
         whole = data[:end]
         self._partial = data[end:]
         self.event_count += sum(whole.count(event_end) for event_end in EVENT_ENDS)
@@ -67,12 +67,3 @@
         """
         rest, self._partial = self._partial, b""
         return rest
-
-
-def _end_of_last_event(data):
-    end = 0
-    for event_end in EVENT_ENDS:
-        position = data.rfind(event_end)
-        if position >= 0:
-            end = max(end, position + len(event_end))
-    return end
--- a/packages/hemlockdock-standins/hemlockdock_standins/engine/requests.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/requests.py
@@ -15,7 +15,9 @@
 SLOW = b"#slow"
 FAIL = b"#fail"
 DROP = b"#drop"
-MARKERS = (POISON, STALL, STALL_ONCE, SLOW, FAIL, DROP)
+CUT = b"#cut"
+MARKERS = (POISON, STALL, STALL_ONCE, SLOW, FAIL, DROP, CUT)
+CUT_EVENT_BYTES = 9
 SLOW_FACTOR = 20.0
 MAX_STORED_RUNS = 1_000
 
@@ -43,7 +45,8 @@
 
     Markers in the request body inject faults: ``#poison`` crashes the engine, ``#stall`` stops
     the stream half-way, ``#stall-once`` does so for the first reader only, ``#drop`` aborts the
-    connection half-way, ``#slow`` slows generation, ``#fail`` answers with status 500.
+    connection half-way, ``#cut`` ends the response half-way and inside an event, ``#slow`` slows
+    generation, ``#fail`` answers with status 500.
 
     Parameters
     ----------
@@ -129,7 +132,7 @@
             self._finish(request, 404, b'{"error":"unknown request"}')
             return
         previous_run.cancelled = True
-        faults = previous_run.faults - {STALL_ONCE, DROP}
+        faults = previous_run.faults - {STALL_ONCE, DROP, CUT}
         run = EngineRun(
             request_id, previous_run.body, previous_run.texts, previous_run.streaming, faults
         )
@@ -195,6 +198,10 @@
         if DROP in run.faults:
             request.transport.abortConnection()
             return True
+        if CUT in run.faults:
+            self._write_new_bytes(request, run, event(run.texts[run.next_token])[:CUT_EVENT_BYTES])
+            request.finish()
+            return True
         return STALL in run.faults or STALL_ONCE in run.faults
 
     def _write_new_bytes(self, request, run, data):
