fleet: endpoint rows carry the software version; log which stream a client takes up

The directory's version is now part of an endpoint's row; \`request ended\` and \`try ended\` give it, and \`continues\` names the request whose stream is taken up. No decision changes.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -178,6 +178,7 @@
         "" if report is None else report.agent_address,
         arriving,
         on_host,
+        listed.software_version,
     )
 
 
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -594,6 +594,12 @@
         self.registry.record_report(AgentReport("tcp://a", 1, body, 0.0))
         self.assertEqual(self.registry.rows(0.0, self.placement)["e"].on_host, ("a", "b"))
 
+    def test_rows_carry_the_software_version_of_the_directory(self):
+        self.registry.set_directory([replace(listed(), software_version="v1.1"), listed("ff")])
+        rows = self.registry.rows(0.0, self.placement)
+        self.assertEqual(rows["e"].software_version, "v1.1")
+        self.assertEqual(rows["ff"].software_version, "")
+
     def test_a_leaving_endpoint_is_marked_as_leaving(self):
         self.registry.set_directory([listed(leaving=True)])
         self.assertTrue(self.registry.rows(0.0, self.placement)["e"].leaving)
--- a/packages/hemlockdock-core/hemlockdock_core/rows/endpoint_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/endpoint_row.py
@@ -53,6 +53,8 @@
     arriving : tuple of ArrivingModel
     on_host : tuple of str or None
         Models whose weights are cached on its host; None while unknown.
+    software_version : str
+        Version of the endpoint's software; empty if unknown.
     """
 
     endpoint_id: str
@@ -65,6 +67,7 @@
     agent_address: str = ""
     arriving: tuple[ArrivingModel, ...] = ()
     on_host: tuple[str, ...] | None = None
+    software_version: str = ""
 
     @property
     def key(self):
--- a/packages/hemlockdock-core/hemlockdock_core/wire/directory.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/directory.py
@@ -19,6 +19,9 @@
     leaving : bool
         Whether it accepts no new work.
     models : tuple of LoadedModel
+    software_version : str
+        Version of the endpoint's software, not of its models; empty if unknown. Versions are only
+        compared for equality.
     """
 
     endpoint_id: str
@@ -28,6 +31,7 @@
     slots: int
     leaving: bool
     models: tuple
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hemlockdock-core/hemlockdock_core/wire/own.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/own.py
@@ -19,6 +19,7 @@
     token_counts=b"x-tokens",
     prompt_parts=b"x-prompt-parts",
     last_event_id=b"last-event-id",
+    continued_request=b"x-continued-request",
     expected_endpoint=b"x-expected-endpoint",
     endpoint_id=b"x-endpoint",
     signature=b"x-answer-signature",
@@ -89,6 +90,7 @@
                     row.slots,
                     row.leaving,
                     models,
+                    row.software_version,
                 )
             )
         return DirectoryPage(endpoints, 0, "")
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -68,6 +68,7 @@
         self._may_have_run = False
         self._is_streaming = False
         self._framing = None
+        self._software_version = ""
         self._events_before_try = 0
         self._body = []
         self._body_bytes = 0
@@ -90,6 +91,11 @@
         """Return the request id that the client sent."""
         return self.request.value_by_name.get(self._gateway.headers.request_id, b"")
 
+    @property
+    def continued_request_id(self):
+        """Return the id of the request whose stream the client continues; empty if none."""
+        return self.request.value_by_name.get(self._gateway.headers.continued_request, b"")
+
     @property
     def ended(self):
         """Return whether the final response was sent or the client disconnected."""
@@ -156,6 +162,7 @@
             return
         self.tried_ids.add(row.endpoint_id)
         self._is_streaming = False
+        self._software_version = row.software_version
         self._events_before_try = self._response_writer.event_count
         self._body = []
         self._body_bytes = 0
@@ -321,6 +328,7 @@
             extra={
                 "request": self.request_id.decode("latin-1"),
                 "endpoint": endpoint_try.row.endpoint_id,
+                "software_version": endpoint_try.row.software_version,
                 "outcome": outcome.value,
                 "why": problem,
                 "framing": "" if self._framing is None else self._framing.value,
@@ -489,6 +497,8 @@
             extra={
                 "request": self.request_id.decode("latin-1"),
                 "route": "" if self.route is None else self.route.name,
+                "continues": self.continued_request_id.decode("latin-1"),
+                "software_version": self._software_version,
                 "model": self.model,
                 "adapter": self.adapter,
                 "outcome": outcome,
