--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -236,7 +236,15 @@
 
 
 def endpoint(
-    name, pool="shop", port=1, models=(), leaving=False, agent="", arriving=(), on_host=None
+    name,
+    pool="shop",
+    port=1,
+    models=(),
+    leaving=False,
+    agent="",
+    arriving=(),
+    on_host=None,
+    software_version="",
 ):
     return EndpointRow(
         name,
@@ -249,6 +257,7 @@
         agent,
         tuple(ArrivingModel(*item) for item in arriving),
         on_host,
+        software_version,
     )
 
 
