control: members keep at which software version streams began

Members keep this in memory, whether they lead or not, for as long as the client may come back. It is not replicated: a lost record means only that a stream can't go on, and a write to disk for each stream would cost more than that. Nothing sends these messages yet.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -9,16 +9,21 @@
 from hemlockdock_core.messages import (
     DemandReport,
     EndpointReport,
+    FindStreamOrigin,
     Heartbeat,
     HeartbeatAck,
+    StreamBegun,
+    StreamOriginReply,
     WatchTable,
 )
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.stream_origins import StreamOrigin, StreamOriginStore
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1_000
 ENTRY_ROLE = "entry"
+UNKNOWN_ORIGIN = StreamOrigin("", "")
 # Several heartbeat intervals: a node silent for longer has lost its connection or its process.
 NODE_TIMEOUT_S = 2.5
 
@@ -75,6 +80,8 @@
         self._send = send
         self._on_change = on_change
         self._node_by_address = {}
+        # Each member keeps what entries send it, whether it leads or not.
+        self._stream_origins = StreamOriginStore()
 
     @property
     def entry_count(self):
@@ -114,6 +121,7 @@
                 del self._node_by_address[address]
                 self._demand.forget_entry(node.node_id)
                 silent.append(address)
+        self._stream_origins.remove_expired(now_s)
         self._feed.remove_silent(now_s * MS_PER_S, NODE_TIMEOUT_S * MS_PER_S)
         return silent
 
@@ -159,6 +167,20 @@
             self._demand.record_report(frame.sender, body, self._clock.seconds())
             self._on_change()
 
+    @_on_message.register
+    def _(self, body: StreamBegun, frame):
+        origin = StreamOrigin(body.pool, body.software_version)
+        now_s = self._clock.seconds()
+        self._stream_origins.record(body.request_id, origin, body.keep_ms, now_s)
+
+    @_on_message.register
+    def _(self, body: FindStreamOrigin, frame):
+        origin = self._stream_origins.find(body.request_id, self._clock.seconds())
+        if origin is None:
+            origin = UNKNOWN_ORIGIN
+        reply = StreamOriginReply(body.request_id, origin.pool, origin.software_version)
+        self._send(frame.reply_to, reply)
+
     def _acknowledgement(self, heartbeat, known):
         leader_id = self._replicator.leader_id
         leader_address = ""
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -31,6 +31,11 @@
 from hemlockdock_core.messages.proposals import Proposal, ProposalResult
 from hemlockdock_core.messages.refused import Refused
 from hemlockdock_core.messages.resume import Resume
+from hemlockdock_core.messages.stream_origins import (
+    FindStreamOrigin,
+    StreamBegun,
+    StreamOriginReply,
+)
 from hemlockdock_core.messages.table import TableChunk, TableDelta, WatchTable
 from hemlockdock_core.messages.union import NODE_CODEC, NodeMessage
 from hemlockdock_core.messages.wish import ModelTraffic, Wish
@@ -52,6 +57,7 @@
     "Dispatch",
     "EndpointReport",
     "EngineFacts",
+    "FindStreamOrigin",
     "Frame",
     "Heartbeat",
     "HeartbeatAck",
@@ -71,6 +77,8 @@
     "ProposalResult",
     "Refused",
     "Resume",
+    "StreamBegun",
+    "StreamOriginReply",
     "TableChunk",
     "TableDelta",
     "UnloadAdapterOrder",
--- a/packages/hemlockdock-core/hemlockdock_core/messages/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/union.py
@@ -28,6 +28,11 @@
 from hemlockdock_core.messages.proposals import Proposal, ProposalResult
 from hemlockdock_core.messages.refused import Refused
 from hemlockdock_core.messages.resume import Resume
+from hemlockdock_core.messages.stream_origins import (
+    FindStreamOrigin,
+    StreamBegun,
+    StreamOriginReply,
+)
 from hemlockdock_core.messages.table import TableChunk, TableDelta, WatchTable
 from hemlockdock_core.messages.wish import Wish
 
@@ -61,6 +66,9 @@
     | DemandReport
     | AdapterWish
     | AdapterHeld
+    | StreamBegun
+    | FindStreamOrigin
+    | StreamOriginReply
 )
 
 NODE_CODEC = Codec(NodeMessage)
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -95,6 +95,11 @@
         """Return the node's RoutingTable, whose rows are updated in place."""
         return self._table_copy.table
 
+    @property
+    def reported_members(self):
+        """Return the MemberAddresses of control's members; empty before the first report."""
+        return self._member_selector.reported_members
+
     @property
     def fresh(self):
         """Tell whether control confirmed a heartbeat within ``membership.stale_after_ms``."""
--- a/packages/hemlockdock-core/hemlockdock_core/node/member_selector.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/member_selector.py
@@ -30,6 +30,7 @@
         self._silence_limit_s = silence_limit_s
         self._last_frame_s = now_s
         self._seeds = list(members)
+        self._reported_members = []
         self._avoided_until_s_by_address = {}
 
     @property
@@ -42,6 +43,11 @@
         """Return all known MemberAddresses."""
         return list(self._members)
 
+    @property
+    def reported_members(self):
+        """Return the MemberAddresses that control reported last; seeds may be none of them."""
+        return list(self._reported_members)
+
     def is_silent(self, now_s, limit_s):
         """Tell whether the selected member has been silent for longer than a limit.
 
@@ -72,6 +78,7 @@
         """
         before = self.current
         members = [_member_address(address) for address in node_addresses]
+        self._reported_members = list(members)
         known = {member.node_address for member in members}
         members.extend(seed for seed in self._seeds if seed.node_address not in known)
         self._members = members
