entry: a stream goes on within its answer only at the version that began it

What callers saw: where an engine was lost in the middle of a resumable stream, the entry went on at any endpoint with the model.

Cause: an endpoint's software version took no part in the choice. The first event now binds a request to the pool and version of its endpoint; an unknown version matches none. Where no endpoint of that version has the model or is loading it, the answer is broken off at once. One that waits for a full endpoint of its version doesn't hold up the requests behind it, which used to wait for the head of the queue.

The tests' endpoints have a version now, since one without is no match.

--- a/packages/hemlockdock-core/hemlockdock_core/errors/kind.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/kind.py
@@ -32,6 +32,8 @@
     ENDPOINT_LOST = "endpoint_lost"
     ENGINE_REFUSED = "engine_refused"
     ENGINE_FAILED = "engine_failed"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     STREAM_STALLED = "stream_stalled"
     CALLER_GONE = "caller_gone"
     STORAGE_FAILED = "storage_failed"
--- a/packages/hemlockdock-core/hemlockdock_core/errors/table.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/table.py
@@ -35,6 +35,8 @@
     ErrorKind.ENDPOINT_LOST: ErrorResponse(502, NotRun.UNKNOWN, SHORT_RETRY_MS),
     ErrorKind.ENGINE_REFUSED: ErrorResponse(503, NotRun.TRUE, SHORT_RETRY_MS),
     ErrorKind.ENGINE_FAILED: ErrorResponse(502, NotRun.UNKNOWN, SHORT_RETRY_MS),
+    ErrorKind.STREAM_ORIGIN_UNKNOWN: ErrorResponse(503, NotRun.TRUE, None),
+    ErrorKind.STREAM_VERSION_GONE: ErrorResponse(503, NotRun.TRUE, None),
     ErrorKind.STREAM_STALLED: ErrorResponse(504, NotRun.FALSE, SHORT_RETRY_MS),
     ErrorKind.CALLER_GONE: ErrorResponse(499, NotRun.UNKNOWN, None),
     ErrorKind.STORAGE_FAILED: ErrorResponse(503, NotRun.UNKNOWN, LONG_RETRY_MS),
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -5,6 +5,7 @@
 import secrets
 
 from hemlockdock_core.rows import LimitsRow
+from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.endpoint_connection import ConnectionPool
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
 from hemlockdock_entry.gateway.model_queue import ModelQueue
@@ -190,6 +191,19 @@
         """
         self._client_connections.discard(connection)
 
+    def pool(self, name):
+        """Return a pool, or None if it is not known.
+
+        Parameters
+        ----------
+        name : str
+
+        Returns
+        -------
+        PoolRow or None
+        """
+        return self._link.table.pool_by_name.get(name)
+
     def choose_pool(self, route):
         """Choose one of a route's pools at random, by weight.
 
@@ -203,10 +217,10 @@
         """
         pools = route.pools
         if len(pools) == 1:
-            return self._link.table.pool_by_name.get(pools[0].pool)
+            return self.pool(pools[0].pool)
         weights = [target.weight for target in pools]
         chosen = self._random.choices(pools, weights)[0]
-        return self._link.table.pool_by_name.get(chosen.pool)
+        return self.pool(chosen.pool)
 
     def pool_rows(self, pool):
         """Return the endpoints of a pool.
@@ -276,6 +290,8 @@
                 continue
             if exchange.model and not other.has_model(exchange.model):
                 continue
+            if not may_run_at(exchange.origin, other):
+                continue
             health = self.health.for_endpoint(other.endpoint_id)
             if max(health.ejected_until_s, health.full_until_s) <= now_s:
                 return True
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -6,6 +6,7 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import DemandReport, ModelDemand
 from hemlockdock_entry.gateway.adapter_tracker import AdapterTracker
+from hemlockdock_entry.gateway.continuation import can_go_on, may_run_at
 from hemlockdock_entry.gateway.model_availability import ModelAvailability
 from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
 
@@ -196,16 +197,23 @@
         return use
 
     def _dispatch_waiting(self, use):
-        while use.waiting:
-            exchange = use.waiting[0]
-            row = self._choose(exchange)
+        unplaced = []
+        is_full = False
+        for exchange in list(use.waiting):
+            # A stream that needs a certain software version doesn't hold up those behind it.
+            row = None if is_full else self._choose(exchange)
             if row is None:
-                self._refuse_unservable(use, list(use.waiting))
-                return
-            use.waiting.pop(0)
+                unplaced.append(exchange)
+                is_full = is_full or exchange.origin is None
+                continue
+            if exchange not in use.waiting:
+                continue
+            use.waiting.remove(exchange)
             use.in_flight += 1
             self._mark_changed(use)
             self._send(exchange, row)
+        if unplaced:
+            self._refuse_unservable(use, unplaced)
 
     def _refuse_unservable(self, use, exchanges):
         """Refuse the requests of a model that can't be served within their clients' patience."""
@@ -214,6 +222,10 @@
         ready_s = self._supply.ready_s(pool, use.model, now_s)
         least_s = self._supply.least_s(pool, use.model)
         for exchange in exchanges:
+            rows = self._gateway.pool_rows(pool.name)
+            if not can_go_on(exchange.origin, exchange.model, rows):
+                exchange.refuse_to_go_on()
+                continue
             patience = Patience.of(
                 exchange.route,
                 self._gateway.fleet,
@@ -240,7 +252,7 @@
         max_in_flight = max(2, int(exchange.pool.engine.slots * MAX_SLOT_SHARE))
         usable = []
         for row in gateway.rows_below_connection_limit(exchange.pool):
-            if not row.has_model(exchange.model):
+            if not row.has_model(exchange.model) or not may_run_at(exchange.origin, row):
                 continue
             health = gateway.health.for_endpoint(row.endpoint_id)
             if health.in_flight < max_in_flight and health.full_until_s <= now_s:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -6,6 +6,8 @@
 from hemlockdock_core.http import Framing
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_core.rows import RouteKind
+from hemlockdock_core.stream_origins import StreamOrigin
+from hemlockdock_entry.gateway.continuation import can_go_on, may_run_at
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
 from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
@@ -51,6 +53,8 @@
     pool : PoolRow or None
     model, adapter : str
         Empty if the request names none.
+    origin : StreamOrigin or None
+        Where the stream began that this request goes on with; None until its first event.
     deadline_s : float
     target_s : float
         Time until which the response, or a stream's first event, meets the route's target.
@@ -70,6 +74,7 @@
         self._framing = None
         self._software_version = ""
         self._events_before_try = 0
+        self._origin_recorded = False
         self._body = []
         self._body_bytes = 0
         self._ended = False
@@ -79,6 +84,7 @@
         self.pool = None
         self.model = ""
         self.adapter = ""
+        self.origin = None
         self.deadline_s = 0.0
         self.target_s = 0.0
         self.tried_ids = set()
@@ -137,14 +143,22 @@
             self.refuse(Refusal.of(ErrorKind.UNKNOWN_ROUTE, "no route for this host and path"))
             return
         self._set_deadline()
-        self.pool = gateway.choose_pool(self.route)
-        if self.pool is None:
+        self._begin(gateway.choose_pool(self.route))
+
+    def _begin(self, pool):
+        if pool is None:
             self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "the route's pool is not known"))
             return
+        self.pool = pool
         self._retry_budget.record_request(self.now_s())
         self._read_model()
         self._dispatch()
 
+    def refuse_to_go_on(self):
+        """Refuse the request because no endpoint has the software version of its stream."""
+        kind = ErrorKind.ENDPOINT_LOST if self._may_have_run else ErrorKind.STREAM_VERSION_GONE
+        self.refuse(Refusal.of(kind, "no endpoint has the software version of the stream"))
+
     def refuse_without_routes(self):
         """Refuse the request with a retry time, because no routing table was received."""
         why = "no routes are known yet"
@@ -254,6 +268,8 @@
         """
         if self._is_streaming:
             self._response_writer.write_stream_data(endpoint_try.head, data, self.route)
+            if self._response_writer.started and not self._origin_recorded:
+                self._record_origin(endpoint_try.row)
             if self._response_writer.partial_event_bytes > MAX_BUFFERED_BYTES:
                 self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
             return
@@ -369,10 +385,14 @@
             self.refuse(Refusal.of(ErrorKind.ENDPOINT_LOST, "the endpoint gave no whole answer"))
 
     def _dispatch(self):
+        if not can_go_on(self.origin, self.model, self._gateway.pool_rows(self.pool.name)):
+            self.refuse_to_go_on()
+            return
         if self.model:
             self._gateway.model_queue.enqueue(self)
             return
         rows = self._gateway.rows_below_connection_limit(self.pool)
+        rows = [row for row in rows if may_run_at(self.origin, row)]
         row = self._gateway.health.choose(rows, self._gateway.clock.seconds(), self.tried_ids)
         if row is None:
             row = self._gateway.health.choose(rows, self._gateway.clock.seconds())
@@ -381,6 +401,10 @@
             return
         self.send_to(row)
 
+    def _record_origin(self, row):
+        self._origin_recorded = True
+        self.origin = StreamOrigin(row.pool, row.software_version)
+
     def _read_model(self):
         if self.pool.engine is None:
             return
--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -41,6 +41,8 @@
         self.table = RoutingTable()
         self.entries = 1
         self.sent = []
+        self.reported_members = []
+        self.fresh = True
 
     def send(self, message):
         self.sent.append(message)
@@ -244,7 +246,7 @@
     agent="",
     arriving=(),
     on_host=None,
-    software_version="",
+    software_version="v1",
 ):
     return EndpointRow(
         name,
