entry: a stream that a client takes up goes on at the version that began it

The test failed before. What callers saw: a client whose entry was lost, or whose channel was reset, takes its stream up with a new request, at that entry or at another one.

Cause: a version was nobody's state. An entry knows a stream only while it answers it, and the entry that is asked to go on is another one, or has been restarted. The first event of a stream is now recorded at the entry and at three control members; a request that takes a stream up is bound to the pool and the version that they name. Other pools of a split route are no match either. If no member knows the stream, if its version is gone, or if its pool left the route, the client is refused at once, without a time to come back: it has not run, and never will. Only if members did not answer within 0.4 s is there such a time.

Evidence: the tests play a take-up at the same entry, at another one, after a restart, with each single member left, after a second break, and with an unknown version.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -34,6 +34,12 @@
 MIN_TRY_S = 0.25
 # A client whose time left is lower than the route's timeout by this much was refused before.
 RETURNING_CLIENT_MS = 100
+# The route's timeout, by which a client's wait is estimated, may have changed meanwhile.
+TIMEOUT_CHANGE_MARGIN_S = 5.0
+# A client that takes up its stream as late as it may still finds out where it began.
+ORIGIN_KEEP_MARGIN_MS = 1_000
+# Another entry or a later question may find the origin of a stream that this one did not.
+ORIGIN_RETRY_MS = 300
 # Failed connection attempts of one request before the client is told to retry later.
 MAX_UNSENT_TRIES = 6
 
@@ -143,8 +149,29 @@
             self.refuse(Refusal.of(ErrorKind.UNKNOWN_ROUTE, "no route for this host and path"))
             return
         self._set_deadline()
+        if self._takes_up_stream:
+            request_id = self.continued_request_id.decode("latin-1")
+            members = gateway.control_members
+            gateway.origin_lookup.find(request_id, members, self._on_origin_found)
+            return
         self._begin(gateway.choose_pool(self.route))
 
+    def _on_origin_found(self, result):
+        if self._ended:
+            return
+        origin = result.origin or self._gateway.only_origin(self.route, self._longest_wait_s)
+        if origin is None:
+            retry_ms = None if result.is_final else ORIGIN_RETRY_MS
+            why = "it is not known at which software version the stream began"
+            kind = ErrorKind.STREAM_ORIGIN_UNKNOWN
+            self.refuse(Refusal.of(kind, why, retry_after_ms=retry_ms))
+            return
+        self.origin = origin
+        if all(target.pool != self.origin.pool for target in self.route.pools):
+            self.refuse_to_go_on()
+            return
+        self._begin(self._gateway.pool(self.origin.pool))
+
     def _begin(self, pool):
         if pool is None:
             self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "the route's pool is not known"))
@@ -401,9 +428,27 @@
             return
         self.send_to(row)
 
+    @property
+    def _takes_up_stream(self):
+        if self.route.kind is not RouteKind.STREAM:
+            return False
+        has_last_event = bool(self.request.value_by_name.get(self._gateway.headers.last_event_id))
+        return has_last_event or bool(self.continued_request_id)
+
+    @property
+    def _longest_wait_s(self):
+        waited_s = max(0.0, self.route.timeout_ms / MS_PER_S - self.left_s)
+        return waited_s + TIMEOUT_CHANGE_MARGIN_S
+
     def _record_origin(self, row):
         self._origin_recorded = True
         self.origin = StreamOrigin(row.pool, row.software_version)
+        if not self.route.resumable or not row.software_version:
+            return
+        keep_ms = int(self.left_s * MS_PER_S) + ORIGIN_KEEP_MARGIN_MS
+        self._gateway.origin_lookup.record(
+            self.request_id.decode("latin-1"), self.origin, keep_ms, self._gateway.control_members
+        )
 
     def _read_model(self):
         if self.pool.engine is None:
--- a/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
@@ -2,7 +2,20 @@
 
 import unittest
 
-from support_gateway import STREAM_PATH, GatewayHarness, endpoint
+from support_gateway import (
+    IDEMPOTENT_PATH,
+    STREAM_PATH,
+    GatewayHarness,
+    endpoint,
+    route,
+)
+
+from hemlockdock_core.messages import FindStreamOrigin, StreamBegun, StreamOriginReply
+from hemlockdock_core.rows import PoolRow, RouteKind
+from hemlockdock_core.settings.member_address import MemberAddress
+from hemlockdock_core.stream_origins import StreamOrigin, StreamOriginStore
+from hemlockdock_entry.gateway.origin_lookup import LOOKUP_TIMEOUT_S, ORIGIN_COPIES
+from hemlockdock_entry.gateway.route_index import RouteIndex
 
 MODEL = b"X-Use-Model: m\r\n"
 EVENT_1 = b"id: 1\ndata: x\n\n"
@@ -11,14 +24,46 @@
 PORT_BY_ID = {"x": 3, "y": 4, "z": 5}
 
 
+class FakeMembers:
+    """Fake control members that keep origins, each on its own."""
+
+    def __init__(self, count=3):
+        self.addresses = [
+            MemberAddress(f"c{number}", f"tcp://127.0.0.{number}:1", "") for number in range(count)
+        ]
+        self.store_by_address = {item.node_address: StreamOriginStore() for item in self.addresses}
+        self.silent = set()
+
+    def attach(self, harness):
+        harness.link.reported_members = self.addresses
+
+    def exchange_messages(self, harness, now_s=0.0):
+        """Deliver what a gateway has sent, and answer its questions."""
+        sent, harness.sent_messages[:] = list(harness.sent_messages), []
+        for address, message in sent:
+            if address in self.silent or address not in self.store_by_address:
+                continue
+            store = self.store_by_address[address]
+            if isinstance(message, StreamBegun):
+                origin = StreamOrigin(message.pool, message.software_version)
+                store.record(message.request_id, origin, message.keep_ms, now_s)
+            if isinstance(message, FindStreamOrigin):
+                found = store.find(message.request_id, now_s) or StreamOrigin("", "")
+                reply = StreamOriginReply(message.request_id, found.pool, found.software_version)
+                member = [item for item in self.addresses if item.node_address == address][0]
+                harness.gateway.origin_lookup.on_reply(member.member_id, reply)
+
+
 class SoftwareVersionTestCase(unittest.TestCase):
     def setUp(self):
+        self.members = FakeMembers()
         self.version_by_id = {}
         self.harness = self.open_entry()
         self.client = self.harness.client()
 
     def open_entry(self):
         harness = GatewayHarness()
+        self.members.attach(harness)
         self.put_endpoints(harness, **self.version_by_id)
         return harness
 
@@ -40,8 +85,19 @@
         server = self.harness.connect()
         server.begin_stream(request_id)
         server.chunk(EVENT_1)
+        self.members.exchange_messages(self.harness)
         return server
 
+    def take_up(self, request_id, continued_id, harness=None, path=STREAM_PATH, left_ms=8_000):
+        """Take a stream up with a new client, deliver the questions, and return the client."""
+        harness = harness or self.harness
+        client = harness.client()
+        name = b"X-Continued-Request: %b\r\n" % continued_id if continued_id else b""
+        extra = MODEL + name + b"Last-Event-Id: 1\r\n"
+        client.send_request(path, request_id, left_ms=left_ms, extra=extra)
+        self.members.exchange_messages(harness)
+        return client
+
     def pending(self, harness=None):
         return [item.port for item in (harness or self.harness).reactor.connecting]
 
@@ -97,15 +153,200 @@
 
 
 class TakeUpTest(SoftwareVersionTestCase):
-    @unittest.expectedFailure
     def test_a_stream_that_a_client_takes_up_does_not_go_on_at_another_version(self):
         self.put_endpoints(x="v1")
         self.begin_stream()
         self.put_endpoints(y="v1.1")
         self.delete_endpoint("x")
         self.client.disconnect_client()
-        client = self.harness.client()
+        client = self.take_up(b"2", b"1")
+        self.assertEqual(self.pending(), [])
+        self.assertEqual(client.status, 503)
+        self.assertNotIn(b"Retry-After", client.received)
+
+    def test_a_stream_that_a_client_takes_up_goes_on_at_its_version(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        self.put_endpoints(y="v1.1", z="v1")
+        self.client.disconnect_client()
+        client = self.take_up(b"2", b"1")
+        server = self.harness.connect()
+        self.assertIn(server.port, (PORT_BY_ID["x"], PORT_BY_ID["z"]))
+        self.assertEqual(server.header(b"last-event-id"), b"1")
+        server.begin_stream(b"2")
+        server.chunk(EVENT_2)
+        server.send_bytes(LAST_CHUNK)
+        self.assertEqual(client.response(), (200, EVENT_2, True))
+
+    def test_a_stream_is_taken_up_at_another_entry_and_after_its_entry_restarted(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        self.client.disconnect_client()
+        self.put_endpoints(y="v1.1", z="v1")
+        self.delete_endpoint("x")
+        other = self.open_entry()
+        self.take_up(b"2", b"1", other)
+        self.assertEqual(self.pending(other), [PORT_BY_ID["z"]])
+
+    def test_a_stream_whose_version_is_gone_is_refused_at_another_entry_at_once(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        self.put_endpoints(y="v1.1")
+        self.delete_endpoint("x")
+        other = self.open_entry()
+        client = self.take_up(b"2", b"1", other)
+        self.assertEqual((client.status, self.pending(other)), (503, []))
+
+    def test_each_member_alone_tells_where_a_stream_began(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        for lost in range(3):
+            self.members.silent = {
+                item.node_address
+                for number, item in enumerate(self.members.addresses)
+                if number != lost
+            }
+            other = self.open_entry()
+            self.take_up(b"2", b"1", other)
+            self.assertEqual(self.pending(other), [PORT_BY_ID["x"]])
+
+    def test_a_stream_that_no_member_knows_is_refused_at_once(self):
+        self.put_endpoints(x="v1")
+        client = self.take_up(b"2", b"unknown")
+        self.assertEqual((client.status, self.pending()), (503, []))
+        self.assertNotIn(b"Retry-After", client.received)
+
+    def test_a_stream_is_refused_with_a_retry_time_if_members_do_not_answer(self):
+        self.put_endpoints(x="v1")
+        self.members.silent = {self.members.addresses[0].node_address}
+        client = self.take_up(b"2", b"unknown")
+        self.assertIsNone(client.status)
+        self.harness.reactor.advance(LOOKUP_TIMEOUT_S)
+        self.assertEqual((client.status, self.pending()), (503, []))
+        self.assertIn(b"Retry-After: 0.30", client.received)
+
+    def test_a_stream_of_unknown_origin_goes_on_where_only_one_version_ever_served(self):
+        self.put_endpoints(x="v1")
+        self.harness.reactor.advance(10.0)
+        for number, continued_id in enumerate((b"", b"unknown")):
+            self.take_up(b"2%d" % number, continued_id)
+            self.assertEqual(self.pending(), (number + 1) * [PORT_BY_ID["x"]])
+
+    def test_a_stream_of_unknown_origin_is_refused_where_other_versions_may_have_served(self):
+        self.put_endpoints(x="v1")
+        cases = (
+            ("the entry is too young", {}, 5.0),
+            ("another version serves", {"y": "v1.1"}, 20.0),
+            ("an unknown version serves", {"y": ""}, 20.0),
+        )
+        for reason, versions, age_s in cases:
+            with self.subTest(reason=reason):
+                harness = self.open_entry()
+                self.put_endpoints(harness, **versions)
+                harness.reactor.advance(age_s)
+                client = self.take_up(b"2", b"", harness)
+                self.assertEqual((client.status, self.pending(harness)), (503, []))
+                for endpoint_id in versions:
+                    self.delete_endpoint(endpoint_id, harness)
+                client = self.take_up(b"3", b"", harness)
+                self.assertEqual((client.status, self.pending(harness)), (503, []))
+
+    def test_a_stream_of_unknown_origin_is_refused_without_contact_to_control(self):
+        self.put_endpoints(x="v1")
+        self.harness.reactor.advance(20.0)
+        self.harness.link.fresh = False
+        client = self.take_up(b"2", b"")
+        self.assertEqual((client.status, self.pending()), (503, []))
+
+    def test_a_stream_that_began_at_an_unknown_version_is_refused(self):
+        self.put_endpoints(x="")
+        self.begin_stream()
+        client = self.take_up(b"2", b"1")
+        self.assertEqual((client.status, self.pending()), (503, []))
+
+    def test_a_stream_that_was_taken_up_twice_keeps_its_version(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        self.put_endpoints(y="v1.1", z="v1")
+        self.delete_endpoint("x")
+        self.take_up(b"2", b"1")
+        server = self.harness.connect()
+        server.begin_stream(b"2")
+        server.chunk(EVENT_2)
+        self.members.exchange_messages(self.harness)
+        self.delete_endpoint("z")
+        for continued_id in (b"1", b"2"):
+            client = self.take_up(b"3", continued_id, self.open_entry())
+            self.assertEqual(client.status, 503)
+
+    def test_a_stream_goes_on_in_its_pool_also_where_the_route_has_several(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        split = route("live", STREAM_PATH, RouteKind.STREAM, "lm", resumable=True)
+        pools = (*split.pools, type(split.pools[0])("lm2", 1_000.0))
+        engine = self.harness.link.table.pool_by_name["lm"].engine
+        fields = {name: getattr(split, name) for name in split.__struct_fields__}
+        for number in range(10):
+            other = self.open_entry()
+            row = endpoint("w", "lm2", 6, models=("m",), software_version="v1")
+            other.put_rows(PoolRow("lm2", "/", 10, engine), row)
+            other.put_rows(type(split)(**{**fields, "pools": pools}))
+            other.gateway.routes = RouteIndex(other.link.table.route_by_name.values())
+            self.take_up(b"2%d" % number, b"1", other)
+            self.assertEqual(self.pending(other), [PORT_BY_ID["x"]])
+
+    def test_a_stream_whose_pool_left_the_route_is_refused(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        self.harness.put_rows(route("live", STREAM_PATH, RouteKind.STREAM, "shop", resumable=True))
+        self.harness.gateway.routes = RouteIndex(self.harness.link.table.route_by_name.values())
+        client = self.take_up(b"2", b"1")
+        self.assertEqual((client.status, self.pending()), (503, []))
+
+    def test_a_client_that_leaves_during_the_lookup_gets_no_endpoint(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        other = self.open_entry()
+        client = other.client()
         extra = MODEL + b"X-Continued-Request: 1\r\nLast-Event-Id: 1\r\n"
         client.send_request(STREAM_PATH, b"2", left_ms=8_000, extra=extra)
+        client.disconnect_client()
+        self.members.exchange_messages(other)
+        self.assertEqual(self.pending(other), [])
+
+    def test_a_stream_bound_to_a_version_does_not_hold_up_others(self):
+        self.put_endpoints(x="v1")
+        self.begin_stream()
+        self.put_endpoints(y="v1.1", z="v1")
+        self.delete_endpoint("x")
+        self.harness.gateway.health.for_endpoint("z").in_flight = 4
+        self.take_up(b"2", b"1", left_ms=3_000)
         self.assertEqual(self.pending(), [])
-        self.assertEqual(client.status, 503)
+        self.harness.client().send_request(STREAM_PATH, b"3", left_ms=12_000, extra=MODEL)
+        self.assertEqual(self.pending(), [PORT_BY_ID["y"]])
+
+    def test_the_header_means_nothing_on_other_routes(self):
+        client = self.take_up(b"2", b"1", path=IDEMPOTENT_PATH)
+        self.harness.connect().answer(b"ok", request_id=b"2")
+        self.assertEqual(client.status, 200)
+
+
+class RecordTest(SoftwareVersionTestCase):
+    def test_an_origin_is_sent_to_a_few_members_with_the_first_event(self):
+        self.members = FakeMembers(5)
+        self.harness = self.open_entry()
+        self.client = self.harness.client()
+        self.put_endpoints(x="v1")
+        self.client.send_request(STREAM_PATH, b"1", left_ms=12_000, extra=MODEL)
+        server = self.harness.connect()
+        server.begin_stream()
+        self.assertEqual(self.records(), [])
+        server.chunk(EVENT_1)
+        server.chunk(EVENT_2)
+        records = self.records()
+        self.assertEqual(len(records), ORIGIN_COPIES)
+        self.assertEqual(records[0], StreamBegun("1", "lm", "v1", 13_000))
+
+    def records(self):
+        sent = [message for _, message in self.harness.sent_messages]
+        return [message for message in sent if isinstance(message, StreamBegun)]
