tools: play take-ups of streams with real processes and four software versions

Two entries, three control members, four agents. Streams that began at one entry go on at the other after the first was killed, and at the first after it was started again, each at its own version. The stand-in engine goes on after the last event that a client names, and the stand-in directory lists versions.

--- a/packages/hemlockdock-standins/hemlockdock_standins/fleet/__main__.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/fleet/__main__.py
@@ -11,7 +11,7 @@
 SLOTS = 8
 
 
-def run(directory, engines, services, listed_port=0):
+def run(directory, engines, services, listed_port=0, versions="v1"):
     """Listen on all addresses and run the reactor.
 
     Parameters
@@ -23,8 +23,13 @@
     listed_port : int, optional
         Port under which the directory lists all endpoints, for example that of a proxy before
         them.
+    versions : str, optional
+        Software versions of the engines, separated by blanks; the last one is that of all further
+        engines.
     """
     endpoint_directory = FleetDirectory()
+    version_of_engine = dict(zip(engines.split(","), versions.split(), strict=False))
+    last_version = versions.split()[-1]
     _listen(directory, endpoint_directory)
     for pool, addresses, models in (("lm", engines, ("m0",)), ("shop", services, ())):
         for address in addresses.split(","):
@@ -33,7 +38,13 @@
             parsed = SocketAddress.parse(address)
             listed_address = f"{parsed.host}:{listed_port or parsed.port}"
             endpoint_directory.row_by_id[endpoint_id] = EndpointRow(
-                endpoint_id, pool, listed_address, "domain-a", SLOTS, False
+                endpoint_id,
+                pool,
+                listed_address,
+                "domain-a",
+                SLOTS,
+                False,
+                software_version=version_of_engine.get(address, last_version),
             )
     reactor.run()
 
--- a/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
@@ -139,14 +139,14 @@
         if model is None:
             return b"ran " + request_id.encode()
         request.setHeader(b"Content-Type", b"text/event-stream")
-        self._send_event(request, 1)
+        self._send_event(request, int(request.getHeader(HEADERS.last_event_id) or 0) + 1)
         return NOT_DONE_YET
 
     def _send_event(self, request, number):
         if request.channel is None:
             return
-        request.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
-        if number == EVENT_COUNT:
+        if number > EVENT_COUNT:
             request.finish()
             return
+        request.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
         self._reactor.callLater(EVENT_INTERVAL_S, self._send_event, request, number + 1)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -51,6 +51,8 @@
         Number of processes of each role.
     uses_proxies : bool
         Whether the directory lists endpoints at ``PROXY_PORT`` instead of their own port.
+    versions : tuple of str
+        Software versions of the engines; the last one is that of all further engines.
     """
 
     address_prefix: str = "127.0.71"
@@ -58,6 +60,7 @@
     entries: int = 1
     agents: int = 1
     uses_proxies: bool = False
+    versions: tuple = ("v1",)
 
     def address_range(self, first, count):
         """Return ``count`` consecutive addresses whose last octet starts at ``first``."""
@@ -93,12 +96,14 @@
         return f"{ip}:{PROXY_PORT if self.uses_proxies else port}"
 
 
-def manifest(number):
+def manifest(number, resumable=False):
     """Return a route manifest with an engine pool of two models and a plain pool.
 
     Parameters
     ----------
     number : int
+    resumable : bool, optional
+        Whether streams may be resumed.
 
     Returns
     -------
@@ -109,15 +114,18 @@
     routes = (
         _route("read", RouteKind.IDEMPOTENT, "shop"),
         _route("write", RouteKind.AT_MOST_ONCE, "shop"),
-        _route("live", RouteKind.STREAM, "lm"),
+        _route("live", RouteKind.STREAM, "lm", resumable),
     )
     limits = LimitsRow(number, 16_384, 1_000_000, 3_000, 15_000)
     return RouteManifest(limits, routes, (PoolRow("shop", "/", 60), PoolRow("lm", "/", 60, engine)))
 
 
-def _route(name, kind, pool):
+def _route(name, kind, pool, resumable=False):
     pools = (WeightedPool(pool, 1.0),)
-    return RouteRow(name, "shop.test", f"/{name}/", kind, 10_000, 5_000, 1, pools, 2)
+    prefix = f"/{name}/"
+    return RouteRow(
+        name, "shop.test", prefix, kind, 10_000, 5_000, 1, pools, 2, resumable=resumable
+    )
 
 
 @dataclass(slots=True)
@@ -169,6 +177,7 @@
             f"--directory={plan.directory_ip}:{DIRECTORY_PORT}",
             f"--engines={','.join(engines)}",
             f"--services={','.join(services)}",
+            f"--versions={' '.join(plan.versions)}",
         ]
         if plan.uses_proxies:
             arguments.append(f"--listed_port={PROXY_PORT}")
@@ -231,7 +240,7 @@
         finally:
             connection.close()
 
-    def submit(self, number, ip):
+    def submit(self, number, ip, resumable=False):
         """Submit a route manifest to one member.
 
         Returns
@@ -239,12 +248,12 @@
         int or None
             HTTP status, None if no complete response arrived.
         """
-        text = WIRE.encode_routes(manifest(number))
+        text = WIRE.encode_routes(manifest(number, resumable))
         return self.call(ip, ADMIN_PORT, "POST", ROUTES_PATH, text).status
 
-    def submit_anywhere(self, number):
+    def submit_anywhere(self, number, resumable=False):
         """Return whether any member acknowledges a route manifest."""
-        return any(self.submit(number, ip) == OK for ip in self.plan.control_ips)
+        return any(self.submit(number, ip, resumable) == OK for ip in self.plan.control_ips)
 
     def read_routes(self, ip):
         """Return the encoded routes read from one member, or None if the read fails."""
--- a/tools/tests/test_local_fleet.py
+++ b/tools/tests/test_local_fleet.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -23,6 +24,8 @@
 
 from hemlockdock_core.wire.own import WIRE  # noqa: E402
 
+REST_OF_STREAM = b"id: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"
+
 
 class LocalFleetTest(unittest.TestCase):
     def setUp(self):
@@ -93,5 +96,62 @@
         self.assertEqual(self.fleet.process_by_name[self.entry].wait(WAIT_S), 0)
 
 
+class SoftwareVersionsTest(unittest.TestCase):
+    """Play a client that takes its streams up at entries other than the first one."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        plan = FleetPlan("127.0.72", entries=2, agents=4, versions=("v1", "v2", "v3", "v4"))
+        self.version_by_ip = dict(zip(plan.agent_ips, plan.versions, strict=True))
+        self.fleet = LocalFleet(plan, Path(folder.name))
+        self.addCleanup(self.fleet.kill_all)
+        self.first, self.other = plan.entry_ips
+        self.fleet.start()
+
+    def stream(self, entry, request_id, continued_id=""):
+        headers = request_headers(request_id, "m0")
+        if continued_id:
+            headers["X-Continued-Request"] = continued_id
+            headers["Last-Event-Id"] = "1"
+        return self.fleet.call(entry, HTTP_PORT, "POST", "/live/x", b"body", headers)
+
+    def version_of(self, response):
+        endpoint_id = response.signature.rpartition(".")[0]
+        return self.version_by_ip[endpoint_id.removeprefix("lm-").partition(":")[0]]
+
+    def serves(self, entry):
+        response = self.stream(entry, f"try-{entry}-{time.monotonic()}")
+        return response.status == 200
+
+    def begin_streams(self, entry):
+        """Begin some streams, and return the version of each by request id."""
+        version_by_id = {}
+        for number in range(3):
+            request_id = f"begun-{entry}-{number}"
+            version_by_id[request_id] = self.version_of(self.stream(entry, request_id))
+        return version_by_id
+
+    def test_streams_go_on_at_their_version_after_their_entry_was_killed(self):
+        fleet = self.fleet
+        fleet.wait_until("routes", lambda: fleet.submit_anywhere(4, resumable=True))
+        for entry in (self.first, self.other):
+            fleet.wait_until("streams", lambda entry=entry: self.serves(entry))
+        begun = {**self.begin_streams(self.first), **self.begin_streams(self.other)}
+        fleet.kill(self.first)
+        self.check_take_ups(self.other, begun)
+        fleet.restart(self.first, is_first=False)
+        fleet.wait_until("streams again", lambda: self.serves(self.first))
+        self.check_take_ups(self.first, begun)
+        refused = self.stream(self.other, "lost", "never-begun")
+        self.assertEqual(refused.status, 503)
+
+    def check_take_ups(self, entry, begun):
+        for request_id, version in begun.items():
+            response = self.stream(entry, f"{request_id}-at-{entry}", request_id)
+            self.assertEqual((response.status, response.body), (200, REST_OF_STREAM))
+            self.assertEqual(self.version_of(response), version)
+
+
 if __name__ == "__main__":
     unittest.main()
