entry: a stream that is broken off while it waits leaves the queue

A stream that waits for an endpoint to go on at, and is broken off there (by its deadline, or as its version is gone), stayed in its model's queue: the leader saw demand that nobody has, and the next free endpoint was reserved for it, for ever. Every other end of a request takes it out of the queue; this one does now.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -506,6 +506,7 @@
         COUNTERS.increment("gateway_streams_broken_off")
         self._ended = True
         self._cancel_deadline()
+        self._gateway.model_queue.dequeue(self)
         self._connection.abort_response()
         self._gateway.remove_exchange(self)
 
--- a/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
@@ -151,6 +151,23 @@
         self.harness.gateway.model_queue.check_waiting()
         self.assertEqual(self.pending(), [PORT_BY_ID["z"]])
 
+    def test_a_stream_that_is_broken_off_while_it_waits_leaves_the_queue(self):
+        self.put_endpoints(x="v1")
+        server = self.begin_stream()
+        self.put_endpoints(z="v1")
+        self.delete_endpoint("x")
+        health = self.harness.gateway.health.for_endpoint("z")
+        health.in_flight = 4
+        server.close()
+        self.delete_endpoint("z")
+        self.assertTrue(self.client.transport.aborted)
+        self.harness.link.sent.clear()
+        self.put_endpoints(y="v1")
+        self.harness.reactor.advance(1.0)
+        self.assertEqual(self.pending(), [])
+        demand = self.harness.link.sent[-1].demands[0]
+        self.assertEqual((demand.waiting, demand.in_flight), (0, 0))
+
 
 class TakeUpTest(SoftwareVersionTestCase):
     def test_a_stream_that_a_client_takes_up_does_not_go_on_at_another_version(self):
