fleet: the leader tells where a stream began if only one version served

Tests failed before: an entry that had just been started knew nothing of the versions before its start, and refused all streams that clients took up without naming their first request. Nor was an entry's own view safe to infer from: its table may lag, and a version that came and went between two deltas left no trace in it.

The leader knows better: its log holds each change of an endpoint, and its lease says that there is no newer one. It is asked along with the members that keep origins, and answers if the pool had one version only in the time within which the stream began.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_control.consensus.seeding import member_ip
 from hemlockdock_control.fleet.registry import AgentReport
+from hemlockdock_control.fleet.version_history import VersionHistory
 from hemlockdock_core.messages import (
     DemandReport,
     EndpointReport,
@@ -82,6 +83,7 @@
         self._node_by_address = {}
         # Each member keeps what entries send it, whether it leads or not.
         self._stream_origins = StreamOriginStore()
+        self._version_history = VersionHistory()
 
     @property
     def entry_count(self):
@@ -122,6 +124,7 @@
                 self._demand.forget_entry(node.node_id)
                 silent.append(address)
         self._stream_origins.remove_expired(now_s)
+        self._record_versions()
         self._feed.remove_silent(now_s * MS_PER_S, NODE_TIMEOUT_S * MS_PER_S)
         return silent
 
@@ -177,10 +180,24 @@
     def _(self, body: FindStreamOrigin, frame):
         origin = self._stream_origins.find(body.request_id, self._clock.seconds())
         if origin is None:
-            origin = UNKNOWN_ORIGIN
-        reply = StreamOriginReply(body.request_id, origin.pool, origin.software_version)
+            origin = self._only_origin(body)
+        reply = StreamOriginReply(body.lookup, origin.pool, origin.software_version)
         self._send(frame.reply_to, reply)
 
+    def _only_origin(self, question):
+        """Return the origin of all streams that began in the question's window, if it is one."""
+        now_s = self._clock.seconds()
+        self._record_versions()
+        # Another member may not have heard of the newest endpoints yet.
+        if not self._replicator.has_lease:
+            return UNKNOWN_ORIGIN
+        window_s = question.window_ms / MS_PER_S
+        version = self._version_history.only_version(question.pool, now_s, window_s)
+        return StreamOrigin(question.pool, version) if version else UNKNOWN_ORIGIN
+
+    def _record_versions(self):
+        self._version_history.update(self._machine.state.endpoints, self._clock.seconds())
+
     def _acknowledgement(self, heartbeat, known):
         leader_id = self._replicator.leader_id
         leader_address = ""
--- a/packages/hemlockdock-control/hemlockdock_control/state/routes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/routes.py
@@ -90,8 +90,20 @@
 
     def __init__(self, context):
         self._context = context
+        self._gone_versions = None
         self.row_by_id = {}
 
+    def take_gone_versions(self):
+        """Return the pools and software versions of rows that are no more, and forget them.
+
+        Returns
+        -------
+        set of (str, str) or None
+            Those since the last call; None if they are not known, after a snapshot or at the start.
+        """
+        gone, self._gone_versions = self._gone_versions, set()
+        return gone
+
     def record(self, command):
         """Add, update and remove endpoints.
 
@@ -104,11 +116,13 @@
         CommandResult
         """
         for row in command.present:
+            self._note_gone(self.row_by_id.get(row.endpoint_id))
             self.row_by_id[row.endpoint_id] = row
             self._context.put(row)
         for endpoint_id in command.gone:
             row = self.row_by_id.pop(endpoint_id, None)
             if row is not None:
+                self._note_gone(row)
                 self._context.delete(row.key)
         return CommandResult(self._context.index)
 
@@ -119,4 +133,9 @@
         ----------
         rows : iterable of EndpointRow
         """
+        self._gone_versions = None
         self.row_by_id = {row.endpoint_id: row for row in rows}
+
+    def _note_gone(self, row):
+        if row is not None and self._gone_versions is not None:
+            self._gone_versions.add((row.pool, row.software_version))
--- a/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
@@ -27,11 +27,20 @@
 
     Attributes
     ----------
+    lookup : int
+        Number of the question, which the answer repeats.
     request_id : str
-        Id of the request attempt that brought its first event.
+        Id of the request attempt that brought its first event; empty if the client named none.
+    pool : str
+        The only pool of the stream's route; empty if it has several.
+    window_ms : int
+        Time within which the stream began.
     """
 
+    lookup: int
     request_id: str
+    pool: str
+    window_ms: int
 
 
 class StreamOriginReply(Message, frozen=True):
@@ -39,11 +48,12 @@
 
     Attributes
     ----------
-    request_id : str
+    lookup : int
+        Number of the question.
     pool, software_version : str
-        Empty if the member does not know the stream.
+        Empty if the member does not know.
     """
 
-    request_id: str
+    lookup: int
     pool: str
     software_version: str
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -5,7 +5,6 @@
 import secrets
 
 from hemlockdock_core.rows import LimitsRow
-from hemlockdock_core.stream_origins import StreamOrigin
 from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.endpoint_connection import ConnectionPool
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
@@ -13,7 +12,6 @@
 from hemlockdock_entry.gateway.origin_lookup import OriginLookup
 from hemlockdock_entry.gateway.proxy_exchange import ProxyExchange
 from hemlockdock_entry.gateway.route_index import RouteIndex
-from hemlockdock_entry.gateway.version_history import VersionHistory
 from hemlockdock_entry.gateway.windowed_retry_budget import WindowedRetryBudget
 
 logger = logging.getLogger(__name__)
@@ -78,7 +76,6 @@
         self.health = EndpointHealthTracker(settings.process.failure_domain, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
-        self._version_history = VersionHistory()
 
     @property
     def entries(self):
@@ -233,26 +230,6 @@
         chosen = self._random.choices(pools, weights)[0]
         return self.pool(chosen.pool)
 
-    def only_origin(self, route, window_s):
-        """Return where each stream of a route began that clients may still take up.
-
-        Parameters
-        ----------
-        route : RouteRow
-        window_s : float
-            Longest time since a stream that is taken up now may have begun.
-
-        Returns
-        -------
-        StreamOrigin or None
-            None if there are several possibilities, or if the routing table may be out of date.
-        """
-        if len(route.pools) != 1 or not self._link.fresh:
-            return None
-        pool = route.pools[0].pool
-        version = self._version_history.only_version(pool, self.clock.seconds(), window_s)
-        return StreamOrigin(pool, version) if version else None
-
     def pool_rows(self, pool):
         """Return the endpoints of a pool.
 
@@ -379,7 +356,6 @@
             rows_by_pool.setdefault(row.pool, []).append(row)
             addresses.add(row.address)
         self._rows_by_pool = rows_by_pool
-        self._version_history.update(rows_by_pool, self.clock.seconds())
         self.health.remove_absent(table.endpoint_by_id)
         for address in list(self._pool_by_address):
             if address not in addresses:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/origin_lookup.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/origin_lookup.py
@@ -6,7 +6,7 @@
 
 import logging
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from hemlockdock_core.messages import FindStreamOrigin, StreamBegun
 from hemlockdock_core.metrics import COUNTERS
@@ -28,13 +28,32 @@
     ----------
     unanswered : set of str
         Ids of the members that have not answered yet.
-    callbacks : list of callable
+    callback : callable
     timer : IDelayedCall
     """
 
     unanswered: set
-    callbacks: list = field(default_factory=list)
-    timer: object = None
+    callback: object
+    timer: object
+
+
+@dataclass(frozen=True, slots=True)
+class OriginQuestion:
+    """What a request that takes up a stream says of it.
+
+    Attributes
+    ----------
+    request_id : str
+        Id of the request attempt that brought its first event; empty if the client named none.
+    pool : str
+        The only pool of the stream's route; empty if it has several.
+    window_ms : int
+        Time within which the stream began.
+    """
+
+    request_id: str
+    pool: str
+    window_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +87,8 @@
         self._send = send
         self._first_copy = zlib.crc32(node_id.encode())
         self._store = StreamOriginStore()
-        self._pending_by_id = {}
+        self._pending_by_lookup = {}
+        self._last_lookup = 0
 
     def record(self, request_id, origin, keep_ms, members):
         """Record where a stream began, here and at control members.
@@ -86,31 +106,31 @@
         for member in self._copy_holders(members):
             self._send(member.node_address, message)
 
-    def find(self, request_id, members, callback):
+    def find(self, question, members, callback):
         """Find out where a stream began.
 
         Parameters
         ----------
-        request_id : str
+        question : OriginQuestion
         members : list of MemberAddress
         callback : callable
             Takes a LookupResult; called at once if the answer is known here.
         """
-        origin = self._store.find(request_id, self._clock.seconds())
-        if origin is not None or not request_id:
+        origin = self._store.find(question.request_id, self._clock.seconds())
+        if origin is not None:
             callback(LookupResult(origin, is_final=True))
             return
         if not members:
             callback(LookupResult(None, is_final=False))
             return
-        pending = self._pending_by_id.get(request_id)
-        if pending is None:
-            pending = PendingLookup({member.member_id for member in members})
-            pending.timer = self._clock.callLater(LOOKUP_TIMEOUT_S, self._on_timeout, request_id)
-            self._pending_by_id[request_id] = pending
-            for member in members:
-                self._send(member.node_address, FindStreamOrigin(request_id))
-        pending.callbacks.append(callback)
+        self._last_lookup += 1
+        lookup = self._last_lookup
+        timer = self._clock.callLater(LOOKUP_TIMEOUT_S, self._on_timeout, lookup)
+        unanswered = {member.member_id for member in members}
+        self._pending_by_lookup[lookup] = PendingLookup(unanswered, callback, timer)
+        message = FindStreamOrigin(lookup, question.request_id, question.pool, question.window_ms)
+        for member in members:
+            self._send(member.node_address, message)
 
     def on_reply(self, sender, reply):
         """Handle a control member's answer.
@@ -121,28 +141,28 @@
             Member id.
         reply : StreamOriginReply
         """
-        pending = self._pending_by_id.get(reply.request_id)
+        pending = self._pending_by_lookup.get(reply.lookup)
         if pending is None:
             return
         if reply.software_version:
             origin = StreamOrigin(reply.pool, reply.software_version)
-            self._end(reply.request_id, LookupResult(origin, is_final=True))
+            self._end(reply.lookup, LookupResult(origin, is_final=True))
             return
         pending.unanswered.discard(sender)
         if not pending.unanswered:
-            self._end(reply.request_id, LookupResult(None, is_final=True))
+            self._end(reply.lookup, LookupResult(None, is_final=True))
 
-    def _on_timeout(self, request_id):
+    def _on_timeout(self, lookup):
         COUNTERS.increment("gateway_origin_lookups_timed_out")
-        logger.info("stream origin not found in time", extra={"continues": request_id})
-        self._end(request_id, LookupResult(None, is_final=False))
+        unanswered = sorted(self._pending_by_lookup[lookup].unanswered)
+        logger.info("stream origin not found in time", extra={"unanswered": unanswered})
+        self._end(lookup, LookupResult(None, is_final=False))
 
-    def _end(self, request_id, result):
-        pending = self._pending_by_id.pop(request_id)
+    def _end(self, lookup, result):
+        pending = self._pending_by_lookup.pop(lookup)
         if pending.timer.active():
             pending.timer.cancel()
-        for callback in pending.callbacks:
-            callback(result)
+        pending.callback(result)
 
     def _copy_holders(self, members):
         if len(members) <= ORIGIN_COPIES:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -10,6 +10,7 @@
 from hemlockdock_entry.gateway.continuation import can_go_on, may_run_at
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
 from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
+from hemlockdock_entry.gateway.origin_lookup import OriginQuestion
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
 
@@ -150,23 +151,28 @@
             return
         self._set_deadline()
         if self._takes_up_stream:
-            request_id = self.continued_request_id.decode("latin-1")
-            members = gateway.control_members
-            gateway.origin_lookup.find(request_id, members, self._on_origin_found)
+            self._find_origin()
             return
         self._begin(gateway.choose_pool(self.route))
 
+    def _find_origin(self):
+        request_id = self.continued_request_id.decode("latin-1")
+        pools = self.route.pools
+        pool = pools[0].pool if len(pools) == 1 else ""
+        question = OriginQuestion(request_id, pool, int(self._longest_wait_s * MS_PER_S))
+        members = self._gateway.control_members
+        self._gateway.origin_lookup.find(question, members, self._on_origin_found)
+
     def _on_origin_found(self, result):
         if self._ended:
             return
-        origin = result.origin or self._gateway.only_origin(self.route, self._longest_wait_s)
-        if origin is None:
+        if result.origin is None:
             retry_ms = None if result.is_final else ORIGIN_RETRY_MS
             why = "it is not known at which software version the stream began"
             kind = ErrorKind.STREAM_ORIGIN_UNKNOWN
             self.refuse(Refusal.of(kind, why, retry_after_ms=retry_ms))
             return
-        self.origin = origin
+        self.origin = result.origin
         if all(target.pool != self.origin.pool for target in self.route.pools):
             self.refuse_to_go_on()
             return
