gateway: split ProxyExchange into what it decides, tries and logs

No behaviour changes. Each of these is a module now; the checks of heads and ends and the times are pure functions. `request ended` and `try ended` come from the logger hemlockdock_entry.gateway.exchange_log.

--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_times.py
@@ -0,0 +1,71 @@
+"""Derive a request's times from its route and from what its client says."""
+
+from dataclasses import dataclass
+
+MS_PER_S = 1_000
+# A client whose time left is lower than the route's timeout by this much was refused before.
+RETURNING_CLIENT_MS = 100
+# The route's timeout, by which a client's wait is estimated, may have changed meanwhile.
+TIMEOUT_CHANGE_MARGIN_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTimes:
+    """Times of one request.
+
+    Attributes
+    ----------
+    deadline_s : float
+    target_s : float
+        Time until which the response, or a stream's first event, meets the route's target.
+    waited_ms : int
+        Time for which the client waited before this request, judging by its time left.
+    """
+
+    deadline_s: float
+    target_s: float
+    waited_ms: int
+
+    @classmethod
+    def of(cls, route, received_s, time_left):
+        """Compute the times of a request.
+
+        Parameters
+        ----------
+        route : RouteRow
+        received_s : float
+        time_left : bytes
+            The client's time left in milliseconds, as sent; empty or invalid if it does not tell.
+
+        Returns
+        -------
+        RequestTimes
+        """
+        limit_ms = route.timeout_ms
+        if time_left.strip().isdigit():
+            limit_ms = min(limit_ms, int(time_left))
+        # A client that retries after a refusal has less time left than the route's timeout.
+        waited_ms = max(0, route.timeout_ms - limit_ms)
+        return cls(
+            received_s + limit_ms / MS_PER_S,
+            received_s + (route.target_ms - waited_ms) / MS_PER_S,
+            waited_ms,
+        )
+
+    @property
+    def is_first_request(self):
+        """Return whether this is the client's first request."""
+        return self.waited_ms < RETURNING_CLIENT_MS
+
+    def longest_wait_s(self, received_s, now_s):
+        """Return the longest time since the client's first request.
+
+        Parameters
+        ----------
+        received_s, now_s : float
+
+        Returns
+        -------
+        float
+        """
+        return self.waited_ms / MS_PER_S + now_s - received_s + TIMEOUT_CHANGE_MARGIN_S
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
@@ -0,0 +1,97 @@
+"""Bind a request to the software version at which its stream began."""
+
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.rows import RouteKind
+from hemlockdock_entry.gateway.origin_lookup import OriginQuestion
+
+MS_PER_S = 1_000
+# A client that takes up its stream as late as it may still finds out where it began.
+ORIGIN_KEEP_MARGIN_MS = 1_000
+# Another entry or a later question may find the origin of a stream that this one did not.
+ORIGIN_RETRY_MS = 300
+
+
+class StreamBinding:
+    """The version to which one request is bound.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    exchange : ProxyExchange
+
+    Attributes
+    ----------
+    origin : StreamOrigin or None
+        Where the stream began that the request goes on with; None until its first event.
+    has_begun : bool
+        Whether this request has brought its client a first event.
+    """
+
+    def __init__(self, gateway, exchange):
+        self._gateway = gateway
+        self._exchange = exchange
+        self._on_bound = None
+        self.origin = None
+        self.has_begun = False
+
+    @property
+    def takes_up_stream(self):
+        """Return whether the client takes up a stream that an earlier request began."""
+        exchange = self._exchange
+        if exchange.route.kind is not RouteKind.STREAM:
+            return False
+        last_event_id = exchange.header(self._gateway.headers.last_event_id)
+        return bool(last_event_id or exchange.continued_request_id)
+
+    def find(self, longest_wait_s, on_bound):
+        """Bind the request to the version that began its stream, or refuse it.
+
+        Parameters
+        ----------
+        longest_wait_s : float
+            Longest time since the stream may have begun.
+        on_bound : callable
+            Called without arguments once the origin is known.
+        """
+        self._on_bound = on_bound
+        pools = self._exchange.route.pools
+        question = OriginQuestion(
+            self._exchange.continued_request_id.decode("latin-1"),
+            pools[0].pool if len(pools) == 1 else "",
+            int(longest_wait_s * MS_PER_S),
+        )
+        members = self._gateway.control_members
+        self._gateway.origin_lookup.find(question, members, self._on_result)
+
+    def begin(self, origin):
+        """Bind the request to the endpoint that sent its first event, and record this.
+
+        Parameters
+        ----------
+        origin : StreamOrigin
+        """
+        exchange = self._exchange
+        self.has_begun = True
+        self.origin = origin
+        if not exchange.route.resumable or not origin.software_version:
+            return
+        keep_ms = int(exchange.left_s * MS_PER_S) + ORIGIN_KEEP_MARGIN_MS
+        request_id = exchange.request_id.decode("latin-1")
+        members = self._gateway.control_members
+        self._gateway.origin_lookup.record(request_id, origin, keep_ms, members)
+
+    def _on_result(self, result):
+        exchange = self._exchange
+        if exchange.ended:
+            return
+        if result.origin is None:
+            retry_ms = None if result.is_final else ORIGIN_RETRY_MS
+            why = "it is not known at which software version the stream began"
+            kind = ErrorKind.STREAM_ORIGIN_UNKNOWN
+            exchange.refuse(Refusal.of(kind, why, retry_after_ms=retry_ms))
+            return
+        self.origin = result.origin
+        if all(target.pool != self.origin.pool for target in exchange.route.pools):
+            exchange.refuse_to_go_on()
+            return
+        self._on_bound()
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -0,0 +1,259 @@
+"""Send one client request to endpoints, one after the other, until one gives a whole response."""
+
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.stream_origins import StreamOrigin
+from hemlockdock_entry.gateway.endpoint_try import EndpointTry
+from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
+from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
+from hemlockdock_entry.gateway.response_check import check_head, stream_problem
+
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# An endpoint is avoided for this long after it had no capacity or accepted no connection.
+FULL_PAUSE_S = 0.25
+# Minimum wait for the first byte if another endpoint could answer.
+MIN_FIRST_BYTE_TIMEOUT_S = 0.6
+# With less time left, a retry is no more likely to answer in time than the current attempt.
+MIN_TRY_S = 0.25
+# Failed connection attempts of one request before the client is told to retry later.
+MAX_UNSENT_TRIES = 6
+
+
+class TrySequence:
+    """The attempts of one client request, of which one at most is in progress.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    exchange : ProxyExchange
+    response_writer : ResponseWriter
+    log : ExchangeLog
+
+    Attributes
+    ----------
+    tried_ids : set of str
+        Endpoints to which the request was sent.
+    may_have_run : bool
+        Whether any attempt so far may have run.
+    """
+
+    def __init__(self, gateway, exchange, response_writer, log):
+        self._gateway = gateway
+        self._exchange = exchange
+        self._response_writer = response_writer
+        self._log = log
+        self._try = None
+        self._first_byte_call = None
+        self._is_streaming = False
+        self._events_before_try = 0
+        self._body = []
+        self._body_bytes = 0
+        self._unsent_tries = 0
+        self.tried_ids = set()
+        self.may_have_run = False
+
+    def send_to(self, row):
+        """Forward the request to an endpoint.
+
+        Parameters
+        ----------
+        row : EndpointRow
+        """
+        exchange = self._exchange
+        self.tried_ids.add(row.endpoint_id)
+        self._log.last_row = row
+        self._log.last_framing = None
+        self._is_streaming = False
+        self._events_before_try = self._response_writer.event_count
+        self._body = []
+        self._body_bytes = 0
+        data = build_forwarded_request(
+            exchange, row, self._gateway, self._response_writer.last_event_id
+        )
+        self._try = EndpointTry(self, row, exchange.request_id, data)
+        health = self._gateway.health.for_endpoint(row.endpoint_id)
+        health.in_flight += 1
+        self._try.begin(self._gateway.connections_to(row), self.now_s())
+        if exchange.route.may_repeat:
+            timeout_s = health.first_byte_timeout_s(MIN_FIRST_BYTE_TIMEOUT_S)
+            self._first_byte_call = self._gateway.clock.callLater(
+                timeout_s, self._on_first_byte_timeout, self._try
+            )
+
+    def cancel(self):
+        """Cancel the attempt in progress."""
+        if self._try is None:
+            return
+        self.may_have_run = self.may_have_run or self._try.was_sent
+        self._release_endpoint(self._try)
+        self._try.cancel()
+        self._try = None
+
+    # Called by EndpointTry.
+
+    def now_s(self):
+        """Return the time, in seconds."""
+        return self._gateway.clock.seconds()
+
+    def on_response_head(self, endpoint_try, head):
+        """Classify a response by its head.
+
+        Parameters
+        ----------
+        endpoint_try : EndpointTry
+        head : ResponseHead
+        """
+        self._log.last_framing = head.framing
+        route = self._exchange.route
+        verdict = check_head(head, self._gateway.headers, route, self._response_writer.started)
+        endpoint_try.outcome = verdict.outcome
+        self._is_streaming = verdict.is_stream
+        if verdict.outcome is not TryOutcome.NOT_RUN:
+            self.may_have_run = True
+
+    def on_response_data(self, endpoint_try, data):
+        """Forward part of a stream, or buffer part of any other response.
+
+        Parameters
+        ----------
+        endpoint_try : EndpointTry
+        data : bytes
+        """
+        if self._is_streaming:
+            self._forward_events(endpoint_try, data)
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_BUFFERED_BYTES:
+            self._stop_oversized(endpoint_try, "the response exceeds the buffer limit")
+            return
+        self._body.append(data)
+
+    def on_response_end(self, endpoint_try):
+        """Complete the request, or handle the failure that the response head reported.
+
+        Parameters
+        ----------
+        endpoint_try : EndpointTry
+        """
+        head = endpoint_try.head
+        if endpoint_try.outcome is not None:
+            self.on_try_ended(endpoint_try, endpoint_try.outcome, f"status {head.status}")
+            return
+        problem = self._stream_problem(head)
+        if problem:
+            self.on_try_ended(endpoint_try, TryOutcome.BROKEN_OFF, problem)
+            return
+        self._release_endpoint(endpoint_try)
+        self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id).record_response(
+            endpoint_try.first_byte_s - endpoint_try.sent_s
+        )
+        self._try = None
+        if self._is_streaming:
+            self._exchange.end_stream(head)
+            return
+        self._exchange.deliver(head, b"".join(self._body))
+
+    def on_try_ended(self, endpoint_try, outcome, problem):
+        """Continue after an attempt that produced no usable response.
+
+        Parameters
+        ----------
+        endpoint_try : EndpointTry
+        outcome : TryOutcome
+        problem : str
+        """
+        exchange = self._exchange
+        if exchange.ended or endpoint_try is not self._try:
+            return
+        self._try = None
+        self._release_endpoint(endpoint_try)
+        self._record_health(endpoint_try, outcome)
+        if outcome is TryOutcome.NOT_SENT:
+            self._unsent_tries += 1
+            self.tried_ids.discard(endpoint_try.row.endpoint_id)
+        elif outcome is not TryOutcome.NOT_RUN:
+            self.may_have_run = True
+        state = RequestState(
+            exchange.route.may_repeat,
+            self.may_have_run,
+            self._response_writer.started,
+            len(self.tried_ids),
+            exchange.route.most_endpoints,
+            self._unsent_tries < MAX_UNSENT_TRIES,
+            exchange.left_s,
+        )
+        move = next_move(outcome, state, self._spend_retry)
+        self._log.try_ended(outcome, problem, move, state.left_s)
+        self._apply_move(move, endpoint_try)
+
+    def _forward_events(self, endpoint_try, data):
+        exchange = self._exchange
+        self._response_writer.write_stream_data(endpoint_try.head, data, exchange.route)
+        if self._response_writer.started and not exchange.binding.has_begun:
+            row = endpoint_try.row
+            exchange.binding.begin(StreamOrigin(row.pool, row.software_version))
+        if self._response_writer.partial_event_bytes > MAX_BUFFERED_BYTES:
+            self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
+
+    def _stream_problem(self, head):
+        if not self._is_streaming:
+            return ""
+        has_events = self._response_writer.event_count > self._events_before_try
+        return stream_problem(head.framing, self._response_writer.has_partial_event, has_events)
+
+    def _stop_oversized(self, endpoint_try, problem):
+        endpoint_try.cancel()
+        self.on_try_ended(endpoint_try, TryOutcome.UNKNOWN, problem)
+
+    def _apply_move(self, move, endpoint_try):
+        exchange = self._exchange
+        if move is NextMove.TRY_AGAIN:
+            self._response_writer.discard_partial_event()
+            exchange.dispatch()
+        elif move is NextMove.DELIVER_FAILURE:
+            exchange.deliver_failure(endpoint_try.head, b"".join(self._body))
+        elif move is NextMove.BREAK_OFF:
+            exchange.abort_response("the endpoint aborted its response")
+        elif move is NextMove.REFUSE_NOT_RUN:
+            exchange.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "no endpoint took the request"))
+        else:
+            message = "the endpoint gave no whole answer"
+            exchange.refuse(Refusal.of(ErrorKind.ENDPOINT_LOST, message))
+
+    def _on_first_byte_timeout(self, endpoint_try):
+        """Cancel an attempt without a first byte if another endpoint may answer in time."""
+        exchange = self._exchange
+        self._first_byte_call = None
+        if exchange.ended or endpoint_try is not self._try or endpoint_try.head is not None:
+            return
+        if len(self.tried_ids) >= exchange.route.most_endpoints or exchange.left_s < MIN_TRY_S:
+            return
+        if not self._gateway.has_alternative(exchange, endpoint_try.row):
+            return
+        if endpoint_try.was_sent and not self._has_retry_left():
+            return
+        endpoint_try.cancel()
+        outcome = TryOutcome.UNKNOWN if endpoint_try.was_sent else TryOutcome.NOT_SENT
+        self.on_try_ended(endpoint_try, outcome, "no response before the first-byte timeout")
+
+    def _release_endpoint(self, endpoint_try):
+        if self._first_byte_call is not None:
+            self._first_byte_call.cancel()
+            self._first_byte_call = None
+        self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id).in_flight -= 1
+        if self._exchange.model:
+            self._gateway.model_queue.request_finished(self._exchange)
+
+    def _record_health(self, endpoint_try, outcome):
+        health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
+        if outcome in (TryOutcome.NOT_RUN, TryOutcome.NOT_SENT):
+            health.record_full(self.now_s(), FULL_PAUSE_S)
+        if outcome is not TryOutcome.NOT_RUN:
+            health.record_failure(self.now_s())
+
+    def _spend_retry(self):
+        budget = self._gateway.retry_budget(self._exchange.pool.name)
+        return budget.try_spend(self.now_s(), self._gateway.entries)
+
+    def _has_retry_left(self):
+        budget = self._gateway.retry_budget(self._exchange.pool.name)
+        return budget.has_available(self.now_s(), self._gateway.entries)
