entry: the test of a shutdown holds its run until it lets it go

The test now holds the answer itself and lets it go after its calls, and checks beside that the entry has not stopped before.

--- a/packages/hemlockdock-entry/tests/support.py
+++ b/packages/hemlockdock-entry/tests/support.py
@@ -206,10 +206,18 @@
         self.drop_chunk = None
         self.refusal = None
         self.held_from = None
+        self._held = []
         self.transport = MessageTransport(
             reactor, node_id, 1, NODE_CODEC, "tcp://127.0.0.1:0", self._take
         )
 
+    def release(self):
+        """Send the rest of the answers that are held."""
+        self.held_from = None
+        held, self._held = self._held, []
+        for address, body, offset in held:
+            self._answer(address, body, offset)
+
     def _take(self, frame):
         body = frame.body
         if isinstance(body, Dispatch):
@@ -232,6 +240,7 @@
         offset = 0
         for index, part in enumerate(self.parts):
             if index == self.held_from:
+                self._held.append((address, body, offset))
                 return
             if index != self.drop_chunk and offset + len(part) > start:
                 send(address, AnswerChunk(request_id, attempt, offset, part))
--- a/packages/hemlockdock-entry/tests/test_service.py
+++ b/packages/hemlockdock-entry/tests/test_service.py
@@ -20,6 +20,8 @@
 TIMEOUT_S = 20
 SHORT_LIMITS = "[entry]\nheader_timeout_ms = 200\nbody_limit_kb = 1\n"
 SHORT_STALL = "[entry]\nstall_ms = 200\n"
+# Long enough that a run is not resumed while a test holds its answer.
+LONG_STALL = "[entry]\nstall_ms = 60000\n"
 JSON_TYPE = "application/json"
 
 
@@ -282,7 +284,7 @@
 
     @inlineCallbacks
     def test_a_shutdown_finishes_running_requests_and_refuses_new_ones(self):
-        yield self.start(SHORT_STALL, [b"data: 1\n\n", b"data: 2\n\n"])
+        yield self.start(LONG_STALL, [b"data: 1\n\n", b"data: 2\n\n"])
         self.agent.held_from = 1
         response = yield self.post({"model": "m", "stream": True})
         text = response.text()
@@ -291,6 +293,8 @@
         self.assertEqual(ready.code, 503)
         refused = yield self.post({"model": "m"})
         self.assertEqual((yield refused.json())["error"]["kind"], "draining")
+        self.assertFalse(stopped.called)
+        self.agent.release()
         body = yield text
         self.assertIn("data: 2", body)
         yield stopped
