--- a/packages/hemlockdock-core/hemlockdock_core/stream_origins.py
+++ b/packages/hemlockdock-core/hemlockdock_core/stream_origins.py
@@ -7,6 +7,8 @@
 # Longer than any client waits for the rest of its stream.
 MAX_KEEP_MS = 120_000
 MAX_ORIGINS = 50_000
+# Clients choose their ids; a longer one is not worth its memory.
+MAX_ID_CHARACTERS = 128
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +45,7 @@
         now_s : float
         """
         self.remove_expired(now_s)
-        if request_id in self._origin_by_id:
+        if request_id in self._origin_by_id or len(request_id) > MAX_ID_CHARACTERS:
             return
         self._origin_by_id[request_id] = origin
         expires_s = now_s + min(keep_ms, MAX_KEEP_MS) / MS_PER_S
--- a/packages/hemlockdock-core/tests/test_stream_origins.py
+++ b/packages/hemlockdock-core/tests/test_stream_origins.py
@@ -34,6 +34,11 @@
         self.assertIsNone(self.store.find("0", 0.0))
         self.assertEqual(self.store.find("1", 0.0), V1)
 
+    def test_a_very_long_id_is_not_kept(self):
+        for length, kept in ((stream_origins.MAX_ID_CHARACTERS, True), (129, False)):
+            self.store.record("x" * length, V1, 9_000, 0.0)
+            self.assertEqual(self.store.find("x" * length, 0.0) is not None, kept)
+
     def test_no_origin_is_kept_without_end(self):
         self.store.record("1", V1, 10**9, 0.0)
         self.assertIsNone(self.store.find("1", stream_origins.MAX_KEEP_MS / 1_000))
