entry: a stream is not taken up in a pool whose weight is zero

A subtest failed before: a route that lists a stream's pool with weight 0 sends it no requests, but a client that took its stream up was sent there, as only an older configuration allows. Pools without weight are no match now.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
@@ -54,10 +54,10 @@
             Called without arguments once the origin is known.
         """
         self._on_bound = on_bound
-        pools = self._exchange.route.pools
+        pools = self._route_pools()
         question = OriginQuestion(
             self._exchange.continued_request_id.decode("latin-1"),
-            pools[0].pool if len(pools) == 1 else "",
+            pools[0] if len(pools) == 1 else "",
             int(longest_wait_s * MS_PER_S),
         )
         members = self._gateway.control_members
@@ -80,6 +80,9 @@
         members = self._gateway.control_members
         self._gateway.origin_lookup.record(request_id, origin, keep_ms, members)
 
+    def _route_pools(self):
+        return [target.pool for target in self._exchange.route.pools if target.weight > 0]
+
     def _on_result(self, result):
         exchange = self._exchange
         if exchange.ended:
@@ -91,7 +94,7 @@
             exchange.refuse(Refusal.of(kind, why, retry_after_ms=retry_ms))
             return
         self.origin = result.origin
-        if all(target.pool != self.origin.pool for target in exchange.route.pools):
+        if self.origin.pool not in self._route_pools():
             exchange.refuse_to_go_on()
             return
         self._on_bound()
--- a/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from support_gateway import (
     IDEMPOTENT_PATH,
     STREAM_PATH,
@@ -11,7 +12,7 @@
 )
 
 from hemlockdock_core.messages import FindStreamOrigin, StreamBegun, StreamOriginReply
-from hemlockdock_core.rows import PoolRow, RouteKind
+from hemlockdock_core.rows import PoolRow, RouteKind, WeightedPool
 from hemlockdock_core.settings.member_address import MemberAddress
 from hemlockdock_core.stream_origins import StreamOrigin, StreamOriginStore
 from hemlockdock_entry.gateway.origin_lookup import LOOKUP_TIMEOUT_S, ORIGIN_COPIES
@@ -307,25 +308,31 @@
         self.put_endpoints(x="v1")
         self.begin_stream()
         split = route("live", STREAM_PATH, RouteKind.STREAM, "lm", resumable=True)
-        pools = (*split.pools, type(split.pools[0])("lm2", 1_000.0))
+        split = msgspec.structs.replace(split, pools=(*split.pools, WeightedPool("lm2", 1_000.0)))
         engine = self.harness.link.table.pool_by_name["lm"].engine
-        fields = {name: getattr(split, name) for name in split.__struct_fields__}
         for number in range(10):
             other = self.open_entry()
             row = endpoint("w", "lm2", 6, models=("m",), software_version="v1")
             other.put_rows(PoolRow("lm2", "/", 10, engine), row)
-            other.put_rows(type(split)(**{**fields, "pools": pools}))
+            other.put_rows(split)
             other.gateway.routes = RouteIndex(other.link.table.route_by_name.values())
             self.take_up(b"2%d" % number, b"1", other)
             self.assertEqual(self.pending(other), [PORT_BY_ID["x"]])
 
     def test_a_stream_whose_pool_left_the_route_is_refused(self):
-        self.put_endpoints(x="v1")
-        self.begin_stream()
-        self.harness.put_rows(route("live", STREAM_PATH, RouteKind.STREAM, "shop", resumable=True))
-        self.harness.gateway.routes = RouteIndex(self.harness.link.table.route_by_name.values())
-        client = self.take_up(b"2", b"1")
-        self.assertEqual((client.status, self.pending()), (503, []))
+        moved = route("live", STREAM_PATH, RouteKind.STREAM, "shop", resumable=True)
+        pools = (*moved.pools, WeightedPool("lm", 0.0))
+        for changed in (moved, msgspec.structs.replace(moved, pools=pools)):
+            with self.subTest(pools=changed.pools):
+                self.harness = self.open_entry()
+                self.client = self.harness.client()
+                self.put_endpoints(x="v1")
+                self.begin_stream()
+                self.harness.put_rows(changed)
+                rows = self.harness.link.table.route_by_name.values()
+                self.harness.gateway.routes = RouteIndex(rows)
+                client = self.take_up(b"2", b"1")
+                self.assertEqual((client.status, self.pending()), (503, []))
 
     def test_a_client_that_leaves_during_the_lookup_gets_no_endpoint(self):
         self.put_endpoints(x="v1")
