--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -178,9 +178,10 @@
 
     @_on_message.register
     def _(self, body: FindStreamOrigin, frame):
-        origin = self._stream_origins.find(body.request_id, self._clock.seconds())
+        question = body.question
+        origin = self._stream_origins.find(question.request_id, self._clock.seconds())
         if origin is None:
-            origin = self._only_origin(body)
+            origin = self._only_origin(question)
         reply = StreamOriginReply(body.lookup, origin.pool, origin.software_version)
         self._send(frame.reply_to, reply)
 
--- a/packages/hemlockdock-control/tests/test_fleet_nodes.py
+++ b/packages/hemlockdock-control/tests/test_fleet_nodes.py
@@ -11,6 +11,7 @@
 from hemlockdock_core.messages import (
     NODE_CODEC,
     FindStreamOrigin,
+    OriginQuestion,
     StreamBegun,
     StreamOriginReply,
 )
@@ -48,14 +49,14 @@
         self.replicator.has_lease = False
         self.receive(StreamBegun("r1", "lm", "v1", 5_000))
         self.clock.advance(4.9)
-        self.receive(FindStreamOrigin(7, "r1", "", 0), "tcp://10.0.0.2:1")
+        self.receive(FindStreamOrigin(7, OriginQuestion("r1", "", 0)), "tcp://10.0.0.2:1")
         self.assertEqual(self.sent, [("tcp://10.0.0.2:1", StreamOriginReply(7, "lm", "v1"))])
 
     def test_an_unknown_or_expired_stream_is_answered_as_unknown(self):
-        self.receive(FindStreamOrigin(1, "r1", "", 0))
+        self.receive(FindStreamOrigin(1, OriginQuestion("r1", "", 0)))
         self.receive(StreamBegun("r1", "lm", "v1", 5_000))
         self.clock.advance(5.0)
-        self.receive(FindStreamOrigin(2, "r1", "", 0))
+        self.receive(FindStreamOrigin(2, OriginQuestion("r1", "", 0)))
         self.assertEqual(
             self.sent, [(ENTRY, StreamOriginReply(number, "", "")) for number in (1, 2)]
         )
@@ -112,5 +113,5 @@
         self.endpoints.record(RecordEndpoints(rows, gone, 0))
 
     def ask(self, window_ms):
-        self.receive(FindStreamOrigin(1, "", "lm", window_ms))
+        self.receive(FindStreamOrigin(1, OriginQuestion("", "lm", window_ms)))
         return self.sent[-1][1]
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -33,6 +33,7 @@
 from hemlockdock_core.messages.resume import Resume
 from hemlockdock_core.messages.stream_origins import (
     FindStreamOrigin,
+    OriginQuestion,
     StreamBegun,
     StreamOriginReply,
 )
@@ -73,6 +74,7 @@
     "NodeMessage",
     "OrderOutcome",
     "OrderResult",
+    "OriginQuestion",
     "Proposal",
     "ProposalResult",
     "Refused",
--- a/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
@@ -1,5 +1,7 @@
 """Messages about where streams began."""
 
+import msgspec
+
 from hemlockdock_core.messages.message import Message
 
 
@@ -22,13 +24,11 @@
     keep_ms: int
 
 
-class FindStreamOrigin(Message, frozen=True):
-    """Question where a stream began. Sent by an entry to control members.
+class OriginQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """What a request that takes up a stream says of it.
 
     Attributes
     ----------
-    lookup : int
-        Number of the question, which the answer repeats.
     request_id : str
         Id of the request attempt that brought its first event; empty if the client named none.
     pool : str
@@ -37,12 +37,25 @@
         Time within which the stream began.
     """
 
-    lookup: int
     request_id: str
     pool: str
     window_ms: int
 
 
+class FindStreamOrigin(Message, frozen=True):
+    """Question where a stream began. Sent by an entry to control members.
+
+    Attributes
+    ----------
+    lookup : int
+        Number of the question, which the answer repeats.
+    question : OriginQuestion
+    """
+
+    lookup: int
+    question: OriginQuestion
+
+
 class StreamOriginReply(Message, frozen=True):
     """Where a stream began. Sent by a control member to an entry.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/origin_lookup.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/origin_lookup.py
@@ -37,25 +37,6 @@
     timer: object
 
 
-@dataclass(frozen=True, slots=True)
-class OriginQuestion:
-    """What a request that takes up a stream says of it.
-
-    Attributes
-    ----------
-    request_id : str
-        Id of the request attempt that brought its first event; empty if the client named none.
-    pool : str
-        The only pool of the stream's route; empty if it has several.
-    window_ms : int
-        Time within which the stream began.
-    """
-
-    request_id: str
-    pool: str
-    window_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class LookupResult:
     """What is known about where a stream began.
@@ -128,7 +109,7 @@
         timer = self._clock.callLater(LOOKUP_TIMEOUT_S, self._on_timeout, lookup)
         unanswered = {member.member_id for member in members}
         self._pending_by_lookup[lookup] = PendingLookup(unanswered, callback, timer)
-        message = FindStreamOrigin(lookup, question.request_id, question.pool, question.window_ms)
+        message = FindStreamOrigin(lookup, question)
         for member in members:
             self._send(member.node_address, message)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
@@ -1,8 +1,8 @@
 """Bind a request to the software version at which its stream began."""
 
 from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.messages import OriginQuestion
 from hemlockdock_core.rows import RouteKind
-from hemlockdock_entry.gateway.origin_lookup import OriginQuestion
 
 MS_PER_S = 1_000
 # A client that takes up its stream as late as it may still finds out where it began.
--- a/packages/hemlockdock-entry/tests/test_gateway.py
+++ b/packages/hemlockdock-entry/tests/test_gateway.py
@@ -285,15 +285,8 @@
         return self.connect()
 
     def body(self):
-        head, _, rest = self.client.received.partition(b"\r\n\r\n")
-        parts = []
-        while rest:
-            size, _, rest = rest.partition(b"\r\n")
-            if size == b"0":
-                return b"".join(parts), True
-            parts.append(rest[: int(size, 16)])
-            rest = rest[int(size, 16) + 2 :]
-        return b"".join(parts), False
+        """Return the body of the response so far, and whether it looks complete."""
+        return self.client.response()[1:]
 
     def test_events_are_forwarded_as_they_arrive(self):
         server = self.send_request()
--- a/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
@@ -50,7 +50,7 @@
                 origin = StreamOrigin(message.pool, message.software_version)
                 store.record(message.request_id, origin, message.keep_ms, now_s)
             if isinstance(message, FindStreamOrigin):
-                found = store.find(message.request_id, now_s) or self.only_origin
+                found = store.find(message.question.request_id, now_s) or self.only_origin
                 reply = StreamOriginReply(message.lookup, found.pool, found.software_version)
                 member = [item for item in self.addresses if item.node_address == address][0]
                 harness.gateway.origin_lookup.on_reply(member.member_id, reply)
