entry: a stream whose events have no ids is not begun again midway

The test failed before: a resumable stream that broke after events without ids was sent to another endpoint without the id of its last event, so that the client got its beginning a second time, as part of the same answer. Such a stream is now broken off.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -173,7 +173,7 @@
         elif outcome is not TryOutcome.NOT_RUN:
             self.may_have_run = True
         state = RequestState(
-            exchange.route.may_repeat,
+            exchange.route.may_repeat and self._can_name_last_event(),
             self.may_have_run,
             self._response_writer.started,
             len(self.tried_ids),
@@ -185,6 +185,9 @@
         self._log.try_ended(outcome, problem, move, state.left_s)
         self._apply_move(move, endpoint_try)
 
+    def _can_name_last_event(self):
+        return not self._response_writer.started or bool(self._response_writer.last_event_id)
+
     def _forward_events(self, endpoint_try, data):
         exchange = self._exchange
         self._response_writer.write_stream_data(endpoint_try.head, data, exchange.route)
--- a/packages/hemlockdock-entry/tests/test_gateway_endings.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_endings.py
@@ -195,6 +195,14 @@
                     server.close(cleanly=True)
                     self.assertEqual(self.client.response(), (200, events, True))
 
+    def test_a_stream_whose_events_have_no_ids_does_not_begin_again_midway(self):
+        server = self.send_request(STREAM_PATH)
+        server.begin_answer(None)
+        server.send_bytes(b"data: x\n\n")
+        server.close()
+        self.assertEqual(len(self.harness.reactor.connecting), 0)
+        self.assert_not_framed_as_complete()
+
     def test_events_split_over_segments_reach_the_client_whole(self):
         server = self.send_request(NON_RESUMABLE_STREAM_PATH)
         server.begin_answer(None)
