--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -5,14 +5,12 @@
 import secrets
 
 from hemlockdock_core.rows import LimitsRow
-from hemlockdock_entry.gateway.continuation import may_run_at
-from hemlockdock_entry.gateway.endpoint_connection import ConnectionPool
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
 from hemlockdock_entry.gateway.model_queue import ModelQueue
 from hemlockdock_entry.gateway.origin_lookup import OriginLookup
+from hemlockdock_entry.gateway.pool_endpoints import PoolEndpoints
 from hemlockdock_entry.gateway.proxy_exchange import ProxyExchange
 from hemlockdock_entry.gateway.route_index import RouteIndex
-from hemlockdock_entry.gateway.windowed_retry_budget import WindowedRetryBudget
 
 logger = logging.getLogger(__name__)
 
@@ -44,6 +42,7 @@
         None until the first routing table is received.
     limits : LimitsRow
     health : EndpointHealthTracker
+    endpoints : PoolEndpoints
     model_queue : ModelQueue
     origin_lookup : OriginLookup
     draining : bool
@@ -66,14 +65,12 @@
         self._settings = settings
         self._random = random.Random(secrets.randbits(64))
         self._link = None
-        self._rows_by_pool = {}
-        self._pool_by_address = {}
-        self._retry_budget_by_pool = {}
         self._client_connections = set()
         self._exchanges = set()
         self._on_idle = None
         self._waiting_for_routes = []
         self.health = EndpointHealthTracker(settings.process.failure_domain, self._random)
+        self.endpoints = PoolEndpoints(reactor, settings, wire.headers.request_id, self.health)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
 
@@ -230,19 +227,6 @@
         chosen = self._random.choices(pools, weights)[0]
         return self.pool(chosen.pool)
 
-    def pool_rows(self, pool):
-        """Return the endpoints of a pool.
-
-        Parameters
-        ----------
-        pool : str
-
-        Returns
-        -------
-        list of EndpointRow
-        """
-        return self._rows_by_pool.get(pool, ())
-
     def endpoint_rows(self):
         """Return all endpoints."""
         return self._link.table.endpoint_by_id.values()
@@ -260,85 +244,6 @@
         """
         return self._link.table.endpoint_by_id.get(endpoint_id)
 
-    def rows_below_connection_limit(self, pool):
-        """Return a pool's endpoints at which this entry is below its connection limit.
-
-        An endpoint resets connections beyond its limit, which all entries share.
-
-        Parameters
-        ----------
-        pool : PoolRow
-
-        Returns
-        -------
-        list of EndpointRow
-        """
-        rows = self.pool_rows(pool.name)
-        if not pool.most_connections:
-            return rows
-        share = max(1, pool.most_connections // max(1, self.entries))
-        return [row for row in rows if self.health.for_endpoint(row.endpoint_id).in_flight < share]
-
-    def has_alternative(self, exchange, row):
-        """Return whether another endpoint is available for a request.
-
-        Parameters
-        ----------
-        exchange : ProxyExchange
-        row : EndpointRow
-            The current endpoint of the request.
-
-        Returns
-        -------
-        bool
-        """
-        now_s = self.clock.seconds()
-        for other in self.pool_rows(row.pool):
-            if other.leaving or other.endpoint_id in exchange.tried_ids:
-                continue
-            if exchange.model and not other.has_model(exchange.model):
-                continue
-            if not may_run_at(exchange.origin, other):
-                continue
-            health = self.health.for_endpoint(other.endpoint_id)
-            if max(health.ejected_until_s, health.full_until_s) <= now_s:
-                return True
-        return False
-
-    def connections_to(self, row):
-        """Return the connection pool of an endpoint.
-
-        Parameters
-        ----------
-        row : EndpointRow
-
-        Returns
-        -------
-        ConnectionPool
-        """
-        connections = self._pool_by_address.get(row.address)
-        if connections is None:
-            connections = ConnectionPool(self.clock, row.address, self.headers.request_id)
-            self._pool_by_address[row.address] = connections
-        return connections
-
-    def retry_budget(self, pool):
-        """Return the retry budget of a pool.
-
-        Parameters
-        ----------
-        pool : str
-
-        Returns
-        -------
-        WindowedRetryBudget
-        """
-        budget = self._retry_budget_by_pool.get(pool)
-        if budget is None:
-            budget = WindowedRetryBudget(self._settings.fleet)
-            self._retry_budget_by_pool[pool] = budget
-        return budget
-
     def table_changed(self):
         """Apply a change of the routing table."""
         table = self._link.table
@@ -350,16 +255,8 @@
             logger.info(
                 "routes applied", extra={"number": self.limits.number, "revision": self.revision}
             )
-        rows_by_pool = {}
-        addresses = set()
-        for row in table.endpoint_by_id.values():
-            rows_by_pool.setdefault(row.pool, []).append(row)
-            addresses.add(row.address)
-        self._rows_by_pool = rows_by_pool
+        self.endpoints.update(table.endpoint_by_id.values())
         self.health.remove_absent(table.endpoint_by_id)
-        for address in list(self._pool_by_address):
-            if address not in addresses:
-                self._pool_by_address.pop(address).close()
         self.model_queue.table_changed()
         self._start_waiting()
 
@@ -370,8 +267,7 @@
         for connection in list(self._client_connections):
             if connection.is_idle and now_s - connection.idle_since_s > limit_s:
                 connection.close_idle()
-        for connections in self._pool_by_address.values():
-            connections.close_expired()
+        self.endpoints.close_expired_connections()
         self.model_queue.repeat_report()
 
     def shut_down_exchanges(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -169,7 +169,7 @@
         ready_s = self._supply.ready_s(pool, use.model, now_s)
         least_s = self._supply.least_s(pool, use.model)
         for exchange in exchanges:
-            rows = self._gateway.pool_rows(pool.name)
+            rows = self._gateway.endpoints.of_pool(pool.name)
             if not can_go_on(exchange.origin, exchange.model, rows):
                 exchange.refuse_to_go_on()
                 continue
@@ -198,7 +198,7 @@
         now_s = gateway.clock.seconds()
         max_in_flight = max(2, int(exchange.pool.engine.slots * MAX_SLOT_SHARE))
         usable = []
-        for row in gateway.rows_below_connection_limit(exchange.pool):
+        for row in gateway.endpoints.below_connection_limit(exchange.pool, gateway.entries):
             if not row.has_model(exchange.model) or not may_run_at(exchange.origin, row):
                 continue
             health = gateway.health.for_endpoint(row.endpoint_id)
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
@@ -0,0 +1,141 @@
+"""Endpoints of each pool, with their connections and the pools' retry budgets."""
+
+from hemlockdock_entry.gateway.continuation import may_run_at
+from hemlockdock_entry.gateway.endpoint_connection import ConnectionPool
+from hemlockdock_entry.gateway.windowed_retry_budget import WindowedRetryBudget
+
+
+class PoolEndpoints:
+    """Endpoints of each pool in the routing table.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    settings : Settings
+    request_id_name : bytes
+    health : EndpointHealthTracker
+    """
+
+    def __init__(self, reactor, settings, request_id_name, health):
+        self._reactor = reactor
+        self._settings = settings
+        self._request_id_name = request_id_name
+        self._health = health
+        self._rows_by_pool = {}
+        self._connections_by_address = {}
+        self._retry_budget_by_pool = {}
+
+    def update(self, rows):
+        """Replace the endpoints, and close connections to those that are gone.
+
+        Parameters
+        ----------
+        rows : iterable of EndpointRow
+        """
+        self._rows_by_pool = {}
+        addresses = set()
+        for row in rows:
+            self._rows_by_pool.setdefault(row.pool, []).append(row)
+            addresses.add(row.address)
+        for address in list(self._connections_by_address):
+            if address not in addresses:
+                self._connections_by_address.pop(address).close()
+
+    def of_pool(self, pool):
+        """Return the endpoints of a pool.
+
+        Parameters
+        ----------
+        pool : str
+
+        Returns
+        -------
+        list of EndpointRow
+        """
+        return self._rows_by_pool.get(pool, ())
+
+    def below_connection_limit(self, pool, entries):
+        """Return a pool's endpoints at which this entry is below its connection limit.
+
+        An endpoint resets connections beyond its limit, which all entries share.
+
+        Parameters
+        ----------
+        pool : PoolRow
+        entries : int
+            Number of entries that share the limit.
+
+        Returns
+        -------
+        list of EndpointRow
+        """
+        rows = self.of_pool(pool.name)
+        if not pool.most_connections:
+            return rows
+        share = max(1, pool.most_connections // max(1, entries))
+        return [row for row in rows if self._health.for_endpoint(row.endpoint_id).in_flight < share]
+
+    def has_alternative(self, exchange, row):
+        """Return whether another endpoint is available for a request.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+        row : EndpointRow
+            The current endpoint of the request.
+
+        Returns
+        -------
+        bool
+        """
+        now_s = self._reactor.seconds()
+        for other in self.of_pool(row.pool):
+            if other.leaving or other.endpoint_id in exchange.tried_ids:
+                continue
+            if exchange.model and not other.has_model(exchange.model):
+                continue
+            if not may_run_at(exchange.origin, other):
+                continue
+            health = self._health.for_endpoint(other.endpoint_id)
+            if max(health.ejected_until_s, health.full_until_s) <= now_s:
+                return True
+        return False
+
+    def connections_to(self, row):
+        """Return the connection pool of an endpoint.
+
+        Parameters
+        ----------
+        row : EndpointRow
+
+        Returns
+        -------
+        ConnectionPool
+        """
+        connections = self._connections_by_address.get(row.address)
+        if connections is None:
+            connections = ConnectionPool(self._reactor, row.address, self._request_id_name)
+            self._connections_by_address[row.address] = connections
+        return connections
+
+    def close_expired_connections(self):
+        """Close idle connections whose keep-alive time has expired."""
+        for connections in self._connections_by_address.values():
+            connections.close_expired()
+
+    def retry_budget(self, pool):
+        """Return the retry budget of a pool.
+
+        Parameters
+        ----------
+        pool : str
+
+        Returns
+        -------
+        WindowedRetryBudget
+        """
+        budget = self._retry_budget_by_pool.get(pool)
+        if budget is None:
+            budget = WindowedRetryBudget(self._settings.fleet)
+            self._retry_budget_by_pool[pool] = budget
+        return budget
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -140,14 +140,14 @@
 
     def dispatch(self):
         """Send the request to an endpoint, or queue it until one can run it."""
-        rows = self._gateway.pool_rows(self.pool.name)
+        rows = self._gateway.endpoints.of_pool(self.pool.name)
         if not can_go_on(self.origin, self.model, rows):
             self.refuse_to_go_on()
             return
         if self.model:
             self._gateway.model_queue.enqueue(self)
             return
-        rows = self._gateway.rows_below_connection_limit(self.pool)
+        rows = self._gateway.endpoints.below_connection_limit(self.pool, self._gateway.entries)
         rows = [row for row in rows if may_run_at(self.origin, row)]
         row = self._gateway.health.choose(rows, self.now_s(), self.tried_ids)
         if row is None:
@@ -278,7 +278,7 @@
             self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "the route's pool is not known"))
             return
         self.pool = pool
-        self._gateway.retry_budget(pool.name).record_request(self.now_s())
+        self._gateway.endpoints.retry_budget(pool.name).record_request(self.now_s())
         if pool.engine is not None:
             value = self.header(self._gateway.headers.model).decode("latin-1")
             self.model, _, self.adapter = value.partition("/")
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -72,7 +72,7 @@
         self._try = EndpointTry(self, row, exchange.request_id, data)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
-        self._try.begin(self._gateway.connections_to(row), self.now_s())
+        self._try.begin(self._gateway.endpoints.connections_to(row), self.now_s())
         if exchange.route.may_repeat:
             timeout_s = health.first_byte_timeout_s(MIN_FIRST_BYTE_TIMEOUT_S)
             self._first_byte_call = self._gateway.clock.callLater(
@@ -230,7 +230,7 @@
             return
         if len(self.tried_ids) >= exchange.route.most_endpoints or exchange.left_s < MIN_TRY_S:
             return
-        if not self._gateway.has_alternative(exchange, endpoint_try.row):
+        if not self._gateway.endpoints.has_alternative(exchange, endpoint_try.row):
             return
         if endpoint_try.was_sent and not self._has_retry_left():
             return
@@ -254,9 +254,9 @@
             health.record_failure(self.now_s())
 
     def _spend_retry(self):
-        budget = self._gateway.retry_budget(self._exchange.pool.name)
+        budget = self._gateway.endpoints.retry_budget(self._exchange.pool.name)
         return budget.try_spend(self.now_s(), self._gateway.entries)
 
     def _has_retry_left(self):
-        budget = self._gateway.retry_budget(self._exchange.pool.name)
+        budget = self._gateway.endpoints.retry_budget(self._exchange.pool.name)
         return budget.has_available(self.now_s(), self._gateway.entries)
--- a/packages/hemlockdock-entry/tests/test_gateway.py
+++ b/packages/hemlockdock-entry/tests/test_gateway.py
@@ -131,7 +131,7 @@
         self.assertEqual(self.client.status, 200)
 
     def test_silent_endpoint_is_kept_if_the_retry_budget_is_spent(self):
-        budget = self.harness.gateway.retry_budget("shop")
+        budget = self.harness.gateway.endpoints.retry_budget("shop")
         while budget.try_spend(0.0, 1):
             pass
         self.client.send_request(IDEMPOTENT_PATH, left_ms=2_000)
--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -148,9 +148,9 @@
     ),
     Mutant(
         "open more connections to an endpoint than the entry's share",
-        GATEWAY + "gateway.py",
-        "if self.health.for_endpoint(row.endpoint_id).in_flight < share",
-        "if self.health.for_endpoint(row.endpoint_id).in_flight < 99",
+        GATEWAY + "pool_endpoints.py",
+        "if self._health.for_endpoint(row.endpoint_id).in_flight < share",
+        "if self._health.for_endpoint(row.endpoint_id).in_flight < 99",
         WHOLE,
     ),
     Mutant(
