--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -62,7 +62,6 @@
         self.refuses_new_requests = False
         self.send = send
         self.fleet = settings.fleet
-        self._settings = settings
         self._random = random.Random(secrets.randbits(64))
         self._link = None
         self._client_connections = set()
