gateway: the field's words for streams that a client resumes

Renames only. "Take up" and "go on" were the users' words: resume and continue are the field's. The header of our own form is X-Resumed-Request, the log field resumed_request, the message StreamStarted.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -13,8 +13,8 @@
     FindStreamOrigin,
     Heartbeat,
     HeartbeatAck,
-    StreamBegun,
     StreamOriginReply,
+    StreamStarted,
     WatchTable,
 )
 from hemlockdock_core.metrics import COUNTERS
@@ -171,7 +171,7 @@
             self._on_change()
 
     @_on_message.register
-    def _(self, body: StreamBegun, frame):
+    def _(self, body: StreamStarted, frame):
         origin = StreamOrigin(body.pool, body.software_version)
         now_s = self._clock.seconds()
         self._stream_origins.record(body.request_id, origin, body.keep_ms, now_s)
--- a/packages/hemlockdock-control/tests/test_fleet_nodes.py
+++ b/packages/hemlockdock-control/tests/test_fleet_nodes.py
@@ -12,8 +12,8 @@
     NODE_CODEC,
     FindStreamOrigin,
     OriginQuestion,
-    StreamBegun,
     StreamOriginReply,
+    StreamStarted,
 )
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.rows import EndpointRow
@@ -47,14 +47,14 @@
 
     def test_a_member_that_does_not_lead_tells_another_entry_where_a_stream_began(self):
         self.replicator.has_lease = False
-        self.receive(StreamBegun("r1", "lm", "v1", 5_000))
+        self.receive(StreamStarted("r1", "lm", "v1", 5_000))
         self.clock.advance(4.9)
         self.receive(FindStreamOrigin(7, OriginQuestion("r1", "", 0)), "tcp://10.0.0.2:1")
         self.assertEqual(self.sent, [("tcp://10.0.0.2:1", StreamOriginReply(7, "lm", "v1"))])
 
     def test_an_unknown_or_expired_stream_is_answered_as_unknown(self):
         self.receive(FindStreamOrigin(1, OriginQuestion("r1", "", 0)))
-        self.receive(StreamBegun("r1", "lm", "v1", 5_000))
+        self.receive(StreamStarted("r1", "lm", "v1", 5_000))
         self.clock.advance(5.0)
         self.receive(FindStreamOrigin(2, OriginQuestion("r1", "", 0)))
         self.assertEqual(
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -34,8 +34,8 @@
 from hemlockdock_core.messages.stream_origins import (
     FindStreamOrigin,
     OriginQuestion,
-    StreamBegun,
     StreamOriginReply,
+    StreamStarted,
 )
 from hemlockdock_core.messages.table import TableChunk, TableDelta, WatchTable
 from hemlockdock_core.messages.union import NODE_CODEC, NodeMessage
@@ -79,7 +79,7 @@
     "ProposalResult",
     "Refused",
     "Resume",
-    "StreamBegun",
+    "StreamStarted",
     "StreamOriginReply",
     "TableChunk",
     "TableDelta",
--- a/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
@@ -5,7 +5,7 @@
 from hemlockdock_core.messages.message import Message
 
 
-class StreamBegun(Message, frozen=True):
+class StreamStarted(Message, frozen=True):
     """The first event of a stream reached its client. Sent by an entry to control members.
 
     Attributes
@@ -15,7 +15,7 @@
     pool, software_version : str
         Of the endpoint that sent it.
     keep_ms : int
-        Time for which the client may still take the stream up.
+        Time for which the client may still resume the stream.
     """
 
     request_id: str
@@ -25,7 +25,7 @@
 
 
 class OriginQuestion(msgspec.Struct, frozen=True, array_like=True):
-    """What a request that takes up a stream says of it.
+    """What a request that resumes a stream says of it.
 
     Attributes
     ----------
--- a/packages/hemlockdock-core/hemlockdock_core/messages/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/union.py
@@ -30,8 +30,8 @@
 from hemlockdock_core.messages.resume import Resume
 from hemlockdock_core.messages.stream_origins import (
     FindStreamOrigin,
-    StreamBegun,
     StreamOriginReply,
+    StreamStarted,
 )
 from hemlockdock_core.messages.table import TableChunk, TableDelta, WatchTable
 from hemlockdock_core.messages.wish import Wish
@@ -66,7 +66,7 @@
     | DemandReport
     | AdapterWish
     | AdapterHeld
-    | StreamBegun
+    | StreamStarted
     | FindStreamOrigin
     | StreamOriginReply
 )
--- a/packages/hemlockdock-core/hemlockdock_core/stream_origins.py
+++ b/packages/hemlockdock-core/hemlockdock_core/stream_origins.py
@@ -1,4 +1,4 @@
-"""Where streams began, so that they go on only at the software version that began them."""
+"""Where streams began, so that they continue only at the software version that began them."""
 
 import heapq
 from dataclasses import dataclass
--- a/packages/hemlockdock-core/hemlockdock_core/wire/headers.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/headers.py
@@ -21,7 +21,7 @@
         Parts of the prompt in order, each as id and number of tokens, separated by a colon.
     last_event_id : bytes
         Id of the last stream event that the client received.
-    continued_request : bytes
+    resumed_request : bytes
         Id of the request attempt that brought the first event of the stream that a client
         continues with a new request.
     expected_endpoint : bytes
@@ -44,7 +44,7 @@
     token_counts: bytes
     prompt_parts: bytes
     last_event_id: bytes
-    continued_request: bytes
+    resumed_request: bytes
     expected_endpoint: bytes
     endpoint_id: bytes
     signature: bytes
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/continuation.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/continuation.py
@@ -1,4 +1,4 @@
-"""Decide whether a stream can go on: only at the software version that began it.
+"""Decide whether a stream can continue: only at the software version that began it.
 
 What endpoints of two versions write does not fit together, and no endpoint checks it.
 """
@@ -22,7 +22,7 @@
     return bool(origin.software_version) and row.software_version == origin.software_version
 
 
-def can_go_on(origin, model, rows):
+def can_continue(origin, model, rows):
     """Return whether some endpoint has a request's model, is loading it, or may have it.
 
     An endpoint whose engine does not answer its agent may have the model.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
@@ -69,7 +69,7 @@
             extra={
                 "request": exchange.request_id.decode("latin-1"),
                 "route": "" if exchange.route is None else exchange.route.name,
-                "continues": exchange.continued_request_id.decode("latin-1"),
+                "resumed_request": exchange.resumed_request_id.decode("latin-1"),
                 "model": exchange.model,
                 "adapter": exchange.adapter,
                 "outcome": outcome,
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -5,7 +5,7 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import DemandReport
 from hemlockdock_entry.gateway.adapter_tracker import AdapterTracker
-from hemlockdock_entry.gateway.continuation import can_go_on, may_run_at
+from hemlockdock_entry.gateway.continuation import can_continue, may_run_at
 from hemlockdock_entry.gateway.local_demand import LocalDemand
 from hemlockdock_entry.gateway.model_availability import ModelAvailability
 from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
@@ -170,8 +170,8 @@
         least_s = self._supply.least_s(pool, use.model)
         for exchange in exchanges:
             rows = self._gateway.endpoints.of_pool(pool.name)
-            if not can_go_on(exchange.origin, exchange.model, rows):
-                exchange.refuse_to_go_on()
+            if not can_continue(exchange.origin, exchange.model, rows):
+                exchange.refuse_continuation()
                 continue
             patience = Patience.of(
                 exchange.route,
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/origin_lookup.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/origin_lookup.py
@@ -1,14 +1,14 @@
-"""Record where streams began, and find it out for streams that clients take up.
+"""Record where streams began, and find it out for streams that clients resume.
 
-A client may take its stream up at any entry, also after its first entry was lost. Control members
-keep the origins in memory; a lost origin means only that its stream can't go on.
+A client may resume its stream at any entry, also after its first entry was lost. Control members
+keep the origins in memory; a lost origin means only that its stream can't continue.
 """
 
 import logging
 import zlib
 from dataclasses import dataclass
 
-from hemlockdock_core.messages import FindStreamOrigin, StreamBegun
+from hemlockdock_core.messages import FindStreamOrigin, StreamStarted
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.stream_origins import StreamOrigin, StreamOriginStore
 
@@ -79,11 +79,11 @@
         request_id : str
         origin : StreamOrigin
         keep_ms : int
-            Time for which the client may still take the stream up.
+            Time for which the client may still resume the stream.
         members : list of MemberAddress
         """
         self._store.record(request_id, origin, keep_ms, self._clock.seconds())
-        message = StreamBegun(request_id, origin.pool, origin.software_version, keep_ms)
+        message = StreamStarted(request_id, origin.pool, origin.software_version, keep_ms)
         for member in self._copy_holders(members):
             self._send(member.node_address, message)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -2,7 +2,7 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
-from hemlockdock_entry.gateway.continuation import can_go_on, may_run_at
+from hemlockdock_entry.gateway.continuation import can_continue, may_run_at
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.request_times import RequestTimes
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
@@ -69,9 +69,9 @@
         return self.header(self._gateway.headers.request_id)
 
     @property
-    def continued_request_id(self):
-        """Return the id of the request whose stream the client continues; empty if none."""
-        return self.header(self._gateway.headers.continued_request)
+    def resumed_request_id(self):
+        """Return the id of the request whose stream the client resumes; empty if none."""
+        return self.header(self._gateway.headers.resumed_request)
 
     @property
     def origin(self):
@@ -132,17 +132,17 @@
             self.refuse(Refusal.of(ErrorKind.UNKNOWN_ROUTE, "no route for this host and path"))
             return
         self._set_times()
-        if self.binding.takes_up_stream:
+        if self.binding.is_resumption:
             longest_wait_s = self._times.longest_wait_s(self.request.received_s, self.now_s())
-            self.binding.find(longest_wait_s, self._go_on)
+            self.binding.find(longest_wait_s, self._continue_stream)
             return
         self._begin(gateway.choose_pool(self.route))
 
     def dispatch(self):
         """Send the request to an endpoint, or queue it until one can run it."""
         rows = self._gateway.endpoints.of_pool(self.pool.name)
-        if not can_go_on(self.origin, self.model, rows):
-            self.refuse_to_go_on()
+        if not can_continue(self.origin, self.model, rows):
+            self.refuse_continuation()
             return
         if self.model:
             self._gateway.model_queue.enqueue(self)
@@ -184,7 +184,7 @@
         self._response_writer.write_refusal(refusal, self.request_id)
         self._finish()
 
-    def refuse_to_go_on(self):
+    def refuse_continuation(self):
         """Refuse the request because no endpoint has the software version of its stream."""
         kind = ErrorKind.ENDPOINT_LOST if self.may_have_run else ErrorKind.STREAM_VERSION_GONE
         self.refuse(Refusal.of(kind, "no endpoint has the software version of the stream"))
@@ -270,7 +270,7 @@
         delay_s = max(0.0, self.left_s - DEADLINE_MARGIN_S)
         self._deadline_call = self._gateway.clock.callLater(delay_s, self._on_deadline)
 
-    def _go_on(self):
+    def _continue_stream(self):
         self._begin(self._gateway.pool(self.origin.pool))
 
     def _begin(self, pool):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
@@ -5,7 +5,7 @@
 from hemlockdock_core.rows import RouteKind
 
 MS_PER_S = 1_000
-# A client that takes up its stream as late as it may still finds out where it began.
+# A client that resumes its stream as late as it may still finds out where it began.
 ORIGIN_KEEP_MARGIN_MS = 1_000
 # Another entry or a later question may find the origin of a stream that this one did not.
 ORIGIN_RETRY_MS = 300
@@ -22,8 +22,8 @@
     Attributes
     ----------
     origin : StreamOrigin or None
-        Where the stream began that the request goes on with; None until its first event.
-    has_begun : bool
+        Where the stream began that the request continues; None until its first event.
+    has_started : bool
         Whether this request has brought its client a first event.
     """
 
@@ -32,16 +32,16 @@
         self._exchange = exchange
         self._on_bound = None
         self.origin = None
-        self.has_begun = False
+        self.has_started = False
 
     @property
-    def takes_up_stream(self):
-        """Return whether the client takes up a stream that an earlier request began."""
+    def is_resumption(self):
+        """Return whether the client resumes a stream that an earlier request began."""
         exchange = self._exchange
         if exchange.route.kind is not RouteKind.STREAM:
             return False
         last_event_id = exchange.header(self._gateway.headers.last_event_id)
-        return bool(last_event_id or exchange.continued_request_id)
+        return bool(last_event_id or exchange.resumed_request_id)
 
     def find(self, longest_wait_s, on_bound):
         """Bind the request to the version that began its stream, or refuse it.
@@ -56,14 +56,14 @@
         self._on_bound = on_bound
         pools = self._route_pools()
         question = OriginQuestion(
-            self._exchange.continued_request_id.decode("latin-1"),
+            self._exchange.resumed_request_id.decode("latin-1"),
             pools[0] if len(pools) == 1 else "",
             int(longest_wait_s * MS_PER_S),
         )
         members = self._gateway.control_members
         self._gateway.origin_lookup.find(question, members, self._on_result)
 
-    def begin(self, origin):
+    def start(self, origin):
         """Bind the request to the endpoint that sent its first event, and record this.
 
         Parameters
@@ -71,7 +71,7 @@
         origin : StreamOrigin
         """
         exchange = self._exchange
-        self.has_begun = True
+        self.has_started = True
         self.origin = origin
         if not exchange.route.resumable or not origin.software_version:
             return
@@ -95,6 +95,6 @@
             return
         self.origin = result.origin
         if self.origin.pool not in self._route_pools():
-            exchange.refuse_to_go_on()
+            exchange.refuse_continuation()
             return
         self._on_bound()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -191,9 +191,9 @@
     def _forward_events(self, endpoint_try, data):
         exchange = self._exchange
         self._response_writer.write_stream_data(endpoint_try.head, data, exchange.route)
-        if self._response_writer.started and not exchange.binding.has_begun:
+        if self._response_writer.started and not exchange.binding.has_started:
             row = endpoint_try.row
-            exchange.binding.begin(StreamOrigin(row.pool, row.software_version))
+            exchange.binding.start(StreamOrigin(row.pool, row.software_version))
         if self._response_writer.partial_event_bytes > MAX_BUFFERED_BYTES:
             self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
 
--- a/packages/hemlockdock-entry/tests/test_gateway_endings.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_endings.py
@@ -251,7 +251,7 @@
         self.check(STREAM_PATH, may_repeat=True)
         self.check(NON_RESUMABLE_STREAM_PATH, may_repeat=False)
 
-    def test_a_stream_does_not_go_on_with_a_plain_answer(self):
+    def test_a_stream_does_not_continue_with_a_plain_answer(self):
         server = self.send_request(STREAM_PATH)
         server.begin_answer(None)
         server.send_bytes(EVENT_1)
--- a/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
@@ -1,4 +1,4 @@
-"""Test that a stream goes on only at the software version that began it."""
+"""Test that a stream continues only at the software version that began it."""
 
 import unittest
 
@@ -11,7 +11,7 @@
     route,
 )
 
-from hemlockdock_core.messages import FindStreamOrigin, StreamBegun, StreamOriginReply
+from hemlockdock_core.messages import FindStreamOrigin, StreamOriginReply, StreamStarted
 from hemlockdock_core.rows import PoolRow, RouteKind, WeightedPool
 from hemlockdock_core.settings.member_address import MemberAddress
 from hemlockdock_core.stream_origins import StreamOrigin, StreamOriginStore
@@ -46,7 +46,7 @@
             if address in self.silent or address not in self.store_by_address:
                 continue
             store = self.store_by_address[address]
-            if isinstance(message, StreamBegun):
+            if isinstance(message, StreamStarted):
                 origin = StreamOrigin(message.pool, message.software_version)
                 store.record(message.request_id, origin, message.keep_ms, now_s)
             if isinstance(message, FindStreamOrigin):
@@ -90,11 +90,11 @@
         self.members.exchange_messages(self.harness)
         return server
 
-    def take_up(self, request_id, continued_id, harness=None, path=STREAM_PATH, left_ms=8_000):
-        """Take a stream up with a new client, deliver the questions, and return the client."""
+    def resume(self, request_id, resumed_id, harness=None, path=STREAM_PATH, left_ms=8_000):
+        """Resume a stream with a new client, deliver the questions, and return the client."""
         harness = harness or self.harness
         client = harness.client()
-        name = b"X-Continued-Request: %b\r\n" % continued_id if continued_id else b""
+        name = b"X-Resumed-Request: %b\r\n" % resumed_id if resumed_id else b""
         extra = MODEL + name + b"Last-Event-Id: 1\r\n"
         client.send_request(path, request_id, left_ms=left_ms, extra=extra)
         self.members.exchange_messages(harness)
@@ -105,7 +105,7 @@
 
 
 class OneAnswerTest(SoftwareVersionTestCase):
-    def test_a_stream_does_not_go_on_at_another_version_within_one_answer(self):
+    def test_a_stream_does_not_continue_at_another_version_within_one_answer(self):
         self.put_endpoints(x="v1")
         server = self.begin_stream()
         self.put_endpoints(y="v1.1")
@@ -114,7 +114,7 @@
         self.assertEqual(self.pending(), [])
         self.assertTrue(self.client.transport.aborted)
 
-    def test_a_stream_goes_on_at_its_version_within_one_answer(self):
+    def test_a_stream_continues_at_its_version_within_one_answer(self):
         self.put_endpoints(x="v1")
         server = self.begin_stream()
         self.put_endpoints(y="v1.1", z="v1")
@@ -190,24 +190,24 @@
         self.assertEqual((demand.waiting, demand.in_flight), (0, 0))
 
 
-class TakeUpTest(SoftwareVersionTestCase):
-    def test_a_stream_that_a_client_takes_up_does_not_go_on_at_another_version(self):
+class ResumptionTest(SoftwareVersionTestCase):
+    def test_a_stream_that_a_client_resumes_does_not_continue_at_another_version(self):
         self.put_endpoints(x="v1")
         self.begin_stream()
         self.put_endpoints(y="v1.1")
         self.delete_endpoint("x")
         self.client.disconnect_client()
-        client = self.take_up(b"2", b"1")
+        client = self.resume(b"2", b"1")
         self.assertEqual(self.pending(), [])
         self.assertEqual(client.status, 503)
         self.assertNotIn(b"Retry-After", client.received)
 
-    def test_a_stream_that_a_client_takes_up_goes_on_at_its_version(self):
+    def test_a_stream_that_a_client_resumes_continues_at_its_version(self):
         self.put_endpoints(x="v1")
         self.begin_stream()
         self.put_endpoints(y="v1.1", z="v1")
         self.client.disconnect_client()
-        client = self.take_up(b"2", b"1")
+        client = self.resume(b"2", b"1")
         server = self.harness.connect()
         self.assertIn(server.port, (PORT_BY_ID["x"], PORT_BY_ID["z"]))
         self.assertEqual(server.header(b"last-event-id"), b"1")
@@ -216,14 +216,14 @@
         server.send_bytes(LAST_CHUNK)
         self.assertEqual(client.response(), (200, EVENT_2, True))
 
-    def test_a_stream_is_taken_up_at_another_entry_and_after_its_entry_restarted(self):
+    def test_a_stream_is_resumed_at_another_entry_and_after_its_entry_restarted(self):
         self.put_endpoints(x="v1")
         self.begin_stream()
         self.client.disconnect_client()
         self.put_endpoints(y="v1.1", z="v1")
         self.delete_endpoint("x")
         other = self.open_entry()
-        self.take_up(b"2", b"1", other)
+        self.resume(b"2", b"1", other)
         self.assertEqual(self.pending(other), [PORT_BY_ID["z"]])
 
     def test_a_stream_whose_version_is_gone_is_refused_at_another_entry_at_once(self):
@@ -232,7 +232,7 @@
         self.put_endpoints(y="v1.1")
         self.delete_endpoint("x")
         other = self.open_entry()
-        client = self.take_up(b"2", b"1", other)
+        client = self.resume(b"2", b"1", other)
         self.assertEqual((client.status, self.pending(other)), (503, []))
 
     def test_each_member_alone_tells_where_a_stream_began(self):
@@ -245,66 +245,66 @@
                 if number != lost
             }
             other = self.open_entry()
-            self.take_up(b"2", b"1", other)
+            self.resume(b"2", b"1", other)
             self.assertEqual(self.pending(other), [PORT_BY_ID["x"]])
 
     def test_a_stream_that_no_member_knows_is_refused_at_once(self):
         self.put_endpoints(x="v1")
-        client = self.take_up(b"2", b"unknown")
+        client = self.resume(b"2", b"unknown")
         self.assertEqual((client.status, self.pending()), (503, []))
         self.assertNotIn(b"Retry-After", client.received)
 
     def test_a_stream_is_refused_with_a_retry_time_if_members_do_not_answer(self):
         self.put_endpoints(x="v1")
         self.members.silent = {self.members.addresses[0].node_address}
-        client = self.take_up(b"2", b"unknown")
+        client = self.resume(b"2", b"unknown")
         self.assertIsNone(client.status)
         self.harness.reactor.advance(LOOKUP_TIMEOUT_S)
         self.assertEqual((client.status, self.pending()), (503, []))
         self.assertIn(b"Retry-After: 0.30", client.received)
 
-    def test_a_stream_of_unknown_origin_goes_on_if_members_know_only_one_version(self):
+    def test_a_stream_of_unknown_origin_continues_if_members_know_only_one_version(self):
         self.put_endpoints(x="v1", y="v1.1")
         self.members.only_origin = StreamOrigin("lm", "v1.1")
-        for number, continued_id in enumerate((b"", b"unknown")):
-            self.take_up(b"2%d" % number, continued_id)
+        for number, resumed_id in enumerate((b"", b"unknown")):
+            self.resume(b"2%d" % number, resumed_id)
             self.assertEqual(self.pending(), (number + 1) * [PORT_BY_ID["y"]])
 
     def test_a_stream_of_unknown_origin_is_refused_if_several_versions_served(self):
         self.put_endpoints(x="v1", y="v1.1")
-        for number, continued_id in enumerate((b"", b"unknown")):
-            client = self.take_up(b"2%d" % number, continued_id)
+        for number, resumed_id in enumerate((b"", b"unknown")):
+            client = self.resume(b"2%d" % number, resumed_id)
             self.assertEqual((client.status, self.pending()), (503, []))
 
     def test_a_stream_of_unknown_origin_is_refused_without_members(self):
         self.put_endpoints(x="v1")
         self.harness.link.reported_members = []
-        client = self.take_up(b"2", b"")
+        client = self.resume(b"2", b"")
         self.assertEqual((client.status, self.pending()), (503, []))
         self.assertIn(b"Retry-After: 0.30", client.received)
 
     def test_a_stream_that_began_at_an_unknown_version_is_refused(self):
         self.put_endpoints(x="")
         self.begin_stream()
-        client = self.take_up(b"2", b"1")
+        client = self.resume(b"2", b"1")
         self.assertEqual((client.status, self.pending()), (503, []))
 
-    def test_a_stream_that_was_taken_up_twice_keeps_its_version(self):
+    def test_a_stream_that_was_resumed_twice_keeps_its_version(self):
         self.put_endpoints(x="v1")
         self.begin_stream()
         self.put_endpoints(y="v1.1", z="v1")
         self.delete_endpoint("x")
-        self.take_up(b"2", b"1")
+        self.resume(b"2", b"1")
         server = self.harness.connect()
         server.begin_stream(b"2")
         server.chunk(EVENT_2)
         self.members.exchange_messages(self.harness)
         self.delete_endpoint("z")
-        for continued_id in (b"1", b"2"):
-            client = self.take_up(b"3", continued_id, self.open_entry())
+        for resumed_id in (b"1", b"2"):
+            client = self.resume(b"3", resumed_id, self.open_entry())
             self.assertEqual(client.status, 503)
 
-    def test_a_stream_goes_on_in_its_pool_also_where_the_route_has_several(self):
+    def test_a_stream_continues_in_its_pool_also_where_the_route_has_several(self):
         self.put_endpoints(x="v1")
         self.begin_stream()
         split = route("live", STREAM_PATH, RouteKind.STREAM, "lm", resumable=True)
@@ -316,7 +316,7 @@
             other.put_rows(PoolRow("lm2", "/", 10, engine), row)
             other.put_rows(split)
             other.gateway.routes = RouteIndex(other.link.table.route_by_name.values())
-            self.take_up(b"2%d" % number, b"1", other)
+            self.resume(b"2%d" % number, b"1", other)
             self.assertEqual(self.pending(other), [PORT_BY_ID["x"]])
 
     def test_a_stream_whose_pool_left_the_route_is_refused(self):
@@ -331,7 +331,7 @@
                 self.harness.put_rows(changed)
                 rows = self.harness.link.table.route_by_name.values()
                 self.harness.gateway.routes = RouteIndex(rows)
-                client = self.take_up(b"2", b"1")
+                client = self.resume(b"2", b"1")
                 self.assertEqual((client.status, self.pending()), (503, []))
 
     def test_a_client_that_leaves_during_the_lookup_gets_no_endpoint(self):
@@ -339,7 +339,7 @@
         self.begin_stream()
         other = self.open_entry()
         client = other.client()
-        extra = MODEL + b"X-Continued-Request: 1\r\nLast-Event-Id: 1\r\n"
+        extra = MODEL + b"X-Resumed-Request: 1\r\nLast-Event-Id: 1\r\n"
         client.send_request(STREAM_PATH, b"2", left_ms=8_000, extra=extra)
         client.disconnect_client()
         self.members.exchange_messages(other)
@@ -351,13 +351,13 @@
         self.put_endpoints(y="v1.1", z="v1")
         self.delete_endpoint("x")
         self.harness.gateway.health.for_endpoint("z").in_flight = 4
-        self.take_up(b"2", b"1", left_ms=3_000)
+        self.resume(b"2", b"1", left_ms=3_000)
         self.assertEqual(self.pending(), [])
         self.harness.client().send_request(STREAM_PATH, b"3", left_ms=12_000, extra=MODEL)
         self.assertEqual(self.pending(), [PORT_BY_ID["y"]])
 
     def test_the_header_means_nothing_on_other_routes(self):
-        client = self.take_up(b"2", b"1", path=IDEMPOTENT_PATH)
+        client = self.resume(b"2", b"1", path=IDEMPOTENT_PATH)
         self.harness.connect().answer(b"ok", request_id=b"2")
         self.assertEqual(client.status, 200)
 
@@ -376,8 +376,8 @@
         server.chunk(EVENT_2)
         records = self.records()
         self.assertEqual(len(records), ORIGIN_COPIES)
-        self.assertEqual(records[0], StreamBegun("1", "lm", "v1", 13_000))
+        self.assertEqual(records[0], StreamStarted("1", "lm", "v1", 13_000))
 
     def records(self):
         sent = [message for _, message in self.harness.sent_messages]
-        return [message for message in sent if isinstance(message, StreamBegun)]
+        return [message for message in sent if isinstance(message, StreamStarted)]
--- a/tools/mutants/streams.py
+++ b/tools/mutants/streams.py
@@ -1,4 +1,4 @@
-"""List deliberate faults in how streams and other responses end, and where streams go on."""
+"""List deliberate faults in how streams and other responses end, and where streams continue."""
 
 from mutants.mutant import Mutant
 
@@ -86,7 +86,7 @@
         AGENT + "tests/test_service.py",
     ),
     Mutant(
-        "go on at any software version",
+        "continue at any software version",
         GATEWAY + "continuation.py",
         "return bool(origin.software_version) and row.software_version == origin.software_version",
         "return True",
@@ -100,9 +100,9 @@
         VERSIONS,
     ),
     Mutant(
-        "let a client that takes its stream up go anywhere",
+        "let a client that resumes its stream go anywhere",
         GATEWAY + "stream_binding.py",
-        "        return bool(last_event_id or exchange.continued_request_id)",
+        "        return bool(last_event_id or exchange.resumed_request_id)",
         "        return False",
         VERSIONS,
     ),
--- a/tools/tests/test_local_fleet.py
+++ b/tools/tests/test_local_fleet.py
@@ -97,7 +97,7 @@
 
 
 class SoftwareVersionsTest(unittest.TestCase):
-    """Play a client that takes its streams up at entries other than the first one."""
+    """Play a client that resumes its streams at entries other than the first one."""
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -109,10 +109,10 @@
         self.first, self.other = plan.entry_ips
         self.fleet.start()
 
-    def stream(self, entry, request_id, continued_id=""):
+    def stream(self, entry, request_id, resumed_id=""):
         headers = request_headers(request_id, "m0")
-        if continued_id:
-            headers["X-Continued-Request"] = continued_id
+        if resumed_id:
+            headers["X-Resumed-Request"] = resumed_id
             headers["Last-Event-Id"] = "1"
         return self.fleet.call(entry, HTTP_PORT, "POST", "/live/x", b"body", headers)
 
@@ -128,11 +128,11 @@
         """Begin some streams, and return the version of each by request id."""
         version_by_id = {}
         for number in range(3):
-            request_id = f"begun-{entry}-{number}"
+            request_id = f"started-{entry}-{number}"
             version_by_id[request_id] = self.version_of(self.stream(entry, request_id))
         return version_by_id
 
-    def test_streams_go_on_at_their_version_after_their_entry_was_killed(self):
+    def test_streams_continue_at_their_version_after_their_entry_was_killed(self):
         fleet = self.fleet
         # With more models, the leader may take the model of a stream from the only engine of its
         # version.
@@ -140,17 +140,17 @@
         fleet.wait_until("routes", lambda: fleet.submit_anywhere(4, **options))
         for entry in (self.first, self.other):
             fleet.wait_until("streams", lambda entry=entry: self.serves(entry))
-        begun = {**self.begin_streams(self.first), **self.begin_streams(self.other)}
+        version_by_id = {**self.begin_streams(self.first), **self.begin_streams(self.other)}
         fleet.kill(self.first)
-        self.check_take_ups(self.other, begun)
+        self.check_resumptions(self.other, version_by_id)
         fleet.restart(self.first, is_first=False)
         fleet.wait_until("streams again", lambda: self.serves(self.first))
-        self.check_take_ups(self.first, begun)
-        refused = self.stream(self.other, "lost", "never-begun")
+        self.check_resumptions(self.first, version_by_id)
+        refused = self.stream(self.other, "lost", "never-started")
         self.assertEqual(refused.status, 503)
 
-    def check_take_ups(self, entry, begun):
-        for request_id, version in begun.items():
+    def check_resumptions(self, entry, version_by_id):
+        for request_id, version in version_by_id.items():
             response = self.stream(entry, f"{request_id}-at-{entry}", request_id)
             self.assertEqual((response.status, response.body), (200, REST_OF_STREAM))
             self.assertEqual(self.version_of(response), version)
