--- a/packages/hemlockdock-core/hemlockdock_core/http/event_end.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/event_end.py
@@ -1,9 +1,43 @@
-"""Find the ends of server-sent events."""
+"""Recognize streams of server-sent events and find the ends of events."""
 
+import re
+
+EVENT_STREAM = "text/event-stream"
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 LINE_END_BYTES = b"\r\n"
 # The end of an event may be split over two parts of a stream.
 MAX_SPLIT_BYTES = len(EVENT_ENDS[-1]) - 1
+EVENT_END = re.compile(b"|".join(re.escape(event_end) for event_end in EVENT_ENDS))
+
+
+def is_event_stream(content_type):
+    """Return whether a content type is that of a stream of server-sent events.
+
+    Parameters
+    ----------
+    content_type : str
+
+    Returns
+    -------
+    bool
+    """
+    return content_type.lower().startswith(EVENT_STREAM)
+
+
+def end_of_next_event(data, start):
+    """Return the position after the first event that ends after a position; 0 if none does.
+
+    Parameters
+    ----------
+    data : bytes
+    start : int
+
+    Returns
+    -------
+    int
+    """
+    match = EVENT_END.search(data, start)
+    return 0 if match is None else match.end()
 
 
 def end_of_last_event(data):
--- a/packages/hemlockdock-entry/hemlockdock_entry/streams/event_id_inserter.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/streams/event_id_inserter.py
@@ -1,6 +1,6 @@
 """Insert an ``id`` field into each server-sent event of a response."""
 
-EVENT_END = b"\n\n"
+from hemlockdock_core.http.event_end import end_of_next_event
 
 
 class EventIdInserter:
@@ -40,10 +40,9 @@
         events = []
         start = 0
         while True:
-            end = data.find(EVENT_END, start)
-            if end < 0:
+            end = end_of_next_event(data, start)
+            if not end:
                 break
-            end += len(EVENT_END)
             self._offset += end - start
             events.append(b"%s%d\n%s" % (self._prefix, self._offset, data[start:end]))
             start = end
--- a/packages/hemlockdock-entry/tests/test_streams.py
+++ b/packages/hemlockdock-entry/tests/test_streams.py
@@ -121,8 +121,16 @@
 
 class EventIdInserterTest(unittest.TestCase):
     def test_each_event_id_is_the_offset_of_the_next_event(self):
+        self.check(b"\n")
+
+    def test_events_whose_lines_end_with_cr_lf_are_not_held_back(self):
+        self.check(b"\r\n")
+        self.assertTrue(EventIdInserter("q@a").feed(b"data: 1\r\n\r\n"))
+
+    def check(self, line_end):
         source = random.Random(SEED)
-        body = b"".join(b"data: %d\n\n" % index for index in range(50)) + b"tail"
+        events = [b"data: %d" % index + 2 * line_end for index in range(50)]
+        body = b"".join(events) + b"tail"
         inserter = EventIdInserter("q@a")
         output = b""
         position = 0
@@ -136,7 +144,7 @@
         for index, line in enumerate(lines):
             stream_position = StreamPosition.parse(line.removeprefix(b"id: ").decode())
             rest = body[stream_position.offset :]
-            self.assertTrue(rest.startswith(b"data: %d\n\n" % (index + 1)) or index == 49)
+            self.assertTrue(index == 49 or rest.startswith(events[index + 1]))
         without_ids = b"\n".join(line for line in output.split(b"\n") if line not in lines)
         self.assertEqual(without_ids, body)
 
