--- a/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
@@ -77,6 +77,11 @@
             harness.put_rows(row)
         self.version_by_id.update(version_by_id)
 
+    def make_busy(self, *endpoint_ids, harness=None):
+        """Give endpoints a higher cost than the others, which are chosen unless excluded."""
+        for endpoint_id in endpoint_ids:
+            (harness or self.harness).gateway.health.for_endpoint(endpoint_id).in_flight += 1
+
     def delete_endpoint(self, endpoint_id, harness=None):
         (harness or self.harness).delete_row(f"endpoint/{endpoint_id}")
         self.version_by_id.pop(endpoint_id, None)
@@ -118,6 +123,7 @@
         self.put_endpoints(x="v1")
         server = self.begin_stream()
         self.put_endpoints(y="v1.1", z="v1")
+        self.make_busy("z")
         server.close()
         self.assertEqual(self.pending(), [PORT_BY_ID["z"]])
 
@@ -207,6 +213,7 @@
         self.begin_stream()
         self.put_endpoints(y="v1.1", z="v1")
         self.client.disconnect_client()
+        self.make_busy("x", "z")
         client = self.resume(b"2", b"1")
         server = self.harness.connect()
         self.assertIn(server.port, (PORT_BY_ID["x"], PORT_BY_ID["z"]))
@@ -223,6 +230,7 @@
         self.put_endpoints(y="v1.1", z="v1")
         self.delete_endpoint("x")
         other = self.open_entry()
+        self.make_busy("z", harness=other)
         self.resume(b"2", b"1", other)
         self.assertEqual(self.pending(other), [PORT_BY_ID["z"]])
 
@@ -238,6 +246,7 @@
     def test_each_member_alone_tells_where_a_stream_began(self):
         self.put_endpoints(x="v1")
         self.begin_stream()
+        self.put_endpoints(y="v1.1")
         for lost in range(3):
             self.members.silent = {
                 item.node_address
@@ -245,6 +254,7 @@
                 if number != lost
             }
             other = self.open_entry()
+            self.make_busy("x", harness=other)
             self.resume(b"2", b"1", other)
             self.assertEqual(self.pending(other), [PORT_BY_ID["x"]])
 
