fleet: entries send nothing about stream origins to members that don't know it

Traced: a member closes the connection on which a frame comes that it can't read, and pynng 0.9.0 can crash a process that sends at that moment (SIGSEGV in Push0.send). Each stream that a client resumed at a new entry sent such frames to old members.

The acknowledgement of a heartbeat now says whether the member keeps origins. Until it does, an entry asks no one, and refuses at once.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -212,6 +212,7 @@
             members=self._member_addresses(),
             leader_address=leader_address,
             entries=self.entry_count if self._replicator.is_leader else 0,
+            keeps_stream_origins=True,
         )
 
     def _member_addresses(self):
--- a/packages/hemlockdock-core/hemlockdock_core/messages/heartbeat.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/heartbeat.py
@@ -50,6 +50,8 @@
         Address of the leader's mailbox for nodes; empty if not given.
     entries : int
         Number of live entries; 0 if not given.
+    keeps_stream_origins : bool
+        Whether the member understands the messages about where streams began.
     """
 
     sequence: int
@@ -59,3 +61,4 @@
     members: list[str] = []
     leader_address: str = ""
     entries: int = 0
+    keeps_stream_origins: bool = False
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -70,6 +70,7 @@
         self._needs_table = True
         self._sequence = 0
         self._info_known = False
+        self._keeps_stream_origins = False
         self._fresh_heartbeat_s = None
         self._heartbeat_sent_s = 0.0
         self._unacknowledged_load_by_model = {}
@@ -96,9 +97,13 @@
         return self._table_copy.table
 
     @property
-    def reported_members(self):
-        """Return the MemberAddresses of control's members; empty before the first report."""
-        return self._member_selector.reported_members
+    def origin_members(self):
+        """Return the MemberAddresses of control's members if they keep the origins of streams.
+
+        It is empty before the first report, and while the member that answers heartbeats does not:
+        one that gets a message it does not understand closes the connection.
+        """
+        return self._member_selector.reported_members if self._keeps_stream_origins else []
 
     @property
     def fresh(self):
@@ -198,6 +203,7 @@
         now_s = self._reactor.seconds()
         self._member_selector.record_frame(frame.sender, now_s)
         self._info_known = body.known
+        self._keeps_stream_origins = body.keeps_stream_origins
         # A new leader learns of the entries one by one and reports too few at first, so the number
         # never decreases.
         self.entries = max(self.entries, body.entries)
--- a/packages/hemlockdock-core/tests/test_fleet_link.py
+++ b/packages/hemlockdock-core/tests/test_fleet_link.py
@@ -51,7 +51,7 @@
         self.transport.sent.clear()
         return sent
 
-    def acknowledge(self, ip, leader=None, members=HOSTS, entries=0):
+    def acknowledge(self, ip, leader=None, members=HOSTS, entries=0, keeps_origins=False):
         sequence = self.link._sequence
         body = HeartbeatAck(
             sequence,
@@ -61,9 +61,20 @@
             [address(member) for member in members],
             address(leader) if leader else "",
             entries,
+            keeps_origins,
         )
         self.link.handle(Frame(1, ip, 1, address(ip), body))
 
+    def test_members_that_do_not_keep_stream_origins_are_sent_nothing_about_them(self):
+        self.assertEqual(self.link.origin_members, [])
+        self.acknowledge(HOSTS[0], HOSTS[0])
+        self.assertEqual(self.link.origin_members, [])
+        self.acknowledge(HOSTS[0], HOSTS[0], keeps_origins=True)
+        known = [member.node_address for member in self.link.origin_members]
+        self.assertEqual(known, [address(ip) for ip in HOSTS])
+        self.acknowledge(HOSTS[1], HOSTS[1])
+        self.assertEqual(self.link.origin_members, [])
+
     def test_a_node_selects_the_leader_that_any_member_names(self):
         first = self.heartbeats()[0]
         leader = next(ip for ip in HOSTS if address(ip) != first)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -82,9 +82,9 @@
         return self._link.entries
 
     @property
-    def control_members(self):
-        """Return the MemberAddresses of control's members."""
-        return self._link.reported_members
+    def origin_members(self):
+        """Return the MemberAddresses of the control members that keep the origins of streams."""
+        return self._link.origin_members
 
     @property
     def revision(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
@@ -60,7 +60,7 @@
             pools[0] if len(pools) == 1 else "",
             int(longest_wait_s * MS_PER_S),
         )
-        members = self._gateway.control_members
+        members = self._gateway.origin_members
         self._gateway.origin_lookup.find(question, members, self._on_result)
 
     def start(self, origin):
@@ -77,7 +77,7 @@
             return
         keep_ms = int(exchange.left_s * MS_PER_S) + ORIGIN_KEEP_MARGIN_MS
         request_id = exchange.request_id.decode("latin-1")
-        members = self._gateway.control_members
+        members = self._gateway.origin_members
         self._gateway.origin_lookup.record(request_id, origin, keep_ms, members)
 
     def _route_pools(self):
--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -41,7 +41,7 @@
         self.table = RoutingTable()
         self.entries = 1
         self.sent = []
-        self.reported_members = []
+        self.origin_members = []
 
     def send(self, message):
         self.sent.append(message)
--- a/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_software_versions.py
@@ -37,7 +37,7 @@
         self.only_origin = StreamOrigin("", "")
 
     def attach(self, harness):
-        harness.link.reported_members = self.addresses
+        harness.link.origin_members = self.addresses
 
     def exchange_messages(self, harness, now_s=0.0):
         """Deliver what a gateway has sent, and answer its questions."""
@@ -288,7 +288,7 @@
 
     def test_a_stream_of_unknown_origin_is_refused_without_members(self):
         self.put_endpoints(x="v1")
-        self.harness.link.reported_members = []
+        self.harness.link.origin_members = []
         client = self.resume(b"2", b"")
         self.assertEqual((client.status, self.pending()), (503, []))
         self.assertIn(b"Retry-After: 0.30", client.received)
