--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
@@ -43,6 +43,7 @@
             "try ended",
             extra={
                 "request": self._exchange.request_id.decode("latin-1"),
+                "fingerprint": self._exchange.fingerprint,
                 "endpoint": self.last_row.endpoint_id,
                 **self._response_fields(),
                 "outcome": outcome.value,
@@ -68,6 +69,7 @@
             "request ended",
             extra={
                 "request": exchange.request_id.decode("latin-1"),
+                "fingerprint": exchange.fingerprint,
                 "route": "" if exchange.route is None else exchange.route.name,
                 "resumed_request": exchange.resumed_request_id.decode("latin-1"),
                 "model": exchange.model,
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -1,5 +1,7 @@
 """Process one client request: select an endpoint, forward the request, return the response."""
 
+from functools import cached_property
+
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_entry.gateway.continuation import can_continue, may_run_at
@@ -8,6 +10,7 @@
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
 from hemlockdock_entry.gateway.stream_binding import StreamBinding
 from hemlockdock_entry.gateway.try_sequence import TrySequence
+from hemlockdock_entry.intake import fingerprint_of
 
 HOST = b"host"
 # The response at the deadline must reach the client before it stops waiting.
@@ -66,6 +69,13 @@
         """Return the request id that the client sent."""
         return self.header(self._gateway.headers.request_id)
 
+    @cached_property
+    def fingerprint(self):
+        """Return the digest that the request shares with those of the same content."""
+        request = self.request
+        line = f"{request.method.decode('latin-1')} {request.target.decode('latin-1')}"
+        return fingerprint_of(self.header(HOST).decode("latin-1"), line, request.body)
+
     @property
     def resumed_request_id(self):
         """Return the id of the request whose stream the client resumes; empty if none."""
