--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -1,6 +1,6 @@
 """Fake clients, endpoints and control for gateway tests, with virtual time and no sockets."""
 
-from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
@@ -303,9 +303,12 @@
         """Complete the oldest pending connection attempt."""
         return FakeEndpoint(self.reactor.connecting.pop(0))
 
-    def fail_connect(self):
-        connector = self.reactor.connecting.pop(0)
-        connector.factory.clientConnectionFailed(connector, Failure(ConnectionLost()))
+    def fail_connect(self, port=None):
+        """Refuse the oldest pending connection attempt, or the oldest one to a port."""
+        pending = self.reactor.connecting
+        position = 0 if port is None else [item.port for item in pending].index(port)
+        connector = pending.pop(position)
+        connector.factory.clientConnectionFailed(connector, Failure(ConnectionRefusedError()))
 
     def _send(self, address, message):
         self.sent_messages.append((address, message))
--- a/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
@@ -2,9 +2,14 @@
 
 import unittest
 
-from support_gateway import IDEMPOTENT_PATH, GatewayHarness, endpoint
+from support_gateway import AT_MOST_ONCE_PATH, IDEMPOTENT_PATH, GatewayHarness, endpoint
+
+from hemlockdock_core.rows import QuarantineRow
 
 LOGGER = "hemlockdock_entry.gateway.exchange_log"
+# Time within which an entry asks an endpoint that closed a connection whether it still listens.
+CRASH_DETECTION_S = 0.1
+FAR_FUTURE_MS = 9_000_000_000_000
 BODY = b"the content that crashes endpoints"
 
 
@@ -29,6 +34,60 @@
         client.send_request(path, b"%d" % self._requests, extra=extra, body=body)
         return client
 
+    def fingerprint_of(self, client):
+        """Return the fingerprint of a client's request in progress."""
+        return client.connection._exchange.fingerprint
+
+    @property
+    def waiting_ports(self):
+        """Return the ports of the connection attempts that wait for their endpoint."""
+        return [connector.port for connector in self.harness.reactor.connecting]
+
+    def crash(self, server):
+        """Close a connection as its endpoint crashes, and refuse connections from then on."""
+        server.close(cleanly=True)
+        self.harness.reactor.advance(CRASH_DETECTION_S)
+        for port in list(self.waiting_ports):
+            if port == server.port:
+                self.harness.fail_connect(port)
+
+    def crash_once(self, body=BODY, path=AT_MOST_ONCE_PATH):
+        """Let a request crash one endpoint under a new id; return its client."""
+        client = self.send(body, path)
+        self.crash(self.harness.connect())
+        return client
+
+
+class RepeatedRequestTest(QuarantineTestCase):
+    @unittest.expectedFailure
+    def test_a_request_that_crashed_three_endpoints_is_refused_at_once(self):
+        for _ in range(3):
+            self.crash_once()
+            self.harness.reactor.advance(5.0)
+        client = self.send(path=AT_MOST_ONCE_PATH)
+        self.assertEqual(self.waiting_ports, [])
+        self.assertEqual(client.status, 503)
+        self.assertIn(b"Retry-After: ", client.received)
+
+    @unittest.expectedFailure
+    def test_a_request_that_crashed_endpoints_of_other_entries_is_refused_at_once(self):
+        client = self.send()
+        fingerprint = self.fingerprint_of(client)
+        self.answer(b"1")
+        self.harness.put_rows(QuarantineRow(fingerprint, 3, True, FAR_FUTURE_MS))
+        client = self.send()
+        self.assertEqual(self.waiting_ports, [])
+        self.assertEqual(client.status, 503)
+
+    @unittest.expectedFailure
+    def test_an_attempt_is_not_repeated_at_a_further_endpoint_after_the_third_crash(self):
+        self.crash_once()
+        self.crash_once()
+        client = self.send()
+        self.crash(self.harness.connect())
+        self.assertEqual(self.waiting_ports, [])
+        self.assertEqual(client.status, 502)
+
 
 class LogTest(QuarantineTestCase):
     def test_log_lines_of_requests_with_the_same_content_have_the_same_fingerprint(self):
