--- a/packages/hemlockdock-control/hemlockdock_control/service/node_message_handler.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_message_handler.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_control.membership import NodeHeartbeat
 from hemlockdock_control.service.node_checks import frame_problem
+from hemlockdock_control.service.node_proposals import NodeProposals
 from hemlockdock_control.service.peer_messages import (
     BeatDigest,
     Relayed,
@@ -15,19 +16,16 @@
 from hemlockdock_core.commands import (
     ClaimJob,
     ClaimRun,
-    CommandResult,
     FinishJob,
     FinishRun,
     ReadJob,
     SubmitJob,
 )
-from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import (
     Heartbeat,
     HeartbeatAck,
     Inventory,
     Proposal,
-    ProposalResult,
     WatchTable,
 )
 from hemlockdock_core.metrics import COUNTERS
@@ -91,7 +89,6 @@
     ):
         self._replicator = replicator
         self._machine = machine
-        self._proposer = proposer
         self._volatile_state = volatile_state
         self._feed = feed
         self._leader_contact = leader_contact
@@ -100,7 +97,7 @@
         self._send = send
         self._leader_handler = leader_handler
         self._inventory_by_id = {}
-        self._open_proposals = set()
+        self._proposals = NodeProposals(proposer, send, PROPOSABLE)
 
     def on_frame(self, frame):
         """Validate and handle a frame from a node.
@@ -204,16 +201,7 @@
 
     @_on_message.register
     def _(self, body: Proposal, frame):
-        if not isinstance(body.command, PROPOSABLE):
-            refusal = Refusal.of(ErrorKind.BAD_REQUEST, "nodes may not propose this command")
-            self._answer(CommandResult(0, refusal), body.proposal_id, frame.reply_to)
-            return
-        key = (frame.reply_to, body.proposal_id)
-        if key in self._open_proposals:
-            return
-        self._open_proposals.add(key)
-        outcome = self._proposer.propose(body.command)
-        outcome.addCallback(self._proposed, body.proposal_id, frame.reply_to)
+        self._proposals.on_proposal(body, frame.reply_to)
 
     @_on_message.register
     def _(self, body: Relayed, frame):
@@ -260,15 +248,3 @@
         if record is None or record.incarnation != incarnation or record.lost:
             return False
         return record.info.role == ENTRY or record.inventoried
-
-    def _proposed(self, result, proposal_id, reply_to):
-        self._open_proposals.discard((reply_to, proposal_id))
-        refusal = result.refusal
-        if refusal is not None and refusal.kind is ErrorKind.OUTCOME_UNKNOWN:
-            # The node repeats the proposal, which is idempotent, and gets the outcome then.
-            return
-        self._answer(result, proposal_id, reply_to)
-
-    def _answer(self, result, proposal_id, reply_to):
-        if reply_to:
-            self._send(reply_to, ProposalResult(proposal_id, result))
