--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/connection_pool.py
@@ -0,0 +1,142 @@
+"""Pool persistent connections to an endpoint."""
+
+from twisted.internet.protocol import ClientFactory
+
+from hemlockdock_core.addresses import SocketAddress
+from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_entry.gateway.endpoint_connection import EndpointConnection
+
+# Several round trips to another failure domain.
+CONNECT_TIMEOUT_S = 0.4
+
+
+class ConnectionPool(ClientFactory):
+    """Pool the connections to one endpoint.
+
+    Parameters
+    ----------
+    reactor : twisted reactor
+    address : str
+        ``ip:port``.
+    request_id_name : bytes
+    """
+
+    noisy = False
+
+    def __init__(self, reactor, address, request_id_name):
+        self._reactor = reactor
+        self._address = SocketAddress.parse(address)
+        self._request_id_name = request_id_name
+        self._idle = []
+        self._closed = False
+
+    def send(self, endpoint_try):
+        """Send a request over an idle connection, or over a new one.
+
+        Parameters
+        ----------
+        endpoint_try : EndpointTry
+
+        Returns
+        -------
+        EndpointConnection or _PendingConnection
+            Provides ``cancel()``.
+        """
+        now_s = self._reactor.seconds()
+        while self._idle:
+            connection = self._idle.pop()
+            if now_s - connection.idle_since_s < connection.keep_alive_s:
+                connection.send_request(endpoint_try)
+                return connection
+            connection.transport.loseConnection()
+        COUNTERS.increment("gateway_connections_opened")
+        pending = _PendingConnection(self, endpoint_try)
+        pending.connector = self._reactor.connectTCP(
+            self._address.host, self._address.port, pending, timeout=CONNECT_TIMEOUT_S
+        )
+        return pending
+
+    def close_expired(self):
+        """Close idle connections whose keep-alive time has expired."""
+        now_s = self._reactor.seconds()
+        unexpired = []
+        for connection in self._idle:
+            if now_s - connection.idle_since_s < connection.keep_alive_s:
+                unexpired.append(connection)
+            else:
+                connection.transport.loseConnection()
+        self._idle = unexpired
+
+    def close(self):
+        """Close idle connections now, and busy ones when they are released."""
+        self._closed = True
+        for connection in self._idle:
+            connection.transport.loseConnection()
+        self._idle = []
+
+    def create_connection(self, endpoint_try):
+        """Create the protocol of a new connection.
+
+        Parameters
+        ----------
+        endpoint_try : EndpointTry or None
+
+        Returns
+        -------
+        EndpointConnection
+        """
+        return EndpointConnection(self, endpoint_try, self._request_id_name)
+
+    def release(self, connection):
+        """Return a connection to the pool, or close it if the pool is closed.
+
+        Parameters
+        ----------
+        connection : EndpointConnection
+        """
+        if self._closed:
+            connection.transport.loseConnection()
+            return
+        connection.idle_since_s = self._reactor.seconds()
+        self._idle.append(connection)
+
+    def forget(self, connection):
+        """Remove a closed connection from the pool.
+
+        Parameters
+        ----------
+        connection : EndpointConnection
+        """
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+class _PendingConnection(ClientFactory):
+    """Open one connection for one request."""
+
+    noisy = False
+
+    def __init__(self, pool, endpoint_try):
+        self._pool = pool
+        self._try = endpoint_try
+        self._connection = None
+        self.connector = None
+
+    def buildProtocol(self, addr):
+        """Create the protocol of the connection."""
+        self._connection = self._pool.create_connection(self._try)
+        return self._connection
+
+    def clientConnectionFailed(self, connector, reason):
+        """Fail the request, which was not sent."""
+        endpoint_try, self._try = self._try, None
+        if endpoint_try is not None:
+            endpoint_try.connection_lost(reason.getErrorMessage())
+
+    def cancel(self):
+        """Cancel the request and the connection attempt."""
+        self._try = None
+        if self._connection is not None:
+            self._connection.cancel()
+        else:
+            self.connector.disconnect()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
@@ -1,7 +1,7 @@
 """Endpoints of each pool, with their connections and the pools' retry budgets."""
 
+from hemlockdock_entry.gateway.connection_pool import ConnectionPool
 from hemlockdock_entry.gateway.continuation import may_run_at
-from hemlockdock_entry.gateway.endpoint_connection import ConnectionPool
 from hemlockdock_entry.gateway.windowed_retry_budget import WindowedRetryBudget
 
 
