gateway: requests wait some milliseconds for an endpoint that may have crashed, instead of running into it

What callers saw: streams and lookups beside a crashing request failed though their route allowed a second attempt.

Cause: an endpoint that ends closes its connections one after the other. Each of these repeats spent retry budget and an attempt.

Evidence: EndpointInDoubtTest failed on the code before, plain and stream, with b'3' == b'3' (the request stands on the other connection).

Why this works: an endpoint is in doubt from the loss of a connection under a request until it accepts or refuses a new one, a round trip later. It gets nothing meanwhile; requests go to others, or wait for the answer if there is no other. test_retries_are_limited lets these questions end, since its endpoints would stay in doubt; its bounds are as before.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/connection_pool.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/connection_pool.py
@@ -85,7 +85,7 @@
         on_result : callable
             Takes a ProbeResult.
         """
-        self._connect(_ProbeConnection(self, on_result))
+        self._connect(_ProbeConnection(self._reactor, self, on_result))
 
     def close_expired(self):
         """Close idle connections whose keep-alive time has expired."""
@@ -185,13 +185,15 @@
 
     noisy = False
 
-    def __init__(self, pool, on_result):
+    def __init__(self, reactor, pool, on_result):
+        self._reactor = reactor
         self._pool = pool
         self._on_result = on_result
 
     def buildProtocol(self, addr):
         """Create the protocol of the connection."""
-        self._on_result(ProbeResult.ACCEPTED)
+        # Once the connection is in the pool, requests that waited for the result can use it.
+        self._reactor.callLater(0, self._on_result, ProbeResult.ACCEPTED)
         return self._pool.create_connection(None)
 
     def clientConnectionFailed(self, connector, reason):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_watch.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_watch.py
@@ -61,14 +61,17 @@
         Takes an EndpointRow and the fingerprints of the requests that may explain its crash.
     on_answered : callable
         Takes the fingerprint of a request that its endpoint answered and survived.
+    on_known : callable
+        Called without arguments once an endpoint is no longer in doubt.
     """
 
-    def __init__(self, clock, endpoints, is_in_service, on_crash, on_answered):
+    def __init__(self, clock, endpoints, is_in_service, on_crash, on_answered, on_known):
         self._clock = clock
         self._endpoints = endpoints
         self._is_in_service = is_in_service
         self._on_crash = on_crash
         self._on_answered = on_answered
+        self._on_known = on_known
         self._lost_by_id = {}
         self._answered = deque()
 
@@ -110,6 +113,19 @@
             self._start_probe(run.row)
             return
 
+    def is_in_doubt(self, endpoint_id):
+        """Return whether an endpoint has just closed a connection and may have crashed.
+
+        Parameters
+        ----------
+        endpoint_id : str
+
+        Returns
+        -------
+        bool
+        """
+        return endpoint_id in self._lost_by_id
+
     def call_when_known(self, row, callback):
         """Call a function once it is known whether an endpoint crashed, or now if nothing was lost.
 
@@ -155,3 +171,4 @@
             self._on_crash(row, sorted(lost.fingerprints))
         for callback in lost.waiting:
             callback()
+        self._on_known()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -273,6 +273,24 @@
         """
         return self._link.table.endpoint_by_id.get(endpoint_id)
 
+    def usable_endpoints(self, pool):
+        """Return a pool's endpoints that may take a request of this entry now.
+
+        Parameters
+        ----------
+        pool : PoolRow
+
+        Returns
+        -------
+        list of EndpointRow
+        """
+        rows = self.endpoints.below_connection_limit(pool, self.entries)
+        return [row for row in rows if not self.quarantine.is_in_doubt(row.endpoint_id)]
+
+    def endpoint_known(self):
+        """Dispatch waiting requests, since it is known of one more endpoint whether it listens."""
+        self.model_queue.check_waiting()
+
     def table_changed(self):
         """Apply a change of the routing table."""
         table = self._link.table
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -200,7 +200,7 @@
         now_s = gateway.clock.seconds()
         max_in_flight = max(2, int(exchange.pool.engine.slots * MAX_SLOT_SHARE))
         usable = []
-        for row in gateway.endpoints.below_connection_limit(exchange.pool, gateway.entries):
+        for row in gateway.usable_endpoints(exchange.pool):
             if not row.has_model(exchange.model) or not may_run_at(exchange.binding.origin, row):
                 continue
             health = gateway.health.for_endpoint(row.endpoint_id)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -152,15 +152,19 @@
         if self.model:
             self._gateway.model_queue.enqueue(self)
             return
-        rows = self._gateway.endpoints.below_connection_limit(self.pool, self._gateway.entries)
-        rows = [row for row in rows if may_run_at(self.binding.origin, row)]
-        row = self._gateway.health.choose(rows, self.now_s(), self.tried_ids)
+        usable = self._gateway.usable_endpoints(self.pool)
+        usable = [row for row in usable if may_run_at(self.binding.origin, row)]
+        row = self._gateway.health.choose(usable, self.now_s(), self.tried_ids)
         if row is None:
-            row = self._gateway.health.choose(rows, self.now_s())
-        if row is None:
-            self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "no endpoint of the pool can take it"))
+            row = self._gateway.health.choose(usable, self.now_s())
+        if row is not None:
+            self.send_to(row)
             return
-        self.send_to(row)
+        for row in rows:
+            if self._gateway.quarantine.is_in_doubt(row.endpoint_id):
+                self._gateway.quarantine.call_when_known(row, self.dispatch)
+                return
+        self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "no endpoint of the pool can take it"))
 
     def send_to(self, row):
         """Forward the request to an endpoint.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
@@ -42,7 +42,10 @@
             self._is_in_service,
             self._on_crash,
             self._on_answered,
+            gateway.endpoint_known,
         )
+        self.is_in_doubt = self._watch.is_in_doubt
+        self.call_when_known = self._watch.call_when_known
         self.run_lost = self._watch.run_lost
         self.run_answered = self._watch.run_answered
         self.idle_connection_lost = self._watch.idle_connection_lost
--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -1,7 +1,12 @@
 """Fake clients, endpoints and control for gateway tests, with virtual time and no sockets."""
 
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+    TimeoutError,
+)
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
@@ -22,6 +27,7 @@
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_core.wire import own
 from hemlockdock_entry.gateway.client_connection import ClientConnection
+from hemlockdock_entry.gateway.crash_watch import PROBE_DELAY_S
 from hemlockdock_entry.gateway.gateway import Gateway
 
 SETTINGS = (
@@ -318,5 +324,11 @@
             connector, Failure(error or ConnectionRefusedError())
         )
 
+    def leave_probes_unanswered(self):
+        """Let the entry ask endpoints in doubt whether they listen, without an answer."""
+        self.reactor.advance(PROBE_DELAY_S)
+        while self.reactor.connecting:
+            self.fail_connect(error=TimeoutError())
+
     def _send(self, address, message):
         self.sent_messages.append((address, message))
--- a/packages/hemlockdock-entry/tests/test_gateway.py
+++ b/packages/hemlockdock-entry/tests/test_gateway.py
@@ -221,6 +221,7 @@
                 close = b"Connection: close\r\n"
                 self.connect().answer(request_id=b"%d" % number, extra=close)
                 answered += 1
+            self.harness.leave_probes_unanswered()
         # The budget is 80% of the slack of 10 plus 80% of a fifth of 30 requests.
         self.assertLessEqual(answered, 12)
         self.assertGreaterEqual(answered, 8)
--- a/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
@@ -126,6 +126,7 @@
             self.lose(server)
             self.assertEqual(client.status, 502)
             server = FakeEndpoint(self.harness.reactor.connecting.pop())
+            self.harness.reactor.advance(CRASH_DETECTION_S)
             client = self.send(path=AT_MOST_ONCE_PATH)
         self.assertEqual(self.reported, [])
 
@@ -198,6 +199,46 @@
         self.assertEqual(client.status, 200)
 
 
+class EndpointInDoubtTest(QuarantineTestCase):
+    """Requests whose endpoint has just closed a connection, and may have crashed."""
+
+    def setUp(self):
+        super().setUp()
+        for name in ("b", "c"):
+            self.harness.delete_row(f"endpoint/{name}")
+        self.harness.put_rows(endpoint("m", "lm", 10, models=("m",)))
+
+    def open_connections(self, path, body, extra):
+        """Let two requests leave two open connections behind, and return the endpoints' ends."""
+        self.send(b"x", path, extra)
+        self.send(b"y", path, extra)
+        servers = [self.harness.connect(), self.harness.connect()]
+        for number, server in enumerate(servers, 1):
+            server.answer(body, request_id=b"%d" % number)
+        return servers
+
+    def assert_repeated_at_the_endpoint_that_still_listens(self, path, body, extra=b""):
+        first, second = self.open_connections(path, body, extra)
+        client = self.send(b"z", path, extra)
+        busy, idle = (first, second) if first.header(b"x-request-id") == b"3" else (second, first)
+        busy.close()
+        self.assertNotEqual(idle.header(b"x-request-id"), b"3")
+        idle.close()
+        self.harness.reactor.advance(CRASH_DETECTION_S)
+        probe = FakeEndpoint(self.harness.reactor.connecting.pop())
+        self.harness.reactor.advance(CRASH_DETECTION_S)
+        probe.answer(body, request_id=b"3")
+        self.assertEqual(client.status, 200)
+
+    def test_a_plain_request_is_not_repeated_over_connections_that_are_about_to_close(self):
+        self.assert_repeated_at_the_endpoint_that_still_listens(IDEMPOTENT_PATH, b"answer")
+
+    def test_a_stream_is_not_repeated_over_connections_that_are_about_to_close(self):
+        event = b"id: 1\ndata: x\n\n"
+        model = b"X-Use-Model: m\r\n"
+        self.assert_repeated_at_the_endpoint_that_still_listens(STREAM_PATH, event, model)
+
+
 class EndOfQuarantineTest(QuarantineTestCase):
     def setUp(self):
         super().setUp()
