entry: no refusal of the product's own interface promises that a request has not run if it may have

What callers saw: a request whose first endpoint was lost, and which was then found in quarantine, refused by the next endpoint or met by a shutdown, got 503 with not_run true (or, for keyed requests, 503 with not_run unknown). A client that trusts the status sends it again, and it runs twice.

Cause: the refusal of the last attempt spoke for the whole request. The gateway keeps may_have_run over all attempts; the product's own path did not. Class of fault: a protection that one of two paths has.

Why this works: an exchange remembers that an attempt may have run, and turns any refusal whose status is a promise (408, 421, 429, 503) into endpoint_lost, 502, in the one place that all refusals pass.

--- a/packages/hemlockdock-core/hemlockdock_core/errors/refusal.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/refusal.py
@@ -6,6 +6,9 @@
 from hemlockdock_core.errors.not_run import NotRun
 from hemlockdock_core.errors.table import RESPONSE_BY_KIND
 
+# Clients may take these statuses as a promise that the request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
 
 class Refusal(msgspec.Struct, frozen=True):
     """The reason why a request was refused.
@@ -48,6 +51,18 @@
         )
         return cls(kind, message, resolved_not_run, resolved_retry_after_ms)
 
+    def without_promise(self):
+        """Return this refusal, or one whose status doesn't promise that the request has not run.
+
+        Returns
+        -------
+        Refusal
+        """
+        if self.status not in NOT_RUN_STATUSES:
+            return self
+        not_run = NotRun.UNKNOWN if self.not_run is NotRun.TRUE else self.not_run
+        return Refusal.of(ErrorKind.ENDPOINT_LOST, self.message, not_run)
+
     @property
     def status(self):
         """Return the HTTP status code of this refusal's kind."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -44,6 +44,7 @@
         self.attempt = None
         self.attempt_count = 0
         self.endpoints_lost = 0
+        self.may_have_run = False
         self.avoided_nodes = set()
         self.suspect = False
         self._dispatched_at = 0.0
@@ -124,6 +125,8 @@
     def on_failed(self, refusal):
         """Handle the failure of an attempt: retry the request or refuse it."""
         self._record_outcome(refusal)
+        if refusal.not_run is not NotRun.TRUE:
+            self.may_have_run = True
         if self.core.ended:
             self.coordinator.closed(self)
             return
@@ -161,6 +164,8 @@
         """
         if self.core.ended:
             return
+        if self.may_have_run or refusal.not_run is not NotRun.TRUE:
+            refusal = refusal.without_promise()
         self.life.refuse()
         COUNTERS.increment("entry_refusals", kind=refusal.kind.value)
         self._end()
