--- /dev/null
+++ b/packages/hemlockdock-entry/tests/test_gateway_prompt_parts.py
@@ -0,0 +1,89 @@
+"""Test that prompts with a part that crashes endpoints are not sent again and again."""
+
+import unittest
+
+from support_gateway import STREAM_PATH, endpoint
+from support_quarantine import CRASH_DETECTION_S, FAR_FUTURE_MS, QuarantineTestCase
+
+from hemlockdock_core.rows import QuarantineRow
+
+EVENT = b"e\r\nid: 1\ndata: x\n\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class PromptPartTestCase(QuarantineTestCase):
+    """Streams whose prompts share parts; no two have the same content."""
+
+    def setUp(self):
+        super().setUp()
+        for number in range(4):
+            self.harness.put_rows(endpoint(f"m{number}", "lm", 10 + number, models=("m",)))
+
+    def send_prompt(self, *parts):
+        """Send a stream whose prompt has these parts and one of its own."""
+        listed = ",".join(f"{part}:10" for part in (*parts, f"own{self._requests}"))
+        header = b"X-Use-Model: m\r\nX-Prompt-Parts: %b\r\n" % listed.encode()
+        return self.send(b"content %d" % self._requests, STREAM_PATH, header)
+
+    def begin(self):
+        """Return the endpoint that takes the oldest request, after its first event."""
+        server = self.harness.connect()
+        server.begin_stream(b"%d" % self._requests)
+        server.send_bytes(EVENT)
+        return server
+
+    def serve(self, *parts):
+        """Let a prompt be answered completely."""
+        client = self.send_prompt(*parts)
+        server = self.begin()
+        server.send_bytes(LAST_CHUNK)
+        server.close(cleanly=True)
+        self.harness.reactor.connecting.clear()
+        self.harness.reactor.advance(1.0)
+        self.harness.gateway.run_maintenance()
+        return client
+
+    def crash_prompt(self, *parts):
+        """Let a prompt crash one endpoint as that begins to answer, without a further attempt."""
+        client = self.send_prompt(*parts)
+        server = self.harness.connect()
+        server.begin_stream(b"%d" % self._requests)
+        self.crash(server)
+        client.disconnect_client()
+        self.harness.reactor.connecting.clear()
+        self.harness.reactor.advance(CRASH_DETECTION_S)
+
+    def assert_refused(self, *parts):
+        client = self.send_prompt(*parts)
+        self.assertEqual(self.waiting_ports, [])
+        self.assertEqual(client.status, 503)
+        self.assertIn(b"Retry-After: ", client.received)
+
+    def assert_sent(self, *parts):
+        client = self.send_prompt(*parts)
+        self.assertEqual(len(self.waiting_ports), 1)
+        client.disconnect_client()
+        self.harness.reactor.connecting.clear()
+
+
+class CrashingPartTest(PromptPartTestCase):
+    @unittest.expectedFailure
+    def test_prompts_with_a_part_that_crashed_three_endpoints_are_refused_at_once(self):
+        self.serve("first", "sound")
+        for _ in range(3):
+            self.crash_prompt("first", "bad")
+        self.assert_refused("first", "bad")
+        self.assert_refused("other", "bad", "sound")
+        self.assert_sent("first", "sound")
+        self.assert_sent("first", "new")
+
+    @unittest.expectedFailure
+    def test_prompts_with_a_part_that_crashed_endpoints_of_other_entries_are_refused(self):
+        self.serve("first", "sound")
+        self.harness.put_rows(QuarantineRow("part:bad", 3, True, FAR_FUTURE_MS, ("a", "b", "c")))
+        self.assert_refused("first", "bad")
+        self.assert_sent("first", "sound")
+
+
+if __name__ == "__main__":
+    unittest.main()
