--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -6,6 +6,7 @@
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_entry.gateway.continuation import can_continue, may_run_at
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
+from hemlockdock_entry.gateway.prompt_parts import shared_parts
 from hemlockdock_entry.gateway.request_times import RequestTimes
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
 from hemlockdock_entry.gateway.stream_binding import StreamBinding
@@ -76,6 +77,11 @@
         line = f"{request.method.decode('latin-1')} {request.target.decode('latin-1')}"
         return fingerprint_of(self.header(HOST).decode("latin-1"), line, request.body)
 
+    @cached_property
+    def prompt_parts(self):
+        """Return the ids of the parts of the prompt that other requests may share."""
+        return shared_parts(self.header(self._gateway.headers.prompt_parts))
+
     @property
     def resumed_request_id(self):
         """Return the id of the request whose stream the client resumes; empty if none."""
--- a/packages/hemlockdock-entry/tests/test_gateway_prompt_parts.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_prompt_parts.py
@@ -6,6 +6,7 @@
 from support_quarantine import CRASH_DETECTION_S, FAR_FUTURE_MS, QuarantineTestCase
 
 from hemlockdock_core.rows import QuarantineRow
+from hemlockdock_entry.gateway.prompt_parts import MAX_PARTS, shared_parts
 
 EVENT = b"e\r\nid: 1\ndata: x\n\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
@@ -85,5 +86,19 @@
         self.assert_sent("first", "sound")
 
 
+class SharedPartsTest(unittest.TestCase):
+    def test_the_last_part_is_the_requests_own(self):
+        self.assertEqual(shared_parts(b"a:10,b:5,c:7"), ("a", "b"))
+        self.assertEqual(shared_parts(b"a:10"), ())
+        self.assertEqual(shared_parts(b""), ())
+
+    def test_malformed_and_repeated_parts_are_left_out(self):
+        self.assertEqual(shared_parts(b"a, ,:3,a:9,%b:1,own:1" % (b"x" * 65)), ("a",))
+
+    def test_a_client_that_names_thousands_of_parts_gets_no_more_memory(self):
+        value = b",".join(b"p%d:1" % number for number in range(5_000))
+        self.assertEqual(len(shared_parts(value)), MAX_PARTS)
+
+
 if __name__ == "__main__":
     unittest.main()
