gateway: prompts with a part that crashed endpoints are refused; what can't be told apart is tried apart

Cause: the quarantine knew whole requests only, and such requests have nothing in common but one part of the prompt. Class of fault: an identity too narrow for what is shared.

Why this works: entries report the requests that were in flight with the parts of their prompts but the last, and without those on which an answer has begun and carried on (0.5 s of events, or a complete answer), now or before. Control quarantines a part at the third crash of at least two different requests; entries do so by themselves too. An entry that has seen an answer on a part that others suspect releases it, so that evidence of all entries counts, also from before the first crash. Parts that were in just the same crashes are refused together; a prompt with some of them only is let through, one in a second, and its answer or crash tells them apart. What was in flight at two crashes runs at one endpoint, the same for all entries, and sound requests elsewhere while there is another.

--- a/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
@@ -1,14 +1,14 @@
 """Identify requests that crash endpoints and quarantine them."""
 
+from hemlockdock_control.state.crash_explanation import explaining_suspects, indistinguishable
 from hemlockdock_control.state.refusals import refused
 from hemlockdock_control.state.suspect_record import SuspectRecord
 from hemlockdock_core.commands import CommandResult
 from hemlockdock_core.errors import ErrorKind
+from hemlockdock_core.suspect_keys import MIN_REQUESTS_OF_PART, is_part, part_key
 
 QUARANTINE_MS = 600_000
 SUSPICION_MS = 600_000
-# A crash that is known by incomplete reports only may be explained by a request of another report.
-INCOMPLETE_CRASHES_BEFORE_QUARANTINE = 3
 # Reports on one endpoint within this time are about the same crash: a restart takes longer.
 SAME_CRASH_MS = 3_000
 MAX_SUSPECTS = 4_096
@@ -23,8 +23,9 @@
     flight again, none is quarantined; the suspects that were not in flight are cleared, and the
     others are still run separately.
 
-    An entry knows only the requests that it sent itself. Its report quarantines a request at the
-    third crash that it was in flight at; a request that is answered in between is released.
+    An entry knows only the requests that it sent itself. By such reports, a request is quarantined
+    at the third crash at which it was in flight, and a part of prompts at the third crash at which
+    requests with it were. What is answered in between is released.
 
     Parameters
     ----------
@@ -70,7 +71,8 @@
             # A request already in quarantine explains the crash, so the others are no suspects.
             return CommandResult(context.index)
         if len(suspects) == 1:
-            self._quarantine(suspects[0], command.crash_id)
+            suspects[0].crash_ids.append(command.crash_id)
+            self._quarantine(suspects)
             return CommandResult(context.index)
         if suspects:
             self._narrow_suspects(suspects, command.crash_id)
@@ -125,30 +127,50 @@
     def _record_incomplete(self, command):
         self.expire()
         crash_id = self._crash_of_endpoint(command.crash_id)
-        fingerprints = sorted(set(command.fingerprints))
+        request_by_key = _requests_by_key(command)
         self._context.record(
-            command.node_id, "crash", crash_id, "", f"{len(fingerprints)} in flight"
+            command.node_id, "crash", crash_id, "", f"{len(command.fingerprints)} in flight"
         )
-        records = [self.suspect_by_fingerprint.get(item) for item in fingerprints]
-        if any(record is not None and record.refused for record in records):
-            # A request already in quarantine explains the crash, so the others are no suspects.
+        refused_records = [
+            record
+            for record in self.suspect_by_fingerprint.values()
+            if record.refused and record.fingerprint in request_by_key
+        ]
+        if refused_records:
+            # They explain the crash, so the others are no suspects.
+            self._tell_apart(refused_records, crash_id)
             return
-        for fingerprint in fingerprints:
-            self._count_crash(fingerprint, crash_id)
-
-    def _count_crash(self, fingerprint, crash_id):
-        record = self.suspect_by_fingerprint.get(fingerprint)
+        for key, request in request_by_key.items():
+            self._count_crash(key, crash_id, request)
+        explaining = explaining_suspects(self.suspect_by_fingerprint.values())
+        while explaining:
+            self._quarantine(explaining)
+            explaining = explaining_suspects(self.suspect_by_fingerprint.values())
+
+    def _count_crash(self, key, crash_id, request):
+        record = self.suspect_by_fingerprint.get(key)
         if record is None:
-            self._add_suspect(fingerprint, crash_id)
-            return
+            record = self._add_suspect(key, crash_id)
+        if is_part(key) and request not in record.requests:
+            record.requests = [*record.requests, request][:MIN_REQUESTS_OF_PART]
         if crash_id in record.crash_ids:
             return
-        if len(record.crash_ids) + 1 >= INCOMPLETE_CRASHES_BEFORE_QUARANTINE:
-            self._quarantine(record, crash_id)
-            return
         record.crash_ids.append(crash_id)
         self._publish_change(record, "suspect", "suspect of one more crash")
 
+    def _tell_apart(self, crashed, crash_id):
+        """Clear the quarantined parts that were absent when one like them crashed an endpoint."""
+        for record in crashed:
+            if not is_part(record.fingerprint):
+                continue
+            alike = indistinguishable(record, self.suspect_by_fingerprint.values())
+            absent = [other for other in alike if other not in crashed]
+            for other in absent:
+                self._clear(other, "control", "another part explains the crash")
+            if absent and crash_id not in record.crash_ids:
+                record.crash_ids.append(crash_id)
+                self._publish_change(record, "quarantined", "told apart by one more crash")
+
     def _crash_of_endpoint(self, endpoint_id):
         """Return the id of the endpoint's crash that is being reported now."""
         now_ms = self._context.now_ms
@@ -167,6 +189,7 @@
         self._make_room()
         self.suspect_by_fingerprint[fingerprint] = record
         self._publish_change(record, "unknown", "suspect")
+        return record
 
     def _make_room(self):
         """Remove the oldest suspect, or the oldest record of all, if there are too many."""
@@ -176,13 +199,15 @@
         suspects = [record for record in records if not record.refused]
         self._clear((suspects or records)[0], "control", "too many suspects")
 
-    def _quarantine(self, record, crash_id):
-        record.crash_ids.append(crash_id)
-        explained_crash_ids = set(record.crash_ids)
-        record.refused = True
-        record.until_ms = self._context.now_ms + QUARANTINE_MS
-        self._publish_change(record, "suspect", "quarantined")
-        self._clear_explained(explained_crash_ids)
+    def _quarantine(self, records):
+        explained_crash_ids = set()
+        for record in records:
+            explained_crash_ids.update(record.crash_ids)
+            record.refused = True
+            record.until_ms = self._context.now_ms + QUARANTINE_MS
+            self._publish_change(record, "suspect", "quarantined")
+        by_parts = is_part(records[0].fingerprint)
+        self._clear_explained(explained_crash_ids, by_parts)
 
     def _narrow_suspects(self, suspects, crash_id):
         remaining_fingerprints = {record.fingerprint for record in suspects}
@@ -196,10 +221,14 @@
             record.crash_ids.append(crash_id)
             self._publish_change(record, "suspect", "suspect of one more crash")
 
-    def _clear_explained(self, crash_ids):
+    def _clear_explained(self, crash_ids, by_parts):
         for record in list(self.suspect_by_fingerprint.values()):
-            if not record.refused and crash_ids.issuperset(record.crash_ids):
-                self._clear(record, "control", "another request explains the crash")
+            if record.refused or not crash_ids.issuperset(record.crash_ids):
+                continue
+            if is_part(record.fingerprint) and not by_parts:
+                # The next request with the part tells whether the part is what crashes endpoints.
+                continue
+            self._clear(record, "control", "the crash is explained")
 
     def _clear(self, record, who, after):
         del self.suspect_by_fingerprint[record.fingerprint]
@@ -210,3 +239,12 @@
     def _publish_change(self, record, before, after):
         self._context.put(record.row())
         self._context.record("control", "quarantine", record.fingerprint, before, after)
+
+
+def _requests_by_key(command):
+    """Return the keys that may explain a crash, in order, each with a request that has it."""
+    request_by_key = {fingerprint: fingerprint for fingerprint in sorted(command.fingerprints)}
+    for fingerprint, parts in sorted(command.parts_by_fingerprint.items()):
+        for part_id in parts:
+            request_by_key.setdefault(part_key(part_id), fingerprint)
+    return request_by_key
--- a/packages/hemlockdock-control/tests/test_cluster_state.py
+++ b/packages/hemlockdock-control/tests/test_cluster_state.py
@@ -189,6 +189,76 @@
         self.assertEqual(self.refused(), ["bad"])
 
 
+class PromptPartReportTest(unittest.TestCase):
+    """Reports of entries on requests whose prompts share parts."""
+
+    def setUp(self):
+        self.driver = StateDriver()
+        self.crashes = 0
+
+    def crash(self, **parts_by_fingerprint):
+        """Report the crash of another endpoint, which ran these requests."""
+        self.crashes += 1
+        fingerprints = list(parts_by_fingerprint)
+        self.driver.apply(
+            RecordCrash(
+                f"e{self.crashes}", "entry-1", fingerprints, 1_000, False, parts_by_fingerprint
+            )
+        )
+
+    def release(self, key):
+        self.driver.apply(ReleaseQuarantine(key, "entry-2: answered", 1_000))
+
+    def refused(self):
+        suspects = self.driver.state.crashes.suspect_by_fingerprint
+        return sorted(name for name, item in suspects.items() if item.refused)
+
+    def test_a_part_is_quarantined_at_the_third_crash_of_requests_that_share_it(self):
+        self.crash(r1=("bad", "x"), s1=("y",))
+        self.crash(r2=("bad", "z"))
+        self.assertEqual(self.refused(), [])
+        self.crash(r3=("w", "bad"))
+        self.assertEqual(self.refused(), ["part:bad"])
+        self.assertEqual(list(self.driver.state.crashes.suspect_by_fingerprint), ["part:bad"])
+
+    def test_one_request_that_comes_again_says_nothing_about_its_parts(self):
+        for _ in range(5):
+            self.crash(same=("a", "b"))
+        self.assertEqual(self.refused(), ["same"])
+
+    def test_a_part_is_found_though_each_of_its_requests_came_again(self):
+        for _ in range(3):
+            self.crash(r1=("bad",))
+        self.crash(r2=("bad",))
+        self.assertEqual(self.refused(), ["part:bad", "r1"])
+
+    def test_a_part_that_was_answered_in_between_is_sound(self):
+        for number in range(6):
+            self.crash(**{f"r{number}": ("first", "bad")})
+            self.release("part:first")
+        self.assertEqual(self.refused(), ["part:bad"])
+
+    def test_parts_of_the_same_crashes_are_quarantined_together_until_one_crashes_alone(self):
+        for number in range(3):
+            self.crash(**{f"r{number}": ("p", "q")})
+        self.assertEqual(self.refused(), ["part:p", "part:q"])
+        self.crash(r9=("p",))
+        self.assertEqual(self.refused(), ["part:p"])
+
+    def test_parts_of_the_same_crashes_are_told_apart_by_an_answer(self):
+        for number in range(3):
+            self.crash(**{f"r{number}": ("p", "q")})
+        self.release("part:q")
+        self.assertEqual(self.refused(), ["part:p"])
+
+    def test_a_crash_with_a_quarantined_part_makes_no_suspects(self):
+        for number in range(3):
+            self.crash(**{f"r{number}": ("bad",)})
+        self.crash(r9=("bad", "other"), beside=("another",))
+        self.assertEqual(self.refused(), ["part:bad"])
+        self.assertEqual(len(self.driver.state.crashes.suspect_by_fingerprint), 1)
+
+
 class JobTest(unittest.TestCase):
     def submit(self, driver, repeatable):
         driver.apply(RegisterNode(node_info("entry-1", "entry"), 1, 1))
--- a/packages/hemlockdock-core/hemlockdock_core/commands/crashes.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/crashes.py
@@ -17,6 +17,8 @@
     is_complete : bool
         Whether these are all requests that were in flight. If not, other nodes may report the
         same crash, and ``crash_id`` is the id of the endpoint.
+    parts_by_fingerprint : dict of str to tuple of str
+        Ids of the parts of the requests' prompts that may explain the crash.
     """
 
     crash_id: str
@@ -24,14 +26,16 @@
     fingerprints: list[str]
     at_ms: int
     is_complete: bool = True
+    parts_by_fingerprint: dict[str, tuple[str, ...]] = {}
 
 
 class ReleaseQuarantine(BaseCommand, frozen=True):
-    """Release a fingerprint from quarantine.
+    """Release a request or a part of prompts from quarantine or suspicion.
 
     Attributes
     ----------
     fingerprint : str
+        Or the key of a part; see ``suspect_keys``.
     who : str
         Operator's name.
     at_ms : int
--- a/packages/hemlockdock-core/hemlockdock_core/rows/quarantine_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/quarantine_row.py
@@ -4,11 +4,12 @@
 
 
 class QuarantineRow(BaseRow, frozen=True):
-    """A fingerprint of requests that were in flight when endpoints crashed.
+    """A request, or a part of prompts, that endpoints ran when they crashed.
 
     Attributes
     ----------
     fingerprint : str
+        Of the request, or the key of the part; see ``suspect_keys``.
     crashes : int
         Number of crashes with such a request in flight.
     refused : bool
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_watch.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_watch.py
@@ -14,18 +14,33 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnsweredRun:
-    """A request that an endpoint has answered just now.
+class EndpointRun:
+    """One request at one endpoint.
 
     Attributes
     ----------
     row : EndpointRow
     fingerprint : str
-    answered_s : float
+    parts : tuple of str
+        Ids of the parts of its prompt that may explain a crash.
     """
 
     row: EndpointRow
     fingerprint: str
+    parts: tuple
+
+
+@dataclass(frozen=True, slots=True)
+class AnsweredRun:
+    """A request that an endpoint has answered just now.
+
+    Attributes
+    ----------
+    run : EndpointRun
+    answered_s : float
+    """
+
+    run: EndpointRun
     answered_s: float
 
 
@@ -35,13 +50,13 @@
 
     Attributes
     ----------
-    fingerprints : set of str
+    runs : list of EndpointRun
         Requests that the endpoint ran or had just answered.
     waiting : list of callable
         Called without arguments once it is known.
     """
 
-    fingerprints: set = field(default_factory=set)
+    runs: list = field(default_factory=list)
     waiting: list = field(default_factory=list)
 
 
@@ -58,9 +73,9 @@
     is_in_service : callable
         Takes an EndpointRow; returns whether the endpoint is listed and does not leave.
     on_crash : callable
-        Takes an EndpointRow and the fingerprints of the requests that may explain its crash.
+        Takes an EndpointRow and the EndpointRuns that may explain its crash.
     on_answered : callable
-        Takes the fingerprint of a request that its endpoint answered and survived.
+        Takes an EndpointRun that its endpoint answered and survived.
     on_known : callable
         Called without arguments once an endpoint is no longer in doubt.
     """
@@ -75,28 +90,26 @@
         self._lost_by_id = {}
         self._answered = deque()
 
-    def run_lost(self, row, fingerprint):
+    def run_lost(self, run):
         """Handle the loss of the connection on which an endpoint ran a request.
 
         Parameters
         ----------
-        row : EndpointRow
-        fingerprint : str
+        run : EndpointRun
         """
-        if row.endpoint_id not in self._lost_by_id:
-            self._start_probe(row)
-        self._lost_by_id[row.endpoint_id].fingerprints.add(fingerprint)
+        if run.row.endpoint_id not in self._lost_by_id:
+            self._start_probe(run.row)
+        self._lost_by_id[run.row.endpoint_id].runs.append(run)
 
-    def run_answered(self, row, fingerprint):
+    def run_answered(self, run):
         """Handle a complete answer.
 
         Parameters
         ----------
-        row : EndpointRow
-        fingerprint : str
+        run : EndpointRun
         """
         self.settle()
-        self._answered.append(AnsweredRun(row, fingerprint, self._clock.seconds()))
+        self._answered.append(AnsweredRun(run, self._clock.seconds()))
 
     def idle_connection_lost(self, address):
         """Handle the loss of a connection without a request.
@@ -107,10 +120,11 @@
             ``ip:port`` of the endpoint.
         """
         self.settle()
-        for run in self._answered:
-            if run.row.address != address or run.row.endpoint_id in self._lost_by_id:
+        for answered in self._answered:
+            row = answered.run.row
+            if row.address != address or row.endpoint_id in self._lost_by_id:
                 continue
-            self._start_probe(run.row)
+            self._start_probe(row)
             return
 
     def is_in_doubt(self, endpoint_id):
@@ -144,15 +158,15 @@
         """Report the answers that their endpoints survived."""
         settled_s = self._clock.seconds() - SETTLE_S
         while self._answered and self._answered[0].answered_s < settled_s:
-            self._on_answered(self._answered.popleft().fingerprint)
+            self._on_answered(self._answered.popleft().run)
 
     def _start_probe(self, row):
         self.settle()
         lost = LostConnection()
-        for run in list(self._answered):
-            if run.row.endpoint_id == row.endpoint_id:
-                self._answered.remove(run)
-                lost.fingerprints.add(run.fingerprint)
+        for answered in list(self._answered):
+            if answered.run.row.endpoint_id == row.endpoint_id:
+                self._answered.remove(answered)
+                lost.runs.append(answered.run)
         self._lost_by_id[row.endpoint_id] = lost
         self._clock.callLater(PROBE_DELAY_S, self._probe, row)
 
@@ -168,7 +182,7 @@
     def _end(self, row, is_crash):
         lost = self._lost_by_id.pop(row.endpoint_id)
         if is_crash:
-            self._on_crash(row, sorted(lost.fingerprints))
+            self._on_crash(row, lost.runs)
         for callback in lost.waiting:
             callback()
         self._on_known()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
@@ -22,6 +22,8 @@
     ----------
     in_flight : int
         Requests of this entry in progress at the endpoint.
+    suspects_in_flight : int
+        Those of them that probably crash it.
     failure_rate : float
     latency_s : float
         Average time to the first byte; 0 before the first response.
@@ -34,6 +36,7 @@
     """
 
     in_flight: int = 0
+    suspects_in_flight: int = 0
     failure_rate: float = 0.0
     latency_s: float = 0.0
     failures: int = 0
@@ -122,11 +125,11 @@
             self.health_by_id[endpoint_id] = health
         return health
 
-    def choose(self, rows, now_s, excluded_ids=frozenset(), preferred_ids=frozenset()):
+    def choose(self, rows, now_s, excluded_ids=frozenset(), preferred_ids=frozenset(), apart=False):
         """Choose the endpoint with the lowest cost.
 
-        Ejected and full endpoints are chosen only if there are no others; ties are broken at
-        random.
+        Ejected and full endpoints, and those that run requests which probably crash them, are
+        chosen only if there are no others; ties are broken at random.
 
         Parameters
         ----------
@@ -136,6 +139,9 @@
             Endpoint ids that are not chosen.
         preferred_ids : collection of str, optional
             Endpoint ids whose cost is halved.
+        apart : bool, optional
+            Whether the request probably crashes its endpoint. All entries choose the same endpoint
+            for such requests.
 
         Returns
         -------
@@ -151,7 +157,9 @@
             if row.endpoint_id in preferred_ids:
                 cost /= 2
             is_avoided = max(health.ejected_until_s, health.full_until_s) > now_s
-            rank = (is_avoided, cost, self._random.random())
+            rank = (is_avoided, health.suspects_in_flight > 0, cost, self._random.random())
+            if apart:
+                rank = (is_avoided, row.endpoint_id)
             if best_rank is None or rank < best_rank:
                 best, best_rank = row, rank
         return best
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
@@ -44,7 +44,7 @@
             extra={
                 "request": self._exchange.request_id.decode("latin-1"),
                 "fingerprint": self._exchange.fingerprint,
-                "prompt_parts": self._exchange.prompt_parts,
+                "prompt_parts": self._exchange.prompt.parts,
                 "endpoint": self.last_row.endpoint_id,
                 **self._response_fields(),
                 "outcome": outcome.value,
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -285,7 +285,7 @@
         list of EndpointRow
         """
         rows = self.endpoints.below_connection_limit(pool, self.entries)
-        return [row for row in rows if not self.quarantine.is_in_doubt(row.endpoint_id)]
+        return [row for row in rows if not self.quarantine.watch.is_in_doubt(row.endpoint_id)]
 
     def endpoint_known(self):
         """Dispatch waiting requests, since it is known of one more endpoint whether it listens."""
@@ -320,7 +320,7 @@
         self.model_queue.repeat_report()
 
     def _on_idle_connection_lost(self, address):
-        self.quarantine.idle_connection_lost(address)
+        self.quarantine.watch.idle_connection_lost(address)
 
     def shut_down_exchanges(self):
         """End all requests because the process is stopping."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -209,9 +209,10 @@
         preferred_ids = frozenset()
         if exchange.adapter:
             preferred_ids = self._endpoints_with_adapter(exchange, usable)
-        row = gateway.health.choose(usable, now_s, exchange.tried_ids, preferred_ids)
+        apart = exchange.runs_apart
+        row = gateway.health.choose(usable, now_s, exchange.tried_ids, preferred_ids, apart)
         if row is None and exchange.tried_ids:
-            row = gateway.health.choose(usable, now_s, frozenset(), preferred_ids)
+            row = gateway.health.choose(usable, now_s, frozenset(), preferred_ids, apart)
         return row
 
     def _endpoints_with_adapter(self, exchange, rows):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -6,7 +6,7 @@
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_entry.gateway.continuation import can_continue, may_run_at
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
-from hemlockdock_entry.gateway.prompt_parts import shared_parts
+from hemlockdock_entry.gateway.prompt_parts import Prompt, shared_parts
 from hemlockdock_entry.gateway.request_times import RequestTimes
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
 from hemlockdock_entry.gateway.stream_binding import StreamBinding
@@ -14,6 +14,8 @@
 from hemlockdock_entry.intake import fingerprint_of
 
 HOST = b"host"
+# Many sound requests are in flight at one crash, hardly any at two.
+CRASHES_BEFORE_RUN_APART = 2
 # The response at the deadline must reach the client before it stops waiting.
 DEADLINE_MARGIN_S = 0.03
 
@@ -78,9 +80,14 @@
         return fingerprint_of(self.header(HOST).decode("latin-1"), line, request.body)
 
     @cached_property
-    def prompt_parts(self):
-        """Return the ids of the parts of the prompt that other requests may share."""
-        return shared_parts(self.header(self._gateway.headers.prompt_parts))
+    def prompt(self):
+        """Return the Prompt, which is without parts if the request names none."""
+        return Prompt(shared_parts(self.header(self._gateway.headers.prompt_parts)))
+
+    @property
+    def runs_apart(self):
+        """Return whether other requests should not run at its endpoint."""
+        return self._gateway.quarantine.crash_count(self) >= CRASHES_BEFORE_RUN_APART
 
     @property
     def resumed_request_id(self):
@@ -160,15 +167,16 @@
             return
         usable = self._gateway.usable_endpoints(self.pool)
         usable = [row for row in usable if may_run_at(self.binding.origin, row)]
-        row = self._gateway.health.choose(usable, self.now_s(), self.tried_ids)
+        apart = self.runs_apart
+        row = self._gateway.health.choose(usable, self.now_s(), self.tried_ids, apart=apart)
         if row is None:
-            row = self._gateway.health.choose(usable, self.now_s())
+            row = self._gateway.health.choose(usable, self.now_s(), apart=apart)
         if row is not None:
             self.send_to(row)
             return
         for row in rows:
-            if self._gateway.quarantine.is_in_doubt(row.endpoint_id):
-                self._gateway.quarantine.call_when_known(row, self.dispatch)
+            if self._gateway.quarantine.watch.is_in_doubt(row.endpoint_id):
+                self._gateway.quarantine.watch.call_when_known(row, self.dispatch)
                 return
         self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "no endpoint of the pool can take it"))
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
@@ -2,22 +2,22 @@
 
 import logging
 
-from hemlockdock_core.commands import RecordCrash, ReleaseQuarantine
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.suspect_keys import (
+    CRASHES_BEFORE_QUARANTINE,
+    PART_PREFIX,
+    is_part,
+    part_key,
+)
 from hemlockdock_core.wall_clock import wall_ms
-from hemlockdock_entry.gateway.crash_watch import CrashWatch
+from hemlockdock_entry.gateway.crash_reports import CrashReporter
+from hemlockdock_entry.gateway.crash_watch import CrashWatch, EndpointRun
+from hemlockdock_entry.gateway.part_quarantine import PartQuarantine
 from hemlockdock_entry.routing import CrashTracker, TrustLevel
 
 logger = logging.getLogger(__name__)
 
-# An entry sees only its own requests at an endpoint, so chance explains two crashes more often.
-CRASHES_BEFORE_REFUSAL = 3
-# Control may be without a leader for a while; a crash reported later than this is old news.
-REPORT_TIMEOUT_MS = 30_000
-# Of the requests that were in flight at a crash, as many are reported.
-MAX_REPORTED = 64
-
 
 class Quarantine:
     """Refuse requests that crashed endpoints, by what this entry saw and by what control committed.
@@ -28,15 +28,20 @@
     node_id : str
     read_wall_ms : callable, optional
         Returns the wall-clock time in milliseconds since 1970.
+
+    Attributes
+    ----------
+    watch : CrashWatch
     """
 
     def __init__(self, gateway, node_id, read_wall_ms=wall_ms):
         self._gateway = gateway
-        self._node_id = node_id
         self._wall_ms = read_wall_ms
-        self._tracker = CrashTracker(CRASHES_BEFORE_REFUSAL)
-        self._row_by_fingerprint = {}
-        self._watch = CrashWatch(
+        self._tracker = CrashTracker(CRASHES_BEFORE_QUARANTINE)
+        self._parts = PartQuarantine()
+        self._reporter = CrashReporter(gateway, node_id)
+        self._row_by_key = {}
+        self.watch = CrashWatch(
             gateway.clock,
             gateway.endpoints,
             self._is_in_service,
@@ -44,11 +49,6 @@
             self._on_answered,
             gateway.endpoint_known,
         )
-        self.is_in_doubt = self._watch.is_in_doubt
-        self.call_when_known = self._watch.call_when_known
-        self.run_lost = self._watch.run_lost
-        self.run_answered = self._watch.run_answered
-        self.idle_connection_lost = self._watch.idle_connection_lost
 
     def refusal(self, exchange):
         """Return why a request is not sent to an endpoint, or None if it may be.
@@ -61,9 +61,38 @@
         -------
         Refusal or None
         """
-        if self._trust_level(exchange) is not TrustLevel.REFUSED:
+        table = self._gateway.table
+        now_s = self._gateway.clock.seconds()
+        now_ms = self._wall_ms()
+        fingerprint = exchange.fingerprint
+        level = self._tracker.trust_level(table, fingerprint, now_s, now_ms)
+        if level is TrustLevel.REFUSED:
+            crash_ids = self._tracker.crash_ids(table, fingerprint)
+            left_ms = self._tracker.refused_for_ms(table, fingerprint, now_s, now_ms)
+            message = "this request crashed the endpoints that ran it"
+            return _refusal(exchange, fingerprint, crash_ids, left_ms, message)
+        refused = self._parts.refused_part(exchange.prompt, table, now_s, now_ms)
+        if refused is None:
             return None
-        return self._refuse(exchange)
+        message = "prompts with a part of this one crashed the endpoints that ran them"
+        crash_ids = list(refused.crash_ids)
+        return _refusal(exchange, refused.key, crash_ids, refused.retry_after_ms, message)
+
+    def crash_count(self, exchange):
+        """Return the number of crashes that a request, or a part of its prompt, may explain.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+
+        Returns
+        -------
+        int
+        """
+        table = self._gateway.table
+        now_s = self._gateway.clock.seconds()
+        whole = self._tracker.crash_count(table, exchange.fingerprint, now_s, self._wall_ms())
+        return max(whole, self._parts.crash_count(exchange.prompt.parts, table, now_s))
 
     def repeat(self, exchange, row):
         """Send a request again after an endpoint ended it.
@@ -76,93 +105,124 @@
         exchange : ProxyExchange
         row : EndpointRow
         """
-        if self._trust_level(exchange) is TrustLevel.TRUSTED:
-            exchange.dispatch()
+        if self.crash_count(exchange):
+            self.watch.call_when_known(row, exchange.dispatch)
             return
-        self._watch.call_when_known(row, exchange.dispatch)
+        exchange.dispatch()
+
+    def run_lost(self, exchange, row, has_carried_on):
+        """Handle the loss of the connection on which an endpoint ran a request.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+        row : EndpointRow
+        has_carried_on : bool
+            Whether the endpoint had been writing the answer for a while.
+        """
+        parts = () if has_carried_on else exchange.prompt.parts
+        self.watch.run_lost(EndpointRun(row, exchange.fingerprint, parts))
+
+    def run_answered(self, exchange, row):
+        """Handle a complete answer.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+        row : EndpointRow
+        """
+        self.watch.run_answered(EndpointRun(row, exchange.fingerprint, exchange.prompt.parts))
+
+    def run_carried_on(self, exchange):
+        """Handle that an endpoint has been writing an answer for a while.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+        """
+        self._record_sound_parts(exchange.prompt.parts)
 
     def table_changed(self):
-        """Log each step to quarantine and back, and forget what control has released."""
-        row_by_fingerprint = dict(self._gateway.table.quarantine_by_fingerprint)
-        before = self._row_by_fingerprint
-        if row_by_fingerprint == before:
+        """Log each step to quarantine and back, and compare them with what this entry knows."""
+        table = self._gateway.table
+        before = self._row_by_key
+        if table.quarantine_by_fingerprint == before:
             return
-        self._row_by_fingerprint = row_by_fingerprint
-        for fingerprint, row in row_by_fingerprint.items():
-            if before.get(fingerprint) != row:
-                step = "quarantined" if row.refused else "suspect"
-                logger.info(
-                    "quarantine changed",
-                    extra={"fingerprint": fingerprint, "step": step, "crashes": row.crash_ids},
-                )
-        for fingerprint in before.keys() - row_by_fingerprint.keys():
-            self._tracker.record_success(fingerprint)
-            logger.info(
-                "quarantine changed",
-                extra={"fingerprint": fingerprint, "step": "released", "crashes": ()},
-            )
+        self._row_by_key = dict(table.quarantine_by_fingerprint)
+        self._parts.table_changed(table)
+        for key, row in self._row_by_key.items():
+            if before.get(key) != row:
+                _log_step(key, "quarantined" if row.refused else "suspect", row.crash_ids)
+                self._report_if_sound(key)
+        for key in before.keys() - self._row_by_key.keys():
+            _log_step(key, "released", before[key].crash_ids)
+            self._tracker.record_success(key)
+            self._parts.forget(key.removeprefix(PART_PREFIX))
 
     def run_maintenance(self):
         """Report settled answers, and remove what has expired."""
-        self._watch.settle()
-        self._tracker.remove_expired(self._gateway.clock.seconds())
-
-    def _refuse(self, exchange):
-        fingerprint = exchange.fingerprint
-        table = self._gateway.table
         now_s = self._gateway.clock.seconds()
-        now_ms = self._wall_ms()
-        COUNTERS.increment("gateway_quarantine_refusals")
-        crash_ids = self._tracker.crash_ids(table, fingerprint)
-        logger.info(
-            "quarantined request refused",
-            extra={
-                "request": exchange.request_id.decode("latin-1"),
-                "fingerprint": fingerprint,
-                "crashes": crash_ids,
-            },
-        )
-        message = "this request crashed the endpoints that ran it"
-        if exchange.may_have_run:
-            return Refusal.of(ErrorKind.ENDPOINT_LOST, message)
-        left_ms = self._tracker.refused_for_ms(table, fingerprint, now_s, now_ms)
-        return Refusal.of(ErrorKind.QUARANTINED, message, retry_after_ms=left_ms)
-
-    def _trust_level(self, exchange):
-        return self._tracker.trust_level(
-            self._gateway.table,
-            exchange.fingerprint,
-            self._gateway.clock.seconds(),
-            self._wall_ms(),
-        )
+        self.watch.settle()
+        self._tracker.remove_expired(now_s)
+        self._parts.remove_expired(now_s)
 
     def _is_in_service(self, row):
         current = self._gateway.endpoint_row(row.endpoint_id)
         return current is not None and not current.leaving
 
-    def _on_crash(self, row, fingerprints):
+    def _on_crash(self, row, runs):
         now_s = self._gateway.clock.seconds()
-        for fingerprint in fingerprints:
-            self._tracker.record_crash(fingerprint, now_s, row.endpoint_id)
         COUNTERS.increment("gateway_endpoint_crashes")
-        logger.warning(
-            "endpoint crashed",
-            extra={"endpoint": row.endpoint_id, "pool": row.pool, "suspects": fingerprints},
-        )
-        reported = fingerprints[:MAX_REPORTED]
-        self._propose(RecordCrash(row.endpoint_id, self._node_id, reported, 0, is_complete=False))
-
-    def _on_answered(self, fingerprint):
-        self._tracker.record_success(fingerprint)
-        if fingerprint in self._gateway.table.quarantine_by_fingerprint:
-            self._propose(ReleaseQuarantine(fingerprint, f"{self._node_id}: answered", 0))
-
-    def _propose(self, command):
-        outcome = self._gateway.propose(command, REPORT_TIMEOUT_MS)
-        outcome.addErrback(self._not_reported, command)
-
-    def _not_reported(self, failure, command):
-        logger.warning(
-            "report on a crash not committed",
-            extra={"command": repr(command)[:500], "problem": failure.getErrorMessage()},
-        )
+        parts_by_fingerprint = {}
+        for run in [run for run in runs if self._explains_crash(run)] or runs:
+            parts_by_fingerprint[run.fingerprint] = self._parts.unproven(run.parts, now_s)
+        for fingerprint in parts_by_fingerprint:
+            self._tracker.record_crash(fingerprint, now_s, row.endpoint_id)
+        self._parts.record_crash(row.endpoint_id, parts_by_fingerprint, now_s)
+        self._reporter.report_crash(row, parts_by_fingerprint)
+
+    def _explains_crash(self, run):
+        table = self._gateway.table
+        now_s = self._gateway.clock.seconds()
+        level = self._tracker.trust_level(table, run.fingerprint, now_s, self._wall_ms())
+        return level is TrustLevel.REFUSED or self._parts.explains_crash(run.parts, table)
+
+    def _on_answered(self, run):
+        self._tracker.record_success(run.fingerprint)
+        if run.fingerprint in self._row_by_key:
+            self._reporter.report_sound(run.fingerprint)
+        self._record_sound_parts(run.parts)
+
+    def _record_sound_parts(self, parts):
+        self._parts.record_answer(parts, self._gateway.clock.seconds())
+        for part in parts:
+            if part_key(part) in self._row_by_key:
+                self._reporter.report_sound(part_key(part))
+
+    def _report_if_sound(self, key):
+        if not is_part(key):
+            return
+        part = key.removeprefix(PART_PREFIX)
+        if self._parts.sound.contains(part, self._gateway.clock.seconds()):
+            self._reporter.report_sound(key)
+
+
+def _refusal(exchange, key, crash_ids, left_ms, message):
+    COUNTERS.increment("gateway_quarantine_refusals")
+    logger.info(
+        "quarantined request refused",
+        extra={
+            "request": exchange.request_id.decode("latin-1"),
+            "key": key,
+            "crashes": crash_ids,
+            "may_have_run": exchange.may_have_run,
+        },
+    )
+    if exchange.may_have_run:
+        return Refusal.of(ErrorKind.ENDPOINT_LOST, message)
+    return Refusal.of(ErrorKind.QUARANTINED, message, retry_after_ms=left_ms)
+
+
+def _log_step(key, step, crash_ids):
+    COUNTERS.increment("gateway_quarantine_steps", step=step)
+    logger.info("quarantine changed", extra={"key": key, "step": step, "crashes": crash_ids})
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -14,6 +14,8 @@
 MIN_FIRST_BYTE_TIMEOUT_S = 0.6
 # With less time left, a retry is no more likely to answer in time than the current attempt.
 MIN_TRY_S = 0.25
+# An endpoint that crashes on a part of a prompt does so as it begins to write the answer.
+CARRIED_ON_S = 0.5
 # Failed connection attempts of one request before the client is told to retry later.
 MAX_UNSENT_TRIES = 6
 
@@ -45,6 +47,9 @@
         self._first_byte_call = None
         self._is_streaming = False
         self._events_before_try = 0
+        self._first_event_s = None
+        self._has_carried_on = False
+        self._runs_apart = False
         self._body = []
         self._body_bytes = 0
         self._unsent_tries = 0
@@ -64,6 +69,8 @@
         self._log.last_framing = None
         self._is_streaming = False
         self._events_before_try = self._response_writer.event_count
+        self._first_event_s = None
+        self._has_carried_on = False
         self._body = []
         self._body_bytes = 0
         data = build_forwarded_request(
@@ -72,6 +79,8 @@
         self._try = EndpointTry(self, row, exchange.request_id, data)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
+        self._runs_apart = exchange.runs_apart
+        health.suspects_in_flight += self._runs_apart
         self._try.begin(self._gateway.endpoints.connections_to(row), self.now_s())
         if exchange.route.may_repeat:
             timeout_s = health.first_byte_timeout_s(MIN_FIRST_BYTE_TIMEOUT_S)
@@ -144,7 +153,7 @@
             self.on_try_ended(endpoint_try, TryOutcome.BROKEN_OFF, problem)
             return
         self._release_endpoint(endpoint_try)
-        self._gateway.quarantine.run_answered(endpoint_try.row, self._exchange.fingerprint)
+        self._gateway.quarantine.run_answered(self._exchange, endpoint_try.row)
         self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id).record_response(
             endpoint_try.first_byte_s - endpoint_try.sent_s
         )
@@ -161,7 +170,8 @@
         ----------
         endpoint_try : EndpointTry
         """
-        self._gateway.quarantine.run_lost(endpoint_try.row, self._exchange.fingerprint)
+        has_carried_on = self._has_carried_on
+        self._gateway.quarantine.run_lost(self._exchange, endpoint_try.row, has_carried_on)
 
     def on_try_ended(self, endpoint_try, outcome, problem):
         """Continue after an attempt that produced no usable response.
@@ -205,9 +215,20 @@
         if self._response_writer.started and not exchange.binding.has_started:
             row = endpoint_try.row
             exchange.binding.start(StreamOrigin(row.pool, row.software_version))
+        self._note_progress()
         if self._response_writer.partial_event_bytes > MAX_BUFFERED_BYTES:
             self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
 
+    def _note_progress(self):
+        """Note that the endpoint has been writing events for a while."""
+        if self._has_carried_on or self._response_writer.event_count == self._events_before_try:
+            return
+        if self._first_event_s is None:
+            self._first_event_s = self.now_s()
+        if self.now_s() - self._first_event_s >= CARRIED_ON_S:
+            self._has_carried_on = True
+            self._gateway.quarantine.run_carried_on(self._exchange)
+
     def _stream_problem(self, head):
         if not self._is_streaming:
             return ""
@@ -253,7 +274,9 @@
         if self._first_byte_call is not None:
             self._first_byte_call.cancel()
             self._first_byte_call = None
-        self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id).in_flight -= 1
+        health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
+        health.in_flight -= 1
+        health.suspects_in_flight -= self._runs_apart
         if self._exchange.model:
             self._gateway.model_queue.request_finished(self._exchange)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/routing/crash_tracker.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/routing/crash_tracker.py
@@ -97,6 +97,24 @@
             return TrustLevel.REFUSED
         return TrustLevel.SUSPECT if crashes or row is not None else TrustLevel.TRUSTED
 
+    def crash_count(self, table, fingerprint, now, wall_ms):
+        """Return the number of crashes that a request may explain.
+
+        Parameters
+        ----------
+        table : RoutingTable
+        fingerprint : str
+        now : float
+        wall_ms : int
+
+        Returns
+        -------
+        int
+        """
+        row = _row_in_force(table, fingerprint, wall_ms)
+        seen = self._seen_crashes(fingerprint, now)
+        return seen if row is None else max(seen, row.crashes)
+
     def refused_for_ms(self, table, fingerprint, now, wall_ms):
         """Return the time for which a request is refused, in milliseconds.
 
--- a/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
@@ -237,7 +237,7 @@
             "before the head": b"",
             "inside the head": head,
             "after the head": chunked,
-            "midway": chunked + b"e\r\nid: 1\ndata: x\n\n\r\n",
+            "midway": chunked + b"f\r\nid: 1\ndata: x\n\n\r\n",
         }
         for path in (STREAM_PATH, NON_RESUMABLE_STREAM_PATH):
             for moment, begun in moments.items():
