--- a/packages/hemlockdock-cli/hemlockdock_cli/commands.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/commands.py
@@ -163,12 +163,22 @@
         """
         show(self._client.call("GET", "/v1/jobs"), json)
 
+    def quarantines(self, json=False):
+        """Show the requests and parts of prompts that crashed endpoints or may have.
+
+        Parameters
+        ----------
+        json : bool, optional
+        """
+        show(self._client.call("GET", "/v1/quarantines"), json)
+
     def release(self, fingerprint, json=False):
-        """Release a quarantined request so that it may run again.
+        """Release a quarantined request or part of prompts so that it may run again.
 
         Parameters
         ----------
         fingerprint : str
+            As ``quarantines`` shows it; a part begins with ``part:``.
         json : bool, optional
         """
         path = f"/v1/quarantines/{fingerprint}/release"
--- a/packages/hemlockdock-control/hemlockdock_control/admin/api.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/api.py
@@ -106,6 +106,11 @@
         """List jobs."""
         return self._handle(request, lambda operator, req: self._page("jobs", {}))
 
+    @app.route("/v1/quarantines", methods=["GET"])
+    def quarantines(self, request):
+        """List quarantined requests and parts of prompts, and suspects."""
+        return self._handle(request, lambda operator, req: self._page("quarantines", {}))
+
     @app.route("/v1/quarantines/<fingerprint>/release", methods=["POST"])
     def release(self, request, fingerprint):
         """Release a fingerprint from quarantine."""
--- a/packages/hemlockdock-control/hemlockdock_control/admin/pages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/pages.py
@@ -4,6 +4,7 @@
 
 from hemlockdock_control.admin.alarms import alarms
 from hemlockdock_control.admin.in_force import in_force
+from hemlockdock_control.admin.quarantine_list import quarantine_list
 from hemlockdock_control.consensus import NotLeaderError
 from hemlockdock_core.commands import CommandResult
 from hemlockdock_core.errors import ErrorKind, Refusal
@@ -28,6 +29,7 @@
             "audit": self._audit,
             "explain": self._explain,
             "jobs": self._jobs,
+            "quarantines": self._quarantines,
             "in_force": self._in_force,
         }
 
@@ -110,16 +112,12 @@
             ],
             "nodes": [self._node(item) for item in state.nodes.record_by_id.values()],
             "replicas": [self._replica(item) for item in state.replicas.record_by_id.values()],
-            "quarantines": [
-                {
-                    "fingerprint": item.fingerprint,
-                    "refused": item.refused,
-                    "until_ms": item.until_ms,
-                }
-                for item in state.crashes.suspect_by_fingerprint.values()
-            ],
+            "quarantines": quarantine_list(state.crashes),
         }
 
+    def _quarantines(self, arguments):
+        return {"quarantines": quarantine_list(self._service.machine.state.crashes)}
+
     def _manifest(self):
         manifests = self._service.machine.state.manifests
         if manifests.current is None:
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/operator_api.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/operator_api.py
@@ -1,12 +1,13 @@
-"""HTTP API with which operators submit and read routes."""
+"""HTTP API with which operators submit and read routes, and list and release quarantines."""
 
-import json
 import logging
 import zlib
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from hemlockdock_control.fleet.json_responses import write_json, write_refusal
+from hemlockdock_control.fleet.quarantine_api import QuarantineApi
 from hemlockdock_core.commands import SubmitRoutes
 from hemlockdock_core.errors import ErrorKind, InvalidInputError, Refusal
 from hemlockdock_core.metrics import COUNTERS
@@ -43,6 +44,7 @@
         self._proposer = proposer
         self._machine = machine
         self._read_document = read_document
+        self._quarantines = QuarantineApi(proposer, machine)
 
     def render(self, request):
         """Handle one HTTP request.
@@ -61,7 +63,9 @@
             return self._submit(request)
         if request.method == b"GET" and path == paths.read:
             return self._read(request)
-        return _refuse(request, Refusal.of(ErrorKind.UNKNOWN_SERVICE, "no such call"))
+        if self._quarantines.handles(path):
+            return self._quarantines.render(request)
+        return write_refusal(request, Refusal.of(ErrorKind.UNKNOWN_SERVICE, "no such call"))
 
     def _submit(self, request):
         body = request.content.read()
@@ -70,7 +74,7 @@
         except InvalidInputError as error:
             COUNTERS.increment("routes_refused")
             logger.info("routes refused", extra={"problem": str(error)[:500]})
-            return _refuse(request, Refusal.of(ErrorKind.BAD_REQUEST, str(error)))
+            return write_refusal(request, Refusal.of(ErrorKind.BAD_REQUEST, str(error)))
         in_force = self._machine.state.routes.number
         if in_force is not None and manifest.number <= in_force:
             logger.info("routes superseded", extra={"number": manifest.number, "by": in_force})
@@ -93,7 +97,9 @@
                 "routes not committed",
                 extra={"number": number, "problem": result.refusal.message},
             )
-            _write_response(request, _refuse(request, _control_unavailable(result.refusal.message)))
+            _write_response(
+                request, write_refusal(request, _control_unavailable(result.refusal.message))
+            )
             return
         logger.info(
             "routes acknowledged",
@@ -112,7 +118,7 @@
     def _read_done(self, document, request):
         if not document:
             _write_response(
-                request, _refuse(request, _control_unavailable("no routes are in force yet"))
+                request, write_refusal(request, _control_unavailable("no routes are in force yet"))
             )
             return
         request.setHeader(b"Content-Type", b"application/json")
@@ -125,18 +131,11 @@
 
 def _call_failed(failure, request):
     logger.info("operator request failed", extra={"problem": failure.getErrorMessage()})
-    _write_response(request, _refuse(request, _control_unavailable("no leader answered")))
+    _write_response(request, write_refusal(request, _control_unavailable("no leader answered")))
 
 
 def _accepted(request, number):
-    request.setHeader(b"Content-Type", b"application/json")
-    return json.dumps({"in_force": number}).encode()
-
-
-def _refuse(request, refusal):
-    request.setResponseCode(refusal.status)
-    request.setHeader(b"Content-Type", b"application/json")
-    return json.dumps(refusal.body()).encode()
+    return write_json(request, {"in_force": number})
 
 
 def _write_response(request, body):
