gateway: an endpoint that says in a response that it leaves gets no further requests

The directory lags, and an entry may not hear of it at all. The entry takes the endpoint for leaving from the first such response on, of any status, as if the table said so: requests go elsewhere, wait for another one, or are refused at once. The mark ends with the endpoint: once it is gone from the table, has been shown as leaving and is no longer, or refuses connections.

--- a/packages/hemlockdock-core/hemlockdock_core/wire/headers.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/headers.py
@@ -32,6 +32,8 @@
         In responses, the endpoint's signature of its response.
     not_run : bytes
         In refusals, states that the request was not run.
+    leaving : bytes
+        In responses, states that the endpoint accepts no new work.
     priority : bytes
         Priority at an engine; 0 is the highest.
     reserved : frozenset of bytes
@@ -49,5 +51,6 @@
     endpoint_id: bytes
     signature: bytes
     not_run: bytes
+    leaving: bytes
     priority: bytes
     reserved: frozenset
--- a/packages/hemlockdock-core/hemlockdock_core/wire/own.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/own.py
@@ -24,6 +24,7 @@
     endpoint_id=b"x-endpoint",
     signature=b"x-answer-signature",
     not_run=b"x-not-run",
+    leaving=b"x-endpoint-leaving",
     priority=b"x-engine-priority",
     reserved=frozenset((b"x-expected-endpoint", b"x-engine-priority")),
 )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -5,6 +5,7 @@
 import secrets
 
 from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
 from hemlockdock_entry.gateway.model_queue import ModelQueue
@@ -258,7 +259,7 @@
 
     def endpoint_rows(self):
         """Return all endpoints."""
-        return self._link.table.endpoint_by_id.values()
+        return self.endpoints.all()
 
     def endpoint_row(self, endpoint_id):
         """Return an endpoint's row, or None if the endpoint no longer exists.
@@ -271,7 +272,7 @@
         -------
         EndpointRow or None
         """
-        return self._link.table.endpoint_by_id.get(endpoint_id)
+        return self.endpoints.find(endpoint_id)
 
     def usable_endpoints(self, pool):
         """Return a pool's endpoints that may take a request of this entry now.
@@ -287,6 +288,18 @@
         rows = self.endpoints.below_connection_limit(pool, self.entries)
         return [row for row in rows if not self.quarantine.watch.is_in_doubt(row.endpoint_id)]
 
+    def endpoint_leaves(self, endpoint_id):
+        """Send no further requests to an endpoint, which announced in a response that it leaves.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        """
+        if self.endpoints.mark_leaving(endpoint_id):
+            COUNTERS.increment("gateway_endpoints_leaving")
+            logger.info("endpoint announces that it leaves", extra={"endpoint": endpoint_id})
+            self.model_queue.table_changed()
+
     def endpoint_known(self):
         """Dispatch waiting requests, since it is known of one more endpoint whether it listens."""
         self.model_queue.check_waiting()
@@ -302,7 +315,7 @@
             logger.info(
                 "routes applied", extra={"number": self.limits.number, "revision": self.revision}
             )
-        self.endpoints.update(table.endpoint_by_id.values())
+        self.endpoints.update(table.endpoint_by_id)
         self.health.remove_absent(table.endpoint_by_id)
         self.quarantine.table_changed()
         self.model_queue.table_changed()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -239,7 +239,7 @@
 
     def _on_adapter_settled(self, exchange, held):
         row = self._gateway.endpoint_row(exchange.reserved_endpoint_id)
-        if held and row is not None and not exchange.ended:
+        if held and row is not None and not row.leaving and not exchange.ended:
             # From here on, send_to() counts the request as in flight at the endpoint.
             self._gateway.health.for_endpoint(row.endpoint_id).in_flight -= 1
             exchange.send_to(row)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_entry.gateway.connection_pool import ConnectionPool
 from hemlockdock_entry.gateway.continuation import may_run_at
+from hemlockdock_entry.gateway.leaving_endpoints import LeavingEndpoints
 from hemlockdock_entry.gateway.windowed_retry_budget import WindowedRetryBudget
 
 
@@ -24,26 +25,69 @@
         self._request_id_name = request_id_name
         self._health = health
         self._on_idle_connection_lost = on_idle_connection_lost
+        self._row_by_id = {}
+        self._leaving = LeavingEndpoints()
         self._rows_by_pool = {}
         self._connections_by_address = {}
         self._retry_budget_by_pool = {}
 
-    def update(self, rows):
+    def update(self, row_by_id):
         """Replace the endpoints, and close connections to those that are gone.
 
         Parameters
         ----------
-        rows : iterable of EndpointRow
+        row_by_id : dict of str to EndpointRow
         """
-        self._rows_by_pool = {}
-        addresses = set()
-        for row in rows:
-            self._rows_by_pool.setdefault(row.pool, []).append(row)
-            addresses.add(row.address)
+        self._leaving.update(row_by_id)
+        self._set_rows(row_by_id)
+        addresses = {row.address for row in row_by_id.values()}
         for address in list(self._connections_by_address):
             if address not in addresses:
                 self._connections_by_address.pop(address).close()
 
+    def mark_leaving(self, endpoint_id):
+        """Send no further requests to an endpoint, which announced that it leaves.
+
+        Parameters
+        ----------
+        endpoint_id : str
+
+        Returns
+        -------
+        bool
+            Whether this is news.
+        """
+        if not self._leaving.add(endpoint_id):
+            return False
+        self._set_rows(self._row_by_id)
+        return True
+
+    def mark_ended(self, endpoint_id):
+        """Expect another process at an endpoint, because nothing listens at its address.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        """
+        self._leaving.remove(endpoint_id)
+
+    def find(self, endpoint_id):
+        """Return an endpoint's row, or None if the endpoint no longer exists.
+
+        Parameters
+        ----------
+        endpoint_id : str
+
+        Returns
+        -------
+        EndpointRow or None
+        """
+        return self._row_by_id.get(endpoint_id)
+
+    def all(self):
+        """Return the rows of all endpoints."""
+        return self._row_by_id.values()
+
     def of_pool(self, pool):
         """Return the endpoints of a pool.
 
@@ -144,3 +188,9 @@
             budget = WindowedRetryBudget(self._settings.fleet)
             self._retry_budget_by_pool[pool] = budget
         return budget
+
+    def _set_rows(self, row_by_id):
+        self._row_by_id = {key: self._leaving.apply(row) for key, row in row_by_id.items()}
+        self._rows_by_pool = {}
+        for row in self._row_by_id.values():
+            self._rows_by_pool.setdefault(row.pool, []).append(row)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -112,6 +112,8 @@
         head : ResponseHead
         """
         self._log.last_framing = head.framing
+        if head.value(self._gateway.headers.leaving):
+            self._gateway.endpoint_leaves(endpoint_try.row.endpoint_id)
         route = self._exchange.route
         verdict = check_head(head, self._gateway.headers, route, self._response_writer.started)
         endpoint_try.outcome = verdict.outcome
