gateway: an endpoint that answers 503 with Retry-After gets no requests for that long

The entry avoided such an endpoint for 0.25 s, and sent to it all the same if there was no other. It now takes the endpoint's word: requests go elsewhere; streams wait if the pause ends within their client's patience; all others are refused at once, and told when the first pause ends. A value that is no number of seconds asks for nothing.

A request that may have run and finds no other endpoint now gets 502; it could get 503 no_capacity.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -7,6 +7,7 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import LimitsRow
+from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
 from hemlockdock_entry.gateway.model_queue import ModelQueue
 from hemlockdock_entry.gateway.origin_lookup import OriginLookup
@@ -285,8 +286,40 @@
         -------
         list of EndpointRow
         """
-        rows = self.endpoints.below_connection_limit(pool, self.entries)
-        return [row for row in rows if not self.quarantine.watch.is_in_doubt(row.endpoint_id)]
+        now_s = self.clock.seconds()
+        usable = []
+        for row in self.endpoints.below_connection_limit(pool, self.entries):
+            if self.quarantine.watch.is_in_doubt(row.endpoint_id):
+                continue
+            if self.health.for_endpoint(row.endpoint_id).paused_until_s > now_s:
+                continue
+            usable.append(row)
+        return usable
+
+    def pause_end_s(self, exchange):
+        """Return when the first endpoint that could run a request ends its pause.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+
+        Returns
+        -------
+        float or None
+            None if one of them has not asked for a pause, or if there is none.
+        """
+        now_s = self.clock.seconds()
+        ends_s = []
+        for row in self.endpoints.of_pool(exchange.pool.name):
+            if row.leaving or not may_run_at(exchange.binding.origin, row):
+                continue
+            if exchange.model and not row.has_model(exchange.model):
+                continue
+            end_s = self.health.for_endpoint(row.endpoint_id).paused_until_s
+            if end_s <= now_s:
+                return None
+            ends_s.append(end_s)
+        return min(ends_s, default=None)
 
     def endpoint_leaves(self, endpoint_id):
         """Send no further requests to an endpoint, which announced in a response that it leaves.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -181,8 +181,9 @@
                 exchange.request.received_s,
                 exchange.deadline_s,
             )
-            if not may_wait(patience, ready_s, now_s, least_s):
-                self._refuse_with_retry_time(use, exchange, ready_s, least_s)
+            served_s = _earliest(ready_s, self._gateway.pause_end_s(exchange))
+            if not may_wait(patience, served_s, now_s, least_s):
+                self._refuse_with_retry_time(use, exchange, served_s, least_s)
 
     def _refuse_with_retry_time(self, use, exchange, ready_s, least_s):
         now_s = self._gateway.clock.seconds()
@@ -268,3 +269,8 @@
 
 def _queue_order(exchange):
     return (exchange.route.urgency, exchange.deadline_s)
+
+
+def _earliest(*times_s):
+    known_s = [time_s for time_s in times_s if time_s is not None]
+    return min(known_s, default=None)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -1,6 +1,7 @@
 """Process one client request: select an endpoint, forward the request, return the response."""
 
 from functools import cached_property
+from math import ceil
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
@@ -14,6 +15,7 @@
 from hemlockdock_entry.intake import fingerprint_of
 
 HOST = b"host"
+MS_PER_S = 1_000
 # Many sound requests are in flight at one crash, hardly any at two.
 CRASHES_BEFORE_RUN_APART = 2
 # The response at the deadline must reach the client before it stops waiting.
@@ -178,7 +180,7 @@
             if self._gateway.quarantine.watch.is_in_doubt(row.endpoint_id):
                 self._gateway.quarantine.watch.call_when_known(row, self.dispatch)
                 return
-        self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "no endpoint of the pool can take it"))
+        self._refuse_without_endpoint()
 
     def send_to(self, row):
         """Forward the request to an endpoint.
@@ -292,6 +294,18 @@
         self._leave()
         self._connection.abort_response()
 
+    def _refuse_without_endpoint(self):
+        if self.may_have_run:
+            message = "no other endpoint of the pool can take it"
+            self.refuse(Refusal.of(ErrorKind.ENDPOINT_LOST, message))
+            return
+        message = "no endpoint of the pool can take it"
+        pause_end_s = self._gateway.pause_end_s(self)
+        after_ms = None
+        if pause_end_s is not None:
+            after_ms = ceil((pause_end_s - self.now_s()) * MS_PER_S)
+        self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, message, retry_after_ms=after_ms))
+
     def _set_times(self):
         time_left = self.header(self._gateway.headers.time_left_ms)
         self._times = RequestTimes.of(self.route, self.request.received_s, time_left)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -5,7 +5,7 @@
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
 from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
-from hemlockdock_entry.gateway.response_check import check_head, stream_problem
+from hemlockdock_entry.gateway.response_check import check_head, requested_pause_s, stream_problem
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 # An endpoint is avoided for this long after it had no capacity or accepted no connection.
@@ -114,6 +114,10 @@
         self._log.last_framing = head.framing
         if head.value(self._gateway.headers.leaving):
             self._gateway.endpoint_leaves(endpoint_try.row.endpoint_id)
+        pause_s = requested_pause_s(head)
+        if pause_s:
+            health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
+            health.record_pause(self.now_s(), pause_s)
         route = self._exchange.route
         verdict = check_head(head, self._gateway.headers, route, self._response_writer.started)
         endpoint_try.outcome = verdict.outcome
