http: bytes without end from an endpoint take bounded memory, and the client is told

Cause: the reader of responses counted nothing but bodies. Headers, trailers, interim responses and a chunk's extension went on for ever and, the first two, into memory; a response to another request was discarded without end; each plain answer might take 8 MiB, however many came at once. The product's own clients (agents to engines, entries to services) read answers whole, heads and bodies, without any limit.

Why this works: more than 64 KiB that are neither a final head nor a body end the connection, and so does a MiB of a response to another request. What all exchanges of an entry hold back stays under 64 MiB together; an event may have a MiB. A rejection stays one though its body does not end. The client gets 502, or its stream is broken off. Twisted's client has the same limit of a head in its connections' wrapper; bodies end at 16 MiB, those of the engine's own calls at 4 MiB and 2 s.

--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -5,7 +5,8 @@
 
 import msgspec
 import treq
-from twisted.internet.defer import inlineCallbacks, succeed
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
+from twisted.internet.error import ConnectionLost
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -13,6 +14,7 @@
 
 from hemlockdock_agent.engine.inventory import EngineInventory
 from hemlockdock_agent.engine.order_reply import OrderReply
+from hemlockdock_core.http.body_receiver import BodyReceiver
 from hemlockdock_core.http.close_tracker import CloseTracker
 
 logger = logging.getLogger(__name__)
@@ -20,6 +22,8 @@
 CONNECT_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 2.0
 MAX_PERSISTENT_CONNECTIONS = 512
+# Answers to orders and inventory requests.
+MAX_CONTROL_BYTES = 4 * 1024 * 1024
 MS_PER_S = 1_000.0
 INVENTORY_DECODER = msgspec.json.Decoder(EngineInventory)
 
@@ -112,8 +116,9 @@
                 json.dumps(order).encode(),
                 agent=self._agent,
                 timeout=timeout_ms / MS_PER_S,
+                unbuffered=True,
             )
-            content = yield treq.content(response)
+            content = yield self._read(response)
         except Exception as error:
             return OrderReply(None, type(error).__name__)
         return OrderReply.of_status(response.code, content.decode("utf-8", "replace"))
@@ -132,9 +137,12 @@
     def _inventory(self):
         try:
             response = yield treq.get(
-                f"{self._url}/inventory", agent=self._agent, timeout=PROBE_TIMEOUT_S
+                f"{self._url}/inventory",
+                agent=self._agent,
+                timeout=PROBE_TIMEOUT_S,
+                unbuffered=True,
             )
-            content = yield treq.content(response)
+            content = yield self._read(response)
             return INVENTORY_DECODER.decode(content)
         except Exception as error:
             logger.debug("inventory request failed", extra={"problem": type(error).__name__})
@@ -161,8 +169,9 @@
                 json.dumps({"request_id": request_id}).encode(),
                 agent=self._agent,
                 timeout=PROBE_TIMEOUT_S,
+                unbuffered=True,
             )
-            yield treq.content(response)
+            yield self._read(response)
         except Exception as error:
             logger.debug("cancel request failed", extra={"problem": type(error).__name__})
 
@@ -204,6 +213,21 @@
         url = f"{self._url}/streams/{request_id}?offset={offset}"
         return self._agent.request(b"GET", url.encode())
 
+    def _read(self, response):
+        parts = []
+
+        def end(is_complete):
+            if is_complete:
+                body.callback(b"".join(parts))
+                return
+            body.errback(ConnectionLost("the answer is incomplete"))
+
+        receiver = BodyReceiver(self.close_tracker, parts.append, end, MAX_CONTROL_BYTES)
+        body = Deferred(lambda _: receiver.close())
+        body.addTimeout(PROBE_TIMEOUT_S, self._reactor)
+        response.deliverBody(receiver)
+        return body
+
     def _track(self, call):
         self._calls.add(call)
 
--- a/packages/hemlockdock-core/hemlockdock_core/http/body_receiver.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/body_receiver.py
@@ -4,6 +4,8 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
 
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
 
 class BodyReceiver(Protocol):
     """Receive the body of one response.
@@ -16,12 +18,15 @@
         Takes bytes.
     on_end : callable
         Takes whether the body is complete.
+    max_bytes : int, optional
+        A longer body is incomplete, and its connection is closed.
     """
 
-    def __init__(self, tracker, on_data, on_end):
+    def __init__(self, tracker, on_data, on_end, max_bytes=MAX_BODY_BYTES):
         self._tracker = tracker
         self._on_data = on_data
         self._on_end = on_end
+        self._left_bytes = max_bytes
         self._closed = False
 
     def close(self):
@@ -32,8 +37,14 @@
 
     def dataReceived(self, data):
         """Forward received bytes."""
-        if not self._closed:
-            self._on_data(data)
+        if self._closed:
+            return
+        self._left_bytes -= len(data)
+        if self._left_bytes < 0:
+            self.close()
+            self._on_end(False)
+            return
+        self._on_data(data)
 
     def connectionLost(self, reason):
         """Report the end of the body.
--- a/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
@@ -8,6 +8,8 @@
 from zope.interface import implementer
 
 TLS_SCHEME = b"https"
+HEAD_END = b"\r\n\r\n"
+MAX_HEAD_BYTES = 65_536
 
 
 class CloseTracker:
@@ -82,6 +84,31 @@
 
 
 class _TrackedConnection(ProtocolWrapper):
+    """Also aborts the connection if the head of a response does not end."""
+
+    def __init__(self, factory, wrapped_protocol):
+        super().__init__(factory, wrapped_protocol)
+        self._in_head = True
+        self._head_bytes = 0
+        self._tail = b""
+
+    def write(self, data):
+        self._in_head = True
+        self._head_bytes = 0
+        self._tail = b""
+        super().write(data)
+
+    def dataReceived(self, data):
+        if self._in_head:
+            self._head_bytes += len(data)
+            received = self._tail + data
+            self._in_head = HEAD_END not in received
+            self._tail = received[1 - len(HEAD_END) :]
+        if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+            self.transport.abortConnection()
+            return
+        super().dataReceived(data)
+
     def connectionLost(self, reason):
         tracker = self.factory.tracker
         tracker.closed_cleanly = reason.check(ConnectionDone) is not None
--- a/packages/hemlockdock-core/hemlockdock_core/http/response_reader.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/response_reader.py
@@ -10,6 +10,8 @@
 CONNECTION = b"connection"
 KEEP_ALIVE = b"keep-alive"
 LOWEST_FINAL_STATUS = 200
+# Head, interim responses, chunk sizes and trailers, between two parts of a body.
+MAX_OVERHEAD_BYTES = 65_536
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -89,6 +91,7 @@
         self._parser = HttpResponseParser(self)
         self._headers = []
         self._head = None
+        self._overhead_bytes = 0
         self.idle = True
 
     def feed(self, data):
@@ -101,7 +104,9 @@
         Raises
         ------
         MalformedResponseError
+            Also if there is no end to what is neither a final head nor a body.
         """
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -110,6 +115,8 @@
             ) from None
         except HttpParserError as error:
             raise MalformedResponseError(str(error)) from error
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            raise MalformedResponseError(f"more than {MAX_OVERHEAD_BYTES} bytes without an answer")
 
     def closed(self, cleanly):
         """Handle the end of the connection.
@@ -145,6 +152,7 @@
         status = self._parser.get_status_code()
         if status < LOWEST_FINAL_STATUS:
             return
+        self._overhead_bytes = 0
         value_by_name = {name.lower(): value for name, value in self._headers}
         framing = _framing(status, value_by_name)
         self._head = ResponseHead(status, self._headers, value_by_name, framing)
@@ -152,6 +160,7 @@
 
     def on_body(self, data):
         """Handle a part of the body (called by httptools)."""
+        self._overhead_bytes = 0
         if self._head is not None:
             self._listener.response_body(data)
 
@@ -162,6 +171,7 @@
         self.idle = True
         if head is None:
             return
+        self._overhead_bytes = 0
         self._listener.response_ended(head.framed and self._parser.should_keep_alive())
 
 
--- a/packages/hemlockdock-core/tests/test_close_tracker.py
+++ b/packages/hemlockdock-core/tests/test_close_tracker.py
@@ -8,7 +8,7 @@
 from twisted.web.client import HTTPConnectionPool
 
 from hemlockdock_core.http.body_receiver import BodyReceiver
-from hemlockdock_core.http.close_tracker import CloseTracker
+from hemlockdock_core.http.close_tracker import MAX_HEAD_BYTES, CloseTracker
 
 URL = b"http://127.0.0.1:80/"
 
@@ -55,3 +55,55 @@
         self.assertEqual(self.receive(chunked, chunk + b"0\r\n\r\n", None), (b"body", [True]))
         self.assertEqual(self.receive(chunked, chunk, ConnectionDone()), (b"body", [False]))
         self.assertEqual(self.receive(chunked, chunk, ConnectionLost()), (b"body", [False]))
+
+
+class EndlessBytesTest(unittest.TestCase):
+    """A peer that sends bytes until its connection is closed."""
+
+    def setUp(self):
+        self.reactor = MemoryReactorClock()
+        self.tracker = CloseTracker()
+        self.received = []
+        self.ended = []
+        self.failed = []
+        agent = self.tracker.open_agent(self.reactor, HTTPConnectionPool(self.reactor), 1.0)
+        answered = agent.request(b"GET", URL)
+        answered.addCallback(self.deliver)
+        answered.addErrback(self.failed.append)
+        self.reactor.advance(0)
+        factory = self.reactor.tcpClients[0][2]
+        self.connection = factory.buildProtocol(None)
+        self.transport = Transport()
+        self.connection.makeConnection(self.transport)
+
+    def deliver(self, response):
+        receiver = BodyReceiver(self.tracker, self.received.append, self.ended.append, 100_000)
+        response.deliverBody(receiver)
+
+    def send_without_end(self, begin, part):
+        sent = len(begin)
+        self.connection.dataReceived(begin)
+        while not self.transport.disconnecting and sent < 4 * MAX_HEAD_BYTES:
+            self.connection.dataReceived(part)
+            sent += len(part)
+        self.assertTrue(self.transport.disconnecting)
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
+    def test_a_head_without_end_fails_the_request(self):
+        self.send_without_end(b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n" * 500)
+        self.assertEqual((len(self.failed), self.ended), (1, []))
+
+    def test_a_body_without_end_is_incomplete(self):
+        self.send_without_end(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 10_000)
+        self.assertEqual(self.ended, [False])
+        self.assertLessEqual(len(b"".join(self.received)), 100_000)
+
+    def test_a_long_body_after_a_short_head_is_received(self):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r")
+        self.connection.dataReceived(b"\n")
+        self.connection.dataReceived(b"x" * 90_000)
+        self.assertEqual(self.ended, [True])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_connection.py
@@ -23,6 +23,8 @@
 # A longer request may still be in transit when an early response is complete.
 LONG_REQUEST_BYTES = 32_768
 FIRST_ERROR_STATUS = 400
+# A response to another request that is longer than this keeps its connection busy for nothing.
+MAX_DISCARDED_BYTES = 1024 * 1024
 
 
 class EndpointConnection(Protocol):
@@ -43,6 +45,7 @@
         self._request_id_name = request_id_name
         self._reader = ResponseReader(self)
         self._discarding_response = False
+        self._discarded_bytes = 0
         self._unsafe_to_reuse = False
         self.idle_since_s = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
@@ -120,6 +123,10 @@
         """Pass on part of a response body."""
         if not self._discarding_response and self._try is not None:
             self._try.body_received(data)
+            return
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._fail("a response to another request does not end")
 
     def response_ended(self, reusable):
         """Complete the request, and release or close the connection."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -7,6 +7,7 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import LimitsRow
+from hemlockdock_entry.gateway.buffer_budget import BufferBudget
 from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
 from hemlockdock_entry.gateway.model_queue import ModelQueue
@@ -23,6 +24,8 @@
 DEFAULT_LIMITS = LimitsRow(0, 16_384, 4_194_304, 3_000, 15_000)
 # Maximum wait of a request for the first routing table after startup.
 ROUTES_WAIT_S = 0.8
+# A fraction of the memory of a thin host.
+MAX_HELD_BYTES = 64 * 1024 * 1024
 # If control is unavailable at first, it takes about one more leader election.
 NO_ROUTES_RETRY_MS = 800
 
@@ -52,6 +55,7 @@
     quarantine : Quarantine
     model_queue : ModelQueue
     origin_lookup : OriginLookup
+    buffer_budget : BufferBudget
     draining : bool
         Whether the entry is draining: responses close their connections.
     refuses_new_requests : bool
@@ -65,6 +69,7 @@
         self.dropped_headers = wire.headers.reserved | {wire.headers.time_left_ms}
         self.routes = None
         self.limits = DEFAULT_LIMITS
+        self.buffer_budget = BufferBudget(MAX_HELD_BYTES)
         self.draining = False
         self.refuses_new_requests = False
         self.send = send
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -8,6 +8,7 @@
 from hemlockdock_entry.gateway.response_check import check_head, requested_pause_s, stream_problem
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 # An endpoint is avoided for this long after it had no capacity or accepted no connection.
 FULL_PAUSE_S = 0.25
 # Minimum wait for the first byte if another endpoint could answer.
@@ -52,6 +53,7 @@
         self._runs_apart = False
         self._body = []
         self._body_bytes = 0
+        self._held_bytes = 0
         self._unsent_tries = 0
         self.tried_ids = set()
         self.may_have_run = False
@@ -137,7 +139,7 @@
             self._forward_events(endpoint_try, data)
             return
         self._body_bytes += len(data)
-        if self._body_bytes > MAX_BUFFERED_BYTES:
+        if not self._hold(self._body_bytes) or self._body_bytes > MAX_BUFFERED_BYTES:
             self._stop_oversized(endpoint_try, "the response exceeds the buffer limit")
             return
         self._body.append(data)
@@ -222,7 +224,8 @@
             row = endpoint_try.row
             exchange.binding.start(StreamOrigin(row.pool, row.software_version))
         self._note_progress()
-        if self._response_writer.partial_event_bytes > MAX_BUFFERED_BYTES:
+        partial_bytes = self._response_writer.partial_event_bytes
+        if not self._hold(partial_bytes) or partial_bytes > MAX_EVENT_BYTES:
             self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
 
     def _note_progress(self):
@@ -243,7 +246,14 @@
 
     def _stop_oversized(self, endpoint_try, problem):
         endpoint_try.cancel()
-        self.on_try_ended(endpoint_try, TryOutcome.UNKNOWN, problem)
+        is_not_run = endpoint_try.outcome is TryOutcome.NOT_RUN
+        outcome = TryOutcome.NOT_RUN if is_not_run else TryOutcome.UNKNOWN
+        self.on_try_ended(endpoint_try, outcome, problem)
+
+    def _hold(self, held_bytes):
+        """Return whether all exchanges together may hold back as much."""
+        before, self._held_bytes = self._held_bytes, held_bytes
+        return self._gateway.buffer_budget.change(before, held_bytes)
 
     def _apply_move(self, move, endpoint_try):
         exchange = self._exchange
@@ -277,6 +287,7 @@
         self.on_try_ended(endpoint_try, outcome, "no response before the first-byte timeout")
 
     def _release_endpoint(self, endpoint_try):
+        self._hold(0)
         if self._first_byte_call is not None:
             self._first_byte_call.cancel()
             self._first_byte_call = None
