gateway: a client that does not read its answer is dropped, as on the product's own interface

Found by looking for other protections that only one path has. What an endpoint writes went into the send buffer of its client, without limit, if the client did not read; the product's own interface drops such callers. The connection is aborted after 1 MiB written to a full buffer, and its request ends at the endpoint. SlowClientTest could not run before, as a connection did not know that its buffer was full.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -4,7 +4,9 @@
 from collections import deque
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol
+from zope.interface import implementer
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
@@ -18,8 +20,11 @@
 CONNECTION = b"connection"
 # Complete requests that may be queued behind the one in progress.
 MAX_PIPELINED_REQUESTS = 16
+# Written while the send buffer was full; a client that lets more wait does not read.
+MAX_UNSENT_BYTES = 1024 * 1024
 
 
+@implementer(IPushProducer)
 class ClientConnection(Protocol):
     """Parse the requests of one client connection, and write their responses in order.
 
@@ -44,6 +49,8 @@
         self._header_timer = None
         self._refusal = None
         self._closing = False
+        self._is_send_buffer_full = False
+        self._unsent_bytes = 0
         self.idle_since_s = gateway.clock.seconds()
         self.is_lost = False
 
@@ -55,6 +62,7 @@
     def connectionMade(self):
         """Register the connection with the gateway."""
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
         self._gateway.add_client(self)
 
     def connectionLost(self, reason):
@@ -151,14 +159,31 @@
     # Called by ProxyExchange and Gateway.
 
     def write(self, data):
-        """Write part of the response.
+        """Write part of the response, or drop a client that does not read.
 
         Parameters
         ----------
         data : bytes
         """
+        if self._is_send_buffer_full:
+            self._unsent_bytes += len(data)
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            self._gateway.clock.callLater(0, self._drop_slow_client)
+            return
         self.transport.write(data)
 
+    def pauseProducing(self):
+        """Count what is written from now on, since the send buffer is full."""
+        self._is_send_buffer_full = True
+
+    def resumeProducing(self):
+        """Stop counting, since the send buffer has drained."""
+        self._is_send_buffer_full = False
+        self._unsent_bytes = 0
+
+    def stopProducing(self):
+        """Do nothing; ``connectionLost`` handles the end of the connection."""
+
     def response_finished(self, keep_alive):
         """Start the next request, or close the connection, after a complete response.
 
@@ -199,6 +224,14 @@
         """
         return request.keep_alive and not self._gateway.draining
 
+    def _drop_slow_client(self):
+        if self.is_lost or self._closing:
+            return
+        self._closing = True
+        COUNTERS.increment("gateway_slow_clients_dropped")
+        logger.info("client does not read, connection aborted")
+        self.transport.abortConnection()
+
     def _start_next_request(self):
         if self._exchange is not None or not self._pending_requests or self._closing:
             return
--- a/packages/hemlockdock-entry/tests/test_gateway_endless.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_endless.py
@@ -1,4 +1,4 @@
-"""Test endpoints that send bytes without end."""
+"""Test endpoints that send bytes without end, and clients that never read."""
 
 import unittest
 
@@ -11,6 +11,7 @@
     endpoint,
 )
 
+from hemlockdock_entry.gateway.client_connection import MAX_UNSENT_BYTES
 from hemlockdock_entry.gateway.gateway import MAX_HELD_BYTES
 
 MODEL = b"X-Use-Model: m\r\n"
@@ -118,5 +119,39 @@
         self.assertEqual(self.harness.gateway.buffer_budget._held_bytes, 0)
 
 
+class SlowClientTest(unittest.TestCase):
+    def test_a_client_that_does_not_read_its_stream_is_dropped(self):
+        harness = GatewayHarness()
+        harness.put_rows(endpoint("m", "lm", 10, models=("m",)))
+        client = harness.client()
+        client.send_request(STREAM_PATH, left_ms=10_000, extra=MODEL)
+        server = harness.connect()
+        server.begin_stream()
+        client.connection.pauseProducing()
+        sent = 0
+        while not client.transport.aborted and sent < 4 * MAX_UNSENT_BYTES:
+            server.chunk(EVENT * 1_000)
+            sent += 1_000 * len(EVENT)
+            harness.reactor.advance(0)
+        self.assertTrue(client.transport.aborted)
+        self.assertLessEqual(len(client.received), MAX_UNSENT_BYTES + SEGMENT_BYTES)
+        client.disconnect_client()
+        self.assertTrue(server.transport.aborted)
+
+    def test_a_client_that_reads_again_in_time_gets_its_stream(self):
+        harness = GatewayHarness()
+        harness.put_rows(endpoint("m", "lm", 10, models=("m",)))
+        client = harness.client()
+        client.send_request(STREAM_PATH, left_ms=10_000, extra=MODEL)
+        server = harness.connect()
+        server.begin_stream()
+        for _ in range(40):
+            client.connection.pauseProducing()
+            server.chunk(EVENT * 5_000)
+            client.connection.resumeProducing()
+            harness.reactor.advance(0)
+        self.assertFalse(client.transport.aborted)
+
+
 if __name__ == "__main__":
     unittest.main()
