--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -40,6 +40,7 @@
     wire : Wire
     send : callable
         Sends a message to an address.
+    random_source : random.Random, optional
 
     Attributes
     ----------
@@ -63,7 +64,7 @@
     fleet : FleetSection
     """
 
-    def __init__(self, reactor, settings, wire, send):
+    def __init__(self, reactor, settings, wire, send, random_source=None):
         self.clock = reactor
         self.headers = wire.headers
         self.dropped_headers = wire.headers.reserved | {wire.headers.time_left_ms}
@@ -74,7 +75,7 @@
         self.refuses_new_requests = False
         self.send = send
         self.fleet = settings.fleet
-        self._random = random.Random(secrets.randbits(64))
+        self._random = random_source or random.Random(secrets.randbits(64))
         self._link = None
         self._client_connections = set()
         self._exchanges = set()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
@@ -14,6 +14,7 @@
 from hemlockdock_entry.gateway.crash_reports import CrashReporter
 from hemlockdock_entry.gateway.crash_watch import CrashWatch, EndpointRun
 from hemlockdock_entry.gateway.part_quarantine import PartQuarantine
+from hemlockdock_entry.gateway.prompt_parts import Prompt
 from hemlockdock_entry.routing import CrashTracker, TrustLevel
 
 logger = logging.getLogger(__name__)
@@ -32,11 +33,12 @@
     Attributes
     ----------
     watch : CrashWatch
+    read_wall_ms : callable
     """
 
     def __init__(self, gateway, node_id, read_wall_ms=wall_ms):
         self._gateway = gateway
-        self._wall_ms = read_wall_ms
+        self.read_wall_ms = read_wall_ms
         self._tracker = CrashTracker(CRASHES_BEFORE_QUARANTINE)
         self._parts = PartQuarantine()
         self._reporter = CrashReporter(gateway, node_id)
@@ -63,7 +65,7 @@
         """
         table = self._gateway.table
         now_s = self._gateway.clock.seconds()
-        now_ms = self._wall_ms()
+        now_ms = self.read_wall_ms()
         fingerprint = exchange.fingerprint
         level = self._tracker.trust_level(table, fingerprint, now_s, now_ms)
         if level is TrustLevel.REFUSED:
@@ -78,6 +80,22 @@
         crash_ids = list(refused.crash_ids)
         return _refusal(exchange, refused.key, crash_ids, refused.retry_after_ms, message)
 
+    def refuses_part(self, part):
+        """Return whether prompts with a part, and no other suspected one, are refused.
+
+        Parameters
+        ----------
+        part : str
+
+        Returns
+        -------
+        bool
+        """
+        now_s = self._gateway.clock.seconds()
+        prompt = Prompt((part,))
+        table = self._gateway.table
+        return self._parts.refused_part(prompt, table, now_s, self.read_wall_ms()) is not None
+
     def crash_count(self, exchange):
         """Return the number of crashes that a request, or a part of its prompt, may explain.
 
@@ -91,7 +109,7 @@
         """
         table = self._gateway.table
         now_s = self._gateway.clock.seconds()
-        whole = self._tracker.crash_count(table, exchange.fingerprint, now_s, self._wall_ms())
+        whole = self._tracker.crash_count(table, exchange.fingerprint, now_s, self.read_wall_ms())
         return max(whole, self._parts.crash_count(exchange.prompt.parts, table, now_s))
 
     def repeat(self, exchange, row):
@@ -185,7 +203,7 @@
     def _explains_crash(self, run):
         table = self._gateway.table
         now_s = self._gateway.clock.seconds()
-        level = self._tracker.trust_level(table, run.fingerprint, now_s, self._wall_ms())
+        level = self._tracker.trust_level(table, run.fingerprint, now_s, self.read_wall_ms())
         return level is TrustLevel.REFUSED or self._parts.explains_crash(run.parts, table)
 
     def _on_answered(self, run):
