--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -0,0 +1,99 @@
+"""Decide which endpoints may take a request of this entry now."""
+
+from hemlockdock_entry.gateway.continuation import may_run_at
+
+
+class EndpointSelection:
+    """The endpoints that may take a request now, as far as this entry knows.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+
+    def usable(self, pool):
+        """Return a pool's endpoints without those in doubt, in a pause, or at their limit.
+
+        Parameters
+        ----------
+        pool : PoolRow
+
+        Returns
+        -------
+        list of EndpointRow
+        """
+        gateway = self._gateway
+        now_s = gateway.clock.seconds()
+        usable = []
+        for row in gateway.endpoints.below_connection_limit(pool, gateway.entries):
+            if gateway.quarantine.watch.is_in_doubt(row.endpoint_id):
+                continue
+            if gateway.health.for_endpoint(row.endpoint_id).paused_until_s > now_s:
+                continue
+            usable.append(row)
+        return usable
+
+    def choose(self, exchange):
+        """Choose the endpoint for a request that names no model.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+
+        Returns
+        -------
+        EndpointRow or None
+        """
+        health = self._gateway.health
+        now_s = self._gateway.clock.seconds()
+        apart = exchange.runs_apart
+        usable = self.usable(exchange.pool)
+        usable = [row for row in usable if may_run_at(exchange.binding.origin, row)]
+        row = health.choose(usable, now_s, exchange.tried_ids, apart=apart)
+        if row is None:
+            row = health.choose(usable, now_s, apart=apart)
+        return row
+
+    def in_doubt(self, pool):
+        """Return an endpoint of a pool that may have crashed just now, or None.
+
+        Parameters
+        ----------
+        pool : PoolRow
+
+        Returns
+        -------
+        EndpointRow or None
+        """
+        for row in self._gateway.endpoints.of_pool(pool.name):
+            if self._gateway.quarantine.watch.is_in_doubt(row.endpoint_id):
+                return row
+        return None
+
+    def pause_end_s(self, exchange):
+        """Return when the first endpoint that could run a request ends its pause.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+
+        Returns
+        -------
+        float or None
+            None if one of them has not asked for a pause, or if there is none.
+        """
+        now_s = self._gateway.clock.seconds()
+        ends_s = []
+        for row in self._gateway.endpoints.of_pool(exchange.pool.name):
+            if row.leaving or not may_run_at(exchange.binding.origin, row):
+                continue
+            if exchange.model and not row.has_model(exchange.model):
+                continue
+            end_s = self._gateway.health.for_endpoint(row.endpoint_id).paused_until_s
+            if end_s <= now_s:
+                return None
+            ends_s.append(end_s)
+        return min(ends_s, default=None)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -8,8 +8,8 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
-from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
+from hemlockdock_entry.gateway.endpoint_selection import EndpointSelection
 from hemlockdock_entry.gateway.model_queue import ModelQueue
 from hemlockdock_entry.gateway.origin_lookup import OriginLookup
 from hemlockdock_entry.gateway.pool_endpoints import PoolEndpoints
@@ -54,6 +54,7 @@
     health : EndpointHealthTracker
     endpoints : PoolEndpoints
     quarantine : Quarantine
+    selection : EndpointSelection
     model_queue : ModelQueue
     origin_lookup : OriginLookup
     buffer_budget : BufferBudget
@@ -86,6 +87,7 @@
             reactor, settings, wire.headers.request_id, self.health, self._on_idle_connection_lost
         )
         self.quarantine = Quarantine(self, settings.process.node_id)
+        self.selection = EndpointSelection(self)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
 
@@ -281,52 +283,6 @@
         """
         return self.endpoints.find(endpoint_id)
 
-    def usable_endpoints(self, pool):
-        """Return a pool's endpoints that may take a request of this entry now.
-
-        Parameters
-        ----------
-        pool : PoolRow
-
-        Returns
-        -------
-        list of EndpointRow
-        """
-        now_s = self.clock.seconds()
-        usable = []
-        for row in self.endpoints.below_connection_limit(pool, self.entries):
-            if self.quarantine.watch.is_in_doubt(row.endpoint_id):
-                continue
-            if self.health.for_endpoint(row.endpoint_id).paused_until_s > now_s:
-                continue
-            usable.append(row)
-        return usable
-
-    def pause_end_s(self, exchange):
-        """Return when the first endpoint that could run a request ends its pause.
-
-        Parameters
-        ----------
-        exchange : ProxyExchange
-
-        Returns
-        -------
-        float or None
-            None if one of them has not asked for a pause, or if there is none.
-        """
-        now_s = self.clock.seconds()
-        ends_s = []
-        for row in self.endpoints.of_pool(exchange.pool.name):
-            if row.leaving or not may_run_at(exchange.binding.origin, row):
-                continue
-            if exchange.model and not row.has_model(exchange.model):
-                continue
-            end_s = self.health.for_endpoint(row.endpoint_id).paused_until_s
-            if end_s <= now_s:
-                return None
-            ends_s.append(end_s)
-        return min(ends_s, default=None)
-
     def endpoint_leaves(self, endpoint_id):
         """Send no further requests to an endpoint, which announced in a response that it leaves.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
@@ -68,6 +68,21 @@
         """Return whether the client's HTTP version has the chunked transfer coding."""
         return self.http_version != "1.0"
 
+    def header(self, name):
+        """Return the value of a header.
+
+        Parameters
+        ----------
+        name : bytes
+            In lower case.
+
+        Returns
+        -------
+        bytes
+            Empty if the request has no such header.
+        """
+        return self.value_by_name.get(name, b"")
+
     @property
     def path(self):
         """Return the target without its query string."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -181,7 +181,7 @@
                 exchange.request.received_s,
                 exchange.deadline_s,
             )
-            served_s = _earliest(ready_s, self._gateway.pause_end_s(exchange))
+            served_s = _earliest(ready_s, self._gateway.selection.pause_end_s(exchange))
             if not may_wait(patience, served_s, now_s, least_s):
                 self._refuse_with_retry_time(use, exchange, served_s, least_s)
 
@@ -201,7 +201,7 @@
         now_s = gateway.clock.seconds()
         max_in_flight = max(2, int(exchange.pool.engine.slots * MAX_SLOT_SHARE))
         usable = []
-        for row in gateway.usable_endpoints(exchange.pool):
+        for row in gateway.selection.usable(exchange.pool):
             if not row.has_model(exchange.model) or not may_run_at(exchange.binding.origin, row):
                 continue
             health = gateway.health.for_endpoint(row.endpoint_id)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -1,20 +1,17 @@
 """Process one client request: select an endpoint, forward the request, return the response."""
 
-from functools import cached_property
 from math import ceil
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
-from hemlockdock_entry.gateway.continuation import can_continue, may_run_at
+from hemlockdock_entry.gateway.continuation import can_continue
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
-from hemlockdock_entry.gateway.prompt_parts import Prompt, shared_parts
+from hemlockdock_entry.gateway.request_content import HOST, RequestContent
 from hemlockdock_entry.gateway.request_times import RequestTimes
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
 from hemlockdock_entry.gateway.stream_binding import StreamBinding
 from hemlockdock_entry.gateway.try_sequence import TrySequence
-from hemlockdock_entry.intake import fingerprint_of
 
-HOST = b"host"
 MS_PER_S = 1_000
 # Many sound requests are in flight at one crash, hardly any at two.
 CRASHES_BEFORE_RUN_APART = 2
@@ -54,6 +51,7 @@
         self._response_writer = ResponseWriter(gateway, connection, request)
         self._log = ExchangeLog(gateway, self, self._response_writer)
         self._tries = TrySequence(gateway, self, self._response_writer, self._log)
+        self._content = RequestContent(request, gateway.headers)
         self._times = None
         self._deadline_call = None
         self._ended = False
@@ -74,17 +72,15 @@
         """Return the request id that the client sent."""
         return self.header(self._gateway.headers.request_id)
 
-    @cached_property
+    @property
     def fingerprint(self):
         """Return the digest that the request shares with those of the same content."""
-        request = self.request
-        line = f"{request.method.decode('latin-1')} {request.target.decode('latin-1')}"
-        return fingerprint_of(self.header(HOST).decode("latin-1"), line, request.body)
+        return self._content.fingerprint
 
-    @cached_property
+    @property
     def prompt(self):
-        """Return the Prompt, which is without parts if the request names none."""
-        return Prompt(shared_parts(self.header(self._gateway.headers.prompt_parts)))
+        """Return the Prompt."""
+        return self._content.prompt
 
     @property
     def runs_apart(self):
@@ -129,7 +125,7 @@
         bytes
             Empty if the request has no such header.
         """
-        return self.request.value_by_name.get(name, b"")
+        return self.request.header(name)
 
     def now_s(self):
         """Return the time, in seconds."""
@@ -167,19 +163,15 @@
         if self.model:
             self._gateway.model_queue.enqueue(self)
             return
-        usable = self._gateway.usable_endpoints(self.pool)
-        usable = [row for row in usable if may_run_at(self.binding.origin, row)]
-        apart = self.runs_apart
-        row = self._gateway.health.choose(usable, self.now_s(), self.tried_ids, apart=apart)
-        if row is None:
-            row = self._gateway.health.choose(usable, self.now_s(), apart=apart)
+        selection = self._gateway.selection
+        row = selection.choose(self)
         if row is not None:
             self.send_to(row)
             return
-        for row in rows:
-            if self._gateway.quarantine.watch.is_in_doubt(row.endpoint_id):
-                self._gateway.quarantine.watch.call_when_known(row, self.dispatch)
-                return
+        in_doubt = selection.in_doubt(self.pool)
+        if in_doubt is not None:
+            self._gateway.quarantine.watch.call_when_known(in_doubt, self.dispatch)
+            return
         self._refuse_without_endpoint()
 
     def send_to(self, row):
@@ -300,7 +292,7 @@
             self.refuse(Refusal.of(ErrorKind.ENDPOINT_LOST, message))
             return
         message = "no endpoint of the pool can take it"
-        pause_end_s = self._gateway.pause_end_s(self)
+        pause_end_s = self._gateway.selection.pause_end_s(self)
         after_ms = None
         if pause_end_s is not None:
             after_ms = ceil((pause_end_s - self.now_s()) * MS_PER_S)
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_content.py
@@ -0,0 +1,34 @@
+"""What a client's request has in common with others: its content, and parts of its prompt."""
+
+from functools import cached_property
+
+from hemlockdock_entry.gateway.prompt_parts import Prompt, shared_parts
+from hemlockdock_entry.intake import fingerprint_of
+
+HOST = b"host"
+
+
+class RequestContent:
+    """Identify the content of one client request.
+
+    Parameters
+    ----------
+    request : ClientRequest
+    names : HeaderNames
+    """
+
+    def __init__(self, request, names):
+        self._request = request
+        self._names = names
+
+    @cached_property
+    def fingerprint(self):
+        """Return the digest that the request shares with those of the same content."""
+        request = self._request
+        line = f"{request.method.decode('latin-1')} {request.target.decode('latin-1')}"
+        return fingerprint_of(request.header(HOST).decode("latin-1"), line, request.body)
+
+    @cached_property
+    def prompt(self):
+        """Return the Prompt, which is without parts if the request names none."""
+        return Prompt(shared_parts(self._request.header(self._names.prompt_parts)))
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -5,10 +5,9 @@
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
 from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
+from hemlockdock_entry.gateway.response_buffer import ResponseBuffer
 from hemlockdock_entry.gateway.response_check import check_head, requested_pause_s, stream_problem
 
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
-MAX_EVENT_BYTES = 1024 * 1024
 # An endpoint is avoided for this long after it had no capacity or accepted no connection.
 FULL_PAUSE_S = 0.25
 # Minimum wait for the first byte if another endpoint could answer.
@@ -51,9 +50,7 @@
         self._first_event_s = None
         self._has_carried_on = False
         self._runs_apart = False
-        self._body = []
-        self._body_bytes = 0
-        self._held_bytes = 0
+        self._buffer = ResponseBuffer(gateway.buffer_budget)
         self._unsent_tries = 0
         self.tried_ids = set()
         self.may_have_run = False
@@ -73,8 +70,7 @@
         self._events_before_try = self._response_writer.event_count
         self._first_event_s = None
         self._has_carried_on = False
-        self._body = []
-        self._body_bytes = 0
+        self._buffer.clear()
         data = build_forwarded_request(
             exchange, row, self._gateway, self._response_writer.last_event_id
         )
@@ -138,11 +134,8 @@
         if self._is_streaming:
             self._forward_events(endpoint_try, data)
             return
-        self._body_bytes += len(data)
-        if not self._hold(self._body_bytes) or self._body_bytes > MAX_BUFFERED_BYTES:
+        if not self._buffer.add(data):
             self._stop_oversized(endpoint_try, "the response exceeds the buffer limit")
-            return
-        self._body.append(data)
 
     def on_response_end(self, endpoint_try):
         """Complete the request, or handle the failure that the response head reported.
@@ -169,7 +162,7 @@
         if self._is_streaming:
             self._exchange.end_stream(head)
             return
-        self._exchange.deliver(head, b"".join(self._body))
+        self._exchange.deliver(head, self._buffer.body)
 
     def on_run_lost(self, endpoint_try):
         """Note that an endpoint closed the connection of a request that it may have been running.
@@ -224,8 +217,7 @@
             row = endpoint_try.row
             exchange.binding.start(StreamOrigin(row.pool, row.software_version))
         self._note_progress()
-        partial_bytes = self._response_writer.partial_event_bytes
-        if not self._hold(partial_bytes) or partial_bytes > MAX_EVENT_BYTES:
+        if not self._buffer.hold_event(self._response_writer.partial_event_bytes):
             self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
 
     def _note_progress(self):
@@ -250,18 +242,13 @@
         outcome = TryOutcome.NOT_RUN if is_not_run else TryOutcome.UNKNOWN
         self.on_try_ended(endpoint_try, outcome, problem)
 
-    def _hold(self, held_bytes):
-        """Return whether all exchanges together may hold back as much."""
-        before, self._held_bytes = self._held_bytes, held_bytes
-        return self._gateway.buffer_budget.change(before, held_bytes)
-
     def _apply_move(self, move, endpoint_try):
         exchange = self._exchange
         if move is NextMove.TRY_AGAIN:
             self._response_writer.discard_partial_event()
             self._gateway.quarantine.repeat(exchange, endpoint_try.row)
         elif move is NextMove.DELIVER_FAILURE:
-            exchange.deliver_failure(endpoint_try.head, b"".join(self._body))
+            exchange.deliver_failure(endpoint_try.head, self._buffer.body)
         elif move is NextMove.BREAK_OFF:
             exchange.abort_response("the endpoint aborted its response")
         elif move is NextMove.REFUSE_NOT_RUN:
@@ -287,7 +274,7 @@
         self.on_try_ended(endpoint_try, outcome, "no response before the first-byte timeout")
 
     def _release_endpoint(self, endpoint_try):
-        self._hold(0)
+        self._buffer.release()
         if self._first_byte_call is not None:
             self._first_byte_call.cancel()
             self._first_byte_call = None
