entry: what was answered after a crash is released with one command

An entry collects them for 50 ms; a release names several keys, of which an older member takes the first.

--- a/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
@@ -92,11 +92,14 @@
         -------
         CommandResult
         """
-        record = self.suspect_by_fingerprint.get(command.fingerprint)
-        if record is None:
+        keys = (command.fingerprint, *command.others)
+        records = [self.suspect_by_fingerprint.get(key) for key in keys]
+        released = [record for record in records if record is not None]
+        if not released:
             message = f"no quarantine of {command.fingerprint!r}"
             return refused(self._context.index, ErrorKind.BAD_REQUEST, message)
-        self._clear(record, command.who, "released")
+        for record in released:
+            self._clear(record, command.who, "released")
         return CommandResult(self._context.index)
 
     def has_due(self, now_ms):
--- a/packages/hemlockdock-control/tests/test_cluster_state.py
+++ b/packages/hemlockdock-control/tests/test_cluster_state.py
@@ -170,6 +170,12 @@
                 self.driver.apply(ReleaseQuarantine("unlucky", "entry-1: answered", self.now_ms))
         self.assertEqual(self.refused(), [])
 
+    def test_several_requests_are_released_together(self):
+        self.report("e", "a", "b", "c")
+        command = ReleaseQuarantine("gone", "entry-1: answered", self.now_ms, ("a", "b"))
+        self.assertIsNone(self.driver.apply(command).refusal)
+        self.assertEqual(list(self.suspects), ["c"])
+
     def test_the_record_outlives_a_snapshot_and_ends_by_itself(self):
         for number in range(3):
             self.report(f"e{number}", "bad")
--- a/packages/hemlockdock-core/hemlockdock_core/commands/crashes.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/crashes.py
@@ -30,7 +30,7 @@
 
 
 class ReleaseQuarantine(BaseCommand, frozen=True):
-    """Release a request or a part of prompts from quarantine or suspicion.
+    """Release requests or parts of prompts from quarantine or suspicion.
 
     Attributes
     ----------
@@ -39,8 +39,11 @@
     who : str
         Operator's name.
     at_ms : int
+    others : tuple of str
+        Further requests or parts.
     """
 
     fingerprint: str
     who: str
     at_ms: int
+    others: tuple[str, ...] = ()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_reports.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_reports.py
@@ -8,6 +8,8 @@
 
 # Control may be without a leader for a while; a crash reported later than this is old news.
 REPORT_TIMEOUT_MS = 30_000
+# Dozens of requests are answered shortly after the crash that made them suspects.
+RELEASE_DELAY_S = 0.05
 # Of the requests that were in flight at a crash, as many are reported.
 MAX_REPORTED = 64
 MAX_LOGGED_CHARACTERS = 500
@@ -25,7 +27,9 @@
     def __init__(self, gateway, node_id):
         self._gateway = gateway
         self._node_id = node_id
+        self._sound_keys = set()
         self._releasing = set()
+        self._release_call = None
 
     def report_crash(self, row, parts_by_fingerprint):
         """Report the crash of an endpoint.
@@ -60,9 +64,19 @@
         """
         if key in self._releasing:
             return
-        self._releasing.add(key)
-        outcome = self._propose(ReleaseQuarantine(key, f"{self._node_id}: answered", 0))
-        outcome.addBoth(lambda _: self._releasing.discard(key))
+        self._sound_keys.add(key)
+        if self._release_call is None:
+            self._release_call = self._gateway.clock.callLater(RELEASE_DELAY_S, self._release)
+
+    def _release(self):
+        """Release all that was answered lately, with one command."""
+        self._release_call = None
+        keys = sorted(self._sound_keys)
+        self._sound_keys = set()
+        self._releasing.update(keys)
+        who = f"{self._node_id}: answered"
+        outcome = self._propose(ReleaseQuarantine(keys[0], who, 0, tuple(keys[1:])))
+        outcome.addBoth(lambda _: self._releasing.difference_update(keys))
 
     def _propose(self, command):
         outcome = self._gateway.propose(command, REPORT_TIMEOUT_MS)
--- a/packages/hemlockdock-entry/tests/test_gateway_prompt_parts.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_prompt_parts.py
@@ -7,6 +7,7 @@
 
 from hemlockdock_core.commands import RecordCrash, ReleaseQuarantine
 from hemlockdock_core.rows import QuarantineRow
+from hemlockdock_entry.gateway.crash_reports import RELEASE_DELAY_S
 from hemlockdock_entry.gateway.part_quarantine import MAX_SEEN_PARTS, PartQuarantine
 from hemlockdock_entry.gateway.prompt_parts import MAX_PARTS, shared_parts
 from hemlockdock_entry.gateway.sound_parts import MAX_PARTS as SOUND_LIMIT
@@ -97,6 +98,7 @@
         return parts
 
     def released(self):
+        self.harness.reactor.advance(RELEASE_DELAY_S)
         proposed = self.harness.link.proposed
         return {item.fingerprint for item in proposed if isinstance(item, ReleaseQuarantine)}
 
--- a/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
@@ -15,6 +15,7 @@
 
 from hemlockdock_core.commands import RecordCrash, ReleaseQuarantine
 from hemlockdock_core.rows import QuarantineRow
+from hemlockdock_entry.gateway.crash_reports import RELEASE_DELAY_S
 
 LOGGER = "hemlockdock_entry.gateway.exchange_log"
 
@@ -130,9 +131,23 @@
         self.assertEqual(client.status, 200)
         self.harness.reactor.advance(1.0)
         self.harness.gateway.run_maintenance()
+        self.harness.reactor.advance(RELEASE_DELAY_S)
         released = self.harness.link.proposed[-1]
         self.assertEqual((type(released), released.fingerprint), (ReleaseQuarantine, fingerprint))
 
+    def test_requests_that_are_answered_shortly_after_each_other_are_released_together(self):
+        clients = [self.send(b"%d" % number) for number in range(3)]
+        fingerprints = [self.fingerprint_of(client) for client in clients]
+        for fingerprint in fingerprints:
+            self.harness.put_rows(QuarantineRow(fingerprint, 1, False, FAR_FUTURE_MS))
+        for number in range(3):
+            self.answer(b"%d" % (number + 1))
+        self.harness.reactor.advance(1.0)
+        self.harness.gateway.run_maintenance()
+        self.harness.reactor.advance(RELEASE_DELAY_S)
+        (command,) = self.harness.link.proposed
+        self.assertEqual([command.fingerprint, *command.others], sorted(fingerprints))
+
     def test_answers_between_crashes_keep_a_request_in_service(self):
         for _ in range(4):
             self.crash_once(b"unlucky")
