--- a/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
@@ -92,7 +92,7 @@
         -------
         CommandResult
         """
-        keys = (command.fingerprint, *command.others)
+        keys = dict.fromkeys((command.fingerprint, *command.others))
         records = [self.suspect_by_fingerprint.get(key) for key in keys]
         released = [record for record in records if record is not None]
         if not released:
--- a/packages/hemlockdock-control/tests/test_state_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_state_fuzz.py
@@ -33,6 +33,7 @@
 )
 from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.rows import ReplicaState, RoutingTable
+from hemlockdock_core.suspect_keys import is_part
 
 AGENTS = ("agent-1", "agent-2")
 ENTRIES = ("entry-1", "entry-2")
@@ -310,13 +311,38 @@
         after = self.state.crashes.suspect_by_fingerprint
         for fingerprint, record in after.items():
             if record.refused and not before.get(fingerprint, False):
-                # Only requests that were in flight at two crashes may be quarantined.
+                # By a complete report, only requests in flight at two crashes may be quarantined.
                 assert fingerprint in before and fingerprint in fingerprints
                 assert len(record.crash_ids) >= 2
 
-    @rule(fingerprint=st.sampled_from("abc"))
-    def release(self, fingerprint):
-        self.apply(ReleaseQuarantine(fingerprint, "tester", self.driver.now_ms))
+    @rule(
+        endpoint=st.integers(1, 4),
+        parts_by_fingerprint=st.dictionaries(
+            st.sampled_from("abcd"), st.sets(st.sampled_from("pqr"), max_size=2), max_size=3
+        ),
+    )
+    def incomplete_crash_report(self, endpoint, parts_by_fingerprint):
+        records = self.state.crashes.suspect_by_fingerprint
+        before = {key: record.refused for key, record in records.items()}
+        reported = {name: tuple(sorted(ids)) for name, ids in parts_by_fingerprint.items()}
+        command = RecordCrash(
+            f"e{endpoint}", "entry-1", sorted(reported), self.driver.now_ms, False, reported
+        )
+        self.apply(command)
+        for key, record in records.items():
+            assert len(set(record.crash_ids)) == len(record.crash_ids)
+            if not record.refused or before.get(key, False):
+                continue
+            assert len(record.crash_ids) >= 3
+            # One request that comes again says nothing about the parts of its prompt.
+            assert not is_part(key) or len(set(record.requests)) >= 2
+
+    @rule(keys=st.lists(st.sampled_from(("a", "b", "part:p", "part:q")), min_size=1, max_size=3))
+    def release(self, keys):
+        first, *others = keys
+        self.apply(ReleaseQuarantine(first, "tester", self.driver.now_ms, tuple(others)))
+        remaining = self.state.crashes.suspect_by_fingerprint
+        assert not remaining.keys() & set(keys)
 
     @rule(step_ms=st.sampled_from((-5_000, 1, 30_000, 700_000)))
     def time(self, step_ms):
