links: a message that only another software version knows is discarded, and its connection stays open

Such a message is counted and discarded now; bytes that are no frame of this protocol still close their connection. test_a_message_of_another_software_version_leaves_its_connection_open and CodecTest failed before (no such error).

--- a/packages/hemlockdock-core/hemlockdock_core/links/mailbox.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/mailbox.py
@@ -5,7 +5,7 @@
 import pynng
 
 from hemlockdock_core.links.descriptor_reader import DescriptorReader
-from hemlockdock_core.messages.codec import MalformedFrameError
+from hemlockdock_core.messages.codec import MalformedFrameError, UnknownMessageError
 from hemlockdock_core.metrics import COUNTERS
 
 logger = logging.getLogger(__name__)
@@ -18,7 +18,8 @@
 class Mailbox:
     """A listening socket that passes each received frame to a callback.
 
-    A malformed frame is counted and closes only the connection on which it arrived.
+    A malformed frame is counted and closes only the connection on which it arrived. A message that
+    only another software version knows is counted and discarded.
 
     Parameters
     ----------
@@ -69,6 +70,10 @@
     def _handle_message(self, message):
         try:
             frame = self._codec.decode(message.bytes)
+        except UnknownMessageError as error:
+            COUNTERS.increment("link_unknown_messages")
+            logger.info("unknown message discarded", extra={"problem": str(error)})
+            return
         except MalformedFrameError as error:
             COUNTERS.increment("link_malformed_frames")
             logger.warning("malformed frame", extra={"problem": str(error)})
--- a/packages/hemlockdock-core/hemlockdock_core/messages/codec.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/codec.py
@@ -9,6 +9,10 @@
     """Raised if data is not a valid frame of this protocol version."""
 
 
+class UnknownMessageError(ValueError):
+    """Raised if a valid frame carries a message that this software version does not know."""
+
+
 class Codec:
     """Encodes and decodes frames whose body is one of a union of message types.
 
@@ -31,6 +35,19 @@
             array_like=True,
             frozen=True,
         )
+        envelope_type = msgspec.defstruct(
+            "Envelope",
+            [
+                ("version", int),
+                ("sender", str),
+                ("incarnation", int),
+                ("reply_to", str),
+                ("body", msgspec.Raw),
+            ],
+            array_like=True,
+            frozen=True,
+        )
+        self._envelope_decoder = msgspec.msgpack.Decoder(envelope_type)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(frame_type)
 
@@ -62,11 +79,25 @@
         ------
         MalformedFrameError
             If the data is not a frame, or has another protocol version.
+        UnknownMessageError
+            If only the body is not valid: the sender may have another software version.
         """
         try:
             frame = self._decoder.decode(data)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            raise MalformedFrameError(str(error)) from None
-        if frame.version != PROTOCOL_VERSION:
-            raise MalformedFrameError(f"unsupported protocol version {frame.version}")
+            self._check_envelope(data)
+            raise UnknownMessageError(str(error)) from None
+        _check_version(frame)
         return Frame(frame.version, frame.sender, frame.incarnation, frame.reply_to, frame.body)
+
+    def _check_envelope(self, data):
+        try:
+            envelope = self._envelope_decoder.decode(data)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise MalformedFrameError(str(error)) from None
+        _check_version(envelope)
+
+
+def _check_version(frame):
+    if frame.version != PROTOCOL_VERSION:
+        raise MalformedFrameError(f"unsupported protocol version {frame.version}")
--- a/packages/hemlockdock-core/tests/test_links.py
+++ b/packages/hemlockdock-core/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Test that frames arrive complete and in order, and that a malformed one closes one connection."""
+"""Test that frames arrive complete and in order, and which ones close their connection."""
 
 import unittest
 
@@ -9,6 +9,8 @@
 
 from hemlockdock_core.links import MessageTransport
 from hemlockdock_core.messages import NODE_CODEC, AnswerChunk
+from hemlockdock_core.messages.codec import MalformedFrameError, UnknownMessageError
+from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.metrics import COUNTERS
 
 WAIT_S = 240
@@ -57,6 +59,40 @@
         done.addCallback(lambda frame: self.assertEqual(frame.sender, "sender"))
         return done
 
+    def test_a_message_of_another_software_version_leaves_its_connection_open(self):
+        done = Deferred()
+        receiver = self.open("receiver", lambda frame: done.callback(frame))
+        before = COUNTERS.value("link_unknown_messages")
+        newer = pynng.Push0(dial=receiver.address, block_on_dial=True)
+        self.addCleanup(newer.close)
+        pipes = len(newer.pipes)
+        unknown = Frame(PROTOCOL_VERSION, "newer", 1, "", ["MessageOfTomorrow", 7])
+        newer.send(NODE_CODEC.encode(unknown))
+        newer.send(NODE_CODEC.encode(Frame(1, "newer", 1, "", AnswerChunk("r", 1, 0, b""))))
+
+        def check(frame):
+            self.assertEqual(frame.sender, "newer")
+            self.assertEqual(COUNTERS.value("link_unknown_messages"), before + 1)
+            self.assertEqual(len(newer.pipes), pipes)
+
+        return done.addCallback(check)
+
+
+class CodecTest(unittest.TestCase):
+    def test_only_bytes_that_are_no_frame_of_this_protocol_are_malformed(self):
+        body = ["MessageOfTomorrow", 7]
+        with self.assertRaises(UnknownMessageError):
+            NODE_CODEC.decode(NODE_CODEC.encode(Frame(PROTOCOL_VERSION, "n", 1, "", body)))
+        malformed = (
+            b"not a frame",
+            b"",
+            NODE_CODEC.encode(Frame(PROTOCOL_VERSION + 1, "n", 1, "", body)),
+            NODE_CODEC.encode(["n"]),
+        )
+        for data in malformed:
+            with self.subTest(data=data), self.assertRaises(MalformedFrameError):
+                NODE_CODEC.decode(data)
+
 
 if __name__ == "__main__":
     unittest.main()
