--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -1,7 +1,12 @@
 """Decide which endpoints may take a request of this entry now."""
 
+import logging
+
+from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.gateway.continuation import may_run_at
 
+logger = logging.getLogger(__name__)
+
 
 class EndpointSelection:
     """The endpoints that may take a request now, as far as this entry knows.
@@ -36,6 +41,22 @@
             usable.append(row)
         return usable
 
+    def pause(self, row, pause_s):
+        """Send nothing to an endpoint for a while, as it has asked.
+
+        Parameters
+        ----------
+        row : EndpointRow
+        pause_s : float
+        """
+        COUNTERS.increment("gateway_endpoint_pauses")
+        logger.info(
+            "endpoint asks for a pause",
+            extra={"endpoint": row.endpoint_id, "seconds": round(pause_s, 3)},
+        )
+        health = self._gateway.health.for_endpoint(row.endpoint_id)
+        health.record_pause(self._gateway.clock.seconds(), pause_s)
+
     def choose(self, exchange):
         """Choose the endpoint for a request that names no model.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -114,8 +114,7 @@
             self._gateway.endpoint_leaves(endpoint_try.row.endpoint_id)
         pause_s = requested_pause_s(head)
         if pause_s:
-            health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
-            health.record_pause(self.now_s(), pause_s)
+            self._gateway.selection.pause(endpoint_try.row, pause_s)
         route = self._exchange.route
         verdict = check_head(head, self._gateway.headers, route, self._response_writer.started)
         endpoint_try.outcome = verdict.outcome
