gateway: one way to refuse what may have run; smaller modules for clients, startup and a request's content

No behaviour changes, but that a request without any attempt at its deadline is told 'no answer before the deadline', as one with an attempt.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -63,14 +63,14 @@
         """Register the connection with the gateway."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self._gateway.add_client(self)
+        self._gateway.clients.add(self)
 
     def connectionLost(self, reason):
         """Abort the exchange in progress."""
         self.is_lost = True
         self._cancel_header_timer()
         self._pending_requests.clear()
-        self._gateway.remove_client(self)
+        self._gateway.clients.remove(self)
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
             exchange.on_client_disconnected()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -1,12 +1,17 @@
 """Decide which endpoints may take a request of this entry now."""
 
 import logging
+from math import ceil
 
+from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.gateway.continuation import may_run_at
+from hemlockdock_entry.gateway.refusals import truthful_refusal
 
 logger = logging.getLogger(__name__)
 
+MS_PER_S = 1_000
+
 
 class EndpointSelection:
     """The endpoints that may take a request now, as far as this entry knows.
@@ -118,3 +123,21 @@
                 return None
             ends_s.append(end_s)
         return min(ends_s, default=None)
+
+    def refusal(self, exchange):
+        """Return the refusal of a request that no endpoint can take now.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+
+        Returns
+        -------
+        Refusal
+        """
+        pause_end_s = self.pause_end_s(exchange)
+        after_ms = None
+        if pause_end_s is not None:
+            after_ms = ceil((pause_end_s - self._gateway.clock.seconds()) * MS_PER_S)
+        message = "no endpoint of the pool can take it"
+        return truthful_refusal(exchange, ErrorKind.NO_CAPACITY, message, after_ms)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/exchange_log.py
@@ -42,9 +42,9 @@
         logger.info(
             "try ended",
             extra={
-                "request": self._exchange.request_id.decode("latin-1"),
-                "fingerprint": self._exchange.fingerprint,
-                "prompt_parts": self._exchange.prompt.parts,
+                "request": self._exchange.content.request_id.decode("latin-1"),
+                "fingerprint": self._exchange.content.fingerprint,
+                "prompt_parts": self._exchange.content.prompt.parts,
                 "endpoint": self.last_row.endpoint_id,
                 **self._response_fields(),
                 "outcome": outcome.value,
@@ -69,10 +69,10 @@
         logger.info(
             "request ended",
             extra={
-                "request": exchange.request_id.decode("latin-1"),
-                "fingerprint": exchange.fingerprint,
+                "request": exchange.content.request_id.decode("latin-1"),
+                "fingerprint": exchange.content.fingerprint,
                 "route": "" if exchange.route is None else exchange.route.name,
-                "resumed_request": exchange.resumed_request_id.decode("latin-1"),
+                "resumed_request": exchange.content.resumed_request_id.decode("latin-1"),
                 "model": exchange.model,
                 "adapter": exchange.adapter,
                 "outcome": outcome,
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -4,10 +4,10 @@
 import random
 import secrets
 
-from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
+from hemlockdock_entry.gateway.client_registry import ClientRegistry
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
 from hemlockdock_entry.gateway.endpoint_selection import EndpointSelection
 from hemlockdock_entry.gateway.model_queue import ModelQueue
@@ -16,18 +16,15 @@
 from hemlockdock_entry.gateway.proxy_exchange import ProxyExchange
 from hemlockdock_entry.gateway.quarantine import Quarantine
 from hemlockdock_entry.gateway.route_index import RouteIndex
+from hemlockdock_entry.gateway.startup_queue import StartupQueue
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1_000
 # Limits that apply until the first routing table is received.
 DEFAULT_LIMITS = LimitsRow(0, 16_384, 4_194_304, 3_000, 15_000)
-# Maximum wait of a request for the first routing table after startup.
-ROUTES_WAIT_S = 0.8
 # A fraction of the memory of a thin host.
 MAX_HELD_BYTES = 64 * 1024 * 1024
-# If control is unavailable at first, it takes about one more leader election.
-NO_ROUTES_RETRY_MS = 800
 
 
 class Gateway:
@@ -57,6 +54,8 @@
     selection : EndpointSelection
     model_queue : ModelQueue
     origin_lookup : OriginLookup
+    clients : ClientRegistry
+    startup_queue : StartupQueue
     buffer_budget : BufferBudget
     draining : bool
         Whether the entry is draining: responses close their connections.
@@ -71,6 +70,8 @@
         self.dropped_headers = wire.headers.reserved | {wire.headers.time_left_ms}
         self.routes = None
         self.limits = DEFAULT_LIMITS
+        self.clients = ClientRegistry()
+        self.startup_queue = StartupQueue(reactor)
         self.buffer_budget = BufferBudget(MAX_HELD_BYTES)
         self.draining = False
         self.refuses_new_requests = False
@@ -78,10 +79,8 @@
         self.fleet = settings.fleet
         self._random = random_source or random.Random(secrets.randbits(64))
         self._link = None
-        self._client_connections = set()
         self._exchanges = set()
         self._on_idle = None
-        self._waiting_for_routes = []
         self.health = EndpointHealthTracker(settings.process.failure_domain, self._random)
         self.endpoints = PoolEndpoints(
             reactor, settings, wire.headers.request_id, self.health, self._on_idle_connection_lost
@@ -170,29 +169,6 @@
         self._exchanges.add(exchange)
         return exchange
 
-    def wait_for_routes(self, exchange):
-        """Queue a request until the first routing table arrives or ``ROUTES_WAIT_S`` passes.
-
-        Parameters
-        ----------
-        exchange : ProxyExchange
-        """
-        self._waiting_for_routes.append(exchange)
-        self.clock.callLater(ROUTES_WAIT_S, self._on_routes_timeout, exchange)
-
-    def _on_routes_timeout(self, exchange):
-        if exchange in self._waiting_for_routes:
-            self._waiting_for_routes.remove(exchange)
-            why = "no routes are known yet"
-            refusal = Refusal.of(ErrorKind.NO_CONTROL, why, retry_after_ms=NO_ROUTES_RETRY_MS)
-            exchange.refuse(refusal)
-
-    def _start_waiting(self):
-        waiting, self._waiting_for_routes = self._waiting_for_routes, []
-        for exchange in waiting:
-            if not exchange.ended:
-                exchange.start()
-
     def remove_exchange(self, exchange):
         """Remove an ended exchange.
 
@@ -217,24 +193,6 @@
             return
         callback()
 
-    def add_client(self, connection):
-        """Register a client connection.
-
-        Parameters
-        ----------
-        connection : ClientConnection
-        """
-        self._client_connections.add(connection)
-
-    def remove_client(self, connection):
-        """Remove a closed client connection.
-
-        Parameters
-        ----------
-        connection : ClientConnection
-        """
-        self._client_connections.discard(connection)
-
     def pool(self, name):
         """Return a pool, or None if it is not known.
 
@@ -314,15 +272,13 @@
         self.health.remove_absent(table.endpoint_by_id)
         self.quarantine.table_changed()
         self.model_queue.table_changed()
-        self._start_waiting()
+        self.startup_queue.start_all()
 
     def run_maintenance(self):
         """Close expired idle connections, and repeat demand reports, which may be lost."""
         now_s = self.clock.seconds()
         limit_s = self.limits.idle_timeout_ms / MS_PER_S
-        for connection in list(self._client_connections):
-            if connection.is_idle and now_s - connection.idle_since_s > limit_s:
-                connection.close_idle()
+        self.clients.close_expired(now_s, limit_s)
         self.endpoints.close_expired_connections()
         self.quarantine.run_maintenance()
         self.model_queue.repeat_report()
@@ -334,9 +290,3 @@
         """End all requests because the process is stopping."""
         for exchange in list(self._exchanges):
             exchange.shut_down()
-
-    def close_idle_clients(self):
-        """Close all idle client connections."""
-        for connection in list(self._client_connections):
-            if connection.is_idle:
-                connection.close_idle()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -1,18 +1,16 @@
 """Process one client request: select an endpoint, forward the request, return the response."""
 
-from math import ceil
-
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_entry.gateway.continuation import can_continue
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
+from hemlockdock_entry.gateway.refusals import truthful_refusal
 from hemlockdock_entry.gateway.request_content import HOST, RequestContent
 from hemlockdock_entry.gateway.request_times import RequestTimes
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
 from hemlockdock_entry.gateway.stream_binding import StreamBinding
 from hemlockdock_entry.gateway.try_sequence import TrySequence
 
-MS_PER_S = 1_000
 # Many sound requests are in flight at one crash, hardly any at two.
 CRASHES_BEFORE_RUN_APART = 2
 # The response at the deadline must reach the client before it stops waiting.
@@ -30,6 +28,7 @@
 
     Attributes
     ----------
+    content : RequestContent
     route : RouteRow or None
     pool : PoolRow or None
     model, adapter : str
@@ -51,7 +50,7 @@
         self._response_writer = ResponseWriter(gateway, connection, request)
         self._log = ExchangeLog(gateway, self, self._response_writer)
         self._tries = TrySequence(gateway, self, self._response_writer, self._log)
-        self._content = RequestContent(request, gateway.headers)
+        self.content = RequestContent(request, gateway.headers)
         self._times = None
         self._deadline_call = None
         self._ended = False
@@ -67,31 +66,11 @@
         self.was_queued = False
         self.reserved_endpoint_id = ""
 
-    @property
-    def request_id(self):
-        """Return the request id that the client sent."""
-        return self.header(self._gateway.headers.request_id)
-
-    @property
-    def fingerprint(self):
-        """Return the digest that the request shares with those of the same content."""
-        return self._content.fingerprint
-
-    @property
-    def prompt(self):
-        """Return the Prompt."""
-        return self._content.prompt
-
     @property
     def runs_apart(self):
         """Return whether other requests should not run at its endpoint."""
         return self._gateway.quarantine.crash_count(self) >= CRASHES_BEFORE_RUN_APART
 
-    @property
-    def resumed_request_id(self):
-        """Return the id of the request whose stream the client resumes; empty if none."""
-        return self.header(self._gateway.headers.resumed_request)
-
     @property
     def ended(self):
         """Return whether the final response was sent or the client disconnected."""
@@ -112,21 +91,6 @@
         """Return the time left, in seconds."""
         return self.deadline_s - self.now_s()
 
-    def header(self, name):
-        """Return the value of a header of the request.
-
-        Parameters
-        ----------
-        name : bytes
-            In lower case.
-
-        Returns
-        -------
-        bytes
-            Empty if the request has no such header.
-        """
-        return self.request.header(name)
-
     def now_s(self):
         """Return the time, in seconds."""
         return self._gateway.clock.seconds()
@@ -139,18 +103,18 @@
             return
         if gateway.routes is None:
             # Right after startup, the first routing table usually arrives shortly.
-            gateway.wait_for_routes(self)
+            gateway.startup_queue.add(self)
             return
-        self.route = gateway.routes.find(self.header(HOST), self.request.path)
+        self.route = gateway.routes.find(self.request.header(HOST), self.request.path)
         if self.route is None:
             self.refuse(Refusal.of(ErrorKind.UNKNOWN_ROUTE, "no route for this host and path"))
             return
         self._set_times()
         if self.binding.is_resumption:
             longest_wait_s = self._times.longest_wait_s(self.request.received_s, self.now_s())
-            self.binding.find(longest_wait_s, self._continue_stream)
+            self.binding.find(longest_wait_s, self._begin)
             return
-        self._begin(gateway.choose_pool(self.route))
+        self._begin()
 
     def dispatch(self):
         """Send the request to an endpoint, or queue it until one can run it."""
@@ -172,7 +136,7 @@
         if in_doubt is not None:
             self._gateway.quarantine.watch.call_when_known(in_doubt, self.dispatch)
             return
-        self._refuse_without_endpoint()
+        self.refuse(selection.refusal(self))
 
     def send_to(self, row):
         """Forward the request to an endpoint.
@@ -198,7 +162,7 @@
             return
         self._log.request_ended(refusal.kind.value, refusal.message)
         COUNTERS.increment("gateway_refusals", kind=refusal.kind.value)
-        self._response_writer.write_refusal(refusal, self.request_id)
+        self._response_writer.write_refusal(refusal, self.content.request_id)
         self._finish()
 
     def refuse_quarantined(self):
@@ -217,16 +181,15 @@
 
     def refuse_continuation(self):
         """Refuse the request because no endpoint has the software version of its stream."""
-        kind = ErrorKind.ENDPOINT_LOST if self.may_have_run else ErrorKind.STREAM_VERSION_GONE
-        self.refuse(Refusal.of(kind, "no endpoint has the software version of the stream"))
+        message = "no endpoint has the software version of the stream"
+        self.refuse(truthful_refusal(self, ErrorKind.STREAM_VERSION_GONE, message))
 
     def shut_down(self):
         """End the request because the process is stopping."""
         if self._ended:
             return
         self._tries.cancel()
-        kind = ErrorKind.ENDPOINT_LOST if self.may_have_run else ErrorKind.DRAINING
-        self.refuse(Refusal.of(kind, "the entry stops"))
+        self.refuse(truthful_refusal(self, ErrorKind.DRAINING, "the entry stops"))
 
     def on_client_disconnected(self):
         """Cancel the request after its client disconnected."""
@@ -286,20 +249,8 @@
         self._leave()
         self._connection.abort_response()
 
-    def _refuse_without_endpoint(self):
-        if self.may_have_run:
-            message = "no other endpoint of the pool can take it"
-            self.refuse(Refusal.of(ErrorKind.ENDPOINT_LOST, message))
-            return
-        message = "no endpoint of the pool can take it"
-        pause_end_s = self._gateway.selection.pause_end_s(self)
-        after_ms = None
-        if pause_end_s is not None:
-            after_ms = ceil((pause_end_s - self.now_s()) * MS_PER_S)
-        self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, message, retry_after_ms=after_ms))
-
     def _set_times(self):
-        time_left = self.header(self._gateway.headers.time_left_ms)
+        time_left = self.request.header(self._gateway.headers.time_left_ms)
         self._times = RequestTimes.of(self.route, self.request.received_s, time_left)
         self.deadline_s = self._times.deadline_s
         self.target_s = self._times.target_s
@@ -307,17 +258,17 @@
         delay_s = max(0.0, self.left_s - DEADLINE_MARGIN_S)
         self._deadline_call = self._gateway.clock.callLater(delay_s, self._on_deadline)
 
-    def _continue_stream(self):
-        self._begin(self._gateway.pool(self.binding.origin.pool))
-
-    def _begin(self, pool):
+    def _begin(self):
+        gateway = self._gateway
+        origin = self.binding.origin
+        pool = gateway.choose_pool(self.route) if origin is None else gateway.pool(origin.pool)
         if pool is None:
             self.refuse(Refusal.of(ErrorKind.NO_CAPACITY, "the route's pool is not known"))
             return
         self.pool = pool
         self._gateway.endpoints.retry_budget(pool.name).record_request(self.now_s())
         if pool.engine is not None:
-            value = self.header(self._gateway.headers.model).decode("latin-1")
+            value = self.request.header(self._gateway.headers.model).decode("latin-1")
             self.model, _, self.adapter = value.partition("/")
         self.dispatch()
 
@@ -329,10 +280,8 @@
         if self._response_writer.started:
             self.abort_response("the deadline passed")
             return
-        if self.may_have_run:
-            self.refuse(Refusal.of(ErrorKind.DEADLINE_PASSED, "no answer before the deadline"))
-            return
-        self.refuse(Refusal.of(ErrorKind.DEADLINE_UNREACHABLE, "the deadline passed"))
+        kind = ErrorKind.DEADLINE_PASSED if self.may_have_run else ErrorKind.DEADLINE_UNREACHABLE
+        self.refuse(Refusal.of(kind, "no answer before the deadline"))
 
     def _record_answer(self):
         self._log.request_ended("answered", "")
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.suspect_keys import (
     CRASHES_BEFORE_QUARANTINE,
@@ -15,6 +15,7 @@
 from hemlockdock_entry.gateway.crash_watch import CrashWatch, EndpointRun
 from hemlockdock_entry.gateway.part_quarantine import PartQuarantine
 from hemlockdock_entry.gateway.prompt_parts import Prompt
+from hemlockdock_entry.gateway.refusals import truthful_refusal
 from hemlockdock_entry.routing import CrashTracker, TrustLevel
 
 logger = logging.getLogger(__name__)
@@ -66,14 +67,14 @@
         table = self._gateway.table
         now_s = self._gateway.clock.seconds()
         now_ms = self.read_wall_ms()
-        fingerprint = exchange.fingerprint
+        fingerprint = exchange.content.fingerprint
         level = self._tracker.trust_level(table, fingerprint, now_s, now_ms)
         if level is TrustLevel.REFUSED:
             crash_ids = self._tracker.crash_ids(table, fingerprint)
             left_ms = self._tracker.refused_for_ms(table, fingerprint, now_s, now_ms)
             message = "this request crashed the endpoints that ran it"
             return _refusal(exchange, fingerprint, crash_ids, left_ms, message)
-        refused = self._parts.refused_part(exchange.prompt, table, now_s, now_ms)
+        refused = self._parts.refused_part(exchange.content.prompt, table, now_s, now_ms)
         if refused is None:
             return None
         message = "prompts with a part of this one crashed the endpoints that ran them"
@@ -109,8 +110,10 @@
         """
         table = self._gateway.table
         now_s = self._gateway.clock.seconds()
-        whole = self._tracker.crash_count(table, exchange.fingerprint, now_s, self.read_wall_ms())
-        return max(whole, self._parts.crash_count(exchange.prompt.parts, table, now_s))
+        whole = self._tracker.crash_count(
+            table, exchange.content.fingerprint, now_s, self.read_wall_ms()
+        )
+        return max(whole, self._parts.crash_count(exchange.content.prompt.parts, table, now_s))
 
     def repeat(self, exchange, row):
         """Send a request again after an endpoint ended it.
@@ -138,8 +141,8 @@
         has_carried_on : bool
             Whether the endpoint had been writing the answer for a while.
         """
-        parts = () if has_carried_on else exchange.prompt.parts
-        self.watch.run_lost(EndpointRun(row, exchange.fingerprint, parts))
+        parts = () if has_carried_on else exchange.content.prompt.parts
+        self.watch.run_lost(EndpointRun(row, exchange.content.fingerprint, parts))
 
     def run_answered(self, exchange, row):
         """Handle a complete answer.
@@ -149,7 +152,9 @@
         exchange : ProxyExchange
         row : EndpointRow
         """
-        self.watch.run_answered(EndpointRun(row, exchange.fingerprint, exchange.prompt.parts))
+        self.watch.run_answered(
+            EndpointRun(row, exchange.content.fingerprint, exchange.content.prompt.parts)
+        )
 
     def run_carried_on(self, exchange):
         """Handle that an endpoint has been writing an answer for a while.
@@ -158,7 +163,7 @@
         ----------
         exchange : ProxyExchange
         """
-        self._record_sound_parts(exchange.prompt.parts)
+        self._record_sound_parts(exchange.content.prompt.parts)
 
     def table_changed(self):
         """Log each step to quarantine and back, and compare them with what this entry knows."""
@@ -231,15 +236,13 @@
     logger.info(
         "quarantined request refused",
         extra={
-            "request": exchange.request_id.decode("latin-1"),
+            "request": exchange.content.request_id.decode("latin-1"),
             "key": key,
             "crashes": crash_ids,
             "may_have_run": exchange.may_have_run,
         },
     )
-    if exchange.may_have_run:
-        return Refusal.of(ErrorKind.ENDPOINT_LOST, message)
-    return Refusal.of(ErrorKind.QUARANTINED, message, retry_after_ms=left_ms)
+    return truthful_refusal(exchange, ErrorKind.QUARANTINED, message, left_ms)
 
 
 def _log_step(key, step, crash_ids):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_content.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_content.py
@@ -1,4 +1,4 @@
-"""What a client's request has in common with others: its content, and parts of its prompt."""
+"""What a client's request says of itself, and what it has in common with others."""
 
 from functools import cached_property
 
@@ -21,6 +21,16 @@
         self._request = request
         self._names = names
 
+    @property
+    def request_id(self):
+        """Return the id that the client gave to this attempt."""
+        return self._request.header(self._names.request_id)
+
+    @property
+    def resumed_request_id(self):
+        """Return the id of the request whose stream the client resumes; empty if none."""
+        return self._request.header(self._names.resumed_request)
+
     @cached_property
     def fingerprint(self):
         """Return the digest that the request shares with those of the same content."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -133,7 +133,7 @@
             port.stopListening()
         self._ports = []
         self.gateway.refuses_new_requests = True
-        self.gateway.close_idle_clients()
+        self.gateway.clients.close_idle()
         self.gateway.call_when_idle(self._abort_requests)
 
     def _refuse_waiting(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
@@ -40,8 +40,8 @@
         exchange = self._exchange
         if exchange.route.kind is not RouteKind.STREAM:
             return False
-        last_event_id = exchange.header(self._gateway.headers.last_event_id)
-        return bool(last_event_id or exchange.resumed_request_id)
+        last_event_id = exchange.request.header(self._gateway.headers.last_event_id)
+        return bool(last_event_id or exchange.content.resumed_request_id)
 
     def find(self, longest_wait_s, on_bound):
         """Bind the request to the version that began its stream, or refuse it.
@@ -56,7 +56,7 @@
         self._on_bound = on_bound
         pools = self._route_pools()
         question = OriginQuestion(
-            self._exchange.resumed_request_id.decode("latin-1"),
+            self._exchange.content.resumed_request_id.decode("latin-1"),
             pools[0] if len(pools) == 1 else "",
             int(longest_wait_s * MS_PER_S),
         )
@@ -76,7 +76,7 @@
         if not exchange.route.resumable or not origin.software_version:
             return
         keep_ms = int(exchange.left_s * MS_PER_S) + ORIGIN_KEEP_MARGIN_MS
-        request_id = exchange.request_id.decode("latin-1")
+        request_id = exchange.content.request_id.decode("latin-1")
         members = self._gateway.origin_members
         self._gateway.origin_lookup.record(request_id, origin, keep_ms, members)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -74,7 +74,7 @@
         data = build_forwarded_request(
             exchange, row, self._gateway, self._response_writer.last_event_id
         )
-        self._try = EndpointTry(self, row, exchange.request_id, data)
+        self._try = EndpointTry(self, row, exchange.content.request_id, data)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
         self._runs_apart = exchange.runs_apart
--- a/packages/hemlockdock-entry/tests/support_quarantine.py
+++ b/packages/hemlockdock-entry/tests/support_quarantine.py
@@ -33,7 +33,7 @@
 
     def fingerprint_of(self, client):
         """Return the fingerprint of a client's request in progress."""
-        return client.connection._exchange.fingerprint
+        return client.connection._exchange.content.fingerprint
 
     @property
     def waiting_ports(self):
--- a/tools/mutants/streams.py
+++ b/tools/mutants/streams.py
@@ -101,7 +101,7 @@
     Mutant(
         "let a client that resumes its stream go anywhere",
         GATEWAY + "stream_binding.py",
-        "        return bool(last_event_id or exchange.resumed_request_id)",
+        "        return bool(last_event_id or exchange.content.resumed_request_id)",
         "        return False",
         VERSIONS,
     ),
