--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -75,7 +75,7 @@
         """
         health = self._gateway.health
         now_s = self._gateway.clock.seconds()
-        apart = exchange.runs_apart
+        apart = self._gateway.quarantine.runs_apart(exchange)
         usable = self.usable(exchange.pool)
         usable = [row for row in usable if may_run_at(exchange.binding.origin, row)]
         row = health.choose(usable, now_s, exchange.tried_ids, apart=apart)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -210,7 +210,7 @@
         preferred_ids = frozenset()
         if exchange.adapter:
             preferred_ids = self._endpoints_with_adapter(exchange, usable)
-        apart = exchange.runs_apart
+        apart = gateway.quarantine.runs_apart(exchange)
         row = gateway.health.choose(usable, now_s, exchange.tried_ids, preferred_ids, apart)
         if row is None and exchange.tried_ids:
             row = gateway.health.choose(usable, now_s, frozenset(), preferred_ids, apart)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -11,8 +11,6 @@
 from hemlockdock_entry.gateway.stream_binding import StreamBinding
 from hemlockdock_entry.gateway.try_sequence import TrySequence
 
-# Many sound requests are in flight at one crash, hardly any at two.
-CRASHES_BEFORE_RUN_APART = 2
 # The response at the deadline must reach the client before it stops waiting.
 DEADLINE_MARGIN_S = 0.03
 
@@ -66,11 +64,6 @@
         self.was_queued = False
         self.reserved_endpoint_id = ""
 
-    @property
-    def runs_apart(self):
-        """Return whether other requests should not run at its endpoint."""
-        return self._gateway.quarantine.crash_count(self) >= CRASHES_BEFORE_RUN_APART
-
     @property
     def ended(self):
         """Return whether the final response was sent or the client disconnected."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
@@ -20,6 +20,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Many sound requests are in flight at one crash, hardly any at two.
+CRASHES_BEFORE_RUN_APART = 2
+
 
 class Quarantine:
     """Refuse requests that crashed endpoints, by what this entry saw and by what control committed.
@@ -97,6 +100,19 @@
         table = self._gateway.table
         return self._parts.refused_part(prompt, table, now_s, self.read_wall_ms()) is not None
 
+    def runs_apart(self, exchange):
+        """Return whether other requests should not run at the endpoint of a request.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+
+        Returns
+        -------
+        bool
+        """
+        return self.crash_count(exchange) >= CRASHES_BEFORE_RUN_APART
+
     def crash_count(self, exchange):
         """Return the number of crashes that a request, or a part of its prompt, may explain.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -77,7 +77,7 @@
         self._try = EndpointTry(self, row, exchange.content.request_id, data)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
-        self._runs_apart = exchange.runs_apart
+        self._runs_apart = self._gateway.quarantine.runs_apart(exchange)
         health.suspects_in_flight += self._runs_apart
         self._try.begin(self._gateway.endpoints.connections_to(row), self.now_s())
         if exchange.route.may_repeat:
