gateway: a stream that other endpoints' crashes interrupted is no suspect once it has gone on

Found in reading the change: a sound stream that three endpoints in a row lost, each long after the stream had gone on there, had three crashes against it and was refused. test_a_long_stream_that_outlives_three_endpoints_... failed with '0 != 1'. A run that continued a stream and brought further events shows that the content alone crashes no endpoint; it is no suspect of its endpoint's crash. A run from the beginning counts as before, wherever it breaks off.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_reports.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_reports.py
@@ -49,6 +49,8 @@
                 "suspects": parts_by_fingerprint,
             },
         )
+        if not parts_by_fingerprint:
+            return
         reported = dict(sorted(parts_by_fingerprint.items())[:MAX_REPORTED])
         command = RecordCrash(
             row.endpoint_id, self._node_id, list(reported), 0, False, parts_by_fingerprint=reported
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_watch.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_watch.py
@@ -23,11 +23,31 @@
     fingerprint : str
     parts : tuple of str
         Ids of the parts of its prompt that may explain a crash.
+    is_suspect : bool
+        Whether the request may explain a crash.
     """
 
     row: EndpointRow
     fingerprint: str
     parts: tuple
+    is_suspect: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RunProgress:
+    """How far an endpoint had come with a request when its connection was lost.
+
+    Attributes
+    ----------
+    has_carried_on : bool
+        Whether it had been writing the answer for a while.
+    has_continued : bool
+        Whether it had written events of a stream that another endpoint began: the content alone
+        does not crash endpoints.
+    """
+
+    has_carried_on: bool
+    has_continued: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
@@ -147,18 +147,19 @@
             return
         exchange.dispatch()
 
-    def run_lost(self, exchange, row, has_carried_on):
+    def run_lost(self, exchange, row, progress):
         """Handle the loss of the connection on which an endpoint ran a request.
 
         Parameters
         ----------
         exchange : ProxyExchange
         row : EndpointRow
-        has_carried_on : bool
-            Whether the endpoint had been writing the answer for a while.
+        progress : RunProgress
         """
-        parts = () if has_carried_on else exchange.content.prompt.parts
-        self.watch.run_lost(EndpointRun(row, exchange.content.fingerprint, parts))
+        content = exchange.content
+        is_suspect = not progress.has_continued
+        parts = () if progress.has_carried_on or not is_suspect else content.prompt.parts
+        self.watch.run_lost(EndpointRun(row, content.fingerprint, parts, is_suspect))
 
     def run_answered(self, exchange, row):
         """Handle a complete answer.
@@ -212,6 +213,7 @@
     def _on_crash(self, row, runs):
         now_s = self._gateway.clock.seconds()
         COUNTERS.increment("gateway_endpoint_crashes")
+        runs = [run for run in runs if run.is_suspect]
         self._gateway.endpoints.mark_ended(row.endpoint_id)
         parts_by_fingerprint = {}
         for run in [run for run in runs if self._explains_crash(run)] or runs:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -2,6 +2,8 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.stream_origins import StreamOrigin
+from hemlockdock_entry.gateway.attempt_progress import AttemptProgress
+from hemlockdock_entry.gateway.crash_watch import RunProgress
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
 from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
@@ -14,8 +16,6 @@
 MIN_FIRST_BYTE_TIMEOUT_S = 0.6
 # With less time left, a retry is no more likely to answer in time than the current attempt.
 MIN_TRY_S = 0.25
-# An endpoint that crashes on a part of a prompt does so as it begins to write the answer.
-CARRIED_ON_S = 0.5
 # Failed connection attempts of one request before the client is told to retry later.
 MAX_UNSENT_TRIES = 6
 
@@ -46,9 +46,7 @@
         self._try = None
         self._first_byte_call = None
         self._is_streaming = False
-        self._events_before_try = 0
-        self._first_event_s = None
-        self._has_carried_on = False
+        self._progress = AttemptProgress()
         self._runs_apart = False
         self._buffer = ResponseBuffer(gateway.buffer_budget)
         self._unsent_tries = 0
@@ -67,9 +65,7 @@
         self._log.last_row = row
         self._log.last_framing = None
         self._is_streaming = False
-        self._events_before_try = self._response_writer.event_count
-        self._first_event_s = None
-        self._has_carried_on = False
+        self._progress = AttemptProgress(self._response_writer.event_count)
         self._buffer.clear()
         data = build_forwarded_request(
             exchange, row, self._gateway, self._response_writer.last_event_id
@@ -170,8 +166,10 @@
         ----------
         endpoint_try : EndpointTry
         """
-        has_carried_on = self._has_carried_on
-        self._gateway.quarantine.run_lost(self._exchange, endpoint_try.row, has_carried_on)
+        progress = self._progress
+        is_continuation = progress.is_continuation or self._exchange.binding.is_resumption
+        progress = RunProgress(progress.has_carried_on, is_continuation and progress.has_events)
+        self._gateway.quarantine.run_lost(self._exchange, endpoint_try.row, progress)
 
     def on_try_ended(self, endpoint_try, outcome, problem):
         """Continue after an attempt that produced no usable response.
@@ -215,25 +213,16 @@
         if self._response_writer.started and not exchange.binding.has_started:
             row = endpoint_try.row
             exchange.binding.start(StreamOrigin(row.pool, row.software_version))
-        self._note_progress()
+        if self._progress.note_events(self._response_writer.event_count, self.now_s()):
+            self._gateway.quarantine.run_carried_on(exchange)
         if not self._buffer.hold_event(self._response_writer.partial_event_bytes):
             self._stop_oversized(endpoint_try, "an event exceeds the buffer limit")
 
-    def _note_progress(self):
-        """Note that the endpoint has been writing events for a while."""
-        if self._has_carried_on or self._response_writer.event_count == self._events_before_try:
-            return
-        if self._first_event_s is None:
-            self._first_event_s = self.now_s()
-        if self.now_s() - self._first_event_s >= CARRIED_ON_S:
-            self._has_carried_on = True
-            self._gateway.quarantine.run_carried_on(self._exchange)
-
     def _stream_problem(self, head):
         if not self._is_streaming:
             return ""
-        has_events = self._response_writer.event_count > self._events_before_try
-        return stream_problem(head.framing, self._response_writer.has_partial_event, has_events)
+        has_partial = self._response_writer.has_partial_event
+        return stream_problem(head.framing, has_partial, self._progress.has_events)
 
     def _stop_oversized(self, endpoint_try, problem):
         endpoint_try.cancel()
--- a/packages/hemlockdock-entry/tests/support_quarantine.py
+++ b/packages/hemlockdock-entry/tests/support_quarantine.py
@@ -24,11 +24,11 @@
         server.answer(request_id=request_id, extra=b"Connection: close\r\n")
         server.close(cleanly=True)
 
-    def send(self, body=BODY, path=IDEMPOTENT_PATH, extra=b""):
+    def send(self, body=BODY, path=IDEMPOTENT_PATH, extra=b"", left_ms=1_000):
         """Send a request under a new id, from a new client."""
         self._requests += 1
         client = self.harness.client()
-        client.send_request(path, b"%d" % self._requests, extra=extra, body=body)
+        client.send_request(path, b"%d" % self._requests, left_ms, extra, body)
         return client
 
     def fingerprint_of(self, client):
--- a/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
@@ -264,6 +264,20 @@
                     client = self.send(path=path, extra=b"X-Use-Model: m\r\n")
                     self.assertEqual(client.status, 503)
 
+    def test_a_long_stream_that_outlives_three_endpoints_is_continued_at_a_fourth(self):
+        client = self.send(path=STREAM_PATH, extra=b"X-Use-Model: m\r\n", left_ms=60_000)
+        for number in range(1, 4):
+            server = self.harness.connect()
+            server.begin_stream(b"%d" % self._requests)
+            server.chunk(b"id: %d\ndata: x\n\n" % number)
+            self.harness.reactor.advance(2.0)
+            self.crash(server)
+            client.disconnect_client()
+            extra = b"X-Use-Model: m\r\nLast-Event-Id: %d\r\nX-Resumed-Request: 1\r\n" % number
+            self.harness.reactor.connecting.clear()
+            client = self.send(path=STREAM_PATH, extra=extra, left_ms=60_000)
+        self.assertEqual(len(self.waiting_ports), 1)
+
     def test_a_request_that_waits_for_a_model_is_refused_once_it_is_quarantined(self):
         client = self.send(path=STREAM_PATH, extra=b"X-Use-Model: n\r\n")
         fingerprint = self.fingerprint_of(client)
