--- a/packages/hemlockdock-core/tests/test_suspect_keys.py
+++ b/packages/hemlockdock-core/tests/test_suspect_keys.py
@@ -1,4 +1,4 @@
-"""Test keys of suspects, and that processes of the version before understand what is sent of them."""
+"""Test keys of suspects, and that the version before reads what is sent of them."""
 
 import unittest
 
--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -6,6 +6,8 @@
 GATEWAY_TESTS = "packages/hemlockdock-entry/tests/"
 WHOLE = GATEWAY_TESTS + "test_gateway.py"
 DECISIONS = GATEWAY_TESTS + "test_gateway_decisions.py"
+QUARANTINE = GATEWAY_TESTS + "test_gateway_quarantine.py"
+PARTS = GATEWAY_TESTS + "test_gateway_prompt_parts.py"
 DRAIN = GATEWAY_TESTS + "test_gateway_drain.py"
 CONSENSUS = "packages/hemlockdock-control/hemlockdock_control/consensus/"
 FLEET = "packages/hemlockdock-control/hemlockdock_control/fleet/"
@@ -26,6 +28,55 @@
         "may_resend = True",
         DECISIONS,
     ),
+    Mutant(
+        "take any lost connection for a crash",
+        GATEWAY + "crash_watch.py",
+        "is_crash=result is ProbeResult.REFUSED",
+        "is_crash=True",
+        QUARANTINE,
+    ),
+    Mutant(
+        "ask the quarantine at arrival only",
+        GATEWAY + "proxy_exchange.py",
+        "if self._ended or self.refuse_quarantined():",
+        "if self._ended or (not self.tried_ids and self.refuse_quarantined()):",
+        QUARANTINE,
+    ),
+    Mutant(
+        "suspect parts that were answered before",
+        GATEWAY + "part_quarantine.py",
+        "return tuple(part for part in parts if not self.sound.contains(part, now_s))",
+        "return tuple(parts)",
+        PARTS,
+    ),
+    Mutant(
+        "suspect the last part of a prompt",
+        GATEWAY + "prompt_parts.py",
+        '.split(",")[:-1]',
+        '.split(",")',
+        PARTS,
+    ),
+    Mutant(
+        "condemn the parts of one request that comes again",
+        "packages/hemlockdock-control/hemlockdock_control/state/crash_explanation.py",
+        "len(record.requests) >= MIN_REQUESTS_OF_PART",
+        "True",
+        "packages/hemlockdock-control/tests/test_cluster_state.py",
+    ),
+    Mutant(
+        "use an endpoint during its pause",
+        GATEWAY + "endpoint_selection.py",
+        ".paused_until_s > now_s:",
+        ".paused_until_s < 0:",
+        GATEWAY_TESTS + "test_gateway_pause.py",
+    ),
+    Mutant(
+        "read a head without end",
+        "packages/hemlockdock-core/hemlockdock_core/http/response_reader.py",
+        "if self._overhead_bytes > MAX_OVERHEAD_BYTES:",
+        "if False:",
+        GATEWAY_TESTS + "test_gateway_endless.py",
+    ),
     Mutant(
         "keep a place for a client that left while its adapter was loaded",
         GATEWAY + "model_queue.py",
