entry: a report on a crash names 256 parts of prompts at most

A client may name thousands of parts; 64 requests with 32 parts each made 2,048 rows of one crash, for all nodes. Memory was bounded already. At its limit of suspects, control finds the oldest without copying them all.

--- a/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/crashes.py
@@ -198,9 +198,11 @@
         """Remove the oldest suspect, or the oldest record of all, if there are too many."""
         if len(self.suspect_by_fingerprint) < MAX_SUSPECTS:
             return
-        records = list(self.suspect_by_fingerprint.values())
-        suspects = [record for record in records if not record.refused]
-        self._clear((suspects or records)[0], "control", "too many suspects")
+        records = self.suspect_by_fingerprint.values()
+        oldest = next((record for record in records if not record.refused), None)
+        if oldest is None:
+            oldest = next(iter(records))
+        self._clear(oldest, "control", "too many suspects")
 
     def _quarantine(self, records):
         explained_crash_ids = set()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_reports.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/crash_reports.py
@@ -12,6 +12,8 @@
 RELEASE_DELAY_S = 0.05
 # Of the requests that were in flight at a crash, as many are reported.
 MAX_REPORTED = 64
+# Parts of their prompts, over all of them; a client may name thousands.
+MAX_REPORTED_PARTS = 256
 MAX_LOGGED_CHARACTERS = 500
 
 
@@ -51,7 +53,7 @@
         )
         if not parts_by_fingerprint:
             return
-        reported = dict(sorted(parts_by_fingerprint.items())[:MAX_REPORTED])
+        reported = _limited(parts_by_fingerprint)
         command = RecordCrash(
             row.endpoint_id, self._node_id, list(reported), 0, False, parts_by_fingerprint=reported
         )
@@ -92,3 +94,12 @@
                 "problem": failure.getErrorMessage(),
             },
         )
+
+
+def _limited(parts_by_fingerprint):
+    reported = {}
+    left = MAX_REPORTED_PARTS
+    for fingerprint, parts in sorted(parts_by_fingerprint.items())[:MAX_REPORTED]:
+        reported[fingerprint] = parts[:left]
+        left -= len(reported[fingerprint])
+    return reported
--- a/packages/hemlockdock-entry/tests/test_gateway_prompt_parts.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_prompt_parts.py
@@ -7,7 +7,11 @@
 
 from hemlockdock_core.commands import RecordCrash, ReleaseQuarantine
 from hemlockdock_core.rows import QuarantineRow
-from hemlockdock_entry.gateway.crash_reports import RELEASE_DELAY_S
+from hemlockdock_entry.gateway.crash_reports import (
+    MAX_REPORTED_PARTS,
+    RELEASE_DELAY_S,
+    CrashReporter,
+)
 from hemlockdock_entry.gateway.part_quarantine import MAX_SEEN_PARTS, PartQuarantine
 from hemlockdock_entry.gateway.prompt_parts import MAX_PARTS, shared_parts
 from hemlockdock_entry.gateway.sound_parts import MAX_PARTS as SOUND_LIMIT
@@ -154,6 +158,15 @@
             self.crash_prompt("first", "foreign", f"own{number}")
         self.assert_sent("first", "foreign")
 
+    def test_a_report_names_a_limited_number_of_parts(self):
+        parts = tuple(f"part-{number}" for number in range(MAX_PARTS))
+        in_flight = {f"request-{number:02}": parts for number in range(20)}
+        CrashReporter(self.harness.gateway, "e").report_crash(endpoint("m0"), in_flight)
+        (command,) = self.harness.link.proposed
+        self.assertEqual(command.fingerprints, list(in_flight))
+        reported = sum(len(parts) for parts in command.parts_by_fingerprint.values())
+        self.assertEqual(reported, MAX_REPORTED_PARTS)
+
     def test_memory_for_parts_is_limited(self):
         parts = SoundParts()
         quarantine = PartQuarantine()
