--- a/packages/hemlockdock-control/hemlockdock_control/fleet/json_responses.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/json_responses.py
@@ -3,7 +3,7 @@
 import json
 
 
-def write_json(request, document):
+def json_response(request, document):
     """Set the headers of a JSON response, and return its body.
 
     Parameters
@@ -19,7 +19,7 @@
     return json.dumps(document).encode()
 
 
-def write_refusal(request, refusal):
+def refusal_response(request, refusal):
     """Set the status and the headers of a refusal, and return its body.
 
     Parameters
@@ -32,4 +32,4 @@
     bytes
     """
     request.setResponseCode(refusal.status)
-    return write_json(request, refusal.body())
+    return json_response(request, refusal.body())
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/operator_api.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/operator_api.py
@@ -6,7 +6,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from hemlockdock_control.fleet.json_responses import write_json, write_refusal
+from hemlockdock_control.fleet.json_responses import json_response, refusal_response
 from hemlockdock_control.fleet.quarantine_api import QuarantineApi
 from hemlockdock_core.commands import SubmitRoutes
 from hemlockdock_core.errors import ErrorKind, InvalidInputError, Refusal
@@ -65,7 +65,7 @@
             return self._read(request)
         if self._quarantines.handles(path):
             return self._quarantines.render(request)
-        return write_refusal(request, Refusal.of(ErrorKind.UNKNOWN_SERVICE, "no such call"))
+        return refusal_response(request, Refusal.of(ErrorKind.UNKNOWN_SERVICE, "no such call"))
 
     def _submit(self, request):
         body = request.content.read()
@@ -74,7 +74,7 @@
         except InvalidInputError as error:
             COUNTERS.increment("routes_refused")
             logger.info("routes refused", extra={"problem": str(error)[:500]})
-            return write_refusal(request, Refusal.of(ErrorKind.BAD_REQUEST, str(error)))
+            return refusal_response(request, Refusal.of(ErrorKind.BAD_REQUEST, str(error)))
         in_force = self._machine.state.routes.number
         if in_force is not None and manifest.number <= in_force:
             logger.info("routes superseded", extra={"number": manifest.number, "by": in_force})
@@ -98,7 +98,7 @@
                 extra={"number": number, "problem": result.refusal.message},
             )
             _write_response(
-                request, write_refusal(request, _control_unavailable(result.refusal.message))
+                request, refusal_response(request, _control_unavailable(result.refusal.message))
             )
             return
         logger.info(
@@ -118,7 +118,8 @@
     def _read_done(self, document, request):
         if not document:
             _write_response(
-                request, write_refusal(request, _control_unavailable("no routes are in force yet"))
+                request,
+                refusal_response(request, _control_unavailable("no routes are in force yet")),
             )
             return
         request.setHeader(b"Content-Type", b"application/json")
@@ -131,11 +132,11 @@
 
 def _call_failed(failure, request):
     logger.info("operator request failed", extra={"problem": failure.getErrorMessage()})
-    _write_response(request, write_refusal(request, _control_unavailable("no leader answered")))
+    _write_response(request, refusal_response(request, _control_unavailable("no leader answered")))
 
 
 def _accepted(request, number):
-    return write_json(request, {"in_force": number})
+    return json_response(request, {"in_force": number})
 
 
 def _write_response(request, body):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/quarantine_api.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/quarantine_api.py
@@ -3,7 +3,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from hemlockdock_control.admin.quarantine_list import quarantine_list
-from hemlockdock_control.fleet.json_responses import write_json, write_refusal
+from hemlockdock_control.fleet.json_responses import json_response, refusal_response
 from hemlockdock_core.commands import ReleaseQuarantine
 from hemlockdock_core.errors import ErrorKind, Refusal
 
@@ -52,12 +52,12 @@
         """
         path = request.path
         if request.method == b"GET" and path == LIST_PATH:
-            return write_json(
+            return json_response(
                 request, {"quarantines": quarantine_list(self._machine.state.crashes)}
             )
         key = path[len(LIST_PATH) + 1 : -len(RELEASE_SUFFIX)].decode(errors="replace")
         if request.method != b"POST" or not path.endswith(RELEASE_SUFFIX) or not key:
-            return write_refusal(request, Refusal.of(ErrorKind.UNKNOWN_SERVICE, "no such call"))
+            return refusal_response(request, Refusal.of(ErrorKind.UNKNOWN_SERVICE, "no such call"))
         outcome = self._proposer.propose(ReleaseQuarantine(key, OPERATOR, 0), ANSWER_TIMEOUT_S)
         outcome.addCallback(self._released, request, key)
         return NOT_DONE_YET
@@ -66,7 +66,7 @@
         if request.channel is None:
             return
         if result.refusal is not None:
-            request.write(write_refusal(request, result.refusal))
+            request.write(refusal_response(request, result.refusal))
         else:
-            request.write(write_json(request, {"fingerprint": key, "revision": result.revision}))
+            request.write(json_response(request, {"fingerprint": key, "revision": result.revision}))
         request.finish()
