--- a/packages/hemlockdock-control/tests/test_state_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_state_fuzz.py
@@ -337,7 +337,9 @@
             # One request that comes again says nothing about the parts of its prompt.
             assert not is_part(key) or len(set(record.requests)) >= 2
 
-    @rule(keys=st.lists(st.sampled_from(("a", "b", "part:p", "part:q")), min_size=1, max_size=3))
+    @rule(
+        keys=st.lists(st.sampled_from(("a", "b", "c", "part:p", "part:q")), min_size=1, max_size=3)
+    )
     def release(self, keys):
         first, *others = keys
         self.apply(ReleaseQuarantine(first, "tester", self.driver.now_ms, tuple(others)))
