--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -22,18 +22,32 @@
         Takes a Frame.
     tls : LinkTls, optional
         None for plain TCP.
+    open_outbox, open_mailbox : callable, optional
+        Open the sockets; tests replace them.
     """
 
-    def __init__(self, reactor, node_id, incarnation, codec, listen, on_frame, tls=None):
+    def __init__(
+        self,
+        reactor,
+        node_id,
+        incarnation,
+        codec,
+        listen,
+        on_frame,
+        tls=None,
+        open_outbox=Outbox,
+        open_mailbox=Mailbox,
+    ):
         self.node_id = node_id
         self.incarnation = incarnation
         self._reactor = reactor
         self._codec = codec
         self._tls = tls
+        self._open_outbox = open_outbox
         self._outbox_by_address = {}
         check_scheme(listen, tls)
         server_config = tls.server_config() if tls else None
-        self._mailbox = Mailbox(reactor, listen, codec, on_frame, server_config)
+        self._mailbox = open_mailbox(reactor, listen, codec, on_frame, server_config)
 
     @property
     def address(self):
@@ -82,6 +96,6 @@
             check_link(address)
             check_scheme(address, self._tls)
             client_config = self._tls.client_config(address) if self._tls else None
-            outbox = Outbox(self._reactor, address, client_config)
+            outbox = self._open_outbox(self._reactor, address, client_config)
             self._outbox_by_address[address] = outbox
         return outbox
--- /dev/null
+++ b/tools/benchmarks/link_rounds.py
@@ -0,0 +1,303 @@
+"""Play changes of the routing table to nodes whose connections to control go silent."""
+
+import random
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+from benchmarks.link_network import Direction, LinkNetwork
+from hemlockdock_control.fleet.demand import DemandAggregator
+from hemlockdock_control.fleet.nodes import FleetNodes
+from hemlockdock_control.fleet.registry import EndpointRegistry
+from hemlockdock_control.fleet.request_limits import RequestLimits
+from hemlockdock_control.hub.table_feed import TableFeed
+from hemlockdock_control.state import ClusterStateMachine, encode_command
+from hemlockdock_core.commands import RecordEndpoints
+from hemlockdock_core.links import MessageTransport
+from hemlockdock_core.messages import NODE_CODEC, NodeInfo
+from hemlockdock_core.node import ControlLink
+from hemlockdock_core.periodic_call import PeriodicCall
+from hemlockdock_core.rows import EndpointRow
+from hemlockdock_core.settings import parse_settings
+
+MEMBERS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+PORT = 7
+SETTINGS = (
+    "[process]\nnode_id = {name}\nroles = entry\nhost = h\nfailure_domain = d\n"
+    "[listen]\nlinks = tcp://127.0.0.9:1\nready = 127.0.0.9:2\n"
+    "[membership]\nheartbeat_ms = 500\n"
+    "[fleet]\nseeds = 127.0.0.1:80, 127.0.0.2:80, 127.0.0.3:80\nnode_port = 7\n"
+)
+CONTROL_SETTINGS = (
+    "[process]\nnode_id = c\nroles = control\nhost = h\nfailure_domain = d\ndata_folder = .\n"
+    "[control]\nmembers = c@tcp://127.0.0.1:1@tcp://127.0.0.1:2\n"
+)
+PUSH_S = 0.04
+CLEANUP_S = 0.5
+TICK_S = 0.01
+START_S = 0.3
+NODES_PER_BLOCK = 200
+# Nodes have found the leader by then.
+SETTLED_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class LinkScenario:
+    """What is played.
+
+    Attributes
+    ----------
+    entries : int
+    leader : int
+        Index of the leader among the members.
+    direction : Direction
+        Direction of the connections that go silent.
+    silent_s : tuple of float
+        When open connections go silent.
+    paused_s : float
+        For how long the leader does not run, at ``pause_at_s``.
+    pause_at_s : float
+    pauses_entry : bool
+        Whether an entry is paused in the place of the leader.
+    rows : int
+        Endpoints in the routing table at the beginning.
+    bytes_per_s : float or None
+        What each connection carries; None for any number.
+    change_s : float
+        Time between two changes of the routing table; 0 for none.
+    play_s : float
+    """
+
+    entries: int
+    leader: int = 0
+    direction: Direction = Direction.BOTH
+    silent_s: tuple = ()
+    paused_s: float = 0.0
+    pause_at_s: float = 8.0
+    pauses_entry: bool = False
+    rows: int = 10
+    bytes_per_s: float | None = None
+    change_s: float = 0.25
+    play_s: float = 24.0
+
+
+@dataclass(slots=True)
+class LinkResult:
+    """What a play showed.
+
+    Attributes
+    ----------
+    slowest_s : float
+        Longest time from a change, or from the silence before it, to the change being in force at
+        the last entry.
+    changes, missed : int
+        Changes made, and those that an entry never had.
+    out_of_touch_s : float
+        Longest time for which a node's heartbeats were not confirmed.
+    opened_after_event : int
+        Connections opened after the first silence or pause.
+    lost : int
+        Frames that no process received.
+    """
+
+    slowest_s: float = 0.0
+    changes: int = 0
+    missed: int = 0
+    out_of_touch_s: float = 0.0
+    opened_after_event: int = 0
+    lost: int = 0
+
+
+class Member:
+    """A control member's side of the connections with nodes.
+
+    Parameters
+    ----------
+    network : LinkNetwork
+    ip : str
+    leader_ip : str
+    machine : ClusterStateMachine
+    rng : random.Random
+    """
+
+    def __init__(self, network, ip, leader_ip, machine, rng):
+        self.reactor = network.process()
+        self._machine = machine
+        settings = parse_settings(SETTINGS.format(name=ip), "member")
+        replicator = SimpleNamespace(
+            is_leader=ip == leader_ip,
+            has_lease=ip == leader_ip,
+            leader_id=leader_ip,
+            last_leader_contact_s=0.0,
+            configuration=SimpleNamespace(
+                members=[SimpleNamespace(member_id=member) for member in MEMBERS]
+            ),
+        )
+        self._feed = TableFeed(self._send)
+        self._nodes = FleetNodes(
+            settings,
+            replicator,
+            machine,
+            self._feed,
+            EndpointRegistry(),
+            DemandAggregator(),
+            self.reactor,
+            self._send,
+            None,
+            lambda: None,
+            RequestLimits(0.0),
+        )
+        address = f"tcp://{ip}:{PORT}"
+        self._transport = MessageTransport(
+            self.reactor,
+            ip,
+            1,
+            NODE_CODEC,
+            address,
+            self._nodes.on_frame,
+            **network.sockets(address),
+        )
+        self._loops = []
+        for work, period_s in ((self.push, PUSH_S), (self._forget_silent, CLEANUP_S)):
+            loop = PeriodicCall(self.reactor, work)
+            loop.start(period_s, now=False)
+            self._loops.append(loop)
+
+    def push(self):
+        """Send the latest changes to the nodes that watch."""
+        state = self._machine.state
+        self._feed.push(state.epoch, state.changes)
+
+    def _forget_silent(self):
+        for address in self._nodes.remove_silent():
+            self._transport.forget(address)
+
+    def _send(self, address, message):
+        self._transport.send(address, message)
+
+
+class Node:
+    """An entry's link to control.
+
+    Parameters
+    ----------
+    network : LinkNetwork
+    number : int
+    rng : random.Random
+    """
+
+    def __init__(self, network, number, rng):
+        self.reactor = network.process()
+        block, last = divmod(number, NODES_PER_BLOCK)
+        self.address = f"tcp://127.0.{10 + block}.{1 + last}:{PORT}"
+        settings = parse_settings(SETTINGS.format(name=f"entry-{number}"), "entry")
+        self.transport = MessageTransport(
+            self.reactor,
+            f"entry-{number}",
+            1,
+            NODE_CODEC,
+            self.address,
+            self._receive,
+            **network.sockets(self.address),
+        )
+        info = NodeInfo(f"entry-{number}", "entry", "h", "d", self.address)
+        self.link = ControlLink(self.reactor, settings, self.transport, info)
+        self.reactor.callLater(START_S * rng.random(), self.link.start)
+
+    def _receive(self, frame):
+        self.link.handle(frame)
+
+
+class LinkRounds:
+    """Control members and entries on virtual time.
+
+    Parameters
+    ----------
+    seed : int
+    scenario : LinkScenario
+    """
+
+    def __init__(self, seed, scenario):
+        rng = random.Random(seed)
+        self._scenario = scenario
+        self._network = LinkNetwork(scenario.bytes_per_s)
+        self._machine = ClusterStateMachine(parse_settings(CONTROL_SETTINGS, "control"))
+        self._index = 0
+        for number in range(scenario.rows):
+            self._change(number)
+        leader_ip = MEMBERS[scenario.leader]
+        self._members = [Member(self._network, ip, leader_ip, self._machine, rng) for ip in MEMBERS]
+        self._nodes = [Node(self._network, number, rng) for number in range(scenario.entries)]
+        # The table at the beginning is judged like a change.
+        self._pending = [[self._machine.state.changes.revision, START_S]]
+        self.result = LinkResult()
+
+    def play(self):
+        """Play the scenario.
+
+        Returns
+        -------
+        LinkResult
+        """
+        scenario = self._scenario
+        silences = list(scenario.silent_s)
+        paused = not scenario.paused_s
+        next_change_s = 2.0
+        opened = 0
+        began_s = min([*silences, scenario.pause_at_s])
+        seen_begin = False
+        while self._network.seconds() < scenario.play_s:
+            now_s = self._network.seconds()
+            if not seen_begin and now_s >= began_s:
+                seen_begin = True
+                opened = self._network.opened
+            if silences and now_s >= silences[0]:
+                self._network.silence({node.address for node in self._nodes}, scenario.direction)
+                self._restart_pending(silences.pop(0))
+            if not paused and now_s >= scenario.pause_at_s:
+                paused = True
+                self._pause(now_s)
+            if scenario.change_s and next_change_s <= now_s < scenario.play_s - 4.0:
+                next_change_s += scenario.change_s
+                self._change(self._index)
+                self._pending.append([self._machine.state.changes.revision, now_s])
+                self.result.changes += 1
+            self._network.advance(TICK_S)
+            self._note_in_force()
+            self._note_contact()
+        self.result.missed = len(self._pending)
+        self.result.lost = self._network.lost
+        self.result.opened_after_event = self._network.opened - opened
+        return self.result
+
+    def _pause(self, now_s):
+        scenario = self._scenario
+        process = self._nodes[0] if scenario.pauses_entry else self._members[scenario.leader]
+        process.reactor.frozen_until_s = now_s + scenario.paused_s
+
+    def _restart_pending(self, silent_s):
+        for change in self._pending:
+            change[1] = silent_s
+
+    def _change(self, number):
+        self._index += 1
+        row = EndpointRow(
+            f"endpoint-{number}", "lm", f"127.1.0.1:{number + 1}", "d", 8, False, (), "", (), None
+        )
+        command = encode_command(RecordEndpoints((row,), (), self._index))
+        self._machine.apply(self._index, command)
+
+    def _note_in_force(self):
+        now_s = self._network.seconds()
+        oldest = min(node.link.table.revision for node in self._nodes)
+        while self._pending and self._pending[0][0] <= oldest:
+            _, since_s = self._pending.pop(0)
+            self.result.slowest_s = max(self.result.slowest_s, now_s - since_s)
+
+    def _note_contact(self):
+        if self._network.seconds() < SETTLED_S:
+            return
+        for node in self._nodes:
+            seconds = node.link.seconds_since_heartbeat
+            if seconds is None:
+                seconds = self._network.seconds()
+            self.result.out_of_touch_s = max(self.result.out_of_touch_s, seconds)
