--- a/packages/hemlockdock-agent/hemlockdock_agent/session.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/session.py
@@ -77,6 +77,7 @@
             start.listen,
             self._on_frame,
             tls,
+            settings.listen.advertised_links,
         )
         info = local_node_info(
             settings,
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
@@ -40,7 +40,14 @@
         self._cluster = settings.control.cluster
         sender = self._cluster + CLUSTER_SEPARATOR + self._member_id
         self._transport = MessageTransport(
-            reactor, sender, incarnation, PEER_CODEC, self.address, self._receive, tls
+            reactor,
+            sender,
+            incarnation,
+            PEER_CODEC,
+            settings.listen.peers or self.address,
+            self._receive,
+            tls,
+            self.address,
         )
 
     def update_address(self, member_id, address):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -111,6 +111,7 @@
             self._settings.listen.links,
             self._nodes.on_frame,
             self._tls,
+            self._settings.listen.advertised_links,
         )
         self.replicator.start()
         self._admin.start()
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -151,6 +151,7 @@
             self._node_listen_address(),
             self._on_frame,
             self._tls,
+            self._settings.listen.advertised_links,
         )
         self.replicator.start()
         self._admin.start()
--- a/packages/hemlockdock-core/hemlockdock_core/node/local_node.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/local_node.py
@@ -28,6 +28,7 @@
         settings.listen.links,
         on_frame,
         tls,
+        settings.listen.advertised_links,
     )
 
 
--- a/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
@@ -86,6 +86,14 @@
     links: LinkAddress = key(
         "tcp://127.0.0.1:0", "Address of the mailbox for frames from other processes."
     )
+    advertised_links: LinkAddress = key(
+        "", "Address at which other processes reach the mailbox, if a port mapping changes it."
+    )
+    peers: LinkAddress = key(
+        "",
+        "Address at which a fleet's control member listens for the others, if a port mapping "
+        "changes it.",
+    )
     http: HostPort = key(
         "127.0.0.1:0", "HTTP address for callers (entry) or for health and metrics (agent)."
     )
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -12,10 +12,15 @@
 FAULT_DURATION_S = (0.3, 4.0)
 # Probability that a fault affects an endpoint's connections; the others affect processes.
 PROXY_FAULT_PROBABILITY = 0.35
+# Probability that a fault silences the open connections between nodes.
+SILENCE_PROBABILITY = 0.15
 # A restarted control member takes part in consensus again within this time.
 CATCH_UP_S = 5.0
 
 
+ALL_NODES = ""
+
+
 class FaultKind(Enum):
     """Kinds of faults."""
 
@@ -25,6 +30,7 @@
     RELOAD = "reload"
     WIPE = "wipe"
     HARM = "harm"
+    SILENCE = "silence"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +43,7 @@
         Seconds since the start of the run.
     kind : FaultKind
     target : str
-        Address of a process, or of the endpoint whose proxy injects the fault.
+        Address of a process, or of the endpoint whose proxy injects the fault; empty for all nodes.
     harm : Harm
         Proxy behaviour of a ``HARM`` fault.
     """
@@ -84,6 +90,11 @@
 
 def _draw_fault(plan, rng, at_s):
     until_s = at_s + rng.uniform(*FAULT_DURATION_S)
+    if rng.random() < SILENCE_PROBABILITY:
+        nodes = plan.control_ips + plan.entry_ips + plan.agent_ips
+        # To one node the silence is one way; the nodes' own connections still deliver.
+        target = rng.choice([ALL_NODES, rng.choice(nodes)])
+        return Fault(at_s, at_s, FaultKind.SILENCE, target)
     if rng.random() < PROXY_FAULT_PROBABILITY:
         target = rng.choice(plan.agent_ips + plan.service_ips)
         harm = rng.choice([harm for harm in Harm if harm is not Harm.NONE])
@@ -102,11 +113,14 @@
     ----------
     fleet : LocalFleet
     proxy_by_ip : dict of str to Proxy
+        Proxies before the endpoints.
+    links : LinkProxies
     """
 
-    def __init__(self, fleet, proxy_by_ip):
+    def __init__(self, fleet, proxy_by_ip, links):
         self._fleet = fleet
         self._proxy_by_ip = proxy_by_ip
+        self._links = links
 
     def inject(self, fault):
         """Start a fault.
@@ -116,7 +130,9 @@
         fault : Fault
         """
         name = fault.target
-        if fault.kind is FaultKind.HARM:
+        if fault.kind is FaultKind.SILENCE:
+            self._links.silence_to(self._links.ips if name == ALL_NODES else [name])
+        elif fault.kind is FaultKind.HARM:
             self._proxy_by_ip[name].set_harm(fault.harm)
         elif fault.kind in (FaultKind.KILL, FaultKind.WIPE):
             self._fleet.kill(name)
@@ -137,6 +153,9 @@
         fault : Fault
         """
         name = fault.target
+        if fault.kind is FaultKind.SILENCE:
+            # Connections that went silent stay so.
+            return
         if fault.kind is FaultKind.HARM:
             self._proxy_by_ip[name].set_harm(Harm.NONE)
         elif fault.kind is FaultKind.PAUSE:
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -29,6 +29,9 @@
 ENGINE_PORT = 27_407
 SERVICE_PORT = 27_408
 PROXY_PORT = 27_409
+# Ports at which nodes listen if their links run through proxies at the ports above.
+PROXIED_NODE_PORT = 27_410
+PROXIED_PEER_PORT = 27_411
 WAIT_S = 60
 POLL_S = 0.1
 CALL_TIMEOUT_S = 15
@@ -51,6 +54,8 @@
         Number of processes of each role.
     uses_proxies : bool
         Whether the directory lists endpoints at ``PROXY_PORT`` instead of their own port.
+    proxies_links : bool
+        Whether nodes reach each other through proxies.
     versions : tuple of str
         Software versions of the engines; the last one is that of all further engines.
     """
@@ -60,6 +65,7 @@
     entries: int = 1
     agents: int = 1
     uses_proxies: bool = False
+    proxies_links: bool = False
     versions: tuple = ("v1",)
 
     def address_range(self, first, count):
@@ -96,7 +102,7 @@
         return f"{ip}:{PROXY_PORT if self.uses_proxies else port}"
 
 
-def manifest(number, resumable=False, models=MODELS):
+def manifest(number, resumable=False, models=MODELS, added=""):
     """Return a route manifest with an engine pool and a plain pool.
 
     Parameters
@@ -105,6 +111,8 @@
     resumable : bool, optional
         Whether streams may be resumed.
     models : iterable of str, optional
+    added : str, optional
+        Name of a further route to the plain pool.
 
     Returns
     -------
@@ -117,6 +125,8 @@
         _route("write", RouteKind.AT_MOST_ONCE, "shop"),
         _route("live", RouteKind.STREAM, "lm", resumable),
     )
+    if added:
+        routes += (_route(added, RouteKind.IDEMPOTENT, "shop"),)
     limits = LimitsRow(number, 16_384, 1_000_000, 3_000, 15_000)
     return RouteManifest(limits, routes, (PoolRow("shop", "/", 60), PoolRow("lm", "/", 60, engine)))
 
@@ -291,6 +301,8 @@
         data = self._data_folder(ip)
         data.mkdir(exist_ok=True)
         plan = self.plan
+        node_port = PROXIED_NODE_PORT if plan.proxies_links else NODE_PORT
+        peer_port = PROXIED_PEER_PORT if plan.proxies_links else PEER_PORT
         lines = [
             "[process]",
             f"node_id = {role}-{ip}",
@@ -299,7 +311,9 @@
             "failure_domain = domain-a",
             f"data_folder = {data if role == 'control' else ''}",
             "[listen]",
-            f"links = tcp://{ip}:{NODE_PORT}",
+            f"links = tcp://{ip}:{node_port}",
+            f"advertised_links = tcp://{ip}:{NODE_PORT}",
+            f"peers = tcp://{ip}:{peer_port}",
             f"http = {ip}:{HTTP_PORT}",
             f"admin = {ip}:{ADMIN_PORT}",
             f"ready = {ip}:{READY_PORT}",
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -60,6 +60,7 @@
         self._target_port = target_port
         self._server = None
         self._open_writers = set()
+        self._silent_writers = set()
 
     def start(self):
         """Start listening."""
@@ -76,10 +77,17 @@
         if harm is Harm.RESET:
             self._loop.call(self._reset_all())
 
+    def silence_open(self):
+        """Deliver nothing more over the connections that are open; new ones work."""
+        self._loop.call(self._silence_open())
+
     def close(self):
         """Stop listening and abort all connections."""
         self._loop.call(self._close())
 
+    async def _silence_open(self):
+        self._silent_writers |= self._open_writers
+
     async def _start(self):
         self._server = await asyncio.start_server(self._accept, self._host, self._port)
 
@@ -114,13 +122,14 @@
             self._forward(upstream_reader, writer, Harm.CUT_ANSWERS),
         )
         self._open_writers -= {writer, upstream_writer}
+        self._silent_writers -= {writer, upstream_writer}
 
     async def _forward(self, reader, writer, blocking_harm):
         try:
             while data := await reader.read(CHUNK_BYTES):
                 if self.harm is Harm.DELAY:
                     await asyncio.sleep(DELAY_S)
-                if self.harm in (Harm.SILENCE, blocking_harm):
+                if self._is_blocked(writer, blocking_harm):
                     # Dropped for good, as on a network path that has failed.
                     continue
                 writer.write(data)
@@ -129,5 +138,8 @@
             writer.transport.abort()
             return
         # A blocked direction doesn't forward the end of the stream either.
-        if self.harm not in (Harm.SILENCE, blocking_harm):
+        if not self._is_blocked(writer, blocking_harm):
             writer.close()
+
+    def _is_blocked(self, writer, blocking_harm):
+        return self.harm in (Harm.SILENCE, blocking_harm) or writer in self._silent_writers
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -17,6 +17,7 @@
 )
 from soak.faults import FaultInjector, draw_faults
 from soak.fleet import ENGINE_PORT, OK, PROXY_PORT, SERVICE_PORT, FleetPlan, LocalFleet
+from soak.link_proxies import LinkProxies
 from soak.oracle import engine_breaches, request_breaches, route_breaches
 from soak.proxy import Proxy, ProxyLoop
 
@@ -68,10 +69,13 @@
         self._seed = seed
         self._duration_s = duration_s
         address_prefix = f"127.72.{seed % ADDRESS_BLOCKS}"
-        self._plan = FleetPlan(address_prefix, 3, entries, agents, uses_proxies=True)
+        self._plan = FleetPlan(
+            address_prefix, 3, entries, agents, uses_proxies=True, proxies_links=True
+        )
         self._faults = draw_faults(self._plan, seed, duration_s)
         self._fleet = None
         self._proxy_by_ip = {}
+        self._links = None
 
     def run(self):
         """Run the fleet under faults and check the invariants.
@@ -89,6 +93,8 @@
                 self._fleet.kill_all()
                 for proxy in self._proxy_by_ip.values():
                     proxy.close()
+                if self._links is not None:
+                    self._links.close()
                 loop.close()
 
     def _run(self, loop, folder):
@@ -122,9 +128,11 @@
             self._proxy_by_ip[ip] = Proxy(loop, ip, PROXY_PORT, SERVICE_PORT)
         for proxy in self._proxy_by_ip.values():
             proxy.start()
+        self._links = LinkProxies(loop, self._plan)
+        self._links.start()
 
     def _inject_faults(self):
-        injector = FaultInjector(self._fleet, self._proxy_by_ip)
+        injector = FaultInjector(self._fleet, self._proxy_by_ip, self._links)
         steps = [(fault.at_s, injector.inject, fault) for fault in self._faults]
         steps += [(fault.until_s, injector.revert, fault) for fault in self._faults]
         steps.sort(key=lambda step: step[0])
