--- a/tools/benchmarks/crash_rounds.py
+++ b/tools/benchmarks/crash_rounds.py
@@ -110,6 +110,14 @@
         limit_s = self.crash_times_s[4] + WINDOW_S
         return sum(sent_s > limit_s for sent_s in self.bad_sends_s)
 
+    @property
+    def sends_after_third(self):
+        """Return how many prompts were sent later than the window after the third crash."""
+        if len(self.crash_times_s) < 3:
+            return 0
+        limit_s = self.crash_times_s[2] + WINDOW_S
+        return sum(sent_s > limit_s for sent_s in self.bad_sends_s)
+
     @property
     def sound_ratio(self):
         """Return the share of sound requests answered after the crashes against before."""
@@ -131,11 +139,17 @@
     entries : int
     in_touch : bool
         Whether control hears what entries report.
+    repeats_one : bool
+        Whether the bad requests are one request, sent again and again.
+    lost_s : tuple of float
+        From when to when control is out of touch; never, by default.
     """
 
-    def __init__(self, seed, entries, in_touch=True):
+    def __init__(self, seed, entries, in_touch=True, repeats_one=False, lost_s=(0.0, 0.0)):
         self._random = random.Random(seed)
         self._in_touch = in_touch
+        self._repeats_one = repeats_one
+        self._lost_s = lost_s
         self._network = Network()
         self._machine = ClusterStateMachine(parse_settings(CONTROL_SETTINGS, "control"))
         self._index = 0
@@ -161,7 +175,7 @@
                 self._send_sound(now_s)
                 next_sound_s += self._random.expovariate(SOUND_PER_S)
             if now_s >= next_bad_s:
-                self._send(FIRST_PART, BAD_PART)
+                self._send_bad()
                 next_bad_s += self._random.expovariate(BAD_PER_S)
             if now_s >= next_maintenance_s:
                 next_maintenance_s += MAINTENANCE_S
@@ -187,9 +201,18 @@
         """
         outcome = Deferred()
         if self._in_touch:
-            self._network.callLater(COMMIT_S, self._commit, command, outcome)
+            self._commit_in_touch(command, outcome)
         return outcome
 
+    def _commit_in_touch(self, command, outcome):
+        """Commit a command; a node repeats one that control did not hear."""
+        now_s = self._network.seconds()
+        lost_from_s, lost_until_s = self._lost_s
+        if lost_from_s <= now_s < lost_until_s:
+            self._network.callLater(lost_until_s - now_s, self._commit_in_touch, command, outcome)
+            return
+        self._network.callLater(COMMIT_S, self._commit, command, outcome)
+
     def _commit(self, command, outcome):
         self._index += 1
         command = msgspec.structs.replace(command, at_ms=self._wall_ms())
@@ -261,6 +284,13 @@
             link.table.put(_endpoint_row(engine))
             gateway.table_changed()
 
+    def _send_bad(self):
+        if not self._repeats_one:
+            self._send(FIRST_PART, BAD_PART)
+            return
+        self._requests += 1
+        self._send_request("bad", f"{FIRST_PART}:50,{BAD_PART}:50")
+
     def _send_sound(self, now_s):
         subject = f"subject-{self._random.randrange(SUBJECTS)}"
         self._clients.append((now_s, self._send(FIRST_PART, subject)))
@@ -268,15 +298,24 @@
     def _send(self, *parts):
         self._requests += 1
         number = self._requests
+        listed = ",".join(f"{part}:50" for part in (*parts, f"own-{number}"))
+        return self._send_request(str(number), listed)
+
+    def _send_request(self, path, listed):
         gateway = self._random.choice(self._gateways)
         connection = ClientConnection(gateway)
         transport = ClientTransport()
         connection.makeConnection(transport)
-        listed = ",".join(f"{part}:50" for part in (*parts, f"own-{number}"))
         connection.dataReceived(
-            b"POST %b%d HTTP/1.1\r\nHost: h\r\nX-Request-Id: %d\r\nX-Time-Left-Ms: %d\r\n"
+            b"POST %b%b HTTP/1.1\r\nHost: h\r\nX-Request-Id: %d\r\nX-Time-Left-Ms: %d\r\n"
             b"X-Use-Model: m\r\nX-Prompt-Parts: %b\r\n\r\n"
-            % (STREAM_PREFIX.encode(), number, number, CLIENT_S * 1_000, listed.encode())
+            % (
+                STREAM_PREFIX.encode(),
+                path.encode(),
+                self._requests,
+                CLIENT_S * 1_000,
+                listed.encode(),
+            )
         )
         return transport
 
--- a/tools/tests/test_crash_rounds.py
+++ b/tools/tests/test_crash_rounds.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from benchmarks.bench_quarantine import SENDS_BOUND, SOUND_BOUND  # noqa: E402
+from benchmarks.bench_quarantine import CONTROL_LOST_S, SENDS_BOUND, SOUND_BOUND  # noqa: E402
 from benchmarks.crash_rounds import CrashRounds  # noqa: E402
 
 SEED = 272
@@ -31,6 +31,21 @@
         self.assertLessEqual(len(result.crash_times_s), MAX_CRASHES)
         self.assertGreaterEqual(result.sound_ratio, SOUND_BOUND)
 
+    @unittest.expectedFailure
+    def test_a_request_that_crashed_three_endpoints_is_not_sent_again_without_control(self):
+        for entries in (5, 29):
+            with self.subTest(entries=entries):
+                result = CrashRounds(SEED, entries, False, repeats_one=True).play()
+                self.assertEqual(result.sends_after_third, 0)
+                self.assertGreaterEqual(result.sound_ratio, SOUND_BOUND)
+
+    @unittest.expectedFailure
+    def test_a_part_that_crashed_five_endpoints_is_refused_while_control_is_lost(self):
+        result = CrashRounds(SEED, entries=5, lost_s=CONTROL_LOST_S).play()
+        self.assertLessEqual(result.sends_after_fifth, SENDS_BOUND)
+        self.assertLessEqual(len(result.crash_times_s), MAX_CRASHES)
+        self.assertGreaterEqual(result.sound_ratio, SOUND_BOUND)
+
 
 if __name__ == "__main__":
     unittest.main()
