entry: without control, entries of the own interface also tell each other what endpoints crash on

What callers saw: with control out of touch for less than stale_after_ms, each entry ran a crashing request at two endpoints of its own.

Why this works: entries are nodes of the routing table, so that their addresses are known without control. What an entry saw itself counts as before (two crashes); what entries saw together counts at the third, as an entry does not know all that ran at a crash.

--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -13,8 +13,10 @@
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
+    CrashNotice,
     Leaving,
     Refused,
+    SoundNotice,
 )
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import ControlLink, local_node_info, open_local_transport
@@ -172,6 +174,11 @@
     def _(self, body, frame):
         self._coordinator.attempts.handle(body, frame.sender)
 
+    @_handle_frame.register(CrashNotice)
+    @_handle_frame.register(SoundNotice)
+    def _(self, body, frame):
+        self._coordinator.crashes.on_notice(body, frame.sender)
+
     @_handle_frame.register(Leaving)
     def _(self, body, frame):
         if body.node_id == frame.sender:
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/admission.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/admission.py
@@ -53,10 +53,7 @@
         -------
         TrustLevel
         """
-        now = self._coordinator.clock.seconds()
-        return self._coordinator.crash_tracker.trust_level(
-            self._coordinator.link.table, request.fingerprint, now, self._coordinator.wall_ms()
-        )
+        return self._coordinator.crashes.trust_level(request.fingerprint)
 
     def deadline_refusal(self, request, ahead):
         """Return a refusal if a request is not expected to be answered by its deadline, or None.
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/coordinator.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/coordinator.py
@@ -9,11 +9,12 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import LoadCounts
 from hemlockdock_entry.lifecycle import RequestCounts
-from hemlockdock_entry.routing import CrashTracker, RetryBudget, Router
+from hemlockdock_entry.routing import RetryBudget, Router
 from hemlockdock_entry.tasks.admission import Admission
 from hemlockdock_entry.tasks.attempt_registry import AttemptRegistry
 from hemlockdock_entry.tasks.capacity_view import CapacityView
 from hemlockdock_entry.tasks.command_retrier import CommandRetrier
+from hemlockdock_entry.tasks.shared_crashes import SharedCrashes
 from hemlockdock_entry.tasks.waiting_requests import WaitingRequests
 from hemlockdock_entry.waiting import ServiceTimes
 
@@ -53,7 +54,7 @@
         self.attempts = AttemptRegistry()
         self.budget = RetryBudget(settings.entry.retry_budget)
         self.router = Router(settings.process.failure_domain, random_source)
-        self.crash_tracker = CrashTracker()
+        self.crashes = SharedCrashes(self)
         self.service_times = ServiceTimes()
         self.command_retrier = CommandRetrier(clock, link, self._check_idle)
         self.loads = LoadCounts()
@@ -179,7 +180,7 @@
 
     def tick(self):
         """Start or refuse queued requests, resend wishes, report loads and check the ledger."""
-        self.crash_tracker.remove_expired(self.clock.seconds())
+        self.crashes.remove_expired()
         for load in self.loads.changed_loads(self.waiting.tick()):
             self.link.report_load(load)
         if not self.ledger.balanced(self.in_progress):
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -112,7 +112,7 @@
         """Handle the end of the answer."""
         now = self.coordinator.clock.seconds()
         self.coordinator.service_times.record(self.request.model, now - self._dispatched_at)
-        self.coordinator.crash_tracker.record_success(self.request.fingerprint)
+        self.coordinator.crashes.record_success(self.request.fingerprint)
         self._release(AttemptOutcome.ANSWERED)
         if self.core.ended:
             self.coordinator.closed(self)
@@ -225,7 +225,6 @@
         )
 
     def _record_outcome(self, refusal):
-        now = self.coordinator.clock.seconds()
         outcome = AttemptOutcome.NEUTRAL
         if refusal.kind in OVERLOAD_KINDS:
             outcome = AttemptOutcome.FULL
@@ -236,9 +235,7 @@
             self.avoided_nodes.add(self.replica.node_id)
         if refusal.kind is ErrorKind.ENDPOINT_LOST and refusal.not_run is not NotRun.TRUE:
             self.endpoints_lost += 1
-            self.coordinator.crash_tracker.record_crash(
-                self.request.fingerprint, now, self.replica.node_id
-            )
+            self.coordinator.crashes.record_crash(self.request.fingerprint, self.replica.node_id)
         self._release(outcome)
 
     def _deadline_passed(self):
--- a/tools/benchmarks/bench_overload.py
+++ b/tools/benchmarks/bench_overload.py
@@ -18,6 +18,9 @@
 GOODPUT_BOUND = 0.95
 LOOKUP_BOUND = 1.5
 CRASH_BOUND = 2.0
+ENTRY_COUNTS = (1, 5, 29)
+# A request that crashed three endpoints is not sent on.
+LONELY_CRASH_BOUND = 3.0
 POISON = "poison"
 RESENDS = 60
 RESEND_INTERVAL_S = 0.5
@@ -62,12 +65,14 @@
     return sum(caller.in_time for caller in counted) / (RUN_S - WARM_UP_S)
 
 
-def endpoints_lost(entries=3):
+def endpoints_lost(entries=3, in_touch=True):
     """Count the engine crashes caused by one request that is sent repeatedly.
 
     Parameters
     ----------
     entries : int, optional
+    in_touch : bool, optional
+        Whether control hears of the crashes.
 
     Returns
     -------
@@ -76,6 +81,7 @@
     """
     simulation = EntrySimulation(SEED, ENDPOINTS * 2, SLOTS, service_s, entries)
     simulation.endpoints.poison_fingerprint = POISON
+    simulation.endpoints.in_touch = in_touch
     deadline_random = random.Random(SEED + 9)
 
     def submit_bystander():
@@ -125,14 +131,12 @@
         SEED,
     )
     lost, _ = endpoints_lost()
-    yield Figure(
-        "crash.endpoints_per_request",
-        lost,
-        "endpoints",
-        "",
-        None,
-        None,
-        CRASH_BOUND,
-        "lower",
-        SEED,
-    )
+    yield _crash_figure("crash.endpoints_per_request", lost, CRASH_BOUND)
+    for entries in ENTRY_COUNTS:
+        lost, _ = endpoints_lost(entries, in_touch=False)
+        name = f"crash.{entries}_entries_without_control.endpoints_per_request"
+        yield _crash_figure(name, lost, LONELY_CRASH_BOUND)
+
+
+def _crash_figure(name, value, bound):
+    return Figure(name, value, "endpoints", "", None, None, bound, "lower", SEED)
--- a/tools/benchmarks/entry_simulation.py
+++ b/tools/benchmarks/entry_simulation.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from benchmarks.virtual_endpoints import VirtualEndpoints
-from hemlockdock_core.rows import ClassRow, ModelRow, RoutingTable
+from hemlockdock_core.rows import ClassRow, ModelRow, NodeRow, RoutingTable
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_entry.intake import Request
 from hemlockdock_entry.tasks.coordinator import RequestCoordinator
@@ -131,6 +131,10 @@
             lambda message, node_id: service_s(engine_random, message, node_id),
         )
         for number in range(entries):
+            node_id = f"entry-{number}"
+            self.table.put(
+                NodeRow(node_id, "entry", "host", "a", str(number), 1, leaving=False, lost=False)
+            )
             settings = parse_settings(SETTINGS.format(number=number, entry=entry), "bench")
             coordinator = RequestCoordinator(
                 self.clock,
--- a/tools/benchmarks/virtual_endpoints.py
+++ b/tools/benchmarks/virtual_endpoints.py
@@ -1,7 +1,15 @@
 """Simulate agents and their engines in virtual time."""
 
 from hemlockdock_core.errors import ErrorKind, Refusal
-from hemlockdock_core.messages import AnswerChunk, AnswerEnd, AnswerHead, Dispatch, Refused
+from hemlockdock_core.messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    CrashNotice,
+    Dispatch,
+    Refused,
+    SoundNotice,
+)
 from hemlockdock_core.rows import NodeRow, QuarantineRow, ReplicaRow, ReplicaState
 
 LINK_DELAY_S = 0.0005
@@ -38,6 +46,8 @@
         Fraction of the requests that fail at the end of their run.
     poison_fingerprint : str
         Requests with this fingerprint crash the engine; empty for none.
+    in_touch : bool
+        Whether control hears of crashes.
     runs : int
         Number of requests started.
     """
@@ -47,6 +57,7 @@
         self.lost = 0
         self.failure_rate = 0.0
         self.poison_fingerprint = ""
+        self.in_touch = True
         self.runs = 0
         self._clock = clock
         self._table = table
@@ -75,6 +86,10 @@
         )
 
     def _handle_message(self, number, node_id, message):
+        if isinstance(message, CrashNotice | SoundNotice):
+            crashes = self.coordinators[int(node_id)].crashes
+            crashes.on_notice(message, f"entry-{number}")
+            return
         if not isinstance(message, Dispatch):
             return
         running = self._running_by_node.get(node_id)
@@ -117,7 +132,8 @@
         fingerprints = {message.fingerprint for _, message in running.values()}
         for number, message in running.values():
             self._reply_refusal(number, node_id, message, ErrorKind.ENDPOINT_LOST)
-        self._clock.callLater(COMMIT_DELAY_S, self._commit_crash, fingerprints)
+        if self.in_touch:
+            self._clock.callLater(COMMIT_DELAY_S, self._commit_crash, fingerprints)
         self._clock.callLater(RELOAD_DELAY_S, self._add_endpoint, node_id, 2)
 
     def _commit_crash(self, fingerprints):
--- a/tools/tests/test_crash_rounds.py
+++ b/tools/tests/test_crash_rounds.py
@@ -7,6 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
+from benchmarks.bench_overload import LONELY_CRASH_BOUND, endpoints_lost  # noqa: E402
 from benchmarks.bench_quarantine import CONTROL_LOST_S, SENDS_BOUND, SOUND_BOUND  # noqa: E402
 from benchmarks.crash_rounds import CrashRounds  # noqa: E402
 
@@ -45,5 +46,16 @@
         self.assertGreaterEqual(result.sound_ratio, SOUND_BOUND)
 
 
+class OwnInterfaceTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_a_request_that_crashed_three_endpoints_is_not_dispatched_again_without_control(self):
+        lost, others_in_time = endpoints_lost(entries=5, in_touch=False)
+        self.assertLessEqual(lost, LONELY_CRASH_BOUND)
+        self.assertGreaterEqual(others_in_time, SOUND_BOUND)
+
+
 if __name__ == "__main__":
     unittest.main()
