links: a connection over which the peer is heard is not replaced, so that a long table arrives

What callers would see: an entry that gets its table over a slow connection never has it, and refuses everything.

The answers to a node's heartbeats wait behind the table. The node took its connection for silent, and made the member replace the other one; the end of the table, sent again over that one, came before its middle, which was then discarded as older.

Why this works: a peer that was heard since it owes an answer sends over a connection that works; only the one to it is replaced. A connection whose queue is moving is not replaced either. Frames that no longer could be retained are counted when a renewal really needs them, not whenever a peer has no reason to answer.

--- a/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
@@ -58,15 +58,23 @@
         Number of the last frame from the peer; NOT_NUMBERED before the first one.
     holds : bool
         Whether frames are held until the peer has answered over a new connection.
+    heard : bool
+        Whether a frame of the peer has arrived since it has owed an answer, or since the last
+        renewal. Then only the connection to the peer may be silent, not the one from it.
+    not_retained : int
+        Number of frames that may be lost, as there was no room to retain them.
     """
 
     def __init__(self):
         self.received = NOT_NUMBERED
         self.holds = False
+        self.heard = False
+        self.not_retained = 0
         self._peer_session = 0
         self._peer_acknowledges = True
         self._retained = deque()
         self._retained_bytes = 0
+        self._last_not_retained = 0
         self._last_sent = 0
         self._questions = deque()
         self._unanswered_since_s = 0.0
@@ -117,27 +125,21 @@
         expects_answer : bool
             Whether the connection is renewed if the frame is not acknowledged.
         now_s : float
-
-        Returns
-        -------
-        int
-            Number of older frames that are no longer retained, for lack of room.
         """
         if not self.holds:
             self._last_sent = number
         if not self._peer_acknowledges:
-            return 0
+            return
         if expects_answer:
             if not self.is_waiting:
                 self._wait_since(now_s)
             self._questions.append((number, now_s))
         self._retained.append(RetainedFrame(number, data))
         self._retained_bytes += len(data)
-        discarded = 0
         while self._retained_bytes > MAX_RETAINED_BYTES:
+            self._last_not_retained = self._retained[0].number
+            self.not_retained += 1
             self._discard_oldest()
-            discarded += 1
-        return discarded
 
     def record_received(self, number):
         """Record a frame from the peer.
@@ -172,6 +174,7 @@
             self.stop_waiting()
             return
         self._peer_acknowledges = True
+        self.heard = True
         session = session_of(number)
         if self._peer_session not in (0, session):
             # What was sent went to the process before.
@@ -188,6 +191,8 @@
         """
         while self._retained and self._retained[0].number <= number:
             self._discard_oldest()
+        if number >= self._last_not_retained:
+            self.not_retained = 0
         if not self._questions or self._questions[0][0] > number:
             return
         while self._questions and self._questions[0][0] <= number:
@@ -203,6 +208,7 @@
 
         A peer that never answered gets them at once: it may not know probes.
         """
+        self.heard = False
         self.holds = self.is_known
 
     def release(self, now_s):
@@ -269,6 +275,7 @@
         self._questions.clear()
         self._retained.clear()
         self._retained_bytes = 0
+        self.not_retained = 0
         self._renew_after_s = RENEW_AFTER_S
 
     def _discard_oldest(self):
@@ -278,3 +285,4 @@
         self._unanswered_since_s = since_s
         self._clock_start_s = max(self._clock_start_s, since_s)
         self._probed = False
+        self.heard = False
--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -104,9 +104,7 @@
         data = self._encode(peer, message, self._last_number)
         expects_answer = getattr(message, "expects_answer", False)
         now_s = self._reactor.seconds()
-        discarded = peer.delivery.record_sent(self._last_number, data, expects_answer, now_s)
-        if discarded:
-            COUNTERS.increment("link_frames_not_retained", discarded)
+        peer.delivery.record_sent(self._last_number, data, expects_answer, now_s)
         if not peer.delivery.holds:
             peer.outbox.send(data)
         self._watch(peer)
@@ -158,7 +156,7 @@
     @_handle.register
     def _(self, body: LinkProbe, peer):
         self._connected_peer(peer.address)
-        if body.renewed and self._may_be_silent(peer):
+        if body.renew and self._may_be_silent(peer):
             self._log("connection renewed, as the peer got no answers", peer)
             self._renew(peer)
             self._resend(peer)
@@ -176,14 +174,18 @@
         return age_s >= RENEW_AFTER_S and not peer.outbox.is_moving
 
     def _renew_unanswered(self, peer):
-        if not peer.delivery.is_known and not peer.outbox.is_connected:
+        delivery = peer.delivery
+        if not delivery.is_known and not peer.outbox.is_connected:
             # The peer may not listen yet. The socket goes on dialling, and keeps its queue.
             return
-        if not peer.delivery.holds:
+        if peer.outbox.is_moving:
+            return
+        if not delivery.holds:
             self._log("connection without answers renewed", peer)
+        heard = delivery.heard
         self._renew(peer)
-        peer.delivery.hold()
-        self._send_probe(peer, renewed=True)
+        delivery.hold()
+        self._send_probe(peer, renew=not heard)
 
     def _renew(self, peer):
         COUNTERS.increment("link_renewals")
@@ -195,14 +197,16 @@
         logger.info(event, extra={"peer": peer.address, "unanswered_s": unanswered_s})
 
     def _resend(self, peer):
+        if peer.delivery.not_retained:
+            COUNTERS.increment("link_frames_not_retained", peer.delivery.not_retained)
         for frame in peer.delivery.release(self._reactor.seconds()):
             COUNTERS.increment("link_frames_resent")
             peer.outbox.send(frame.data)
         self._watch(peer)
 
-    def _send_probe(self, peer, renewed):
+    def _send_probe(self, peer, renew):
         peer.probe += 1
-        self._send_link_message(peer, LinkProbe(peer.probe, renewed))
+        self._send_link_message(peer, LinkProbe(peer.probe, renew))
 
     def _send_link_message(self, peer, message):
         peer.outbox.send(self._encode(peer, message, self._session_number))
@@ -236,7 +240,7 @@
         now_s = self._reactor.seconds()
         action = peer.delivery.decide(now_s)
         if action is LinkAction.PROBE:
-            self._send_probe(peer, renewed=False)
+            self._send_probe(peer, renew=False)
         elif action is LinkAction.RENEW:
             self._renew_unanswered(peer)
         elif action is LinkAction.GIVE_UP:
--- a/packages/hemlockdock-core/hemlockdock_core/messages/link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/link.py
@@ -12,15 +12,15 @@
     ----------
     probe : int
         Number that the answer repeats.
-    renewed : bool
-        Whether the connection on which it arrives replaces one without answers. The receiver then
-        replaces its own connection to the sender, too.
+    renew : bool
+        Whether the receiver has to replace its own connection to the sender, as the sender has
+        replaced its one and has heard nothing meanwhile.
     """
 
     expects_answer: ClassVar[bool] = False
 
     probe: int
-    renewed: bool
+    renew: bool
 
 
 class LinkAck(Message, frozen=True):
--- a/packages/hemlockdock-core/tests/test_delivery.py
+++ b/packages/hemlockdock-core/tests/test_delivery.py
@@ -135,9 +135,23 @@
     def test_what_is_retained_is_bounded(self):
         self.receive(1)
         half = b"x" * (MAX_RETAINED_BYTES // 2)
-        discarded = [self.send(1.0, data=half) for _ in range(4)]
-        self.assertEqual(discarded, [0, 0, 1, 1])
+        for _ in range(4):
+            self.send(1.0, data=half)
+        self.assertEqual(self.delivery.not_retained, 2)
+        self.receive(2, acknowledged=1)
+        self.assertEqual(self.delivery.not_retained, 2)
         self.assertEqual(self.released(), [3, 4])
+        self.receive(3, acknowledged=2)
+        self.assertEqual(self.delivery.not_retained, 0)
+
+    def test_a_peer_that_is_heard_while_it_owes_an_answer_is_not_asked_to_renew(self):
+        self.receive(1)
+        self.send(1.0)
+        self.assertFalse(self.delivery.heard)
+        self.receive(2)
+        self.assertTrue(self.delivery.heard)
+        self.renew(1.0 + RENEW_AFTER_S)
+        self.assertFalse(self.delivery.heard)
 
 
 if __name__ == "__main__":
--- a/tools/benchmarks/link_network.py
+++ b/tools/benchmarks/link_network.py
@@ -40,11 +40,6 @@
         self._network = network
         self._free_s = 0.0
 
-    @property
-    def is_moving(self):
-        """Tell whether frames are on their way."""
-        return not self.silent and self._free_s > self._network.seconds()
-
     def deliver(self, data):
         """Deliver a frame, unless the connection is silent."""
         if self.silent:
@@ -74,8 +69,15 @@
     reactor : EntryReactor
     address : str
     tls_config : None, optional
+
+    Attributes
+    ----------
+    is_moving : bool
+        False, as if all frames were in the buffers of the operating system.
     """
 
+    is_moving = False
+
     def __init__(self, network, source, reactor, address, tls_config=None):
         self._connection = VirtualConnection(network, source, address)
         self._queue = deque()
@@ -88,11 +90,6 @@
         """Tell whether the connection is established."""
         return self._connected
 
-    @property
-    def is_moving(self):
-        """Tell whether the peer is receiving queued frames."""
-        return self._connection.is_moving
-
     def send(self, data):
         """Send a frame, or queue it until the connection is established."""
         if self._closed:
@@ -134,7 +131,7 @@
         self.on_frame = on_frame
         self.codec = codec
         self._network = network
-        network.mailbox_by_address[address] = self
+        network.listen(self)
 
     def close(self):
         """Stop receiving."""
@@ -163,6 +160,7 @@
         self.lost = 0
         self._bytes_per_s = bytes_per_s
         self._connections = []
+        self._dialling = []
 
     def duration_s(self, data):
         """Return how long a connection takes to carry a frame, in seconds."""
@@ -189,6 +187,19 @@
             "open_mailbox": partial(VirtualMailbox, self),
         }
 
+    def listen(self, mailbox):
+        """Open a mailbox, also to the processes that are dialling it.
+
+        Parameters
+        ----------
+        mailbox : VirtualMailbox
+        """
+        self.mailbox_by_address[mailbox.address] = mailbox
+        dialling, self._dialling = self._dialling, []
+        for connection, reactor, established in dialling:
+            self.opened -= 1
+            self.connect(connection, reactor, established)
+
     def connect(self, connection, reactor, established):
         """Establish a connection once the other process runs.
 
@@ -203,6 +214,7 @@
         self._connections.append(connection)
         mailbox = self.mailbox_by_address.get(connection.target)
         if mailbox is None:
+            self._dialling.append((connection, reactor, established))
             return
         mailbox.reactor.callLater(ONE_WAY_S, reactor.callLater, ONE_WAY_S, established)
 
--- a/tools/tests/test_link_rounds.py
+++ b/tools/tests/test_link_rounds.py
@@ -7,7 +7,13 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from benchmarks.bench_links import IN_FORCE_BOUND_S, SEED  # noqa: E402
+from benchmarks.bench_links import (  # noqa: E402
+    IN_FORCE_BOUND_S,
+    LARGE_TABLE_BOUND_S,
+    LARGE_TABLE_BYTES_PER_S,
+    LARGE_TABLE_ROWS,
+    SEED,
+)
 from benchmarks.link_network import Direction  # noqa: E402
 from benchmarks.link_rounds import MEMBERS, LinkRounds, LinkScenario  # noqa: E402
 
@@ -59,6 +65,12 @@
         result = self.play(entries=5, paused_s=3.0, pauses_entry=True)
         self.assertEqual((result.missed, result.lost), (0, 0))
 
+    def test_a_table_that_takes_longer_than_answers_are_waited_for_arrives(self):
+        rows, bytes_per_s = LARGE_TABLE_ROWS, LARGE_TABLE_BYTES_PER_S
+        result = self.play(entries=5, rows=rows, bytes_per_s=bytes_per_s, change_s=0, play_s=12.0)
+        self.assertEqual(result.missed, 0)
+        self.assertLessEqual(result.slowest_s, LARGE_TABLE_BOUND_S)
+
     def test_no_connection_is_opened_while_nothing_is_wrong(self):
         result = self.play(entries=5, play_s=70.0)
         self.assertEqual(result.opened_after_event, 0)
