--- a/packages/hemlockdock-core/hemlockdock_core/node/control_contact.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_contact.py
@@ -34,6 +34,45 @@
         self.entries = ASSUMED_ENTRY_COUNT
         self.reported_entries = 0
 
+    def seconds_since_heartbeat(self, now_s):
+        """Return the seconds since the last confirmed heartbeat was sent; None if there is none.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        float or None
+        """
+        return None if self.fresh_s is None else now_s - self.fresh_s
+
+    def is_fresh(self, now_s, limit_s):
+        """Tell whether control confirmed a heartbeat that was sent not longer ago than a limit.
+
+        Parameters
+        ----------
+        now_s, limit_s : float
+
+        Returns
+        -------
+        bool
+        """
+        return self.fresh_s is not None and now_s - self.fresh_s <= limit_s
+
+    def leader_answered(self, now_s, limit_s):
+        """Tell the same of a leader that issues permits.
+
+        Parameters
+        ----------
+        now_s, limit_s : float
+
+        Returns
+        -------
+        bool
+        """
+        return self.leader_s is not None and now_s - self.leader_s <= limit_s
+
     def record_sent(self, sequence, now_s):
         """Record a heartbeat that was sent.
 
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -10,25 +10,20 @@
     ProposalResult,
     TableChunk,
     TableDelta,
-    WatchTable,
 )
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node.control_contact import ControlContact
+from hemlockdock_core.node.leader_search import SEARCH_INTERVAL_S, LeaderSearch
+from hemlockdock_core.node.load_reports import LoadReports
 from hemlockdock_core.node.member_selector import MemberSelector
 from hemlockdock_core.node.proposal_tracker import ProposalTracker
-from hemlockdock_core.node.table_copy import TableCopy
+from hemlockdock_core.node.table_subscription import TableSubscription
 from hemlockdock_core.periodic_call import PeriodicCall
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1_000
 SILENCE_LIMIT_HEARTBEATS = 3
-# In a fleet, any member can name the leader. After this many heartbeat intervals without a frame
-# from the selected member, all members are asked.
-LEADER_SEARCH_AFTER_HEARTBEATS = 1.2
-# Interval at which a node of a fleet asks all members for the leader while it knows none or its
-# leader is silent. It is short because the node's requests wait for the answer.
-LEADER_SEARCH_INTERVAL_S = 0.2
 PROPOSAL_RETRY_S = 0.4
 TICK_INTERVAL_S = 0.1
 
@@ -60,16 +55,13 @@
         self._settings = settings
         self._transport = message_transport
         self._info = info
-        self._on_table = on_table
-        self._table_copy = TableCopy()
+        self._subscription = TableSubscription(self.send, on_table)
+        self._loads = LoadReports()
         self._leaving = False
-        self._needs_table = True
         self._sequence = 0
         self._info_known = False
         self._keeps_stream_origins = False
         self._heartbeat_sent_s = 0.0
-        self._unacknowledged_load_by_model = {}
-        self._sent_loads_by_sequence = {}
         self._heartbeat_s = settings.membership.heartbeat_ms / MS_PER_S
         self._member_selector = MemberSelector(
             settings.members,
@@ -79,6 +71,9 @@
         )
         self.incarnation = message_transport.incarnation
         self.contact = ControlContact()
+        self._search = LeaderSearch(
+            settings.in_fleet, self._heartbeat_s, self.contact, self._member_selector
+        )
         self._pending_proposals = ProposalTracker(
             f"{info.node_id}-{self.incarnation}", PROPOSAL_RETRY_S
         )
@@ -88,7 +83,7 @@
     @property
     def table(self):
         """Return the node's RoutingTable, whose rows are updated in place."""
-        return self._table_copy.table
+        return self._subscription.table
 
     @property
     def entries(self):
@@ -117,18 +112,13 @@
     @property
     def fresh(self):
         """Tell whether control confirmed a heartbeat within ``membership.stale_after_ms``."""
-        seconds = self.seconds_since_heartbeat
-        if seconds is None:
-            return False
         limit_s = self._settings.membership.stale_after_ms / MS_PER_S
-        return seconds <= limit_s
+        return self.contact.is_fresh(self._reactor.seconds(), limit_s)
 
     @property
     def seconds_since_heartbeat(self):
         """Return the seconds since the last confirmed heartbeat was sent; None if there is none."""
-        if self.contact.fresh_s is None:
-            return None
-        return self._reactor.seconds() - self.contact.fresh_s
+        return self.contact.seconds_since_heartbeat(self._reactor.seconds())
 
     def leader_answers_within(self, seconds):
         """Tell whether a leader that issues permits confirmed a heartbeat sent not longer ago.
@@ -141,9 +131,7 @@
         -------
         bool
         """
-        if self.contact.leader_s is None:
-            return False
-        return self._reactor.seconds() - self.contact.leader_s <= seconds
+        return self.contact.leader_answered(self._reactor.seconds(), seconds)
 
     def start(self, watch=True):
         """Start sending heartbeats.
@@ -153,7 +141,7 @@
         watch : bool, optional
             Whether the node needs the routing table.
         """
-        self._needs_table = watch
+        self._subscription.is_wanted = watch
         self._heartbeat_timer.start(self._heartbeat_s)
         self._tick_timer.start(TICK_INTERVAL_S, now=False)
 
@@ -198,7 +186,7 @@
         ----------
         load : ModelTraffic
         """
-        self._unacknowledged_load_by_model[load.model] = load
+        self._loads.add(load)
 
     def set_leaving(self):
         """Tell control that this node accepts no new requests."""
@@ -234,27 +222,15 @@
             body.members, body.leader_address, now_s
         ):
             self._on_member_selected()
-        self._discard_acknowledged(body.sequence)
-        if body.table_revision > self._table_copy.table.revision:
-            self._request_table()
+        self._loads.acknowledge(body.sequence)
+        self._subscription.request_if_behind(body.table_revision)
         return True
 
-    @_handle_body.register
-    def _(self, body: TableChunk, frame):
+    @_handle_body.register(TableChunk)
+    @_handle_body.register(TableDelta)
+    def _(self, body, frame):
         self._member_selector.record_frame(frame.sender, self._reactor.seconds())
-        if self._table_copy.take_chunk(body):
-            self._notify_table_changed()
-        return True
-
-    @_handle_body.register
-    def _(self, body: TableDelta, frame):
-        self._member_selector.record_frame(frame.sender, self._reactor.seconds())
-        changed = self._table_copy.take_delta(body)
-        if changed is None:
-            COUNTERS.increment("table_gaps")
-            self._request_table()
-        elif changed:
-            self._notify_table_changed()
+        self._subscription.take(body)
         return True
 
     @_handle_body.register
@@ -277,10 +253,8 @@
 
     def _on_heartbeat_timer(self):
         # While the node searches for the leader, _tick may just have sent a heartbeat to everyone.
-        if (
-            not self._sequence
-            or self._reactor.seconds() - self._heartbeat_sent_s >= LEADER_SEARCH_INTERVAL_S / 2
-        ):
+        since_s = self._reactor.seconds() - self._heartbeat_sent_s
+        if not self._sequence or since_s >= SEARCH_INTERVAL_S / 2:
             self._send_heartbeat()
 
     def _send_heartbeat(self):
@@ -291,70 +265,36 @@
             self._on_member_selected()
         self._heartbeat_sent_s = self._reactor.seconds()
         self._sequence += 1
-        loads = list(self._unacknowledged_load_by_model.values())
-        self._sent_loads_by_sequence[self._sequence] = loads
         self.contact.record_sent(self._sequence, self._reactor.seconds())
-        epoch, revision = self._table_copy.position
         heartbeat = Heartbeat(
             self._sequence,
-            epoch,
-            revision,
+            *self._subscription.position,
             self._leaving,
             None if self._info_known else self._info,
-            loads,
+            self._loads.send(self._sequence),
         )
         # The first heartbeat goes to one member only: usually there is a leader already.
-        if self._sequence == 1 or not self._is_seeking_leader():
+        if self._sequence == 1 or not self._search.is_on(self._reactor.seconds()):
             self.send(heartbeat)
             return
         for member in self._member_selector.known_members:
             self._transport.send(member.node_address, heartbeat)
 
-    def _is_seeking_leader(self):
-        """Tell whether all members are asked for the leader: it is unknown or silent."""
-        if not self._settings.in_fleet:
-            return False
-        if self.contact.fresh_s is None:
-            return True
-        return self._member_selector.is_silent(
-            self._reactor.seconds(), LEADER_SEARCH_AFTER_HEARTBEATS * self._heartbeat_s
-        )
-
     def _on_member_selected(self):
         logger.info(
             "control member selected", extra={"member": self._member_selector.current.member_id}
         )
         COUNTERS.increment("control_member_changes")
         self._info_known = False
-        self._request_table()
+        self._subscription.request()
         for proposal in self._pending_proposals.all():
             self.send(proposal)
 
     def _tick(self):
         for proposal in self._pending_proposals.expire_and_get_due(self._reactor.seconds()):
             self.send(proposal)
-        if self._table_copy.table.revision == 0:
-            self._request_table()
-        if (
-            self._is_seeking_leader()
-            and self._reactor.seconds() - self._heartbeat_sent_s
-            >= LEADER_SEARCH_INTERVAL_S - TICK_INTERVAL_S / 2
-        ):
+        self._subscription.request_if_empty()
+        now_s = self._reactor.seconds()
+        since_s = now_s - self._heartbeat_sent_s
+        if self._search.is_on(now_s) and self._search.is_due(since_s + TICK_INTERVAL_S / 2):
             self._send_heartbeat()
-
-    def _request_table(self):
-        if not self._needs_table:
-            return
-        epoch, revision = self._table_copy.position
-        self.send(WatchTable(epoch, revision))
-
-    def _discard_acknowledged(self, sequence):
-        for load in self._sent_loads_by_sequence.pop(sequence, ()):
-            if self._unacknowledged_load_by_model.get(load.model) == load:
-                del self._unacknowledged_load_by_model[load.model]
-        for older in [key for key in self._sent_loads_by_sequence if key < sequence]:
-            del self._sent_loads_by_sequence[older]
-
-    def _notify_table_changed(self):
-        if self._on_table is not None:
-            self._on_table()
