--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/quarantine.py
@@ -1,9 +1,7 @@
 """Refuse requests that crash the endpoints that run them."""
 
 import logging
-from functools import singledispatchmethod
 
-from hemlockdock_core.messages import CrashNotice, SoundNotice
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.suspect_keys import (
     CRASHES_BEFORE_QUARANTINE,
@@ -187,37 +185,30 @@
         """
         self._record_sound_parts(exchange.content.prompt.parts)
 
-    @singledispatchmethod
-    def on_notice(self, notice, sender):
-        """Handle what another entry saw.
+    def record_told_crash(self, endpoint_id, parts_by_fingerprint, sender):
+        """Record a crash that another entry saw.
 
         Parameters
         ----------
-        notice : CrashNotice or SoundNotice
+        endpoint_id : str
+        parts_by_fingerprint : dict of str to tuple of str
+            The requests that may explain it, each with the suspected parts of its prompt.
         sender : str
             Node id of the entry.
         """
-        raise TypeError(f"expected a notice of an entry, got {type(notice).__name__}")
-
-    @on_notice.register
-    def _(self, notice: CrashNotice, sender):
-        logger.info(
-            "endpoint crashed at another entry",
-            extra={
-                "endpoint": notice.endpoint_id,
-                "entry": sender,
-                "suspects": notice.parts_by_fingerprint,
-            },
-        )
-        self._record_crash(notice.endpoint_id, notice.parts_by_fingerprint, sender)
-
-    @on_notice.register
-    def _(self, notice: SoundNotice, sender):
-        for key in notice.keys:
-            if is_part(key):
-                self._parts.record_answer((key.removeprefix(PART_PREFIX),), self._now_s)
-            else:
-                self._tracker.record_success(key)
+        self._record_crash(endpoint_id, parts_by_fingerprint, sender)
+
+    def record_told_sound(self, key):
+        """Record that another entry saw an answer to a suspect.
+
+        Parameters
+        ----------
+        key : str
+        """
+        if is_part(key):
+            self._parts.record_answer((key.removeprefix(PART_PREFIX),), self._now_s)
+        else:
+            self._tracker.record_success(key)
 
     def table_changed(self):
         """Log each step to quarantine and back, and compare them with what this entry knows."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -23,6 +23,7 @@
 from hemlockdock_entry.gateway.client_connection import ClientConnection
 from hemlockdock_entry.gateway.gateway import Gateway
 from hemlockdock_entry.gateway.readiness import ReadinessFactory
+from hemlockdock_entry.routing import handle_notice
 
 logger = logging.getLogger(__name__)
 
@@ -180,7 +181,7 @@
             self.gateway.other_entries.update(frame.body.addresses)
             return
         if isinstance(frame.body, CrashNotice | SoundNotice):
-            self.gateway.quarantine.on_notice(frame.body, frame.sender)
+            handle_notice(frame.body, frame.sender, self.gateway.quarantine)
             return
         COUNTERS.increment("entry_frames_discarded")
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/routing/__init__.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_entry.routing.crash_tracker import CrashTracker, SeenCrashes, TrustLevel
 from hemlockdock_entry.routing.endpoint_record import EndpointRecord
+from hemlockdock_entry.routing.notices import handle_notice
 from hemlockdock_entry.routing.outcome import AttemptOutcome
 from hemlockdock_entry.routing.retry import (
     DRAINING_KINDS,
@@ -26,4 +27,5 @@
     "SeenCrashes",
     "TrustLevel",
     "decide_retry",
+    "handle_notice",
 ]
--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -23,6 +23,7 @@
 from hemlockdock_core.wall_clock import wall_ms
 from hemlockdock_entry.callers import CallerApi, CallerSite
 from hemlockdock_entry.jobs import JobRunner
+from hemlockdock_entry.routing import handle_notice
 from hemlockdock_entry.services import ServiceClient, ServiceDispatcher
 from hemlockdock_entry.tasks.coordinator import RequestCoordinator
 
@@ -177,7 +178,7 @@
     @_handle_frame.register(CrashNotice)
     @_handle_frame.register(SoundNotice)
     def _(self, body, frame):
-        self._coordinator.crashes.on_notice(body, frame.sender)
+        handle_notice(body, frame.sender, self._coordinator.crashes)
 
     @_handle_frame.register(Leaving)
     def _(self, body, frame):
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/shared_crashes.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/shared_crashes.py
@@ -1,14 +1,9 @@
 """Crashes of endpoints that requests may explain, as entries tell each other."""
 
-import logging
-from functools import singledispatchmethod
-
 from hemlockdock_core.messages import CrashNotice, SoundNotice
 from hemlockdock_core.suspect_keys import CRASHES_BEFORE_QUARANTINE, SAME_CRASH_MS
 from hemlockdock_entry.routing import CrashTracker, TrustLevel
 
-logger = logging.getLogger(__name__)
-
 MS_PER_S = 1_000
 ENTRY_ROLE = "entry"
 
@@ -67,36 +62,29 @@
         if self._known.record_success(fingerprint):
             self._tell(SoundNotice([fingerprint]))
 
-    @singledispatchmethod
-    def on_notice(self, notice, sender):
-        """Handle what another entry saw.
+    def record_told_crash(self, endpoint_id, parts_by_fingerprint, sender):
+        """Record a crash that another entry saw.
 
         Parameters
         ----------
-        notice : CrashNotice or SoundNotice
+        endpoint_id : str
+        parts_by_fingerprint : dict of str to tuple of str
+            The requests that may explain it are the keys.
         sender : str
             Node id of the entry.
         """
-        raise TypeError(f"expected a notice of an entry, got {type(notice).__name__}")
-
-    @on_notice.register
-    def _(self, notice: CrashNotice, sender):
-        logger.info(
-            "endpoint crashed at another entry",
-            extra={
-                "endpoint": notice.endpoint_id,
-                "entry": sender,
-                "suspects": notice.parts_by_fingerprint,
-            },
-        )
-        for fingerprint in notice.parts_by_fingerprint:
-            self._known.record_crash(fingerprint, self._now_s, notice.endpoint_id, sender)
-
-    @on_notice.register
-    def _(self, notice: SoundNotice, sender):
-        for key in notice.keys:
-            self._own.record_success(key)
-            self._known.record_success(key)
+        for fingerprint in parts_by_fingerprint:
+            self._known.record_crash(fingerprint, self._now_s, endpoint_id, sender)
+
+    def record_told_sound(self, key):
+        """Record that another entry saw an answer to a suspect.
+
+        Parameters
+        ----------
+        key : str
+        """
+        self._own.record_success(key)
+        self._known.record_success(key)
 
     def remove_expired(self):
         """Remove crashes that are older than the retention time."""
--- a/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_quarantine.py
@@ -18,6 +18,7 @@
 from hemlockdock_core.rows import QuarantineRow
 from hemlockdock_entry.gateway.crash_reports import RELEASE_DELAY_S
 from hemlockdock_entry.gateway.other_entries import KEEP_S
+from hemlockdock_entry.routing import handle_notice
 
 LOGGER = "hemlockdock_entry.gateway.exchange_log"
 
@@ -74,7 +75,7 @@
         return fingerprint
 
     def tell(self, fingerprint, endpoint_id, sender="entry-2"):
-        self.quarantine.on_notice(CrashNotice(endpoint_id, {fingerprint: ()}), sender)
+        handle_notice(CrashNotice(endpoint_id, {fingerprint: ()}), sender, self.quarantine)
 
     def test_a_request_that_crashed_endpoints_of_entries_without_control_is_refused_at_once(self):
         fingerprint = self.fingerprint()
@@ -109,7 +110,7 @@
         fingerprint = self.fingerprint()
         for number in range(3):
             self.tell(fingerprint, f"e{number}")
-        self.quarantine.on_notice(SoundNotice([fingerprint]), "entry-3")
+        handle_notice(SoundNotice([fingerprint]), "entry-3", self.quarantine)
         self.assertIsNone(self.send().status)
 
     def test_an_entry_that_the_leader_no_longer_hears_is_told_for_a_while(self):
--- a/tools/benchmarks/crash_rounds.py
+++ b/tools/benchmarks/crash_rounds.py
@@ -26,6 +26,7 @@
 from hemlockdock_core.wire import own
 from hemlockdock_entry.gateway.client_connection import ClientConnection
 from hemlockdock_entry.gateway.gateway import Gateway
+from hemlockdock_entry.routing import handle_notice
 
 ENTRY_SETTINGS = (
     "[process]\nnode_id = entry-{number}\nroles = entry\nhost = h\nfailure_domain = d\n"
@@ -248,7 +249,7 @@
         """Deliver a message to another entry; those to agents and control members are dropped."""
         if isinstance(message, CrashNotice | SoundNotice):
             quarantine = self._gateways[int(address)].quarantine
-            self._network.callLater(ONE_WAY_S, quarantine.on_notice, message, sender)
+            self._network.callLater(ONE_WAY_S, handle_notice, message, sender, quarantine)
 
     def _publish_routes(self):
         models = (ModelSpec("m", 10.0, 4, 1.0, 6_000, 300, 500),)
--- a/tools/benchmarks/virtual_endpoints.py
+++ b/tools/benchmarks/virtual_endpoints.py
@@ -11,6 +11,7 @@
     SoundNotice,
 )
 from hemlockdock_core.rows import NodeRow, QuarantineRow, ReplicaRow, ReplicaState
+from hemlockdock_entry.routing import handle_notice
 
 LINK_DELAY_S = 0.0005
 CRASH_DELAY_S = 0.05
@@ -87,8 +88,7 @@
 
     def _handle_message(self, number, node_id, message):
         if isinstance(message, CrashNotice | SoundNotice):
-            crashes = self.coordinators[int(node_id)].crashes
-            crashes.on_notice(message, f"entry-{number}")
+            handle_notice(message, f"entry-{number}", self.coordinators[int(node_id)].crashes)
             return
         if not isinstance(message, Dispatch):
             return
