links: what a peer sent stays known when a node turns to another member

What callers would see: an order or a proposal that arrives twice after a member was silent; all of these are known again by their numbers, so that nothing was run twice. Cause: a node that selects another member forgot the peer with the connection, and then took for new what the member sent again. Evidence: with the call of before, test_a_frame_that_arrives_again_after_a_disconnection_is_delivered_once gets the frame twice. The two callers, the node's selection and the members' reconnection, close only the outbox now; their test stubs have the new name.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
@@ -105,7 +105,7 @@
             if now_ms - max(heard_ms, reconnected_ms) < silent_ms:
                 continue
             self._reconnected_ms_by_id[member_id] = now_ms
-            self._transport.forget(address)
+            self._transport.disconnect(address)
 
     def record_contact(self, member_id, now_ms):
         """Record that a message of a member was received.
--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -109,20 +109,33 @@
             peer.outbox.send(data)
         self._watch(peer)
 
-    def forget(self, address):
-        """Close the outbox of a peer that is gone.
+    def disconnect(self, address):
+        """Close the outbox of a peer that is not asked for now; the next send opens a new one.
+
+        What the peer has not received is dropped; what it sent stays known.
 
         Parameters
         ----------
         address : str
         """
-        peer = self._peer_by_address.pop(address, None)
-        if peer is None:
+        peer = self._peer_by_address.get(address)
+        if peer is None or peer.outbox is None:
             return
         self._waiting_by_address.pop(address, None)
         GAUGES.remove(UNANSWERED_GAUGE, peer=address)
-        if peer.outbox is not None:
-            peer.outbox.close()
+        peer.delivery.stop_waiting()
+        peer.outbox.close()
+        peer.outbox = None
+
+    def forget(self, address):
+        """Close the outbox of a peer that is gone, and forget the peer.
+
+        Parameters
+        ----------
+        address : str
+        """
+        self.disconnect(address)
+        self._peer_by_address.pop(address, None)
 
     def close(self):
         """Close the mailbox and every outbox."""
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -260,8 +260,7 @@
     def _send_heartbeat(self):
         previous = self._member_selector.current
         if self._member_selector.select_next_if_silent(self._reactor.seconds()):
-            # The connection may be dead; a new one is opened on the next send.
-            self._transport.forget(previous.node_address)
+            self._transport.disconnect(previous.node_address)
             self._on_member_selected()
         self._heartbeat_sent_s = self._reactor.seconds()
         self._sequence += 1
--- a/packages/hemlockdock-core/tests/test_fleet_link.py
+++ b/packages/hemlockdock-core/tests/test_fleet_link.py
@@ -27,13 +27,13 @@
 
     def __init__(self):
         self.sent = []
-        self.forgotten = []
+        self.disconnected = []
 
     def send(self, to, message):
         self.sent.append((to, message))
 
-    def forget(self, to):
-        self.forgotten.append(to)
+    def disconnect(self, to):
+        self.disconnected.append(to)
 
 
 class FleetLinkTest(unittest.TestCase):
@@ -110,7 +110,7 @@
     def test_a_leader_dropped_for_silence_is_not_selected_again_at_once(self):
         self.acknowledge("127.0.0.1", "127.0.0.1")
         self.clock.pump([0.5] * 5)
-        self.assertIn(address("127.0.0.1"), self.transport.forgotten)
+        self.assertIn(address("127.0.0.1"), self.transport.disconnected)
         self.acknowledge("127.0.0.2", "127.0.0.1")
         self.heartbeats()
         self.clock.advance(0.5)
--- a/packages/hemlockdock-core/tests/test_node.py
+++ b/packages/hemlockdock-core/tests/test_node.py
@@ -43,7 +43,7 @@
     def __init__(self):
         self.sent = []
 
-    def forget(self, address):
+    def disconnect(self, address):
         """Do nothing: there are no connections."""
 
     def send(self, address, message):
--- a/tools/tests/test_link_pairs.py
+++ b/tools/tests/test_link_pairs.py
@@ -106,6 +106,14 @@
         self.run_s(3.0)
         self.assertEqual(self.received, [b"3"])
 
+    def test_a_frame_that_arrives_again_after_a_disconnection_is_delivered_once(self):
+        self.network.silence({A}, Direction.TO_NODES)
+        self.ask(b"2")
+        self.run_s(0.1)
+        self.b.disconnect(A)
+        self.run_s(2.0)
+        self.assertEqual(self.received, [b"1", b"2"])
+
     def test_a_peer_that_numbers_no_frames_is_answered_and_never_renewed(self):
         old = Frame(PROTOCOL_VERSION, "old", 1, "tcp://127.0.0.3:1", Forward(b""))
         self.b._receive(old)
