--- a/packages/hemlockdock-agent/hemlockdock_agent/status_pages.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/status_pages.py
@@ -4,7 +4,7 @@
 
 from klein import Klein
 
-from hemlockdock_core.metrics import COUNTERS, LATENCIES
+from hemlockdock_core.metrics import COUNTERS, GAUGES, LATENCIES
 from hemlockdock_core.metrics.exposition import exposition
 
 OK = 200
@@ -45,7 +45,7 @@
     def metrics(self, request):
         """Return the metrics in the Prometheus text format."""
         request.setHeader(b"content-type", b"text/plain; version=0.0.4")
-        return exposition(COUNTERS, LATENCIES, self._gauges_of())
+        return exposition(COUNTERS, LATENCIES, self._gauges_of(), GAUGES)
 
     def _json(self, request, status, value):
         request.setResponseCode(status)
--- a/packages/hemlockdock-control/hemlockdock_control/admin/api.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/api.py
@@ -13,7 +13,7 @@
 from hemlockdock_core.commands import ReleaseQuarantine, SubmitManifest
 from hemlockdock_core.errors import ErrorKind, InvalidInputError, Refusal
 from hemlockdock_core.manifest import manifest_digest, parse_manifest
-from hemlockdock_core.metrics import COUNTERS, LATENCIES
+from hemlockdock_core.metrics import COUNTERS, GAUGES, LATENCIES
 from hemlockdock_core.metrics.exposition import exposition
 
 logger = logging.getLogger(__name__)
@@ -154,7 +154,7 @@
     def metrics(self, request):
         """Return the metrics in the Prometheus text format."""
         request.setHeader("Content-Type", "text/plain; version=0.0.4")
-        return exposition(COUNTERS, LATENCIES, self._pages.gauges())
+        return exposition(COUNTERS, LATENCIES, self._pages.gauges(), GAUGES)
 
     def _handle(self, request, work):
         refusal = self._refusal(request)
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/caller_api.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/caller_api.py
@@ -3,7 +3,7 @@
 from klein import Klein
 
 from hemlockdock_core.errors import ErrorKind, Refusal
-from hemlockdock_core.metrics import COUNTERS, LATENCIES
+from hemlockdock_core.metrics import COUNTERS, GAUGES, LATENCIES
 from hemlockdock_core.metrics.exposition import exposition
 from hemlockdock_entry.callers.job_handler import JobHandler
 from hemlockdock_entry.callers.model_handler import ModelHandler
@@ -85,7 +85,7 @@
         """Return the metrics in the Prometheus text format."""
         gauges = {"entry_in_progress": self._coordinator.in_progress}
         http_request.setHeader(b"content-type", METRICS_TYPE)
-        return exposition(COUNTERS, LATENCIES, gauges)
+        return exposition(COUNTERS, LATENCIES, gauges, GAUGES)
 
     @app.handle_errors(Exception)
     def handle_error(self, http_request, failure):
--- a/tools/tests/test_link_pairs.py
+++ b/tools/tests/test_link_pairs.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from benchmarks.link_network import Direction, LinkNetwork  # noqa: E402
+from benchmarks.link_network import Direction, LinkNetwork, VirtualMailbox  # noqa: E402
 
 from hemlockdock_control.consensus.messages import PEER_CODEC, Forward  # noqa: E402
 from hemlockdock_core.links import MessageTransport  # noqa: E402
@@ -115,10 +115,13 @@
         self.assertEqual(self.received, [b"1", b"2"])
 
     def test_a_peer_that_numbers_no_frames_is_answered_and_never_renewed(self):
-        old = Frame(PROTOCOL_VERSION, "old", 1, "tcp://127.0.0.3:1", Forward(b""))
-        self.b._receive(old)
-        self.b.send("tcp://127.0.0.3:1", Forward(b"4"))
+        received = []
+        address = "tcp://127.0.0.3:1"
+        VirtualMailbox(self.network, self.network.process(), address, PEER_CODEC, received.append)
+        self.b._receive(Frame(PROTOCOL_VERSION, "old", 1, address, Forward(b"")))
+        self.b.send(address, Forward(b"4"))
         self.assertEqual(self.opened_by(lambda: self.run_s(5.0)), 0)
+        self.assertEqual([frame.body.data for frame in received], [b"4"])
 
     def test_a_peer_that_does_not_listen_yet_gets_what_was_sent_meanwhile(self):
         other = "tcp://127.0.0.3:1"
