--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -4,24 +4,20 @@
 import random
 from functools import singledispatchmethod
 
-from hemlockdock_core.links.delivery import PROBE_AFTER_S, RENEW_AFTER_S, LinkAction
+from hemlockdock_core.links.delivery import RENEW_AFTER_S
 from hemlockdock_core.links.frame_number import first_number, session_of
 from hemlockdock_core.links.link_tls import check_scheme
+from hemlockdock_core.links.link_watch import LinkWatch
 from hemlockdock_core.links.mailbox import Mailbox
 from hemlockdock_core.links.outbox import Outbox
 from hemlockdock_core.links.peer import Peer
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.messages.link import LinkAck, LinkProbe
-from hemlockdock_core.metrics import COUNTERS, GAUGES
+from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.settings.types import check_link
 
 logger = logging.getLogger(__name__)
 
-UNANSWERED_GAUGE = "link_unanswered_seconds"
-# A check that comes this late means that this process did not run. It then takes as long again to
-# read what has arrived meanwhile.
-LATE_S = 0.1
-
 
 class MessageTransport:
     """A process's mailbox and its connections to peers, which it renews if nothing is answered.
@@ -72,10 +68,9 @@
         self._advertised = advertised
         self._peer_by_address = {}
         self._open_outbox = open_outbox
-        self._waiting_by_address = {}
         self._session_number = first_number(random_source or random.SystemRandom())
         self._last_number = self._session_number
-        self._check_call = None
+        self._watch = LinkWatch(reactor, self._probe, self._renew_unanswered)
         check_scheme(listen, tls)
         server_config = tls.server_config() if tls else None
         self._mailbox = open_mailbox(reactor, listen, codec, self._receive, server_config)
@@ -107,7 +102,7 @@
         peer.delivery.record_sent(self._last_number, data, expects_answer, now_s)
         if not peer.delivery.holds:
             peer.outbox.send(data)
-        self._watch(peer)
+        self._watch.add(peer)
 
     def disconnect(self, address):
         """Close the outbox of a peer that is not asked for now; the next send opens a new one.
@@ -121,8 +116,7 @@
         peer = self._peer_by_address.get(address)
         if peer is None or peer.outbox is None:
             return
-        self._waiting_by_address.pop(address, None)
-        GAUGES.remove(UNANSWERED_GAUGE, peer=address)
+        self._watch.remove(peer)
         peer.delivery.stop_waiting()
         peer.outbox.close()
         peer.outbox = None
@@ -140,9 +134,7 @@
     def close(self):
         """Close the mailbox and every outbox."""
         self._mailbox.close()
-        if self._check_call is not None:
-            self._check_call.cancel()
-            self._check_call = None
+        self._watch.stop()
         for address in list(self._peer_by_address):
             self.forget(address)
 
@@ -215,7 +207,10 @@
         for frame in peer.delivery.release(self._reactor.seconds()):
             COUNTERS.increment("link_frames_resent")
             peer.outbox.send(frame.data)
-        self._watch(peer)
+        self._watch.add(peer)
+
+    def _probe(self, peer):
+        self._send_probe(peer, renew=False)
 
     def _send_probe(self, peer, renew):
         peer.probe += 1
@@ -224,48 +219,6 @@
     def _send_link_message(self, peer, message):
         peer.outbox.send(self._encode(peer, message, self._session_number))
 
-    def _watch(self, peer):
-        """Check a peer that owes an answer from time to time."""
-        if not peer.delivery.is_waiting:
-            return
-        self._waiting_by_address[peer.address] = peer
-        if self._check_call is None:
-            self._schedule_check()
-
-    def _schedule_check(self):
-        now_s = self._reactor.seconds()
-        due_s = min(peer.delivery.due_s for peer in self._waiting_by_address.values())
-        # A peer that will be asked meanwhile has to be checked that soon.
-        expected_s = min(max(now_s, due_s), now_s + PROBE_AFTER_S)
-        self._check_call = self._reactor.callLater(expected_s - now_s, self._check, expected_s)
-
-    def _check(self, expected_s):
-        self._check_call = None
-        late_s = self._reactor.seconds() - expected_s
-        for peer in list(self._waiting_by_address.values()):
-            if late_s >= LATE_S:
-                peer.delivery.postpone(late_s + LATE_S)
-            self._check_peer(peer)
-        if self._waiting_by_address:
-            self._schedule_check()
-
-    def _check_peer(self, peer):
-        now_s = self._reactor.seconds()
-        action = peer.delivery.decide(now_s)
-        if action is LinkAction.PROBE:
-            self._send_probe(peer, renew=False)
-        elif action is LinkAction.RENEW:
-            self._renew_unanswered(peer)
-        elif action is LinkAction.GIVE_UP:
-            logger.info("peer without an answer given up", extra={"peer": peer.address})
-        if not peer.delivery.is_waiting:
-            del self._waiting_by_address[peer.address]
-            GAUGES.remove(UNANSWERED_GAUGE, peer=peer.address)
-            return
-        unanswered_s = peer.delivery.unanswered_s(now_s)
-        if unanswered_s >= PROBE_AFTER_S:
-            GAUGES.set(UNANSWERED_GAUGE, round(unanswered_s, 3), peer=peer.address)
-
     def _encode(self, peer, message, number):
         frame = Frame(
             PROTOCOL_VERSION,
