--- a/tools/benchmarks/bench_links.py
+++ b/tools/benchmarks/bench_links.py
@@ -4,7 +4,8 @@
 
 from benchmarks.figure import Figure
 from benchmarks.link_network import Direction
-from benchmarks.link_rounds import MEMBERS, LinkRounds, LinkScenario
+from benchmarks.link_processes import MEMBERS
+from benchmarks.link_rounds import LinkRounds, LinkScenario
 
 VIRTUAL_TIME = True
 SEED = 331
--- a/tools/benchmarks/crash_rounds.py
+++ b/tools/benchmarks/crash_rounds.py
@@ -1,17 +1,17 @@
 """Play prompts with a part that crashes engines against entries and a control state."""
 
 import random
-from dataclasses import dataclass, field
 from functools import partial
 
 import msgspec
 from twisted.internet.defer import Deferred
 
 from benchmarks.crash_network import ONE_WAY_S, ClientTransport, Engine, Network
+from benchmarks.crash_result import WINDOW_S, RoundResult
+from benchmarks.limit_control import endpoint_row
 from hemlockdock_control.state import ClusterStateMachine, encode_command
 from hemlockdock_core.messages import CrashNotice, SoundNotice
 from hemlockdock_core.rows import (
-    EndpointRow,
     EngineSpec,
     LimitsRow,
     ModelSpec,
@@ -46,12 +46,12 @@
 CLIENT_S = 10.0
 WARM_UP_S = 10.0
 BAD_S = 30.0
-WINDOW_S = 3.0
 SOUND_PER_S = 20.0
 BAD_PER_S = 2.0
 SUBJECTS = 25
 FIRST_PART = "first"
 BAD_PART = "bad"
+MODELS = (ResidentModel("m", 1),)
 STREAM_PREFIX = "/live/"
 
 
@@ -84,55 +84,6 @@
         return self._rounds.propose(command)
 
 
-@dataclass(slots=True)
-class RoundResult:
-    """What a play showed.
-
-    Attributes
-    ----------
-    crash_times_s : list of float
-    bad_sends_s : list of float
-        When prompts with the bad part reached an engine.
-    refused_s_by_entry : dict of int to float
-        When each entry first knew that it has to refuse the part.
-    sound_before, sound_after : list of bool
-        Of sound requests before the first crash and after the last one, whether they were answered.
-    """
-
-    crash_times_s: list = field(default_factory=list)
-    bad_sends_s: list = field(default_factory=list)
-    refused_s_by_entry: dict = field(default_factory=dict)
-    sound_before: list = field(default_factory=list)
-    sound_after: list = field(default_factory=list)
-
-    @property
-    def sends_after_fifth(self):
-        """Return how many prompts were sent later than the window after the fifth crash."""
-        if len(self.crash_times_s) < 5:
-            return 0
-        limit_s = self.crash_times_s[4] + WINDOW_S
-        return sum(sent_s > limit_s for sent_s in self.bad_sends_s)
-
-    @property
-    def sends_after_third(self):
-        """Return how many prompts were sent later than the window after the third crash."""
-        if len(self.crash_times_s) < 3:
-            return 0
-        limit_s = self.crash_times_s[2] + WINDOW_S
-        return sum(sent_s > limit_s for sent_s in self.bad_sends_s)
-
-    @property
-    def sound_ratio(self):
-        """Return the share of sound requests answered after the crashes against before."""
-        before = sum(self.sound_before) / len(self.sound_before)
-        return sum(self.sound_after) / len(self.sound_after) / before
-
-    @property
-    def slowest_refusal_s(self):
-        """Return the time from the last crash until the last entry refused; 0 if none was later."""
-        return max(0.0, max(self.refused_s_by_entry.values()) - self.crash_times_s[-1])
-
-
 class CrashRounds:
     """Entries, engines, clients and control on virtual time.
 
@@ -273,7 +224,7 @@
             link.table.put(PoolRow("lm", "/", 240, engine))
             link.table.put(route)
             for item in self._network.engine_by_port.values():
-                link.table.put(_endpoint_row(item))
+                link.table.put(endpoint_row(item, "lm", MODELS))
             gateway.table_changed()
 
     def _on_run(self, parts):
@@ -294,7 +245,7 @@
 
     def _list(self, engine):
         for link, gateway in zip(self._links, self._gateways, strict=True):
-            link.table.put(_endpoint_row(engine))
+            link.table.put(endpoint_row(engine, "lm", MODELS))
             gateway.table_changed()
 
     def _send_bad(self):
@@ -347,19 +298,3 @@
                 self.result.sound_before.append(answered)
             elif sent_s > crash_times_s[-1] + 2 * WINDOW_S:
                 self.result.sound_after.append(answered)
-
-
-def _endpoint_row(engine):
-    return EndpointRow(
-        engine.endpoint_id,
-        "lm",
-        f"127.0.0.1:{engine.port}",
-        "d",
-        32,
-        False,
-        (ResidentModel("m", 1),),
-        "",
-        (),
-        None,
-        "v1",
-    )
--- a/tools/tests/test_link_rounds.py
+++ b/tools/tests/test_link_rounds.py
@@ -15,7 +15,8 @@
     SEED,
 )
 from benchmarks.link_network import Direction  # noqa: E402
-from benchmarks.link_rounds import MEMBERS, LinkRounds, LinkScenario  # noqa: E402
+from benchmarks.link_processes import MEMBERS  # noqa: E402
+from benchmarks.link_rounds import LinkRounds, LinkScenario  # noqa: E402
 
 TWICE_S = (6.0, 12.5)
 # From one heartbeat to the second one after it, at a member that ran all the time.
