--- a/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
@@ -10,6 +10,9 @@
 # for its disk, from a connection that delivers nothing.
 PROBE_AFTER_S = 0.15
 RENEW_AFTER_S = 0.35
+# A peer that was heard this lately sends over a connection that works. It is less than the time to
+# a renewal, so that a peer that fell silent with its last answer is not taken for heard.
+HEARD_WITHIN_S = 0.3
 # Each renewal without effect doubles the time to the next one, up to this: a peer that is frozen
 # or cut off doesn't have to accept more than a few connections afterwards.
 MAX_RENEW_AFTER_S = 2.8
@@ -58,9 +61,6 @@
         Number of the last frame from the peer; NOT_NUMBERED before the first one.
     holds : bool
         Whether frames are held until the peer has answered over a new connection.
-    heard : bool
-        Whether a frame of the peer has arrived since it has owed an answer, or since the last
-        renewal. Then only the connection to the peer may be silent, not the one from it.
     not_retained : int
         Number of frames that may be lost, as there was no room to retain them.
     """
@@ -68,8 +68,8 @@
     def __init__(self):
         self.received = NOT_NUMBERED
         self.holds = False
-        self.heard = False
         self.not_retained = 0
+        self._heard_s = -HEARD_WITHIN_S
         self._peer_session = 0
         self._peer_acknowledges = True
         self._retained = deque()
@@ -102,6 +102,19 @@
             return renew_s
         return min(renew_s, self._clock_start_s + PROBE_AFTER_S)
 
+    def is_heard(self, now_s):
+        """Tell whether only the connection to the peer may be silent, not the one from it.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        bool
+        """
+        return now_s - self._heard_s < HEARD_WITHIN_S
+
     def unanswered_s(self, now_s):
         """Return for how long the peer has owed an answer; 0 if it owes none.
 
@@ -141,19 +154,20 @@
             self.not_retained += 1
             self._discard_oldest()
 
-    def record_received(self, number):
+    def record_received(self, number, now_s):
         """Record a frame from the peer.
 
         Parameters
         ----------
         number : int
+        now_s : float
 
         Returns
         -------
         bool
             False if the frame was received before, over another connection.
         """
-        self.record_session(number)
+        self.record_session(number, now_s)
         if number == NOT_NUMBERED:
             return True
         if session_of(number) == session_of(self.received) and number <= self.received:
@@ -161,20 +175,21 @@
         self.received = number
         return True
 
-    def record_session(self, number):
+    def record_session(self, number, now_s):
         """Record by which process the peer's frame was sent.
 
         Parameters
         ----------
         number : int
             NOT_NUMBERED from a software version that neither numbers nor acknowledges frames.
+        now_s : float
         """
         if number == NOT_NUMBERED:
             self._peer_acknowledges = False
             self.stop_waiting()
             return
         self._peer_acknowledges = True
-        self.heard = True
+        self._heard_s = now_s
         session = session_of(number)
         if self._peer_session not in (0, session):
             # What was sent went to the process before.
@@ -208,7 +223,6 @@
 
         A peer that never answered gets them at once: it may not know probes.
         """
-        self.heard = False
         self.holds = self.is_known
 
     def release(self, now_s):
@@ -285,4 +299,3 @@
         self._unanswered_since_s = since_s
         self._clock_start_s = max(self._clock_start_s, since_s)
         self._probed = False
-        self.heard = False
--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -146,10 +146,10 @@
         if session_of(frame.received) == session_of(self._session_number):
             peer.delivery.acknowledge(frame.received)
         if isinstance(frame.body, LinkProbe | LinkAck):
-            peer.delivery.record_session(frame.number)
+            peer.delivery.record_session(frame.number, self._reactor.seconds())
             self._handle(frame.body, peer)
             return
-        if not peer.delivery.record_received(frame.number):
+        if not peer.delivery.record_received(frame.number, self._reactor.seconds()):
             COUNTERS.increment("link_frames_repeated")
             return
         self._on_frame(frame)
@@ -187,10 +187,9 @@
             return
         if not delivery.holds:
             self._log("connection without answers renewed", peer)
-        heard = delivery.heard
         self._renew(peer)
         delivery.hold()
-        self._send_probe(peer, renew=not heard)
+        self._send_probe(peer, renew=not delivery.is_heard(self._reactor.seconds()))
 
     def _renew(self, peer):
         COUNTERS.increment("link_renewals")
--- a/packages/hemlockdock-core/tests/test_delivery.py
+++ b/packages/hemlockdock-core/tests/test_delivery.py
@@ -27,9 +27,9 @@
         self.count += 1
         return self.delivery.record_sent(OWN + self.count, data, expects_answer, now_s)
 
-    def receive(self, count, acknowledged=0, peer=PEER):
+    def receive(self, count, acknowledged=0, peer=PEER, now_s=0.0):
         self.delivery.acknowledge(OWN + acknowledged)
-        return self.delivery.record_received(peer + count)
+        return self.delivery.record_received(peer + count, now_s)
 
     def renew(self, now_s):
         self.assertIs(self.delivery.decide(now_s), LinkAction.RENEW)
@@ -83,7 +83,7 @@
         self.send(1.0)
         self.renew(1.0 + RENEW_AFTER_S)
         self.send(1.5)
-        self.delivery.record_session(RESTARTED_PEER)
+        self.delivery.record_session(RESTARTED_PEER, 1.6)
         self.assertEqual(self.released(1.6), [2])
 
     def test_a_frame_that_arrives_again_is_recognized(self):
@@ -121,7 +121,7 @@
         self.assertIs(self.delivery.decide(4.1), LinkAction.NONE)
 
     def test_a_peer_of_another_software_version_is_never_renewed(self):
-        self.delivery.record_received(NOT_NUMBERED)
+        self.delivery.record_received(NOT_NUMBERED, 0.0)
         self.send(1.0)
         self.assertIs(self.delivery.decide(9.0), LinkAction.NONE)
         self.delivery.hold()
@@ -147,11 +147,16 @@
     def test_a_peer_that_is_heard_while_it_owes_an_answer_is_not_asked_to_renew(self):
         self.receive(1)
         self.send(1.0)
-        self.assertFalse(self.delivery.heard)
-        self.receive(2)
-        self.assertTrue(self.delivery.heard)
-        self.renew(1.0 + RENEW_AFTER_S)
-        self.assertFalse(self.delivery.heard)
+        self.receive(2, now_s=1.2)
+        self.assertTrue(self.delivery.is_heard(1.0 + RENEW_AFTER_S))
+
+    def test_a_peer_that_falls_silent_with_its_last_answer_is_asked_to_renew_at_once(self):
+        self.receive(1)
+        self.send(1.0)
+        self.send(1.01)
+        self.receive(2, acknowledged=1, now_s=1.02)
+        self.renew(1.01 + RENEW_AFTER_S)
+        self.assertFalse(self.delivery.is_heard(1.01 + RENEW_AFTER_S))
 
 
 if __name__ == "__main__":
--- a/tools/mutants/links.py
+++ b/tools/mutants/links.py
@@ -23,7 +23,7 @@
     Mutant(
         "replace a connection over which the peer is heard",
         LINKS + "message_transport.py",
-        "self._send_probe(peer, renew=not heard)",
+        "self._send_probe(peer, renew=not delivery.is_heard(self._reactor.seconds()))",
         "self._send_probe(peer, renew=True)",
         ROUNDS,
     ),
@@ -37,8 +37,8 @@
     Mutant(
         "deliver again what was received",
         LINKS + "message_transport.py",
-        "if not peer.delivery.record_received(frame.number):",
-        "if not peer.delivery.record_received(frame.number) and False:",
+        "if not peer.delivery.record_received(frame.number, self._reactor.seconds()):",
+        "if not peer.delivery.record_received(frame.number, 0.0) and False:",
         PAIRS,
     ),
     Mutant(
@@ -58,7 +58,7 @@
     Mutant(
         "let anything that is heard stand for an answer",
         LINKS + "delivery.py",
-        "        self._peer_acknowledges = True\n        self.heard = True\n",
+        "        self._peer_acknowledges = True\n        self._heard_s = now_s\n",
         "        self._peer_acknowledges = True\n        self._questions.clear()\n",
         DELIVERY,
     ),
--- a/tools/tests/test_link_pairs.py
+++ b/tools/tests/test_link_pairs.py
@@ -8,9 +8,14 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from benchmarks.link_network import Direction, LinkNetwork, VirtualMailbox  # noqa: E402
-
-from hemlockdock_control.consensus.messages import PEER_CODEC, Forward  # noqa: E402
+from benchmarks.link_network import (  # noqa: E402
+    ONE_WAY_S,
+    Direction,
+    LinkNetwork,
+    VirtualMailbox,
+)
+
+from hemlockdock_control.consensus.messages import PEER_CODEC, AppendReply, Forward  # noqa: E402
 from hemlockdock_core.links import MessageTransport  # noqa: E402
 from hemlockdock_core.links.delivery import PROBE_AFTER_S  # noqa: E402
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame  # noqa: E402
@@ -32,6 +37,7 @@
         self.random = random.Random(1)
         self.received = []
         self.answers = []
+        self.reply = Forward(b"")
         self.a_process = self.network.process()
         self.b_process = self.network.process()
         self.a = self.transport("a", A, self.a_process, self.answers.append)
@@ -57,7 +63,7 @@
     def answer(self, frame):
         self.received.append(frame.body.data)
         if frame.body.data:
-            self.b.send(A, Forward(b""))
+            self.b.send(A, self.reply)
 
     def run_s(self, seconds):
         for _ in range(round(seconds / STEP_S)):
@@ -81,6 +87,16 @@
                 self.assertLessEqual(self.opened_by(lambda: self.run_s(WITHIN_S)), opened)
                 self.assertEqual(len(self.answers), 1)
 
+    def test_a_member_that_asks_all_the_time_is_answered_within_a_second_of_a_silence(self):
+        """A question is on its way as the last answer arrives, and answers expect no answer."""
+        self.reply = AppendReply(1, 0.0, True, 1)
+        for number in range(40):
+            self.ask(b"%d" % number)
+            self.network.advance(ONE_WAY_S / 2)
+        self.network.silence({A})
+        self.run_s(WITHIN_S)
+        self.assertEqual(len(self.answers), 41)
+
     def test_what_a_slow_peer_gets_again_is_delivered_once_and_in_order(self):
         self.b_process.frozen_until_s = self.network.seconds() + 2.0
         for number in range(20):
