links, entry: connections that nobody has used for 60 s are closed, those for notices above all

Found by reading; test_a_connection_that_nobody_uses_is_closed_and_opened_again_when_needed. What the peer sent stays known, and the next message opens a connection.

--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -121,6 +121,18 @@
         peer.outbox.close()
         peer.outbox = None
 
+    def disconnect_idle(self, idle_s):
+        """Close the outboxes of peers to which nothing was sent for a while, and that owe nothing.
+
+        Parameters
+        ----------
+        idle_s : float
+        """
+        now_s = self._reactor.seconds()
+        for address, peer in self._peer_by_address.items():
+            if not peer.delivery.is_waiting and now_s - peer.used_s >= idle_s:
+                self.disconnect(address)
+
     def forget(self, address):
         """Close the outbox of a peer that is gone, and forget the peer.
 
@@ -241,6 +253,7 @@
         if not address:
             raise ValueError("expected a link address, got an empty one")
         peer = self._peer(address)
+        peer.used_s = self._reactor.seconds()
         if peer.outbox is None:
             check_link(address)
             check_scheme(address, self._tls)
--- a/packages/hemlockdock-core/hemlockdock_core/links/peer.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/peer.py
@@ -17,8 +17,8 @@
     delivery : Delivery
     outbox : Outbox or None
         None until the first frame is sent.
-    opened_s : float
-        Time at which the outbox was opened.
+    opened_s, used_s : float
+        Times at which the outbox was opened, and at which something was sent last.
     probe : int
         Number of the last probe.
     """
@@ -27,4 +27,5 @@
     delivery: Delivery = field(default_factory=Delivery)
     outbox: Outbox | None = None
     opened_s: float = 0.0
+    used_s: float = 0.0
     probe: int = 0
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -38,6 +38,8 @@
 GRACE_MARGIN_S = 0.5
 MODEL_QUEUE_CHECK_INTERVAL_S = 0.1
 FLUSH_S = 0.1
+# Notices of crashes, which are rare, open a connection with each other entry.
+LINK_IDLE_S = 60.0
 LISTEN_BACKLOG = 512
 
 
@@ -86,7 +88,7 @@
             self._settings.listen.ready, ReadinessFactory(self._wire.ready_path, self._ready)
         )
         self._link.start()
-        self._maintenance = PeriodicCall(self._reactor, self.gateway.run_maintenance)
+        self._maintenance = PeriodicCall(self._reactor, self._run_maintenance)
         self._maintenance.start(MAINTENANCE_INTERVAL_S, now=False)
         self._queue_check = PeriodicCall(self._reactor, self.gateway.model_queue.check_waiting)
         self._queue_check.start(MODEL_QUEUE_CHECK_INTERVAL_S, now=False)
@@ -125,6 +127,10 @@
         """
         self._link.update_seeds(settings)
 
+    def _run_maintenance(self):
+        self.gateway.run_maintenance()
+        self._transport.disconnect_idle(LINK_IDLE_S)
+
     def _listen(self, address, factory):
         parsed = SocketAddress.parse(address)
         self._ports.append(
--- a/tools/tests/test_link_pairs.py
+++ b/tools/tests/test_link_pairs.py
@@ -130,6 +130,14 @@
         self.run_s(2.0)
         self.assertEqual(self.received, [b"1", b"2"])
 
+    def test_a_connection_that_nobody_uses_is_closed_and_opened_again_when_needed(self):
+        self.a.disconnect_idle(10.0)
+        self.run_s(20.0)
+        self.a.disconnect_idle(10.0)
+        self.assertEqual(self.opened_by(lambda: self.ask(b"2")), 1)
+        self.run_s(1.0)
+        self.assertEqual(self.received, [b"1", b"2"])
+
     def test_a_peer_that_numbers_no_frames_is_answered_and_never_renewed(self):
         received = []
         address = "tcp://127.0.0.3:1"
