links: renewals of many connections at once are limited, and lose no long transfer

What callers would see: after a stop of a second of a process with hundreds of nodes, a storm of renewals: tables of which more is on its way than is kept were cut, requested again and sent again to each node, until descriptors ran out.

Cause: an answer that is late as somebody is busy was taken for a silent connection, and each renewal made the process busier. A socket that can't be opened leaves the old one. Reports of agents and wishes expect no answer: the next heartbeat tells as much, without a probe each.

--- a/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
@@ -13,12 +13,17 @@
 # A peer that was heard this lately sends over a connection that works. It is less than the time to
 # a renewal, so that a peer that fell silent with its last answer is not taken for heard.
 HEARD_WITHIN_S = 0.3
+# A process that is busy all the time may not see answers that are there. After this time it
+# renews a connection all the same.
+MAX_BUSY_S = 3.0
 # Each renewal without effect doubles the time to the next one, up to this: a peer that is frozen
 # or cut off doesn't have to accept more than a few connections afterwards.
 MAX_RENEW_AFTER_S = 2.8
 # A peer that has not answered for this long is gone; the next frame to it starts anew.
 GIVE_UP_AFTER_S = 60.0
 MAX_RETAINED_BYTES = 256 * 1024
+# What is longer than that takes this time at most on a connection that works.
+LONG_TRANSFER_S = 5.0
 
 
 class LinkAction(Enum):
@@ -75,6 +80,7 @@
         self._retained = deque()
         self._retained_bytes = 0
         self._last_not_retained = 0
+        self._not_retained_since_s = 0.0
         self._last_sent = 0
         self._questions = deque()
         self._unanswered_since_s = 0.0
@@ -97,11 +103,24 @@
         """Return the time at which ``decide`` has something to do; None for never."""
         if not self.is_waiting:
             return None
-        renew_s = self._clock_start_s + self._renew_after_s
+        renew_s = self._clock_start_s + self._timeout_s
         if self._probed:
             return renew_s
         return min(renew_s, self._clock_start_s + PROBE_AFTER_S)
 
+    def would_lose(self, now_s):
+        """Tell whether a renewal would lose frames that may still be on their way.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        bool
+        """
+        return self.not_retained > 0 and now_s - self._not_retained_since_s < LONG_TRANSFER_S
+
     def is_heard(self, now_s):
         """Tell whether only the connection to the peer may be silent, not the one from it.
 
@@ -150,6 +169,8 @@
         self._retained.append(RetainedFrame(number, data))
         self._retained_bytes += len(data)
         while self._retained_bytes > MAX_RETAINED_BYTES:
+            if not self.not_retained:
+                self._not_retained_since_s = now_s
             self._last_not_retained = self._retained[0].number
             self.not_retained += 1
             self._discard_oldest()
@@ -218,11 +239,19 @@
         if self._questions:
             self._wait_since(self._questions[0][1])
 
-    def hold(self):
+    def hold(self, now_s):
         """Hold frames until the peer has answered over a new connection.
 
         A peer that never answered gets them at once: it may not know probes.
+
+        Parameters
+        ----------
+        now_s : float
         """
+        if not self.is_waiting:
+            self._unanswered_since_s = now_s
+        self._clock_start_s = now_s
+        self._probed = True
         self.holds = self.is_known
 
     def release(self, now_s):
@@ -257,6 +286,17 @@
         self._clock_start_s += seconds
         self._questions = deque((number, at_s + seconds) for number, at_s in self._questions)
 
+    def restart_clock(self, now_s):
+        """Wait for the answer anew, as this process has been too busy to see it.
+
+        Parameters
+        ----------
+        now_s : float
+        """
+        if now_s - self._unanswered_since_s < MAX_BUSY_S:
+            self._clock_start_s = now_s
+            self._probed = False
+
     def decide(self, now_s):
         """Return what has to be done now, and expect the caller to do it.
 
@@ -273,7 +313,7 @@
         if now_s >= self._unanswered_since_s + GIVE_UP_AFTER_S:
             self.stop_waiting()
             return LinkAction.GIVE_UP
-        if now_s >= self._clock_start_s + self._renew_after_s:
+        if now_s >= self._clock_start_s + self._timeout_s:
             self._clock_start_s = now_s
             self._renew_after_s = min(2 * self._renew_after_s, MAX_RENEW_AFTER_S)
             self._probed = True
@@ -292,6 +332,11 @@
         self.not_retained = 0
         self._renew_after_s = RENEW_AFTER_S
 
+    @property
+    def _timeout_s(self):
+        # The connection to a peer that never answered is new; it may just be starting.
+        return self._renew_after_s if self.is_known else MAX_RENEW_AFTER_S
+
     def _discard_oldest(self):
         self._retained_bytes -= len(self._retained.popleft().data)
 
--- a/packages/hemlockdock-core/hemlockdock_core/links/link_watch.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/link_watch.py
@@ -11,6 +11,8 @@
 # A check that comes this late means that this process did not run. It then takes as long again to
 # read what has arrived meanwhile.
 LATE_S = 0.1
+# One that comes this late means that many frames have to be read first.
+BUSY_S = 0.25
 
 
 class LinkWatch:
@@ -60,20 +62,26 @@
             self._call = None
 
     def _schedule(self):
+        waiting = [peer for peer in self._waiting_by_address.values() if peer.delivery.is_waiting]
+        if not waiting:
+            return
         now_s = self._reactor.seconds()
-        due_s = min(peer.delivery.due_s for peer in self._waiting_by_address.values())
+        due_s = min(peer.delivery.due_s for peer in waiting)
         # A peer that will be asked meanwhile has to be checked that soon.
         expected_s = min(max(now_s, due_s), now_s + PROBE_AFTER_S)
         self._call = self._reactor.callLater(expected_s - now_s, self._check, expected_s)
 
     def _check(self, expected_s):
         self._call = None
-        late_s = self._reactor.seconds() - expected_s
+        now_s = self._reactor.seconds()
+        late_s = now_s - expected_s
         for peer in list(self._waiting_by_address.values()):
-            if late_s >= LATE_S:
+            if late_s >= BUSY_S:
+                peer.delivery.restart_clock(now_s)
+            elif late_s >= LATE_S:
                 peer.delivery.postpone(late_s + LATE_S)
             self._check_peer(peer)
-        if self._waiting_by_address:
+        if self._call is None:
             self._schedule()
 
     def _check_peer(self, peer):
--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -4,6 +4,8 @@
 import random
 from functools import singledispatchmethod
 
+import pynng
+
 from hemlockdock_core.links.delivery import RENEW_AFTER_S
 from hemlockdock_core.links.frame_number import first_number, session_of
 from hemlockdock_core.links.link_tls import check_scheme
@@ -11,6 +13,7 @@
 from hemlockdock_core.links.mailbox import Mailbox
 from hemlockdock_core.links.outbox import Outbox
 from hemlockdock_core.links.peer import Peer
+from hemlockdock_core.links.renewal_budget import RenewalBudget
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.messages.link import LinkAck, LinkProbe
 from hemlockdock_core.metrics import COUNTERS
@@ -70,6 +73,7 @@
         self._open_outbox = open_outbox
         self._session_number = first_number(random_source or random.SystemRandom())
         self._last_number = self._session_number
+        self._renewal_budget = RenewalBudget.of(reactor)
         self._watch = LinkWatch(reactor, self._probe, self._renew_unanswered)
         check_scheme(listen, tls)
         server_config = tls.server_config() if tls else None
@@ -173,10 +177,9 @@
     @_handle.register
     def _(self, body: LinkProbe, peer):
         self._connected_peer(peer.address)
-        if body.renew and self._may_be_silent(peer):
+        if body.renew and self._may_be_silent(peer) and self._renewal_budget.take():
             self._log("connection renewed, as the peer got no answers", peer)
-            self._renew(peer)
-            self._resend(peer)
+            self._renew(peer, renew_other=False)
         self._send_link_message(peer, LinkAck(body.probe))
 
     @_handle.register
@@ -187,26 +190,38 @@
 
     def _may_be_silent(self, peer):
         """Tell whether a connection is neither new nor seen to deliver frames."""
-        age_s = self._reactor.seconds() - peer.opened_s
-        return age_s >= RENEW_AFTER_S and not peer.outbox.is_moving
+        now_s = self._reactor.seconds()
+        if now_s - peer.opened_s < RENEW_AFTER_S or peer.outbox.is_moving:
+            return False
+        return not peer.delivery.would_lose(now_s)
 
     def _renew_unanswered(self, peer):
         delivery = peer.delivery
         if not delivery.is_known and not peer.outbox.is_connected:
             # The peer may not listen yet. The socket goes on dialling, and keeps its queue.
             return
-        if peer.outbox.is_moving:
+        if peer.outbox.is_moving or delivery.would_lose(self._reactor.seconds()):
+            return
+        if not self._renewal_budget.take():
             return
         if not delivery.holds:
             self._log("connection without answers renewed", peer)
-        self._renew(peer)
-        delivery.hold()
-        self._send_probe(peer, renew=not delivery.is_heard(self._reactor.seconds()))
+        self._renew(peer, renew_other=not delivery.is_heard(self._reactor.seconds()))
 
-    def _renew(self, peer):
+    def _renew(self, peer, renew_other):
+        replaced = peer.outbox
+        try:
+            self._open(peer)
+        except pynng.NNGException as error:
+            logger.warning(
+                "connection not renewed", extra={"peer": peer.address, "problem": str(error)}
+            )
+            return
         COUNTERS.increment("link_renewals")
-        peer.outbox.close()
-        self._open(peer)
+        replaced.close()
+        peer.delivery.hold(self._reactor.seconds())
+        self._send_probe(peer, renew_other)
+        self._watch.add(peer)
 
     def _log(self, event, peer):
         unanswered_s = round(peer.delivery.unanswered_s(self._reactor.seconds()), 3)
--- a/packages/hemlockdock-core/hemlockdock_core/messages/inventory.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/inventory.py
@@ -1,5 +1,7 @@
 """Message that reports the models loaded in an engine."""
 
+from typing import ClassVar
+
 import msgspec
 
 from hemlockdock_core.messages.message import Message
@@ -45,6 +47,8 @@
         Fencing tokens of the orders in progress.
     """
 
+    expects_answer: ClassVar[bool] = False
+
     loaded: list[InventoryModel]
     highest_fence: int
     cached_on_disk: list[str] = []
--- a/packages/hemlockdock-core/hemlockdock_core/messages/orders.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/orders.py
@@ -1,6 +1,7 @@
 """Orders that change the models and adapters loaded in an agent's engine."""
 
 from enum import StrEnum
+from typing import ClassVar
 
 from hemlockdock_core.messages.message import Message
 
@@ -113,6 +114,8 @@
     took_ms : int
     """
 
+    expects_answer: ClassVar[bool] = False
+
     replica_id: str
     fence: int
     outcome: OrderOutcome
--- a/packages/hemlockdock-core/hemlockdock_core/messages/wish.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/wish.py
@@ -1,5 +1,7 @@
 """Messages about the demand for models."""
 
+from typing import ClassVar
+
 import msgspec
 
 from hemlockdock_core.messages.message import Message
@@ -39,6 +41,8 @@
     priority : int
     """
 
+    expects_answer: ClassVar[bool] = False
+
     model: str
     adapter: str
     waiting: int
--- a/tools/mutants/links.py
+++ b/tools/mutants/links.py
@@ -16,16 +16,16 @@
     Mutant(
         "renew one direction only",
         LINKS + "message_transport.py",
-        "if body.renew and self._may_be_silent(peer):",
+        "if body.renew and self._may_be_silent(peer) and self._renewal_budget.take():",
         "if False:",
         ROUNDS,
     ),
     Mutant(
         "replace a connection over which the peer is heard",
         LINKS + "message_transport.py",
-        "self._send_probe(peer, renew=not delivery.is_heard(self._reactor.seconds()))",
-        "self._send_probe(peer, renew=True)",
-        ROUNDS,
+        "renew_other=not delivery.is_heard(self._reactor.seconds())",
+        "renew_other=True",
+        PAIRS,
     ),
     Mutant(
         "send nothing again",
