--- a/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/delivery.py
@@ -1,10 +1,10 @@
 """Which frames a peer has not acknowledged, and when the connection to it has to be renewed."""
 
 from collections import deque
-from dataclasses import dataclass
 from enum import Enum
 
 from hemlockdock_core.links.frame_number import NOT_NUMBERED, session_of
+from hemlockdock_core.links.retained_frames import RetainedFrames
 
 # Most answers take some milliseconds. A probe tells a peer whose answer takes longer, as it waits
 # for its disk, from a connection that delivers nothing.
@@ -21,9 +21,6 @@
 MAX_RENEW_AFTER_S = 2.8
 # A peer that has not answered for this long is gone; the next frame to it starts anew.
 GIVE_UP_AFTER_S = 60.0
-MAX_RETAINED_BYTES = 256 * 1024
-# What is longer than that takes this time at most on a connection that works.
-LONG_TRANSFER_S = 5.0
 
 
 class LinkAction(Enum):
@@ -35,20 +32,6 @@
     GIVE_UP = "give_up"
 
 
-@dataclass(frozen=True, slots=True)
-class RetainedFrame:
-    """A frame that the peer may not have received.
-
-    Attributes
-    ----------
-    number : int
-    data : bytes
-    """
-
-    number: int
-    data: bytes
-
-
 class Delivery:
     """Delivery of frames to one peer, and of the peer's frames to this process.
 
@@ -66,21 +49,16 @@
         Number of the last frame from the peer; NOT_NUMBERED before the first one.
     holds : bool
         Whether frames are held until the peer has answered over a new connection.
-    not_retained : int
-        Number of frames that may be lost, as there was no room to retain them.
+    retained : RetainedFrames
     """
 
     def __init__(self):
         self.received = NOT_NUMBERED
         self.holds = False
-        self.not_retained = 0
         self._heard_s = -HEARD_WITHIN_S
         self._peer_session = 0
         self._peer_acknowledges = True
-        self._retained = deque()
-        self._retained_bytes = 0
-        self._last_not_retained = 0
-        self._not_retained_since_s = 0.0
+        self.retained = RetainedFrames()
         self._last_sent = 0
         self._questions = deque()
         self._unanswered_since_s = 0.0
@@ -108,19 +86,6 @@
             return renew_s
         return min(renew_s, self._clock_start_s + PROBE_AFTER_S)
 
-    def would_lose(self, now_s):
-        """Tell whether a renewal would lose frames that may still be on their way.
-
-        Parameters
-        ----------
-        now_s : float
-
-        Returns
-        -------
-        bool
-        """
-        return self.not_retained > 0 and now_s - self._not_retained_since_s < LONG_TRANSFER_S
-
     def is_heard(self, now_s):
         """Tell whether only the connection to the peer may be silent, not the one from it.
 
@@ -166,14 +131,7 @@
             if not self.is_waiting:
                 self._wait_since(now_s)
             self._questions.append((number, now_s))
-        self._retained.append(RetainedFrame(number, data))
-        self._retained_bytes += len(data)
-        while self._retained_bytes > MAX_RETAINED_BYTES:
-            if not self.not_retained:
-                self._not_retained_since_s = now_s
-            self._last_not_retained = self._retained[0].number
-            self.not_retained += 1
-            self._discard_oldest()
+        self.retained.add(number, data, now_s)
 
     def record_received(self, number, now_s):
         """Record a frame from the peer.
@@ -225,10 +183,7 @@
         number : int
             Of the session in which this process sends.
         """
-        while self._retained and self._retained[0].number <= number:
-            self._discard_oldest()
-        if number >= self._last_not_retained:
-            self.not_retained = 0
+        self.retained.drop_until(number)
         if not self._questions or self._questions[0][0] > number:
             return
         while self._questions and self._questions[0][0] <= number:
@@ -271,9 +226,10 @@
         self._clock_start_s = now_s
         if self._questions:
             self._wait_since(self._questions[0][1])
-        if self._retained:
-            self._last_sent = self._retained[-1].number
-        return list(self._retained)
+        frames = self.retained.frames
+        if frames:
+            self._last_sent = frames[-1].number
+        return frames
 
     def postpone(self, seconds):
         """Leave out a time in which this process did not run, and could not have seen an answer.
@@ -327,9 +283,7 @@
         """Drop all frames that are not acknowledged."""
         self.holds = False
         self._questions.clear()
-        self._retained.clear()
-        self._retained_bytes = 0
-        self.not_retained = 0
+        self.retained.clear()
         self._renew_after_s = RENEW_AFTER_S
 
     @property
@@ -337,9 +291,6 @@
         # The connection to a peer that never answered is new; it may just be starting.
         return self._renew_after_s if self.is_known else MAX_RENEW_AFTER_S
 
-    def _discard_oldest(self):
-        self._retained_bytes -= len(self._retained.popleft().data)
-
     def _wait_since(self, since_s):
         self._unanswered_since_s = since_s
         self._clock_start_s = max(self._clock_start_s, since_s)
--- a/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
+++ b/packages/hemlockdock-core/hemlockdock_core/links/message_transport.py
@@ -193,14 +193,14 @@
         now_s = self._reactor.seconds()
         if now_s - peer.opened_s < RENEW_AFTER_S or peer.outbox.is_moving:
             return False
-        return not peer.delivery.would_lose(now_s)
+        return not peer.delivery.retained.is_long_transfer(now_s)
 
     def _renew_unanswered(self, peer):
         delivery = peer.delivery
         if not delivery.is_known and not peer.outbox.is_connected:
             # The peer may not listen yet. The socket goes on dialling, and keeps its queue.
             return
-        if peer.outbox.is_moving or delivery.would_lose(self._reactor.seconds()):
+        if peer.outbox.is_moving or delivery.retained.is_long_transfer(self._reactor.seconds()):
             return
         if not self._renewal_budget.take():
             return
@@ -228,8 +228,8 @@
         logger.info(event, extra={"peer": peer.address, "unanswered_s": unanswered_s})
 
     def _resend(self, peer):
-        if peer.delivery.not_retained:
-            COUNTERS.increment("link_frames_not_retained", peer.delivery.not_retained)
+        if peer.delivery.retained.not_retained:
+            COUNTERS.increment("link_frames_not_retained", peer.delivery.retained.not_retained)
         for frame in peer.delivery.release(self._reactor.seconds()):
             COUNTERS.increment("link_frames_resent")
             peer.outbox.send(frame.data)
--- a/packages/hemlockdock-core/tests/test_delivery.py
+++ b/packages/hemlockdock-core/tests/test_delivery.py
@@ -6,10 +6,8 @@
 
 from hemlockdock_core.links.delivery import (
     GIVE_UP_AFTER_S,
-    LONG_TRANSFER_S,
     MAX_BUSY_S,
     MAX_RENEW_AFTER_S,
-    MAX_RETAINED_BYTES,
     PROBE_AFTER_S,
     RENEW_AFTER_S,
     Delivery,
@@ -17,6 +15,7 @@
 )
 from hemlockdock_core.links.frame_number import COUNT_BITS, NOT_NUMBERED
 from hemlockdock_core.links.renewal_budget import MAX_RENEWALS, RenewalBudget
+from hemlockdock_core.links.retained_frames import LONG_TRANSFER_S, MAX_RETAINED_BYTES
 
 PEER = 5 << COUNT_BITS
 RESTARTED_PEER = 9 << COUNT_BITS
@@ -142,22 +141,22 @@
         half = b"x" * (MAX_RETAINED_BYTES // 2)
         for _ in range(4):
             self.send(1.0, data=half)
-        self.assertEqual(self.delivery.not_retained, 2)
+        self.assertEqual(self.delivery.retained.not_retained, 2)
         self.receive(2, acknowledged=1)
-        self.assertEqual(self.delivery.not_retained, 2)
+        self.assertEqual(self.delivery.retained.not_retained, 2)
         self.assertEqual(self.released(), [3, 4])
         self.receive(3, acknowledged=2)
-        self.assertEqual(self.delivery.not_retained, 0)
+        self.assertEqual(self.delivery.retained.not_retained, 0)
 
     def test_a_connection_with_a_long_transfer_on_its_way_is_not_replaced_for_a_while(self):
         self.receive(1)
         half = b"x" * (MAX_RETAINED_BYTES // 2)
         for _ in range(3):
             self.send(1.0, expects_answer=False, data=half)
-        self.assertTrue(self.delivery.would_lose(2.0))
-        self.assertFalse(self.delivery.would_lose(1.0 + LONG_TRANSFER_S))
+        self.assertTrue(self.delivery.retained.is_long_transfer(2.0))
+        self.assertFalse(self.delivery.retained.is_long_transfer(1.0 + LONG_TRANSFER_S))
         self.receive(2, acknowledged=1)
-        self.assertFalse(self.delivery.would_lose(2.0))
+        self.assertFalse(self.delivery.retained.is_long_transfer(2.0))
 
     def test_a_process_that_was_busy_waits_for_the_answer_anew(self):
         self.receive(1)
--- a/tools/mutants/links.py
+++ b/tools/mutants/links.py
@@ -30,7 +30,7 @@
     Mutant(
         "send nothing again",
         LINKS + "delivery.py",
-        "        return list(self._retained)\n",
+        "        return frames\n",
         "        return []\n",
         DELIVERY,
     ),
