--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -7,7 +7,7 @@
 from hemlockdock_control.consensus.seeding import member_ip
 from hemlockdock_control.fleet.entry_lists import EntryLists
 from hemlockdock_control.fleet.registry import AgentReport
-from hemlockdock_control.fleet.version_history import VersionHistory
+from hemlockdock_control.fleet.stream_origins import StreamOrigins
 from hemlockdock_control.service.node_proposals import NodeProposals
 from hemlockdock_core.commands import RecordCrash, ReleaseQuarantine
 from hemlockdock_core.messages import (
@@ -20,12 +20,10 @@
     PermitRequest,
     PermitReturn,
     Proposal,
-    StreamOriginReply,
     StreamStarted,
     WatchTable,
 )
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_core.stream_origins import StreamOrigin, StreamOriginStore
 
 logger = logging.getLogger(__name__)
 
@@ -33,7 +31,6 @@
 ENTRY_ROLE = "entry"
 # What entries saw at endpoints; decisions are left to control members and operators.
 PROPOSABLE = (RecordCrash, ReleaseQuarantine)
-UNKNOWN_ORIGIN = StreamOrigin("", "")
 # Several heartbeat intervals: a node silent for longer has lost its connection or its process.
 NODE_TIMEOUT_S = 2.5
 
@@ -106,9 +103,7 @@
         self._proposals = NodeProposals(proposer, send, PROPOSABLE)
         self._node_by_address = {}
         self._entry_lists = EntryLists(send)
-        # Each member keeps what entries send it, whether it leads or not.
-        self._stream_origins = StreamOriginStore()
-        self._version_history = VersionHistory()
+        self._stream_origins = StreamOrigins(replicator, machine, clock)
 
     @property
     def entry_count(self):
@@ -149,8 +144,7 @@
                 self._demand.forget_entry(node.node_id)
                 self._entry_lists.remove(address)
                 silent.append(address)
-        self._stream_origins.remove_expired(now_s)
-        self._record_versions()
+        self._stream_origins.maintain()
         self._feed.remove_silent(now_s * MS_PER_S, NODE_TIMEOUT_S * MS_PER_S)
         return silent
 
@@ -223,32 +217,11 @@
 
     @_on_message.register
     def _(self, body: StreamStarted, frame):
-        origin = StreamOrigin(body.pool, body.software_version)
-        now_s = self._clock.seconds()
-        self._stream_origins.record(body.request_id, origin, body.keep_ms, now_s)
+        self._stream_origins.record(body)
 
     @_on_message.register
     def _(self, body: FindStreamOrigin, frame):
-        question = body.question
-        origin = self._stream_origins.find(question.request_id, self._clock.seconds())
-        if origin is None:
-            origin = self._only_origin(question)
-        reply = StreamOriginReply(body.lookup, origin.pool, origin.software_version)
-        self._send(frame.reply_to, reply)
-
-    def _only_origin(self, question):
-        """Return the origin of all streams that began in the question's window, if it is one."""
-        now_s = self._clock.seconds()
-        self._record_versions()
-        # Another member may not have heard of the newest endpoints yet.
-        if not self._replicator.has_lease:
-            return UNKNOWN_ORIGIN
-        window_s = question.window_ms / MS_PER_S
-        version = self._version_history.only_version(question.pool, now_s, window_s)
-        return StreamOrigin(question.pool, version) if version else UNKNOWN_ORIGIN
-
-    def _record_versions(self):
-        self._version_history.update(self._machine.state.endpoints, self._clock.seconds())
+        self._send(frame.reply_to, self._stream_origins.reply_to(body))
 
     def _acknowledgement(self, heartbeat, known):
         leader_id = self._replicator.leader_id
