control, entry: where a stream began is inferred from the replicated log, over as long as any client may wait

Cause: for a stream without a record the leader answered the only version that its process had seen within the wait told by the client's time left, plus 5 s, in the pool that the route leads to now. That is too short for a client that names no time left, that waits longer than its route's timeout, or whose route's timeout has become shorter, and the wrong pool after a route moved: the client then joined two versions.

Change: the replicated state keeps, for 240 s, the versions that pools had and the pools that routes had, with the committed time of the change; the leader infers only if there was one of each for 120 s, for which origins are kept, too. That survives elections and restarts of all members, where the former answer was unknown. RecordEndpoints is committed with its time. An origin is kept for the time left that the client tells, not for that of the route, and for 120 s if it tells none.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -144,7 +144,7 @@
                 self._demand.forget_entry(node.node_id)
                 self._entry_lists.remove(address)
                 silent.append(address)
-        self._stream_origins.maintain()
+        self._stream_origins.remove_expired()
         self._feed.remove_silent(now_s * MS_PER_S, NODE_TIMEOUT_S * MS_PER_S)
         return silent
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -214,7 +214,7 @@
             logger.info("endpoint changed", extra={"endpoint": row.endpoint_id, "row": repr(row)})
         for endpoint_id in gone:
             logger.info("endpoint gone", extra={"endpoint": endpoint_id})
-        outcome = self._proposer.commit(RecordEndpoints(present, gone, 0))
+        outcome = self._proposer.commit(RecordEndpoints(present, gone, wall_ms()))
         outcome.addBoth(self._endpoints_committed)
 
     def _endpoints_committed(self, _):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/stream_origins.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/stream_origins.py
@@ -1,31 +1,34 @@
 """Keep where streams began, and infer it for streams of which nothing was recorded."""
 
-from hemlockdock_control.fleet.version_history import VersionHistory
 from hemlockdock_core.messages import StreamOriginReply
-from hemlockdock_core.stream_origins import StreamOrigin, StreamOriginStore
+from hemlockdock_core.stream_origins import MAX_KEEP_MS, StreamOrigin, StreamOriginStore
+from hemlockdock_core.wall_clock import wall_ms
 
-MS_PER_S = 1_000
 UNKNOWN_ORIGIN = StreamOrigin("", "")
 
 
 class StreamOrigins:
     """Origins of streams, as one control member knows them.
 
-    Each member keeps what entries send it, whether it leads or not. Only the leader infers.
+    Each member keeps what entries send it, whether it leads or not. Only the leader infers: if the
+    stream's route led to one pool only, and that pool had one software version only, for as long as
+    any client may have waited, the stream began there.
 
     Parameters
     ----------
     replicator : Replicator
     machine : ClusterStateMachine
     clock : twisted reactor
+    wall_ms : callable, optional
+        Returns the wall-clock time, in milliseconds.
     """
 
-    def __init__(self, replicator, machine, clock):
+    def __init__(self, replicator, machine, clock, wall_ms=wall_ms):
         self._replicator = replicator
         self._machine = machine
         self._clock = clock
+        self._wall_ms = wall_ms
         self._store = StreamOriginStore()
-        self._version_history = VersionHistory()
 
     def record(self, message):
         """Record where a stream began.
@@ -54,21 +57,23 @@
             origin = self._only_origin(message.question)
         return StreamOriginReply(message.lookup, origin.pool, origin.software_version)
 
-    def maintain(self):
-        """Remove expired origins, and record the software versions that are present."""
+    def remove_expired(self):
+        """Remove the origins whose clients no longer come back."""
         self._store.remove_expired(self._clock.seconds())
-        self._record_versions()
 
     def _only_origin(self, question):
-        """Return the origin of all streams that began in the question's window, if it is one."""
-        now_s = self._clock.seconds()
-        self._record_versions()
-        # Another member may not have heard of the newest endpoints yet.
-        if not self._replicator.has_lease:
+        """Return the origin of all streams of the route that may be resumed, if it is one."""
+        # Without a valid lease, changes that others have committed may not be applied here yet.
+        if not question.route_scope or not self._replicator.has_lease:
             return UNKNOWN_ORIGIN
-        window_s = question.window_ms / MS_PER_S
-        version = self._version_history.only_version(question.pool, now_s, window_s)
-        return StreamOrigin(question.pool, version) if version else UNKNOWN_ORIGIN
-
-    def _record_versions(self):
-        self._version_history.update(self._machine.state.endpoints, self._clock.seconds())
+        since_ms = self._wall_ms() - MAX_KEEP_MS
+        state = self._machine.state
+        pools = state.routes.pools_since(question.route_scope, since_ms)
+        if pools is None or len(pools) != 1:
+            return UNKNOWN_ORIGIN
+        pool = pools.pop()
+        versions = state.endpoints.versions_since(pool, since_ms)
+        if versions is None or len(versions) != 1:
+            return UNKNOWN_ORIGIN
+        version = versions.pop()
+        return StreamOrigin(pool, version) if version else UNKNOWN_ORIGIN
--- a/packages/hemlockdock-control/hemlockdock_control/state/image.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/image.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hemlockdock_control.state.audit import AuditRecord
+from hemlockdock_control.state.former_values import FormerValue
 from hemlockdock_control.state.job_record import JobRecord
 from hemlockdock_control.state.manifests import Acceptance
 from hemlockdock_control.state.node_record import NodeRecord
@@ -13,6 +14,7 @@
 from hemlockdock_core.rows import EndpointRow
 
 IMAGE_FORMAT = 1
+NEVER_KEPT_MS = -1
 
 
 @dataclass(slots=True)
@@ -39,6 +41,9 @@
     routes : RouteManifest or None
     routes_document : bytes
     endpoints : list of EndpointRow
+    former_pools, former_versions : list of FormerValue
+    former_pools_since_ms, former_versions_since_ms : int or None
+        Times since which they are complete; `NEVER_KEPT_MS` in snapshots of versions without them.
     """
 
     format: int
@@ -61,3 +66,7 @@
     routes: RouteManifest | None = None
     routes_document: bytes = b""
     endpoints: list[EndpointRow] = field(default_factory=list)
+    former_pools: list[FormerValue] = field(default_factory=list)
+    former_pools_since_ms: int | None = NEVER_KEPT_MS
+    former_versions: list[FormerValue] = field(default_factory=list)
+    former_versions_since_ms: int | None = NEVER_KEPT_MS
--- a/packages/hemlockdock-control/hemlockdock_control/state/routes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/routes.py
@@ -1,9 +1,11 @@
 """Current route manifest and the known endpoints."""
 
+from hemlockdock_control.state.former_values import FormerValues
 from hemlockdock_core.commands import CommandResult
 
 ACCEPTED = "accepted"
 OVERTAKEN = "overtaken"
+NO_POOL = ""
 
 
 class Routes:
@@ -18,10 +20,14 @@
     manifest : RouteManifest or None
     document : bytes
         Text of the manifest as submitted by the operator, compressed.
+    former_pools : FormerValues
+        Pools to which routes led, by the routes' scopes.
     """
 
     def __init__(self, context):
         self._context = context
+        self._route_by_scope = {}
+        self.former_pools = FormerValues(context)
         self.manifest = None
         self.document = b""
 
@@ -46,7 +52,10 @@
         if before is not None and command.manifest.number <= before:
             return CommandResult(self._context.index, state=OVERTAKEN)
         old_keys = self._row_keys()
-        self.manifest = command.manifest
+        if before is not None:
+            self.former_pools.note_command(command.at_ms)
+            self._note_former_pools(_routes_by_scope(command.manifest))
+        self._set_manifest(command.manifest)
         self.document = command.document
         for row in command.manifest.rows():
             self._context.put(row)
@@ -56,6 +65,26 @@
         self._context.record(command.who, "routes", "routes", before, after)
         return CommandResult(self._context.index, state=ACCEPTED)
 
+    def pools_since(self, scope, since_ms):
+        """Return the pools to which requests of a route have gone since a time.
+
+        Parameters
+        ----------
+        scope : str
+            The route's scope.
+        since_ms : int
+
+        Returns
+        -------
+        set of str, or None
+            It contains an empty name if the requests were not this route's all the time. None if
+            not all changes since then are known.
+        """
+        former = self.former_pools.values_since(scope, since_ms)
+        if former is None:
+            return None
+        return former | _used_pools(self._route_by_scope.get(scope))
+
     def restore(self, manifest, document):
         """Restore the route manifest from a snapshot.
 
@@ -64,7 +93,7 @@
         manifest : RouteManifest or None
         document : bytes
         """
-        self.manifest = manifest
+        self._set_manifest(manifest)
         self.document = document
 
     def rows(self):
@@ -75,6 +104,29 @@
     def _row_keys(self):
         return {row.key for row in self.rows()}
 
+    def _set_manifest(self, manifest):
+        self.manifest = manifest
+        self._route_by_scope = {} if manifest is None else _routes_by_scope(manifest)
+
+    def _note_former_pools(self, new_by_scope):
+        for scope, old in self._route_by_scope.items():
+            former = _used_pools(old) - _used_pools(new_by_scope.get(scope))
+            for pool in former:
+                self.former_pools.note(scope, pool)
+            if scope not in new_by_scope:
+                self._note_for_wider_routes(old, former, new_by_scope)
+        for scope in new_by_scope:
+            if scope not in self._route_by_scope:
+                self.former_pools.note(scope, NO_POOL)
+
+    def _note_for_wider_routes(self, removed, pools, new_by_scope):
+        """Note the pools of a removed route for those that get its requests from now on."""
+        for scope, row in new_by_scope.items():
+            if row.host != removed.host or not removed.prefix.startswith(row.prefix):
+                continue
+            for pool in pools:
+                self.former_pools.note(scope, pool)
+
 
 class Endpoints:
     """Endpoints reported by the platform and by agents.
@@ -86,23 +138,34 @@
     Attributes
     ----------
     row_by_id : dict of str to EndpointRow
+    former_versions : FormerValues
+        Software versions that pools had.
     """
 
     def __init__(self, context):
         self._context = context
-        self._gone_versions = None
+        self.former_versions = FormerValues(context)
         self.row_by_id = {}
 
-    def take_gone_versions(self):
-        """Return the pools and software versions of rows that are no more, and forget them.
+    def versions_since(self, pool, since_ms):
+        """Return the software versions that a pool has had since a time.
+
+        Parameters
+        ----------
+        pool : str
+        since_ms : int
 
         Returns
         -------
-        set of (str, str) or None
-            Those since the last call; None if they are not known, after a snapshot or at the start.
+        set of str, or None
+            It contains an empty version if one was unknown. None if not all changes since then are
+            known.
         """
-        gone, self._gone_versions = self._gone_versions, set()
-        return gone
+        former = self.former_versions.values_since(pool, since_ms)
+        if former is None:
+            return None
+        present = {row.software_version for row in self.row_by_id.values() if row.pool == pool}
+        return former | present
 
     def record(self, command):
         """Add, update and remove endpoints.
@@ -115,14 +178,15 @@
         -------
         CommandResult
         """
+        self.former_versions.note_command(command.at_ms)
         for row in command.present:
-            self._note_gone(self.row_by_id.get(row.endpoint_id))
+            self._note_former_version(self.row_by_id.get(row.endpoint_id), row)
             self.row_by_id[row.endpoint_id] = row
             self._context.put(row)
         for endpoint_id in command.gone:
             row = self.row_by_id.pop(endpoint_id, None)
             if row is not None:
-                self._note_gone(row)
+                self._note_former_version(row, None)
                 self._context.delete(row.key)
         return CommandResult(self._context.index)
 
@@ -133,9 +197,21 @@
         ----------
         rows : iterable of EndpointRow
         """
-        self._gone_versions = None
         self.row_by_id = {row.endpoint_id: row for row in rows}
 
-    def _note_gone(self, row):
-        if row is not None and self._gone_versions is not None:
-            self._gone_versions.add((row.pool, row.software_version))
+    def _note_former_version(self, old, new):
+        if old is None:
+            return
+        before = (old.pool, old.software_version)
+        if new is None or before != (new.pool, new.software_version):
+            self.former_versions.note(*before)
+
+
+def _routes_by_scope(manifest):
+    return {row.scope: row for row in manifest.routes}
+
+
+def _used_pools(route):
+    if route is None:
+        return set()
+    return {target.pool for target in route.pools if target.weight > 0}
--- a/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hemlockdock_control.state.image import IMAGE_FORMAT, StateImage
+from hemlockdock_control.state.image import IMAGE_FORMAT, NEVER_KEPT_MS, StateImage
 from hemlockdock_control.state.manifest_rows import manifest_rows
 
 
@@ -38,6 +38,10 @@
         state.routes.manifest,
         state.routes.document,
         list(state.endpoints.row_by_id.values()),
+        state.routes.former_pools.all(),
+        state.routes.former_pools.known_since_ms,
+        state.endpoints.former_versions.all(),
+        state.endpoints.former_versions.known_since_ms,
     )
     return msgspec.msgpack.encode(image)
 
@@ -79,9 +83,22 @@
     state.crashes.seen_until_ms_by_crash = image.seen_until_ms_by_crash
     state.routes.restore(image.routes, image.routes_document)
     state.endpoints.restore(image.endpoints)
+    _restore_former_values(state, image)
     context.changes.restore(image.table_revision, _rows(state))
 
 
+def _restore_former_values(state, image):
+    pools_since_ms = image.former_pools_since_ms
+    if pools_since_ms == NEVER_KEPT_MS:
+        pools_since_ms = image.now_ms
+    state.routes.former_pools.restore(image.former_pools, pools_since_ms)
+    versions_since_ms = image.former_versions_since_ms
+    if versions_since_ms == NEVER_KEPT_MS:
+        # The versions that kept none did not commit the times of changes of endpoints either.
+        versions_since_ms = None
+    state.endpoints.former_versions.restore(image.former_versions, versions_since_ms)
+
+
 def _rows(state):
     current = state.manifests.current
     if current is not None:
--- a/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/stream_origins.py
@@ -36,14 +36,18 @@
     request_id : str
         Id of the request attempt that brought its first event; empty if the client named none.
     pool : str
-        The only pool of the stream's route; empty if it has several.
+        The only pool of the stream's route; empty if it has several. Members that read the route's
+        scope ignore it.
     window_ms : int
-        Time within which the stream began.
+        Time within which the stream began; ignored likewise.
+    route_scope : str
+        Empty from entries that do not tell it.
     """
 
     request_id: str
     pool: str
     window_ms: int
+    route_scope: str = ""
 
 
 class FindStreamOrigin(Message, frozen=True):
--- a/packages/hemlockdock-core/hemlockdock_core/rows/route_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/route_row.py
@@ -75,6 +75,11 @@
         """Return the row's key in the routing table."""
         return f"route/{self.name}"
 
+    @property
+    def scope(self):
+        """Return the host and the path prefix, which tell the route's requests from others."""
+        return f"{self.host}{self.prefix}"
+
     @property
     def may_repeat(self):
         """Return whether a request may run more than once."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -90,6 +90,11 @@
         """Return the time left, in seconds."""
         return self.deadline_s - self.now_s()
 
+    @property
+    def client_left_ms(self):
+        """Return the time for which the client waits from its request on; None if unknown."""
+        return self._times.client_left_ms
+
     @property
     def may_wait_s(self):
         """Return how long the request may wait for an endpoint, in seconds."""
@@ -129,8 +134,7 @@
             return
         self._set_times()
         if self.binding.is_resumption:
-            longest_wait_s = self._times.longest_wait_s(self.request.received_s, self.now_s())
-            self.binding.find(longest_wait_s, self._begin)
+            self.binding.find(self._begin)
             return
         self._begin()
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_times.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_times.py
@@ -5,8 +5,6 @@
 MS_PER_S = 1_000
 # A client whose time left is lower than the route's timeout by this much was refused before.
 RETURNING_CLIENT_MS = 100
-# The route's timeout, by which a client's wait is estimated, may have changed meanwhile.
-TIMEOUT_CHANGE_MARGIN_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,11 +18,14 @@
         Time until which the response, or a stream's first event, meets the route's target.
     waited_ms : int
         Time for which the client waited before this request, judging by its time left.
+    client_left_ms : int or None
+        Time for which the client waits from now on; None if it does not tell.
     """
 
     deadline_s: float
     target_s: float
     waited_ms: int
+    client_left_ms: int | None
 
     @classmethod
     def of(cls, route, received_s, time_left):
@@ -42,30 +43,20 @@
         RequestTimes
         """
         limit_ms = route.timeout_ms
+        client_left_ms = None
         if time_left.strip().isdigit():
-            limit_ms = min(limit_ms, int(time_left))
+            client_left_ms = int(time_left)
+            limit_ms = min(limit_ms, client_left_ms)
         # A client that retries after a refusal has less time left than the route's timeout.
         waited_ms = max(0, route.timeout_ms - limit_ms)
         return cls(
             received_s + limit_ms / MS_PER_S,
             received_s + (route.target_ms - waited_ms) / MS_PER_S,
             waited_ms,
+            client_left_ms,
         )
 
     @property
     def is_first_request(self):
         """Return whether this is the client's first request."""
         return self.waited_ms < RETURNING_CLIENT_MS
-
-    def longest_wait_s(self, received_s, now_s):
-        """Return the longest time since the client's first request.
-
-        Parameters
-        ----------
-        received_s, now_s : float
-
-        Returns
-        -------
-        float
-        """
-        return self.waited_ms / MS_PER_S + now_s - received_s + TIMEOUT_CHANGE_MARGIN_S
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stream_binding.py
@@ -3,8 +3,8 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import OriginQuestion
 from hemlockdock_core.rows import RouteKind
+from hemlockdock_core.stream_origins import MAX_KEEP_MS
 
-MS_PER_S = 1_000
 # A client that resumes its stream as late as it may still finds out where it began.
 ORIGIN_KEEP_MARGIN_MS = 1_000
 # Another entry or a later question may find the origin of a stream that this one did not.
@@ -43,13 +43,11 @@
         last_event_id = exchange.request.header(self._gateway.headers.last_event_id)
         return bool(last_event_id or exchange.content.resumed_request_id)
 
-    def find(self, longest_wait_s, on_bound):
+    def find(self, on_bound):
         """Bind the request to the version that began its stream, or refuse it.
 
         Parameters
         ----------
-        longest_wait_s : float
-            Longest time since the stream may have begun.
         on_bound : callable
             Called without arguments once the origin is known.
         """
@@ -58,7 +56,8 @@
         question = OriginQuestion(
             self._exchange.content.resumed_request_id.decode("latin-1"),
             pools[0] if len(pools) == 1 else "",
-            int(longest_wait_s * MS_PER_S),
+            MAX_KEEP_MS,
+            self._exchange.route.scope,
         )
         members = self._gateway.origin_members
         self._gateway.origin_lookup.find(question, members, self._on_result)
@@ -75,7 +74,9 @@
         self.origin = origin
         if not exchange.route.resumable or not origin.software_version:
             return
-        keep_ms = int(exchange.left_s * MS_PER_S) + ORIGIN_KEEP_MARGIN_MS
+        keep_ms = MAX_KEEP_MS
+        if exchange.client_left_ms is not None:
+            keep_ms = exchange.client_left_ms + ORIGIN_KEEP_MARGIN_MS
         request_id = exchange.content.request_id.decode("latin-1")
         members = self._gateway.origin_members
         self._gateway.origin_lookup.record(request_id, origin, keep_ms, members)
--- a/tools/benchmarks/stream_orders.py
+++ b/tools/benchmarks/stream_orders.py
@@ -223,6 +223,7 @@
             self._world.wait(LONG_GAP_S if number == self._order.long_gap else SHORT_GAP_S)
             self._happen(event)
         self._world.wait(SHORT_GAP_S)
+        self._deliver_records()
         self._kill_entries()
         self._resume()
         return self.outcome
