--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -36,7 +36,8 @@
             continue
         print(
             f"seed {seed}: {len(result.faults)} faults, {result.served} of {result.requests} "
-            f"requests served, {result.changes} changes, {len(result.breaches)} breaches",
+            f"requests served, {result.resumed} resumed, {result.changes} changes, "
+            f"{len(result.breaches)} breaches",
             flush=True,
         )
         if result.breaches:
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -10,7 +10,11 @@
 from soak.fleet import CALL_TIMEOUT_S, HTTP_PORT, MODELS, OK, Response, exchange, request_headers
 
 PAUSE_S = 0.05
-REQUEST_KINDS = ("read", "write", "live")
+REQUEST_KINDS = ("read", "write", "live", "told")
+STREAM_KINDS = ("live", "told")
+# Streams of this kind may be resumed, and their clients take each up again after its first event.
+RESUMABLE_KIND = "told"
+RESUMED_KIND = "resumed"
 # Probability that an iteration of the operator submits new routes before it reads them back.
 CHANGE_PROBABILITY = 0.3
 FIRST_MANIFEST_NUMBER = 100
@@ -34,6 +38,19 @@
     response: Response
 
 
+@dataclass(frozen=True, slots=True)
+class Resumption:
+    """A stream that its client resumed, and its beginning.
+
+    Attributes
+    ----------
+    first, resumed : SentRequest
+    """
+
+    first: SentRequest
+    resumed: SentRequest
+
+
 class Client:
     """Sends requests one at a time from its own thread, over persistent connections.
 
@@ -46,10 +63,12 @@
     Attributes
     ----------
     sent : list of SentRequest
+    resumptions : list of Resumption
     """
 
     def __init__(self, name, entry_ips, seed):
         self.sent = []
+        self.resumptions = []
         self._name = name
         self._entry_ips = entry_ips
         self._random = random.Random(f"{seed}-{name}")
@@ -83,15 +102,33 @@
         ----------
         request_id, kind : str
         """
+        model = self._random.choice(MODELS) if kind in STREAM_KINDS else ""
+        headers = request_headers(request_id, model)
+        first = self._exchange(request_id, kind, f"/{kind}/x", headers)
+        if kind == RESUMABLE_KIND and first.response.status == OK:
+            self._resume(first, headers)
+
+    def _resume(self, first, headers):
+        resumed_id = f"{first.request_id}-resumed"
+        headers = {
+            **headers,
+            "X-Request-Id": resumed_id,
+            "X-Resumed-Request": first.request_id,
+            "Last-Event-Id": "1",
+        }
+        resumed = self._exchange(resumed_id, RESUMED_KIND, f"/{first.kind}/x", headers)
+        self.resumptions.append(Resumption(first, resumed))
+
+    def _exchange(self, request_id, kind, path, headers):
         ip = self._random.choice(self._entry_ips)
         connection = self._connection_by_ip.get(ip)
         if connection is None:
             connection = http.client.HTTPConnection(ip, HTTP_PORT, timeout=CALL_TIMEOUT_S)
             self._connection_by_ip[ip] = connection
-        model = self._random.choice(MODELS) if kind == "live" else ""
-        headers = request_headers(request_id, model)
-        response = exchange(connection, "POST", f"/{kind}/x", b"body", headers)
-        self.sent.append(SentRequest(request_id, kind, time.monotonic(), response))
+        response = exchange(connection, "POST", path, b"body", headers)
+        item = SentRequest(request_id, kind, time.monotonic(), response)
+        self.sent.append(item)
+        return item
 
 
 class Operator:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -14,11 +14,14 @@
 PROXY_FAULT_PROBABILITY = 0.35
 # Probability that a fault silences the open connections between nodes.
 SILENCE_PROBABILITY = 0.15
+# Probability that a fault kills all entries at once.
+KILL_ENTRIES_PROBABILITY = 0.1
 # A restarted control member takes part in consensus again within this time.
 CATCH_UP_S = 5.0
 
 
 ALL_NODES = ""
+ALL_ENTRIES = "entries"
 
 
 class FaultKind(Enum):
@@ -31,6 +34,7 @@
     WIPE = "wipe"
     HARM = "harm"
     SILENCE = "silence"
+    KILL_ENTRIES = "kill all entries"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +99,8 @@
         # To one node the silence is one way; the nodes' own connections still deliver.
         target = rng.choice([ALL_NODES, rng.choice(nodes)])
         return Fault(at_s, at_s, FaultKind.SILENCE, target)
+    if rng.random() < KILL_ENTRIES_PROBABILITY:
+        return Fault(at_s, until_s, FaultKind.KILL_ENTRIES, ALL_ENTRIES)
     if rng.random() < PROXY_FAULT_PROBABILITY:
         target = rng.choice(plan.agent_ips + plan.service_ips)
         harm = rng.choice([harm for harm in Harm if harm is not Harm.NONE])
@@ -134,6 +140,9 @@
             self._links.silence_to(self._links.ips if name == ALL_NODES else [name])
         elif fault.kind is FaultKind.HARM:
             self._proxy_by_ip[name].set_harm(fault.harm)
+        elif fault.kind is FaultKind.KILL_ENTRIES:
+            for ip in self._fleet.plan.entry_ips:
+                self._fleet.signal(ip, signal.SIGKILL)
         elif fault.kind in (FaultKind.KILL, FaultKind.WIPE):
             self._fleet.kill(name)
             if fault.kind is FaultKind.WIPE:
@@ -160,6 +169,12 @@
             self._proxy_by_ip[name].set_harm(Harm.NONE)
         elif fault.kind is FaultKind.PAUSE:
             self._fleet.signal(name, signal.SIGCONT)
+        elif fault.kind is FaultKind.KILL_ENTRIES:
+            for ip in self._fleet.plan.entry_ips:
+                self._restart(ip)
         elif fault.kind is not FaultKind.RELOAD:
-            self._fleet.kill(name)
-            self._fleet.restart(name, is_first=False)
+            self._restart(name)
+
+    def _restart(self, name):
+        self._fleet.kill(name)
+        self._fleet.restart(name, is_first=False)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -97,6 +97,15 @@
         """Return the address of the directory."""
         return f"{self.address_prefix}.161"
 
+    @property
+    def version_by_endpoint(self):
+        """Return the engines' software versions by endpoint id."""
+        versions = {}
+        for number, ip in enumerate(self.agent_ips):
+            version = self.versions[min(number, len(self.versions) - 1)]
+            versions[f"lm-{ip}:{ENGINE_PORT}"] = version
+        return versions
+
     def listed_address(self, ip, port):
         """Return the address at which the directory lists an endpoint."""
         return f"{ip}:{PROXY_PORT if self.uses_proxies else port}"
@@ -124,6 +133,7 @@
         _route("read", RouteKind.IDEMPOTENT, "shop"),
         _route("write", RouteKind.AT_MOST_ONCE, "shop"),
         _route("live", RouteKind.STREAM, "lm", resumable),
+        _route("told", RouteKind.STREAM, "lm", resumable=True),
     )
     if added:
         routes += (_route(added, RouteKind.IDEMPOTENT, "shop"),)
--- a/tools/soak/oracle.py
+++ b/tools/soak/oracle.py
@@ -3,13 +3,14 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from soak.clients import RESUMED_KIND, STREAM_KINDS
 from soak.fleet import OK
 
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 AT_MOST_ONCE_KINDS = frozenset(("write", "live"))
-STREAM_KIND = "live"
-STREAM_EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
+EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3)]
+STREAM_EVENTS = b"".join(EVENTS)
 # The engine's memory has room for one model at a time.
 MAX_LOADED_MODELS = 1
 CHANGES_PER_TERM = 1_000_000
@@ -61,8 +62,7 @@
 
 
 def _response_breaches(item, ledgers):
-    expected = STREAM_EVENTS if item.kind == STREAM_KIND else b"ran " + item.request_id.encode()
-    if item.response.body != expected:
+    if item.response.body != _expected_body(item):
         yield Breach("whole answers", f"{item.request_id} got {item.response.body!r}")
     endpoint_id, _, position = item.response.signature.rpartition(".")
     for ledger in ledgers:
@@ -73,6 +73,37 @@
     yield Breach("answers bear their own mark", f"{item.request_id}: {item.response.signature!r}")
 
 
+def _expected_body(item):
+    if item.kind in STREAM_KINDS:
+        return STREAM_EVENTS
+    if item.kind == RESUMED_KIND:
+        return b"".join(EVENTS[1:])
+    return b"ran " + item.request_id.encode()
+
+
+def resumption_breaches(resumptions, version_by_endpoint):
+    """Yield the streams that were joined from two software versions.
+
+    Parameters
+    ----------
+    resumptions : list of Resumption
+    version_by_endpoint : dict of str to str
+
+    Yields
+    ------
+    Breach
+    """
+    for item in resumptions:
+        if item.resumed.response.status != OK:
+            continue
+        first, rest = (
+            version_by_endpoint[sent.response.signature.rpartition(".")[0]]
+            for sent in (item.first, item.resumed)
+        )
+        if first != rest:
+            yield Breach("one version in a stream", f"{item.first.request_id}: {first}, {rest}")
+
+
 def engine_breaches(ledgers):
     """Yield the violations found in the orders that engines received.
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -18,7 +18,12 @@
 from soak.faults import FaultInjector, draw_faults
 from soak.fleet import ENGINE_PORT, OK, PROXY_PORT, SERVICE_PORT, FleetPlan, LocalFleet
 from soak.link_proxies import LinkProxies
-from soak.oracle import engine_breaches, request_breaches, route_breaches
+from soak.oracle import (
+    engine_breaches,
+    request_breaches,
+    resumption_breaches,
+    route_breaches,
+)
 from soak.proxy import Proxy, ProxyLoop
 
 CLIENTS = 6
@@ -38,7 +43,7 @@
     seed : int
     faults : list of Fault
     breaches : list of Breach
-    requests, served : int
+    requests, served, resumed : int
     changes : int
         Number of acknowledged route changes.
     logs : dict of str to str
@@ -50,6 +55,7 @@
     breaches: list = field(default_factory=list)
     requests: int = 0
     served: int = 0
+    resumed: int = 0
     changes: int = 0
     logs: dict = field(default_factory=dict)
 
@@ -70,7 +76,13 @@
         self._duration_s = duration_s
         address_prefix = f"127.72.{seed % ADDRESS_BLOCKS}"
         self._plan = FleetPlan(
-            address_prefix, 3, entries, agents, uses_proxies=True, proxies_links=True
+            address_prefix,
+            3,
+            entries,
+            agents,
+            uses_proxies=True,
+            proxies_links=True,
+            versions=("v1", "v2"),
         )
         self._faults = draw_faults(self._plan, seed, duration_s)
         self._fleet = None
@@ -172,6 +184,9 @@
         result.served = sum(item.response.status == OK for item in sent)
         result.changes = len(operator.acknowledged)
         result.breaches += request_breaches(sent, ledgers)
+        resumptions = [item for client in clients for item in client.resumptions]
+        result.resumed = sum(item.resumed.response.status == OK for item in resumptions)
+        result.breaches += resumption_breaches(resumptions, self._plan.version_by_endpoint)
         result.breaches += engine_breaches(ledgers)
         result.breaches += route_breaches(
             operator.acknowledged, operator.reads, operator.submitted, self._final_manifest_number()
--- a/tools/tests/test_local_fleet.py
+++ b/tools/tests/test_local_fleet.py
@@ -24,6 +24,8 @@
 
 from hemlockdock_core.wire.own import WIRE  # noqa: E402
 
+# Entries may take long to start again on a busy machine; origins are kept while clients wait.
+CLIENT_WAIT_MS = 110_000
 REST_OF_STREAM = b"id: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"
 
 
@@ -107,10 +109,12 @@
         self.fleet = LocalFleet(plan, Path(folder.name))
         self.addCleanup(self.fleet.kill_all)
         self.first, self.other = plan.entry_ips
+        self.begun = 0
         self.fleet.start()
 
     def stream(self, entry, request_id, resumed_id=""):
         headers = request_headers(request_id, "m0")
+        headers["X-Time-Left-Ms"] = str(CLIENT_WAIT_MS)
         if resumed_id:
             headers["X-Resumed-Request"] = resumed_id
             headers["Last-Event-Id"] = "1"
@@ -127,8 +131,9 @@
     def begin_streams(self, entry):
         """Begin some streams, and return the version of each by request id."""
         version_by_id = {}
-        for number in range(3):
-            request_id = f"started-{entry}-{number}"
+        for _ in range(3):
+            self.begun += 1
+            request_id = f"started-{self.begun}"
             version_by_id[request_id] = self.version_of(self.stream(entry, request_id))
         return version_by_id
 
@@ -149,9 +154,30 @@
         refused = self.stream(self.other, "lost", "never-started")
         self.assertEqual(refused.status, 503)
 
+    def test_streams_continue_at_their_version_after_all_entries_were_killed_at_once(self):
+        fleet = self.fleet
+        options = {"resumable": True, "models": ("m0",)}
+        fleet.wait_until("routes", lambda: fleet.submit_anywhere(4, **options))
+        for _ in range(3):
+            version_by_id = {}
+            for entry in (self.first, self.other):
+                fleet.wait_until("streams", lambda entry=entry: self.serves(entry))
+                version_by_id.update(self.begin_streams(entry))
+            for entry in (self.first, self.other):
+                fleet.signal(entry, signal.SIGKILL)
+            for entry in (self.first, self.other):
+                fleet.kill(entry)
+                fleet.restart(entry, is_first=False)
+            for entry in (self.first, self.other):
+                fleet.wait_until("streams again", lambda entry=entry: self.serves(entry))
+                self.check_resumptions(entry, version_by_id)
+                unnamed = self.stream(entry, f"unnamed-{entry}-{time.monotonic()}", "never-started")
+                self.assertEqual(unnamed.status, 503)
+
     def check_resumptions(self, entry, version_by_id):
         for request_id, version in version_by_id.items():
-            response = self.stream(entry, f"{request_id}-at-{entry}", request_id)
+            again_id = f"{request_id}-at-{entry}-{time.monotonic()}"
+            response = self.stream(entry, again_id, request_id)
             self.assertEqual((response.status, response.body), (200, REST_OF_STREAM))
             self.assertEqual(self.version_of(response), version)
 
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -8,13 +8,14 @@
 TOOLS = Path(__file__).parent.parent
 sys.path.insert(0, str(TOOLS))
 
-from soak.clients import SentRequest  # noqa: E402
+from soak.clients import Resumption, SentRequest  # noqa: E402
 from soak.faults import FaultKind, draw_faults  # noqa: E402
 from soak.fleet import FleetPlan, Response  # noqa: E402
 from soak.oracle import (  # noqa: E402
     STREAM_EVENTS,
     engine_breaches,
     request_breaches,
+    resumption_breaches,
     route_breaches,
 )
 from soak.proxy import Harm, Proxy, ProxyLoop  # noqa: E402
@@ -53,6 +54,18 @@
         stream = sent("r", "live", 200, STREAM_EVENTS, "e.1")
         self.assertEqual(self.rules(stream, "r"), [])
 
+    def test_detects_a_stream_joined_from_two_versions(self):
+        versions = {"e": "v1", "f": "v2"}
+        first = sent("r", "told", signature="e.1")
+        for signature, status, expected in (
+            ("e.2", 200, []),
+            ("f.1", 200, ["one version in a stream"]),
+            ("", 503, []),
+        ):
+            resumed = sent("s", "resumed", status, signature=signature)
+            found = resumption_breaches([Resumption(first, resumed)], versions)
+            self.assertEqual([breach.rule for breach in found], expected)
+
     def test_detects_a_second_run(self):
         self.assertIn("at most once", self.rules(sent("r", signature="e.1"), "r", "r"))
         self.assertEqual(self.rules(sent("r", "read", signature="e.1"), "r", "r"), [])
