--- a/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
@@ -27,6 +27,9 @@
         Earliest latency target that an entry can still meet.
     demand_by_entry : dict of str to ModelDemand
         Latest demand reported by each entry.
+    waiting, returning, in_flight : int
+        Totals over all entries: requests that wait, refused requests whose clients are expected to
+        retry, and requests in flight.
     """
 
     rate_per_s: float = 0.0
@@ -35,16 +38,9 @@
     waiting_since_s: float = 0.0
     target_s_by_entry: dict = field(default_factory=dict)
     demand_by_entry: dict = field(default_factory=dict)
-
-    @property
-    def waiting(self):
-        """Return the number of waiting requests."""
-        return sum(demand.waiting for demand in self.demand_by_entry.values())
-
-    @property
-    def returning(self):
-        """Return the number of refused requests whose clients are expected to retry."""
-        return sum(demand.returning for demand in self.demand_by_entry.values())
+    waiting: int = 0
+    returning: int = 0
+    in_flight: int = 0
 
     @property
     def urgency(self):
@@ -52,10 +48,27 @@
         waiting = [demand.urgency for demand in self.demand_by_entry.values() if demand.waiting]
         return min(waiting, default=0)
 
-    @property
-    def in_flight(self):
-        """Return the number of requests in flight."""
-        return sum(demand.in_flight for demand in self.demand_by_entry.values())
+    def set_entry_demand(self, entry_id, demand):
+        """Replace the demand that an entry reported last.
+
+        Parameters
+        ----------
+        entry_id : str
+        demand : ModelDemand or None
+            None for an entry that is gone.
+        """
+        previous = self.demand_by_entry.pop(entry_id, None)
+        self.target_s_by_entry.pop(entry_id, None)
+        if previous is not None:
+            self._add(previous, -1)
+        if demand is not None:
+            self.demand_by_entry[entry_id] = demand
+            self._add(demand, 1)
+
+    def _add(self, demand, sign):
+        self.waiting += sign * demand.waiting
+        self.returning += sign * demand.returning
+        self.in_flight += sign * demand.in_flight
 
     def earliest_target_s(self, now_s):
         """Return the earliest latency target that is later than ``now_s``.
@@ -147,8 +160,7 @@
                 use.record_arrivals(new_arrivals, now_s)
                 self._first_request_s = self._first_request_s or now_s
             was_waiting = use.waiting > 0
-            use.demand_by_entry[entry_id] = demand
-            use.target_s_by_entry.pop(entry_id, None)
+            use.set_entry_demand(entry_id, demand)
             if demand.in_time:
                 use.target_s_by_entry[entry_id] = now_s + demand.target_left_ms / MS_PER_S
             if use.waiting and not was_waiting:
@@ -162,5 +174,4 @@
         entry_id : str
         """
         for use in self.demand_by_model.values():
-            use.demand_by_entry.pop(entry_id, None)
-            use.target_s_by_entry.pop(entry_id, None)
+            use.set_entry_demand(entry_id, None)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -78,6 +78,8 @@
         self._copies = ModelCopies(views.values(), now_s)
         self._copies_by_name = self._copies.count_by_name
         self._idle_views = [view for view in views.values() if view.is_free]
+        # An engine gets one exchange at most, so that what it is going to have stays valid.
+        self._resident_by_id = {view.endpoint_id: view.resident for view in self._idle_views}
 
     def choices(self):
         """Yield the exchanges to start now, at most one per endpoint."""
@@ -120,7 +122,7 @@
 
     def _fastest_first_event_s(self, name):
         spec = self._spec_by_name[name]
-        load_ms = spec.disk_load_ms if name in self._copies.on_hosts else spec.store_load_ms
+        load_ms = spec.disk_load_ms if name in self._copies.holders_by_name else spec.store_load_ms
         return load_ms / MS_PER_S + FIRST_EVENT_S
 
     def _crowded(self):
@@ -142,7 +144,7 @@
             else BUSY_EVICTION_WAIT_S
         )
         choice = self._cheapest_exchange(spec, gain, waited_s >= limit_s, reason)
-        if choice is not None or spec.name not in self._copies.on_hosts:
+        if choice is not None or spec.name not in self._copies.holders_by_name:
             return choice
         if use.waiting < HIGH_DEMAND_REQUESTS or waited_s < STORE_FALLBACK_AFTER_S:
             return None
@@ -153,16 +155,19 @@
         return self._cheapest_exchange(spec, gain, False, reason, from_store=True)
 
     def _cheapest_exchange(self, spec, gain, may_evict_busy, reason, from_store=False):
+        may_use_store = spec.name not in self._copies.coming_from_store and self._may_use_store(
+            spec, gain, from_store
+        )
+        if not may_use_store and spec.name not in self._copies.holders_by_name:
+            return None
         best = None
         for view in self._idle_views:
-            if spec.name in view.resident:
+            if spec.name in self._resident_by_id[view.endpoint_id]:
                 continue
             if self._history.recent_failures.contains(view.endpoint_id, spec.name, self._now_s):
                 continue
             source, load_s = self._source_and_load_s(view, spec)
-            if source == "store" and spec.name in self._copies.coming_from_store:
-                continue
-            if source == "store" and not self._may_use_store(spec, gain, from_store):
+            if source == "store" and not may_use_store:
                 continue
             victims = self._select_victims(view, spec, may_evict_busy and source != "store")
             if victims is None:
@@ -209,13 +214,13 @@
         for name in view.report.on_host:
             if name == spec.name or self._copies_by_name.get(name, 0):
                 continue
-            holders = sum(1 for other in self._views.values() if other.has_local_weights(name))
+            holders = self._copies.holders_by_name[name]
             if holders == 1:
                 rate += SOLE_HOLDER_RATE_PER_S
             use = self._use_by_name.get(name)
             if use is not None:
                 rate += use.rate_now(self._now_s) / max(1, holders)
-        for name in view.resident:
+        for name in self._resident_by_id[view.endpoint_id]:
             known = self._spec_by_name.get(name)
             if known is not None and known.adapters:
                 rate += self._value(name) * ADAPTER_REQUEST_FRACTION
@@ -223,7 +228,7 @@
 
     def _may_use_store(self, spec, gain, from_store):
         # An engine on a host with the weights usually becomes idle long before a store load ends.
-        is_on_host = spec.name in self._copies.on_hosts
+        is_on_host = spec.name in self._copies.holders_by_name
         if not from_store and (is_on_host or self._history.may_return(spec, self._now_s)):
             return False
         return self.store.may_start(spec, gain, self._now_s)
@@ -240,7 +245,7 @@
             for name, spec in self._spec_by_name.items():
                 if not self.store.may_prefetch(spec):
                     continue
-                if name in self._copies.on_hosts or self._copies_by_name.get(name, 0):
+                if name in self._copies.holders_by_name or self._copies_by_name.get(name, 0):
                     continue
                 choice = self._cheapest_exchange(spec, PREFETCH_GAIN, False, "no copy anywhere")
                 if choice is not None:
@@ -270,9 +275,10 @@
         return "store", self.store.load_s(spec)
 
     def _select_victims(self, view, spec, may_evict_busy):
-        free_mb = self._engine.weights_mb - sum(self._required_mb(name) for name in view.resident)
+        resident = self._resident_by_id[view.endpoint_id]
+        free_mb = self._engine.weights_mb - sum(self._required_mb(name) for name in resident)
         candidates = []
-        for name in view.resident:
+        for name in resident:
             if self._history.recent_loads.contains(view.endpoint_id, name, self._now_s):
                 continue
             is_busy = self._requests_per_copy(name) > 0
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
@@ -1,5 +1,7 @@
 """Count the copies of models that a pool's engines have, or will have soon."""
 
+from collections import Counter
+
 # Clients give up after some seconds of waiting. A load from the store that ends within this time
 # still serves most of those that wait, and a second load would take another model's place.
 SOON_S = 6.5
@@ -26,17 +28,17 @@
     coming_from_store : set of str
         Models that are being loaded from the store. Those that take longer don't count as copies,
         as a host that has the weights would be far sooner.
-    on_hosts : set of str
-        Models whose weights some host has.
+    holders_by_name : Counter
+        Number of hosts that have the weights of a model.
     """
 
     def __init__(self, views, now_s):
         self.count_by_name = {}
         self.limited_by_name = {}
         self.coming_from_store = set()
-        self.on_hosts = set()
+        self.holders_by_name = Counter()
         for view in views:
-            self.on_hosts |= view.report.on_host
+            self.holders_by_name.update(view.report.on_host)
             for name in view.resident:
                 if name == view.coming_from_store:
                     self.coming_from_store.add(name)
