--- a/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
@@ -6,6 +6,8 @@
 # Time constant of the exponentially decaying arrival rate. Short, because demand shifts between
 # models within seconds.
 RATE_DECAY_S = 2.5
+# Time constant of the count by which loads are chosen that take seconds.
+LATELY_DECAY_S = 15.0
 MS_PER_S = 1_000
 
 
@@ -19,6 +21,8 @@
         Exponentially decaying average of the arrival rate, as of ``rate_at_s``.
     rate_at_s : float
         Time at which ``rate_per_s`` was computed.
+    asked : float
+        Exponentially decaying count of arrivals over a longer time, as of ``rate_at_s``.
     last_asked_s : float
         Time of the last arrival.
     waiting_since_s : float
@@ -34,6 +38,7 @@
 
     rate_per_s: float = 0.0
     rate_at_s: float = 0.0
+    asked: float = 0.0
     last_asked_s: float = float("-inf")
     waiting_since_s: float = 0.0
     target_s_by_entry: dict = field(default_factory=dict)
@@ -98,6 +103,19 @@
         """
         return self.rate_per_s * math.exp((self.rate_at_s - now_s) / RATE_DECAY_S)
 
+    def lately_asked(self, now_s):
+        """Return the number of arrivals of about the last 15 s.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        float
+        """
+        return self.asked * math.exp((self.rate_at_s - now_s) / LATELY_DECAY_S)
+
     def record_arrivals(self, count, now_s):
         """Add arrivals to the average rate.
 
@@ -107,6 +125,7 @@
         now_s : float
         """
         self.rate_per_s = self.rate_now(now_s) + count / RATE_DECAY_S
+        self.asked = self.lately_asked(now_s) + count
         self.rate_at_s = now_s
         self.last_asked_s = now_s
 
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/load_order.py
@@ -0,0 +1,57 @@
+"""Order in which models that requests wait for are loaded.
+
+Models whose earliest latency target can still be met come first, ordered by urgency and then by
+target, as that order meets the most targets. Of the others, those that a host has come before those
+that only the store has: the store carries few loads of some seconds each, and no request that waits
+now decides which of them serves the most callers, but how many have asked lately.
+"""
+
+from dataclasses import dataclass
+
+from hemlockdock_control.fleet.demand import AggregatedDemand
+from hemlockdock_core.rows import ModelSpec
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitedModel:
+    """A model that lacks copies and that requests wait for, or clients are going to ask for again.
+
+    Attributes
+    ----------
+    spec : ModelSpec
+    use : AggregatedDemand
+    is_on_host : bool
+        Whether some host has the weights.
+    earliest_event_s : float
+        Earliest time of a response's first event, if a load starts now.
+    """
+
+    spec: ModelSpec
+    use: AggregatedDemand
+    is_on_host: bool
+    earliest_event_s: float
+
+
+def load_order(awaited, now_s):
+    """Return awaited models in the order in which loads are decided.
+
+    Parameters
+    ----------
+    awaited : iterable of AwaitedModel
+    now_s : float
+
+    Returns
+    -------
+    list of AwaitedModel
+    """
+    return sorted(awaited, key=lambda item: _rank(item, now_s))
+
+
+def _rank(item, now_s):
+    target_s = item.use.earliest_target_s(item.earliest_event_s)
+    if target_s is not None:
+        return (0, item.use.urgency, target_s, item.spec.name)
+    if item.is_on_host:
+        wanted = item.use.waiting + item.use.returning
+        return (1, item.use.urgency, -wanted, item.spec.name)
+    return (2, 0, -item.use.lately_asked(now_s), item.spec.name)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -7,6 +7,7 @@
 """
 
 from hemlockdock_control.fleet.eviction import EvictionCandidate, choose_evictions, required_mb
+from hemlockdock_control.fleet.load_order import AwaitedModel, load_order
 from hemlockdock_control.fleet.model_copies import ModelCopies
 from hemlockdock_control.fleet.model_exchange import ModelExchange
 from hemlockdock_control.fleet.store_admission import HIGH_DEMAND_REQUESTS, StoreAdmission
@@ -39,8 +40,6 @@
 NOTIFICATION_DELAY_S = 0.3
 # Evicting one of several copies delays requests only until they are rerouted to another copy.
 REROUTE_DELAY_S = 0.1
-# Period over which the local copy left by a load from the store counts as a benefit.
-STORE_COPY_HORIZON_S = 12.0
 PREFETCH_GAIN = 20.0
 # An engine that takes few requests per second gets a model only if there is no other for it.
 LIMITED_COST_S = 60.0
@@ -98,27 +97,19 @@
             yield choice
 
     def _awaited(self):
-        """Yield the models that lack copies and have waiting requests, in the order of scheduling.
-
-        Models whose earliest latency target can still be met come first, ordered by urgency and
-        then by target, as that order meets the most targets. The remaining ones have only their
-        deadlines left and wait for free memory.
-        """
+        """Yield the models that lack copies and have waiting requests, in the order of loading."""
         awaited = []
         for name, use in self._use_by_name.items():
             if use is None or not self._copies.lacks(name, use, self._now_s):
                 continue
-            wanted = use.waiting + use.returning
-            if not wanted:
+            if not use.waiting and not use.returning:
                 continue
-            target_s = use.earliest_target_s(self._now_s + self._fastest_first_event_s(name))
-            if target_s is not None:
-                awaited.append((0, use.urgency, target_s, name))
-            else:
-                awaited.append((1, use.urgency, -wanted, name))
-        awaited.sort()
-        for _, _, _, name in awaited:
-            yield self._spec_by_name[name], self._use_by_name[name]
+            spec = self._spec_by_name[name]
+            event_s = self._now_s + self._fastest_first_event_s(name)
+            is_on_host = name in self._copies.holders_by_name
+            awaited.append(AwaitedModel(spec, use, is_on_host, event_s))
+        for item in load_order(awaited, self._now_s):
+            yield item.spec, item.use
 
     def _fastest_first_event_s(self, name):
         spec = self._spec_by_name[name]
@@ -206,7 +197,7 @@
     def _long_term_gain(self, spec):
         """Return the number of future requests served sooner thanks to a copy on a host."""
         use = self._use_by_name.get(spec.name)
-        return 0.0 if use is None else use.rate_now(self._now_s) * STORE_COPY_HORIZON_S
+        return 0.0 if use is None else use.lately_asked(self._now_s)
 
     def _blocked_rate(self, view, spec):
         """Return the rate of requests that have to wait while an engine exchanges models."""
@@ -242,18 +233,23 @@
         if not self._history.is_settled(self._now_s):
             return None
         if self._history.may_prefetch(self._now_s) and self._is_early:
-            for name, spec in self._spec_by_name.items():
+            # With a model come its adapters, each of which some clients ask for.
+            for spec in sorted(self._spec_by_name.values(), key=lambda spec: -spec.adapters):
                 if not self.store.may_prefetch(spec):
                     continue
+                name = spec.name
                 if name in self._copies.holders_by_name or self._copies_by_name.get(name, 0):
                     continue
                 choice = self._cheapest_exchange(spec, PREFETCH_GAIN, False, "no copy anywhere")
                 if choice is not None:
                     return choice
-        for name, spec in self._spec_by_name.items():
+        absent = [name for name in self._spec_by_name if not self._copies_by_name.get(name, 0)]
+        absent.sort(key=self._value, reverse=True)
+        for name in absent:
+            spec = self._spec_by_name[name]
             value = self._value(name)
-            if self._copies_by_name.get(name, 0) or value <= RATE_MARGIN_PER_S:
-                continue
+            if value <= RATE_MARGIN_PER_S:
+                return None
             choice = self._cheapest_exchange(spec, value - RATE_MARGIN_PER_S, False, "worth more")
             if choice is not None:
                 return choice
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -3,6 +3,8 @@
 import unittest
 from dataclasses import replace
 
+import msgspec
+
 from hemlockdock_control.fleet.demand import DemandAggregator
 from hemlockdock_control.fleet.engine_view import EngineView, PendingChange
 from hemlockdock_control.fleet.model_choice import ModelChoice
@@ -151,6 +153,36 @@
         self.add_waiting("rare", in_time=1, target_left_ms=9_000)
         self.assertEqual(self.choices()[0], ("y", "rare", (), "store"))
 
+    def test_the_store_loads_what_most_clients_have_asked_for_lately(self):
+        self.views = {"y": view("y", report())}
+        self.history.store.concurrency_limit = 1
+        for second in range(10):
+            self.report_demand(demand("rare", second + 1), now_s=NOW_S - 12.0 + second)
+        self.report_demand(demand("other", 4), now_s=NOW_S - 1.0)
+        self.report_demand(demand("rare", 10, returning=1), demand("other", 4, returning=2))
+        self.assertEqual(self.choices()[0][:2], ("y", "rare"))
+
+    def test_what_many_asked_for_long_ago_comes_after_what_some_ask_for_now(self):
+        self.views = {"y": view("y", report())}
+        self.history.store.concurrency_limit = 1
+        self.report_demand(demand("rare", 10), now_s=NOW_S - 60.0)
+        self.report_demand(demand("other", 2), now_s=NOW_S - 1.0)
+        self.report_demand(demand("rare", 10, returning=1), demand("other", 2, returning=1))
+        self.assertEqual(self.choices()[0][:2], ("y", "other"))
+
+    def test_a_model_on_a_host_comes_before_one_that_only_the_store_has(self):
+        self.views = {"y": view("y", report(disk=("rare",)))}
+        self.report_demand(demand("rare", 1, returning=1), demand("other", 9, returning=9))
+        self.assertEqual(self.choices()[0][:2], ("y", "rare"))
+
+    def test_the_model_with_most_adapters_is_prefetched(self):
+        many = msgspec.structs.replace(spec("many"), adapters=4)
+        self.models = [spec("few"), many]
+        self.views = {"x": view("x", report())}
+        self.history.observe(self.views.values(), NOW_S - 1.0)
+        chosen = ModelChoice(pool(*self.models), self.views, self.board, self.history, NOW_S)
+        self.assertEqual([choice.model.name for choice in chosen.choices()], ["many"])
+
     def test_returning_clients_cause_a_load_from_the_store(self):
         self.views = {"y": view("y", report())}
         self.warm_up(hot=1)
