fleet: a load from the store goes where it drops no last copy

Cause: hosts' disks are full of copies, and each load from the store drops some. Other engines could not be chosen: the harm of unloading a model that is back within a second was weighed against the requests of this moment, not against those that the load serves for long.

Change: the expected number of last copies that are dropped costs as many loads from the store; the gain of a load from the store includes the arrivals of the last 15 s; the harm of unloading a model at its only host includes the time for which the load blocks the engine. Two tests that fail before.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/baselines.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/baselines.py
@@ -28,7 +28,7 @@
         use = self._use_by_name.get(name)
         return 0.0 if use is None else max(0.0, 60.0 + use.last_asked_s - self._now_s)
 
-    def _harm(self, name):
+    def _harm(self, name, blocked_s):
         return 0.0
 
     def _may_use_store(self, spec, gain, from_store):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -6,6 +6,7 @@
 seconds, during which the engine cannot exchange any other model.
 """
 
+from hemlockdock_control.fleet.disk_cache import DiskUse
 from hemlockdock_control.fleet.eviction import EvictionCandidate, choose_evictions, required_mb
 from hemlockdock_control.fleet.load_order import AwaitedModel, load_order
 from hemlockdock_control.fleet.model_copies import ModelCopies
@@ -77,6 +78,7 @@
         self._copies = ModelCopies(views.values(), now_s)
         self._copies_by_name = self._copies.count_by_name
         self._idle_views = [view for view in views.values() if view.is_free]
+        self._disk_use_by_id = {}
         # An engine gets one exchange at most, so that what it is going to have stays valid.
         self._resident_by_id = {view.endpoint_id: view.resident for view in self._idle_views}
 
@@ -163,15 +165,18 @@
             victims = self._select_victims(view, spec, may_evict_busy and source != "store")
             if victims is None:
                 continue
-            harm = sum(self._harm(name) for name in victims)
+            blocked_s = load_s if source == "store" else 0.0
+            harm = sum(self._harm(name, blocked_s) for name in victims)
             busy = any(self._requests_per_copy(name) for name in victims)
             takes_s = load_s + (BUSY_VICTIM_DELAY_S if busy else 0.0)
             blocked = takes_s * self._blocked_rate(view, spec)
-            if harm > gain:
-                continue
-            if source == "store" and blocked > gain - harm + self._long_term_gain(spec):
+            benefit = gain + (self._long_term_gain(spec) if source == "store" else 0.0)
+            if harm > benefit or (source == "store" and blocked > benefit - harm):
                 continue
             cost = takes_s + harm + blocked
+            if source == "store":
+                # Getting a dropped copy back takes another load from the store.
+                cost += load_s * self._sole_copies_dropped(view, spec)
             if view.is_limited:
                 cost += LIMITED_COST_S
             if best is None or cost < best[0]:
@@ -182,17 +187,29 @@
                 )
         return None if best is None else best[1]
 
-    def _harm(self, name):
-        """Return the number of requests that would have to wait if one copy were unloaded."""
+    def _harm(self, name, blocked_s):
+        """Return the number of requests that would have to wait if one copy were unloaded.
+
+        The only host with a model's weights loads it no sooner than after ``blocked_s``.
+        """
         value = self._value(name)
         copies = self._copies_by_name.get(name, 1)
         use = self._use_by_name.get(name)
         if copies > 1:
             return value * REROUTE_DELAY_S
         waiting = 0 if use is None else use.waiting
-        return (
-            value * (HORIZON_S + self._fastest_first_event_s(name) + NOTIFICATION_DELAY_S) + waiting
-        )
+        absent_s = HORIZON_S + self._fastest_first_event_s(name) + NOTIFICATION_DELAY_S
+        if self._copies.holders_by_name[name] <= 1:
+            absent_s += blocked_s
+        return value * absent_s + waiting
+
+    def _sole_copies_dropped(self, view, spec):
+        use = self._disk_use_by_id.get(view.endpoint_id)
+        if use is None:
+            on_disk = view.report.on_host_disk
+            use = DiskUse.of(on_disk, self._spec_by_name, self._copies.holders_by_name)
+            self._disk_use_by_id[view.endpoint_id] = use
+        return use.sole_copies_dropped(self._engine.disk_cache_mb, spec.weights_mb)
 
     def _long_term_gain(self, spec):
         """Return the number of future requests served sooner thanks to a copy on a host."""
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -153,6 +153,33 @@
         self.add_waiting("rare", in_time=1, target_left_ms=9_000)
         self.assertEqual(self.choices()[0], ("y", "rare", (), "store"))
 
+    def test_a_load_from_the_store_goes_where_it_drops_no_last_copy(self):
+        """The disk of a host has room for 320 MB; it drops copies to cache another model."""
+        large = [f"large{number}" for number in range(9)]
+        small = [f"small{number}" for number in range(9)]
+        self.models += [spec(name) for name in large]
+        self.models += [spec(name, 16.0) for name in small]
+        self.report_demand(demand("rare", 2, returning=2))
+        self.views = {"x": view("x", report(disk=large)), "y": view("y", report(disk=small))}
+        self.assertEqual(self.choices()[0][:2], ("y", "rare"))
+        self.views["z"] = view("z", report(disk=large, busy=True))
+        self.assertEqual(self.choices()[0][:2], ("x", "rare"))
+
+    def test_a_load_from_the_store_may_evict_what_few_ask_for_to_drop_no_last_copy(self):
+        """A model that a host has is back within a second; a last copy is not."""
+        large = [f"large{number}" for number in range(9)]
+        self.models += [spec(name) for name in large]
+        self.views = {
+            "x": view("x", report(disk=large)),
+            "y": view("y", report(("warm", "other"), disk=("warm", "other"))),
+        }
+        for second in range(8):
+            self.report_demand(demand("rare", second + 1), now_s=NOW_S - 12.0 + second)
+        self.report_demand(demand("warm", 2), now_s=NOW_S - 2.0)
+        self.report_demand(demand("other", 2), now_s=NOW_S - 2.0)
+        self.report_demand(demand("rare", 8, returning=1))
+        self.assertEqual(self.choices()[0][:2], ("y", "rare"))
+
     def test_the_store_loads_what_most_clients_have_asked_for_lately(self):
         self.views = {"y": view("y", report())}
         self.history.store.concurrency_limit = 1
