fleet: what a silent engine loads from the store is not loaded elsewhere for 8 s

Change: while the directory lists the engine and its last report is 8 s old at most, the load stays decided, counts at the store, and its model counts as coming. The views of a round are built in a module of their own. Failing test first: test_what_a_silent_engine_loads_is_not_loaded_elsewhere; two more hold that the model is loaded elsewhere after 8 s of silence, and at once if the directory lists the engine no more.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -65,7 +65,8 @@
     """
 
     def __init__(self, pool, views, demand, history, now_s):
-        self.store = StoreAdmission(history.store, [*views.values(), *history.unavailable])
+        loading = [*views.values(), *history.unavailable, *history.silent]
+        self.store = StoreAdmission(history.store, loading)
         self._engine = pool.engine
         self._views = views
         self._history = history
@@ -75,7 +76,7 @@
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
         self._is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
-        self._copies = ModelCopies(views.values(), now_s)
+        self._copies = ModelCopies(views.values(), now_s, history.silent)
         self._copies_by_name = self._copies.count_by_name
         self._idle_views = [view for view in views.values() if view.is_free]
         self._disk_use_by_id = {}
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
@@ -18,6 +18,8 @@
     ----------
     views : iterable of EngineView
     now_s : float
+    silent : iterable of EngineView, optional
+        Engines with loads from the store whose agents have not reported lately.
 
     Attributes
     ----------
@@ -32,7 +34,7 @@
         Number of hosts that have the weights of a model.
     """
 
-    def __init__(self, views, now_s):
+    def __init__(self, views, now_s, silent=()):
         self.count_by_name = {}
         self.limited_by_name = {}
         self.coming_from_store = set()
@@ -47,6 +49,8 @@
                 self.count_by_name[name] = self.count_by_name.get(name, 0) + 1
                 if view.is_limited:
                     self.limited_by_name[name] = self.limited_by_name.get(name, 0) + 1
+        for view in silent:
+            self.coming_from_store.add(view.coming_from_store)
 
     def lacks(self, name, use, now_s):
         """Tell whether a model has no copy, or only copies at limits that its requests exceed.
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from hemlockdock_control.fleet.engine_view import EngineView, PendingChange
+from hemlockdock_control.fleet.engine_view import PendingChange
+from hemlockdock_control.fleet.engine_views import EngineViews
 from hemlockdock_control.fleet.model_choice import ModelChoice
 from hemlockdock_control.fleet.placement_history import PlacementHistory
 from hemlockdock_control.fleet.store_concurrency import StoreConcurrencyEstimator
@@ -109,16 +110,18 @@
         for pool in pools:
             if pool.engine is None:
                 continue
-            views, unavailable = self._build_views(pool, rows, registry, now_s)
+            engines = EngineViews(pool, rows, registry, self.pending_by_id, now_s)
+            views = engines.available_by_id
             messages.extend(_facts_messages(pool, views, term))
             history = self._history_of(pool)
-            self._finish_changes(history, views, now_s)
+            self._finish_changes(history, engines, now_s)
             if not self._has_enough_reports(pool, rows, views, now_s):
                 continue
             leaving_ids = {row.endpoint_id for row in rows.values() if row.leaving}
             unresponsive = registry.unresponsive_hosts(pool.name, now_s)
             history.observe(views.values(), now_s, leaving_ids, unresponsive)
-            history.unavailable = tuple(unavailable.values())
+            history.unavailable = tuple(engines.unavailable_by_id.values())
+            history.silent = tuple(engines.silent_by_id.values())
             choice = self._policy(pool, views, demand, history, now_s)
             self._log_store_use(pool, choice.store)
             for chosen in choice.choices():
@@ -143,36 +146,11 @@
             and now_s - self._first_view_s >= INITIAL_REPORTS_TIMEOUT_S
         )
 
-    def _build_views(self, pool, rows, registry, now_s):
-        """Return the views of the engines that can be used, and of those that can't."""
-        views = {}
-        unavailable = {}
-        for row in rows.values():
-            if row.pool != pool.name:
-                continue
-            report = registry.current_report(row.endpoint_id, row.address, now_s)
-            if report is None:
-                continue
-            body = report.body
-            is_available = body.answers and not row.leaving
-            target = views if is_available else unavailable
-            target[row.endpoint_id] = EngineView(
-                row.endpoint_id,
-                report.agent_address,
-                body.report,
-                body.change_number,
-                body.changing,
-                body.facts_number,
-                self.pending_by_id.get(row.endpoint_id),
-                body.changing_to,
-                row.limit_per_s is not None,
-            )
-        return views, unavailable
-
-    def _finish_changes(self, history, views, now_s):
+    def _finish_changes(self, history, engines, now_s):
         for endpoint_id, pending in list(self.pending_by_id.items()):
-            view = views.get(endpoint_id)
-            is_gone = view is None and now_s - pending.decided_s > RESEND_S
+            view = engines.available_by_id.get(endpoint_id)
+            is_absent = view is None and endpoint_id not in engines.silent_by_id
+            is_gone = is_absent and now_s - pending.decided_s > RESEND_S
             is_late = now_s - pending.decided_s > CHANGE_TIMEOUT_S
             is_finished = view is not None and _is_finished(view, pending)
             if not is_gone and not is_late and not is_finished:
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -94,11 +94,14 @@
         Exchanges that ended without the model being loaded.
     unavailable : tuple of EngineView
         Engines that are leaving or do not respond. Their loads from the store go on.
+    silent : tuple of EngineView
+        Engines with loads from the store whose agents have not reported lately.
     """
 
     def __init__(self, store=None):
         self.store = store or StoreConcurrencyEstimator()
         self.unavailable = ()
+        self.silent = ()
         self._initial_models = set()
         self._host_by_endpoint = {}
         self._unresponsive_by_address = {}
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -90,6 +90,20 @@
         report = self._fresh_report(address, now_s)
         return None if _is_for_other_endpoint(report, endpoint_id) else report
 
+    def last_report(self, endpoint_id, address):
+        """Return the latest report about an endpoint, however old; None if there is none.
+
+        Parameters
+        ----------
+        endpoint_id, address : str
+
+        Returns
+        -------
+        AgentReport or None
+        """
+        report = self._report_by_engine.get(address)
+        return None if _is_for_other_endpoint(report, endpoint_id) else report
+
     def unresponsive_hosts(self, pool, now_s):
         """Return the models on the hosts of engines that do not respond to their agents.
 
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -7,6 +7,7 @@
 
 from hemlockdock_control.fleet.demand import DemandAggregator
 from hemlockdock_control.fleet.engine_view import EngineView, PendingChange
+from hemlockdock_control.fleet.engine_views import SILENCE_S
 from hemlockdock_control.fleet.model_choice import ModelChoice
 from hemlockdock_control.fleet.placement import RESEND_S, WITHHOLD_S, Placement
 from hemlockdock_control.fleet.placement_history import PlacementHistory
@@ -588,6 +589,64 @@
             loads = [m.load for m in self.decide() if isinstance(m, ChangeModels)]
             self.assertEqual(loads, expected)
 
+    def begin_load_from_the_store(self):
+        """Have one of two engines load a model from the store; return the engine's agent."""
+        self.engines = {"e": listed("e"), "other": listed("other")}
+        self.pool = pool(spec("only-in-store", store_load_ms=13_200))
+        self.registry.set_directory(self.engines.values())
+        self.report_engines("e", "other")
+        self.facts_number = self.decide()[0].number
+        self.report_engines("e", "other")
+        self.report_waiting("only-in-store")
+        (message,) = (m for m in self.decide() if isinstance(m, ChangeModels))
+        return message
+
+    def report_engines(self, *endpoint_ids, change=None):
+        for endpoint_id in endpoint_ids:
+            number = change.number if change and change.endpoint_id == endpoint_id else 0
+            body = EndpointReport(
+                POOL,
+                self.engines[endpoint_id].address,
+                report(),
+                number,
+                bool(number),
+                self.facts_number,
+                changing_to=change.load if number else "",
+            )
+            received = AgentReport(f"tcp://{endpoint_id}", 1, body, self.now_s)
+            self.registry.record_report(received)
+
+    def loads_while_silent(self, change, seconds):
+        """Let only the other engine report; return the models whose loads are decided."""
+        (other,) = set(self.engines) - {change.endpoint_id}
+        loads = []
+        for _ in range(round(seconds / 0.5)):
+            self.now_s += 0.5
+            self.report_engines(other)
+            self.report_waiting("only-in-store")
+            loads += [m.load for m in self.decide() if isinstance(m, ChangeModels)]
+        return loads
+
+    def test_what_a_silent_engine_loads_is_not_loaded_elsewhere(self):
+        change = self.begin_load_from_the_store()
+        self.report_engines("e", "other", change=change)
+        self.assertEqual(self.loads_while_silent(change, SILENCE_S), [])
+        self.report_engines("e", "other", change=change)
+        self.decide()
+        self.assertEqual(list(self.placement.pending_by_id), [change.endpoint_id])
+
+    def test_what_an_engine_loads_that_stays_silent_is_loaded_elsewhere(self):
+        change = self.begin_load_from_the_store()
+        self.report_engines("e", "other", change=change)
+        loads = self.loads_while_silent(change, SILENCE_S + 1.0)
+        self.assertEqual(set(loads), {"only-in-store"})
+
+    def test_what_an_engine_loads_that_the_directory_lists_no_more_is_loaded_elsewhere(self):
+        change = self.begin_load_from_the_store()
+        (other,) = set(self.engines) - {change.endpoint_id}
+        self.registry.set_directory([self.engines[other]])
+        self.assertEqual(set(self.loads_while_silent(change, 2.0)), {"only-in-store"})
+
     def test_a_change_of_the_store_use_is_logged_once(self):
         self.report(change_number=7, changing=True)
         with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
