fleet: rows survive an election: hosts' weights, agents' addresses and decided loads stay known until agents report

Resident models come from the directory, as before. Three tests: two fail before, one holds that another address starts afresh.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 from functools import cached_property
+from types import MappingProxyType
+
+import msgspec
 
 from hemlockdock_core.rows import ArrivingModel, EndpointRow, ResidentModel
 
@@ -42,13 +45,18 @@
     """Endpoints known from the directory and from agents, kept while this member leads."""
 
     def __init__(self):
-        self.listed_by_id = None
-        self._report_by_engine = {}
+        self.clear(0.0)
 
-    def clear(self):
-        """Discard the directory and all reports."""
+    def clear(self, now_s):
+        """Discard the directory and all reports, as this member may lead from now on.
+
+        Parameters
+        ----------
+        now_s : float
+        """
         self.listed_by_id = None
         self._report_by_engine = {}
+        self._cleared_s = now_s
 
     def set_directory(self, endpoints):
         """Replace the listed endpoints with those read from the directory.
@@ -134,15 +142,20 @@
             return None
         return report
 
-    def rows(self, now_s, placement, limits):
+    def rows(self, now_s, placement, limits, recorded=MappingProxyType({})):
         """Return the rows that should be recorded.
 
+        Until an agent has reported to a new leader, its engine's row keeps what an earlier leader
+        recorded of the host and of loads; entries would take them for lost otherwise.
+
         Parameters
         ----------
         now_s : float
         placement : Placement
             Provides the pending model changes.
         limits : RequestLimits
+        recorded : dict of str to EndpointRow, optional
+            Rows that are recorded now.
 
         Returns
         -------
@@ -157,9 +170,30 @@
             if _is_for_other_endpoint(report, listed.endpoint_id):
                 continue
             limit_per_s = limits.row_per_s(listed.endpoint_id, now_s)
-            rows[listed.endpoint_id] = _build_row(listed, report, placement, limit_per_s)
+            row = _build_row(listed, report, placement, limit_per_s)
+            known = recorded.get(listed.endpoint_id)
+            if known is not None and known.address == listed.address:
+                row = self._with_known_facts(row, report, known, now_s)
+            rows[listed.endpoint_id] = row
         return rows
 
+    def _with_known_facts(self, row, report, known, now_s):
+        if report is None:
+            has_reported = row.address in self._report_by_engine
+            if has_reported or now_s - self._cleared_s > REPORT_MAX_AGE_S:
+                return row
+            return msgspec.structs.replace(
+                row,
+                agent_address=known.agent_address,
+                arriving=known.arriving,
+                on_host=known.on_host,
+            )
+        loading = report.body.changing_to
+        if not row.arriving and any(model.name == loading for model in known.arriving):
+            # An earlier leader decided the load, and entries know when it ends.
+            return msgspec.structs.replace(row, arriving=known.arriving)
+        return row
+
 
 def _is_for_other_endpoint(report, endpoint_id):
     return report is not None and report.body.endpoint_id not in ("", endpoint_id)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -202,11 +202,12 @@
         if self._commit_pending or not self.replicator.has_lease:
             return
         now_s = self._reactor.seconds()
-        self._limits.adopt(self.machine.state.endpoints.row_by_id.values(), now_s)
-        wanted = self._registry.rows(now_s, self._placement, self._limits)
+        recorded = self.machine.state.endpoints.row_by_id
+        self._limits.adopt(recorded.values(), now_s)
+        wanted = self._registry.rows(now_s, self._placement, self._limits, recorded)
         if wanted is None:
             return
-        present, gone = changed_rows(wanted, self.machine.state.endpoints.row_by_id)
+        present, gone = changed_rows(wanted, recorded)
         if not present and not gone:
             return
         self._commit_pending = True
@@ -225,7 +226,7 @@
         logger.info(
             "became leader" if leads else "became follower", extra={"term": self.replicator.term}
         )
-        self._registry.clear()
+        self._registry.clear(self._reactor.seconds())
         self._demand.clear()
         self._limits.clear(self._reactor.seconds())
         self._placement.clear()
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -709,6 +709,54 @@
             self.assertEqual(self.registry.unresponsive_hosts(POOL, 0.0), expected)
             self.assertEqual(self.registry.unresponsive_hosts("other", 0.0), {})
 
+    def recorded_rows(self):
+        """Return the rows that a former leader has recorded while an engine loads a model."""
+        self.registry.set_directory([listed()])
+        self.report_load("a")
+        pending = PendingChange(ChangeModels(1, 1, "e", (), "a"), 1, "store", 0.0, 13.0)
+        self.placement.pending_by_id["e"] = pending
+        rows = self.registry.rows(0.0, self.placement, self.limits)
+        self.placement.clear()
+        self.registry.clear(10.0)
+        self.registry.set_directory([listed()])
+        return rows
+
+    def report_load(self, model, now_s=0.0):
+        body = EndpointReport(
+            POOL,
+            listed().address,
+            report(disk=("b",)),
+            1,
+            bool(model),
+            0,
+            changing_to=model,
+        )
+        self.registry.record_report(AgentReport("tcp://a", 1, body, now_s))
+
+    def row(self, now_s, recorded):
+        return self.registry.rows(now_s, self.placement, self.limits, recorded)["e"]
+
+    def test_a_new_leader_keeps_what_is_known_of_a_host_until_its_agent_reports(self):
+        recorded = self.recorded_rows()
+        row = self.row(10.1, recorded)
+        self.assertEqual((row.agent_address, row.on_host), ("tcp://a", ("b",)))
+        self.assertEqual([model.name for model in row.arriving], ["a"])
+        late = self.row(10.1 + REPORT_MAX_AGE_S, recorded)
+        self.assertEqual((late.agent_address, late.on_host, late.arriving), ("", None, ()))
+
+    def test_an_engine_at_another_address_is_not_taken_for_the_recorded_one(self):
+        recorded = self.recorded_rows()
+        moved = ListedEndpoint("e", POOL, "10.0.0.9:1", "d", 32, False, ())
+        self.registry.set_directory([moved])
+        self.assertIsNone(self.row(10.1, recorded).on_host)
+
+    def test_a_load_that_an_earlier_leader_decided_stays_known_while_its_agent_reports_it(self):
+        recorded = self.recorded_rows()
+        for model, expected in (("a", ["a"]), ("", [])):
+            self.report_load(model, 10.1)
+            row = self.row(10.1, recorded)
+            self.assertEqual([model.name for model in row.arriving], expected)
+
     def test_rows_list_the_weights_on_the_host(self):
         self.registry.set_directory([listed()])
         self.assertIsNone(self.registry.rows(0.0, self.placement, self.limits)["e"].on_host)
