--- a/packages/hemlockdock-control/hemlockdock_control/fleet/disk_cache.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/disk_cache.py
@@ -63,3 +63,39 @@
             return 0.0
         dropped = math.ceil(excess_mb * self.copies / self.used_mb)
         return min(dropped, self.copies) * self.sole_copies / self.copies
+
+
+class DiskUses:
+    """What the hosts of a pool's engines cache, in one placement round.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+    spec_by_name : dict of str to ModelSpec
+    holders_by_name : Counter
+        Number of hosts that have a model's weights.
+    """
+
+    def __init__(self, engine, spec_by_name, holders_by_name):
+        self._capacity_mb = engine.disk_cache_mb
+        self._spec_by_name = spec_by_name
+        self._holders_by_name = holders_by_name
+        self._use_by_endpoint = {}
+
+    def sole_copies_dropped(self, view, arriving):
+        """Return the expected number of last copies that an engine's host drops for a model.
+
+        Parameters
+        ----------
+        view : EngineView
+        arriving : ModelSpec
+
+        Returns
+        -------
+        float
+        """
+        use = self._use_by_endpoint.get(view.endpoint_id)
+        if use is None:
+            use = DiskUse.of(view.report.on_host_disk, self._spec_by_name, self._holders_by_name)
+            self._use_by_endpoint[view.endpoint_id] = use
+        return use.sole_copies_dropped(self._capacity_mb, arriving.weights_mb)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
@@ -100,6 +100,22 @@
         """Tell whether the engine can accept another change."""
         return self.pending is None and not self.changing and not self.report.busy
 
+    def weights_source(self, model):
+        """Return where the engine would load a model's weights from.
+
+        Parameters
+        ----------
+        model : str
+
+        Returns
+        -------
+        str
+            ``memory``, ``disk`` or ``store``.
+        """
+        if model in self.report.in_host_memory:
+            return "memory"
+        return "disk" if model in self.report.on_host_disk else "store"
+
     def has_local_weights(self, model):
         """Tell whether a model's weights are in the host's memory or on its disk.
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/eviction.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/eviction.py
@@ -24,22 +24,48 @@
     memory_mb: float
 
 
-def required_mb(engine, spec):
-    """Return the memory that a model may take, with as many of its adapters as there are slots.
+class EngineMemory:
+    """The memory of a pool's engines for weights and adapters.
 
     Parameters
     ----------
     engine : EngineSpec
-    spec : ModelSpec or None
-        None for a model that the manifest no longer lists. Its size is unknown.
-
-    Returns
-    -------
-    float
+    spec_by_name : dict of str to ModelSpec
     """
-    if spec is None:
-        return engine.weights_mb
-    return spec.weights_mb + spec.adapter_mb * min(spec.adapters, engine.adapter_slots)
+
+    def __init__(self, engine, spec_by_name):
+        self._engine = engine
+        self._spec_by_name = spec_by_name
+
+    def required_mb(self, name):
+        """Return the memory that a model may take, with as many adapters as there are slots.
+
+        Parameters
+        ----------
+        name : str
+
+        Returns
+        -------
+        float
+            All memory for a model that the manifest no longer lists: its size is unknown.
+        """
+        spec = self._spec_by_name.get(name)
+        if spec is None:
+            return self._engine.weights_mb
+        return spec.weights_mb + spec.adapter_mb * min(spec.adapters, self._engine.adapter_slots)
+
+    def free_mb(self, resident):
+        """Return the memory that loaded models leave.
+
+        Parameters
+        ----------
+        resident : iterable of str
+
+        Returns
+        -------
+        float
+        """
+        return self._engine.weights_mb - sum(self.required_mb(name) for name in resident)
 
 
 def choose_evictions(candidates, free_mb, needed_mb):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -6,8 +6,8 @@
 seconds, during which the engine cannot exchange any other model.
 """
 
-from hemlockdock_control.fleet.disk_cache import DiskUse
-from hemlockdock_control.fleet.eviction import EvictionCandidate, choose_evictions, required_mb
+from hemlockdock_control.fleet.disk_cache import DiskUses
+from hemlockdock_control.fleet.eviction import EngineMemory, EvictionCandidate, choose_evictions
 from hemlockdock_control.fleet.load_order import AwaitedModel, load_order
 from hemlockdock_control.fleet.model_copies import ModelCopies
 from hemlockdock_control.fleet.model_exchange import ModelExchange
@@ -19,8 +19,6 @@
 # Fraction of a model's requests that wait while its engine accepts no adapter orders.
 ADAPTER_REQUEST_FRACTION = 0.3
 MS_PER_S = 1_000.0
-# A model gets another copy when more requests than this are in flight on each of its copies.
-MAX_REQUESTS_PER_COPY = 22
 # Period over which the requests served by a loaded model count as its benefit.
 HORIZON_S = 2.0
 # A model is loaded from the store once its requests have waited this long although some host has
@@ -67,11 +65,11 @@
     def __init__(self, pool, views, demand, history, now_s):
         loading = [*views.values(), *history.unavailable, *history.silent]
         self.store = StoreAdmission(history.store, loading)
-        self._engine = pool.engine
         self._views = views
         self._history = history
         self._now_s = now_s
         self._spec_by_name = {model.name: model for model in pool.engine.models}
+        self._memory = EngineMemory(pool.engine, self._spec_by_name)
         self._use_by_name = {}
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
@@ -79,7 +77,7 @@
         self._copies = ModelCopies(views.values(), now_s, history.silent)
         self._copies_by_name = self._copies.count_by_name
         self._idle_views = [view for view in views.values() if view.is_free]
-        self._disk_use_by_id = {}
+        self._disk_uses = DiskUses(pool.engine, self._spec_by_name, self._copies.holders_by_name)
         # An engine gets one exchange at most, so that what it is going to have stays valid.
         self._resident_by_id = {view.endpoint_id: view.resident for view in self._idle_views}
 
@@ -120,27 +118,19 @@
         return load_ms / MS_PER_S + FIRST_EVENT_S
 
     def _crowded(self):
-        for name, use in self._use_by_name.items():
-            copies = self._copies_by_name.get(name, 0)
-            if use is None or not copies:
-                continue
-            excess = use.in_flight - copies * MAX_REQUESTS_PER_COPY
-            if excess > 0:
-                yield self._spec_by_name[name], excess
+        for name, excess in self._copies.crowded(self._use_by_name):
+            yield self._spec_by_name[name], excess
 
     def _exchange_for_waiting(self, spec, use):
         reason = f"{use.waiting} waiting, {use.returning} returning"
         gain = use.waiting + use.returning + use.rate_now(self._now_s) * HORIZON_S
         waited_s = self._now_s - use.waiting_since_s
-        limit_s = (
-            HIGH_DEMAND_BUSY_EVICTION_WAIT_S
-            if use.waiting >= HIGH_DEMAND_REQUESTS
-            else BUSY_EVICTION_WAIT_S
-        )
+        is_in_demand = use.waiting >= HIGH_DEMAND_REQUESTS
+        limit_s = HIGH_DEMAND_BUSY_EVICTION_WAIT_S if is_in_demand else BUSY_EVICTION_WAIT_S
         choice = self._cheapest_exchange(spec, gain, waited_s >= limit_s, reason)
         if choice is not None or spec.name not in self._copies.holders_by_name:
             return choice
-        if use.waiting < HIGH_DEMAND_REQUESTS or waited_s < STORE_FALLBACK_AFTER_S:
+        if not is_in_demand or waited_s < STORE_FALLBACK_AFTER_S:
             return None
         if self._cheapest_exchange(spec, gain, True, reason) is not None:
             # A host is going to load it, at the expense of a model with requests in flight.
@@ -154,15 +144,17 @@
         )
         if not may_use_store and spec.name not in self._copies.holders_by_name:
             return None
+        use = self._use_by_name[spec.name]
         best = None
         for view in self._idle_views:
             if spec.name in self._resident_by_id[view.endpoint_id]:
                 continue
             if self._history.recent_failures.contains(view.endpoint_id, spec.name, self._now_s):
                 continue
-            source, load_s = self._source_and_load_s(view, spec)
+            source = view.weights_source(spec.name)
             if source == "store" and not may_use_store:
                 continue
+            load_s = self._load_s(spec, source)
             victims = self._select_victims(view, spec, may_evict_busy and source != "store")
             if victims is None:
                 continue
@@ -171,13 +163,16 @@
             busy = any(self._requests_per_copy(name) for name in victims)
             takes_s = load_s + (BUSY_VICTIM_DELAY_S if busy else 0.0)
             blocked = takes_s * self._blocked_rate(view, spec)
-            benefit = gain + (self._long_term_gain(spec) if source == "store" else 0.0)
+            benefit = gain
+            if source == "store" and use is not None:
+                # The copy that the load leaves on the host serves further requests.
+                benefit += use.lately_asked(self._now_s)
             if harm > benefit or (source == "store" and blocked > benefit - harm):
                 continue
             cost = takes_s + harm + blocked
             if source == "store":
                 # Getting a dropped copy back takes another load from the store.
-                cost += load_s * self._sole_copies_dropped(view, spec)
+                cost += load_s * self._disk_uses.sole_copies_dropped(view, spec)
             if view.is_limited:
                 cost += LIMITED_COST_S
             if best is None or cost < best[0]:
@@ -204,19 +199,6 @@
             absent_s += blocked_s
         return value * absent_s + waiting
 
-    def _sole_copies_dropped(self, view, spec):
-        use = self._disk_use_by_id.get(view.endpoint_id)
-        if use is None:
-            on_disk = view.report.on_host_disk
-            use = DiskUse.of(on_disk, self._spec_by_name, self._copies.holders_by_name)
-            self._disk_use_by_id[view.endpoint_id] = use
-        return use.sole_copies_dropped(self._engine.disk_cache_mb, spec.weights_mb)
-
-    def _long_term_gain(self, spec):
-        """Return the number of future requests served sooner thanks to a copy on a host."""
-        use = self._use_by_name.get(spec.name)
-        return 0.0 if use is None else use.lately_asked(self._now_s)
-
     def _blocked_rate(self, view, spec):
         """Return the rate of requests that have to wait while an engine exchanges models."""
         rate = 0.0
@@ -281,16 +263,15 @@
         if choice.source == "store":
             self.store.record_start(self._now_s + choice.takes_s)
 
-    def _source_and_load_s(self, view, spec):
-        if spec.name in view.report.in_host_memory:
-            return "memory", spec.memory_load_ms / MS_PER_S
-        if spec.name in view.report.on_host_disk:
-            return "disk", spec.disk_load_ms / MS_PER_S
-        return "store", self.store.load_s(spec)
+    def _load_s(self, spec, source):
+        if source == "memory":
+            return spec.memory_load_ms / MS_PER_S
+        if source == "disk":
+            return spec.disk_load_ms / MS_PER_S
+        return self.store.load_s(spec)
 
     def _select_victims(self, view, spec, may_evict_busy):
         resident = self._resident_by_id[view.endpoint_id]
-        free_mb = self._engine.weights_mb - sum(self._required_mb(name) for name in resident)
         candidates = []
         for name in resident:
             if self._history.recent_loads.contains(view.endpoint_id, name, self._now_s):
@@ -298,13 +279,10 @@
             is_busy = self._requests_per_copy(name) > 0
             if is_busy and not may_evict_busy:
                 continue
-            candidates.append(
-                EvictionCandidate(is_busy, self._value(name), name, self._required_mb(name))
-            )
-        return choose_evictions(candidates, free_mb, self._required_mb(spec.name))
-
-    def _required_mb(self, name):
-        return required_mb(self._engine, self._spec_by_name.get(name))
+            required_mb = self._memory.required_mb(name)
+            candidates.append(EvictionCandidate(is_busy, self._value(name), name, required_mb))
+        free_mb = self._memory.free_mb(resident)
+        return choose_evictions(candidates, free_mb, self._memory.required_mb(spec.name))
 
     def _value(self, name):
         """Return the request rate per copy of a model."""
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_copies.py
@@ -7,6 +7,8 @@
 SOON_S = 6.5
 # The most patient clients wait for about this long: a longer load serves none of those that wait.
 LONGEST_PATIENCE_S = 12.0
+# A model gets another copy when more requests than this are in flight on each of its copies.
+MAX_REQUESTS_PER_COPY = 22
 # Requests that wait for longer than this exceed the limits of their engines: a permit takes less.
 LIMITED_WAIT_S = 0.2
 
@@ -74,6 +76,26 @@
             return True
         return use.waiting > 0 and now_s - use.waiting_since_s >= LIMITED_WAIT_S
 
+    def crowded(self, use_by_name):
+        """Yield the models with more requests in flight than their copies should have.
+
+        Parameters
+        ----------
+        use_by_name : dict of str to AggregatedDemand
+
+        Yields
+        ------
+        tuple of (str, int)
+            The model, and the number of requests beyond that.
+        """
+        for name, use in use_by_name.items():
+            copies = self.count_by_name.get(name, 0)
+            if use is None or not copies:
+                continue
+            excess = use.in_flight - copies * MAX_REQUESTS_PER_COPY
+            if excess > 0:
+                yield name, excess
+
     def apply(self, exchange):
         """Count an exchange that was chosen in this round.
 
