--- a/packages/hemlockdock-control/hemlockdock_control/fleet/disk_cache.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/disk_cache.py
@@ -52,14 +52,16 @@
 
         Parameters
         ----------
-        capacity_mb, arriving_mb : float
+        capacity_mb : float
+            Disk space for cached weights; 0 if it is not known.
+        arriving_mb : float
 
         Returns
         -------
         float
         """
         excess_mb = self.used_mb + arriving_mb - capacity_mb
-        if excess_mb <= 0.0 or not self.used_mb:
+        if not capacity_mb or excess_mb <= 0.0 or not self.used_mb:
             return 0.0
         dropped = math.ceil(excess_mb * self.copies / self.used_mb)
         return min(dropped, self.copies) * self.sole_copies / self.copies
--- a/packages/hemlockdock-control/tests/test_fleet_disk_cache.py
+++ b/packages/hemlockdock-control/tests/test_fleet_disk_cache.py
@@ -10,14 +10,17 @@
 
 
 class DiskUseTest(unittest.TestCase):
-    def dropped(self, on_disk, arriving_mb=30.0, holders=None):
+    def dropped(self, on_disk, arriving_mb=30.0, holders=None, capacity_mb=100.0):
         use = DiskUse.of(on_disk, SPECS, Counter(holders or dict.fromkeys(SPECS, 1)))
-        return use.sole_copies_dropped(100.0, arriving_mb)
+        return use.sole_copies_dropped(capacity_mb, arriving_mb)
 
     def test_a_disk_with_room_drops_nothing(self):
         self.assertEqual(self.dropped(""), 0.0)
         self.assertEqual(self.dropped("ab"), 0.0)
 
+    def test_a_disk_of_unknown_size_is_taken_to_have_room(self):
+        self.assertEqual(self.dropped("abc", capacity_mb=0.0), 0.0)
+
     def test_whole_copies_are_dropped(self):
         self.assertEqual(self.dropped("abc"), 1.0)
         self.assertEqual(self.dropped("abc", arriving_mb=41.0), 2.0)
