--- a/tools/benchmarks/stream_orders.py
+++ b/tools/benchmarks/stream_orders.py
@@ -148,10 +148,9 @@
 
     Attributes
     ----------
-    resumed : int
-    refused : int
-        Among them those whose version was there.
+    resumed, refused : int
     refused_though_there : int
+        Those of the refused ones whose version was there.
     joined : bool
         Whether a resumption ran at another pool or version than the stream began at.
     """
--- a/tools/benchmarks/stream_world.py
+++ b/tools/benchmarks/stream_world.py
@@ -86,16 +86,17 @@
     clock : Clock
     members : list of Member
     in_flight : list of (str, Message)
+    table : RoutingTable
     """
 
     def __init__(self, member_count):
         self.clock = Clock()
-        self.index = 0
+        self._index = 0
         self.in_flight = []
         self.table = RoutingTable()
         self.members = [Member(self, number) for number in range(member_count)]
         self.members[0].has_lease = True
-        self.number = 0
+        self._number = 0
         self.submit_route(POOL, TIMEOUT_MS)
         self.put_endpoint("x", POOL, OLD)
         self.put_endpoint("w", OTHER_POOL, OTHER)
@@ -113,7 +114,7 @@
 
     def submit_route(self, pool, timeout_ms):
         """Have the operator's route lead to a pool."""
-        self.number += 1
+        self._number += 1
         row = RouteRow(
             "live",
             "shop",
@@ -129,7 +130,7 @@
             200,
         )
         pools = (PoolRow(POOL, "/", 10), PoolRow(OTHER_POOL, "/", 10))
-        manifest = RouteManifest(LimitsRow(self.number, 1, 1, 1, 1), (row,), pools)
+        manifest = RouteManifest(LimitsRow(self._number, 1, 1, 1, 1), (row,), pools)
         self._commit(SubmitRoutes(manifest, b"", "operator", self.now_ms))
         self.table.put(row)
 
@@ -159,14 +160,15 @@
         in_flight, self.in_flight = self.in_flight, []
         for address, message in in_flight:
             if isinstance(message, StreamStarted) and (addresses is None or address in addresses):
-                self._member(address).origins.record(message)
+                self.member_at(address).origins.record(message)
 
     def _commit(self, command):
-        self.index += 1
+        self._index += 1
         for member in self.members:
-            member.apply(self.index, encode_command(command))
+            member.apply(self._index, encode_command(command))
 
-    def _member(self, address):
+    def member_at(self, address):
+        """Return the member with an address of its mailbox."""
         return next(item for item in self.members if item.address.node_address == address)
 
 
@@ -199,7 +201,7 @@
 
     def _send(self, address, message):
         if isinstance(message, FindStreamOrigin):
-            member = self._world._member(address)
+            member = self._world.member_at(address)
             reply = member.origins.reply_to(message)
             self._world.clock.callLater(
                 0, self.origin_lookup.on_reply, member.address.member_id, reply
@@ -225,7 +227,6 @@
 
     def __init__(self, world, entry, request):
         self._world = world
-        self._request = request
         self.ended = False
         self.origin = None
         self.route = world.table.route_by_name["live"]
@@ -254,7 +255,9 @@
         """Note that the request was refused."""
         self.ended = True
 
-    refuse_continuation = refuse_quarantined = lambda self: self.refuse(None)
+    def refuse_continuation(self):
+        """Note that the request was refused as its stream can't continue."""
+        self.refuse(None)
 
     def _continue(self):
         self._run(self.binding.origin.pool, self.binding.origin.software_version)
