fleet: the store is taken until the planned end of a load that was lost with its engine

Change: LostLoads remembers loads that ended without their model, and the store's admission counts them until their planned end; of a load that an earlier leader decided the begin is not known, so that it counts its whole time from the election. New field lost_loads of 'weight store use changed'.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
@@ -39,6 +39,11 @@
             if row.pool == pool.name:
                 self._add(row)
 
+    def all(self):
+        """Return all views."""
+        views = (self.available_by_id, self.unavailable_by_id, self.silent_by_id)
+        return [view for by_id in views for view in by_id.values()]
+
     def _add(self, row):
         report = self._registry.current_report(row.endpoint_id, row.address, self._now_s)
         if report is None:
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -64,7 +64,7 @@
 
     def __init__(self, pool, views, demand, history, now_s):
         loading = [*views.values(), *history.unavailable, *history.silent]
-        self.store = StoreAdmission(history.store, loading)
+        self.store = StoreAdmission(history.store, loading, history.lost_loads.planned_ends_s())
         self._views = views
         self._history = history
         self._now_s = now_s
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -122,6 +122,8 @@
             history.observe(views.values(), now_s, leaving_ids, unresponsive)
             history.unavailable = tuple(engines.unavailable_by_id.values())
             history.silent = tuple(engines.silent_by_id.values())
+            specs = {model.name: model for model in pool.engine.models}
+            history.lost_loads.observe(engines.all(), specs, now_s)
             choice = self._policy(pool, views, demand, history, now_s)
             self._log_store_use(pool, choice.store)
             for chosen in choice.choices():
@@ -211,7 +213,12 @@
         )
 
     def _log_store_use(self, pool, store):
-        use = (store.decided_loads, store.inherited_loads, store.concurrency_limit)
+        use = (
+            store.decided_loads,
+            store.inherited_loads,
+            store.lost_loads,
+            store.concurrency_limit,
+        )
         if self._logged_store_use_by_pool.get(pool.name) == use:
             return
         self._logged_store_use_by_pool[pool.name] = use
@@ -221,6 +228,7 @@
                 "pool": pool.name,
                 "decided_loads": store.decided_loads,
                 "inherited_loads": store.inherited_loads,
+                "lost_loads": store.lost_loads,
                 "concurrency_limit": store.concurrency_limit,
                 "is_measured": self.store.is_measured,
             },
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_control.fleet.lost_loads import LostLoads
 from hemlockdock_control.fleet.store_concurrency import StoreConcurrencyEstimator
 
 # A model that was just loaded receives its first request within this time; it is not evicted
@@ -96,12 +97,14 @@
         Engines that are leaving or do not respond. Their loads from the store go on.
     silent : tuple of EngineView
         Engines with loads from the store whose agents have not reported lately.
+    lost_loads : LostLoads
     """
 
     def __init__(self, store=None):
         self.store = store or StoreConcurrencyEstimator()
         self.unavailable = ()
         self.silent = ()
+        self.lost_loads = LostLoads()
         self._initial_models = set()
         self._host_by_endpoint = {}
         self._unresponsive_by_address = {}
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -27,6 +27,8 @@
     ----------
     estimator : StoreConcurrencyEstimator
     views : iterable of EngineView
+    lost_ends_s : list of float, optional
+        Planned ends of loads that were lost with their engines.
 
     Attributes
     ----------
@@ -34,13 +36,16 @@
         Loads that this leader decided.
     inherited_loads : int
         Loads that an earlier leader decided.
+    lost_loads : int
+        Loads that the store goes on with though their engines are lost.
     """
 
-    def __init__(self, estimator, views):
+    def __init__(self, estimator, views, lost_ends_s=()):
         self._estimator = estimator
         self.decided_loads = 0
         self.inherited_loads = 0
-        self._next_end_s = float("inf")
+        self.lost_loads = len(lost_ends_s)
+        self._next_end_s = min(lost_ends_s, default=float("inf"))
         for view in views:
             if not view.occupies_store:
                 continue
@@ -55,7 +60,7 @@
     @property
     def active_loads(self):
         """Return the number of loads in progress."""
-        return self.decided_loads + self.inherited_loads
+        return self.decided_loads + self.inherited_loads + self.lost_loads
 
     @property
     def concurrency_limit(self):
