--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -270,7 +270,7 @@
     Mutant(
         "forget what engines that leave load from the store",
         FLEET + "placement.py",
-        "history.unavailable = tuple(unavailable.values())",
+        "history.unavailable = tuple(engines.unavailable_by_id.values())",
         "history.unavailable = ()",
         PLACEMENT,
     ),
@@ -305,8 +305,8 @@
     Mutant(
         "fetch nothing for clients that will come back",
         FLEET + "model_choice.py",
-        "wanted = use.waiting + use.returning",
-        "wanted = use.waiting",
+        "if not use.waiting and not use.returning:",
+        "if not use.waiting:",
         PLACEMENT,
     ),
     Mutant(
@@ -320,9 +320,8 @@
     Mutant(
         "ask for the leader only at each heartbeat",
         "packages/hemlockdock-core/hemlockdock_core/node/control_link.py",
-        "self._is_seeking_leader()\n"
-        "            and self._reactor.seconds() - self._heartbeat_sent_s",
-        "False\n" "            and self._reactor.seconds() - self._heartbeat_sent_s",
+        "if self._search.is_on(now_s) and self._search.is_due(",
+        "if False and self._search.is_due(",
         "packages/hemlockdock-core/tests/test_fleet_link.py",
     ),
     Mutant(
@@ -332,4 +331,25 @@
         "            pass\n",
         GATEWAY_TESTS + "test_attempt.py",
     ),
+    Mutant(
+        "forget loads that the store goes on with",
+        FLEET + "model_choice.py",
+        "history.lost_loads.planned_ends_s())",
+        "())",
+        PLACEMENT,
+    ),
+    Mutant(
+        "load elsewhere what a silent engine loads",
+        FLEET + "engine_views.py",
+        "        if view.coming_from_store:\n",
+        "        if False:\n",
+        PLACEMENT,
+    ),
+    Mutant(
+        "drop last copies as any others",
+        FLEET + "disk_cache.py",
+        "self.sole_copies / self.copies",
+        "0.0",
+        PLACEMENT,
+    ),
 ]
--- a/tools/mutants/streams.py
+++ b/tools/mutants/streams.py
@@ -9,7 +9,8 @@
 VERSIONS = GATEWAY_TESTS + "test_gateway_software_versions.py"
 SERVICE_CLIENT = GATEWAY_TESTS + "test_service_client.py"
 CONTROL = "packages/hemlockdock-control/"
-NODES = CONTROL + "tests/test_fleet_nodes.py"
+ORIGINS = CONTROL + "tests/test_fleet_stream_origins.py"
+ORDERS = "tools/tests/test_stream_orders.py"
 AGENT = "packages/hemlockdock-agent/"
 HTTP = "packages/hemlockdock-core/hemlockdock_core/http/"
 
@@ -129,16 +130,30 @@
     ),
     Mutant(
         "infer an origin without a lease",
-        CONTROL + "hemlockdock_control/fleet/nodes.py",
-        "if not self._replicator.has_lease:\n            return UNKNOWN_ORIGIN",
-        "if False:\n            return UNKNOWN_ORIGIN",
-        NODES,
+        CONTROL + "hemlockdock_control/fleet/stream_origins.py",
+        "if not question.route_scope or not self._replicator.has_lease:",
+        "if not question.route_scope:",
+        ORIGINS,
     ),
     Mutant(
         "forget a version that came and went",
         CONTROL + "hemlockdock_control/state/routes.py",
-        "            self._gone_versions.add((row.pool, row.software_version))",
+        "            self.former_versions.note(*before)",
         "            pass",
-        NODES,
+        ORDERS,
+    ),
+    Mutant(
+        "forget the pool that a route led to",
+        CONTROL + "hemlockdock_control/state/routes.py",
+        "            for pool in former:\n                self.former_pools.note(scope, pool)",
+        "            pass",
+        ORDERS,
+    ),
+    Mutant(
+        "look back for a short time only",
+        CONTROL + "hemlockdock_control/fleet/stream_origins.py",
+        "since_ms = self._wall_ms() - MAX_KEEP_MS",
+        "since_ms = self._wall_ms() - 5_000",
+        ORDERS,
     ),
 ]
