--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
@@ -35,6 +35,8 @@
         self._store = None
         self._change_number = 0
         self._facts_number = 0
+        self._started_ms = 1
+        self._down_until_s = float("-inf")
         for model in self._resident:
             self._cache_copy(self._disk_cache, model, scenario.disk_cache_mb)
 
@@ -43,17 +45,40 @@
         """Address of the engine."""
         return self.name
 
-    def holds(self, model):
+    def after_crash(self, down_until_s):
+        """Return the engine that starts again on the same host, with the weights on its disk.
+
+        What this one was loading is lost, though the store goes on with it.
+
+        Parameters
+        ----------
+        down_until_s : float
+            Time until which the new one does not respond.
+
+        Returns
+        -------
+        SimulatedEngine
+        """
+        engine = SimulatedEngine(self._scenario, self.name, on_disk=self._disk_cache)
+        engine._change_number = self._change_number
+        engine._started_ms = self._started_ms + 1
+        engine._down_until_s = down_until_s
+        return engine
+
+    def holds(self, model, now_s):
         """Return whether requests for a model can be started.
 
         Parameters
         ----------
         model : str
+        now_s : float
 
         Returns
         -------
         bool
         """
+        if now_s < self._down_until_s:
+            return False
         leaving = () if self._change is None else self._change.unload
         return model in self._resident and model not in leaving
 
@@ -122,16 +147,20 @@
             self._store.end()
             self._store = None
 
-    def report(self):
+    def report(self, now_s):
         """Return the report that the engine's agent would send.
 
+        Parameters
+        ----------
+        now_s : float
+
         Returns
         -------
         EndpointReport
         """
         models = tuple(LoadedModel(model, 1, frozenset()) for model in self._resident)
         report = EngineReport(
-            1,
+            self._started_ms,
             self._change_number,
             False,
             False,
@@ -152,6 +181,7 @@
             self._change_number,
             self._change is not None,
             self._facts_number,
+            answers=now_s >= self._down_until_s,
             changing_to="" if self._change is None else self._change.load,
         )
 
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/scenario.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/scenario.py
@@ -84,6 +84,12 @@
         Times at which one engine is lost and replaced by an empty one.
     store_full_speed_loads : int
         Number of concurrent loads that the weight store serves at full speed.
+    warm_up_s : float
+        Time before the first request, as on a platform that is starting.
+    listed_after_s : float
+        Time after which the directory lists the first engines.
+    listed_at_once : int
+        Engines that the directory shows at a time; 0 if it lists all from the start.
     """
 
     name: str
@@ -104,6 +110,9 @@
     engine_loss_times_s: tuple = ()
     store_full_speed_loads: int = 4
     disk_model_share: float = 1.0
+    warm_up_s: float = 8.0
+    listed_after_s: float = 0.0
+    listed_at_once: int = 0
 
     @property
     def models(self):
@@ -161,6 +170,7 @@
         Time of the latest attempt.
     refusals : int
         Number of refused attempts that were retried.
+    is_answered : bool
     """
 
     traffic: TrafficClass
@@ -169,6 +179,7 @@
     tokens: int
     last_arrival_s: float = 0.0
     refusals: int = 0
+    is_answered: bool = False
 
 
 def generate_requests(scenario, seed, duration_s):
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/simulation.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/simulation.py
@@ -1,52 +1,24 @@
 """Simulate engines, placement and a workload in virtual time."""
 
-import heapq
-import itertools
 import random
-from dataclasses import dataclass, field
-
-from hdrh.histogram import HdrHistogram
+from functools import singledispatchmethod
 
+from hemlockdock_cli.lab.control import ELECTION_S, SimulatedControl
+from hemlockdock_cli.lab.disturbances import EngineCrash, EngineReplacement, LeaderLoss
 from hemlockdock_cli.lab.engine import SimulatedEngine
-from hemlockdock_cli.lab.scenario import POOL, generate_requests
+from hemlockdock_cli.lab.entry import SimulatedEntry
+from hemlockdock_cli.lab.event_queue import EventQueue
+from hemlockdock_cli.lab.scenario import generate_requests
 from hemlockdock_cli.lab.store import SimulatedWeightStore
-from hemlockdock_control.fleet.demand import DemandAggregator
-from hemlockdock_control.fleet.placement import Placement
-from hemlockdock_control.fleet.registry import AgentReport, EndpointRegistry
-from hemlockdock_control.fleet.request_limits import RequestLimits
-from hemlockdock_core.messages import ChangeModels, DemandReport, ModelDemand
-from hemlockdock_core.settings.sections import FleetSection
-from hemlockdock_core.wire import ListedEndpoint
-from hemlockdock_entry.gateway.model_availability import ModelAvailability
-from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
+from hemlockdock_core.messages import ChangeModels
 
-MS_PER_S = 1_000.0
 DECISION_INTERVAL_S = 0.04
 # Delay of the messages between entry, control and agent, including the commit.
 MESSAGE_DELAY_S = 0.03
-FIRST_EVENT_S = 0.055
-# Time before the first request, as on a platform that is starting.
-WARM_UP_S = 8.0
-MAX_WAIT_MS = 60_000
-SLOTS = 32
-
-
-@dataclass(slots=True)
-class ClassResult:
-    """Outcome of the requests of one class.
-
-    Attributes
-    ----------
-    asked, in_time, late, refused : int
-    wait_ms : HdrHistogram
-        Time from the first arrival of a request to the first event of its answer.
-    """
-
-    asked: int = 0
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    wait_ms: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, MAX_WAIT_MS, 2))
+# Interval between the engines that the directory lists first, and further ones.
+DIRECTORY_INTERVAL_S = 0.4
+# Time within which the entry reports all demand to a new leader.
+REPORT_REPEAT_S = 0.25
 
 
 class Simulation:
@@ -59,35 +31,37 @@
         Class that chooses exchanges.
     seed : int
     duration_s : float
+    disturbances : iterable of EngineCrash, EngineReplacement or LeaderLoss, optional
+        In addition to the scenario's losses of engines.
 
     Attributes
     ----------
     result_by_class : dict of str to ClassResult
+    requests : list of SimulatedRequest
+    initially_on_hosts : set of str
+        Models that were loaded or on the disk of some host at the start.
     """
 
-    def __init__(self, scenario, policy, seed, duration_s):
-        self.result_by_class = {traffic.name: ClassResult() for traffic in scenario.classes}
+    def __init__(self, scenario, policy, seed, duration_s, disturbances=()):
         self._scenario = scenario
         self._store = SimulatedWeightStore(scenario.store_full_speed_loads)
         self._pool = scenario.pool
         self._duration_s = duration_s
-        self._now_s = -WARM_UP_S
-        self._events = []
-        self._event_numbers = itertools.count()
-        self._fleet_settings = FleetSection()
-        self._placement = Placement(policy)
-        self._registry = EndpointRegistry()
-        self._limits = RequestLimits(0.0)
-        self._demand_board = DemandAggregator()
+        self._events = EventQueue(-scenario.warm_up_s)
+        self._control = SimulatedControl(self._pool, policy)
+        self._disturbances = disturbances
         self._engine_by_name = {}
-        self._waiting_by_model = {}
-        self._retry_times_by_model = {}
-        self._supply = ModelAvailability()
-        self._arrivals_by_model = {}
+        self._hidden_names = set()
+        self._entry = SimulatedEntry(scenario, self._control, self._engine_by_name, self._events)
+        self.result_by_class = self._entry.result_by_class
         self._create_engines(random.Random(seed))
-        for request in generate_requests(scenario, seed, duration_s):
+        self.initially_on_hosts = set()
+        for engine in self._engine_by_name.values():
+            self.initially_on_hosts |= engine.report(self._events.now_s).report.on_host
+        self.requests = generate_requests(scenario, seed, duration_s)
+        for request in self.requests:
             self.result_by_class[request.traffic.name].asked += 1
-            self._schedule(request.first_arrival_s, self._on_arrival, request)
+            self._events.schedule(request.first_arrival_s, self._entry.receive, request)
 
     @property
     def store_loads(self):
@@ -101,12 +75,13 @@
         -------
         Simulation
         """
-        self._schedule(self._now_s, self._decide)
+        self._events.schedule(self._events.now_s, self._decide)
+        self._schedule_listing()
         for at_s in self._scenario.engine_loss_times_s:
-            self._schedule(at_s, self._on_engine_loss)
-        while self._events:
-            self._now_s, _, callback, arguments = heapq.heappop(self._events)
-            callback(*arguments)
+            self._events.schedule(at_s, self._on_engine_loss)
+        for disturbance in self._disturbances:
+            self._events.schedule(disturbance.at_s, self._disturb, disturbance)
+        self._events.run()
         return self
 
     def _create_engines(self, rng):
@@ -128,31 +103,64 @@
             self._engine_by_name[name] = engine
         self._list_engines()
 
+    def _schedule_listing(self):
+        """List all engines at once, or some at a time."""
+        batch = self._scenario.listed_at_once
+        names = list(self._engine_by_name)
+        if not batch:
+            return
+        self._hidden_names = set(names)
+        self._list_engines()
+        at_s = self._events.now_s + self._scenario.listed_after_s
+        for start in range(0, len(names), batch):
+            self._events.schedule(at_s, self._show_engines, names[start : start + batch])
+            at_s += DIRECTORY_INTERVAL_S
+
+    def _show_engines(self, names):
+        self._hidden_names -= set(names)
+        self._list_engines()
+
     def _list_engines(self):
-        self._registry.set_directory(
-            [
-                ListedEndpoint(name, POOL, name, "d", SLOTS, False, ())
-                for name in self._engine_by_name
-            ]
+        self._control.list_engines(
+            [name for name in self._engine_by_name if name not in self._hidden_names]
         )
 
     def _on_engine_loss(self):
-        name = next(iter(self._engine_by_name))
+        self._replace_engine(next(iter(self._engine_by_name)))
+
+    def _replace_engine(self, name):
+        if name not in self._engine_by_name:
+            return
         del self._engine_by_name[name]
         self._engine_by_name[name + "+"] = SimulatedEngine(self._scenario, name + "+")
         self._list_engines()
 
-    def _schedule(self, at_s, callback, *arguments):
-        heapq.heappush(self._events, (at_s, next(self._event_numbers), callback, arguments))
+    @singledispatchmethod
+    def _disturb(self, disturbance):
+        raise TypeError(f"unknown disturbance: {disturbance!r}")
+
+    @_disturb.register
+    def _(self, disturbance: EngineCrash):
+        for name in disturbance.engines:
+            engine = self._engine_by_name.get(name)
+            if engine is None:
+                continue
+            restarted = engine.after_crash(self._events.now_s + disturbance.down_s)
+            self._engine_by_name[name] = restarted
+
+    @_disturb.register
+    def _(self, disturbance: EngineReplacement):
+        for name in disturbance.engines:
+            self._replace_engine(name)
+
+    @_disturb.register
+    def _(self, disturbance: LeaderLoss):
+        self._control.lose_leader(self._events.now_s)
+        reported_s = self._events.now_s + ELECTION_S + REPORT_REPEAT_S
+        self._events.schedule(reported_s, self._entry.report_all)
 
     def _decide(self):
-        for engine in self._engine_by_name.values():
-            report = AgentReport(engine.name, 1, engine.report(), self._now_s)
-            self._registry.record_report(report)
-        rows = self._registry.rows(self._now_s, self._placement, self._limits)
-        messages = self._placement.decide(
-            [self._pool], rows, self._registry, self._demand_board, self._now_s, 1
-        )
+        messages = self._control.decide(self._engine_by_name.values(), self._events.now_s)
         for outgoing in messages:
             engine = self._engine_by_name.get(outgoing.agent_address)
             if engine is None:
@@ -160,141 +168,27 @@
             if not isinstance(outgoing.message, ChangeModels):
                 engine.set_facts(outgoing.message)
             elif engine.accept_change(outgoing.message):
-                self._schedule(self._now_s + MESSAGE_DELAY_S, self._start_load, engine)
-        rows = self._registry.rows(self._now_s, self._placement, self._limits)
-        self._supply.update(rows.values(), self._now_s)
-        for model in list(self._waiting_by_model):
-            self._serve_model(model)
+                self._events.schedule(
+                    self._events.now_s + MESSAGE_DELAY_S, self._start_load, engine
+                )
+        rows = self._control.record_rows(self._events.now_s)
+        self._entry.update(rows.values())
         # A pending event may be the retry of a refused request.
-        if self._now_s < self._duration_s or any(self._waiting_by_model.values()) or self._events:
-            self._schedule(self._now_s + DECISION_INTERVAL_S, self._decide)
+        if self._events.now_s < self._duration_s or not self._entry.is_idle or self._events:
+            self._events.schedule(self._events.now_s + DECISION_INTERVAL_S, self._decide)
 
     def _start_load(self, engine):
+        if self._engine_by_name.get(engine.name) is not engine:
+            # It was lost, or has crashed, in the meantime.
+            return
         if not engine.can_unload():
-            self._schedule(self._now_s + DECISION_INTERVAL_S, self._start_load, engine)
+            self._events.schedule(
+                self._events.now_s + DECISION_INTERVAL_S, self._start_load, engine
+            )
             return
         load_s = engine.begin_load(self._store)
-        self._schedule(self._now_s + load_s, self._on_load_end, engine)
+        self._events.schedule(self._events.now_s + load_s, self._on_load_end, engine)
 
     def _on_load_end(self, engine):
         engine.end_load()
-        self._schedule(self._now_s + MESSAGE_DELAY_S, self._serve_all)
-
-    def _serve_all(self):
-        for model in list(self._waiting_by_model):
-            self._serve_model(model)
-
-    def _on_arrival(self, request):
-        request.last_arrival_s = self._now_s
-        if not request.refusals:
-            arrivals = self._arrivals_by_model.get(request.model, 0)
-            self._arrivals_by_model[request.model] = arrivals + 1
-        self._waiting_by_model.setdefault(request.model, []).append(request)
-        self._serve_model(request.model)
-
-    def _serve_model(self, model):
-        waiting = self._waiting_by_model.get(model, [])
-        still_waiting = []
-        for request in waiting:
-            engine = self._least_loaded_engine(model)
-            if engine is not None:
-                self._start_request(request, engine)
-            elif self._may_wait(request):
-                still_waiting.append(request)
-            else:
-                self._refuse_or_retry(request)
-        self._waiting_by_model[model] = still_waiting
-        self._report_demand(model)
-
-    def _least_loaded_engine(self, model):
-        best = None
-        for engine in self._engine_by_name.values():
-            if not engine.holds(model):
-                continue
-            if sum(engine.runs_by_model.values()) >= SLOTS:
-                continue
-            if model in self._placement.withheld(engine.name):
-                continue
-            if best is None or sum(engine.runs_by_model.values()) < best[0]:
-                best = sum(engine.runs_by_model.values()), engine
-        return None if best is None else best[1]
-
-    def _start_request(self, request, engine):
-        traffic = request.traffic
-        first_s = self._now_s + FIRST_EVENT_S - request.first_arrival_s
-        result = self.result_by_class[traffic.name]
-        result.wait_ms.record_value(max(1, min(MAX_WAIT_MS, round(first_s * MS_PER_S))))
-        if first_s * MS_PER_S <= traffic.target_ms:
-            result.in_time += 1
-        else:
-            result.late += 1
-        engine.runs_by_model[request.model] = engine.runs_by_model.get(request.model, 0) + 1
-        size_ratio = self._scenario.size_mb(request.model) / max(self._scenario.model_sizes_mb)
-        request_s = FIRST_EVENT_S + request.tokens * self._scenario.token_ms * size_ratio / MS_PER_S
-        self._schedule(self._now_s + request_s, self._on_request_end, request.model, engine)
-
-    def _on_request_end(self, model, engine):
-        engine.runs_by_model[model] -= 1
-        self._report_demand(model)
-
-    def _model_ready_s(self, model):
-        return self._supply.ready_s(self._pool, model, self._now_s)
-
-    def _deadline_s(self, request):
-        return request.first_arrival_s + request.traffic.deadline_ms / MS_PER_S
-
-    def _may_wait(self, request):
-        patience = Patience.of(
-            request.traffic.route,
-            self._fleet_settings,
-            request.last_arrival_s,
-            self._deadline_s(request),
-        )
-        least_s = self._supply.least_s(self._pool, request.model)
-        return may_wait(patience, self._model_ready_s(request.model), self._now_s, least_s)
-
-    def _refuse_or_retry(self, request):
-        # A request is retried once; a second refusal counts.
-        if request.refusals:
-            self.result_by_class[request.traffic.name].refused += 1
-            return
-        request.refusals += 1
-        after_ms = return_after_ms(
-            self._deadline_s(request),
-            self._model_ready_s(request.model),
-            self._now_s,
-            self._supply.least_s(self._pool, request.model),
-        )
-        retry_s = self._now_s + after_ms / MS_PER_S
-        self._retry_times_by_model.setdefault(request.model, []).append(retry_s)
-        self._schedule(retry_s, self._on_arrival, request)
-
-    def _pending_retries(self, model):
-        retry_times = [
-            at_s for at_s in self._retry_times_by_model.get(model, []) if at_s > self._now_s
-        ]
-        self._retry_times_by_model[model] = retry_times
-        return len(retry_times)
-
-    def _report_demand(self, model):
-        waiting = self._waiting_by_model.get(model, [])
-        slack_s = []
-        for request in waiting:
-            target_s = request.first_arrival_s + request.traffic.target_ms / MS_PER_S
-            if target_s > self._now_s:
-                slack_s.append(target_s - self._now_s)
-        in_flight = sum(
-            engine.runs_by_model.get(model, 0) for engine in self._engine_by_name.values()
-        )
-        demand = ModelDemand(
-            POOL,
-            model,
-            self._arrivals_by_model.get(model, 0),
-            len(waiting),
-            in_flight,
-            len(slack_s),
-            round(min(slack_s) * MS_PER_S) if slack_s else 0,
-            min((request.traffic.urgency for request in waiting), default=0),
-            self._pending_retries(model),
-        )
-        self._demand_board.record_report("entry", DemandReport((demand,)), self._now_s)
+        self._events.schedule(self._events.now_s + MESSAGE_DELAY_S, self._entry.serve_all)
--- a/packages/hemlockdock-cli/tests/test_lab.py
+++ b/packages/hemlockdock-cli/tests/test_lab.py
@@ -50,7 +50,7 @@
         demand = ModelDemand(POOL, model, 5, 5, 0, 0, 0, 1, 0)
         board.record_report("entry", DemandReport((demand,)), now_s)
         for engine in self.engines:
-            self.registry.record_report(AgentReport(engine.name, 1, engine.report(), now_s))
+            self.registry.record_report(AgentReport(engine.name, 1, engine.report(now_s), now_s))
         rows = self.registry.rows(now_s, placement, self.limits)
         messages = placement.decide([self.scenario.pool], rows, self.registry, board, now_s, term)
         return [m.message for m in messages if isinstance(m.message, ChangeModels)]
