--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -12,6 +12,7 @@
 from hemlockdock_control.fleet.model_copies import ModelCopies
 from hemlockdock_control.fleet.model_exchange import ModelExchange
 from hemlockdock_control.fleet.store_admission import HIGH_DEMAND_REQUESTS, StoreAdmission
+from hemlockdock_control.fleet.store_idleness import IdleReason, StoreIdleness
 
 # Assumed request rate for a model whose only local copy is on the blocked host: demand may shift to
 # it, and no other host could load it quickly.
@@ -60,11 +61,13 @@
     Attributes
     ----------
     store : StoreAdmission
+    store_idleness : StoreIdleness
     """
 
     def __init__(self, pool, views, demand, history, now_s):
         loading = [*views.values(), *history.unavailable, *history.silent]
         self.store = StoreAdmission(history.store, loading, history.lost_loads.planned_ends_s())
+        self.store_idleness = StoreIdleness()
         self._views = views
         self._history = history
         self._now_s = now_s
@@ -146,6 +149,7 @@
             return None
         use = self._use_by_name[spec.name]
         best = None
+        idle_reason = IdleReason.NO_FREE_ENGINE
         for view in self._idle_views:
             if spec.name in self._resident_by_id[view.endpoint_id]:
                 continue
@@ -168,6 +172,7 @@
                 # The copy that the load leaves on the host serves further requests.
                 benefit += use.lately_asked(self._now_s)
             if harm > benefit or (source == "store" and blocked > benefit - harm):
+                idle_reason = IdleReason.COST_EXCEEDS_BENEFIT
                 continue
             cost = takes_s + harm + blocked
             if source == "store":
@@ -181,7 +186,11 @@
                 best = cost, ModelExchange(
                     view.endpoint_id, spec, victims, source, takes_s, rate, why, from_store
                 )
-        return None if best is None else best[1]
+        if best is None:
+            if may_use_store:
+                self.store_idleness.note(idle_reason)
+            return None
+        return best[1]
 
     def _harm(self, name, blocked_s):
         """Return the number of requests that would have to wait if one copy were unloaded.
@@ -220,8 +229,12 @@
     def _may_use_store(self, spec, gain, from_store):
         # An engine on a host with the weights usually becomes idle long before a store load ends.
         is_on_host = spec.name in self._copies.holders_by_name
-        if not from_store and (is_on_host or self._history.may_return(spec, self._now_s)):
-            return False
+        if not from_store:
+            if is_on_host:
+                return False
+            if self._history.may_return(spec, self._now_s):
+                self.store_idleness.note(IdleReason.HOST_MAY_RETURN)
+                return False
         return self.store.may_start(spec, gain, self._now_s)
 
     def _ahead(self):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -125,9 +125,9 @@
             specs = {model.name: model for model in pool.engine.models}
             history.lost_loads.observe(engines.all(), specs, now_s)
             choice = self._policy(pool, views, demand, history, now_s)
-            self._log_store_use(pool, choice.store)
             for chosen in choice.choices():
                 self._start_change(chosen, views[chosen.endpoint_id], now_s, term)
+            self._log_store_use(pool, choice.store, choice.store_idleness)
             messages.extend(self._due_messages(views, now_s))
         return messages
 
@@ -207,17 +207,20 @@
                 "load": message.load,
                 "unload": message.unload,
                 "source": choice.source,
+                "is_fallback": choice.is_fallback,
                 "takes_s": round(choice.takes_s, 3),
                 "reason": choice.reason,
             },
         )
 
-    def _log_store_use(self, pool, store):
+    def _log_store_use(self, pool, store, idleness):
+        idle_reason = "" if store.active_loads else idleness.reason.value
         use = (
             store.decided_loads,
             store.inherited_loads,
             store.lost_loads,
             store.concurrency_limit,
+            idle_reason,
         )
         if self._logged_store_use_by_pool.get(pool.name) == use:
             return
@@ -231,6 +234,7 @@
                 "lost_loads": store.lost_loads,
                 "concurrency_limit": store.concurrency_limit,
                 "is_measured": self.store.is_measured,
+                "idle_reason": idle_reason,
             },
         )
 
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -677,6 +677,21 @@
         uses = [record for record in logs.records if "store use" in record.msg]
         self.assertEqual([(use.decided_loads, use.inherited_loads) for use in uses], [(0, 1)])
 
+    def test_the_reason_of_an_idle_store_is_logged(self):
+        self.begin_load_from_the_store()
+        self.placement.clear()
+        self.pool = pool(spec("warm", 60.0), spec("only-in-store", 60.0, store_load_ms=13_200))
+        busy = report(("warm",), running=1)
+        body = EndpointReport(POOL, self.engines["e"].address, busy, 0, False, self.facts_number)
+        self.registry.record_report(AgentReport("tcp://e", 1, body, self.now_s))
+        self.registry.set_directory([self.engines["e"]])
+        self.report_waiting("only-in-store")
+        self.board.record_report("x", DemandReport((demand("warm", 9, in_flight=9),)), self.now_s)
+        with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
+            self.decide()
+        (use,) = [record for record in logs.records if "store use" in record.msg]
+        self.assertEqual(use.idle_reason, "no_free_engine")
+
 
 class RegistryTest(unittest.TestCase):
     def setUp(self):
