fleet: the weight store does not step in for a host whose engine is busy for a moment

Cause: requests that had waited for 1 s for a model on a host, four of them, made the store step in, as if no host could ever load it. Its engine was only exchanging another model, for 0.5 to 2.3 s. The load takes 13.2 s, longer than any client waits. Requests for models without a copy are refused at once and wait for nothing, so that the store, each time it became free, went to such a model first.

Change: where the load outlasts the patience of those who wait (12 s), it has to serve later clients, and steps in only once hosts have failed for as long as it takes. A load of 6 s steps in after 1 s, as before.

Test: test_the_store_does_not_step_in_for_a_host_whose_engine_is_busy_for_a_moment fails without the change.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -9,7 +9,7 @@
 from hemlockdock_control.fleet.disk_cache import DiskUses
 from hemlockdock_control.fleet.eviction import EngineMemory, EvictionCandidate, choose_evictions
 from hemlockdock_control.fleet.load_order import AwaitedModel, load_order
-from hemlockdock_control.fleet.model_copies import ModelCopies
+from hemlockdock_control.fleet.model_copies import LONGEST_PATIENCE_S, ModelCopies
 from hemlockdock_control.fleet.model_exchange import ModelExchange
 from hemlockdock_control.fleet.store_admission import HIGH_DEMAND_REQUESTS, StoreAdmission
 from hemlockdock_control.fleet.store_idleness import IdleReason, StoreIdleness
@@ -23,7 +23,8 @@
 # Period over which the requests served by a loaded model count as its benefit.
 HORIZON_S = 2.0
 # A model is loaded from the store once its requests have waited this long although some host has
-# its weights: none of those hosts had an engine with room.
+# its weights: none of those hosts had an engine with room. Where the load outlasts the patience of
+# those who wait, it has to serve later ones, and hosts get as long as it takes.
 STORE_FALLBACK_AFTER_S = 1.0
 # Requests that have waited this long may also evict a model with requests in flight; the shorter
 # limit applies to models in high demand.
@@ -133,7 +134,9 @@
         choice = self._cheapest_exchange(spec, gain, waited_s >= limit_s, reason)
         if choice is not None or spec.name not in self._copies.holders_by_name:
             return choice
-        if not is_in_demand or waited_s < STORE_FALLBACK_AFTER_S:
+        load_s = self.store.load_s(spec)
+        fallback_after_s = load_s if load_s > LONGEST_PATIENCE_S else STORE_FALLBACK_AFTER_S
+        if not is_in_demand or waited_s < fallback_after_s:
             return None
         if self._cheapest_exchange(spec, gain, True, reason) is not None:
             # A host is going to load it, at the expense of a model with requests in flight.
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -331,6 +331,30 @@
         self.assertEqual(self.choices(NOW_S + 1.1), [])
         self.assertEqual(self.choices(NOW_S + 1.3), [("x", "rare", ("warm",), "disk")])
 
+    def choose_while_the_only_host_is_busy(self, store_load_ms, waited_s):
+        """Return what is loaded elsewhere while the engine on the only host exchanges models."""
+        self.models = [spec("rare", store_load_ms=store_load_ms), spec("warm")]
+        message = ChangeModels(1, 1, "x", (), "warm")
+        pending = PendingChange(message, 1, "disk", NOW_S, NOW_S + 2)
+        self.views = {
+            "x": view("x", report(disk=("rare", "warm")), pending),
+            "y": view("y", report()),
+        }
+        self.add_waiting("rare", waiting=9)
+        return self.choices(NOW_S + waited_s)
+
+    def test_the_store_does_not_step_in_for_a_host_whose_engine_is_busy_for_a_moment(self):
+        self.assertEqual(self.choose_while_the_only_host_is_busy(13_200, 1.1), [])
+        self.assertEqual(self.choose_while_the_only_host_is_busy(13_200, 13.0), [])
+
+    def test_the_store_steps_in_for_a_host_once_a_load_would_have_been_there(self):
+        from_store = [("y", "rare", (), "store")]
+        self.assertEqual(self.choose_while_the_only_host_is_busy(13_200, 13.3), from_store)
+
+    def test_a_load_within_the_patience_of_those_who_wait_steps_in_for_a_host(self):
+        from_store = [("y", "rare", (), "store")]
+        self.assertEqual(self.choose_while_the_only_host_is_busy(6_000, 1.1), from_store)
+
     def put_store_load(self, endpoint_id, model, left_s=8):
         """Add an engine that a model is being loaded on from the store."""
         message = ChangeModels(1, 1, endpoint_id, (), model)
