fleet: of loads that the store was asked for together, only the last one to end tells how many it supports

Cause: two loads were decided at 17.6 s. The second one ended after 13.2 s, 'in time although another one ran beside it', and the estimate rose from 2 to 4. But the store had begun it first: which of two orders reaches the store first is not the order of the decisions.

Change: a load in time is no evidence while one is in progress that started within the uncertainty of a load's duration of it; that one inherits how many ran, and tells when it ends or is late.

Test: test_a_load_in_time_is_no_measurement_while_one_started_with_it_goes_on fails without the change.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
@@ -96,6 +96,11 @@
         if took_s > SLOW_LOAD_FACTOR * load.nominal_s:
             self._lower_estimate(load, took_s, now_s)
             return
+        later = self._load_started_with(load)
+        if later is not None:
+            # Which of them the store began first is unknown; the last one to end tells.
+            later.concurrent_at_start = max(later.concurrent_at_start, load.concurrent_at_start)
+            return
         self.is_measured = self.is_measured or load.concurrent_at_start > 1
         if load.concurrent_at_start >= self.concurrency_limit:
             self._raise_estimate(now_s)
@@ -112,6 +117,14 @@
             if took_s > SLOW_LOAD_FACTOR * load.nominal_s:
                 self._lower_estimate(load, took_s, now_s)
 
+    def _load_started_with(self, load):
+        """Return a load in progress that the store may have begun before another one, or None."""
+        uncertainty_s = (SLOW_LOAD_FACTOR - 1.0) * load.nominal_s
+        for other in self._load_by_number.values():
+            if abs(other.started_s - load.started_s) <= uncertainty_s:
+                return other
+        return None
+
     def _raise_estimate(self, now_s):
         if self._backoff_start_s is not None and now_s - self._backoff_start_s < RAISE_INTERVAL_S:
             return
--- a/packages/hemlockdock-control/tests/test_fleet_store_concurrency.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_concurrency.py
@@ -120,6 +120,26 @@
         quick.run(25 * NOMINAL_S)
         self.assertGreaterEqual(speed.concurrency_limit, 4)
 
+    def test_a_load_in_time_is_no_measurement_while_one_started_with_it_goes_on(self):
+        """The store may have begun them in the other order."""
+        speed = StoreConcurrencyEstimator()
+        speed.record_start(1, NOMINAL_S, 0.0)
+        speed.record_start(2, NOMINAL_S, 0.1)
+        speed.record_end(2, True, NOMINAL_S)
+        self.assertFalse(speed.is_measured)
+        self.assertEqual(speed.concurrency_limit, INITIAL_CONCURRENCY)
+        speed.check_overdue(1.5 * NOMINAL_S)
+        self.assertEqual((speed.is_measured, speed.concurrency_limit), (True, 1))
+
+    def test_the_last_of_loads_that_started_together_measures_the_store(self):
+        speed = StoreConcurrencyEstimator()
+        speed.record_start(1, NOMINAL_S, 0.0)
+        speed.record_start(2, NOMINAL_S, 0.1)
+        speed.record_end(2, True, NOMINAL_S)
+        speed.record_end(1, True, NOMINAL_S + 0.1)
+        self.assertTrue(speed.is_measured)
+        self.assertGreater(speed.concurrency_limit, INITIAL_CONCURRENCY)
+
 
 if __name__ == "__main__":
     unittest.main()
