--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
@@ -103,7 +103,7 @@
             return
         self.is_measured = self.is_measured or load.concurrent_at_start > 1
         if load.concurrent_at_start >= self.concurrency_limit:
-            self._raise_estimate(now_s)
+            self._raise_estimate(load, now_s)
 
     def check_overdue(self, now_s):
         """Lower the estimate if loads in progress are overdue.
@@ -125,7 +125,7 @@
                 return other
         return None
 
-    def _raise_estimate(self, now_s):
+    def _raise_estimate(self, load, now_s):
         if self._backoff_start_s is not None and now_s - self._backoff_start_s < RAISE_INTERVAL_S:
             return
         if self._backoff_start_s is None and self.concurrency_limit < DOUBLING_LIMIT:
@@ -134,6 +134,8 @@
             self.concurrency_limit = min(MAX_CONCURRENCY, self.concurrency_limit + 1)
         if self._backoff_start_s is not None:
             self._backoff_start_s = now_s
+        # One that ran alone tells nothing of two.
+        self.is_measured = self.is_measured and load.concurrent_at_start > 1
 
     def _lower_estimate(self, load, took_s, now_s):
         self.is_measured = True
--- a/packages/hemlockdock-control/tests/test_fleet_store_concurrency.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_concurrency.py
@@ -140,6 +140,17 @@
         self.assertTrue(speed.is_measured)
         self.assertGreater(speed.concurrency_limit, INITIAL_CONCURRENCY)
 
+    def test_a_load_that_ran_alone_does_not_count_as_measurement_of_two(self):
+        speed = StoreConcurrencyEstimator()
+        speed.record_start(1, NOMINAL_S, 0.0)
+        speed.record_start(2, NOMINAL_S, 0.0)
+        speed.check_overdue(2 * NOMINAL_S)
+        speed.forget_active_loads()
+        speed.record_start(3, NOMINAL_S, 100.0)
+        speed.record_end(3, True, 100.0 + NOMINAL_S)
+        self.assertFalse(speed.is_measured)
+        self.assertEqual(speed.concurrency_limit, INITIAL_CONCURRENCY)
+
 
 if __name__ == "__main__":
     unittest.main()
