fleet: on an unmeasured store a second load starts only together with the first

Cause: an unmeasured store was believed to support two loads, and one in very high demand was let in beside another as long as a third of that one's time was left. On a store that supports one it takes twice as long, and ends later than in turn by the time that had passed; so does all that comes after it.

Change: beside a first load a second one starts only while nine tenths of the first are left: it ends no later than in turn, and measures the store for all that follow. It needs the demand of a model in high demand, no longer in very high; only one such try runs at a time. Its expected duration is that of a store that supports one load, so that a lost one counts for long enough.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/engine.py
@@ -32,6 +32,7 @@
         self._disk_cache = OrderedDict((model, None) for model in on_disk)
         self._memory_cache = OrderedDict()
         self._change = None
+        self._is_loading = False
         self._store = None
         self._change_number = 0
         self._facts_number = 0
@@ -125,6 +126,7 @@
         float
             Duration of the load in seconds.
         """
+        self._is_loading = True
         for model in self._change.unload:
             if model in self._resident:
                 self._resident.remove(model)
@@ -143,6 +145,7 @@
         self._cache_copy(self._memory_cache, model, self._scenario.host_cache_mb)
         self._cache_copy(self._disk_cache, model, self._scenario.disk_cache_mb)
         self._change = None
+        self._is_loading = False
         if self._store is not None:
             self._store.end()
             self._store = None
@@ -162,7 +165,7 @@
         report = EngineReport(
             self._started_ms,
             self._change_number,
-            False,
+            self._is_loading,
             False,
             None,
             models,
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
@@ -95,6 +95,13 @@
         """Tell whether the change in progress loads from the store, or may do so."""
         return bool(self.coming_from_store) or (self.changing and not self.changing_to)
 
+    @property
+    def loads_pending_model(self):
+        """Tell whether the engine carries out the load of the pending change already."""
+        if self.pending is None or not self.report.busy:
+            return False
+        return not any(self.report.model(name) for name in self.pending.message.unload)
+
     @property
     def is_free(self):
         """Tell whether the engine can accept another change."""
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -15,8 +15,8 @@
 # store runs them one at a time: models requested later have to wait for all of them.
 UNMEASURED_STORE_BACKLOG_S = 12.0
 # Until then, a second load starts only while the first one has at least this fraction of its
-# duration left: later, there is little to gain, and twice the duration to lose.
-MIN_FRACTION_LEFT = 1 / 3
+# duration left: on a store that supports one load, it then ends hardly later than in turn.
+MIN_FRACTION_LEFT = 0.9
 MS_PER_S = 1_000.0
 
 
@@ -46,12 +46,14 @@
         self.inherited_loads = 0
         self.lost_loads = len(lost_ends_s)
         self._next_end_s = min(lost_ends_s, default=float("inf"))
+        self._all_have_begun = True
         for view in views:
             if not view.occupies_store:
                 continue
             if view.pending is not None:
                 self.decided_loads += 1
                 self._next_end_s = min(self._next_end_s, view.pending.ready_s)
+                self._all_have_begun = self._all_have_begun and view.loads_pending_model
             else:
                 self.inherited_loads += 1
                 # Its end is not known, and may be near.
@@ -77,10 +79,13 @@
         """
         self.decided_loads += 1
         self._next_end_s = min(self._next_end_s, ends_s)
+        self._all_have_begun = False
 
     def load_s(self, spec):
         """Return the expected duration of a load that starts now.
 
+        Until the store is measured, it is taken to support one load.
+
         Parameters
         ----------
         spec : ModelSpec
@@ -89,7 +94,8 @@
         -------
         float
         """
-        crowding = max(1.0, (self.active_loads + 1) / self._estimator.concurrency_limit)
+        limit = self._estimator.concurrency_limit if self._estimator.is_measured else 1
+        crowding = max(1.0, (self.active_loads + 1) / limit)
         return crowding * spec.store_load_ms / MS_PER_S
 
     def may_start(self, spec, demand, now_s):
@@ -114,14 +120,26 @@
             limit = full_speed_loads
         if self.active_loads < limit:
             return True
+        if not self._estimator.is_measured:
+            return demand >= HIGH_DEMAND_REQUESTS and self._may_measure(spec, now_s)
         return demand >= VERY_HIGH_DEMAND_REQUESTS and self._may_exceed_full_speed(spec, now_s)
 
+    def _may_measure(self, spec, now_s):
+        """Tell whether a load may start beside another to find out how many the store supports.
+
+        If the store had not begun the other one yet, this one could delay it.
+        """
+        if self.active_loads != 1 or not self._all_have_begun:
+            return False
+        if self._estimator.concurrency_limit < 2 or self._estimator.is_measuring:
+            return False
+        left_s = self._next_end_s - now_s
+        return left_s >= MIN_FRACTION_LEFT * spec.store_load_ms / MS_PER_S
+
     def _may_exceed_full_speed(self, spec, now_s):
         load_s = spec.store_load_ms / MS_PER_S
         wait_s = self._next_end_s - now_s
         limit = self._estimator.concurrency_limit
-        if not self._estimator.is_measured:
-            return self.active_loads < limit and wait_s >= MIN_FRACTION_LEFT * load_s
         # Each load beyond the limit makes this one longer by a share of a load at full speed.
         is_sooner = wait_s > load_s / limit
         return is_sooner and self.active_loads < int(limit * STORE_OVERCOMMIT_FACTOR)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
@@ -59,6 +59,11 @@
         self._load_by_number = {}
         self._backoff_start_s = None
 
+    @property
+    def is_measuring(self):
+        """Tell whether a load is in progress that started beside another one."""
+        return any(load.concurrent_at_start > 1 for load in self._load_by_number.values())
+
     def record_start(self, number, nominal_s, now_s):
         """Record the start of a load.
 
