fleet: a new leader prefetches no guess once clients have asked for models

Cause: a new leader takes the begin of its term for the begin of the deployment: all engines are new to it, and no request is known until entries report. Then models are prefetched by their number of adapters.

Change: nothing is prefetched once any request has been reported; what is asked for decides.

Test: test_a_new_leader_prefetches_no_guess_once_clients_have_asked fails without the change.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
@@ -147,6 +147,11 @@
         self.demand_by_model = {}
         self._first_request_s = None
 
+    @property
+    def has_requests(self):
+        """Tell whether any request has been reported."""
+        return self._first_request_s is not None
+
     def is_early(self, now_s, early_s):
         """Tell whether the first request arrived less than ``early_s`` ago, or none has arrived.
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -77,6 +77,7 @@
         self._use_by_name = {}
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
+        self._has_requests = demand.has_requests
         self._is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
         self._copies = ModelCopies(views.values(), now_s, history.silent)
         self._copies_by_name = self._copies.count_by_name
@@ -248,7 +249,7 @@
         """
         if not self._history.is_settled(self._now_s):
             return None
-        if self._history.may_prefetch(self._now_s) and self._is_early:
+        if self._history.may_prefetch(self._now_s) and not self._has_requests:
             # With a model come its adapters, each of which some clients ask for.
             for spec in sorted(self._spec_by_name.values(), key=lambda spec: -spec.adapters):
                 if not self.store.may_prefetch(spec):
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -495,6 +495,17 @@
     def test_a_model_with_a_longer_load_is_prefetched_alone(self):
         self.assertEqual(self.prefetched_count(13_200), 1)
 
+    def test_a_new_leader_prefetches_no_guess_once_clients_have_asked(self):
+        self.models = [spec("a", store_load_ms=13_200), spec("asked", store_load_ms=13_200)]
+        self.views = {"x": view("x", report())}
+        self.history.observe(self.views.values(), NOW_S - 1.0)
+        self.report_demand(demand("asked", 9))
+        self.assertNotIn("a", self.choices_now())
+
+    def choices_now(self):
+        chosen = ModelChoice(pool(*self.models), self.views, self.board, self.history, NOW_S)
+        return [choice.model.name for choice in chosen.choices()]
+
     def test_a_model_that_was_just_loaded_is_not_evicted(self):
         self.views = {"x": view("x", report(("warm", "hot"), disk=("rare",)))}
         self.warm_up(hot=9)
