fleet: the first load from the store waits for agents' reports, not for the directory

Cause: what no host has was known only 0.8 s after the directory had listed the last engine. Agents report what their hosts have before the directory lists their engines.

Change: hosts of all engines that respond count, listed or not, and the first load begins 0.8 s after an agent last reported for the first time, at an engine that is listed by then.

Test: test_the_store_is_used_before_the_directory_lists_all_engines_of_reporting_agents fails without the change; three more.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -247,19 +247,12 @@
         Few models are prefetched from the store: it may support a single load at a time, and it
         is unknown which models will be requested.
         """
+        if self._history.may_prefetch(self._now_s) and not self._has_requests:
+            choice = self._prefetch()
+            if choice is not None:
+                return choice
         if not self._history.is_settled(self._now_s):
             return None
-        if self._history.may_prefetch(self._now_s) and not self._has_requests:
-            # With a model come its adapters, each of which some clients ask for.
-            for spec in sorted(self._spec_by_name.values(), key=lambda spec: -spec.adapters):
-                if not self.store.may_prefetch(spec):
-                    continue
-                name = spec.name
-                if name in self._copies.holders_by_name or self._copies_by_name.get(name, 0):
-                    continue
-                choice = self._cheapest_exchange(spec, PREFETCH_GAIN, False, "no copy anywhere")
-                if choice is not None:
-                    return choice
         absent = [name for name in self._spec_by_name if not self._copies_by_name.get(name, 0)]
         absent.sort(key=self._value, reverse=True)
         for name in absent:
@@ -272,6 +265,20 @@
                 return choice
         return None
 
+    def _prefetch(self):
+        # With a model come its adapters, each of which some clients ask for.
+        for spec in sorted(self._spec_by_name.values(), key=lambda spec: -spec.adapters):
+            if not self.store.may_prefetch(spec):
+                continue
+            if spec.name in self._history.on_reported_hosts:
+                continue
+            if spec.name in self._copies.coming_from_store:
+                continue
+            choice = self._cheapest_exchange(spec, PREFETCH_GAIN, False, "no copy anywhere")
+            if choice is not None:
+                return choice
+        return None
+
     def _apply(self, choice):
         self._idle_views = [
             view for view in self._idle_views if view.endpoint_id != choice.endpoint_id
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -98,6 +98,8 @@
     silent : tuple of EngineView
         Engines with loads from the store whose agents have not reported lately.
     lost_loads : LostLoads
+    on_reported_hosts : frozenset of str
+        Models on hosts of engines that respond, whether the directory lists them or not.
     """
 
     def __init__(self, store=None):
@@ -110,6 +112,9 @@
         self._unresponsive_by_address = {}
         self._seen_ids = set()
         self._last_new_engine_s = 0.0
+        self.on_reported_hosts = frozenset()
+        self._reported_addresses = set()
+        self._last_new_report_s = 0.0
         self.recent_loads = RecentModelEvents(NEW_MODEL_GRACE_S)
         self.recent_failures = RecentModelEvents(FAILED_RETRY_DELAY_S)
 
@@ -135,6 +140,19 @@
             self._last_new_engine_s = now_s
             self._initial_models |= {model.name for model in view.report.models}
 
+    def observe_reports(self, models_by_address, now_s):
+        """Record which models the hosts of all engines have that respond, listed or not.
+
+        Parameters
+        ----------
+        models_by_address : dict of str to frozenset of str
+        now_s : float
+        """
+        self.on_reported_hosts = frozenset().union(*models_by_address.values())
+        if not self._reported_addresses.issuperset(models_by_address):
+            self._reported_addresses.update(models_by_address)
+            self._last_new_report_s = now_s
+
     def _observe_hosts(self, views, now_s, leaving_ids):
         responding_ids = set()
         for view in views:
@@ -195,6 +213,8 @@
     def may_prefetch(self, now_s):
         """Tell whether models may be loaded from the store before they are requested.
 
+        What all hosts have is known once no further agent has reported for a while.
+
         Parameters
         ----------
         now_s : float
@@ -203,6 +223,8 @@
         -------
         bool
         """
+        if now_s - self._last_new_report_s < ENGINE_DISCOVERY_S:
+            return False
         return now_s - self._last_new_engine_s < ENGINE_DISCOVERY_S + PREFETCH_WINDOW_S
 
     def was_initially_loaded(self, model):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -136,6 +136,30 @@
                 hosts[address] = report.body.report.on_host
         return hosts
 
+    def reported_hosts(self, pool, now_s):
+        """Return the models on the hosts of all engines that respond, listed or not.
+
+        Agents report before the directory lists their engines.
+
+        Parameters
+        ----------
+        pool : str
+        now_s : float
+
+        Returns
+        -------
+        dict of str to frozenset of str
+            Keyed by engine address.
+        """
+        hosts = {}
+        for address in self._report_by_engine:
+            report = self._fresh_report(address, now_s)
+            if report is None or report.body.pool != pool or not report.body.answers:
+                continue
+            loaded = {model.name for model in report.body.report.models}
+            hosts[address] = report.body.report.on_host | loaded
+        return hosts
+
     def _fresh_report(self, address, now_s):
         report = self._report_by_engine.get(address)
         if report is None or now_s - report.received_s > REPORT_MAX_AGE_S:
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -495,6 +495,29 @@
     def test_a_model_with_a_longer_load_is_prefetched_alone(self):
         self.assertEqual(self.prefetched_count(13_200), 1)
 
+    def test_what_an_unlisted_host_has_is_not_prefetched(self):
+        self.models = [spec("a", store_load_ms=13_200)]
+        self.views = {"x": view("x", report())}
+        self.history.observe(self.views.values(), NOW_S - 1.0)
+        self.history.observe_reports({"x": frozenset(), "y": frozenset({"a"})}, NOW_S - 1.0)
+        self.assertEqual(self.choices_now(), [])
+        self.history.observe_reports({"x": frozenset()}, NOW_S)
+        self.assertEqual(self.choices_now(), ["a"])
+
+    def test_prefetching_does_not_wait_for_the_directory_once_agents_have_reported(self):
+        self.models = [spec("a", store_load_ms=13_200)]
+        self.views = {"x": view("x", report())}
+        self.history.observe_reports({"x": frozenset(), "y": frozenset()}, NOW_S - 1.0)
+        self.history.observe(self.views.values(), NOW_S)
+        self.assertEqual(self.choices_now(), ["a"])
+
+    def test_nothing_is_prefetched_while_agents_still_report_for_the_first_time(self):
+        self.models = [spec("a", store_load_ms=13_200)]
+        self.views = {"x": view("x", report())}
+        self.history.observe(self.views.values(), NOW_S)
+        self.history.observe_reports({"x": frozenset(), "y": frozenset()}, NOW_S - 0.5)
+        self.assertEqual(self.choices_now(), [])
+
     def test_a_new_leader_prefetches_no_guess_once_clients_have_asked(self):
         self.models = [spec("a", store_load_ms=13_200), spec("asked", store_load_ms=13_200)]
         self.views = {"x": view("x", report())}
@@ -711,6 +734,21 @@
         self.assertGreaterEqual(again_s, 13.2)
         self.assertLess(again_s, 14.5)
 
+    def test_the_store_is_used_before_the_directory_lists_all_engines_of_reporting_agents(self):
+        self.engines = {"e": listed("e"), "other": listed("other")}
+        self.pool = pool(spec("only-in-store", store_load_ms=13_200))
+        loads = []
+        for step in range(40):
+            listed_count = min(2, max(0, (step - 20) // 10))
+            self.registry.set_directory(list(self.engines.values())[:listed_count])
+            self.report_engines("e", "other")
+            for message in self.decide(0.1):
+                if isinstance(message, ChangeModels):
+                    loads.append((step, message.load))
+                elif not self.facts_number:
+                    self.facts_number = message.number
+        self.assertEqual(loads[:1], [(30, "only-in-store")])
+
     def test_a_change_of_the_store_use_is_logged_once(self):
         self.report(change_number=7, changing=True)
         with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
