fleet: the store is not measured beside a load that was lost or that an earlier leader decided

Change: only beside a load that this leader decided and that goes on. A model that an engine has loaded counts as delivered, even before its host lists the weights.

Test: test_a_load_lost_just_after_its_begin_gets_no_second_one_beside_it fails without the change. test_the_store_is_not_free_while_an_engine_that_leaves_loads_from_it let the load vanish without its model and passed only as a second one was let in beside it; now the engine has loaded the model when the store is free, as the test's name says.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/lost_loads.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/lost_loads.py
@@ -44,6 +44,7 @@
         loaded = set()
         for view in views:
             loaded.update((view.endpoint_id, name) for name in view.report.on_host)
+            loaded.update((view.endpoint_id, model.name) for model in view.report.models)
             name = view.coming_from_store
             if name not in spec_by_name:
                 continue
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -129,7 +129,7 @@
 
         If the store had not begun the other one yet, this one could delay it.
         """
-        if self.active_loads != 1 or not self._all_have_begun:
+        if (self.active_loads, self.decided_loads) != (1, 1) or not self._all_have_begun:
             return False
         if self._estimator.concurrency_limit < 2 or self._estimator.is_measuring:
             return False
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -648,6 +648,8 @@
         self.pool = pool(spec("rare"), spec("warm"), spec("only-in-store", store_load_ms=13_200))
         self.report_waiting("only-in-store")
         for changing_to, expected in (("only-in-store", []), ("", ["only-in-store"])):
+            if not changing_to:
+                self.models = ("only-in-store",)
             self.report(1, changing=bool(changing_to), changing_to=changing_to)
             body = EndpointReport(POOL, staying.address, report(), 0, False, 0)
             self.registry.record_report(AgentReport("tcp://s", 1, body, self.now_s))
@@ -749,6 +751,14 @@
                     self.facts_number = message.number
         self.assertEqual(loads[:1], [(30, "only-in-store")])
 
+    def test_a_load_lost_just_after_its_begin_gets_no_second_one_beside_it(self):
+        change = self.begin_load_from_the_store()
+        (other,) = set(self.engines) - {change.endpoint_id}
+        self.report_engines("e", "other", change=change)
+        self.decide()
+        self.registry.set_directory([self.engines[other]])
+        self.assertEqual(self.loads_while_silent(change, 12.5), [])
+
     def test_a_change_of_the_store_use_is_logged_once(self):
         self.report(change_number=7, changing=True)
         with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
