control: loads of models are kept in the replicated state until they deliver or reach their planned end

Cause: begins and planned ends of loads were in the leader's memory. The store goes on with a load whose engine is lost; a new leader did not know of it, or, if the engine was lost later, took its own election for the load's begin.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/lost_loads.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/lost_loads.py
@@ -30,7 +30,7 @@
     def __init__(self):
         self._load_by_key = {}
 
-    def observe(self, views, spec_by_name, now_s):
+    def observe(self, views, spec_by_name, now_s, recorded=()):
         """Record which loads go on; one that has ended without its model is lost.
 
         Parameters
@@ -39,7 +39,10 @@
             All engines, also those that can't be used.
         spec_by_name : dict of str to ModelSpec
         now_s : float
+        recorded : iterable of RecordedLoad, optional
+            Loads from the store that the replicated state lists, also of earlier leaders.
         """
+        self._add_recorded(recorded, now_s)
         loading = set()
         loaded = set()
         for view in views:
@@ -58,6 +61,11 @@
             if load.is_lost and (key in loaded or now_s >= load.planned_end_s):
                 del self._load_by_key[key]
 
+    def _add_recorded(self, recorded, now_s):
+        for item in recorded:
+            if item.planned_end_s > now_s:
+                self._load_by_key.setdefault(item.load.key, TrackedLoad(item.planned_end_s))
+
     def planned_ends_s(self):
         """Return the planned ends of the lost loads.
 
@@ -71,5 +79,5 @@
 def _planned_end_s(view, spec, now_s):
     if view.pending is not None:
         return view.pending.ready_s
-    # An earlier leader decided the load, at an unknown time before.
+    # An earlier leader decided the load, at a time that is not recorded.
     return now_s + spec.store_load_ms / MS_PER_S
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -10,6 +10,7 @@
 from hemlockdock_control.fleet.engine_views import EngineViews
 from hemlockdock_control.fleet.model_choice import ModelChoice
 from hemlockdock_control.fleet.placement_history import PlacementHistory
+from hemlockdock_control.fleet.recorded_loads import RecordedLoads
 from hemlockdock_control.fleet.store_concurrency import StoreConcurrencyEstimator
 from hemlockdock_core.messages import ChangeModels, EngineFacts
 
@@ -63,6 +64,7 @@
     def __init__(self, policy=ModelChoice):
         self._policy = policy
         self.store = StoreConcurrencyEstimator()
+        self._recorded_loads = RecordedLoads()
         self.clear()
 
     def clear(self):
@@ -74,6 +76,17 @@
         self._first_view_s = None
         self._logged_store_use_by_pool = {}
 
+    def observe_recorded(self, loads, now_s, wall_ms):
+        """Learn which loads the replicated state lists, whether this member leads or not.
+
+        Parameters
+        ----------
+        loads : ModelLoads
+        now_s : float
+        wall_ms : int
+        """
+        self._recorded_loads.update(loads, now_s, wall_ms)
+
     def withheld(self, endpoint_id):
         """Return the models to which entries must route no more requests.
 
@@ -124,7 +137,8 @@
             history.unavailable = tuple(engines.unavailable_by_id.values())
             history.silent = tuple(engines.silent_by_id.values())
             specs = {model.name: model for model in pool.engine.models}
-            history.lost_loads.observe(engines.all(), specs, now_s)
+            recorded = self._recorded_loads.from_store(pool)
+            history.lost_loads.observe(engines.all(), specs, now_s, recorded)
             choice = self._policy(pool, views, demand, history, now_s)
             for chosen in choice.choices():
                 self._start_change(chosen, views[chosen.endpoint_id], now_s, term)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -179,11 +179,12 @@
         self._decide()
 
     def _decide(self):
+        now_s = self._reactor.seconds()
+        state = self.machine.state
+        self._placement.observe_recorded(state.endpoints.loads, now_s, wall_ms())
         # Without a valid lease, another member may already lead and send orders.
         if not self.replicator.has_lease:
             return
-        now_s = self._reactor.seconds()
-        state = self.machine.state
         if state.routes.manifest is not None:
             messages = self._placement.decide(
                 state.routes.manifest.pools,
--- a/packages/hemlockdock-control/hemlockdock_control/state/image.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/image.py
@@ -6,6 +6,7 @@
 from hemlockdock_control.state.former_values import FormerValue
 from hemlockdock_control.state.job_record import JobRecord
 from hemlockdock_control.state.manifests import Acceptance
+from hemlockdock_control.state.model_loads import ModelLoad
 from hemlockdock_control.state.node_record import NodeRecord
 from hemlockdock_control.state.replica_record import ReplicaRecord
 from hemlockdock_control.state.run_record import RunRecord
@@ -44,6 +45,7 @@
     former_pools, former_versions : list of FormerValue
     former_pools_since_ms, former_versions_since_ms : int or None
         Times since which they are complete; `NEVER_KEPT_MS` in snapshots of versions without them.
+    model_loads : list of ModelLoad
     """
 
     format: int
@@ -70,3 +72,4 @@
     former_pools_since_ms: int | None = NEVER_KEPT_MS
     former_versions: list[FormerValue] = field(default_factory=list)
     former_versions_since_ms: int | None = NEVER_KEPT_MS
+    model_loads: list[ModelLoad] = field(default_factory=list)
--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/state/model_loads.py
@@ -0,0 +1,93 @@
+"""Loads of models that were decided and have not delivered their models yet.
+
+They are derived from the rows of endpoints, and so outlive the leader that decided them. The weight
+store goes on with a load whose engine is lost until its planned end.
+"""
+
+import msgspec
+
+
+class ModelLoad(msgspec.Struct, array_like=True, frozen=True):
+    """A load that was decided.
+
+    Attributes
+    ----------
+    pool, endpoint_id, model : str
+    begun_ms : int
+        Committed time of the decision.
+    takes_ms : int
+        Expected duration.
+    """
+
+    pool: str
+    endpoint_id: str
+    model: str
+    begun_ms: int
+    takes_ms: int
+
+    @property
+    def key(self):
+        """Return the endpoint id and the model."""
+        return (self.endpoint_id, self.model)
+
+    @property
+    def planned_end_ms(self):
+        """Return the committed time at which it is expected to end."""
+        return self.begun_ms + self.takes_ms
+
+
+class ModelLoads:
+    """Loads of all endpoints, in progress or lost, until they deliver or reach their planned end.
+
+    Parameters
+    ----------
+    context : StateContext
+
+    Attributes
+    ----------
+    load_by_key : dict of (str, str) to ModelLoad
+        Keyed by endpoint id and model.
+    """
+
+    def __init__(self, context):
+        self._context = context
+        self.load_by_key = {}
+
+    def note_row(self, old, row):
+        """Note a row that was added or changed.
+
+        Parameters
+        ----------
+        old : EndpointRow or None
+            The endpoint's row before.
+        row : EndpointRow
+        """
+        self._remove_ended()
+        known = () if old is None else old.arriving
+        for arriving in row.arriving:
+            if arriving in known:
+                continue
+            key = (row.endpoint_id, arriving.name)
+            begun_ms = self._context.now_ms
+            self.load_by_key[key] = ModelLoad(row.pool, *key, begun_ms, arriving.takes_ms)
+        for key in list(self.load_by_key):
+            if key[0] == row.endpoint_id and _has_weights(row, key[1]):
+                del self.load_by_key[key]
+
+    def restore(self, loads):
+        """Restore the loads from a snapshot.
+
+        Parameters
+        ----------
+        loads : list of ModelLoad
+        """
+        self.load_by_key = {load.key: load for load in loads}
+
+    def _remove_ended(self):
+        for key, load in list(self.load_by_key.items()):
+            if self._context.now_ms >= load.planned_end_ms:
+                del self.load_by_key[key]
+
+
+def _has_weights(row, model):
+    return row.has_model(model) or model in (row.on_host or ())
--- a/packages/hemlockdock-control/hemlockdock_control/state/routes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/routes.py
@@ -1,6 +1,7 @@
 """Current route manifest and the known endpoints."""
 
 from hemlockdock_control.state.former_values import FormerValues
+from hemlockdock_control.state.model_loads import ModelLoads
 from hemlockdock_core.commands import CommandResult
 
 ACCEPTED = "accepted"
@@ -140,11 +141,13 @@
     row_by_id : dict of str to EndpointRow
     former_versions : FormerValues
         Software versions that pools had.
+    loads : ModelLoads
     """
 
     def __init__(self, context):
         self._context = context
         self.former_versions = FormerValues(context)
+        self.loads = ModelLoads(context)
         self.row_by_id = {}
 
     def versions_since(self, pool, since_ms):
@@ -180,7 +183,9 @@
         """
         self.former_versions.note_command(command.at_ms)
         for row in command.present:
-            self._note_former_version(self.row_by_id.get(row.endpoint_id), row)
+            old = self.row_by_id.get(row.endpoint_id)
+            self._note_former_version(old, row)
+            self.loads.note_row(old, row)
             self.row_by_id[row.endpoint_id] = row
             self._context.put(row)
         for endpoint_id in command.gone:
--- a/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
@@ -42,6 +42,7 @@
         state.routes.former_pools.known_since_ms,
         state.endpoints.former_versions.all(),
         state.endpoints.former_versions.known_since_ms,
+        list(state.endpoints.loads.load_by_key.values()),
     )
     return msgspec.msgpack.encode(image)
 
@@ -83,6 +84,7 @@
     state.crashes.seen_until_ms_by_crash = image.seen_until_ms_by_crash
     state.routes.restore(image.routes, image.routes_document)
     state.endpoints.restore(image.endpoints)
+    state.endpoints.loads.restore(image.model_loads)
     _restore_former_values(state, image)
     context.changes.restore(image.table_revision, _rows(state))
 
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -18,6 +18,9 @@
     changed_rows,
 )
 from hemlockdock_control.fleet.request_limits import RequestLimits
+from hemlockdock_control.state.context import StateContext
+from hemlockdock_control.state.routes import Endpoints
+from hemlockdock_core.commands import RecordEndpoints
 from hemlockdock_core.messages import (
     ChangeModels,
     DemandReport,
@@ -79,6 +82,10 @@
     )
 
 
+def wall_ms(now_s, step_ms=0):
+    return round(now_s * 1_000) + 1_000_000 + step_ms
+
+
 class ChoiceTest(unittest.TestCase):
     """Choose exchanges for a load that requests more models than fit into the engines."""
 
@@ -736,6 +743,60 @@
         self.assertGreaterEqual(again_s, 13.2)
         self.assertLess(again_s, 14.5)
 
+    def test_a_load_lost_just_after_its_begin_gets_no_second_one_beside_it(self):
+        change = self.begin_load_from_the_store()
+        (other,) = set(self.engines) - {change.endpoint_id}
+        self.report_engines("e", "other", change=change)
+        self.decide()
+        self.registry.set_directory([self.engines[other]])
+        self.assertEqual(self.loads_while_silent(change, 12.5), [])
+
+    def lead_anew(self, rows, recorded_s, wall_step_ms=0):
+        """Replace the leader by one that knows the recorded rows; its wall clock may differ."""
+        context = StateContext(0)
+        state = Endpoints(context)
+        context.advance(1, wall_ms(recorded_s))
+        state.record(RecordEndpoints(tuple(rows.values()), (), context.now_ms))
+        self.placement = Placement()
+        self.placement.observe_recorded(state.loads, self.now_s, wall_ms(self.now_s, wall_step_ms))
+        self.registry.clear(self.now_s)
+
+    def begin_of_next_load(self, change, other, wall_step_ms=0):
+        """Elect another leader, lose the engine; return when the load begins anew."""
+        begin_s = self.now_s
+        rows = self.registry.rows(self.now_s, self.placement, self.limits)
+        self.now_s += 3.0
+        self.lead_anew(rows, begin_s, wall_step_ms)
+        self.registry.set_directory([self.engines[other]])
+        while self.now_s < begin_s + 40.0:
+            if self.loads_while_silent(change, 0.5):
+                return self.now_s - begin_s
+        return None
+
+    def test_a_new_leader_waits_for_the_planned_end_of_a_load_lost_before_its_election(self):
+        for wall_step_ms in (0, 3_000):
+            self.setUp()
+            change = self.begin_load_from_the_store()
+            (other,) = set(self.engines) - {change.endpoint_id}
+            again_s = self.begin_of_next_load(change, other, wall_step_ms)
+            self.assertGreaterEqual(again_s, 13.2 - wall_step_ms / 1_000)
+            self.assertLess(again_s, 14.0)
+
+    def test_a_new_leader_knows_when_a_load_began_that_is_lost_later(self):
+        change = self.begin_load_from_the_store()
+        begin_s = self.now_s
+        rows = self.registry.rows(self.now_s, self.placement, self.limits)
+        self.now_s += 6.0
+        self.lead_anew(rows, begin_s)
+        self.registry.set_directory(self.engines.values())
+        self.report_engines("e", "other", change=change)
+        self.decide()
+        (other,) = set(self.engines) - {change.endpoint_id}
+        self.registry.set_directory([self.engines[other]])
+        while not self.loads_while_silent(change, 0.5):
+            self.assertLess(self.now_s - begin_s, 14.5)
+        self.assertGreaterEqual(self.now_s - begin_s, 13.2)
+
     def test_the_store_is_used_before_the_directory_lists_all_engines_of_reporting_agents(self):
         self.engines = {"e": listed("e"), "other": listed("other")}
         self.pool = pool(spec("only-in-store", store_load_ms=13_200))
@@ -751,14 +812,6 @@
                     self.facts_number = message.number
         self.assertEqual(loads[:1], [(30, "only-in-store")])
 
-    def test_a_load_lost_just_after_its_begin_gets_no_second_one_beside_it(self):
-        change = self.begin_load_from_the_store()
-        (other,) = set(self.engines) - {change.endpoint_id}
-        self.report_engines("e", "other", change=change)
-        self.decide()
-        self.registry.set_directory([self.engines[other]])
-        self.assertEqual(self.loads_while_silent(change, 12.5), [])
-
     def test_a_change_of_the_store_use_is_logged_once(self):
         self.report(change_number=7, changing=True)
         with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
