fleet: how many loads the store supports stays known over elections

Cause: the estimate was fed by the loads that this member decided. Each new leader started unmeasured, and a measurement takes longer than a load of 13.2 s.

Change: members that do not lead follow the loads in the replicated state and feed the same estimate; not with loads that went on over an election, nor after a pause of their own, since their ends are seen late.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
@@ -14,6 +14,7 @@
 SLOTS = 32
 # Time for which no member decides after a leader is lost.
 ELECTION_S = 1.0
+FOLLOWERS = 4
 # Wall-clock time at the first request.
 WALL_CLOCK_S = 1_000_000
 MS_PER_S = 1_000
@@ -33,6 +34,7 @@
         self._pool = pool
         self._policy = policy
         self._placement = Placement(policy)
+        self._followers = [Placement(policy) for _ in range(FOLLOWERS)]
         self._registry = EndpointRegistry()
         self._limits = RequestLimits(0.0)
         self._demand = DemandAggregator()
@@ -74,7 +76,10 @@
         """
         self._term += 1
         self._leads_from_s = now_s + ELECTION_S
-        self._placement = Placement(self._policy)
+        # The former leader is back, without its memory, by the time it could be elected again.
+        self._followers.append(Placement(self._policy))
+        self._placement = self._followers.pop(0)
+        self._placement.clear()
         listed = self._registry.listed_by_id
         self._registry.clear(self._leads_from_s)
         self._registry.listed_by_id = listed
@@ -91,6 +96,13 @@
         if self.leads(now_s):
             self._demand.record_report("entry", DemandReport((demand,)), now_s)
 
+    def _observe_recorded(self, now_s):
+        endpoints = self._endpoints
+        for placement in (self._placement, *self._followers):
+            placement.observe_recorded(endpoints.loads, now_s, _wall_ms(now_s))
+        for placement in self._followers:
+            placement.follow([self._pool], endpoints.row_by_id, now_s, self._term)
+
     def decide(self, engines, now_s):
         """Run one placement round.
 
@@ -106,6 +118,7 @@
         """
         if not self.leads(now_s):
             return []
+        self._observe_recorded(now_s)
         for engine in engines:
             report = AgentReport(engine.name, 1, engine.report(now_s), now_s)
             self._registry.record_report(report)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -12,6 +12,7 @@
 from hemlockdock_control.fleet.placement_history import PlacementHistory
 from hemlockdock_control.fleet.recorded_loads import RecordedLoads
 from hemlockdock_control.fleet.store_concurrency import StoreConcurrencyEstimator
+from hemlockdock_control.fleet.store_follower import StoreFollower
 from hemlockdock_core.messages import ChangeModels, EngineFacts
 
 logger = logging.getLogger(__name__)
@@ -65,6 +66,7 @@
         self._policy = policy
         self.store = StoreConcurrencyEstimator()
         self._recorded_loads = RecordedLoads()
+        self._follower = StoreFollower(self.store)
         self.clear()
 
     def clear(self):
@@ -87,6 +89,18 @@
         """
         self._recorded_loads.update(loads, now_s, wall_ms)
 
+    def follow(self, pools, rows, now_s, term):
+        """Follow the decisions of another leader, to be able to succeed it.
+
+        Parameters
+        ----------
+        pools : iterable of PoolRow
+        rows : dict of str to EndpointRow
+        now_s : float
+        term : int
+        """
+        self._follower.follow(pools, rows, self._recorded_loads, now_s, term)
+
     def withheld(self, endpoint_id):
         """Return the models to which entries must route no more requests.
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -184,6 +184,7 @@
         self._placement.observe_recorded(state.endpoints.loads, now_s, wall_ms())
         # Without a valid lease, another member may already lead and send orders.
         if not self.replicator.has_lease:
+            self._follow(state, now_s)
             return
         if state.routes.manifest is not None:
             messages = self._placement.decide(
@@ -198,6 +199,13 @@
                 self._send(message.agent_address, message.message)
         self._record_endpoints()
 
+    def _follow(self, state, now_s):
+        if state.routes.manifest is None or self.replicator.is_leader or not self._nodes.is_fresh:
+            return
+        pools = state.routes.manifest.pools
+        rows = state.endpoints.row_by_id
+        self._placement.follow(pools, rows, now_s, self.replicator.term)
+
     def _record_endpoints(self):
         # Without a valid lease, the recorded limits of endpoints may not be applied here yet.
         if self._commit_pending or not self.replicator.has_lease:
