fleet: two models are prefetched at first, to measure the store before anybody asks

Change: the first model that is prefetched gets a second one beside it, as soon as its engine loads. On a store that supports one, it ends when it would have ended in turn; which model it is is a guess, where demand could have chosen 13 s later.

Loads of 6 s are as before: two are prefetched.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -268,7 +268,7 @@
     def _prefetch(self):
         # With a model come its adapters, each of which some clients ask for.
         for spec in sorted(self._spec_by_name.values(), key=lambda spec: -spec.adapters):
-            if not self.store.may_prefetch(spec):
+            if not self.store.may_prefetch(spec, self._now_s):
                 continue
             if spec.name in self._history.on_reported_hosts:
                 continue
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -144,18 +144,21 @@
         is_sooner = wait_s > load_s / limit
         return is_sooner and self.active_loads < int(limit * STORE_OVERCOMMIT_FACTOR)
 
-    def may_prefetch(self, spec):
+    def may_prefetch(self, spec, now_s):
         """Tell whether a load that no request waits for may start.
 
         Parameters
         ----------
         spec : ModelSpec
+        now_s : float
 
         Returns
         -------
         bool
         """
-        return self.active_loads < _unmeasured_limit(spec)
+        if self.active_loads < _unmeasured_limit(spec):
+            return True
+        return not self._estimator.is_measured and self._may_measure(spec, now_s)
 
 
 def _unmeasured_limit(spec):
