--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/baselines.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/baselines.py
@@ -3,12 +3,28 @@
 import importlib.util
 from pathlib import Path
 
+from hemlockdock_control.fleet.exchange_costs import ExchangeCosts
 from hemlockdock_control.fleet.model_choice import ModelChoice
 
 
+class RecencyCosts(ExchangeCosts):
+    """Value models by the time of their last request; unloading one costs nothing."""
+
+    def value(self, name):
+        """Return a value that is the higher, the later a model was last requested."""
+        use = self._use_by_name.get(name)
+        return 0.0 if use is None else max(0.0, 60.0 + use.last_asked_s - self._now_s)
+
+    def harm(self, name, blocked_s):
+        """Return 0."""
+        return 0.0
+
+
 class LeastRecentlyUsed(ModelChoice):
     """Load models in the order in which requests began to wait; unload the least recently used."""
 
+    costs_type = RecencyCosts
+
     def _awaited(self):
         waiting_models = []
         for name, use in self._use_by_name.items():
@@ -24,13 +40,6 @@
     def _ahead(self):
         return None
 
-    def _value(self, name):
-        use = self._use_by_name.get(name)
-        return 0.0 if use is None else max(0.0, 60.0 + use.last_asked_s - self._now_s)
-
-    def _harm(self, name, blocked_s):
-        return 0.0
-
     def _may_use_store(self, spec, gain, from_store):
         return True
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -8,20 +8,14 @@
 
 from hemlockdock_control.fleet.disk_cache import DiskUses
 from hemlockdock_control.fleet.eviction import EngineMemory, EvictionCandidate, choose_evictions
+from hemlockdock_control.fleet.exchange_costs import HORIZON_S, ExchangeCosts
 from hemlockdock_control.fleet.load_order import AwaitedModel, load_order
 from hemlockdock_control.fleet.model_copies import LONGEST_PATIENCE_S, ModelCopies
 from hemlockdock_control.fleet.model_exchange import ModelExchange
 from hemlockdock_control.fleet.store_admission import HIGH_DEMAND_REQUESTS, StoreAdmission
 from hemlockdock_control.fleet.store_idleness import IdleReason, StoreIdleness
 
-# Assumed request rate for a model whose only local copy is on the blocked host: demand may shift to
-# it, and no other host could load it quickly.
-SOLE_HOLDER_RATE_PER_S = 0.1
-# Fraction of a model's requests that wait while its engine accepts no adapter orders.
-ADAPTER_REQUEST_FRACTION = 0.3
 MS_PER_S = 1_000.0
-# Period over which the requests served by a loaded model count as its benefit.
-HORIZON_S = 2.0
 # A model is loaded from the store once its requests have waited this long although some host has
 # its weights: none of those hosts had an engine with room. Where the load outlasts the patience of
 # those who wait, it has to serve later ones, and hosts get as long as it takes.
@@ -30,17 +24,9 @@
 # limit applies to models in high demand.
 BUSY_EVICTION_WAIT_S = 4.0
 HIGH_DEMAND_BUSY_EVICTION_WAIT_S = 1.2
-# Time from the end of a model load to the first event of a response.
-FIRST_EVENT_S = 0.15
 # Additional duration of an exchange that evicts a model with requests in flight.
 BUSY_VICTIM_DELAY_S = 1.5
-# Assumed request rate of the initially loaded models until there is enough demand history.
-PRIOR_RATE_PER_S = 0.3
 PRIOR_RATE_PERIOD_S = 4.0
-# Time from a decision until entries have learned of it.
-NOTIFICATION_DELAY_S = 0.3
-# Evicting one of several copies delays requests only until they are rerouted to another copy.
-REROUTE_DELAY_S = 0.1
 PREFETCH_GAIN = 20.0
 # An engine that takes few requests per second gets a model only if there is no other for it.
 LIMITED_COST_S = 60.0
@@ -61,10 +47,13 @@
 
     Attributes
     ----------
+    costs : ExchangeCosts
     store : StoreAdmission
     store_idleness : StoreIdleness
     """
 
+    costs_type = ExchangeCosts
+
     def __init__(self, pool, views, demand, history, now_s):
         loading = [*views.values(), *history.unavailable, *history.silent]
         self.store = StoreAdmission(history.store, loading, history.lost_loads.planned_ends_s())
@@ -78,13 +67,21 @@
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
         self._has_requests = demand.has_requests
-        self._is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
         self._copies = ModelCopies(views.values(), now_s, history.silent)
         self._copies_by_name = self._copies.count_by_name
         self._idle_views = [view for view in views.values() if view.is_free]
         self._disk_uses = DiskUses(pool.engine, self._spec_by_name, self._copies.holders_by_name)
         # An engine gets one exchange at most, so that what it is going to have stays valid.
         self._resident_by_id = {view.endpoint_id: view.resident for view in self._idle_views}
+        is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
+        self.costs = self.costs_type(
+            self._spec_by_name,
+            self._use_by_name,
+            self._copies,
+            self._resident_by_id,
+            history.initial_models if is_early else frozenset(),
+            now_s,
+        )
 
     def choices(self):
         """Yield the exchanges to start now, at most one per endpoint."""
@@ -111,17 +108,12 @@
             if not use.waiting and not use.returning:
                 continue
             spec = self._spec_by_name[name]
-            event_s = self._now_s + self._fastest_first_event_s(name)
+            event_s = self._now_s + self.costs.fastest_first_event_s(name)
             is_on_host = name in self._copies.holders_by_name
             awaited.append(AwaitedModel(spec, use, is_on_host, event_s))
         for item in load_order(awaited, self._now_s):
             yield item.spec, item.use
 
-    def _fastest_first_event_s(self, name):
-        spec = self._spec_by_name[name]
-        load_ms = spec.disk_load_ms if name in self._copies.holders_by_name else spec.store_load_ms
-        return load_ms / MS_PER_S + FIRST_EVENT_S
-
     def _crowded(self):
         for name, excess in self._copies.crowded(self._use_by_name):
             yield self._spec_by_name[name], excess
@@ -167,10 +159,10 @@
             if victims is None:
                 continue
             blocked_s = load_s if source == "store" else 0.0
-            harm = sum(self._harm(name, blocked_s) for name in victims)
-            busy = any(self._requests_per_copy(name) for name in victims)
+            harm = sum(self.costs.harm(name, blocked_s) for name in victims)
+            busy = any(self.costs.requests_per_copy(name) for name in victims)
             takes_s = load_s + (BUSY_VICTIM_DELAY_S if busy else 0.0)
-            blocked = takes_s * self._blocked_rate(view, spec)
+            blocked = takes_s * self.costs.blocked_rate(view, spec)
             benefit = gain
             if source == "store" and use is not None:
                 # The copy that the load leaves on the host serves further requests.
@@ -186,7 +178,7 @@
                 cost += LIMITED_COST_S
             if best is None or cost < best[0]:
                 why = f"{reason}, harm {harm:.2f}"
-                rate = sum(self._value(name) for name in victims)
+                rate = sum(self.costs.value(name) for name in victims)
                 best = cost, ModelExchange(
                     view.endpoint_id, spec, victims, source, takes_s, rate, why, from_store
                 )
@@ -196,40 +188,6 @@
             return None
         return best[1]
 
-    def _harm(self, name, blocked_s):
-        """Return the number of requests that would have to wait if one copy were unloaded.
-
-        The only host with a model's weights loads it no sooner than after ``blocked_s``.
-        """
-        value = self._value(name)
-        copies = self._copies_by_name.get(name, 1)
-        use = self._use_by_name.get(name)
-        if copies > 1:
-            return value * REROUTE_DELAY_S
-        waiting = 0 if use is None else use.waiting
-        absent_s = HORIZON_S + self._fastest_first_event_s(name) + NOTIFICATION_DELAY_S
-        if self._copies.holders_by_name[name] <= 1:
-            absent_s += blocked_s
-        return value * absent_s + waiting
-
-    def _blocked_rate(self, view, spec):
-        """Return the rate of requests that have to wait while an engine exchanges models."""
-        rate = 0.0
-        for name in view.report.on_host:
-            if name == spec.name or self._copies_by_name.get(name, 0):
-                continue
-            holders = self._copies.holders_by_name[name]
-            if holders == 1:
-                rate += SOLE_HOLDER_RATE_PER_S
-            use = self._use_by_name.get(name)
-            if use is not None:
-                rate += use.rate_now(self._now_s) / max(1, holders)
-        for name in self._resident_by_id[view.endpoint_id]:
-            known = self._spec_by_name.get(name)
-            if known is not None and known.adapters:
-                rate += self._value(name) * ADAPTER_REQUEST_FRACTION
-        return rate
-
     def _may_use_store(self, spec, gain, from_store):
         # An engine on a host with the weights usually becomes idle long before a store load ends.
         is_on_host = spec.name in self._copies.holders_by_name
@@ -254,10 +212,10 @@
         if not self._history.is_settled(self._now_s):
             return None
         absent = [name for name in self._spec_by_name if not self._copies_by_name.get(name, 0)]
-        absent.sort(key=self._value, reverse=True)
+        absent.sort(key=self.costs.value, reverse=True)
         for name in absent:
             spec = self._spec_by_name[name]
-            value = self._value(name)
+            value = self.costs.value(name)
             if value <= RATE_MARGIN_PER_S:
                 return None
             choice = self._cheapest_exchange(spec, value - RATE_MARGIN_PER_S, False, "worth more")
@@ -300,24 +258,10 @@
         for name in resident:
             if self._history.recent_loads.contains(view.endpoint_id, name, self._now_s):
                 continue
-            is_busy = self._requests_per_copy(name) > 0
+            is_busy = self.costs.requests_per_copy(name) > 0
             if is_busy and not may_evict_busy:
                 continue
             required_mb = self._memory.required_mb(name)
-            candidates.append(EvictionCandidate(is_busy, self._value(name), name, required_mb))
+            candidates.append(EvictionCandidate(is_busy, self.costs.value(name), name, required_mb))
         free_mb = self._memory.free_mb(resident)
         return choose_evictions(candidates, free_mb, self._memory.required_mb(spec.name))
-
-    def _value(self, name):
-        """Return the request rate per copy of a model."""
-        use = self._use_by_name.get(name)
-        if use is None or use.rate_now(self._now_s) <= 0.0:
-            use_prior = self._is_early and self._history.was_initially_loaded(name)
-            return PRIOR_RATE_PER_S if use_prior else 0.0
-        return use.rate_now(self._now_s) / max(1, self._copies_by_name.get(name, 1))
-
-    def _requests_per_copy(self, name):
-        use = self._use_by_name.get(name)
-        if use is None:
-            return 0
-        return use.in_flight // max(1, self._copies_by_name.get(name, 1))
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -98,6 +98,8 @@
     silent : tuple of EngineView
         Engines with loads from the store whose agents have not reported lately.
     lost_loads : LostLoads
+    initial_models : set of str
+        Models that were already loaded on an engine when that engine was discovered.
     on_reported_hosts : frozenset of str
         Models on hosts of engines that respond, whether the directory lists them or not.
     """
@@ -107,7 +109,7 @@
         self.unavailable = ()
         self.silent = ()
         self.lost_loads = LostLoads()
-        self._initial_models = set()
+        self.initial_models = set()
         self._host_by_endpoint = {}
         self._unresponsive_by_address = {}
         self._seen_ids = set()
@@ -138,7 +140,7 @@
                 continue
             self._seen_ids.add(view.endpoint_id)
             self._last_new_engine_s = now_s
-            self._initial_models |= {model.name for model in view.report.models}
+            self.initial_models |= {model.name for model in view.report.models}
 
     def observe_reports(self, models_by_address, now_s):
         """Record which models the hosts of all engines have that respond, listed or not.
@@ -226,16 +228,3 @@
         if now_s - self._last_new_report_s < ENGINE_DISCOVERY_S:
             return False
         return now_s - self._last_new_engine_s < ENGINE_DISCOVERY_S + PREFETCH_WINDOW_S
-
-    def was_initially_loaded(self, model):
-        """Tell whether a model was already loaded on an engine when that engine was discovered.
-
-        Parameters
-        ----------
-        model : str
-
-        Returns
-        -------
-        bool
-        """
-        return model in self._initial_models
