--- /dev/null
+++ b/tools/mutants/weight_store.py
@@ -0,0 +1,116 @@
+"""Mutants of what control knows of the weight store, and of its use."""
+
+from mutants.mutant import Mutant
+
+FLEET = "packages/hemlockdock-control/hemlockdock_control/fleet/"
+CONTROL_TESTS = "packages/hemlockdock-control/tests/"
+PLACEMENT = CONTROL_TESTS + "test_fleet_placement.py"
+CONCURRENCY = CONTROL_TESTS + "test_fleet_store_concurrency.py"
+
+MUTANTS = [
+    Mutant(
+        "step in at once for a host whose engine is busy",
+        FLEET + "model_choice.py",
+        "load_s if load_s > LONGEST_PATIENCE_S else STORE_FALLBACK_AFTER_S",
+        "STORE_FALLBACK_AFTER_S",
+        PLACEMENT,
+    ),
+    Mutant(
+        "start a second load in the middle of one",
+        FLEET + "store_admission.py",
+        "MIN_FRACTION_LEFT = 0.9",
+        "MIN_FRACTION_LEFT = 0.3",
+        PLACEMENT,
+    ),
+    Mutant(
+        "start a second load before the store has begun the first",
+        FLEET + "store_admission.py",
+        " or not self._all_have_begun:",
+        ":",
+        PLACEMENT,
+    ),
+    Mutant(
+        "measure the store beside a lost load",
+        FLEET + "store_admission.py",
+        "(self.active_loads, self.decided_loads) != (1, 1)",
+        "self.active_loads != 1",
+        PLACEMENT,
+    ),
+    Mutant(
+        "take the first of two loads for a measurement",
+        FLEET + "store_concurrency.py",
+        "        if later is not None:\n",
+        "        if False:\n",
+        CONCURRENCY,
+    ),
+    Mutant(
+        "take a load that ran alone for a measurement",
+        FLEET + "store_concurrency.py",
+        "        self.is_measured = self.is_measured and load.concurrent_at_start > 1\n",
+        "",
+        CONCURRENCY,
+    ),
+    Mutant(
+        "prefetch a guess while clients ask",
+        FLEET + "model_choice.py",
+        "may_prefetch(self._now_s) and not self._has_requests:",
+        "may_prefetch(self._now_s):",
+        PLACEMENT,
+    ),
+    Mutant(
+        "prefetch what an unlisted host has",
+        FLEET + "model_choice.py",
+        "if spec.name in self._history.on_reported_hosts:",
+        "if spec.name in self._copies.holders_by_name:",
+        PLACEMENT,
+    ),
+    Mutant(
+        "forget the loads of earlier leaders",
+        FLEET + "placement.py",
+        "engines.all(), specs, now_s, recorded)",
+        "engines.all(), specs, now_s)",
+        PLACEMENT,
+    ),
+    Mutant(
+        "forget loads with their endpoints",
+        "packages/hemlockdock-control/hemlockdock_control/state/model_loads.py",
+        "        self._remove_ended()\n",
+        "        self.load_by_key.clear()\n",
+        CONTROL_TESTS + "test_model_loads.py",
+    ),
+    Mutant(
+        "lose the loads in a snapshot",
+        "packages/hemlockdock-control/hemlockdock_control/state/snapshots.py",
+        "        list(state.endpoints.loads.load_by_key.values()),\n",
+        "        [],\n",
+        CONTROL_TESTS + "test_model_loads.py",
+    ),
+    Mutant(
+        "measure the store by loads that went on over an election",
+        FLEET + "store_follower.py",
+        "term == self._term and ",
+        "",
+        CONTROL_TESTS + "test_fleet_store_follower.py",
+    ),
+    Mutant(
+        "forget loads that the store goes on with",
+        FLEET + "model_choice.py",
+        "history.lost_loads.planned_ends_s())",
+        "())",
+        PLACEMENT,
+    ),
+    Mutant(
+        "load elsewhere what a silent engine loads",
+        FLEET + "engine_views.py",
+        "        if view.coming_from_store:\n",
+        "        if False:\n",
+        PLACEMENT,
+    ),
+    Mutant(
+        "drop last copies as any others",
+        FLEET + "disk_cache.py",
+        "self.sole_copies / self.copies",
+        "0.0",
+        PLACEMENT,
+    ),
+]
