fleet: what a host has stays known while its engine restarts or its agent is silent

What callers saw: while any engine of the pool was down, requests for models that no host has waited for up to 8 s and were refused then; they can't be served, and are to be refused at once.

Cause: a row of an engine that does not respond said that its host's weights are unknown, and so did the row of a new engine until its agent's first report; entries let requests for any model wait while some host of the pool is unknown. From 5.7 to 14.8 s there was always one.

Change: HostWeights. An engine that crashed keeps, for the 8 s in which it may be back, what its host's disk had, and after that nothing; so does one whose agent is silent. A new engine whose agent takes over 2.5 s to report has nothing to load, if other agents of the pool report.

Tests: test_a_host_keeps_the_weights_on_its_disk_while_its_engine_restarts and three more fail without the change. That entries wait while the models of a host are unknown stays (test_request_waits_while_the_models_of_a_host_are_unknown).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hemlockdock_control.fleet.host_weights import HostWeights
 from hemlockdock_core.rows import ArrivingModel, EndpointRow, ResidentModel
 
 # Several report intervals: an older report is no more reliable than the directory.
@@ -40,6 +41,11 @@
         """
         return tuple(sorted(self.body.report.on_host))
 
+    @cached_property
+    def on_host_disk(self):
+        """Return the models whose weights the host keeps if the engine restarts, sorted."""
+        return tuple(sorted(self.body.report.on_host_disk))
+
 
 class EndpointRegistry:
     """Endpoints known from the directory and from agents, kept while this member leads."""
@@ -56,6 +62,7 @@
         """
         self.listed_by_id = None
         self._report_by_engine = {}
+        self._host_weights = HostWeights()
         self._cleared_s = now_s
 
     def set_directory(self, endpoints):
@@ -66,6 +73,7 @@
         endpoints : list of ListedEndpoint
         """
         self.listed_by_id = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
+        self._host_weights.forget_all_but(self.listed_by_id)
 
     def record_report(self, report):
         """Record an agent's report unless it is from an older process than the recorded one.
@@ -79,6 +87,7 @@
         if known is not None and known.incarnation > report.incarnation:
             return
         self._report_by_engine[address] = report
+        self._host_weights.record_report(report)
 
     def current_report(self, endpoint_id, address, now_s):
         """Return the current report about an endpoint, None if there is none.
@@ -194,8 +203,10 @@
             if _is_for_other_endpoint(report, listed.endpoint_id):
                 continue
             limit_per_s = limits.row_per_s(listed.endpoint_id, now_s)
-            row = _build_row(listed, report, placement, limit_per_s)
             known = recorded.get(listed.endpoint_id)
+            last_report = self.last_report(listed.endpoint_id, listed.address)
+            on_host = self._host_weights.available(listed, last_report, known, now_s)
+            row = _build_row(listed, report, placement, limit_per_s, on_host)
             if known is not None and known.address == listed.address:
                 row = self._with_known_facts(row, report, known, now_s)
             rows[listed.endpoint_id] = row
@@ -223,7 +234,7 @@
     return report is not None and report.body.endpoint_id not in ("", endpoint_id)
 
 
-def _build_row(listed, report, placement, limit_per_s):
+def _build_row(listed, report, placement, limit_per_s, on_host):
     models = listed.models if report is None else report.body.report.models
     if report is not None and not report.body.answers:
         models = ()
@@ -233,9 +244,6 @@
         ResidentModel(model.name, model.version) for model in models if model.name not in withheld
     ]
     resident.sort(key=lambda model: model.name)
-    on_host = None
-    if report is not None and report.body.answers:
-        on_host = report.on_host
     arriving = ()
     pending = placement.pending_by_id.get(listed.endpoint_id)
     if pending is not None:
--- a/packages/hemlockdock-control/tests/test_fleet_placement.py
+++ b/packages/hemlockdock-control/tests/test_fleet_placement.py
@@ -956,6 +956,47 @@
             self.registry.rows(0.0, self.placement, self.limits)["e"].on_host, ("a", "b")
         )
 
+    def on_host_while_unresponsive(self, seconds):
+        self.registry.set_directory([listed()])
+        for at_s, answers in ((0.0, True), (1.0, False), (1.0 + seconds, False)):
+            last = report(("b",), disk=("b", "a"), memory=("c",))
+            body = EndpointReport(POOL, listed().address, last, 0, False, 0, answers=answers)
+            self.registry.record_report(AgentReport("tcp://a", 1, body, at_s))
+        row = self.registry.rows(1.0 + seconds, self.placement, self.limits)["e"]
+        return row.models, row.on_host
+
+    def test_a_host_keeps_the_weights_on_its_disk_while_its_engine_restarts(self):
+        self.assertEqual(self.on_host_while_unresponsive(7.9), ((), ("a", "b")))
+
+    def test_a_host_whose_engine_stays_away_has_nothing_to_load(self):
+        self.assertEqual(self.on_host_while_unresponsive(8.0), ((), ()))
+
+    def on_host_of_silent(self, silent_s):
+        self.registry.set_directory([listed()])
+        body = EndpointReport(POOL, listed().address, report(disk=("a",)), 0, False, 0)
+        self.registry.record_report(AgentReport("tcp://a", 1, body, 0.0))
+        return self.registry.rows(silent_s, self.placement, self.limits)["e"].on_host
+
+    def test_a_host_keeps_its_weights_while_its_agent_is_silent_for_a_while(self):
+        self.assertEqual(self.on_host_of_silent(REPORT_MAX_AGE_S + 1.0), ("a",))
+        self.assertEqual(self.on_host_of_silent(8.0), ())
+
+    def on_host_of_new(self, seconds, other_reports):
+        """Return what is taken to be on the host of an engine that was listed some time ago."""
+        self.registry.set_directory([listed(), listed("new")])
+        if other_reports:
+            body = EndpointReport(POOL, listed().address, report(disk=("a",)), 0, False, 0)
+            self.registry.record_report(AgentReport("tcp://a", 1, body, 0.0))
+        self.registry.rows(0.0, self.placement, self.limits)
+        return self.registry.rows(seconds, self.placement, self.limits)["new"].on_host
+
+    def test_a_new_host_whose_agent_takes_long_to_start_has_nothing_to_load(self):
+        self.assertIsNone(self.on_host_of_new(REPORT_MAX_AGE_S, other_reports=True))
+        self.assertEqual(self.on_host_of_new(REPORT_MAX_AGE_S + 0.1, other_reports=True), ())
+
+    def test_nothing_is_known_of_hosts_before_any_agent_has_reported(self):
+        self.assertIsNone(self.on_host_of_new(60.0, other_reports=False))
+
     def test_rows_carry_the_software_version_of_the_directory(self):
         self.registry.set_directory([replace(listed(), software_version="v1.1"), listed("ff")])
         rows = self.registry.rows(0.0, self.placement, self.limits)
