--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -137,12 +137,9 @@
             Keyed by engine address.
         """
         hosts = {}
-        for address in self._report_by_engine:
-            report = self._fresh_report(address, now_s)
-            if report is None or report.body.answers or report.body.pool != pool:
-                continue
-            if not report.body.report.leaving:
-                hosts[address] = report.body.report.on_host
+        for report in self._fresh_reports(pool, now_s):
+            if not report.body.answers and not report.body.report.leaving:
+                hosts[report.body.engine_address] = report.body.report.on_host
         return hosts
 
     def reported_hosts(self, pool, now_s):
@@ -161,13 +158,17 @@
             Keyed by engine address.
         """
         hosts = {}
+        for report in self._fresh_reports(pool, now_s):
+            if report.body.answers:
+                loaded = {model.name for model in report.body.report.models}
+                hosts[report.body.engine_address] = report.body.report.on_host | loaded
+        return hosts
+
+    def _fresh_reports(self, pool, now_s):
         for address in self._report_by_engine:
             report = self._fresh_report(address, now_s)
-            if report is None or report.body.pool != pool or not report.body.answers:
-                continue
-            loaded = {model.name for model in report.body.report.models}
-            hosts[address] = report.body.report.on_host | loaded
-        return hosts
+            if report is not None and report.body.pool == pool:
+                yield report
 
     def _fresh_report(self, address, now_s):
         report = self._report_by_engine.get(address)
