--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -15,6 +15,8 @@
 CONTROL_TESTS = "packages/hemlockdock-control/tests/"
 SEEDING = CONTROL_TESTS + "test_seeding.py"
 PLACEMENT = CONTROL_TESTS + "test_fleet_placement.py"
+STORE_CHOICE = CONTROL_TESTS + "test_fleet_store_choice.py"
+STORE_LOADS = CONTROL_TESTS + "test_fleet_store_loads.py"
 AGENT = "packages/hemlockdock-agent/hemlockdock_agent/fleet/"
 AGENT_TESTS = "packages/hemlockdock-agent/tests/"
 AGENT_TEST = AGENT_TESTS + "test_fleet.py"
@@ -251,14 +253,14 @@
         FLEET + "store_admission.py",
         "if not view.occupies_store:",
         "if view.pending is None:",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
     Mutant(
         "count a load from the store as a copy",
         FLEET + "model_copies.py",
         "if not _counts_as_copy(view.pending, now_s):",
         "if False:",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
     Mutant(
         "count every change of an earlier leader as a load from the store",
@@ -272,14 +274,14 @@
         FLEET + "placement.py",
         "history.unavailable = tuple(engines.unavailable_by_id.values())",
         "history.unavailable = ()",
-        PLACEMENT,
+        STORE_LOADS,
     ),
     Mutant(
         "load from the store at once what a crashed host has",
         FLEET + "placement_history.py",
         "if now_s - host.absent_since_s < wait_s:",
         "if False:",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
     Mutant(
         "send reports behind orders",
@@ -300,7 +302,7 @@
         FLEET + "model_choice.py",
         "if not use.waiting and not use.returning:",
         "if not use.waiting:",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
     Mutant(
         "wait for the next poll of the directory before leading",
--- a/tools/mutants/weight_store.py
+++ b/tools/mutants/weight_store.py
@@ -4,7 +4,9 @@
 
 FLEET = "packages/hemlockdock-control/hemlockdock_control/fleet/"
 CONTROL_TESTS = "packages/hemlockdock-control/tests/"
-PLACEMENT = CONTROL_TESTS + "test_fleet_placement.py"
+STORE_CHOICE = CONTROL_TESTS + "test_fleet_store_choice.py"
+PREFETCH = CONTROL_TESTS + "test_fleet_prefetch.py"
+STORE_LOADS = CONTROL_TESTS + "test_fleet_store_loads.py"
 CONCURRENCY = CONTROL_TESTS + "test_fleet_store_concurrency.py"
 
 MUTANTS = [
@@ -13,28 +15,28 @@
         FLEET + "model_choice.py",
         "load_s if load_s > LONGEST_PATIENCE_S else STORE_FALLBACK_AFTER_S",
         "STORE_FALLBACK_AFTER_S",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
     Mutant(
         "start a second load in the middle of one",
         FLEET + "store_admission.py",
         "MIN_FRACTION_LEFT = 0.9",
         "MIN_FRACTION_LEFT = 0.3",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
     Mutant(
         "start a second load before the store has begun the first",
         FLEET + "store_admission.py",
         " or not self._all_have_begun:",
         ":",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
     Mutant(
         "measure the store beside a lost load",
         FLEET + "store_admission.py",
         "(self.active_loads, self.decided_loads) != (1, 1)",
         "self.active_loads != 1",
-        PLACEMENT,
+        STORE_LOADS,
     ),
     Mutant(
         "take the first of two loads for a measurement",
@@ -55,21 +57,21 @@
         FLEET + "model_choice.py",
         "may_prefetch(self._now_s) and not self._has_requests:",
         "may_prefetch(self._now_s):",
-        PLACEMENT,
+        PREFETCH,
     ),
     Mutant(
         "prefetch what an unlisted host has",
         FLEET + "model_choice.py",
         "if spec.name in self._history.on_reported_hosts:",
         "if spec.name in self._copies.holders_by_name:",
-        PLACEMENT,
+        PREFETCH,
     ),
     Mutant(
         "forget the loads of earlier leaders",
         FLEET + "placement.py",
         "engines.all(), specs, now_s, recorded)",
         "engines.all(), specs, now_s)",
-        PLACEMENT,
+        STORE_LOADS,
     ),
     Mutant(
         "forget loads with their endpoints",
@@ -97,20 +99,20 @@
         FLEET + "model_choice.py",
         "history.lost_loads.planned_ends_s())",
         "())",
-        PLACEMENT,
+        STORE_LOADS,
     ),
     Mutant(
         "load elsewhere what a silent engine loads",
         FLEET + "engine_views.py",
         "        if view.coming_from_store:\n",
         "        if False:\n",
-        PLACEMENT,
+        STORE_LOADS,
     ),
     Mutant(
         "drop last copies as any others",
         FLEET + "disk_cache.py",
         "self.sole_copies / self.copies",
         "0.0",
-        PLACEMENT,
+        STORE_CHOICE,
     ),
 ]
