core: time for which a node was paused is no silence of its control member

Cause: the agent was frozen from 3.2 to 8.2 s. As it ran again it took the leader for silent, avoided it for 3 s, and sent its reports to a follower, which discards them. Until 11.6 s the leader had no report of the engine, entries no agent for it, and nobody could load an adapter.

Change: the silence of the selected member counts at most a heartbeat's interval for each time that the node's timers run. A node that is paused again and again still drops a silent member.

Tests: test_a_node_that_was_paused_keeps_its_leader fails without the change; test_a_node_that_is_paused_again_and_again_drops_a_silent_leader.

--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -23,7 +23,6 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1_000
-SILENCE_LIMIT_HEARTBEATS = 3
 PROPOSAL_RETRY_S = 0.4
 TICK_INTERVAL_S = 0.1
 
@@ -66,7 +65,7 @@
         self._member_selector = MemberSelector(
             settings.members,
             info.node_id,
-            SILENCE_LIMIT_HEARTBEATS * self._heartbeat_s,
+            self._heartbeat_s,
             reactor.seconds(),
         )
         self.incarnation = message_transport.incarnation
@@ -258,13 +257,14 @@
             self._send_heartbeat()
 
     def _send_heartbeat(self):
+        now_s = self._reactor.seconds()
         previous = self._member_selector.current
-        if self._member_selector.select_next_if_silent(self._reactor.seconds()):
+        if self._member_selector.select_next_if_silent(now_s):
             self._transport.disconnect(previous.node_address)
             self._on_member_selected()
-        self._heartbeat_sent_s = self._reactor.seconds()
+        self._heartbeat_sent_s = now_s
         self._sequence += 1
-        self.contact.record_sent(self._sequence, self._reactor.seconds())
+        self.contact.record_sent(self._sequence, now_s)
         heartbeat = Heartbeat(
             self._sequence,
             *self._subscription.position,
@@ -273,7 +273,7 @@
             self._loads.send(self._sequence),
         )
         # The first heartbeat goes to one member only: usually there is a leader already.
-        if self._sequence == 1 or not self._search.is_on(self._reactor.seconds()):
+        if self._sequence == 1 or not self._search.is_on(now_s):
             self.send(heartbeat)
             return
         for member in self._member_selector.known_members:
@@ -290,10 +290,11 @@
             self.send(proposal)
 
     def _tick(self):
-        for proposal in self._pending_proposals.expire_and_get_due(self._reactor.seconds()):
+        now_s = self._reactor.seconds()
+        self._member_selector.note_run(now_s)
+        for proposal in self._pending_proposals.expire_and_get_due(now_s):
             self.send(proposal)
         self._subscription.request_if_empty()
-        now_s = self._reactor.seconds()
         since_s = now_s - self._heartbeat_sent_s
         if self._search.is_on(now_s) and self._search.is_due(since_s + TICK_INTERVAL_S / 2):
             self._send_heartbeat()
--- a/packages/hemlockdock-core/hemlockdock_core/node/member_selector.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/member_selector.py
@@ -8,6 +8,8 @@
 # A member that was dropped for silence is not selected again for this long, so that another leader
 # can be elected meanwhile.
 AVOID_MEMBER_S = 3.0
+# Silence after which the next member is selected.
+SILENCE_LIMIT_HEARTBEATS = 3
 
 
 class MemberSelector:
@@ -19,16 +21,17 @@
     ----------
     members : list of MemberAddress
     node_id : str
-    silence_limit_s : float
-        Silence after which the next member is selected.
+    heartbeat_s : float
+        Interval of the heartbeats to the selected member.
     now_s : float
     """
 
-    def __init__(self, members, node_id, silence_limit_s, now_s):
+    def __init__(self, members, node_id, heartbeat_s, now_s):
         self._members = members
         self._index = zlib.crc32(node_id.encode()) % len(members)
-        self._silence_limit_s = silence_limit_s
+        self._heartbeat_s = heartbeat_s
         self._last_frame_s = now_s
+        self._ran_s = now_s
         self._seeds = list(members)
         self._reported_members = []
         self._avoided_until_s_by_address = {}
@@ -114,6 +117,18 @@
         if sender == self.current.member_id:
             self._last_frame_s = now_s
 
+    def note_run(self, now_s):
+        """Note that this process runs; time for which it was paused is no silence of the member.
+
+        Parameters
+        ----------
+        now_s : float
+        """
+        pause_s = now_s - self._ran_s - self._heartbeat_s
+        self._ran_s = now_s
+        if pause_s > 0.0:
+            self._last_frame_s += pause_s
+
     def select_next(self, now_s):
         """Avoid the selected member for a while and select the next one.
 
@@ -137,7 +152,8 @@
         bool
             Whether the next member was selected.
         """
-        if now_s - self._last_frame_s <= self._silence_limit_s:
+        self.note_run(now_s)
+        if now_s - self._last_frame_s <= SILENCE_LIMIT_HEARTBEATS * self._heartbeat_s:
             return False
         self.select_next(now_s)
         return True
--- a/packages/hemlockdock-core/tests/test_fleet_link.py
+++ b/packages/hemlockdock-core/tests/test_fleet_link.py
@@ -121,6 +121,20 @@
         self.clock.advance(0.5)
         self.assertEqual(self.heartbeats()[0], address("127.0.0.1"))
 
+    def test_a_node_that_was_paused_keeps_its_leader(self):
+        self.acknowledge("127.0.0.1", "127.0.0.1")
+        self.clock.pump([0.1] * 5)
+        self.clock.advance(5.0)
+        self.acknowledge("127.0.0.1", "127.0.0.1")
+        self.heartbeats()
+        self.clock.pump([0.1] * 6)
+        self.assertEqual(set(self.heartbeats()), {address("127.0.0.1")})
+
+    def test_a_node_that_is_paused_again_and_again_drops_a_silent_leader(self):
+        self.acknowledge("127.0.0.1", "127.0.0.1")
+        self.clock.pump([1.0] * 5)
+        self.assertNotEqual(self.link._member_selector.current.node_address, address("127.0.0.1"))
+
     def test_reported_members_are_added_and_seeds_are_kept(self):
         self.acknowledge("127.0.0.1", "127.0.0.7", members=("127.0.0.7",))
         self.clock.advance(0.5)
