--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/absent_models.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/absent_models.py
@@ -65,6 +65,7 @@
         The fewest that any schedule of the store leaves, if no load is lost.
     answered : int
         Answered requests for models that no host had at the start.
+    store_loads : tuple of StoreLoad
     """
 
     seed: int
@@ -72,6 +73,7 @@
     never_served: int
     bound: int
     answered: int
+    store_loads: tuple
 
 
 def simulate_day(scenario, policy, seed):
@@ -113,7 +115,8 @@
     first_load_s = scenario.listed_after_s - scenario.warm_up_s
     load_s = scenario.store_load_ms / MS_PER_S / scenario.store_full_speed_loads
     bound = len(absent) - most_names_served(absent, first_load_s, load_s)
-    return AbsentModelsRow(seed, len(requested), never_served, bound, answered)
+    loads = tuple(simulation.store_loads)
+    return AbsentModelsRow(seed, len(requested), never_served, bound, answered, loads)
 
 
 def _latest_useful_load_end_s(request):
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/experiment.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/experiment.py
@@ -68,7 +68,7 @@
             Simulation(SCENARIOS[scenario], find_policy(policy), seed, duration_s).run()
             for seed in seeds
         ]
-        loads = sum(simulation.store_loads for simulation in simulations)
+        loads = sum(len(simulation.store_loads) for simulation in simulations)
         for traffic in simulations[0].result_by_class:
             results = [simulation.result_by_class[traffic] for simulation in simulations]
             rows.append(_row(policy, traffic, results, loads))
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/simulation.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/simulation.py
@@ -44,10 +44,10 @@
 
     def __init__(self, scenario, policy, seed, duration_s, disturbances=()):
         self._scenario = scenario
-        self._store = SimulatedWeightStore(scenario.store_full_speed_loads)
         self._pool = scenario.pool
         self._duration_s = duration_s
         self._events = EventQueue(-scenario.warm_up_s)
+        self._store = SimulatedWeightStore(scenario.store_full_speed_loads, self._events)
         self._control = SimulatedControl(self._pool, policy)
         self._disturbances = disturbances
         self._engine_by_name = {}
@@ -65,8 +65,8 @@
 
     @property
     def store_loads(self):
-        """Number of loads that were started from the weight store."""
-        return self._store.loads_started
+        """Loads that the weight store has begun."""
+        return self._store.loads
 
     def run(self):
         """Run the simulation until no event is left.
--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/store.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/store.py
@@ -1,5 +1,23 @@
 """Simulate the weight store: concurrent loads beyond a limit slow new loads down in proportion."""
 
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLoad:
+    """A load that the store has begun.
+
+    Attributes
+    ----------
+    begun_s, takes_s : float
+    concurrent : int
+        Loads in progress when it began, including itself.
+    """
+
+    begun_s: float
+    takes_s: float
+    concurrent: int
+
 
 class SimulatedWeightStore:
     """Simulate the weight store.
@@ -10,14 +28,17 @@
     ----------
     full_speed_loads : int
         Number of concurrent loads served at full speed.
+    events : EventQueue
 
     Attributes
     ----------
-    loads_started : int
+    loads : list of StoreLoad
+        All loads, in the order in which they began.
     """
 
-    def __init__(self, full_speed_loads):
-        self.loads_started = 0
+    def __init__(self, full_speed_loads, events):
+        self.loads = []
+        self._events = events
         self._full_speed_loads = full_speed_loads
         self._active_loads = 0
 
@@ -34,9 +55,10 @@
         float
             Duration of the load in seconds.
         """
-        self.loads_started += 1
         self._active_loads += 1
-        return full_speed_s * max(1.0, self._active_loads / self._full_speed_loads)
+        takes_s = full_speed_s * max(1.0, self._active_loads / self._full_speed_loads)
+        self.loads.append(StoreLoad(self._events.now_s, takes_s, self._active_loads))
+        return takes_s
 
     def end(self):
         """Record that a load has ended."""
--- a/packages/hemlockdock-cli/tests/test_absent_models.py
+++ b/packages/hemlockdock-cli/tests/test_absent_models.py
@@ -1,5 +1,6 @@
 """Test simulated days on which models are requested that only the weight store has."""
 
+import itertools
 import logging
 import random
 import unittest
@@ -13,6 +14,10 @@
 )
 from hemlockdock_control.fleet.model_choice import ModelChoice
 
+LOAD_S = 13.2
+# A second load ends hardly later than in turn if it begins this soon after the first.
+TOGETHER_S = 0.1 * LOAD_S
+
 
 class DisturbancesTest(unittest.TestCase):
     def test_each_day_has_every_kind(self):
@@ -29,12 +34,25 @@
         self.addCleanup(logging.disable, logging.NOTSET)
 
     def test_no_day_leaves_fewer_models_than_the_bound_and_the_same_seed_leaves_the_same(self):
-        scenario = day_scenario(13.2, 1)
+        scenario = day_scenario(LOAD_S, 1)
         row = simulate_day(scenario, ModelChoice, 1)
         self.assertGreaterEqual(row.never_served, row.bound)
         self.assertGreater(row.bound, 0)
         self.assertEqual(row, simulate_day(scenario, ModelChoice, 1))
 
+    def test_no_load_begins_in_the_middle_of_another_on_a_store_that_supports_one(self):
+        for seed in (1, 2, 3):
+            row = simulate_day(day_scenario(LOAD_S, 1), ModelChoice, seed)
+            for before, load in itertools.pairwise(row.store_loads):
+                begins_together = load.begun_s - before.begun_s <= TOGETHER_S
+                self.assertTrue(load.concurrent == 1 or begins_together, (seed, before, load))
+
+    def test_a_store_that_supports_four_loads_is_measured_before_anybody_asks(self):
+        for seed in (1, 2, 3):
+            row = simulate_day(day_scenario(LOAD_S, 4), ModelChoice, seed)
+            most = max(load.concurrent for load in row.store_loads if load.begun_s < LOAD_S)
+            self.assertGreater(most, 2, seed)
+
 
 if __name__ == "__main__":
     unittest.main()
