--- a/packages/hemlockdock-control/hemlockdock_control/fleet/host_weights.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/host_weights.py
@@ -62,6 +62,7 @@
         if last_report is None:
             return self._on_unreported_host(listed, recorded, now_s)
         if last_report.body.answers:
+            # An agent that is silent for longer has probably lost its host.
             is_recent = now_s - last_report.received_s < RESTART_S
             return last_report.on_host if is_recent else ()
         # An engine that has crashed usually restarts soon, with the weights on the disk.
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -142,7 +142,8 @@
             messages.extend(_facts_messages(pool, views, term))
             history = self._history_of(pool)
             self._finish_changes(history, engines, now_s)
-            history.observe_reports(registry.reported_hosts(pool.name, now_s), now_s)
+            if not demand.has_requests:
+                history.observe_reports(registry.reported_hosts(pool.name, now_s), now_s)
             if not self._has_enough_reports(pool, rows, views, now_s):
                 continue
             leaving_ids = {row.endpoint_id for row in rows.values() if row.leaving}
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -145,6 +145,8 @@
     def observe_reports(self, models_by_address, now_s):
         """Record which models the hosts of all engines have that respond, listed or not.
 
+        It is needed only until the first request: then what is requested decides what is loaded.
+
         Parameters
         ----------
         models_by_address : dict of str to frozenset of str
