--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -362,3 +362,24 @@
     def waiting_ports(self):
         """Return the ports to which connections are being opened."""
         return [connector.port for connector in self.reactor.connecting]
+
+
+class SingleClientTestCase(GatewayTestCase):
+    """One client of a gateway."""
+
+    def setUp(self):
+        super().setUp()
+        self.client = self.harness.client()
+
+    def connect(self):
+        """Let the gateway's oldest connection attempt succeed; return the server's side."""
+        return self.harness.connect()
+
+    def wait(self, seconds):
+        """Advance the time."""
+        self.reactor.advance(seconds)
+
+    @property
+    def pending_connections(self):
+        """Return the number of connections that are being opened."""
+        return len(self.reactor.connecting)
--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -5,6 +5,7 @@
 GATEWAY = "packages/hemlockdock-entry/hemlockdock_entry/gateway/"
 GATEWAY_TESTS = "packages/hemlockdock-entry/tests/"
 WHOLE = GATEWAY_TESTS + "test_gateway.py"
+MODELS = GATEWAY_TESTS + "test_gateway_models.py"
 DECISIONS = GATEWAY_TESTS + "test_gateway_decisions.py"
 QUARANTINE = GATEWAY_TESTS + "test_gateway_quarantine.py"
 PARTS = GATEWAY_TESTS + "test_gateway_prompt_parts.py"
@@ -85,7 +86,7 @@
         "        if self._adapters.remove_waiting(exchange):\n"
         "            self._release_reservation(exchange)\n",
         "        self._adapters.remove_waiting(exchange)\n",
-        WHOLE,
+        MODELS,
     ),
     Mutant(
         "say not run of what may have run",
@@ -211,21 +212,21 @@
         GATEWAY + "model_availability.py",
         "return spec.store_load_ms / MS_PER_S",
         "return spec.memory_load_ms / MS_PER_S",
-        WHOLE,
+        MODELS,
     ),
     Mutant(
         "take a model for missing while a host is not known",
         GATEWAY + "model_availability.py",
         "if (pool.name, model) in self._on_host or pool.name in self._pools_with_unknown_hosts:",
         "if (pool.name, model) in self._on_host:",
-        WHOLE,
+        MODELS,
     ),
     Mutant(
         "trust adapters of an endpoint that was gone",
         GATEWAY + "adapter_tracker.py",
         "                del self._held_until_s_by_key[key]\n",
         "                pass\n",
-        WHOLE,
+        MODELS,
     ),
     Mutant(
         "let an adapter keep its slot while others wait",
--- a/tools/mutants/streams.py
+++ b/tools/mutants/streams.py
@@ -5,6 +5,7 @@
 GATEWAY = "packages/hemlockdock-entry/hemlockdock_entry/gateway/"
 GATEWAY_TESTS = "packages/hemlockdock-entry/tests/"
 WHOLE = GATEWAY_TESTS + "test_gateway.py"
+STREAMS = GATEWAY_TESTS + "test_gateway_streams.py"
 ENDINGS = GATEWAY_TESTS + "test_gateway_endings.py"
 VERSIONS = GATEWAY_TESTS + "test_gateway_software_versions.py"
 SERVICE_CLIENT = GATEWAY_TESTS + "test_service_client.py"
@@ -20,14 +21,14 @@
         GATEWAY + "forwarded_request.py",
         "headers.append((names.last_event_id, last_event_id))",
         'headers.append((names.last_event_id, b"0"))',
-        WHOLE,
+        STREAMS,
     ),
     Mutant(
         "keep the part of an event that broke off",
         GATEWAY + "try_sequence.py",
         "            self._response_writer.discard_partial_event()\n",
         "",
-        WHOLE,
+        STREAMS,
     ),
     Mutant(
         "take an answer that was reset for whole",
