--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
@@ -68,7 +68,7 @@
         )
 
     def lose_leader(self, now_s):
-        """Let another member lead, which knows the recorded rows only.
+        """Let another member lead, which has followed the recorded rows.
 
         Parameters
         ----------
