--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/hemlockdock-$(p)) $(CURDIR)/platform)
 
-.PHONY: help setup test format lint imports unit counts demo serve bench fuzz soak mutants slopes acceptance docs clean
+.PHONY: help setup test format lint imports unit counts demo serve bench fuzz soak mutants slopes store-days acceptance docs clean
 
 help:
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -58,3 +58,6 @@
 
 slopes: setup ## measure the slopes that docs/CAPACITY.md works from
 	$(PYTHON) tools/run_slopes.py
+
+store-days: setup ## simulated days of models that only the weight store has; DAYS="--seeds 100"
+	$(PYTHON) tools/run_store_days.py $(DAYS)
