fleet: the log tells which last copies leave, and the demand that decided a load

The reason of an exchange now names the arrivals of late and the rate; "last copies leave" names, once for each engine that is listed as leaving, the models that no staying host has.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
@@ -58,6 +58,8 @@
         Model that the agent is loading, also for an earlier leader; empty if none or not reported.
     is_limited : bool
         Whether the engine takes a limited number of requests per second.
+    is_leaving : bool
+        Whether the engine is about to be taken away with its host.
     """
 
     endpoint_id: str
@@ -69,6 +71,7 @@
     pending: PendingChange | None
     changing_to: str = ""
     is_limited: bool = False
+    is_leaving: bool = False
 
     @property
     def resident(self):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
@@ -75,4 +75,5 @@
             self._pending_by_id.get(row.endpoint_id),
             body.changing_to,
             row.limit_per_s is not None,
+            row.leaving,
         )
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -119,7 +119,7 @@
             yield self._spec_by_name[name], excess
 
     def _exchange_for_waiting(self, spec, use):
-        reason = f"{use.waiting} waiting, {use.returning} returning"
+        reason = self._demand_text(use)
         gain = use.waiting + use.returning + use.rate_now(self._now_s) * HORIZON_S
         waited_s = self._now_s - use.waiting_since_s
         is_in_demand = use.waiting >= HIGH_DEMAND_REQUESTS
@@ -137,6 +137,12 @@
         # The engines on the hosts with its weights hold models of at least the same value.
         return self._cheapest_exchange(spec, gain, False, reason, from_store=True)
 
+    def _demand_text(self, use):
+        lately = use.lately_asked(self._now_s)
+        rate = use.rate_now(self._now_s)
+        waiting = f"{use.waiting} waiting, {use.returning} returning"
+        return f"{waiting}, {lately:.1f} asked lately, {rate:.1f} per s"
+
     def _cheapest_exchange(self, spec, gain, may_evict_busy, reason, from_store=False):
         may_use_store = spec.name not in self._copies.coming_from_store and self._may_use_store(
             spec, gain, from_store
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -8,6 +8,7 @@
 
 from hemlockdock_control.fleet.engine_view import PendingChange
 from hemlockdock_control.fleet.engine_views import EngineViews
+from hemlockdock_control.fleet.last_copies import last_copies_leaving
 from hemlockdock_control.fleet.model_choice import ModelChoice
 from hemlockdock_control.fleet.placement_history import PlacementHistory
 from hemlockdock_control.fleet.recorded_loads import RecordedLoads
@@ -77,6 +78,7 @@
         self._change_counter = 0
         self._first_view_s = None
         self._logged_store_use_by_pool = {}
+        self._logged_leaving_ids = frozenset()
 
     def observe_recorded(self, loads, now_s, wall_ms):
         """Learn which loads the replicated state lists, whether this member leads or not.
@@ -158,6 +160,7 @@
             for chosen in choice.choices():
                 self._start_change(chosen, views[chosen.endpoint_id], now_s, term)
             self._log_store_use(pool, choice.store, choice.store_idleness)
+            self._log_last_copies(pool, engines, demand, now_s)
             messages.extend(self._due_messages(views, now_s))
         return messages
 
@@ -268,6 +271,19 @@
             },
         )
 
+    def _log_last_copies(self, pool, engines, demand, now_s):
+        leaving = last_copies_leaving(engines.all())
+        for endpoint_id in sorted(leaving.keys() - self._logged_leaving_ids):
+            asked_by_name = {}
+            for name in sorted(leaving[endpoint_id]):
+                use = demand.demand_by_model.get((pool.name, name))
+                asked_by_name[name] = 0.0 if use is None else round(use.lately_asked(now_s), 1)
+            logger.info(
+                "last copies leave",
+                extra={"endpoint": endpoint_id, "lately_asked": asked_by_name},
+            )
+        self._logged_leaving_ids |= leaving.keys()
+
     def _due_messages(self, views, now_s):
         for endpoint_id, pending in self.pending_by_id.items():
             view = views.get(endpoint_id)
