fleet: a measurement of the store outlives an election that comes before its end

Change: every member, also the leader, follows the recorded loads, and goes on over an election.

test_a_measurement_is_not_lost_with_the_leader_that_began_it and test_two_loads_in_time_measure_the_store_over_an_election failed before. They replace test_loads_that_go_on_over_an_election_measure_nothing, which asked for the loss itself; what it guarded against, an end that is seen late, has a test of its own.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
@@ -100,7 +100,6 @@
         endpoints = self._endpoints
         for placement in (self._placement, *self._followers):
             placement.observe_recorded(endpoints.loads, now_s, _wall_ms(now_s))
-        for placement in self._followers:
             placement.follow([self._pool], endpoints.row_by_id, now_s, self._term)
 
     def decide(self, engines, now_s):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -73,7 +73,6 @@
     def clear(self):
         """Discard all changes and history: another member may have led in the meantime."""
         self.pending_by_id = {}
-        self.store.forget_active_loads()
         self._history_by_pool = {}
         self._change_counter = 0
         self._first_view_s = None
@@ -92,7 +91,7 @@
         self._recorded_loads.update(loads, now_s, wall_ms)
 
     def follow(self, pools, rows, now_s, term):
-        """Follow the decisions of another leader, to be able to succeed it.
+        """Follow the recorded loads of all leaders, to measure the store.
 
         Parameters
         ----------
@@ -135,7 +134,8 @@
             Messages to send to agents.
         """
         messages = []
-        self.store.check_overdue(now_s)
+        decided = {(key, item.message.load) for key, item in self.pending_by_id.items()}
+        self.store.check_overdue(now_s, decided)
         for pool in pools:
             if pool.engine is None:
                 continue
@@ -194,7 +194,7 @@
             del self.pending_by_id[endpoint_id]
             model = pending.message.load
             loaded = view is not None and view.report.model(model) is not None
-            self.store.record_end(pending.message.number, is_finished and loaded, now_s)
+            self.store.record_end((endpoint_id, model), is_finished and loaded, now_s)
             if view is not None:
                 view.pending = None
                 recent = history.recent_loads if loaded else history.recent_failures
@@ -232,7 +232,8 @@
         view.pending = pending
         if choice.source == "store":
             nominal_s = choice.model.store_load_ms / MS_PER_S
-            self.store.record_start(message.number, nominal_s, now_s + withhold_s)
+            key = (view.endpoint_id, choice.model.name)
+            self.store.record_start(key, nominal_s, now_s + withhold_s)
         logger.info(
             "exchange decided",
             extra={
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -184,7 +184,8 @@
         self._placement.observe_recorded(state.endpoints.loads, now_s, wall_ms())
         # Without a valid lease, another member may already lead and send orders.
         if not self.replicator.has_lease:
-            self._follow(state, now_s)
+            if not self.replicator.is_leader and self._nodes.is_fresh:
+                self._follow(state, now_s)
             return
         if state.routes.manifest is not None:
             messages = self._placement.decide(
@@ -197,10 +198,11 @@
             )
             for message in messages:
                 self._send(message.agent_address, message.message)
+            self._follow(state, now_s)
         self._record_endpoints()
 
     def _follow(self, state, now_s):
-        if state.routes.manifest is None or self.replicator.is_leader or not self._nodes.is_fresh:
+        if state.routes.manifest is None:
             return
         pools = state.routes.manifest.pools
         rows = state.endpoints.row_by_id
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
@@ -43,7 +43,7 @@
 
 
 class StoreConcurrencyEstimator:
-    """Estimate the store's concurrency from the loads that this member started.
+    """Estimate the store's concurrency from loads, of this leader and of others.
 
     Attributes
     ----------
@@ -56,51 +56,62 @@
     def __init__(self):
         self.concurrency_limit = INITIAL_CONCURRENCY
         self.is_measured = False
-        self._load_by_number = {}
+        self._load_by_key = {}
         self._backoff_start_s = None
 
     @property
     def is_measuring(self):
         """Tell whether a load is in progress that started beside another one."""
-        return any(load.concurrent_at_start > 1 for load in self._load_by_number.values())
+        return any(load.concurrent_at_start > 1 for load in self._load_by_key.values())
 
-    def record_start(self, number, nominal_s, now_s):
-        """Record the start of a load.
+    def record_start(self, key, nominal_s, now_s):
+        """Record the start of a load, unless it is known.
 
         Parameters
         ----------
-        number : int
-            Number of the change that the load belongs to.
+        key : tuple of (str, str)
+            Endpoint id and model.
         nominal_s : float
             Duration at full speed.
         now_s : float
         """
-        in_progress = len(self._load_by_number) + 1
-        for load in self._load_by_number.values():
+        if key in self._load_by_key:
+            return
+        in_progress = len(self._load_by_key) + 1
+        for load in self._load_by_key.values():
             load.max_concurrent = max(load.max_concurrent, in_progress)
-        self._load_by_number[number] = _Load(nominal_s, now_s, in_progress, in_progress)
+        self._load_by_key[key] = _Load(nominal_s, now_s, in_progress, in_progress)
 
     def forget_active_loads(self):
         """Stop tracking the loads in progress."""
-        self._load_by_number = {}
+        self._load_by_key = {}
 
-    def record_end(self, number, loaded, now_s):
+    def record_end(self, key, loaded, now_s, earliest_s=None):
         """Record the end of a load; loads that are not from the store are ignored.
 
         Parameters
         ----------
-        number : int
+        key : tuple of (str, str)
+            Endpoint id and model.
         loaded : bool
             Whether the model is loaded now.
         now_s : float
+        earliest_s : float, optional
+            Earliest time at which it may have ended, if that was not observed.
         """
-        load = self._load_by_number.pop(number, None)
+        load = self._load_by_key.pop(key, None)
         if load is None or not loaded:
             return
+        if earliest_s is None:
+            earliest_s = now_s
+        limit_s = SLOW_LOAD_FACTOR * load.nominal_s
         took_s = now_s - load.started_s
-        if took_s > SLOW_LOAD_FACTOR * load.nominal_s:
+        if earliest_s - load.started_s > limit_s:
             self._lower_estimate(load, took_s, now_s)
             return
+        if took_s > limit_s:
+            # It may have ended in time.
+            return
         later = self._load_started_with(load)
         if later is not None:
             # Which of them the store began first is unknown; the last one to end tells.
@@ -110,14 +121,18 @@
         if load.concurrent_at_start >= self.concurrency_limit:
             self._raise_estimate(load, now_s)
 
-    def check_overdue(self, now_s):
+    def check_overdue(self, now_s, keys=None):
         """Lower the estimate if loads in progress are overdue.
 
         Parameters
         ----------
         now_s : float
+        keys : collection of tuple of (str, str), optional
+            Endpoint ids and models of the loads that are known to be in progress; all by default.
         """
-        for load in self._load_by_number.values():
+        for key, load in self._load_by_key.items():
+            if keys is not None and key not in keys:
+                continue
             took_s = now_s - load.started_s
             if took_s > SLOW_LOAD_FACTOR * load.nominal_s:
                 self._lower_estimate(load, took_s, now_s)
@@ -125,7 +140,7 @@
     def _load_started_with(self, load):
         """Return a load in progress that the store may have begun before another one, or None."""
         uncertainty_s = (SLOW_LOAD_FACTOR - 1.0) * load.nominal_s
-        for other in self._load_by_number.values():
+        for other in self._load_by_key.values():
             if abs(other.started_s - load.started_s) <= uncertainty_s:
                 return other
         return None
--- a/packages/hemlockdock-control/tests/test_fleet_store_follower.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_follower.py
@@ -92,9 +92,39 @@
         self.follow(1.0)
         self.assertFalse(self.estimator.is_measured)
 
-    def test_loads_that_go_on_over_an_election_measure_nothing(self):
+    def hold_election(self, seconds=1.0):
+        """Let the member be without a leader for a while."""
+        self.now_s += seconds
+        self.term += 1
+
+    def test_a_measurement_is_not_lost_with_the_leader_that_began_it(self):
+        self.begin_two_loads()
+        self.hold_election()
+        self.follow(2 * NOMINAL_S)
+        self.assertEqual((self.estimator.is_measured, self.estimator.concurrency_limit), (True, 1))
+
+    def test_two_loads_in_time_measure_the_store_over_an_election(self):
+        self.begin_two_loads()
+        self.hold_election()
+        self.follow(NOMINAL_S - 2.0)
+        self.record(row("x", models=("a",)), row("y", models=("b",)))
+        self.follow(1.0)
+        self.assertTrue(self.estimator.is_measured)
+        self.assertGreaterEqual(self.estimator.concurrency_limit, 2)
+
+    def test_an_end_that_the_next_leader_records_late_is_not_taken_for_a_late_load(self):
+        self.begin_two_loads()
+        self.follow(NOMINAL_S - 1.5)
+        self.hold_election(1.5)
+        self.follow(1.0)
+        self.record(row("x", models=("a",)), row("y", models=("b",)))
+        self.follow(1.0)
+        self.assertFalse(self.estimator.is_measured)
+
+    def test_a_load_that_began_in_an_interruption_makes_the_others_unknown(self):
         self.begin_two_loads()
-        self.term = 2
+        self.record(row("z", "a"))
+        self.hold_election()
         self.follow(2 * NOMINAL_S)
         self.assertFalse(self.estimator.is_measured)
 
