fleet: a load in progress stays known if agents, control and entries start anew together

Cause: an agent that has just started reports no change, though its engine is busy with one. The leader drops the load from the row, takes it for lost, and entries no longer know that it comes. An entry that has just started as well would take a listed load to have just begun: rows tell how long it takes, not when it ends.

Change: a load stays in the row while an agent without any change reports a busy engine, and counts as in progress. A leader states once how long recorded loads of earlier leaders still take, by the begin in the replicated state; entries expect them then. Stating it does not begin a load anew.

Failed before: test_a_load_is_not_forgotten_if_its_agent_and_its_leader_start_anew_together, and the tests of the time left (no such field).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
@@ -65,6 +65,10 @@
 
     def _view(self, row, report):
         body = report.body
+        changing_to = body.changing_to
+        if not changing_to and body.report.busy and not body.change_number and row.arriving:
+            # The agent has started anew while its engine goes on with the load.
+            changing_to = row.arriving[0].name
         return EngineView(
             row.endpoint_id,
             report.agent_address,
@@ -73,7 +77,7 @@
             body.changing,
             body.facts_number,
             self._pending_by_id.get(row.endpoint_id),
-            body.changing_to,
+            changing_to,
             row.limit_per_s is not None,
             row.leaving,
         )
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -11,6 +11,7 @@
 from hemlockdock_control.fleet.last_copies import last_copies_leaving
 from hemlockdock_control.fleet.model_choice import ModelChoice
 from hemlockdock_control.fleet.placement_history import PlacementHistory
+from hemlockdock_control.fleet.placement_log import PlacementLog
 from hemlockdock_control.fleet.recorded_loads import RecordedLoads
 from hemlockdock_control.fleet.store_concurrency import StoreConcurrencyEstimator
 from hemlockdock_control.fleet.store_follower import StoreFollower
@@ -76,8 +77,7 @@
         self._history_by_pool = {}
         self._change_counter = 0
         self._first_view_s = None
-        self._logged_store_use_by_pool = {}
-        self._logged_leaving_ids = frozenset()
+        self._log = PlacementLog()
 
     def observe_recorded(self, loads, now_s, wall_ms):
         """Learn which loads the replicated state lists, whether this member leads or not.
@@ -102,6 +102,24 @@
         """
         self._follower.follow(pools, rows, self._recorded_loads, now_s, term)
 
+    def recorded_left_ms(self, endpoint_id, model, now_s):
+        """Return how long a recorded load is still going to take.
+
+        Parameters
+        ----------
+        endpoint_id, model : str
+        now_s : float
+
+        Returns
+        -------
+        int or None
+            None if no such load is recorded.
+        """
+        recorded = self._recorded_loads.recorded_by_key.get((endpoint_id, model))
+        if recorded is None:
+            return None
+        return max(0, round((recorded.planned_end_s - now_s) * MS_PER_S))
+
     def withheld(self, endpoint_id):
         """Return the models to which entries must route no more requests.
 
@@ -160,8 +178,8 @@
             choice = self._policy(pool, views, demand, history, now_s)
             for chosen in choice.choices():
                 self._start_change(chosen, views[chosen.endpoint_id], now_s, term)
-            self._log_store_use(pool, choice.store, choice.store_idleness)
-            self._log_last_copies(pool, history.last_copies, demand, now_s)
+            self._log.note_store_use(pool, choice.store, choice.store_idleness)
+            self._log.note_last_copies(pool, history.last_copies, demand, now_s)
             messages.extend(self._due_messages(views, now_s))
         return messages
 
@@ -248,43 +266,6 @@
             },
         )
 
-    def _log_store_use(self, pool, store, idleness):
-        idle_reason = "" if store.active_loads else idleness.reason.value
-        use = (
-            store.decided_loads,
-            store.inherited_loads,
-            store.lost_loads,
-            store.concurrency_limit,
-            idle_reason,
-        )
-        if self._logged_store_use_by_pool.get(pool.name) == use:
-            return
-        self._logged_store_use_by_pool[pool.name] = use
-        logger.info(
-            "weight store use changed",
-            extra={
-                "pool": pool.name,
-                "decided_loads": store.decided_loads,
-                "inherited_loads": store.inherited_loads,
-                "lost_loads": store.lost_loads,
-                "concurrency_limit": store.concurrency_limit,
-                "is_measured": self.store.is_measured,
-                "idle_reason": idle_reason,
-            },
-        )
-
-    def _log_last_copies(self, pool, leaving, demand, now_s):
-        for endpoint_id in sorted(leaving.keys() - self._logged_leaving_ids):
-            asked_by_name = {}
-            for name in sorted(leaving[endpoint_id]):
-                use = demand.demand_by_model.get((pool.name, name))
-                asked_by_name[name] = 0.0 if use is None else round(use.lately_asked(now_s), 1)
-            logger.info(
-                "last copies leave",
-                extra={"endpoint": endpoint_id, "lately_asked": asked_by_name},
-            )
-        self._logged_leaving_ids |= leaving.keys()
-
     def _due_messages(self, views, now_s):
         for endpoint_id, pending in self.pending_by_id.items():
             view = views.get(endpoint_id)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -4,13 +4,10 @@
 from functools import cached_property
 from types import MappingProxyType
 
-import msgspec
-
+from hemlockdock_control.fleet.former_rows import REPORT_MAX_AGE_S, FormerRows
 from hemlockdock_control.fleet.host_weights import HostWeights
 from hemlockdock_core.rows import ArrivingModel, EndpointRow, ResidentModel
 
-# Several report intervals: an older report is no more reliable than the directory.
-REPORT_MAX_AGE_S = 2.5
 MS_PER_S = 1_000
 
 
@@ -63,7 +60,7 @@
         self.listed_by_id = None
         self._report_by_engine = {}
         self._host_weights = HostWeights()
-        self._cleared_s = now_s
+        self._former_rows = FormerRows(now_s)
 
     def set_directory(self, endpoints):
         """Replace the listed endpoints with those read from the directory.
@@ -209,27 +206,12 @@
             on_host = self._host_weights.available(listed, last_report, known, now_s)
             row = _build_row(listed, report, placement, limit_per_s, on_host)
             if known is not None and known.address == listed.address:
-                row = self._with_known_facts(row, report, known, now_s)
+                has_reported = listed.address in self._report_by_engine
+                row = self._former_rows.complete(row, report, known, has_reported, now_s)
+                row = self._former_rows.with_time_left(row, placement, now_s)
             rows[listed.endpoint_id] = row
         return rows
 
-    def _with_known_facts(self, row, report, known, now_s):
-        if report is None:
-            has_reported = row.address in self._report_by_engine
-            if has_reported or now_s - self._cleared_s > REPORT_MAX_AGE_S:
-                return row
-            return msgspec.structs.replace(
-                row,
-                agent_address=known.agent_address,
-                arriving=known.arriving,
-                on_host=known.on_host,
-            )
-        loading = report.body.changing_to
-        if not row.arriving and any(model.name == loading for model in known.arriving):
-            # An earlier leader decided the load, and entries know when it ends.
-            return msgspec.structs.replace(row, arriving=known.arriving)
-        return row
-
 
 def _is_for_other_endpoint(report, endpoint_id):
     return report is not None and report.body.endpoint_id not in ("", endpoint_id)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -73,6 +73,11 @@
         """Return the estimated number of concurrent loads at full speed."""
         return self._estimator.concurrency_limit
 
+    @property
+    def is_measured(self):
+        """Return whether that number is known."""
+        return self._estimator.is_measured
+
     def record_start(self, ends_s):
         """Count a load that was decided in this round.
 
--- a/packages/hemlockdock-control/hemlockdock_control/state/model_loads.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/model_loads.py
@@ -63,9 +63,11 @@
         row : EndpointRow
         """
         self._remove_ended()
-        known = () if old is None else old.arriving
+        known = set()
+        if old is not None:
+            known = {(arriving.name, arriving.takes_ms) for arriving in old.arriving}
         for arriving in row.arriving:
-            if arriving in known:
+            if (arriving.name, arriving.takes_ms) in known:
                 continue
             key = (row.endpoint_id, arriving.name)
             begun_ms = self._context.now_ms
--- a/packages/hemlockdock-control/tests/test_fleet_registry.py
+++ b/packages/hemlockdock-control/tests/test_fleet_registry.py
@@ -6,6 +6,7 @@
 from support_fleet import POOL, listed, report
 
 from hemlockdock_control.fleet.engine_view import PendingChange
+from hemlockdock_control.fleet.engine_views import EngineViews
 from hemlockdock_control.fleet.placement import Placement
 from hemlockdock_control.fleet.registry import (
     REPORT_MAX_AGE_S,
@@ -14,10 +15,13 @@
     changed_rows,
 )
 from hemlockdock_control.fleet.request_limits import RequestLimits
+from hemlockdock_control.state.context import StateContext
+from hemlockdock_control.state.model_loads import ModelLoad, ModelLoads
 from hemlockdock_core.messages import (
     ChangeModels,
     EndpointReport,
 )
+from hemlockdock_core.rows import ArrivingModel, PoolRow
 from hemlockdock_core.wire import ListedEndpoint
 
 
@@ -122,6 +126,32 @@
             row = self.row(10.1, recorded)
             self.assertEqual([model.name for model in row.arriving], expected)
 
+    def report_busy_after_restart(self, now_s):
+        """Report an engine that is busy, by an agent that has just started."""
+        found = report(disk=("b",), busy=True)
+        body = EndpointReport(POOL, listed().address, found, 0, False, 0)
+        self.registry.record_report(AgentReport("tcp://a", 2, body, now_s))
+
+    def test_a_load_is_not_forgotten_if_its_agent_and_its_leader_start_anew_together(self):
+        recorded = self.recorded_rows()
+        self.report_busy_after_restart(10.1)
+        row = self.row(10.1, recorded)
+        self.assertEqual([model.name for model in row.arriving], ["a"])
+        views = EngineViews(PoolRow(POOL, "/", 1), {"e": row}, self.registry, {}, 10.1)
+        self.assertEqual(views.available_by_id["e"].coming_from_store, "a")
+
+    def test_a_new_leader_states_once_how_long_a_recorded_load_still_takes(self):
+        recorded = self.recorded_rows()
+        loads = ModelLoads(StateContext(0))
+        load = ModelLoad(POOL, "e", "a", 1_000, 13_000)
+        loads.restore([load])
+        self.placement.observe_recorded(loads, 10.0, 11_000)
+        for now_s in (10.1, 11.1):
+            self.report_busy_after_restart(now_s)
+            row = self.row(now_s, recorded)
+            self.assertEqual(row.arriving, (ArrivingModel("a", 13_000, 2_900),))
+            recorded = {"e": row}
+
     def test_rows_list_the_weights_on_the_host(self):
         self.registry.set_directory([listed()])
         self.assertIsNone(self.registry.rows(0.0, self.placement, self.limits)["e"].on_host)
--- a/packages/hemlockdock-control/tests/test_fleet_store_loads.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_loads.py
@@ -200,7 +200,7 @@
 
     def test_a_change_of_the_store_use_is_logged_once(self):
         self.report(change_number=7, changing=True)
-        with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
+        with self.assertLogs("hemlockdock_control.fleet.placement_log", "INFO") as logs:
             self.decide()
             self.decide()
         uses = [record for record in logs.records if "store use" in record.msg]
@@ -216,7 +216,7 @@
         self.registry.set_directory([self.engines["e"]])
         self.report_waiting("only-in-store")
         self.board.record_report("x", DemandReport((demand("warm", 9, in_flight=9),)), self.now_s)
-        with self.assertLogs("hemlockdock_control.fleet.placement", "INFO") as logs:
+        with self.assertLogs("hemlockdock_control.fleet.placement_log", "INFO") as logs:
             self.decide()
         (use,) = [record for record in logs.records if "store use" in record.msg]
         self.assertEqual(use.idle_reason, "no_free_engine")
--- a/packages/hemlockdock-control/tests/test_model_loads.py
+++ b/packages/hemlockdock-control/tests/test_model_loads.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from support import settings as control_settings
 
 from hemlockdock_control.state import ClusterStateMachine, encode_command
@@ -45,6 +46,12 @@
         self.record(row(models=("m",)), after_ms=8_000)
         self.assertEqual(self.begun_ms(), {})
 
+    def test_a_load_whose_time_left_is_stated_anew_has_not_begun_anew(self):
+        self.record(row("m"), after_ms=100)
+        stated = ArrivingModel("m", TAKES_MS, 5_000)
+        self.record(msgspec.structs.replace(row(), arriving=(stated,)), after_ms=8_000)
+        self.assertEqual(self.begun_ms(), {("e", "m"): 100})
+
     def test_weights_that_have_arrived_on_the_host_end_a_load(self):
         self.record(row("m"))
         self.record(row(on_host=("m",)), after_ms=5_000)
--- a/packages/hemlockdock-core/hemlockdock_core/rows/endpoint_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/endpoint_row.py
@@ -27,10 +27,13 @@
     name : str
     takes_ms : int
         Duration of the load, in milliseconds, as estimated when it was decided.
+    left_ms : int or None
+        Time left when a later leader recorded the row again; None if none has.
     """
 
     name: str
     takes_ms: int
+    left_ms: int | None = None
 
 
 class EndpointRow(BaseRow, frozen=True):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_availability.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_availability.py
@@ -15,10 +15,13 @@
         Time at which it is expected to end.
     takes_ms : int
         Expected duration.
+    left_ms : int or None
+        Time left as last stated by a leader that did not decide it.
     """
 
     ready_s: float
     takes_ms: int
+    left_ms: int | None = None
 
 
 class ModelAvailability:
@@ -48,8 +51,9 @@
         for row in rows:
             for arriving in row.arriving:
                 key = (row.endpoint_id, row.pool, arriving.name)
-                ready_s = now_s + arriving.takes_ms / MS_PER_S
-                load = self._load_by_endpoint.get(key) or DecidedLoad(ready_s, arriving.takes_ms)
+                load = self._load_by_endpoint.get(key)
+                if load is None or load.left_ms != arriving.left_ms:
+                    load = _decided_load(arriving, now_s)
                 load_by_endpoint[key] = load
                 self._loads_by_model.setdefault((row.pool, arriving.name), []).append(load)
             if row.leaving:
@@ -122,6 +126,11 @@
         return pool.name not in self._pools_with_known_hosts
 
 
+def _decided_load(arriving, now_s):
+    left_ms = arriving.takes_ms if arriving.left_ms is None else arriving.left_ms
+    return DecidedLoad(now_s + left_ms / MS_PER_S, arriving.takes_ms, arriving.left_ms)
+
+
 def _is_slower_than_host(load, spec, now_s):
     is_from_store = load.takes_ms >= spec.store_load_ms
     return is_from_store and load.ready_s > now_s + spec.disk_load_ms / MS_PER_S
