fleet: a store kept free for last copies is not taken for four callers of a rare model

Cause: a rate over 2.5 s makes two requests within a second a demand of four.

Change: models whose last copies leave take the store at a demand of 4, all others at 12.

test_the_store_is_not_taken_for_a_few_callers_either_while_last_copies_leave failed before.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -58,7 +58,8 @@
         loading = [*views.values(), *history.unavailable, *history.silent]
         lost_ends_s = history.lost_loads.planned_ends_s()
         self.store = StoreAdmission(history.store, loading, lost_ends_s, history.store_reserve)
-        history.store_reserve.observe(history.last_copies, not self.store.active_loads, now_s)
+        leaving_names = frozenset().union(*history.last_copies.values())
+        history.store_reserve.observe(leaving_names, not self.store.active_loads, now_s)
         self.store_idleness = StoreIdleness()
         self._views = views
         self._history = history
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -10,7 +10,7 @@
 RESERVED_STORE_LOADS = 1
 HIGH_DEMAND_REQUESTS = 4.0
 # At this demand, a load may exceed the store's full speed if it ends sooner than one that waits for
-# another load to end.
+# another load to end, and takes a store that is kept free for models whose last copies leave.
 VERY_HIGH_DEMAND_REQUESTS = 12.0
 STORE_OVERCOMMIT_FACTOR = 1.5
 # Until the store's concurrency is measured, the loads in progress may take at most this long if the
@@ -146,7 +146,12 @@
         -------
         bool
         """
-        if demand >= HIGH_DEMAND_REQUESTS or self._full_speed_loads(spec) > RESERVED_STORE_LOADS:
+        if self._full_speed_loads(spec) > RESERVED_STORE_LOADS:
+            return False
+        urgent_requests = VERY_HIGH_DEMAND_REQUESTS
+        if spec.name in self._reserve.names:
+            urgent_requests = HIGH_DEMAND_REQUESTS
+        if demand >= urgent_requests:
             return False
         return self._reserve.holds(spec.store_load_ms / MS_PER_S, now_s)
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_reserve.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_reserve.py
@@ -10,28 +10,36 @@
 
 
 class StoreReserve:
-    """Track since when the store is free while last copies leave."""
+    """Track since when the store is free while last copies leave.
+
+    Attributes
+    ----------
+    names : frozenset of str
+        Models whose last copies leave.
+    """
 
     def __init__(self):
+        self.names = frozenset()
         self._free_since_s = None
 
-    def observe(self, is_needed, is_store_free, now_s):
+    def observe(self, names, is_store_free, now_s):
         """Record the state of one placement round.
 
         Parameters
         ----------
-        is_needed : bool
-            Whether engines leave whose hosts have last copies.
+        names : frozenset of str
+            Models whose last copies leave.
         is_store_free : bool
         now_s : float
         """
-        if not is_needed or not is_store_free:
+        self.names = names
+        if not names or not is_store_free:
             self._free_since_s = None
         elif self._free_since_s is None:
             self._free_since_s = now_s
 
     def holds(self, load_s, now_s):
-        """Tell whether a load of a model in low demand has to wait.
+        """Tell whether loads that are not urgent have to wait.
 
         Parameters
         ----------
--- a/packages/hemlockdock-control/tests/test_fleet_last_copies.py
+++ b/packages/hemlockdock-control/tests/test_fleet_last_copies.py
@@ -44,6 +44,12 @@
         self.report_demand(demand("lost", 4, returning=4), now_s=NOW_S + 2.0)
         self.assertEqual(self.choices(NOW_S + 2.0), [("y", "lost", (), "store")])
 
+    def test_the_store_is_not_taken_for_a_few_callers_either_while_last_copies_leave(self):
+        self.report_demand(demand("rare", 4, returning=4))
+        self.assertEqual(self.choices(), [])
+        self.report_demand(demand("rare", 12, returning=12))
+        self.assertEqual(self.choices()[0][1], "rare")
+
     def test_the_store_stays_free_for_half_a_load_at_most(self):
         self.report_demand(demand("rare", 1, returning=1))
         self.choices()
