core, platform: an odd entry of the directory hides no other, and becomes no endpoint

A number of slots of 2**64 is taken over, and then no row of any endpoint can be recorded (OverflowError). Ports 70000, 0 and "²", addresses that are none, empty ids and -3 slots become endpoints.

Cause: each reader of foreign bytes names the errors that it expects of its decoder, and none names all; and what a decoder takes for an entry was used unchecked.

Change: one function turns every failure of a decoder into one typed error, for the directory, engines' reports, manifests and routes, request bodies, and frames between processes. A page that can't be decoded is split into its entries without recursion. An entry counts as unreadable unless it has an id, an IP address with a port, and a usable number of slots; integers of entries and reports fit into messages, and so do those of route manifests.

Failed before: test_one_odd_entry_neither_hides_the_others_nor_becomes_an_endpoint (RecursionError), test_a_report_with_odd_numbers_is_an_error_that_its_reader_expects; the tests of deeply nested manifests and frames.

--- a/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
@@ -7,6 +7,7 @@
 import treq
 from twisted.internet.defer import inlineCallbacks
 
+from hemlockdock_core.foreign import decode_foreign
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.periodic_call import PeriodicCall
 
@@ -48,6 +49,9 @@
     hosts: list[ListedHost]
 
 
+LIST_DECODER = msgspec.json.Decoder(HostList)
+
+
 class PlatformList:
     """Poll the platform's host list while this member leads.
 
@@ -106,7 +110,7 @@
         data = yield treq.content(response)
         if response.code != 200 or len(data) > MAX_LIST_BYTES:
             raise ValueError(f"unexpected response: status {response.code}, {len(data)} bytes")
-        listed = msgspec.json.decode(data, type=HostList)
+        listed = decode_foreign(LIST_DECODER, data)
         self.state_by_host = {item.host: item.state for item in listed.hosts}
         COUNTERS.increment("platform_list_reads")
 
--- a/packages/hemlockdock-control/hemlockdock_control/service/peer_messages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/peer_messages.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_control.membership import NodeHeartbeat
 from hemlockdock_core.commands import Command, CommandResult
+from hemlockdock_core.foreign import UndecodableError, decode_foreign
 from hemlockdock_core.messages import CrashReport, Inventory, Leaving, OrderResult, Wish
 from hemlockdock_core.messages.message import Message
 from hemlockdock_core.metrics import COUNTERS
@@ -130,8 +131,8 @@
         None if the bytes are malformed, which is counted and logged.
     """
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
+        return decode_foreign(_DECODER, data)
+    except UndecodableError as error:
         COUNTERS.increment("control_malformed_forwards")
         logger.warning("malformed message from member", extra={"problem": str(error)})
         return None
--- a/packages/hemlockdock-core/hemlockdock_core/addresses.py
+++ b/packages/hemlockdock-core/hemlockdock_core/addresses.py
@@ -1,7 +1,12 @@
 """Parsing of socket and link addresses."""
 
+import ipaddress
+import re
 from dataclasses import dataclass
 
+MAX_PORT = 65_535
+DIGITS = re.compile(r"[0-9]{1,5}", re.ASCII)
+
 
 @dataclass(frozen=True, slots=True)
 class SocketAddress:
@@ -34,6 +39,28 @@
         return cls(host.strip("[]"), int(port))
 
 
+def is_socket_address(text):
+    """Tell whether a text is ``ip:port``, with brackets around an IPv6 address.
+
+    Parameters
+    ----------
+    text : str
+
+    Returns
+    -------
+    bool
+    """
+    host, _, port = text.rpartition(":")
+    if not DIGITS.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
+        return False
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    except ValueError:
+        return False
+    return (address.version == 6) == is_bracketed
+
+
 def link_ip(address):
     """Return the IP address of a link address.
 
--- a/packages/hemlockdock-core/hemlockdock_core/manifest/parse.py
+++ b/packages/hemlockdock-core/hemlockdock_core/manifest/parse.py
@@ -4,9 +4,12 @@
 from pydantic import ValidationError
 
 from hemlockdock_core.errors.field_error import FieldError, InvalidInputError
+from hemlockdock_core.foreign import UndecodableError, decode_foreign
 from hemlockdock_core.manifest.manifest import Manifest
 from hemlockdock_core.manifest.references import reference_errors
 
+DOCUMENT_DECODER = msgspec.json.Decoder()
+
 
 def parse_manifest(data, source):
     """Parse a manifest, and report all invalid fields at once.
@@ -42,8 +45,8 @@
 
 def _decode_document(data):
     try:
-        return msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_foreign(DOCUMENT_DECODER, data)
+    except UndecodableError:
         # Invalid JSON has already been reported by model_validate_json.
         return None
 
--- a/packages/hemlockdock-core/hemlockdock_core/messages/codec.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hemlockdock_core.foreign import UndecodableError, decode_foreign
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.messages.link import LinkMessage
 
@@ -62,8 +63,8 @@
             If only the body is not valid: the sender may have another software version.
         """
         try:
-            frame = self._decoder.decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            frame = decode_foreign(self._decoder, data)
+        except UndecodableError as error:
             self._check_envelope(data)
             raise UnknownMessageError(str(error)) from None
         _check_version(frame)
@@ -79,8 +80,8 @@
 
     def _check_envelope(self, data):
         try:
-            envelope = self._envelope_decoder.decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            envelope = decode_foreign(self._envelope_decoder, data)
+        except UndecodableError as error:
             raise MalformedFrameError(str(error)) from None
         _check_version(envelope)
 
--- a/packages/hemlockdock-core/hemlockdock_core/routes/check.py
+++ b/packages/hemlockdock-core/hemlockdock_core/routes/check.py
@@ -1,5 +1,7 @@
 """Validation of route manifests."""
 
+import msgspec
+
 from hemlockdock_core.errors import FieldError, InvalidInputError
 
 
@@ -24,7 +26,7 @@
         If any field is invalid.
     """
     manifest = wire.decode_routes(data)
-    errors = route_errors(manifest, source)
+    errors = [*route_errors(manifest, source), *_number_errors(manifest, source)]
     if errors:
         raise InvalidInputError(errors)
     return manifest
@@ -63,6 +65,13 @@
     return errors
 
 
+def _number_errors(manifest, source):
+    try:
+        msgspec.msgpack.encode(manifest)
+    except OverflowError:
+        yield FieldError(source, "(numbers)", "integers of at most 64 bits")
+
+
 def _pool_errors(route, pool_names, source, path):
     total_weight = 0.0
     for target in route.pools:
--- a/packages/hemlockdock-core/hemlockdock_core/wire/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/__init__.py
@@ -1,6 +1,11 @@
 """Interface of platform adapters, which translate names and formats but make no decisions."""
 
-from hemlockdock_core.wire.directory import DirectoryPage, ListedEndpoint
+from hemlockdock_core.wire.directory import (
+    DirectoryPage,
+    ListedEndpoint,
+    split_page,
+    usable_endpoints,
+)
 from hemlockdock_core.wire.engine import (
     AdapterName,
     EngineOrder,
@@ -27,4 +32,6 @@
     "Wire",
     "find_wire",
     "load_wire",
+    "split_page",
+    "usable_endpoints",
 ]
--- a/packages/hemlockdock-core/hemlockdock_core/wire/own.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/own.py
@@ -3,9 +3,15 @@
 import msgspec
 
 from hemlockdock_core.errors import FieldError, InvalidInputError
+from hemlockdock_core.foreign import UndecodableError, decode_foreign
 from hemlockdock_core.routes import RouteManifest
 from hemlockdock_core.rows import EndpointRow
-from hemlockdock_core.wire.directory import DirectoryPage, ListedEndpoint
+from hemlockdock_core.wire.directory import (
+    DirectoryPage,
+    ListedEndpoint,
+    split_page,
+    usable_endpoints,
+)
 from hemlockdock_core.wire.engine import EngineOrder, EngineOrderResponse, EngineReport, LoadedModel
 from hemlockdock_core.wire.headers import HeaderNames
 from hemlockdock_core.wire.wire import OperatorPaths
@@ -40,6 +46,12 @@
 }
 
 
+class Page(msgspec.Struct):
+    """The only page of the directory; its rows are decoded separately, as some may be invalid."""
+
+    rows: list[msgspec.Raw]
+
+
 class NativeWire:
     """Platform adapter for hemlockdock's native formats; see ``Wire``."""
 
@@ -52,13 +64,14 @@
     def __init__(self):
         self._routes_decoder = msgspec.json.Decoder(RouteManifest)
         self._report_decoder = msgspec.json.Decoder(EngineReport)
-        self._endpoints_decoder = msgspec.json.Decoder(list[EndpointRow])
+        self._page_decoder = msgspec.json.Decoder(Page)
+        self._row_decoder = msgspec.json.Decoder(EndpointRow)
 
     def decode_routes(self, data):
         """Decode a route manifest that an operator submitted; see ``Wire``."""
         try:
-            return self._routes_decoder.decode(data)
-        except msgspec.DecodeError as error:
+            return decode_foreign(self._routes_decoder, data)
+        except UndecodableError as error:
             raise InvalidInputError([FieldError(SOURCE, "(text)", str(error))]) from None
 
     def encode_routes(self, manifest):
@@ -80,26 +93,30 @@
 
     def decode_directory(self, data):
         """Decode the only page of the directory; see ``Wire``."""
-        endpoints = []
-        for row in self._endpoints_decoder.decode(data):
-            models = tuple(LoadedModel(m.name, m.version, frozenset()) for m in row.models)
-            endpoints.append(
-                ListedEndpoint(
-                    row.endpoint_id,
-                    row.pool,
-                    row.address,
-                    row.failure_domain,
-                    row.slots,
-                    row.leaving,
-                    models,
-                    row.software_version,
-                )
-            )
-        return DirectoryPage(endpoints, 0, "")
+        page, split = split_page(self._decode_page, b'{"rows":%b}' % data, b"rows")
+        endpoints, unreadable = usable_endpoints(split or page.rows, self._decode_row)
+        return DirectoryPage(endpoints, unreadable, "")
+
+    def _decode_page(self, data):
+        return decode_foreign(self._page_decoder, data)
+
+    def _decode_row(self, data):
+        row = decode_foreign(self._row_decoder, data)
+        models = tuple(LoadedModel(m.name, m.version, frozenset()) for m in row.models)
+        return ListedEndpoint(
+            row.endpoint_id,
+            row.pool,
+            row.address,
+            row.failure_domain,
+            row.slots,
+            row.leaving,
+            models,
+            row.software_version,
+        )
 
     def decode_report(self, data):
         """Decode an engine's status report; see ``Wire``."""
-        return self._report_decoder.decode(data)
+        return decode_foreign(self._report_decoder, data)
 
     def encode_order(self, order: EngineOrder):
         """Return an order encoded as JSON; see ``Wire``."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/intake/model_request.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/intake/model_request.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.foreign import UndecodableError, decode_foreign
 from hemlockdock_entry.intake.request import Request
 
 FINGERPRINT_LENGTH = 32
@@ -58,8 +59,8 @@
     result.Result of Request, Refusal
     """
     try:
-        content = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        content = decode_foreign(_DECODER, body)
+    except UndecodableError as error:
         return _refuse(ErrorKind.BAD_REQUEST, f"body: {error}")
     adapter_row = table.adapter_by_name.get(content.model)
     model_row = table.model_by_name.get(adapter_row.model if adapter_row else content.model)
