fleet: last copies are served where they leave, for as long as the platform allows

Cause: an engine is written off as it is listed as leaving, by the row, by placement and by its agent. The platform lets requests reach it for drain_ms after that (4 s), and a load from its disk takes 0.5 s.

Change: for engines of a pool with models, a row says first that its endpoint is about to leave (retiring). Until 1 s before the end of the time allowed, counted from the last listing that showed the endpoint as staying, it gets requests for models that no other endpoint has loaded, and no others. Placement loads a model there if no staying host has it, and only from the host; it counts no copy there as one that stays, so that the store is used for what only runs where it leaves. A leader that has not seen the endpoint stay gives no time at all; an entry bounds the time itself, should the leader fall silent. An engine that names the time of its stop gets no request that it would not finish. The time comes from the settings (leaving_use_ms, 0 by default).

Failed before: test_last_copies_are_not_written_off_as_their_engine_is_listed_as_leaving, test_a_last_copy_is_loaded_at_the_engine_that_leaves_with_it, test_requests_for_a_last_copy_are_sent_to_the_endpoint_that_leaves_with_it and others (no such state of a row).

--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/model_change.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/model_change.py
@@ -71,7 +71,7 @@
             return NextStep(ChangeStep.DONE, reason="the engine started anew")
         if report.busy:
             return NextStep(ChangeStep.WAIT)
-        if report.leaving:
+        if report.leaving and message.load not in report.on_host:
             return NextStep(ChangeStep.DONE, reason="the engine leaves")
         for name in message.unload:
             if report.model(name) is not None:
--- a/packages/hemlockdock-agent/tests/test_fleet.py
+++ b/packages/hemlockdock-agent/tests/test_fleet.py
@@ -16,7 +16,7 @@
 from hemlockdock_core.wire import AdapterName, EngineReport, LoadedModel, OrderAction
 
 
-def report(models=(), sequence=0, busy=False, leaving=False, started_ms=1, arriving=()):
+def report(models=(), sequence=0, busy=False, leaving=False, started_ms=1, arriving=(), disk=()):
     loaded = []
     for text in models:
         name, _, adapters = text.partition("/")
@@ -30,7 +30,7 @@
         tuple(loaded),
         frozenset(arriving),
         frozenset(),
-        frozenset(),
+        frozenset(disk),
         0,
         0,
         0,
@@ -92,6 +92,10 @@
         self.assertIs(self.step(report(("a",), started_ms=2)).step, ChangeStep.DONE)
         self.assertIs(self.step(report(("a",), leaving=True)).step, ChangeStep.DONE)
 
+    def test_an_engine_that_leaves_still_loads_what_its_host_has(self):
+        found = self.step(report(("b",), leaving=True, disk=("c",)))
+        self.assertEqual((found.order.action, found.order.model), (OrderAction.LOAD, "c"))
+
 
 class EngineReachabilityTest(unittest.TestCase):
     def test_an_engine_is_unreachable_after_three_failed_polls_in_a_row(self):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_view.py
@@ -60,6 +60,8 @@
         Whether the engine takes a limited number of requests per second.
     is_leaving : bool
         Whether the engine is about to be taken away with its host.
+    usable_s : float
+        Time for which an engine that is leaving still takes requests.
     """
 
     endpoint_id: str
@@ -72,6 +74,7 @@
     changing_to: str = ""
     is_limited: bool = False
     is_leaving: bool = False
+    usable_s: float = 0.0
 
     @property
     def resident(self):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
@@ -21,6 +21,7 @@
     Attributes
     ----------
     available_by_id : dict of str to EngineView
+        With those that are leaving and still take requests.
     unavailable_by_id : dict of str to EngineView
         Engines that are leaving or do not respond to their agents.
     silent_by_id : dict of str to EngineView
@@ -79,5 +80,6 @@
             self._pending_by_id.get(row.endpoint_id),
             changing_to,
             row.limit_per_s is not None,
-            row.leaving,
+            row.leaving or row.retiring,
+            self._registry.usable_s(row.endpoint_id, report, self._now_s) if row.retiring else 0.0,
         )
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -27,6 +27,8 @@
 # Additional duration of an exchange that evicts a model with requests in flight.
 BUSY_VICTIM_DELAY_S = 1.5
 PRIOR_RATE_PERIOD_S = 4.0
+# An engine that leaves loads a model only if it then takes requests for this long.
+MIN_USE_S = 0.5
 PREFETCH_GAIN = 20.0
 # An engine that takes few requests per second gets a model only if there is no other for it.
 LIMITED_COST_S = 60.0
@@ -70,7 +72,10 @@
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
         self._has_requests = demand.has_requests
-        self._copies = ModelCopies(views.values(), now_s, history.silent)
+        staying = [view for view in views.values() if not view.is_leaving]
+        leaving = [view for view in views.values() if view.is_leaving]
+        self._copies = ModelCopies(staying, now_s, history.silent)
+        self._leaving_names = frozenset().union(*(view.report.on_host for view in leaving))
         self._copies_by_name = self._copies.count_by_name
         self._idle_views = [view for view in views.values() if view.is_free]
         self._disk_uses = DiskUses(pool.engine, self._spec_by_name, self._copies.holders_by_name)
@@ -108,7 +113,8 @@
         for name, use in self._use_by_name.items():
             if use is None or not self._copies.lacks(name, use, self._now_s):
                 continue
-            if not use.waiting and not use.returning:
+            runs_where_it_leaves = use.in_flight and name in self._leaving_names
+            if not use.waiting and not use.returning and not runs_where_it_leaves:
                 continue
             spec = self._spec_by_name[name]
             event_s = self._now_s + self.costs.fastest_first_event_s(name)
@@ -150,7 +156,8 @@
         may_use_store = spec.name not in self._copies.coming_from_store and self._may_use_store(
             spec, gain, from_store
         )
-        if not may_use_store and spec.name not in self._copies.holders_by_name:
+        names = self._copies.holders_by_name.keys() | self._leaving_names
+        if not may_use_store and spec.name not in names:
             return None
         use = self._use_by_name[spec.name]
         best = None
@@ -163,14 +170,19 @@
             source = view.weights_source(spec.name)
             if source == "store" and not may_use_store:
                 continue
+            if view.is_leaving and not self._may_load_where_it_leaves(spec, source):
+                continue
             load_s = self._load_s(spec, source)
             victims = self._select_victims(view, spec, may_evict_busy and source != "store")
             if victims is None:
                 continue
             blocked_s = load_s if source == "store" else 0.0
-            harm = sum(self.costs.harm(name, blocked_s) for name in victims)
+            needed = [name for name in victims if not self._stays_elsewhere(view, name)]
+            harm = sum(self.costs.harm(name, blocked_s) for name in needed)
             busy = any(self.costs.requests_per_copy(name) for name in victims)
             takes_s = load_s + (BUSY_VICTIM_DELAY_S if busy else 0.0)
+            if view.is_leaving and takes_s + MIN_USE_S > view.usable_s:
+                continue
             blocked = takes_s * self.costs.blocked_rate(view, spec)
             benefit = gain
             if source == "store" and use is not None:
@@ -197,6 +209,16 @@
             return None
         return best[1]
 
+    def _may_load_where_it_leaves(self, spec, source):
+        """Tell whether an engine that leaves may load a model: only if no other host has it."""
+        is_elsewhere = spec.name in self._copies.holders_by_name
+        is_loaded = self._copies_by_name.get(spec.name, 0) > 0
+        return source != "store" and not is_elsewhere and not is_loaded
+
+    def _stays_elsewhere(self, view, name):
+        """Tell whether an engine leaves whose model another engine has loaded."""
+        return view.is_leaving and self._copies_by_name.get(name, 0) > 0
+
     def _may_use_store(self, spec, gain, from_store):
         # An engine on a host with the weights usually becomes idle long before a store load ends.
         is_on_host = spec.name in self._copies.holders_by_name
@@ -270,7 +292,7 @@
             if self._history.recent_loads.contains(view.endpoint_id, name, self._now_s):
                 continue
             is_busy = self.costs.requests_per_copy(name) > 0
-            if is_busy and not may_evict_busy:
+            if is_busy and not may_evict_busy and not self._stays_elsewhere(view, name):
                 continue
             required_mb = self._memory.required_mb(name)
             candidates.append(EvictionCandidate(is_busy, self.costs.value(name), name, required_mb))
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -166,9 +166,10 @@
                 history.observe_reports(registry.reported_hosts(pool.name, now_s), now_s)
             if not self._has_enough_reports(pool, rows, views, now_s):
                 continue
-            leaving_ids = {row.endpoint_id for row in rows.values() if row.leaving}
+            leaving_ids = {row.endpoint_id for row in rows.values() if row.leaving or row.retiring}
             unresponsive = registry.unresponsive_hosts(pool.name, now_s)
-            history.observe(views.values(), now_s, leaving_ids, unresponsive)
+            staying = [view for view in views.values() if not view.is_leaving]
+            history.observe(staying, now_s, leaving_ids, unresponsive)
             history.unavailable = tuple(engines.unavailable_by_id.values())
             history.silent = tuple(engines.silent_by_id.values())
             history.last_copies = last_copies_leaving(engines.all())
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -4,6 +4,9 @@
 from functools import cached_property
 from types import MappingProxyType
 
+import msgspec
+
+from hemlockdock_control.fleet.departures import Departures
 from hemlockdock_control.fleet.former_rows import REPORT_MAX_AGE_S, FormerRows
 from hemlockdock_control.fleet.host_weights import HostWeights
 from hemlockdock_core.rows import ArrivingModel, EndpointRow, ResidentModel
@@ -45,9 +48,15 @@
 
 
 class EndpointRegistry:
-    """Endpoints known from the directory and from agents, kept while this member leads."""
+    """Endpoints known from the directory and from agents, kept while this member leads.
+
+    Parameters
+    ----------
+    fleet : FleetSection, optional
+    """
 
-    def __init__(self):
+    def __init__(self, fleet=None):
+        self._departures = Departures(fleet)
         self.clear(0.0)
 
     def clear(self, now_s):
@@ -60,15 +69,19 @@
         self.listed_by_id = None
         self._report_by_engine = {}
         self._host_weights = HostWeights()
+        self._departures.clear()
         self._former_rows = FormerRows(now_s)
 
-    def set_directory(self, endpoints):
+    def set_directory(self, endpoints, read_s=0.0):
         """Replace the listed endpoints with those read from the directory.
 
         Parameters
         ----------
         endpoints : list of ListedEndpoint
+        read_s : float, optional
+            Time at which the reading began.
         """
+        self._departures.observe(endpoints, read_s)
         self.listed_by_id = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
         self._host_weights.forget_all_but(self.listed_by_id)
 
@@ -118,6 +131,22 @@
         report = self._report_by_engine.get(address)
         return None if _is_for_other_endpoint(report, endpoint_id) else report
 
+    def usable_s(self, endpoint_id, report, now_s):
+        """Return for how long an endpoint that leaves still takes requests.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        report : AgentReport
+        now_s : float
+
+        Returns
+        -------
+        float
+            Negative if it takes none.
+        """
+        return self._departures.left_s(endpoint_id, report, now_s)
+
     def unresponsive_hosts(self, pool, now_s):
         """Return the models on the hosts of engines that do not respond to their agents.
 
@@ -205,6 +234,8 @@
             last_report = self.last_report(listed.endpoint_id, listed.address)
             on_host = self._host_weights.available(listed, last_report, known, now_s)
             row = _build_row(listed, report, placement, limit_per_s, on_host)
+            if row.leaving and self._is_retiring(row, report, now_s):
+                row = msgspec.structs.replace(row, leaving=False, retiring=True)
             if known is not None and known.address == listed.address:
                 has_reported = listed.address in self._report_by_engine
                 row = self._former_rows.complete(row, report, known, has_reported, now_s)
@@ -212,6 +243,11 @@
             rows[listed.endpoint_id] = row
         return rows
 
+    def _is_retiring(self, row, report, now_s):
+        if report is None or not report.body.answers:
+            return False
+        return self.usable_s(row.endpoint_id, report, now_s) > 0.0
+
 
 def _is_for_other_endpoint(report, endpoint_id):
     return report is not None and report.body.endpoint_id not in ("", endpoint_id)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -62,7 +62,7 @@
         self._decide_call = None
         self._client = HttpClient(reactor)
         self._directory = DirectoryReader(settings, self._wire, self._client)
-        self._registry = EndpointRegistry()
+        self._registry = EndpointRegistry(settings.fleet)
         self._demand = DemandAggregator()
         self._limits = RequestLimits(reactor.seconds())
         self.machine = ClusterStateMachine(settings)
@@ -164,9 +164,10 @@
     def _read_directory(self):
         if not self.replicator.is_leader:
             return
+        read_s = self._reactor.seconds()
         endpoints = yield self._directory.read()
         if endpoints is not None and self.replicator.is_leader:
-            self._registry.set_directory(endpoints)
+            self._registry.set_directory(endpoints, read_s)
             self._limits.remove_absent(self._registry.listed_by_id)
             self._record_endpoints()
 
--- a/packages/hemlockdock-control/tests/test_fleet_last_copies.py
+++ b/packages/hemlockdock-control/tests/test_fleet_last_copies.py
@@ -15,6 +15,12 @@
     return found
 
 
+def retiring_view(endpoint_id, engine_report, usable_s=3.0):
+    found = leaving_view(endpoint_id, engine_report)
+    found.usable_s = usable_s
+    return found
+
+
 class LastCopiesTest(unittest.TestCase):
     def test_a_copy_is_the_last_one_if_no_staying_host_has_another(self):
         views = [
@@ -67,5 +73,48 @@
         self.assertEqual(self.choices()[0][1], "rare")
 
 
+class RetiringEngineTest(ChoiceCase):
+    def setUp(self):
+        super().setUp()
+        self.views = {
+            "x": retiring_view("x", report(disk=("rare",))),
+            "y": view("y", report(busy=True)),
+        }
+        self.history.last_copies = {"x": frozenset({"rare"})}
+        self.add_waiting("rare")
+
+    def test_a_last_copy_is_loaded_at_the_engine_that_leaves_with_it(self):
+        self.assertEqual(self.choices(), [("x", "rare", (), "disk")])
+
+    def test_an_engine_that_leaves_loads_nothing_that_a_staying_host_has(self):
+        self.views["z"] = view("z", report(disk=("rare",), busy=True))
+        self.assertEqual(self.choices(), [])
+
+    def test_an_engine_that_leaves_loads_nothing_from_the_store(self):
+        self.views["x"] = retiring_view("x", report())
+        self.add_waiting("rare", waiting=9)
+        self.assertEqual(self.choices(), [])
+
+    def test_an_engine_that_takes_no_requests_soon_loads_nothing(self):
+        self.views["x"] = retiring_view("x", report(disk=("rare",)), usable_s=0.9)
+        self.assertEqual(self.choices(), [])
+
+    def test_an_engine_that_leaves_unloads_what_others_run_for_a_last_copy(self):
+        self.views["x"] = retiring_view("x", report(("hot", "warm"), disk=("rare",)))
+        self.views["y"] = view("y", report(("hot", "warm"), busy=True))
+        self.report_demand(demand("hot", 90, in_flight=9), demand("warm", 90, in_flight=9))
+        ((endpoint_id, model, unload, source),) = self.choices()
+        self.assertEqual((endpoint_id, model, source), ("x", "rare", "disk"))
+        self.assertEqual(len(unload), 1)
+
+    def test_the_store_loads_what_runs_only_where_it_leaves(self):
+        self.views = {
+            "x": retiring_view("x", report(("rare",), disk=("rare",))),
+            "y": view("y", report()),
+        }
+        self.report_demand(demand("rare", 9, in_flight=9))
+        self.assertEqual(self.choices(), [("y", "rare", (), "store")])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-control/tests/test_fleet_registry.py
+++ b/packages/hemlockdock-control/tests/test_fleet_registry.py
@@ -22,6 +22,7 @@
     EndpointReport,
 )
 from hemlockdock_core.rows import ArrivingModel, PoolRow
+from hemlockdock_core.settings.sections import FleetSection
 from hemlockdock_core.wire import ListedEndpoint
 
 
@@ -214,6 +215,31 @@
         self.registry.set_directory([listed(leaving=True)])
         self.assertTrue(self.registry.rows(0.0, self.placement, self.limits)["e"].leaving)
 
+    def leaving_rows(self, now_s, leaves_in_ms=None, was_listed=True):
+        """Return the state of the row of an engine that is listed as leaving after 100 s."""
+        self.registry = EndpointRegistry(FleetSection(leaving_use_ms=4_000))
+        if was_listed:
+            self.registry.set_directory([listed()], 100.0)
+        self.registry.set_directory([listed(leaving=True)], 100.4)
+        last = replace(report(("m",)), leaving=True, leaves_in_ms=leaves_in_ms)
+        body = EndpointReport(POOL, listed().address, last, 0, False, 0)
+        self.registry.record_report(AgentReport("tcp://a", 1, body, now_s))
+        row = self.registry.rows(now_s, self.placement, self.limits)["e"]
+        return row.leaving, row.retiring
+
+    def test_last_copies_are_not_written_off_as_their_engine_is_listed_as_leaving(self):
+        self.assertEqual(self.leaving_rows(100.5), (False, True))
+        self.assertEqual(self.leaving_rows(102.9), (False, True))
+
+    def test_an_engine_that_leaves_takes_no_requests_near_the_end_of_the_time_allowed(self):
+        self.assertEqual(self.leaving_rows(103.0), (True, False))
+
+    def test_an_engine_that_was_listed_at_an_unknown_time_takes_no_requests(self):
+        self.assertEqual(self.leaving_rows(100.5, was_listed=False), (True, False))
+
+    def test_an_engine_that_is_stopped_soon_takes_no_requests(self):
+        self.assertEqual(self.leaving_rows(100.5, leaves_in_ms=1_900), (True, False))
+
     def test_only_changed_rows_are_recorded(self):
         self.registry.set_directory([listed(), listed("ff")])
         rows = self.registry.rows(0.0, self.placement, self.limits)
--- a/packages/hemlockdock-core/hemlockdock_core/rows/endpoint_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/endpoint_row.py
@@ -60,6 +60,9 @@
         Version of the endpoint's software; empty if unknown.
     limit_per_s : float or None
         Requests per second that it takes from all entries together; None if it names no limit.
+    retiring : bool
+        Whether it is about to leave, and takes only requests for models that no other endpoint has
+        loaded.
     """
 
     endpoint_id: str
@@ -74,6 +77,7 @@
     on_host: tuple[str, ...] | None = None
     software_version: str = ""
     limit_per_s: float | None = None
+    retiring: bool = False
 
     @property
     def key(self):
--- a/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
@@ -251,6 +251,14 @@
     directory_poll_ms: int = key(
         400, "Time between reads of the directory.", "ms", ge=50, le=60_000
     )
+    leaving_use_ms: int = key(
+        0,
+        "Time for which an endpoint may get requests after the directory lists it as leaving "
+        "(control, entry).",
+        "ms",
+        ge=0,
+        le=3_600_000,
+    )
     engine: HostPort = key("", "ip:port of the agent's engine (agent).")
     pool: str = key("", "Pool of that engine (agent).")
     report_ms: int = key(100, "Time between reads of the engine's report.", "ms", ge=20, le=60_000)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
@@ -36,7 +36,7 @@
             True if it leaves, is gone, has asked for a pause, or may have crashed just now.
         """
         row = self._gateway.endpoint_row(endpoint_id)
-        if row is None or row.leaving:
+        if row is None or self._gateway.endpoints.has_left(row):
             return True
         if self._gateway.quarantine.watch.is_in_doubt(endpoint_id):
             return True
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -138,7 +138,7 @@
         health = self._gateway.health
         now_s = self._gateway.clock.seconds()
         apart = self._gateway.quarantine.runs_apart(exchange)
-        usable = self.usable(exchange)
+        usable = [row for row in self.usable(exchange) if not row.retiring]
         usable = [row for row in usable if may_run_at(exchange.binding.origin, row)]
         usable = self.unconfirmed_or_all(usable)
         row = health.choose(usable, now_s, exchange.tried_ids, apart=apart)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/leaving_endpoints.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/leaving_endpoints.py
@@ -64,6 +64,6 @@
         -------
         EndpointRow
         """
-        if row.leaving or row.endpoint_id not in self._listed_as_leaving_by_id:
+        if row.leaving or row.retiring or row.endpoint_id not in self._listed_as_leaving_by_id:
             return row
         return msgspec.structs.replace(row, leaving=True)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -222,6 +222,8 @@
             health = gateway.health.for_endpoint(row.endpoint_id)
             if health.in_flight < max_in_flight and health.full_until_s <= now_s:
                 usable.append(row)
+        # One that is about to leave gets what no other endpoint can take.
+        usable = [row for row in usable if not row.retiring] or usable
         usable = gateway.selection.unconfirmed_or_all(usable)
         preferred_ids = frozenset()
         if exchange.adapter:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_entry.gateway.connection_pool import ConnectionPool
 from hemlockdock_entry.gateway.leaving_endpoints import LeavingEndpoints
+from hemlockdock_entry.gateway.retiring_endpoints import RetiringEndpoints
 from hemlockdock_entry.gateway.windowed_retry_budget import WindowedRetryBudget
 
 
@@ -26,6 +27,7 @@
         self._on_idle_connection_lost = on_idle_connection_lost
         self._row_by_id = {}
         self._leaving = LeavingEndpoints()
+        self._retiring = RetiringEndpoints(reactor, settings.fleet)
         self._rows_by_pool = {}
         self._connections_by_address = {}
         self._retry_budget_by_pool = {}
@@ -38,6 +40,7 @@
         row_by_id : dict of str to EndpointRow
         """
         self._leaving.update(row_by_id)
+        self._retiring.update(row_by_id)
         self._set_rows(row_by_id)
         addresses = {row.address for row in row_by_id.values()}
         for address in list(self._connections_by_address):
@@ -70,6 +73,19 @@
         """
         self._leaving.remove(endpoint_id)
 
+    def has_left(self, row):
+        """Return whether an endpoint takes no new work.
+
+        Parameters
+        ----------
+        row : EndpointRow
+
+        Returns
+        -------
+        bool
+        """
+        return row.leaving or self._retiring.has_left(row)
+
     def find(self, endpoint_id):
         """Return an endpoint's row, or None if the endpoint no longer exists.
 
--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -35,7 +35,7 @@
 SETTINGS = (
     "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n"
     "[listen]\nlinks = tcp://127.0.0.1:1\nready = 127.0.0.1:2\n"
-    "[fleet]\nseeds = 127.0.0.9:1\nretry_slack = 10\n"
+    "[fleet]\nseeds = 127.0.0.9:1\nretry_slack = 10\nleaving_use_ms = 4000\n"
 )
 IDEMPOTENT_PATH = "/read/"
 AT_MOST_ONCE_PATH = "/write/"
@@ -266,6 +266,7 @@
     on_host=None,
     software_version="v1",
     limit_per_s=None,
+    retiring=False,
 ):
     return EndpointRow(
         name,
@@ -280,6 +281,7 @@
         on_host,
         software_version,
         limit_per_s,
+        retiring,
     )
 
 
--- a/packages/hemlockdock-entry/tests/test_gateway_leaving.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_leaving.py
@@ -112,6 +112,38 @@
         self.assertEqual(self.waiting_ports, [])
         self.assertNotEqual(server.header(b"x-request-id"), b"2")
 
+    def put_engines(self, **states):
+        rows = [
+            endpoint(name, "lm", 10 + len(name), models=("m",), **state)
+            for name, state in states.items()
+        ]
+        self.harness.put_rows(*rows)
+
+    def test_requests_for_a_last_copy_are_sent_to_the_endpoint_that_leaves_with_it(self):
+        self.put_engines(x={"retiring": True})
+        self.send(STREAM_PATH, MODEL)
+        self.assertEqual(self.waiting_ports, [11])
+
+    def test_an_endpoint_that_leaves_gets_nothing_that_a_staying_one_can_take(self):
+        self.put_engines(x={"retiring": True}, yy={})
+        for _ in range(3):
+            self.send(STREAM_PATH, MODEL)
+        self.assertEqual(set(self.waiting_ports), {12})
+
+    def test_an_endpoint_that_leaves_gets_no_requests_late_though_the_leader_is_silent(self):
+        self.put_engines(x={"retiring": True})
+        self.harness.reactor.advance(3.1)
+        self.send(STREAM_PATH, MODEL)
+        self.assertEqual(self.waiting_ports, [])
+
+    def test_its_own_announcement_does_not_close_an_endpoint_that_is_known_to_leave(self):
+        self.put_engines(x={"retiring": True})
+        self.send(STREAM_PATH, MODEL)
+        server = self.harness.connect()
+        server.answer(EVENT, request_id=b"1", extra=LEAVING)
+        self.send(STREAM_PATH, MODEL)
+        self.assertEqual(self.harness.gateway.in_progress, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
