entry, core: a copy of an earlier refusal is not the answer to a later request

After a refusal, a request goes to the same endpoint over the same connection under the same id: a copy of the refusal passes for the answer to the second try, which runs. An error without an id is taken for the request's, also on a connection that carried others. A further response in the same segment as the one before is taken for the answer to a request that is sent from within its completion. The client for orders and reports binds responses by order only, and keeps a connection that brought one nobody asked for.

Change: a request is never sent twice over one connection. On a connection that carried a request before, an error without an id tells nothing: the request may have run, and the connection is closed. A response is complete once all bytes that came with it are read; if more came, the connection is closed, also by the client for orders, and one with an unasked response too.

--- a/packages/hemlockdock-core/hemlockdock_core/http/client.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/client.py
@@ -182,7 +182,7 @@
 
     def response_received(self, response, reusable):
         request, self._current = self._current, None
-        if not reusable:
+        if not reusable or request is None:
             self._drop_connection()
         if request is not None:
             request.timer.cancel()
@@ -252,6 +252,8 @@
         self._head = None
         self._parts = []
         self._size = 0
+        self._response = None
+        self._is_reusable = False
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -262,9 +264,15 @@
             self._reader.feed(data)
         except MalformedResponseError as error:
             logger.info("malformed response", extra={"problem": str(error)})
+            self._is_reusable = False
             self.transport.abortConnection()
+        self._deliver()
 
     def response_started(self, head):
+        if self._response is not None:
+            # It came together with the response, and answers no later request.
+            self._is_reusable = False
+            return
         self._head = head
         self._parts = []
         self._size = 0
@@ -277,11 +285,20 @@
         self._parts.append(data)
 
     def response_ended(self, reusable):
-        response = HttpResponse(self._head, b"".join(self._parts))
+        if self._response is not None:
+            return
+        self._response = HttpResponse(self._head, b"".join(self._parts))
+        self._is_reusable = reusable
         self._head = None
         self._parts = []
-        self._request_queue.response_received(response, reusable)
 
     def connectionLost(self, reason):
         self._reader.closed(reason.check(ConnectionDone) is not None)
+        self._deliver()
         self._request_queue.connection_closed(self, reason.getErrorMessage())
+
+    def _deliver(self):
+        response, self._response = self._response, None
+        if response is not None:
+            is_reusable = self._is_reusable and self._reader.idle
+            self._request_queue.response_received(response, is_reusable)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/connection_pool.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/connection_pool.py
@@ -66,13 +66,14 @@
         EndpointConnection or _PendingConnection
             Provides ``cancel()``.
         """
-        now_s = self._reactor.seconds()
-        while self._idle:
-            connection = self._idle.pop()
-            if now_s - connection.idle_since_s < connection.keep_alive_s:
-                connection.send_request(endpoint_try)
-                return connection
-            connection.transport.loseConnection()
+        self.close_expired()
+        # A copy of its former response would pass for the response to a request that is repeated.
+        unused = [item for item in self._idle if item not in endpoint_try.used_connections]
+        if unused:
+            connection = unused[-1]
+            self._idle.remove(connection)
+            connection.send_request(endpoint_try)
+            return connection
         pending = _PendingConnection(self, endpoint_try)
         pending.connector = self._connect(pending)
         return pending
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_connection.py
@@ -47,6 +47,9 @@
         self._discarding_response = False
         self._discarded_bytes = 0
         self._unsafe_to_reuse = False
+        self._requests = 0
+        self._complete_try = None
+        self._is_reusable = False
         self.idle_since_s = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
@@ -96,12 +99,16 @@
         except MalformedResponseError as error:
             COUNTERS.increment("gateway_malformed_answers")
             self._fail(f"malformed response: {error}")
+        self._finish_try()
 
     def connectionLost(self, reason):
         """Complete or fail the request in progress."""
         self._pool.forget(self)
         cleanly = reason.check(ConnectionDone) is not None
-        if self._reader.closed(cleanly) or self._try is None:
+        if self._reader.closed(cleanly):
+            self._finish_try()
+            return
+        if self._try is None:
             return
         endpoint_try, self._try = self._try, None
         endpoint_try.connection_lost(reason.getErrorMessage())
@@ -115,10 +122,13 @@
             self._unsafe_to_reuse = True
             return
         response_id = head.value(self._request_id_name)
-        expected_id = self._try.request_id
-        if response_id == expected_id or (not response_id and head.status >= FIRST_ERROR_STATUS):
+        is_error_without_id = not response_id and head.status >= FIRST_ERROR_STATUS
+        if response_id == self._try.request_id or is_error_without_id:
             self._read_keep_alive_timeout(head)
-            self._try.head_received(head)
+            # On a kept connection, it may be a copy of an earlier error.
+            is_doubtful = is_error_without_id and self._requests > 1
+            self._unsafe_to_reuse = self._unsafe_to_reuse or is_doubtful
+            self._try.head_received(head, is_doubtful)
             return
         COUNTERS.increment("gateway_foreign_answers")
         self._discarding_response = True
@@ -134,23 +144,31 @@
             self._fail("a response to another request does not end")
 
     def response_ended(self, reusable):
-        """Complete the request, and release or close the connection."""
+        """Complete the request, or go on after a response to another one."""
         if self._discarding_response:
             self._discarding_response = False
             if self._try is None:
                 self.transport.abortConnection()
             return
-        endpoint_try, self._try = self._try, None
+        # Further bytes may have come with the response: they answer no later request.
+        self._complete_try, self._try = self._try, None
+        self._is_reusable = reusable
+
+    def _finish_try(self):
+        endpoint_try, self._complete_try = self._complete_try, None
         if endpoint_try is None:
             return
         is_long = len(endpoint_try.data) > LONG_REQUEST_BYTES
-        if reusable and not self._unsafe_to_reuse and not is_long:
+        is_reusable = self._is_reusable and self._reader.idle and not self._unsafe_to_reuse
+        if is_reusable and not is_long:
             self._pool.release(self)
         else:
             self.transport.loseConnection()
         endpoint_try.response_complete()
 
     def _send(self):
+        self._requests += 1
+        self._try.used_connections.add(self)
         self.transport.write(self._try.data)
         self._try.request_sent()
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_try.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_try.py
@@ -14,6 +14,8 @@
     data : bytes
         The complete serialized request.
     permit : Permit or None
+    used_connections : set of EndpointConnection, optional
+        Connections over which the request was sent before.
 
     Attributes
     ----------
@@ -24,20 +26,24 @@
     sent_s : float
     first_byte_s : float
         Time at which the response head was received.
+    is_doubtful : bool
+        Whether the response may be one to another request.
     """
 
-    def __init__(self, exchange, row, request_id, data, permit):
+    def __init__(self, exchange, row, request_id, data, permit, used_connections=None):
         self._exchange = exchange
         self._connection = None
         self.row = row
         self.request_id = request_id
         self.data = data
         self.permit = permit
+        self.used_connections = set() if used_connections is None else used_connections
         self.head = None
         self.outcome = None
         self.was_sent = False
         self.sent_s = 0.0
         self.first_byte_s = 0.0
+        self.is_doubtful = False
 
     def begin(self, connections, now_s):
         """Send the request.
@@ -77,9 +83,10 @@
         """Record that the request was written."""
         self.was_sent = True
 
-    def head_received(self, head):
+    def head_received(self, head, is_doubtful=False):
         """Pass the response head to the exchange."""
         self.head = head
+        self.is_doubtful = is_doubtful
         if self._exchange is not None:
             self.first_byte_s = self._exchange.now_s()
             self._exchange.on_response_head(self, head)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -50,6 +50,7 @@
         self._runs_apart = False
         self._buffer = ResponseBuffer(gateway.buffer_budget)
         self._unsent_tries = 0
+        self._used_connections = set()
         self.tried_ids = set()
         self.may_have_run = False
 
@@ -76,7 +77,8 @@
             exchange, row, self._gateway, self._response_writer.last_event_id
         )
         permit = exchange.take_permit()
-        self._try = EndpointTry(self, row, exchange.content.request_id, data, permit)
+        request_id = exchange.content.request_id
+        self._try = EndpointTry(self, row, request_id, data, permit, self._used_connections)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
         self._gateway.endpoint_limits.record_sent(row.endpoint_id)
@@ -129,9 +131,9 @@
         self._gateway.gate.record_response(endpoint_try.row.endpoint_id, head, endpoint_try.sent_s)
         route = self._exchange.route
         verdict = check_head(head, self._gateway.headers, route, self._response_writer.started)
-        endpoint_try.outcome = verdict.outcome
+        endpoint_try.outcome = TryOutcome.UNKNOWN if endpoint_try.is_doubtful else verdict.outcome
         self._is_streaming = verdict.is_stream
-        if verdict.outcome is not TryOutcome.NOT_RUN:
+        if endpoint_try.outcome is not TryOutcome.NOT_RUN:
             self.may_have_run = True
 
     def on_response_data(self, endpoint_try, data):
--- a/packages/hemlockdock-entry/tests/test_gateway_models.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_models.py
@@ -197,7 +197,8 @@
         self.assertEqual(self.demand().waiting, 1)
         self.wait(0.3)
         self.harness.gateway.model_queue.check_waiting()
-        self.assertGreater(len(server.received), before)
+        self.assertIn(b"X-Request-Id: 1", self.connect().received)
+        self.assertEqual(len(server.received), before)
 
     def test_request_leaves_the_queue_when_its_client_disconnects(self):
         self.harness.put_rows(endpoint("x", "lm", 3))
