entry: a continuation without an event does not end a stream as complete

The check for an event held only for responses without framing.

Change: a response that continues a stream and brings no event is broken off, and is tried at another endpoint or cut. A stream that broke off after its last event is cut, too: nobody can tell it from one whose rest is missing.

Failed before: test_an_empty_continuation_does_not_end_a_stream_as_complete, test_an_empty_answer_to_a_client_that_resumes_does_not_end_its_stream_as_complete.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_check.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_check.py
@@ -57,7 +57,7 @@
     return HeadVerdict(None, is_stream)
 
 
-def stream_problem(framing, inside_event, has_events):
+def stream_problem(framing, inside_event, has_events, is_continuation):
     """Return why the end of a stream is not the end of its response.
 
     Parameters
@@ -67,6 +67,8 @@
         Whether the stream's last event is incomplete.
     has_events : bool
         Whether the response brought a complete event.
+    is_continuation : bool
+        Whether the client has events of the stream from an earlier response.
 
     Returns
     -------
@@ -77,6 +79,8 @@
         return "the stream ended inside an event"
     if framing is Framing.CONNECTION_END and not has_events:
         return "the connection closed before the first event"
+    if is_continuation and not has_events:
+        return "the continuation brought no event"
     return ""
 
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -185,8 +185,8 @@
         endpoint_try : EndpointTry
         """
         progress = self._progress
-        is_continuation = progress.is_continuation or self._exchange.binding.is_resumption
-        progress = RunProgress(progress.has_carried_on, is_continuation and progress.has_events)
+        went_on = self._is_continuation and progress.has_events
+        progress = RunProgress(progress.has_carried_on, went_on)
         self._gateway.quarantine.run_lost(self._exchange, endpoint_try.row, progress)
 
     def on_try_ended(self, endpoint_try, outcome, problem):
@@ -240,7 +240,12 @@
         if not self._is_streaming:
             return ""
         has_partial = self._response_writer.has_partial_event
-        return stream_problem(head.framing, has_partial, self._progress.has_events)
+        has_events = self._progress.has_events
+        return stream_problem(head.framing, has_partial, has_events, self._is_continuation)
+
+    @property
+    def _is_continuation(self):
+        return self._progress.is_continuation or self._exchange.binding.is_resumption
 
     def _stop_oversized(self, endpoint_try, problem):
         endpoint_try.cancel()
