--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/store_bound.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/store_bound.py
@@ -1,7 +1,7 @@
 """Bound the number of names that any schedule of the weight store could serve.
 
-It assumes that all demand is known in advance, that an engine always has room, and that loads are
-never lost, so that no real schedule does better.
+It assumes that demand is known in advance, that an engine always has room, and that loads are never
+lost, so that no real schedule does better.
 """
 
 from dataclasses import dataclass
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AbsentModel:
-    """A requested model that no host has.
+    """A requested model that no host has, or that leaves with its last host.
 
     Attributes
     ----------
@@ -18,19 +18,23 @@
         Requested names that a load would make available: the model and its adapters.
     last_useful_s : float
         Latest end of a load that still serves a request.
+    known_s : float
+        Earliest begin of a load: when it becomes known that the last host leaves.
     """
 
     model: str
     names: int
     last_useful_s: float
+    known_s: float = float("-inf")
 
 
 def most_names_served(models, first_load_s, load_s):
     """Return how many names of absent models a store that carries one load could serve.
 
-    All loads take the same time, so that a schedule is a choice of models for consecutive slots;
-    taking the models by their number of names, each in the latest free slot that still serves it,
-    is optimal. That a model may be requested, or lost, only after a slot began, is disregarded.
+    All loads take the same time, so that each load of a schedule begins within another one of
+    consecutive slots; the bound assigns models to slots that their loads may begin in and still
+    serve a request. That a later load of the schedule is delayed by one that begins in the middle
+    of its slot, and that a model may be requested only after a slot began, is disregarded.
 
     Parameters
     ----------
@@ -44,14 +48,28 @@
     -------
     int
     """
-    taken = set()
+    item_by_slot = {}
     served = 0
     for item in sorted(models, key=lambda item: (-item.names, item.model)):
-        slot = int((item.last_useful_s - first_load_s) // load_s) - 1
-        while slot in taken:
-            slot -= 1
-        if slot < 0:
-            continue
-        taken.add(slot)
-        served += item.names
+        if _assign(item, item_by_slot, set(), first_load_s, load_s):
+            served += item.names
     return served
+
+
+def _assign(item, item_by_slot, tried, first_load_s, load_s):
+    """Assign a model to a slot, and those in its way to others; return whether that is possible."""
+    last = int((item.last_useful_s - first_load_s) // load_s) - 1
+    first = 0
+    if item.known_s > first_load_s:
+        if item.known_s + load_s > item.last_useful_s:
+            return False
+        first = int((item.known_s - first_load_s) // load_s)
+    for slot in range(last, first - 1, -1):
+        if slot in tried:
+            continue
+        tried.add(slot)
+        other = item_by_slot.get(slot)
+        if other is None or _assign(other, item_by_slot, tried, first_load_s, load_s):
+            item_by_slot[slot] = item
+            return True
+    return False
