--- a/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/engine_views.py
@@ -81,5 +81,10 @@
             changing_to,
             row.limit_per_s is not None,
             row.leaving or row.retiring,
-            self._registry.usable_s(row.endpoint_id, report, self._now_s) if row.retiring else 0.0,
+            self._usable_s(row, report),
         )
+
+    def _usable_s(self, row, report):
+        if not row.retiring:
+            return 0.0
+        return self._registry.departures.left_s(row.endpoint_id, report, self._now_s)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/registry.py
@@ -53,10 +53,14 @@
     Parameters
     ----------
     fleet : FleetSection, optional
+
+    Attributes
+    ----------
+    departures : Departures
     """
 
     def __init__(self, fleet=None):
-        self._departures = Departures(fleet)
+        self.departures = Departures(fleet)
         self.clear(0.0)
 
     def clear(self, now_s):
@@ -69,7 +73,7 @@
         self.listed_by_id = None
         self._report_by_engine = {}
         self._host_weights = HostWeights()
-        self._departures.clear()
+        self.departures.clear()
         self._former_rows = FormerRows(now_s)
 
     def set_directory(self, endpoints, read_s=0.0):
@@ -81,7 +85,7 @@
         read_s : float, optional
             Time at which the reading began.
         """
-        self._departures.observe(endpoints, read_s)
+        self.departures.observe(endpoints, read_s)
         self.listed_by_id = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
         self._host_weights.forget_all_but(self.listed_by_id)
 
@@ -131,22 +135,6 @@
         report = self._report_by_engine.get(address)
         return None if _is_for_other_endpoint(report, endpoint_id) else report
 
-    def usable_s(self, endpoint_id, report, now_s):
-        """Return for how long an endpoint that leaves still takes requests.
-
-        Parameters
-        ----------
-        endpoint_id : str
-        report : AgentReport
-        now_s : float
-
-        Returns
-        -------
-        float
-            Negative if it takes none.
-        """
-        return self._departures.left_s(endpoint_id, report, now_s)
-
     def unresponsive_hosts(self, pool, now_s):
         """Return the models on the hosts of engines that do not respond to their agents.
 
@@ -246,7 +234,7 @@
     def _is_retiring(self, row, report, now_s):
         if report is None or not report.body.answers:
             return False
-        return self.usable_s(row.endpoint_id, report, now_s) > 0.0
+        return self.departures.left_s(row.endpoint_id, report, now_s) > 0.0
 
 
 def _is_for_other_endpoint(report, endpoint_id):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -5,6 +5,7 @@
 from hemlockdock_entry.gateway.attempt_progress import AttemptProgress
 from hemlockdock_entry.gateway.crash_watch import RunProgress
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
+from hemlockdock_entry.gateway.first_byte_timer import FirstByteTimer
 from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
 from hemlockdock_entry.gateway.response_buffer import ResponseBuffer
@@ -12,10 +13,6 @@
 
 # An endpoint is avoided for this long after it had no capacity or accepted no connection.
 FULL_PAUSE_S = 0.25
-# Minimum wait for the first byte if another endpoint could answer.
-MIN_FIRST_BYTE_TIMEOUT_S = 0.6
-# With less time left, a retry is no more likely to answer in time than the current attempt.
-MIN_TRY_S = 0.25
 # Failed connection attempts of one request before the client is told to retry later.
 MAX_UNSENT_TRIES = 6
 
@@ -44,7 +41,7 @@
         self._response_writer = response_writer
         self._log = log
         self._try = None
-        self._first_byte_call = None
+        self._first_byte_timer = FirstByteTimer(gateway, exchange)
         self._is_streaming = False
         self._progress = AttemptProgress()
         self._runs_apart = False
@@ -86,10 +83,7 @@
         health.suspects_in_flight += self._runs_apart
         self._try.begin(self._gateway.endpoints.connections_to(row), self.now_s())
         if exchange.route.may_repeat:
-            timeout_s = health.first_byte_timeout_s(MIN_FIRST_BYTE_TIMEOUT_S)
-            self._first_byte_call = self._gateway.clock.callLater(
-                timeout_s, self._on_first_byte_timeout, self._try
-            )
+            self._first_byte_timer.start(self._try, self.tried_ids, self._on_first_byte_timeout)
 
     def cancel(self):
         """Cancel the attempt in progress."""
@@ -269,16 +263,7 @@
             exchange.refuse(Refusal.of(ErrorKind.ENDPOINT_LOST, message))
 
     def _on_first_byte_timeout(self, endpoint_try):
-        """Cancel an attempt without a first byte if another endpoint may answer in time."""
-        exchange = self._exchange
-        self._first_byte_call = None
-        if exchange.ended or endpoint_try is not self._try or endpoint_try.head is not None:
-            return
-        if len(self.tried_ids) >= exchange.route.most_endpoints or exchange.left_s < MIN_TRY_S:
-            return
-        if not self._gateway.selection.has_alternative(exchange):
-            return
-        if endpoint_try.was_sent and not self._has_retry_left():
+        if self._exchange.ended or endpoint_try is not self._try:
             return
         endpoint_try.cancel()
         outcome = TryOutcome.UNKNOWN if endpoint_try.was_sent else TryOutcome.NOT_SENT
@@ -286,9 +271,7 @@
 
     def _release_endpoint(self, endpoint_try):
         self._buffer.release()
-        if self._first_byte_call is not None:
-            self._first_byte_call.cancel()
-            self._first_byte_call = None
+        self._first_byte_timer.cancel()
         health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
         health.in_flight -= 1
         health.suspects_in_flight -= self._runs_apart
@@ -309,7 +292,3 @@
     def _spend_retry(self):
         budget = self._gateway.endpoints.retry_budget(self._exchange.pool.name)
         return budget.try_spend(self.now_s(), self._gateway.entries)
-
-    def _has_retry_left(self):
-        budget = self._gateway.endpoints.retry_budget(self._exchange.pool.name)
-        return budget.has_available(self.now_s(), self._gateway.entries)
