--- a/packages/hemlockdock-control/tests/test_fleet_last_copies.py
+++ b/packages/hemlockdock-control/tests/test_fleet_last_copies.py
@@ -91,7 +91,7 @@
         self.assertEqual(self.choices(), [])
 
     def test_an_engine_that_leaves_loads_nothing_from_the_store(self):
-        self.views["x"] = retiring_view("x", report())
+        self.views["x"] = retiring_view("x", report(), usable_s=60.0)
         self.add_waiting("rare", waiting=9)
         self.assertEqual(self.choices(), [])
 
