--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -98,7 +98,7 @@
     Mutant(
         "take an answer to another request for the one awaited",
         GATEWAY + "endpoint_connection.py",
-        "if response_id == expected_id or",
+        "if response_id == self._try.request_id or",
         "if True or",
         WHOLE,
     ),
@@ -168,8 +168,8 @@
     Mutant(
         "displace a model that runs requests",
         FLEET + "model_choice.py",
-        "            if is_busy and not may_evict_busy:\n                continue\n",
-        "",
+        "if is_busy and not may_evict_busy and",
+        "if False and",
         PLACEMENT,
     ),
     Mutant(
@@ -301,8 +301,8 @@
     Mutant(
         "fetch nothing for clients that will come back",
         FLEET + "model_choice.py",
-        "if not use.waiting and not use.returning:",
-        "if not use.waiting:",
+        "if not use.waiting and not use.returning and",
+        "if not use.waiting and",
         STORE_CHOICE,
     ),
     Mutant(
--- a/tools/mutants/weight_store.py
+++ b/tools/mutants/weight_store.py
@@ -88,17 +88,17 @@
         CONTROL_TESTS + "test_model_loads.py",
     ),
     Mutant(
-        "measure the store by loads that went on over an election",
+        "take what rows show after an election for overdue",
         FLEET + "store_follower.py",
-        "term == self._term and ",
-        "",
+        "        if self._interrupted_s is None:\n            self._estimator",
+        "        if True:\n            self._estimator",
         CONTROL_TESTS + "test_fleet_store_follower.py",
     ),
     Mutant(
         "forget loads that the store goes on with",
         FLEET + "model_choice.py",
-        "history.lost_loads.planned_ends_s())",
-        "())",
+        "lost_ends_s = history.lost_loads.planned_ends_s()",
+        "lost_ends_s = ()",
         STORE_LOADS,
     ),
     Mutant(
