--- a/packages/hemlockdock-entry/tests/test_attempt.py
+++ b/packages/hemlockdock-entry/tests/test_attempt.py
@@ -75,6 +75,13 @@
         self.assertIsNone(self.reply.refusal)
         self.assertEqual(self.sent[-1].attempt, 2)
 
+    def test_frames_of_another_agent_than_the_one_asked_are_discarded(self):
+        refusal = Refusal.of(ErrorKind.ALREADY_RAN, "this try was answered before")
+        self.coord.attempts.handle(Refused(self.submitted.request_id, 1, refusal), "agent-2")
+        self.clock.advance(0.5)
+        self.assertIsNone(self.reply.refusal)
+        self.assertEqual(len(self.coord.attempts.all()), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/mutants/entry.py
+++ b/tools/mutants/entry.py
@@ -50,7 +50,7 @@
         ENTRY + "tasks/attempt_registry.py",
         "if attempt is None or attempt.node.node_id != sender:",
         "if attempt is None:",
-        COORDINATOR,
+        TESTS + "test_attempt.py",
     ),
     Mutant(
         "route to a node that leaves",
