fleet: a measurement of the store outlives a stop of all control members

In a trial of the leader of 37.2 s takes the store for unmeasured, though it was measured at 6.2 s, and begins two loads together at 42.8 s: one for the model in highest demand, and one for "1 returning", which takes the store until 69 s.

Cause: the measurement is in the memory of the members, and they all start anew.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/control.py
@@ -139,7 +139,8 @@
         """
         if self.leads(now_s):
             present, gone = changed_rows(self._rows(now_s), self._endpoints.row_by_id)
-            self._commit(RecordEndpoints(present, gone, _wall_ms(now_s)))
+            store_loads = self._placement.store.measured_limit
+            self._commit(RecordEndpoints(present, gone, _wall_ms(now_s), store_loads))
         return self._endpoints.row_by_id
 
     def _commit(self, command):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -89,6 +89,8 @@
         wall_ms : int
         """
         self._recorded_loads.update(loads, now_s, wall_ms)
+        if loads.store_loads:
+            self.store.adopt(loads.store_loads, now_s)
 
     def follow(self, pools, rows, now_s, term):
         """Follow the recorded loads of all leaders, to measure the store.
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -220,14 +220,16 @@
         if wanted is None:
             return
         present, gone = changed_rows(wanted, recorded)
-        if not present and not gone:
+        store_loads = self._placement.store.measured_limit
+        is_new = store_loads not in (0, self.machine.state.endpoints.loads.store_loads)
+        if not present and not gone and not is_new:
             return
         self._commit_pending = True
         for row in present:
             logger.info("endpoint changed", extra={"endpoint": row.endpoint_id, "row": repr(row)})
         for endpoint_id in gone:
             logger.info("endpoint gone", extra={"endpoint": endpoint_id})
-        outcome = self._proposer.commit(RecordEndpoints(present, gone, wall_ms()))
+        outcome = self._proposer.commit(RecordEndpoints(present, gone, wall_ms(), store_loads))
         outcome.addBoth(self._endpoints_committed)
 
     def _endpoints_committed(self, _):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_concurrency.py
@@ -56,9 +56,15 @@
     def __init__(self):
         self.concurrency_limit = INITIAL_CONCURRENCY
         self.is_measured = False
+        self._has_evidence = False
         self._load_by_key = {}
         self._backoff_start_s = None
 
+    @property
+    def measured_limit(self):
+        """Return the estimate if it is measured, else 0."""
+        return self.concurrency_limit if self.is_measured else 0
+
     @property
     def is_measuring(self):
         """Tell whether a load is in progress that started beside another one."""
@@ -82,6 +88,21 @@
             load.max_concurrent = max(load.max_concurrent, in_progress)
         self._load_by_key[key] = _Load(nominal_s, now_s, in_progress, in_progress)
 
+    def adopt(self, concurrency_limit, now_s):
+        """Adopt what was measured before this member started, unless it has measured itself.
+
+        Parameters
+        ----------
+        concurrency_limit : int
+        now_s : float
+        """
+        if self._has_evidence:
+            return
+        self._has_evidence = True
+        self.is_measured = True
+        self.concurrency_limit = concurrency_limit
+        self._backoff_start_s = now_s
+
     def forget_active_loads(self):
         """Stop tracking the loads in progress."""
         self._load_by_key = {}
@@ -118,6 +139,7 @@
             later.concurrent_at_start = max(later.concurrent_at_start, load.concurrent_at_start)
             return
         self.is_measured = self.is_measured or load.concurrent_at_start > 1
+        self._has_evidence = self._has_evidence or self.is_measured
         if load.concurrent_at_start >= self.concurrency_limit:
             self._raise_estimate(load, now_s)
 
@@ -159,6 +181,7 @@
 
     def _lower_estimate(self, load, took_s, now_s):
         self.is_measured = True
+        self._has_evidence = True
         supported = max(1, int(load.max_concurrent * load.nominal_s / took_s + ROUNDING_MARGIN))
         if supported < self.concurrency_limit:
             self.concurrency_limit = supported
--- a/packages/hemlockdock-control/hemlockdock_control/state/image.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/image.py
@@ -46,6 +46,7 @@
     former_pools_since_ms, former_versions_since_ms : int or None
         Times since which they are complete; `NEVER_KEPT_MS` in snapshots of versions without them.
     model_loads : list of ModelLoad
+    store_loads : int
     """
 
     format: int
@@ -73,3 +74,4 @@
     former_versions: list[FormerValue] = field(default_factory=list)
     former_versions_since_ms: int | None = NEVER_KEPT_MS
     model_loads: list[ModelLoad] = field(default_factory=list)
+    store_loads: int = 0
--- a/packages/hemlockdock-control/hemlockdock_control/state/model_loads.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/model_loads.py
@@ -47,11 +47,14 @@
     ----------
     load_by_key : dict of (str, str) to ModelLoad
         Keyed by endpoint id and model.
+    store_loads : int
+        Number of loads that the weight store was measured to carry at full speed; 0 if it was not.
     """
 
     def __init__(self, context):
         self._context = context
         self.load_by_key = {}
+        self.store_loads = 0
 
     def note_row(self, old, row):
         """Note a row that was added or changed.
@@ -76,13 +79,15 @@
             if key[0] == row.endpoint_id and _has_weights(row, key[1]):
                 del self.load_by_key[key]
 
-    def restore(self, loads):
+    def restore(self, loads, store_loads=0):
         """Restore the loads from a snapshot.
 
         Parameters
         ----------
         loads : list of ModelLoad
+        store_loads : int, optional
         """
+        self.store_loads = store_loads
         self.load_by_key = {load.key: load for load in loads}
 
     def _remove_ended(self):
--- a/packages/hemlockdock-control/hemlockdock_control/state/routes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/routes.py
@@ -182,6 +182,8 @@
         CommandResult
         """
         self.former_versions.note_command(command.at_ms)
+        # A command without a measurement does not take an earlier one back.
+        self.loads.store_loads = command.store_loads or self.loads.store_loads
         for row in command.present:
             old = self.row_by_id.get(row.endpoint_id)
             self._note_former_version(old, row)
--- a/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/snapshots.py
@@ -43,6 +43,7 @@
         state.endpoints.former_versions.all(),
         state.endpoints.former_versions.known_since_ms,
         list(state.endpoints.loads.load_by_key.values()),
+        state.endpoints.loads.store_loads,
     )
     return msgspec.msgpack.encode(image)
 
@@ -84,7 +85,7 @@
     state.crashes.seen_until_ms_by_crash = image.seen_until_ms_by_crash
     state.routes.restore(image.routes, image.routes_document)
     state.endpoints.restore(image.endpoints)
-    state.endpoints.loads.restore(image.model_loads)
+    state.endpoints.loads.restore(image.model_loads, image.store_loads)
     _restore_former_values(state, image)
     context.changes.restore(image.table_revision, _rows(state))
 
--- a/packages/hemlockdock-control/tests/test_fleet_service.py
+++ b/packages/hemlockdock-control/tests/test_fleet_service.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
 from hemlockdock_control.consensus import Replicator
@@ -51,6 +51,17 @@
         self.assertEqual(self.reads, 0)
         self.assertIsNone(self.service._registry.listed_by_id)
 
+    def test_a_new_measurement_of_the_store_is_recorded_though_no_row_has_changed(self):
+        self.service._registry.set_directory([])
+        self.service._placement.store.adopt(1, 0.0)
+        commit = mock.Mock(return_value=Deferred())
+        with (
+            mock.patch.object(Replicator, "has_lease", True),
+            mock.patch.object(self.service._proposer, "commit", commit),
+        ):
+            self.service._record_endpoints()
+        self.assertEqual(commit.call_args.args[0].store_loads, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-control/tests/test_fleet_store_loads.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_loads.py
@@ -10,6 +10,7 @@
     AgentReport,
 )
 from hemlockdock_control.state.context import StateContext
+from hemlockdock_control.state.model_loads import ModelLoads
 from hemlockdock_control.state.routes import Endpoints
 from hemlockdock_core.commands import RecordEndpoints
 from hemlockdock_core.messages import (
@@ -35,6 +36,26 @@
         self.placement.clear()
         self.assertEqual(self.placement.store.concurrency_limit, 1)
 
+    def test_a_measurement_of_the_store_is_not_lost_if_all_members_start_anew(self):
+        loads = ModelLoads(StateContext(0))
+        loads.store_loads = 1
+        self.placement = Placement()
+        self.placement.observe_recorded(loads, self.now_s, wall_ms(self.now_s))
+        store = self.placement.store
+        self.assertEqual((store.is_measured, store.concurrency_limit), (True, 1))
+
+    def test_a_member_that_has_measured_the_store_adopts_nothing(self):
+        store = self.placement.store
+        for key in ("a", "b"):
+            store.record_start(("e", key), 6.0, self.now_s)
+        for key in ("a", "b"):
+            store.record_end(("e", key), True, self.now_s + 6.1)
+        measured = store.concurrency_limit
+        loads = ModelLoads(StateContext(0))
+        loads.store_loads = 1
+        self.placement.observe_recorded(loads, self.now_s, wall_ms(self.now_s))
+        self.assertEqual(store.concurrency_limit, measured)
+
     def test_the_store_is_not_free_while_an_engine_that_leaves_loads_from_it(self):
         staying = listed("staying")
         self.registry.set_directory([listed(leaving=True), staying])
--- a/packages/hemlockdock-control/tests/test_model_loads.py
+++ b/packages/hemlockdock-control/tests/test_model_loads.py
@@ -82,6 +82,16 @@
         self.machine.restore(self.index, snapshot)
         self.assertEqual(self.begun_ms(), {("e", "m"): 0})
 
+    def test_what_the_store_carries_stays_known_over_a_restart_from_a_snapshot(self):
+        for store_loads in (4, 0):
+            command = RecordEndpoints((), (), self.now_ms, store_loads)
+            self.index += 1
+            self.machine.apply(self.index, encode_command(command))
+        snapshot = self.machine.snapshot()
+        self.machine = ClusterStateMachine(control_settings())
+        self.machine.restore(self.index, snapshot)
+        self.assertEqual(self.machine.state.endpoints.loads.store_loads, 4)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-core/hemlockdock_core/commands/routes.py
+++ b/packages/hemlockdock-core/hemlockdock_core/commands/routes.py
@@ -35,8 +35,11 @@
     gone : tuple of str
         Ids of the endpoints that were removed.
     at_ms : int
+    store_loads : int
+        Number of loads that the weight store was measured to carry at full speed; 0 if it was not.
     """
 
     present: tuple[EndpointRow, ...]
     gone: tuple[str, ...]
     at_ms: int
+    store_loads: int = 0
