control: log which models were passed over as the weight store begins a load

They didn't tell which others only the store had, how often they had been asked for lately, and how many of their clients waited or were expected to return, so that a wrong belief of the entries and a wrong order looked the same. One line for each load from the store, six models at most.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -107,6 +107,11 @@
         if choice is not None:
             yield choice
 
+    def absent_models(self):
+        """Return the names of the models that neither an engine nor a host has or is to have."""
+        present = self._copies.holders_by_name.keys() | self._copies.coming_from_store
+        return [name for name in self._spec_by_name if name not in present]
+
     def _awaited(self):
         """Yield the models that lack copies and have waiting requests, in the order of loading."""
         awaited = []
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -181,6 +181,8 @@
             choice = self._policy(pool, views, demand, history, now_s)
             for chosen in choice.choices():
                 self._start_change(chosen, views[chosen.endpoint_id], now_s, term)
+                if chosen.source == "store":
+                    self._log.note_store_demand(pool, choice.absent_models(), demand, now_s)
             self._log.note_store_use(pool, choice.store, choice.store_idleness)
             self._log.note_last_copies(pool, history.last_copies, demand, now_s)
             messages.extend(self._due_messages(views, now_s))
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_log.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_log.py
@@ -4,6 +4,8 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_LOGGED_MODELS = 6
+
 
 class PlacementLog:
     """Write what has changed since the last placement round."""
@@ -57,3 +59,30 @@
                 extra={"endpoint": endpoint_id, "lately_asked": asked_by_name},
             )
         self._leaving_ids |= leaving.keys()
+
+    def note_store_demand(self, pool, names, demand, now_s):
+        """Log the demand for the models that only the store has, when it begins a load.
+
+        Parameters
+        ----------
+        pool : PoolRow
+        names : iterable of str
+            Models that neither an engine nor a host has, nor a load in progress brings.
+        demand : DemandAggregator
+        now_s : float
+        """
+        rows = []
+        for name in names:
+            use = demand.demand_by_model.get((pool.name, name))
+            if use is not None:
+                lately = round(use.lately_asked(now_s), 1)
+                rows.append((lately, name, use.waiting, use.returning))
+        rows.sort(reverse=True)
+        asked_by_name = {}
+        for lately, name, waiting, returning in rows[:MAX_LOGGED_MODELS]:
+            asked_by_name[name] = {
+                "lately": lately,
+                "waiting": waiting,
+                "returning": returning,
+            }
+        logger.info("weight store demand", extra={"pool": pool.name, "asked": asked_by_name})
--- a/packages/hemlockdock-control/tests/test_fleet_store_loads.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_loads.py
@@ -242,6 +242,20 @@
         (use,) = [record for record in logs.records if "store use" in record.msg]
         self.assertEqual(use.idle_reason, "no_free_engine")
 
+    def test_the_demand_for_models_that_only_the_store_has_is_logged_as_a_load_begins(self):
+        self.pool = pool(spec("warm"), spec("rare"), spec("asked"), spec("loaded"), spec("other"))
+        self.report()
+        self.decide()
+        passed_over = demand("asked", 3)
+        self.board.record_report(
+            "x", DemandReport((demand("loaded", 9, 9), passed_over)), self.now_s
+        )
+        with self.assertLogs("hemlockdock_control.fleet.placement_log", "INFO") as logs:
+            self.decide()
+        (line,) = [record for record in logs.records if "store demand" in record.msg]
+        expected = {"asked": {"lately": 3.0, "waiting": 0, "returning": 0}}
+        self.assertEqual(line.asked, expected)
+
 
 if __name__ == "__main__":
     unittest.main()
