entry: a client with less time than its route allows is not taken for one that was refused before

Cause: an entry took a request for a return if its time left was more than 100 ms below the timeout of its route. A client refused at its arrival was therefore not counted as one that is going to return, and the leader saw '0 waiting, 1 returning' for a model whose 20 requests had been refused in 16 s. The target of such a request was computed as if it had waited, and counted as missed at its arrival, which put models in a wrong order of loading. Both tests fail before: returning 0, in_time 0. Why it works: a refused client honours a Retry-After of a third of its time left at most, so that one with more than two thirds of its route's timeout has not waited for the longest one. A client that returned sooner counts as a new one, which is the truth for all decisions that use it but for its target. The same belief fed the target of plain requests.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_times.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_times.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_entry.gateway.patience import MAX_RETRY_AFTER_FRACTION
+
 MS_PER_S = 1_000
-# A client whose time left is lower than the route's timeout by this much was refused before.
-RETURNING_CLIENT_MS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +17,9 @@
     target_s : float
         Time until which the response, or a stream's first event, meets the route's target.
     waited_ms : int
-        Time for which the client waited before this request, judging by its time left.
+        Time for which the client waited before this request, judging by its time left; 0 for a
+        client that has more left than one that was sent back for as long as possible. Clients have
+        limits of their own, somewhat below the route's timeout.
     client_left_ms : int or None
         Time for which the client waits from now on; None if it does not tell.
     """
@@ -47,8 +49,8 @@
         if time_left.strip().isdigit():
             client_left_ms = int(time_left)
             limit_ms = min(limit_ms, client_left_ms)
-        # A client that retries after a refusal has less time left than the route's timeout.
-        waited_ms = max(0, route.timeout_ms - limit_ms)
+        has_returned = limit_ms <= (1.0 - MAX_RETRY_AFTER_FRACTION) * route.timeout_ms
+        waited_ms = route.timeout_ms - limit_ms if has_returned else 0
         return cls(
             received_s + limit_ms / MS_PER_S,
             received_s + (route.target_ms - waited_ms) / MS_PER_S,
@@ -59,4 +61,4 @@
     @property
     def is_first_request(self):
         """Return whether this is the client's first request."""
-        return self.waited_ms < RETURNING_CLIENT_MS
+        return self.waited_ms == 0
--- a/packages/hemlockdock-entry/tests/test_gateway_models.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_models.py
@@ -74,6 +74,16 @@
         self.harness.gateway.run_maintenance()
         self.assertEqual(self.demand().returning, 0)
 
+    def test_client_with_less_time_than_its_route_allows_is_not_taken_for_a_returning_one(self):
+        self.harness.put_rows(endpoint("x", "lm", 3, on_host=("n",)))
+        self.send_request(left_ms=10_300)
+        self.assertEqual((self.client.status, self.demand().returning), (503, 1))
+
+    def test_target_of_a_client_with_less_time_than_its_route_allows_is_not_missed_on_arrival(self):
+        self.harness.put_rows(endpoint("x", "lm", 3))
+        self.send_request(left_ms=10_300)
+        self.assertEqual((self.demand().waiting, self.demand().in_time), (1, 1))
+
     def test_retrying_client_is_not_counted_again(self):
         self.harness.put_rows(endpoint("x", "lm", 3, on_host=("n",)))
         self.send_request(left_ms=8_000)
