control: the store's next load is chosen by what was asked for, not by who waits at that moment

Cause: the order of loading went by requests of the last 15 s, but only models with a waiting or an expected client took part; nearly no client waits for a load of 13 s. And a model that hosts have, but cannot load, came before all models that only the store has, whatever was asked for. Three tests fail before: the model of which all clients were refused is passed over, the store stays idle, and the fallback goes first. Why it works: what the store begins now serves those who ask in 13 s, so that one measure decides for all who need it. A model takes part with one request lately or more. test_returning_clients_cause_a_load_from_the_store has its engine hold the model that its fixture warms up: that one had no copy anywhere, and now rightly comes first, with 12 requests against 2.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/baselines.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/baselines.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from hemlockdock_control.fleet.exchange_costs import ExchangeCosts
+from hemlockdock_control.fleet.load_order import AwaitedModel
 from hemlockdock_control.fleet.model_choice import ModelChoice
 
 
@@ -26,13 +27,13 @@
     costs_type = RecencyCosts
 
     def _awaited(self):
-        waiting_models = []
+        awaited = []
         for name, use in self._use_by_name.items():
             if use is not None and use.waiting and not self._copies_by_name.get(name, 0):
-                waiting_models.append((use.waiting_since_s, name))
-        waiting_models.sort()
-        for _, name in waiting_models:
-            yield self._spec_by_name[name], self._use_by_name[name]
+                is_on_host = name in self._copies.holders_by_name
+                event_s = self._now_s + self.costs.fastest_first_event_s(name)
+                awaited.append(AwaitedModel(self._spec_by_name[name], use, is_on_host, event_s))
+        return sorted(awaited, key=lambda item: (item.use.waiting_since_s, item.spec.name))
 
     def _crowded(self):
         return ()
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -6,6 +6,8 @@
 seconds, during which the engine cannot exchange any other model.
 """
 
+from dataclasses import replace
+
 from hemlockdock_control.fleet.disk_cache import DiskUses
 from hemlockdock_control.fleet.eviction import EngineMemory, EvictionCandidate, choose_evictions
 from hemlockdock_control.fleet.exchange_costs import HORIZON_S, ExchangeCosts
@@ -20,6 +22,8 @@
 # its weights: none of those hosts had an engine with room. Where the load outlasts the patience of
 # those who wait, it has to serve later ones, and hosts get as long as it takes.
 STORE_FALLBACK_AFTER_S = 1.0
+# A model that only the store has is loaded for this many requests lately, though none waits.
+MIN_LATELY_ASKED = 1.0
 # Requests that have waited this long may also evict a model with requests in flight; the shorter
 # limit applies to models in high demand.
 BUSY_EVICTION_WAIT_S = 4.0
@@ -93,8 +97,8 @@
 
     def choices(self):
         """Yield the exchanges to start now, at most one per endpoint."""
-        for spec, use in self._awaited():
-            choice = self._exchange_for_waiting(spec, use)
+        for item in self._awaited():
+            choice = self._exchange_for_waiting(item)
             if choice is not None:
                 self._apply(choice)
                 yield choice
@@ -113,37 +117,55 @@
         return [name for name in self._spec_by_name if name not in present]
 
     def _awaited(self):
-        """Yield the models that lack copies and have waiting requests, in the order of loading."""
+        """Return the models that lack copies and that clients ask for, in the order of loading."""
         awaited = []
         for name, use in self._use_by_name.items():
             if use is None or not self._copies.lacks(name, use, self._now_s):
                 continue
-            runs_where_it_leaves = use.in_flight and name in self._leaving_names
-            if not use.waiting and not use.returning and not runs_where_it_leaves:
+            is_on_host = name in self._copies.holders_by_name
+            if not self._is_awaited(name, use, is_on_host):
                 continue
-            spec = self._spec_by_name[name]
             event_s = self._now_s + self.costs.fastest_first_event_s(name)
-            is_on_host = name in self._copies.holders_by_name
-            awaited.append(AwaitedModel(spec, use, is_on_host, event_s))
-        for item in load_order(awaited, self._now_s):
-            yield item.spec, item.use
+            item = AwaitedModel(self._spec_by_name[name], use, is_on_host, event_s)
+            awaited.append(item)
+            if is_on_host and self._may_fall_back(item):
+                awaited.append(replace(item, is_fallback=True))
+        return load_order(awaited, self._now_s)
+
+    def _is_awaited(self, name, use, is_on_host):
+        if use.waiting or use.returning:
+            return True
+        if use.in_flight and name in self._leaving_names:
+            return True
+        # Nobody waits for a load that outlasts all patience: it serves those who ask later.
+        return not is_on_host and use.lately_asked(self._now_s) >= MIN_LATELY_ASKED
+
+    def _may_fall_back(self, item):
+        """Tell whether the store may deliver a model that hosts have, but cannot load."""
+        if item.use.waiting < HIGH_DEMAND_REQUESTS:
+            return False
+        load_s = self.store.load_s(item.spec)
+        fallback_after_s = load_s if load_s > LONGEST_PATIENCE_S else STORE_FALLBACK_AFTER_S
+        return self._now_s - item.use.waiting_since_s >= fallback_after_s
 
     def _crowded(self):
         for name, excess in self._copies.crowded(self._use_by_name):
             yield self._spec_by_name[name], excess
 
-    def _exchange_for_waiting(self, spec, use):
+    def _exchange_for_waiting(self, item):
+        spec, use = item.spec, item.use
         reason = self._demand_text(use)
         gain = use.waiting + use.returning + use.rate_now(self._now_s) * HORIZON_S
+        if item.is_fallback:
+            return self._fallback_exchange(item, gain, reason)
         waited_s = self._now_s - use.waiting_since_s
         is_in_demand = use.waiting >= HIGH_DEMAND_REQUESTS
         limit_s = HIGH_DEMAND_BUSY_EVICTION_WAIT_S if is_in_demand else BUSY_EVICTION_WAIT_S
-        choice = self._cheapest_exchange(spec, gain, waited_s >= limit_s, reason)
-        if choice is not None or spec.name not in self._copies.holders_by_name:
-            return choice
-        load_s = self.store.load_s(spec)
-        fallback_after_s = load_s if load_s > LONGEST_PATIENCE_S else STORE_FALLBACK_AFTER_S
-        if not is_in_demand or waited_s < fallback_after_s:
+        return self._cheapest_exchange(spec, gain, waited_s >= limit_s, reason)
+
+    def _fallback_exchange(self, item, gain, reason):
+        spec = item.spec
+        if not self._copies.lacks(spec.name, item.use, self._now_s):
             return None
         if self._cheapest_exchange(spec, gain, True, reason) is not None:
             # A host is going to load it, at the expense of a model with requests in flight.
--- a/packages/hemlockdock-control/tests/test_fleet_store_choice.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_choice.py
@@ -76,13 +76,37 @@
         self.report_demand(demand("rare", 10, returning=1), demand("other", 2, returning=1))
         self.assertEqual(self.choices()[0][:2], ("y", "other"))
 
+    def test_the_store_passes_over_no_model_whose_clients_were_all_refused(self):
+        self.views = {"y": view("y", report())}
+        self.history.store.concurrency_limit = 1
+        for second in range(12):
+            self.report_demand(demand("rare", second + 1), now_s=NOW_S - 12.0 + second)
+        self.report_demand(demand("other", 3, returning=2))
+        self.assertEqual(self.choices()[0][:2], ("y", "rare"))
+
+    def test_the_store_is_not_idle_while_a_model_without_any_copy_is_asked_for(self):
+        self.views = {"y": view("y", report())}
+        self.report_demand(demand("rare", 3), now_s=NOW_S - 9.0)
+        self.assertEqual(self.choices()[0][:2], ("y", "rare"))
+        self.assertEqual(self.choices(NOW_S + 30.0), [], "asked for long ago")
+
+    def test_a_model_that_no_host_has_comes_before_one_that_hosts_have_if_more_ask_for_it(self):
+        self.models = [spec("rare", store_load_ms=13_200), spec("warm", store_load_ms=13_200)]
+        self.history.store.concurrency_limit = 1
+        message = ChangeModels(1, 1, "x", (), "other")
+        pending = PendingChange(message, 1, "disk", NOW_S, NOW_S + 2)
+        self.views = {"x": view("x", report(disk=("warm",)), pending), "y": view("y", report())}
+        self.add_waiting("warm", waiting=9)
+        self.report_demand(demand("rare", 17))
+        self.assertEqual(self.choices(NOW_S + 13.3), [("y", "rare", (), "store")])
+
     def test_a_model_on_a_host_comes_before_one_that_only_the_store_has(self):
         self.views = {"y": view("y", report(disk=("rare",)))}
         self.report_demand(demand("rare", 1, returning=1), demand("other", 9, returning=9))
         self.assertEqual(self.choices()[0][:2], ("y", "rare"))
 
     def test_returning_clients_cause_a_load_from_the_store(self):
-        self.views = {"y": view("y", report())}
+        self.views = {"y": view("y", report(("hot",)))}
         self.warm_up(hot=1)
         self.report_demand(demand("rare", 2, returning=2))
         self.assertEqual(self.choices()[0], ("y", "rare", (), "store"))
