control: the store is not kept free for what leaves while many are refused who do not wait

Cause: while hosts with last copies leave, a store of one load stays free for up to half a load, unless a model is urgent. Urgent was one with twelve waiting or expected requests; requests for a model that takes 13.2 s to load are refused at once, and do not wait. The test fails before: nothing is chosen for 20 requests in 10 s. Why it works: requests that were refused lately count like those that wait. The bounds stay (12, or 4 for a model that leaves), so that the store is still kept free from models that few ask for.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -255,8 +255,11 @@
             if self._history.may_return(spec, self._now_s):
                 self.store_idleness.note(IdleReason.HOST_MAY_RETURN)
                 return False
-        if self.store.is_reserved(spec, gain, self._now_s):
+        use = self._use_by_name[spec.name]
+        asked = 0.0 if use is None else use.lately_asked(self._now_s)
+        if self.store.is_reserved(spec, max(gain, asked), self._now_s):
             self.store_idleness.note(IdleReason.LAST_COPIES_LEAVE)
+            return False
         return self.store.may_start(spec, gain, self._now_s)
 
     def _ahead(self):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -125,8 +125,6 @@
         limit = max(1, full_speed_loads - RESERVED_STORE_LOADS)
         if demand >= HIGH_DEMAND_REQUESTS:
             limit = full_speed_loads
-        if self.is_reserved(spec, demand, now_s):
-            return False
         if self.active_loads < limit:
             return True
         if not self._estimator.is_measured:
@@ -140,6 +138,7 @@
         ----------
         spec : ModelSpec
         demand : float
+            Number of requests that wait for the model, will soon, or were refused lately.
         now_s : float
 
         Returns
--- a/packages/hemlockdock-control/tests/test_fleet_last_copies.py
+++ b/packages/hemlockdock-control/tests/test_fleet_last_copies.py
@@ -56,6 +56,12 @@
         self.report_demand(demand("rare", 12, returning=12))
         self.assertEqual(self.choices()[0][1], "rare")
 
+    def test_the_store_is_not_kept_free_while_many_are_refused_who_do_not_wait(self):
+        for second in range(10):
+            arrivals = 2 * (second + 1)
+            self.report_demand(demand("rare", arrivals), now_s=NOW_S - 10.0 + second)
+        self.assertEqual(self.choices(), [("y", "rare", (), "store")])
+
     def test_the_store_stays_free_for_half_a_load_at_most(self):
         self.report_demand(demand("rare", 1, returning=1))
         self.choices()
