entry: a stopping entry sends nothing that the end of its grace would cut off

Cause: while an entry stops, it took what came within 2.8 s, and refused what waited after 4.5 s. Nothing asked before a send whether the request could end within what was left of the grace; one that waited for a permit, an adapter or a second endpoint was not asked again. What can outlive it and has not run is refused at once as not run, so that its client goes to another entry; what may have run is ended truthfully. A stream that has begun goes on for as long as possible, also at another endpoint.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/load_order.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/load_order.py
@@ -2,9 +2,10 @@
 
 Models whose earliest latency target can still be met come first, ordered by urgency and then by
 target, as that order meets the most targets. Of the others, those that a host can load come before
-those that the store has to deliver: the store carries few loads of some seconds each, and no request
-that waits now decides which of them serves the most callers, but how many have asked lately. That
-holds for a model that only the store has as for one whose hosts have no engine with room.
+those that the store has to deliver: the store carries few loads of some seconds each, and which of
+them serves the most callers is decided not by the requests that wait now, but by how many came
+lately. That holds for a model that only the store has as for one whose hosts have no engine with
+room.
 """
 
 from dataclasses import dataclass
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -21,6 +21,7 @@
 from hemlockdock_entry.gateway.quarantine import Quarantine
 from hemlockdock_entry.gateway.route_index import RouteIndex
 from hemlockdock_entry.gateway.startup_queue import StartupQueue
+from hemlockdock_entry.gateway.stop_schedule import StopSchedule
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +60,7 @@
     permits : PermitTracker
     quarantine : Quarantine
     gate : EndpointGate
+    stop_schedule : StopSchedule
     selection : EndpointSelection
     model_queue : ModelQueue
     origin_lookup : OriginLookup
@@ -103,6 +105,7 @@
         self.permits = PermitTracker(self, self.endpoint_limits, self._random)
         self.other_entries = OtherEntries(reactor, send)
         self.quarantine = Quarantine(self, settings.process.node_id)
+        self.stop_schedule = StopSchedule(reactor)
         self.gate = EndpointGate(self)
         self.selection = EndpointSelection(self)
         self.model_queue = ModelQueue(self)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -166,7 +166,7 @@
         is_full = False
         selection = self._gateway.selection
         for exchange in list(exchanges):
-            if exchange.refuse_quarantined():
+            if exchange.refuse_unsendable():
                 continue
             # A stream that needs a certain software version doesn't hold up those behind it.
             row = None if is_full else selection.admit(exchange, self._choose)
@@ -259,6 +259,7 @@
     def _on_adapter_settled(self, exchange, held):
         row = self._gateway.endpoint_row(exchange.reserved_endpoint_id)
         may_send = self._gateway.gate.may_send(exchange.reserved_endpoint_id, exchange.wish.permit)
+        may_send = may_send and self._gateway.stop_schedule.allows(exchange)
         if held and not exchange.ended and may_send:
             # From here on, send_to() counts the request as in flight at the endpoint.
             self._gateway.health.for_endpoint(row.endpoint_id).in_flight -= 1
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -6,7 +6,7 @@
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.patience import Patience
 from hemlockdock_entry.gateway.permit import PermitWish
-from hemlockdock_entry.gateway.refusals import truthful_refusal
+from hemlockdock_entry.gateway.refusals import truthful_refusal, unsendable_refusal
 from hemlockdock_entry.gateway.request_content import HOST, RequestContent
 from hemlockdock_entry.gateway.request_times import RequestTimes
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
@@ -90,6 +90,11 @@
         """Return the time left, in seconds."""
         return self.deadline_s - self.now_s()
 
+    @property
+    def has_started(self):
+        """Return whether the client has got the head of the response."""
+        return self._response_writer.started
+
     @property
     def client_left_ms(self):
         """Return the time for which the client waits from its request on; None if unknown."""
@@ -140,7 +145,7 @@
 
     def dispatch(self):
         """Send the request to an endpoint, or queue it until one can run it."""
-        if self._ended or self._tries.in_progress or self.refuse_quarantined():
+        if self._ended or self._tries.in_progress or self.refuse_unsendable():
             return
         rows = self._gateway.endpoints.of_pool(self.pool.name)
         if not can_continue(self.binding.origin, self.model, rows):
@@ -208,15 +213,15 @@
         self._response_writer.write_refusal(refusal, self.content.request_id)
         self._finish()
 
-    def refuse_quarantined(self):
-        """Refuse the request if it crashed endpoints.
+    def refuse_unsendable(self):
+        """Refuse the request if no endpoint may get it.
 
         Returns
         -------
         bool
             Whether it was refused.
         """
-        refusal = self._gateway.quarantine.refusal(self)
+        refusal = unsendable_refusal(self._gateway, self)
         if refusal is None:
             return False
         self.refuse(refusal)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/refusals.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/refusals.py
@@ -29,6 +29,25 @@
     return Refusal.of(kind, message, retry_after_ms=retry_after_ms)
 
 
+def unsendable_refusal(gateway, exchange):
+    """Return the refusal of a request that no endpoint may get, or None.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    exchange : ProxyExchange
+
+    Returns
+    -------
+    Refusal or None
+        If it crashed endpoints, or if the entry stops before it would end.
+    """
+    refusal = gateway.quarantine.refusal(exchange)
+    if refusal is not None or gateway.stop_schedule.allows(exchange):
+        return refusal
+    return truthful_refusal(exchange, ErrorKind.DRAINING, "it could outlive the entry, which stops")
+
+
 def quarantine_refusal(exchange, key, crash_ids, left_ms, message):
     """Return the refusal of a request that crashed endpoints, and log it.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -115,6 +115,7 @@
         self._reactor.callLater(LISTEN_WHILE_DRAINING_S, self._stop_listening)
         self._reactor.callLater(REFUSE_WAITING_AFTER_S, self._refuse_waiting)
         grace_s = max(LISTEN_WHILE_DRAINING_S, self._settings.fleet.grace_s - GRACE_MARGIN_S)
+        self.gateway.stop_schedule.begin(grace_s)
         self._reactor.callLater(grace_s, self._abort_requests)
         return self._stopped
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -107,6 +107,8 @@
         -------
         bool
         """
+        if not self._gateway.stop_schedule.allows(self._exchange):
+            return False
         return self._gateway.gate.may_send(endpoint_try.row.endpoint_id, endpoint_try.permit)
 
     def now_s(self):
@@ -161,6 +163,8 @@
             self.on_try_ended(endpoint_try, TryOutcome.BROKEN_OFF, problem)
             return
         self._release_endpoint(endpoint_try)
+        took_s = self.now_s() - endpoint_try.sent_s
+        self._gateway.stop_schedule.record_run(self._exchange.route.name, took_s)
         self._gateway.quarantine.run_answered(self._exchange, endpoint_try.row)
         self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id).record_response(
             endpoint_try.first_byte_s - endpoint_try.sent_s
--- a/packages/hemlockdock-entry/tests/test_gateway_drain.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_drain.py
@@ -2,7 +2,15 @@
 
 import unittest
 
-from support_gateway import AT_MOST_ONCE_PATH, IDEMPOTENT_PATH, SETTINGS, GatewayHarness
+from support_gateway import (
+    AT_MOST_ONCE_PATH,
+    IDEMPOTENT_PATH,
+    NON_RESUMABLE_STREAM_PATH,
+    SETTINGS,
+    STREAM_PATH,
+    GatewayHarness,
+    endpoint,
+)
 
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_entry.gateway.service import GatewayService
@@ -65,6 +73,91 @@
         self.assertIsNotNone(client.status)
         self.assertEqual(self.stopped, [None])
 
+    def take(self, path, after_s, left_ms):
+        """Return the client of a request that comes some time after the stop signal."""
+        self.stop()
+        self.reactor.advance(after_s)
+        client = self.harness.client()
+        client.send_request(path, left_ms=left_ms, extra=b"X-Use-Model: m\r\n")
+        return client
+
+    def test_a_request_that_the_end_of_the_grace_would_cut_off_is_not_sent(self):
+        self.harness.put_rows(endpoint("x", "lm", 3, models=("m",)))
+        for path in (STREAM_PATH, NON_RESUMABLE_STREAM_PATH, AT_MOST_ONCE_PATH, IDEMPOTENT_PATH):
+            client = self.take(path, 2.7, 20_000)
+            self.assertEqual(client.status, 503, path)
+            self.setUp()
+            self.harness.put_rows(endpoint("x", "lm", 3, models=("m",)))
+
+    def test_a_request_that_ends_before_the_grace_by_its_own_limit_is_sent(self):
+        client = self.take(AT_MOST_ONCE_PATH, 2.7, 4_000)
+        self.harness.connect().answer()
+        self.assertEqual(client.status, 200)
+
+    def test_a_request_is_sent_while_the_runs_of_its_route_are_short_enough(self):
+        first = self.harness.client()
+        first.send_request(AT_MOST_ONCE_PATH, left_ms=20_000)
+        server = self.harness.connect()
+        self.reactor.advance(2.0)
+        server.answer()
+        client = self.take(AT_MOST_ONCE_PATH, 2.7, 20_000)
+        self.harness.connect().answer()
+        self.assertEqual((first.status, client.status), (200, 200))
+
+    def test_a_request_is_not_sent_if_the_runs_of_its_route_are_longer_than_the_grace(self):
+        first = self.harness.client()
+        first.send_request(AT_MOST_ONCE_PATH, left_ms=20_000)
+        server = self.harness.connect()
+        self.reactor.advance(4.9)
+        server.answer()
+        client = self.take(AT_MOST_ONCE_PATH, 2.7, 20_000)
+        self.assertEqual((first.status, client.status), (200, 503))
+
+    def test_a_request_that_waits_for_its_model_is_not_sent_late_in_the_grace(self):
+        self.harness.put_rows(endpoint("x", "lm", 3, on_host=("m",)))
+        client = self.take(STREAM_PATH, 0.0, 7_000)
+        self.assertIsNone(client.status)
+        self.setUp()
+        self.harness.put_rows(endpoint("x", "lm", 3, on_host=("m",)))
+        client = self.harness.client()
+        client.send_request(STREAM_PATH, left_ms=12_000, extra=b"X-Use-Model: m\r\n")
+        self.assertIsNone(client.status)
+        self.stop()
+        self.harness.put_rows(endpoint("x", "lm", 3, models=("m",)))
+        self.assertEqual(client.status, 503)
+
+    def test_a_failed_request_is_not_sent_again_late_in_the_grace(self):
+        rows = [endpoint(name, "lm", port, models=("m",)) for name, port in (("x", 3), ("y", 4))]
+        self.harness.put_rows(*rows)
+        first = self.harness.client()
+        first.send_request(STREAM_PATH, left_ms=12_000, extra=b"X-Use-Model: m\r\n")
+        server = self.harness.connect()
+        server.begin_stream()
+        server.chunk(b"id: 1\ndata: x\n\n")
+        self.reactor.advance(4.5)
+        server.send_bytes(b"0\r\n\r\n")
+        self.assertIn(b"0\r\n\r\n", first.received)
+        client = self.take(STREAM_PATH, 2.7, 12_000)
+        self.reactor.advance(0.4)
+        server.close()
+        self.reactor.pump([0.1] * 5)
+        ports = {connector.port for connector in self.harness.reactor.connecting}
+        self.assertEqual((client.status, ports - {server.port}), (502, set()))
+
+    def test_a_stream_that_has_begun_goes_on_at_another_endpoint_while_the_entry_stops(self):
+        rows = [endpoint(name, "lm", port, models=("m",)) for name, port in (("x", 3), ("y", 4))]
+        self.harness.put_rows(*rows)
+        client = self.harness.client()
+        client.send_request(STREAM_PATH, left_ms=12_000, extra=b"X-Use-Model: m\r\n")
+        server = self.harness.connect()
+        server.begin_stream()
+        server.chunk(b"id: 1\ndata: x\n\n")
+        self.stop()
+        self.reactor.advance(LAST_REQUEST_S)
+        server.close()
+        self.reactor.pump([0.05] * 4)
+        self.assertIsNotNone(self.harness.connect().header(b"last-event-id"))
+
 
 if __name__ == "__main__":
     unittest.main()
