control: one model is prefetched from a slow store, and clients' requests measure it

Cause: two models were prefetched beside each other, the second one to find out how many loads the store carries. It was begun with no demand known, against the bound that prefetched loads take 12 s in all if the store carries one, and took 26.4 s. Nothing on the wire tells which models will be asked for. Loads of 6 s are prefetched as before. The measurement begins with the first two models that clients ask for, and takes no throughput from a store of one load.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -289,7 +289,7 @@
     def _prefetch(self):
         # With a model come its adapters, each of which some clients ask for.
         for spec in sorted(self._spec_by_name.values(), key=lambda spec: -spec.adapters):
-            if not self.store.may_prefetch(spec, self._now_s):
+            if not self.store.may_prefetch(spec):
                 continue
             if spec.name in self._history.on_reported_hosts:
                 continue
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_admission.py
@@ -17,7 +17,8 @@
 # store runs them one at a time: models requested later have to wait for all of them.
 UNMEASURED_STORE_BACKLOG_S = 12.0
 # Until then, a second load starts only while the first one has at least this fraction of its
-# duration left: on a store that supports one load, it then ends hardly later than in turn.
+# duration left: on a store that supports one load, it then ends hardly later than in turn, and on
+# one that supports more it shows so as early as possible.
 MIN_FRACTION_LEFT = 0.9
 MS_PER_S = 1_000.0
 
@@ -128,7 +129,7 @@
         if self.active_loads < limit:
             return True
         if not self._estimator.is_measured:
-            return demand >= HIGH_DEMAND_REQUESTS and self._may_measure(spec, now_s)
+            return self._may_measure(spec, now_s)
         return demand >= VERY_HIGH_DEMAND_REQUESTS and self._may_exceed_full_speed(spec, now_s)
 
     def is_reserved(self, spec, demand, now_s):
@@ -181,21 +182,21 @@
         is_sooner = wait_s > load_s / limit
         return is_sooner and self.active_loads < int(limit * STORE_OVERCOMMIT_FACTOR)
 
-    def may_prefetch(self, spec, now_s):
+    def may_prefetch(self, spec):
         """Tell whether a load that no request waits for may start.
 
+        All loads of this kind together take ``UNMEASURED_STORE_BACKLOG_S`` at most, or are a single
+        one: the store is worth more once it is known what clients ask for.
+
         Parameters
         ----------
         spec : ModelSpec
-        now_s : float
 
         Returns
         -------
         bool
         """
-        if self.active_loads < _unmeasured_limit(spec):
-            return True
-        return not self._estimator.is_measured and self._may_measure(spec, now_s)
+        return self.active_loads < _unmeasured_limit(spec)
 
 
 def _unmeasured_limit(spec):
--- a/packages/hemlockdock-control/tests/test_fleet_store_choice.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_choice.py
@@ -179,6 +179,9 @@
         self.assertEqual(self.started_beside_a_store_load("rare", 13_200, 20), [])
         self.assertEqual(self.started_beside_a_store_load("rare", 13_200, 20, 13.2), ["rare"])
 
+    def test_an_unmeasured_store_is_measured_with_a_load_that_a_single_client_asks_for(self):
+        self.assertEqual(self.started_beside_a_store_load("rare", 13_200, 1, 13.2), ["rare"])
+
     def test_loads_started_by_another_leader_count(self):
         busy = report()
         self.models = [spec("rare", store_load_ms=13_200)]
