entry, control: a new leader learns from the entries what was asked for lately

Cause: the count of lately was the leader's own. A new one took each entry's whole counter, which runs since the entry began, as requests of this moment, and learned nothing of a model whose clients were neither waiting nor expected. Three tests fail before: 90,000 requests counted as recent, nothing known after 5 s. Why it works: entries count themselves, decaying over 15 s, and report the count with the demand, for as long as it is 0.5 or more. The leader adds them up, over elections. A count of an entry that was started anew stays. Members of an older build report none, and are counted as before.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
@@ -3,11 +3,12 @@
 import math
 from dataclasses import dataclass, field
 
+from hemlockdock_core.decaying_count import DecayingCount
+from hemlockdock_core.messages import LATELY_DECAY_S
+
 # Time constant of the exponentially decaying arrival rate. Short, because demand shifts between
 # models within seconds.
 RATE_DECAY_S = 2.5
-# Time constant of the count by which loads are chosen that take seconds.
-LATELY_DECAY_S = 15.0
 MS_PER_S = 1_000
 
 
@@ -21,8 +22,10 @@
         Exponentially decaying average of the arrival rate, as of ``rate_at_s``.
     rate_at_s : float
         Time at which ``rate_per_s`` was computed.
-    asked : float
-        Exponentially decaying count of arrivals over a longer time, as of ``rate_at_s``.
+    asked : DecayingCount
+        Of arrivals, over a longer time.
+    asked_by_entry : dict of str to DecayingCount
+        What each entry counted itself, so that it outlives the leader that it was reported to.
     last_asked_s : float
         Time of the last arrival.
     waiting_since_s : float
@@ -38,7 +41,8 @@
 
     rate_per_s: float = 0.0
     rate_at_s: float = 0.0
-    asked: float = 0.0
+    asked: DecayingCount = field(default_factory=lambda: DecayingCount(LATELY_DECAY_S))
+    asked_by_entry: dict = field(default_factory=dict)
     last_asked_s: float = float("-inf")
     waiting_since_s: float = 0.0
     target_s_by_entry: dict = field(default_factory=dict)
@@ -114,21 +118,34 @@
         -------
         float
         """
-        return self.asked * math.exp((self.rate_at_s - now_s) / LATELY_DECAY_S)
+        return self.asked.at(now_s)
 
     def record_arrivals(self, count, now_s):
         """Add arrivals to the average rate.
 
         Parameters
         ----------
-        count : int
+        count : float
         now_s : float
         """
         self.rate_per_s = self.rate_now(now_s) + count / RATE_DECAY_S
-        self.asked = self.lately_asked(now_s) + count
         self.rate_at_s = now_s
         self.last_asked_s = now_s
 
+    def set_asked(self, entry_id, lately, now_s):
+        """Replace what an entry counted lately.
+
+        Parameters
+        ----------
+        entry_id : str
+        lately : float
+        now_s : float
+        """
+        known = self.asked_by_entry.setdefault(entry_id, DecayingCount(LATELY_DECAY_S))
+        change = lately - known.at(now_s)
+        known.add(change, now_s)
+        self.asked.add(change, now_s)
+
 
 class DemandAggregator:
     """Aggregate the demand reports of all entries.
@@ -177,12 +194,17 @@
         for demand in report.demands:
             use = self.demand_by_model.setdefault((demand.pool, demand.model), AggregatedDemand())
             previous = use.demand_by_entry.get(entry_id)
-            known = previous.arrivals if previous is not None else 0
-            # The arrival counter is lower than before only if the entry was restarted.
-            new_arrivals = demand.arrivals - known if demand.arrivals >= known else demand.arrivals
+            new_arrivals = _new_arrivals(previous, demand)
             if new_arrivals:
                 use.record_arrivals(new_arrivals, now_s)
                 self._first_request_s = self._first_request_s or now_s
+            if demand.lately is None:
+                use.asked.add(new_arrivals, now_s)
+            else:
+                if previous is not None and demand.arrivals < previous.arrivals:
+                    # What it counted before it was started anew was asked for nevertheless.
+                    use.asked_by_entry.pop(entry_id, None)
+                use.set_asked(entry_id, demand.lately, now_s)
             was_waiting = use.waiting > 0
             use.set_entry_demand(entry_id, demand)
             if demand.in_time:
@@ -199,3 +221,23 @@
         """
         for use in self.demand_by_model.values():
             use.set_entry_demand(entry_id, None)
+
+
+def _new_arrivals(previous, demand):
+    """Return how many requests arrived since an entry's previous report.
+
+    Parameters
+    ----------
+    previous, demand : ModelDemand
+        ``previous`` is None if this leader has no report of the entry.
+
+    Returns
+    -------
+    float
+    """
+    if previous is None and demand.lately is not None:
+        # Its counter may go back to long before this leader; at least one request is new.
+        return min(demand.arrivals, 1.0 + demand.lately * RATE_DECAY_S / LATELY_DECAY_S)
+    known = 0 if previous is None else previous.arrivals
+    # The arrival counter is lower than before only if the entry was restarted.
+    return demand.arrivals - known if demand.arrivals >= known else demand.arrivals
--- a/packages/hemlockdock-control/tests/test_fleet_demand.py
+++ b/packages/hemlockdock-control/tests/test_fleet_demand.py
@@ -32,5 +32,32 @@
                 self.assertEqual(getattr(use, name), expected)
 
 
+class LatelyAskedTest(unittest.TestCase):
+    def setUp(self):
+        self.board = DemandAggregator()
+
+    def report(self, entry_id, arrivals, lately, now_s):
+        demand = ModelDemand("p", "m", arrivals, 0, 0, 0, 0, 1, 0, lately)
+        self.board.record_report(entry_id, DemandReport((demand,)), now_s)
+        return self.board.demand_by_model[("p", "m")]
+
+    def test_a_new_leader_does_not_take_all_requests_since_the_entries_began_for_recent_ones(self):
+        use = self.report("e0", 90_000, 0.6, 10.0)
+        self.assertAlmostEqual(use.lately_asked(10.0), 0.6)
+        self.assertLess(use.rate_now(10.0), 1.0)
+
+    def test_a_new_leader_learns_what_was_asked_for_lately_from_the_entries(self):
+        self.report("e0", 7, 6.0, 10.0)
+        use = self.report("e1", 5, 4.5, 10.0)
+        self.assertAlmostEqual(use.lately_asked(10.0), 10.5)
+        use = self.report("e0", 8, 7.0, 10.0)
+        self.assertAlmostEqual(use.lately_asked(10.0), 11.5)
+
+    def test_what_an_entry_counted_before_it_was_started_anew_is_not_forgotten(self):
+        self.report("e0", 7, 6.0, 10.0)
+        use = self.report("e0", 1, 1.0, 10.0)
+        self.assertAlmostEqual(use.lately_asked(10.0), 7.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -9,6 +9,7 @@
 from hemlockdock_core.messages.dispatch import Dispatch
 from hemlockdock_core.messages.entry_notices import CrashNotice, EntryList, SoundNotice
 from hemlockdock_core.messages.fleet import (
+    LATELY_DECAY_S,
     AdapterHeld,
     AdapterWish,
     ChangeModels,
@@ -51,6 +52,7 @@
 from hemlockdock_core.node_info import NodeInfo
 
 __all__ = [
+    "LATELY_DECAY_S",
     "NODE_CODEC",
     "PROTOCOL_VERSION",
     "AdapterHeld",
--- a/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
@@ -89,6 +89,10 @@
     load: str
 
 
+# Time constant of the count by which loads are chosen that take seconds.
+LATELY_DECAY_S = 15.0
+
+
 class ModelDemand(msgspec.Struct, frozen=True, array_like=True):
     """Demand for one model at one entry.
 
@@ -107,6 +111,8 @@
         Urgency of the most urgent waiting request; 0 is the highest urgency.
     returning : int
         Refused requests whose clients are expected to retry.
+    lately : float or None
+        Requests received lately, decaying over ``LATELY_DECAY_S``; None if not counted.
     """
 
     pool: str
@@ -118,6 +124,7 @@
     target_left_ms: int
     urgency: int
     returning: int = 0
+    lately: float | None = None
 
 
 class DemandReport(Message, frozen=True):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/local_demand.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/local_demand.py
@@ -2,9 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from hemlockdock_core.messages import ModelDemand
+from hemlockdock_core.decaying_count import DecayingCount
+from hemlockdock_core.messages import LATELY_DECAY_S, ModelDemand
 
 MS_PER_S = 1_000
+# Below this count, the demand of lately is not reported again.
+MIN_REPORTED_LATELY = 0.5
 
 
 @dataclass(slots=True)
@@ -15,6 +18,8 @@
     ----------
     pool, model : str
     arrivals : int
+    lately : DecayingCount
+        Of arrivals.
     in_flight : int
     waiting : list of ProxyExchange
     return_times_s : list of float
@@ -24,14 +29,35 @@
     pool: str
     model: str
     arrivals: int = 0
+    lately: DecayingCount = field(default_factory=lambda: DecayingCount(LATELY_DECAY_S))
     in_flight: int = 0
     waiting: list = field(default_factory=list)
     return_times_s: list = field(default_factory=list)
 
-    @property
-    def is_active(self):
-        """Return whether requests are waiting, in flight or expected to be retried."""
-        return bool(self.waiting or self.in_flight or self.return_times_s)
+    def record_arrival(self, now_s):
+        """Count a request.
+
+        Parameters
+        ----------
+        now_s : float
+        """
+        self.arrivals += 1
+        self.lately.add(1.0, now_s)
+
+    def is_active(self, now_s):
+        """Tell whether requests wait, are in flight, expected to be retried, or came lately.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        bool
+        """
+        if self.waiting or self.in_flight or self.return_times_s:
+            return True
+        return self.lately.at(now_s) >= MIN_REPORTED_LATELY
 
     def demand(self, now_s):
         """Return the demand as reported to the leader.
@@ -57,4 +83,5 @@
             target_left_ms,
             min((item.route.urgency for item in self.waiting), default=0),
             len(self.return_times_s),
+            self.lately.at(now_s),
         )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -51,7 +51,7 @@
         use = self._local_demand(exchange)
         if not exchange.was_queued:
             exchange.was_queued = True
-            use.arrivals += 1
+            use.record_arrival(self._gateway.clock.seconds())
         use.waiting.append(exchange)
         use.waiting.sort(key=_queue_order)
         self._mark_changed(use)
@@ -141,7 +141,7 @@
         if now_s - self._last_report_s < REPORT_REPEAT_S:
             return
         for key, use in self._demand_by_model.items():
-            if use.is_active:
+            if use.is_active(now_s):
                 self._changed_keys.add(key)
         if self._changed_keys:
             self._send_report()
--- a/packages/hemlockdock-entry/tests/test_gateway_models.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_models.py
@@ -84,6 +84,21 @@
         self.send_request(left_ms=10_300)
         self.assertEqual((self.demand().waiting, self.demand().in_time), (1, 1))
 
+    def test_demand_of_lately_is_reported_again_for_a_leader_that_does_not_know_it(self):
+        self.harness.put_rows(endpoint("x", "lm", 3, on_host=("n",)))
+        self.send_request()
+        self.demand()
+        self.wait(5.0)
+        self.harness.link.sent.clear()
+        self.harness.gateway.run_maintenance()
+        found = self.demand()
+        self.assertEqual((found.returning, found.arrivals), (0, 1))
+        self.assertAlmostEqual(found.lately, 0.716, 2)
+        self.wait(10.0)
+        self.harness.link.sent.clear()
+        self.harness.gateway.run_maintenance()
+        self.assertIsNone(self.demand())
+
     def test_retrying_client_is_not_counted_again(self):
         self.harness.put_rows(endpoint("x", "lm", 3, on_host=("n",)))
         self.send_request(left_ms=8_000)
