--- a/packages/hemlockdock-entry/tests/test_gateway_drain.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_drain.py
@@ -128,7 +128,7 @@
 
     def test_a_failed_request_is_not_sent_again_late_in_the_grace(self):
         rows = [endpoint(name, "lm", port, models=("m",)) for name, port in (("x", 3), ("y", 4))]
-        self.harness.put_rows(*rows)
+        self.harness.put_rows(rows[0])
         first = self.harness.client()
         first.send_request(STREAM_PATH, left_ms=12_000, extra=b"X-Use-Model: m\r\n")
         server = self.harness.connect()
@@ -138,6 +138,7 @@
         server.send_bytes(b"0\r\n\r\n")
         self.assertIn(b"0\r\n\r\n", first.received)
         client = self.take(STREAM_PATH, 2.7, 12_000)
+        self.harness.put_rows(*rows)
         self.reactor.advance(0.4)
         server.close()
         self.reactor.pump([0.1] * 5)
