control: the first entry that reports to a new leader does not decide what the store loads

Cause: a new leader chose among the models that had been reported to it by then; entries find a new leader, and report to it again, within a second. Three tests fail before. The reason that it is idle is logged (demand_unknown).

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -256,8 +256,12 @@
                 self.store_idleness.note(IdleReason.HOST_MAY_RETURN)
                 return False
         use = self._use_by_name[spec.name]
-        asked = 0.0 if use is None else use.lately_asked(self._now_s)
-        if self.store.is_reserved(spec, max(gain, asked), self._now_s):
+        asked = max(gain, 0.0 if use is None else use.lately_asked(self._now_s))
+        is_partial = self._has_requests and not self._history.knows_demand
+        if is_partial and asked < HIGH_DEMAND_REQUESTS:
+            self.store_idleness.note(IdleReason.DEMAND_UNKNOWN)
+            return False
+        if self.store.is_reserved(spec, asked, self._now_s):
             self.store_idleness.note(IdleReason.LAST_COPIES_LEAVE)
             return False
         return self.store.may_start(spec, gain, self._now_s)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -30,7 +30,7 @@
 MS_PER_S = 1_000.0
 # A change is abandoned after this time, which covers several loads from the store at its slowest.
 CHANGE_TIMEOUT_S = 45.0
-# Time within which all agents find a new leader and report to it.
+# Time within which all agents and entries find a new leader and report to it.
 INITIAL_REPORTS_TIMEOUT_S = 1.0
 
 
@@ -175,6 +175,7 @@
             history.unavailable = tuple(engines.unavailable_by_id.values())
             history.silent = tuple(engines.silent_by_id.values())
             history.last_copies = last_copies_leaving(engines.all())
+            history.knows_demand = self._knows_demand(now_s)
             specs = {model.name: model for model in pool.engine.models}
             recorded = self._recorded_loads.from_store(pool)
             history.lost_loads.observe(engines.all(), specs, now_s, recorded)
@@ -205,6 +206,10 @@
             and now_s - self._first_view_s >= INITIAL_REPORTS_TIMEOUT_S
         )
 
+    def _knows_demand(self, now_s):
+        """Tell whether all entries have had enough time to report what clients ask for."""
+        return now_s - self._first_view_s >= INITIAL_REPORTS_TIMEOUT_S
+
     def _finish_changes(self, history, engines, now_s):
         for endpoint_id, pending in list(self.pending_by_id.items()):
             view = engines.available_by_id.get(endpoint_id)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement_history.py
@@ -104,6 +104,8 @@
     store_reserve : StoreReserve
     initial_models : set of str
         Models that were already loaded on an engine when that engine was discovered.
+    knows_demand : bool
+        Whether all entries have reported to this leader what clients ask for.
     on_reported_hosts : frozenset of str
         Models on hosts of engines that respond, whether the directory lists them or not.
     """
@@ -115,6 +117,7 @@
         self.lost_loads = LostLoads()
         self.last_copies = {}
         self.store_reserve = StoreReserve()
+        self.knows_demand = True
         self.initial_models = set()
         self._host_by_endpoint = {}
         self._unresponsive_by_address = {}
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/store_idleness.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/store_idleness.py
@@ -9,6 +9,7 @@
     NO_DEMAND = "no_demand"
     HOST_MAY_RETURN = "host_may_return"
     LAST_COPIES_LEAVE = "last_copies_leave"
+    DEMAND_UNKNOWN = "demand_unknown"
     NO_FREE_ENGINE = "no_free_engine"
     COST_EXCEEDS_BENEFIT = "cost_exceeds_benefit"
 
--- a/packages/hemlockdock-control/tests/test_fleet_store_choice.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_choice.py
@@ -84,6 +84,21 @@
         self.report_demand(demand("other", 3, returning=2))
         self.assertEqual(self.choices()[0][:2], ("y", "rare"))
 
+    def test_a_new_leader_gives_the_store_to_no_model_by_the_report_of_one_entry(self):
+        self.views = {"y": view("y", report())}
+        self.report_demand(demand("rare", 1, returning=1))
+        self.history.knows_demand = False
+        self.assertEqual(self.choices(), [])
+        self.report_demand(demand("other", 3, returning=3), entry="f")
+        self.history.knows_demand = True
+        self.assertEqual(self.choices()[0][1], "other")
+
+    def test_a_new_leader_loads_at_once_what_many_ask_for(self):
+        self.views = {"y": view("y", report())}
+        self.report_demand(demand("rare", 5, returning=5))
+        self.history.knows_demand = False
+        self.assertEqual(self.choices()[0][1], "rare")
+
     def test_the_store_is_not_idle_while_a_model_without_any_copy_is_asked_for(self):
         self.views = {"y": view("y", report())}
         self.report_demand(demand("rare", 3), now_s=NOW_S - 9.0)
--- a/packages/hemlockdock-control/tests/test_fleet_store_loads.py
+++ b/packages/hemlockdock-control/tests/test_fleet_store_loads.py
@@ -82,6 +82,20 @@
         (message,) = (m for m in self.decide() if isinstance(m, ChangeModels))
         return message
 
+    def test_the_first_report_of_an_entry_to_a_new_leader_does_not_take_the_store(self):
+        self.engines = {"e": listed("e")}
+        self.pool = pool(spec("only-in-store", store_load_ms=13_200))
+        self.registry.set_directory(self.engines.values())
+        refused = DemandReport((demand("only-in-store", 1, returning=1),))
+        self.board.record_report("x", refused, self.now_s)
+        loads = []
+        for step in range(15):
+            self.report_engines("e")
+            messages = self.decide(0.125)
+            loads += [(step, m.load) for m in messages if isinstance(m, ChangeModels)]
+            self.facts_number = self.facts_number or messages[0].number
+        self.assertEqual(loads[:1], [(8, "only-in-store")])
+
     def report_engines(self, *endpoint_ids, change=None):
         for endpoint_id in endpoint_ids:
             number = change.number if change and change.endpoint_id == endpoint_id else 0
