entry: on its own interface, too, a stopping entry starts nothing that its end would cut off

Cause: new requests were refused from the signal on; nothing asked of a queued one whether it ends in what is left of shutdown_ms. Why it works: before each start, and on each tick, a queued request is refused as not run if neither its deadline nor what few runs of its model exceed lies before the end.

--- a/packages/hemlockdock-entry/hemlockdock_entry/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/service.py
@@ -109,6 +109,7 @@
         self._link.set_leaving()
         idle = Deferred()
         timeout_s = self._settings.process.shutdown_ms / MS_PER_S
+        self._coordinator.planned_stop.begin(timeout_s)
         timeout_call = self._reactor.callLater(timeout_s, self._coordinator.refuse_all)
         self._coordinator.when_idle(lambda: idle.callback(None))
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/services/services.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/services.py
@@ -153,7 +153,9 @@
         request = scheduler.take_next(row, now)
         while request is not None:
             call = self._coordinator.exchange(request.request_id)
+            run_s = scheduler.times.conservative_s(service)
             refusal = self._pause_refusal(row)
+            refusal = refusal or self._coordinator.planned_stop.refusal(request, run_s)
             if refusal is None:
                 call.run()
             else:
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/admission.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/admission.py
@@ -2,7 +2,7 @@
 
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
 from hemlockdock_entry.routing import TrustLevel
-from hemlockdock_entry.tasks.exchange import LIVE_KIND
+from hemlockdock_entry.tasks.planned_stop import LIVE_KIND
 from hemlockdock_entry.waiting import expected_answer_s
 
 MS_PER_S = 1_000
@@ -56,7 +56,9 @@
         return self._coordinator.crashes.trust_level(request.fingerprint)
 
     def deadline_refusal(self, request, ahead):
-        """Return a refusal if a request is not expected to be answered by its deadline, or None.
+        """Return a refusal if a request is not expected to be answered in time, or None.
+
+        In time is before its deadline and, if it can outlive that, before a planned stop.
 
         Parameters
         ----------
@@ -76,7 +78,8 @@
             request.kind == LIVE_KIND and request.streaming,
         )
         if self._coordinator.clock.seconds() + needed_s <= request.deadline_at:
-            return None
+            run_s = self._coordinator.service_times.conservative_s(request.model)
+            return self._coordinator.planned_stop.refusal(request, run_s)
         needed_ms = int(needed_s * MS_PER_S)
         message = f"an answer would take about {needed_ms} ms"
         return Refusal.of(ErrorKind.DEADLINE_UNREACHABLE, message, NotRun.TRUE, needed_ms)
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/coordinator.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/coordinator.py
@@ -14,6 +14,7 @@
 from hemlockdock_entry.tasks.attempt_registry import AttemptRegistry
 from hemlockdock_entry.tasks.capacity_view import CapacityView
 from hemlockdock_entry.tasks.command_retrier import CommandRetrier
+from hemlockdock_entry.tasks.planned_stop import PlannedStop
 from hemlockdock_entry.tasks.shared_crashes import SharedCrashes
 from hemlockdock_entry.tasks.waiting_requests import WaitingRequests
 from hemlockdock_entry.waiting import ServiceTimes
@@ -50,6 +51,7 @@
         self.incarnation = incarnation
         self.node_id = settings.process.node_id
         self.draining = False
+        self.planned_stop = PlannedStop(clock)
         self.ledger = RequestCounts()
         self.attempts = AttemptRegistry()
         self.budget = RetryBudget(settings.entry.retry_budget)
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/exchange.py
@@ -16,10 +16,10 @@
 )
 from hemlockdock_entry.streams import StreamPosition
 from hemlockdock_entry.tasks.attempt import Attempt
+from hemlockdock_entry.tasks.planned_stop import LIVE_KIND
 
 logger = logging.getLogger(__name__)
 
-LIVE_KIND = "live"
 LIVE_STREAM_TIMEOUT_MS = 600_000
 REQUEUE_DELAY_S = 0.2
 RECONNECT_GRACE_S = 10.0
--- a/packages/hemlockdock-entry/hemlockdock_entry/tasks/resume_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/tasks/resume_exchange.py
@@ -3,7 +3,8 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_entry.intake import Request
 from hemlockdock_entry.tasks.attempt import Attempt
-from hemlockdock_entry.tasks.exchange import LIVE_KIND, Exchange
+from hemlockdock_entry.tasks.exchange import Exchange
+from hemlockdock_entry.tasks.planned_stop import LIVE_KIND
 
 RESUME_DEADLINE_S = 30.0
 CLASS_NAME = "resume"
