--- a/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/model_choice.py
@@ -8,16 +8,13 @@
 
 from dataclasses import replace
 
-from hemlockdock_control.fleet.disk_cache import DiskUses
-from hemlockdock_control.fleet.eviction import EngineMemory, EvictionCandidate, choose_evictions
 from hemlockdock_control.fleet.exchange_costs import HORIZON_S, ExchangeCosts
+from hemlockdock_control.fleet.exchange_search import ExchangeSearch, PoolSnapshot, WantedModel
 from hemlockdock_control.fleet.load_order import AwaitedModel, load_order
 from hemlockdock_control.fleet.model_copies import LONGEST_PATIENCE_S, ModelCopies
-from hemlockdock_control.fleet.model_exchange import ModelExchange
 from hemlockdock_control.fleet.store_admission import HIGH_DEMAND_REQUESTS, StoreAdmission
 from hemlockdock_control.fleet.store_idleness import IdleReason, StoreIdleness
 
-MS_PER_S = 1_000.0
 # A model is loaded from the store once its requests have waited this long although some host has
 # its weights: none of those hosts had an engine with room. Where the load outlasts the patience of
 # those who wait, it has to serve later ones, and hosts get as long as it takes.
@@ -28,14 +25,8 @@
 # limit applies to models in high demand.
 BUSY_EVICTION_WAIT_S = 4.0
 HIGH_DEMAND_BUSY_EVICTION_WAIT_S = 1.2
-# Additional duration of an exchange that evicts a model with requests in flight.
-BUSY_VICTIM_DELAY_S = 1.5
 PRIOR_RATE_PERIOD_S = 4.0
-# An engine that leaves loads a model only if it then takes requests for this long.
-MIN_USE_S = 0.5
 PREFETCH_GAIN = 20.0
-# An engine that takes few requests per second gets a model only if there is no other for it.
-LIMITED_COST_S = 60.0
 # Minimum advantage in request rate for which one model replaces another without waiting requests.
 RATE_MARGIN_PER_S = 0.2
 
@@ -67,11 +58,9 @@
         leaving_names = frozenset().union(*history.last_copies.values())
         history.store_reserve.observe(leaving_names, not self.store.active_loads, now_s)
         self.store_idleness = StoreIdleness()
-        self._views = views
         self._history = history
         self._now_s = now_s
         self._spec_by_name = {model.name: model for model in pool.engine.models}
-        self._memory = EngineMemory(pool.engine, self._spec_by_name)
         self._use_by_name = {}
         for name in self._spec_by_name:
             self._use_by_name[name] = demand.demand_by_model.get((pool.name, name))
@@ -81,16 +70,15 @@
         self._copies = ModelCopies(staying, now_s, history.silent)
         self._leaving_names = frozenset().union(*(view.report.on_host for view in leaving))
         self._copies_by_name = self._copies.count_by_name
-        self._idle_views = [view for view in views.values() if view.is_free]
-        self._disk_uses = DiskUses(pool.engine, self._spec_by_name, self._copies.holders_by_name)
-        # An engine gets one exchange at most, so that what it is going to have stays valid.
-        self._resident_by_id = {view.endpoint_id: view.resident for view in self._idle_views}
+        self._search = ExchangeSearch(
+            PoolSnapshot(pool, views, self._copies, history, self.store, now_s)
+        )
         is_early = demand.is_early(now_s, PRIOR_RATE_PERIOD_S)
         self.costs = self.costs_type(
             self._spec_by_name,
             self._use_by_name,
             self._copies,
-            self._resident_by_id,
+            self._search.resident_by_id,
             history.initial_models if is_early else frozenset(),
             now_s,
         )
@@ -187,64 +175,8 @@
         if not may_use_store and spec.name not in names:
             return None
         use = self._use_by_name[spec.name]
-        best = None
-        idle_reason = IdleReason.NO_FREE_ENGINE
-        for view in self._idle_views:
-            if spec.name in self._resident_by_id[view.endpoint_id]:
-                continue
-            if self._history.recent_failures.contains(view.endpoint_id, spec.name, self._now_s):
-                continue
-            source = view.weights_source(spec.name)
-            if source == "store" and not may_use_store:
-                continue
-            if view.is_leaving and not self._may_load_where_it_leaves(spec, source):
-                continue
-            load_s = self._load_s(spec, source)
-            victims = self._select_victims(view, spec, may_evict_busy and source != "store")
-            if victims is None:
-                continue
-            blocked_s = load_s if source == "store" else 0.0
-            needed = [name for name in victims if not self._stays_elsewhere(view, name)]
-            harm = sum(self.costs.harm(name, blocked_s) for name in needed)
-            busy = any(self.costs.requests_per_copy(name) for name in victims)
-            takes_s = load_s + (BUSY_VICTIM_DELAY_S if busy else 0.0)
-            if view.is_leaving and takes_s + MIN_USE_S > view.usable_s:
-                continue
-            blocked = takes_s * self.costs.blocked_rate(view, spec)
-            benefit = gain
-            if source == "store" and use is not None:
-                # The copy that the load leaves on the host serves further requests.
-                benefit += use.lately_asked(self._now_s)
-            if harm > benefit or (source == "store" and blocked > benefit - harm):
-                idle_reason = IdleReason.COST_EXCEEDS_BENEFIT
-                continue
-            cost = takes_s + harm + blocked
-            if source == "store":
-                # Getting a dropped copy back takes another load from the store.
-                cost += load_s * self._disk_uses.sole_copies_dropped(view, spec)
-            if view.is_limited:
-                cost += LIMITED_COST_S
-            if best is None or cost < best[0]:
-                why = f"{reason}, harm {harm:.2f}"
-                rate = sum(self.costs.value(name) for name in victims)
-                best = cost, ModelExchange(
-                    view.endpoint_id, spec, victims, source, takes_s, rate, why, from_store
-                )
-        if best is None:
-            if may_use_store:
-                self.store_idleness.note(idle_reason)
-            return None
-        return best[1]
-
-    def _may_load_where_it_leaves(self, spec, source):
-        """Tell whether an engine that leaves may load a model: only if no other host has it."""
-        is_elsewhere = spec.name in self._copies.holders_by_name
-        is_loaded = self._copies_by_name.get(spec.name, 0) > 0
-        return source != "store" and not is_elsewhere and not is_loaded
-
-    def _stays_elsewhere(self, view, name):
-        """Tell whether an engine leaves whose model another engine has loaded."""
-        return view.is_leaving and self._copies_by_name.get(name, 0) > 0
+        wanted = WantedModel(spec, use, gain, reason, may_evict_busy, may_use_store, from_store)
+        return self._search.cheapest(wanted, self.costs, self.store_idleness)
 
     def _may_use_store(self, spec, gain, from_store):
         # An engine on a host with the weights usually becomes idle long before a store load ends.
@@ -305,30 +237,7 @@
         return None
 
     def _apply(self, choice):
-        self._idle_views = [
-            view for view in self._idle_views if view.endpoint_id != choice.endpoint_id
-        ]
+        self._search.take(choice.endpoint_id)
         self._copies.apply(choice)
         if choice.source == "store":
             self.store.record_start(self._now_s + choice.takes_s)
-
-    def _load_s(self, spec, source):
-        if source == "memory":
-            return spec.memory_load_ms / MS_PER_S
-        if source == "disk":
-            return spec.disk_load_ms / MS_PER_S
-        return self.store.load_s(spec)
-
-    def _select_victims(self, view, spec, may_evict_busy):
-        resident = self._resident_by_id[view.endpoint_id]
-        candidates = []
-        for name in resident:
-            if self._history.recent_loads.contains(view.endpoint_id, name, self._now_s):
-                continue
-            is_busy = self.costs.requests_per_copy(name) > 0
-            if is_busy and not may_evict_busy and not self._stays_elsewhere(view, name):
-                continue
-            required_mb = self._memory.required_mb(name)
-            candidates.append(EvictionCandidate(is_busy, self.costs.value(name), name, required_mb))
-        free_mb = self._memory.free_mb(resident)
-        return choose_evictions(candidates, free_mb, self._memory.required_mb(spec.name))
--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -41,8 +41,8 @@
     Mutant(
         "ask the quarantine at arrival only",
         GATEWAY + "proxy_exchange.py",
-        "in_progress or self.refuse_quarantined():",
-        "in_progress or (not self.tried_ids and self.refuse_quarantined()):",
+        "in_progress or self.refuse_unsendable():",
+        "in_progress or (not self.tried_ids and self.refuse_unsendable()):",
         QUARANTINE,
     ),
     Mutant(
@@ -167,7 +167,7 @@
     ),
     Mutant(
         "displace a model that runs requests",
-        FLEET + "model_choice.py",
+        FLEET + "exchange_search.py",
         "if is_busy and not may_evict_busy and",
         "if False and",
         PLACEMENT,
@@ -301,8 +301,8 @@
     Mutant(
         "fetch nothing for clients that will come back",
         FLEET + "model_choice.py",
-        "if not use.waiting and not use.returning and",
-        "if not use.waiting and",
+        "if use.waiting or use.returning:",
+        "if use.waiting:",
         STORE_CHOICE,
     ),
     Mutant(
