--- a/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/placement.py
@@ -1,11 +1,8 @@
 """Placement controller: orders model exchanges on engines and tracks them to completion."""
 
 import logging
-import zlib
-from dataclasses import dataclass
-
-import msgspec
 
+from hemlockdock_control.fleet.agent_messages import AgentMessage, facts_messages
 from hemlockdock_control.fleet.engine_view import PendingChange
 from hemlockdock_control.fleet.engine_views import EngineViews
 from hemlockdock_control.fleet.last_copies import last_copies_leaving
@@ -15,7 +12,7 @@
 from hemlockdock_control.fleet.recorded_loads import RecordedLoads
 from hemlockdock_control.fleet.store_concurrency import StoreConcurrencyEstimator
 from hemlockdock_control.fleet.store_follower import StoreFollower
-from hemlockdock_core.messages import ChangeModels, EngineFacts
+from hemlockdock_core.messages import ChangeModels
 
 logger = logging.getLogger(__name__)
 
@@ -34,20 +31,6 @@
 INITIAL_REPORTS_TIMEOUT_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class AgentMessage:
-    """A message to be sent to an agent.
-
-    Attributes
-    ----------
-    agent_address : str
-    message : ChangeModels or EngineFacts
-    """
-
-    agent_address: str
-    message: ChangeModels | EngineFacts
-
-
 class Placement:
     """Decide on model exchanges and track them while this member leads.
 
@@ -161,7 +144,7 @@
                 continue
             engines = EngineViews(pool, rows, registry, self.pending_by_id, now_s)
             views = engines.available_by_id
-            messages.extend(_facts_messages(pool, views, term))
+            messages.extend(facts_messages(pool, views, term))
             history = self._history_of(pool)
             self._finish_changes(history, engines, now_s)
             if not demand.has_requests:
@@ -289,14 +272,6 @@
             yield AgentMessage(view.agent_address, pending.message)
 
 
-def _facts_messages(pool, views, term):
-    number = zlib.crc32(msgspec.msgpack.encode((term, pool)))
-    for view in views.values():
-        if view.facts_number != number:
-            facts = EngineFacts(term, number, pool.engine, pool.probe_path)
-            yield AgentMessage(view.agent_address, facts)
-
-
 def _is_finished(view, pending):
     if view.report.started_ms != pending.engine_started_ms:
         return True
