control: one decaying count serves the rate and the requests of lately; an entry that is gone leaves no count

The arrival rate was the same computation with another time constant. What an entry counted is dropped when the entry is forgotten, so that entries that come and go take no memory; its requests count on.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/demand.py
@@ -1,6 +1,5 @@
 """Aggregate the demand for each model over all entries."""
 
-import math
 from dataclasses import dataclass, field
 
 from hemlockdock_core.decaying_count import DecayingCount
@@ -18,10 +17,8 @@
 
     Attributes
     ----------
-    rate_per_s : float
-        Exponentially decaying average of the arrival rate, as of ``rate_at_s``.
-    rate_at_s : float
-        Time at which ``rate_per_s`` was computed.
+    arrivals : DecayingCount
+        Of arrivals, from which the arrival rate is taken.
     asked : DecayingCount
         Of arrivals, over a longer time.
     asked_by_entry : dict of str to DecayingCount
@@ -39,8 +36,7 @@
         retry, and requests in flight.
     """
 
-    rate_per_s: float = 0.0
-    rate_at_s: float = 0.0
+    arrivals: DecayingCount = field(default_factory=lambda: DecayingCount(RATE_DECAY_S))
     asked: DecayingCount = field(default_factory=lambda: DecayingCount(LATELY_DECAY_S))
     asked_by_entry: dict = field(default_factory=dict)
     last_asked_s: float = float("-inf")
@@ -105,7 +101,7 @@
         -------
         float
         """
-        return self.rate_per_s * math.exp((self.rate_at_s - now_s) / RATE_DECAY_S)
+        return self.arrivals.at(now_s) / RATE_DECAY_S
 
     def lately_asked(self, now_s):
         """Return the number of arrivals of about the last 15 s.
@@ -128,8 +124,7 @@
         count : float
         now_s : float
         """
-        self.rate_per_s = self.rate_now(now_s) + count / RATE_DECAY_S
-        self.rate_at_s = now_s
+        self.arrivals.add(count, now_s)
         self.last_asked_s = now_s
 
     def set_asked(self, entry_id, lately, now_s):
@@ -215,12 +210,15 @@
     def forget_entry(self, entry_id):
         """Discard the waiting and in-flight requests that an entry reported.
 
+        What was asked for lately there counts on, as its clients go to other entries.
+
         Parameters
         ----------
         entry_id : str
         """
         for use in self.demand_by_model.values():
             use.set_entry_demand(entry_id, None)
+            use.asked_by_entry.pop(entry_id, None)
 
 
 def _new_arrivals(previous, demand):
--- a/packages/hemlockdock-control/tests/test_fleet_demand.py
+++ b/packages/hemlockdock-control/tests/test_fleet_demand.py
@@ -58,6 +58,13 @@
         use = self.report("e0", 1, 1.0, 10.0)
         self.assertAlmostEqual(use.lately_asked(10.0), 7.0)
 
+    def test_what_was_asked_for_at_an_entry_that_is_gone_counts_on_and_leaves_no_state(self):
+        self.report("e0", 7, 6.0, 10.0)
+        self.board.forget_entry("e0")
+        use = self.board.demand_by_model[("p", "m")]
+        self.assertAlmostEqual(use.lately_asked(10.0), 6.0)
+        self.assertEqual(use.asked_by_entry, {})
+
 
 if __name__ == "__main__":
     unittest.main()
