entry: one long run does not send a whole route's clients away from a stopping entry

Cause: compared what is left of the grace with the longest run of the route in 30 to 60 s, which is an outlier on a route with many runs. Why it works: the last 64 runs of a route are kept. A request that may be repeated or resumed elsewhere is sent if all but one in twenty of them would end in time; one that may not, only if all would, as it can't be made good. The new test fails before.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -279,6 +279,7 @@
         if self.limits is not table.limits:
             self.limits = table.limits
             self.routes = RouteIndex(table.route_by_name.values())
+            self.stop_schedule.run_times.keep(table.route_by_name.keys())
             logger.info(
                 "routes applied", extra={"number": self.limits.number, "revision": self.revision}
             )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/run_times.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/run_times.py
@@ -1,51 +1,52 @@
 """Keep how long requests have run lately, by route."""
 
-# The longest run is known for one to two of these periods.
-PERIOD_S = 30.0
+from collections import deque
+
+KEPT_RUNS = 64
+# A request that can be repeated elsewhere may take longer than estimated in one of this many cases.
+TOLERATED_ONE_IN = 20
 
 
 class RunTimes:
-    """Longest run of each route, from the send to the end of the response."""
+    """Durations of the last runs of each route, from the send to the end of the response."""
 
     def __init__(self):
-        self._began_s = 0.0
-        self._longest_by_route = {}
-        self._earlier_by_route = {}
+        self._runs_by_route = {}
 
-    def record(self, route_name, took_s, now_s):
+    def record(self, route_name, took_s):
         """Record a run that ended with a whole response.
 
         Parameters
         ----------
         route_name : str
         took_s : float
-        now_s : float
         """
-        self._begin_period(now_s)
-        longest_s = self._longest_by_route.get(route_name, 0.0)
-        self._longest_by_route[route_name] = max(longest_s, took_s)
+        self._runs_by_route.setdefault(route_name, deque(maxlen=KEPT_RUNS)).append(took_s)
 
-    def longest_s(self, route_name, now_s):
-        """Return the duration of a route's longest run lately.
+    def keep(self, route_names):
+        """Forget the runs of routes that no longer exist.
 
         Parameters
         ----------
-        route_name : str
-        now_s : float
+        route_names : collection of str
+        """
+        for name in self._runs_by_route.keys() - route_names:
+            del self._runs_by_route[name]
+
+    def estimate_s(self, route):
+        """Return a time that hardly any run of a route exceeds, and none if it can't be repeated.
+
+        Parameters
+        ----------
+        route : RouteRow
 
         Returns
         -------
         float or None
-            None if no run has ended lately.
+            None if no run is known.
         """
-        self._begin_period(now_s)
-        known = [self._longest_by_route.get(route_name), self._earlier_by_route.get(route_name)]
-        return max((took_s for took_s in known if took_s is not None), default=None)
-
-    def _begin_period(self, now_s):
-        if now_s - self._began_s < PERIOD_S:
-            return
-        is_next = now_s - self._began_s < 2 * PERIOD_S
-        self._earlier_by_route = self._longest_by_route if is_next else {}
-        self._longest_by_route = {}
-        self._began_s = now_s
+        runs = sorted(self._runs_by_route.get(route.name, ()))
+        if not runs:
+            return None
+        tolerated = len(runs) // TOLERATED_ONE_IN if route.may_repeat else 0
+        return runs[-1 - tolerated]
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/stop_schedule.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/stop_schedule.py
@@ -19,12 +19,13 @@
     ----------
     ends_s : float or None
         Time at which running requests are cut off; None while no stop is planned.
+    run_times : RunTimes
     """
 
     def __init__(self, clock):
         self._clock = clock
         self.ends_s = None
-        self._run_times = RunTimes()
+        self.run_times = RunTimes()
 
     def begin(self, grace_s):
         """Plan the stop.
@@ -36,16 +37,6 @@
         """
         self.ends_s = self._clock.seconds() + grace_s
 
-    def record_run(self, route_name, took_s):
-        """Record how long a request ran that was answered.
-
-        Parameters
-        ----------
-        route_name : str
-        took_s : float
-        """
-        self._run_times.record(route_name, took_s, self._clock.seconds())
-
     def allows(self, exchange):
         """Tell whether a request that is sent now ends before it would be cut off.
 
@@ -60,8 +51,7 @@
         if self.ends_s is None or exchange.has_started:
             # What clients have begun to receive goes on for as long as possible.
             return True
-        now_s = self._clock.seconds()
         if exchange.deadline_s <= self.ends_s:
             return True
-        longest_s = self._run_times.longest_s(exchange.route.name, now_s)
-        return longest_s is not None and now_s + longest_s <= self.ends_s
+        takes_s = self.run_times.estimate_s(exchange.route)
+        return takes_s is not None and self._clock.seconds() + takes_s <= self.ends_s
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -164,7 +164,7 @@
             return
         self._release_endpoint(endpoint_try)
         took_s = self.now_s() - endpoint_try.sent_s
-        self._gateway.stop_schedule.record_run(self._exchange.route.name, took_s)
+        self._gateway.stop_schedule.run_times.record(self._exchange.route.name, took_s)
         self._gateway.quarantine.run_answered(self._exchange, endpoint_try.row)
         self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id).record_response(
             endpoint_try.first_byte_s - endpoint_try.sent_s
--- a/packages/hemlockdock-entry/tests/test_gateway_drain.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_drain.py
@@ -113,6 +113,21 @@
         client = self.take(AT_MOST_ONCE_PATH, 2.7, 20_000)
         self.assertEqual((first.status, client.status), (200, 503))
 
+    def runs(self, path, *durations_s):
+        """Record runs of the route of a path."""
+        route = self.harness.gateway.routes.find(b"shop", path.encode())
+        for took_s in durations_s:
+            self.harness.gateway.stop_schedule.run_times.record(route.name, took_s)
+
+    def test_a_single_long_run_does_not_send_away_what_can_be_repeated(self):
+        self.harness.put_rows(endpoint("x", "lm", 3, models=("m",)))
+        for path, expected in ((STREAM_PATH, None), (NON_RESUMABLE_STREAM_PATH, 503)):
+            self.runs(path, 6.0, *[1.0] * 39)
+            client = self.take(path, 2.7, 20_000)
+            self.assertEqual(client.status, expected, path)
+            self.setUp()
+            self.harness.put_rows(endpoint("x", "lm", 3, models=("m",)))
+
     def test_a_request_that_waits_for_its_model_is_not_sent_late_in_the_grace(self):
         self.harness.put_rows(endpoint("x", "lm", 3, on_host=("m",)))
         client = self.take(STREAM_PATH, 0.0, 7_000)
