--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/run_times.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/run_times.py
@@ -34,7 +34,7 @@
             del self._runs_by_route[name]
 
     def estimate_s(self, route):
-        """Return a time that hardly any run of a route exceeds, and none if it can't be repeated.
+        """Return how long a run may take: the longest, or a high quantile if it may be repeated.
 
         Parameters
         ----------
