--- a/review/standins.py
+++ b/review/standins.py
@@ -249,6 +249,8 @@
         self._folder = folder
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self.process_by_ip = {}
+        # Open files for the output of the processes of a role; by default, files of the test.
+        self.log_by_role = {}
         self._processes = []
         self.instances = InstanceList((self.list_ip, self.list_port))
 
@@ -290,7 +292,8 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment[SETTINGS_VARIABLE] = str(path)
-        with (self._folder / f"{name}.log").open("ab") as log:
+        with (self._folder / f"{name}.log").open("ab") as own_log:
+            log = self.log_by_role.get(role, own_log)
             process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log, stderr=log)
         self.process_by_ip[ip] = process
         self._processes.append(process)
