control: a change of routes costs as much as its routes, not their square

Cause: FormerValues.note walked all former values of the last four minutes to drop the old ones, and a change of routes calls it for each route that it moves. A restarted member applies the tail of its log, up to 200 changes, in one turn of the reactor. Beside it, of the same shape: each removed route walked all remaining ones, and a question for one route's former pools walked those of all routes.

The tests count the lines run, so that they don't depend on the machine.

Why it works: the committed time never decreases, so a list ordered by it is dropped from its front, and each value is dropped once. A removed route is looked up by the prefixes of its own prefix.

--- a/packages/hemlockdock-control/hemlockdock_control/state/former_values.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/former_values.py
@@ -1,5 +1,7 @@
 """Values that parts of the state had until lately."""
 
+from collections import OrderedDict
+
 import msgspec
 
 from hemlockdock_core.stream_origins import MAX_KEEP_MS
@@ -39,7 +41,9 @@
 
     def __init__(self, context):
         self._context = context
-        self._until_ms_by_key = {}
+        # Oldest first: the committed time never decreases.
+        self._until_ms_by_key = OrderedDict()
+        self._values_by_subject = {}
         self.known_since_ms = 0
 
     def note(self, subject, value):
@@ -49,11 +53,8 @@
         ----------
         subject, value : str
         """
-        oldest_ms = self._context.now_ms - RETENTION_MS
-        for key, until_ms in list(self._until_ms_by_key.items()):
-            if until_ms < oldest_ms:
-                del self._until_ms_by_key[key]
-        self._until_ms_by_key[subject, value] = self._context.now_ms
+        self._drop_old()
+        self._add(subject, value, self._context.now_ms)
 
     def values_since(self, subject, since_ms):
         """Return the values that a subject has had since a time and no longer has.
@@ -71,8 +72,8 @@
         if self.known_since_ms is None or self.known_since_ms > since_ms:
             return None
         values = set()
-        for (former_subject, value), until_ms in self._until_ms_by_key.items():
-            if former_subject == subject and until_ms >= since_ms:
+        for value in self._values_by_subject.get(subject, ()):
+            if self._until_ms_by_key[subject, value] >= since_ms:
                 values.add(value)
         return values
 
@@ -101,5 +102,29 @@
         values : list of FormerValue
         known_since_ms : int or None
         """
-        self._until_ms_by_key = {(item.subject, item.value): item.until_ms for item in values}
+        self._until_ms_by_key.clear()
+        self._values_by_subject.clear()
+        # Other versions list them in another order.
+        for item in sorted(values, key=lambda item: item.until_ms):
+            self._add(item.subject, item.value, item.until_ms)
         self.known_since_ms = known_since_ms
+
+    def _add(self, subject, value, until_ms):
+        self._until_ms_by_key[subject, value] = until_ms
+        self._until_ms_by_key.move_to_end((subject, value))
+        self._values_by_subject.setdefault(subject, set()).add(value)
+
+    def _drop_old(self):
+        oldest_ms = self._context.now_ms - RETENTION_MS
+        while self._until_ms_by_key:
+            subject, value = next(iter(self._until_ms_by_key))
+            if self._until_ms_by_key[subject, value] >= oldest_ms:
+                return
+            del self._until_ms_by_key[subject, value]
+            self._remove_value(subject, value)
+
+    def _remove_value(self, subject, value):
+        values = self._values_by_subject[subject]
+        values.remove(value)
+        if not values:
+            del self._values_by_subject[subject]
--- a/packages/hemlockdock-control/hemlockdock_control/state/routes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/routes.py
@@ -122,8 +122,10 @@
 
     def _note_for_wider_routes(self, removed, pools, new_by_scope):
         """Note the pools of a removed route for those that get its requests from now on."""
-        for scope, row in new_by_scope.items():
-            if row.host != removed.host or not removed.prefix.startswith(row.prefix):
+        for length in range(len(removed.prefix) + 1):
+            scope = f"{removed.host}{removed.prefix[:length]}"
+            row = new_by_scope.get(scope)
+            if row is None or row.host != removed.host:
                 continue
             for pool in pools:
                 self.former_pools.note(scope, pool)
--- a/packages/hemlockdock-control/tests/support.py
+++ b/packages/hemlockdock-control/tests/support.py
@@ -2,6 +2,7 @@
 
 import os
 import socket
+import sys
 import tempfile
 
 import hypothesis
@@ -202,3 +203,21 @@
         settings(folder, members, member_id, extra)
         for member_id, folder in zip(ids, folders, strict=True)
     ]
+
+
+def lines_run(action):
+    """Return how many lines of Python an action runs, a cost that is the same in every run."""
+    lines = 0
+
+    def count(frame, event, argument):
+        nonlocal lines
+        lines += event == "line"
+        return count
+
+    tracer = sys.gettrace()
+    sys.settrace(count)
+    try:
+        action()
+    finally:
+        sys.settrace(tracer)
+    return lines
--- a/packages/hemlockdock-control/tests/test_routes.py
+++ b/packages/hemlockdock-control/tests/test_routes.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from support import lines_run
 from support import settings as control_settings
 
 from hemlockdock_control.state import ClusterStateMachine, encode_command
@@ -93,6 +94,50 @@
         self.assertEqual(restored.state.routes.document, b"text 3")
         self.assertEqual(restored.state.changes.row_by_key, self.machine.state.changes.row_by_key)
 
+    def lines_of_change(self, before, after):
+        """Return the lines run by a change of routes, after two others with as many routes."""
+        machine = ClusterStateMachine(control_settings())
+        commands = []
+        for number, routes in enumerate((before, after, before, after), start=1):
+            command = SubmitRoutes(manifest(number, *routes), b"", "me", number)
+            commands.append(encode_command(command))
+        for index, command in enumerate(commands[:-1], start=1):
+            machine.apply(index, command)
+        return lines_run(lambda: machine.apply(len(commands), commands[-1]))
+
+    def assert_linear(self, lines_of_size):
+        # Twice the routes run twice the lines, and four times as many if the cost is quadratic.
+        self.assertLess(lines_of_size(200), 3 * lines_of_size(100))
+
+    def test_control_hangs_as_each_moved_route_walks_all_former_values(self):
+        # Guards against a cost of a change that grows with the square of its routes.
+        def lines(size):
+            rows = [[route(f"r{n}", f"/{n:03}/", pool) for n in range(size)] for pool in ("p", "q")]
+            return self.lines_of_change(*rows)
+
+        self.assert_linear(lines)
+
+    def test_control_hangs_as_each_removed_route_walks_all_others(self):
+        # Guards against a cost that is the product of the removed and the remaining routes.
+        def lines(size):
+            kept = [route(f"r{n}", f"/{n:03}/") for n in range(size)]
+            removed = [route(f"s{n}", f"/{n:03}/s/") for n in range(size)]
+            return self.lines_of_change(kept + removed, kept)
+
+        self.assert_linear(lines)
+
+    def test_a_question_for_former_pools_walks_those_of_all_routes(self):
+        # Guards against a cost of one question that grows with all that is remembered.
+        def lines(size):
+            machine = ClusterStateMachine(control_settings())
+            for number, pool in enumerate(("p", "q"), start=1):
+                rows = [route(f"r{n}", f"/{n}/", pool) for n in range(size)]
+                command = SubmitRoutes(manifest(number, *rows), b"", "me", number)
+                machine.apply(number, encode_command(command))
+            return lines_run(lambda: machine.state.routes.pools_since("h/7/", 0))
+
+        self.assertEqual(lines(200), lines(100))
+
 
 if __name__ == "__main__":
     unittest.main()
