control: members keep their heartbeats and votes while they apply the tail of the log

Cause: a member applied all entries that one message or one sync committed in one turn of the reactor, and after a restart that is the whole tail. Its duration is the number of entries times the cost of one, both of which the operator chooses; an election times out after 0.4 s.

Change: committed entries are queued (consensus/applier.py), and each turn applies them for a quarter of a heartbeat interval; then the reactor runs. Commits, acknowledgements and votes never waited for applied entries, and go on. What waited for them by order now does so by name: a new leader is one for the layers above, and takes proposals, once it has applied what was committed before its term, and a read waits for what is committed when it begins. A member that catches up pushes no table, so that entries don't see the tail's routes one after another.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/core.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/core.py
@@ -57,7 +57,7 @@
     def has_lease(self, now_ms):
         """Return whether this member leads and holds a lease.
 
-        While it does, everything committed in the cluster is applied here.
+        While it does, everything committed in the cluster is known here to be committed.
 
         Parameters
         ----------
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/effect_runners.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/effect_runners.py
@@ -41,8 +41,7 @@
 
 @run_effect.register
 def _(effect: ApplyEntries, task):
-    for entry in effect.entries:
-        task.apply(entry)
+    task.apply(effect.entries)
 
 
 @run_effect.register
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
@@ -3,9 +3,10 @@
 import logging
 from collections import deque
 
-from twisted.internet.defer import Deferred, fail
+from twisted.internet.defer import CancelledError, Deferred, fail
 
 from hemlockdock_control.consensus import member_changes
+from hemlockdock_control.consensus.applier import Applier
 from hemlockdock_control.consensus.effect_runners import run_effect
 from hemlockdock_control.consensus.effects import LeadershipChanged
 from hemlockdock_control.consensus.entry import EntryKind
@@ -49,6 +50,14 @@
     snapshot_entries : int
     on_leadership : callable
         Called with whether this member leads.
+
+    Attributes
+    ----------
+    core : Core
+    failure : Exception or None
+        Error that stopped this member.
+    leads : bool
+        Whether this member leads and has applied all entries committed before its term.
     """
 
     def __init__(
@@ -56,7 +65,7 @@
     ):
         self.core = core
         self.failure = None
-        self.applied_index = 0
+        self.leads = False
         self._reactor = reactor
         self._now_ms = now_ms
         self._storage = storage
@@ -69,27 +78,43 @@
         self._changes = []
         self._sends_after_sync = []
         self._pending = PendingProposals()
+        slice_ms = core.state.timing.apply_slice_ms
+        self._applier = Applier(now_ms, state_machine, self._pending, slice_ms)
+        self._leads_from_index = None
         self._turn_call = None
 
+    @property
+    def applied_index(self):
+        """Return the index of the last entry applied."""
+        return self._applier.applied_index
+
+    @property
+    def is_caught_up(self):
+        """Return whether all entries known to be committed are applied."""
+        return self._applier.is_idle
+
+    @property
+    def has_lease(self):
+        """Return whether this member leads, and its lease excludes any other leader."""
+        return self.leads and self.core.has_lease(self._now_ms())
+
     def recover(self):
         """Restore the state machine from the latest snapshot on disk."""
         snapshot = self.core.state.snapshot
         if snapshot.index:
-            self._state_machine.restore(snapshot.index, snapshot.data)
-        self.applied_index = snapshot.index
+            self._applier.restore(snapshot)
         self._links.update_addresses(self.core.state.configuration)
 
     def stop(self):
         """Stop processing events.
 
-        Queued commands and changes fail with NotLeaderError. Those already appended fail with
-        UnknownOutcomeError.
+        Queued commands and changes, and reads that wait, fail with NotLeaderError. Commands and
+        changes already appended fail with UnknownOutcomeError.
         """
         if self._turn_call is not None:
             self._turn_call.cancel()
             self._turn_call = None
-        self._fail_commands()
-        self._pending.fail_all()
+        self._fail_waiting()
 
     def post(self, event):
         """Queue an event for the next reactor turn.
@@ -113,7 +138,7 @@
         Deferred
             Fires with the result of the state machine.
         """
-        if not self.core.accepts_proposals or self.failure is not None:
+        if not self.leads or not self.core.accepts_proposals or self.failure is not None:
             return fail(NotLeaderError(self.core.state.leader_id))
         if len(self._pending) + len(self._commands) >= MAX_PENDING_COMMANDS:
             return fail(BacklogFullError(self.core.state.leader_id))
@@ -122,6 +147,19 @@
         self._schedule()
         return deferred
 
+    def read_barrier(self):
+        """Wait until all entries that are committed now are applied here.
+
+        Returns
+        -------
+        Deferred
+            Fires with None, or fails with NotLeaderError.
+        """
+        if not self.has_lease:
+            return fail(NotLeaderError(self.core.state.leader_id))
+        reached = self._applier.reach(self.core.state.commit_index)
+        return reached.addErrback(self._barrier_failed)
+
     def change_membership(self, change):
         """Validate and replicate a membership change.
 
@@ -150,6 +188,8 @@
         try:
             self._process_events()
             self._sync()
+            self._apply_slice()
+            self._take_snapshot()
         except StorageFailedError as error:
             self._fail(error)
         except Exception as error:
@@ -195,7 +235,15 @@
             self._flush_sends()
             self._step(Synced(self.core.state.write_count))
         self._flush_sends()
-        self._take_snapshot()
+
+    def _apply_slice(self):
+        self._applier.run_slice()
+        if self._leads_from_index is not None and self.applied_index >= self._leads_from_index:
+            self._leads_from_index = None
+            self.leads = True
+            self._on_leadership(True)
+        if not self._applier.is_idle:
+            self._schedule()
 
     def _flush_sends(self):
         sends = self._sends_after_sync
@@ -228,20 +276,16 @@
             return
         self._links.send(effect.member_id, effect.message)
 
-    def apply(self, entry):
-        """Apply a committed entry and return the result to its proposer.
+    def apply(self, entries):
+        """Queue committed entries; each result goes to its proposer once its entry is applied.
 
         Parameters
         ----------
-        entry : LogEntry
+        entries : tuple of LogEntry
         """
-        result = None
-        if entry.kind is EntryKind.COMMAND:
-            result = self._state_machine.apply(entry.index, entry.data)
-        if entry.kind is EntryKind.CONFIGURATION:
+        self._applier.add(entries)
+        if any(entry.kind is EntryKind.CONFIGURATION for entry in entries):
             self._links.update_addresses(self.core.state.configuration)
-        self.applied_index = entry.index
-        self._pending.resolve(entry, result)
 
     def restore(self, snapshot):
         """Restore the state machine from a snapshot.
@@ -250,13 +294,14 @@
         ----------
         snapshot : Snapshot
         """
-        self._state_machine.restore(snapshot.index, snapshot.data)
-        self.applied_index = snapshot.index
+        self._applier.restore(snapshot)
         self._links.update_addresses(snapshot.configuration)
 
     def report_leadership(self, leads, term):
         """Report that this member became the leader or ceased to be it.
 
+        A new leader is reported once it has applied what was committed before its term.
+
         Parameters
         ----------
         leads : bool
@@ -264,9 +309,16 @@
         """
         COUNTERS.increment("consensus_leadership_changes")
         logger.info("leadership changed", extra={"leads": leads, "term": term})
-        if not leads:
-            self._pending.fail_all()
-        self._on_leadership(leads)
+        if leads:
+            self._leads_from_index = self.core.state.commit_index
+            return
+        self._end_leadership()
+
+    def _end_leadership(self):
+        self._leads_from_index = None
+        self.leads = False
+        self._pending.fail_all()
+        self._on_leadership(False)
 
     def _take_snapshot(self):
         if self.applied_index - self.core.state.snapshot.index < self._snapshot_entries:
@@ -274,6 +326,15 @@
         COUNTERS.increment("consensus_snapshots")
         self._step(SnapshotTaken(self.applied_index, self._state_machine.snapshot()))
 
+    def _barrier_failed(self, failure):
+        failure.trap(CancelledError)
+        raise NotLeaderError(self.core.state.leader_id)
+
+    def _fail_waiting(self):
+        self._fail_commands()
+        self._pending.fail_all()
+        self._applier.stop()
+
     def _fail_commands(self):
         commands = self._commands
         self._commands = []
@@ -291,6 +352,5 @@
         self._sends_after_sync.clear()
         for effect in self.core.step(StorageFailed(), self._now_ms()):
             if isinstance(effect, LeadershipChanged):
-                self._on_leadership(effect.leads)
-        self._fail_commands()
-        self._pending.fail_all()
+                self._end_leadership()
+        self._fail_waiting()
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.defer import Deferred, fail
 from twisted.internet.task import LoopingCall
 
 from hemlockdock_control.consensus.configuration import Configuration
@@ -95,12 +95,17 @@
     @property
     def is_leader(self):
         """Return whether this member leads and has applied everything committed before its term."""
-        return self._task is not None and self._task.core.state.leadership_established
+        return self._task is not None and self._task.leads
 
     @property
     def has_lease(self):
         """Return whether this member leads and its lease excludes any other leader."""
-        return self.is_leader and self._task.core.has_lease(self._now_ms())
+        return self._task is not None and self._task.has_lease
+
+    @property
+    def is_caught_up(self):
+        """Return whether all entries that this member knows to be committed are applied here."""
+        return self._task is not None and self._task.is_caught_up
 
     @property
     def leader_id(self):
@@ -195,16 +200,16 @@
         return self._task.propose(data)
 
     def read_barrier(self):
-        """Check that all entries committed in the cluster are applied here.
+        """Wait until all entries that are committed in the cluster now are applied here.
 
         Returns
         -------
         Deferred
             Fires with None, or fails with NotLeaderError.
         """
-        if self._task is None or not self._task.core.has_lease(self._now_ms()):
+        if self._task is None:
             return fail(NotLeaderError(self.leader_id))
-        return succeed(None)
+        return self._task.read_barrier()
 
     def on_leadership(self, callback):
         """Register a callback for when this member becomes the leader or ceases to be it.
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/timing.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/timing.py
@@ -7,6 +7,7 @@
 BYTES_PER_REQUEST = 1024 * 1024
 REQUESTS_IN_FLIGHT = 32
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
+SLICES_PER_HEARTBEAT = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,11 @@
         """Return the duration of a lease, counted from the sending of its heartbeat."""
         return self.election_ms * (1.0 - self.max_clock_drift)
 
+    @property
+    def apply_slice_ms(self):
+        """Return how long a reactor turn applies entries, so that heartbeats are not delayed."""
+        return self.heartbeat_ms / SLICES_PER_HEARTBEAT
+
     @classmethod
     def from_settings(cls, control):
         """Return the timeouts and limits for the control settings.
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -116,6 +116,11 @@
         limit_ms = 2 * self._settings.control.election_ms
         return self._replicator.last_leader_contact_s * MS_PER_S <= limit_ms
 
+    @property
+    def may_push(self):
+        """Tell whether this member's table is the newest it knows, and it has a leader."""
+        return self.is_fresh and self._replicator.is_caught_up
+
     def on_frame(self, frame):
         """Handle a frame from a node.
 
@@ -177,7 +182,8 @@
     def _(self, body: WatchTable, frame):
         if not self.is_fresh:
             return
-        if self._feed.watch(frame.sender, frame.reply_to, body, self._clock.seconds() * MS_PER_S):
+        now_ms = self._clock.seconds() * MS_PER_S
+        if self._feed.watch(frame.sender, frame.reply_to, body, now_ms) and self.may_push:
             self._feed.push(self._machine.state.epoch, self._machine.state.changes)
 
     @_on_message.register
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -152,7 +152,7 @@
         self._loops.append(loop)
 
     def _push(self):
-        if self._nodes.is_fresh:
+        if self._nodes.may_push:
             self._feed.push(self.machine.state.epoch, self.machine.state.changes)
 
     def _forget_silent_nodes(self):
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -189,6 +189,8 @@
 
     def _push_table(self):
         state = self.machine.state
+        if not self.replicator.is_caught_up:
+            return
         self._feed.push(state.epoch, state.changes)
 
     def _send_digest(self):
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_message_handler.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_message_handler.py
@@ -196,7 +196,8 @@
 
     @_on_message.register
     def _(self, body: WatchTable, frame):
-        if self._feed.watch(frame.sender, frame.reply_to, body, self._clock.now_ms()):
+        added = self._feed.watch(frame.sender, frame.reply_to, body, self._clock.now_ms())
+        if added and self._replicator.is_caught_up:
             self._feed.push(self._machine.state.epoch, self._machine.state.changes)
 
     @_on_message.register
--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -203,6 +203,32 @@
 
 
 class FailedDiskTest(unittest.TestCase):
+    def test_members_are_silent_while_they_apply_a_long_tail(self):
+        # Guards against a restart whose tail is applied in one turn, longer than an election.
+        cluster = SimulatedCluster(7)
+        cluster.elect("a")
+        cluster.propose_at_leaders(8)
+        cluster.run(20)
+        for member in cluster.up:
+            member.crash()
+        cluster.apply_ms = HEARTBEAT_MS
+        leader = cluster.settle()
+        self.assertEqual(len(leader.state_machine.commands), 8)
+        self.assertLess(cluster.longest_turn_ms, ELECTION_MS / 2)
+
+    def test_a_leader_that_has_not_applied_all_answers_no_read_without_it(self):
+        # Guards against reads that are older than what was acknowledged before the election.
+        for seed in range(20):
+            cluster = SimulatedCluster(seed)
+            cluster.apply_ms = HEARTBEAT_MS
+            for _ in range(3):
+                cluster.run(40, loss=0.05, busy=True)
+                for member in cluster.up:
+                    member.crash()
+                cluster.restart_stopped()
+            cluster.settle()
+            self.assertGreater(len(cluster.acknowledged), 0)
+
     def test_a_full_disk_ends_leadership_until_a_restart(self):
         for place in ("append", "sync"):
             cluster = SimulatedCluster(5)
--- a/packages/hemlockdock-control/tests/test_fleet_nodes.py
+++ b/packages/hemlockdock-control/tests/test_fleet_nodes.py
@@ -23,6 +23,7 @@
     ProposalResult,
     StreamOriginReply,
     StreamStarted,
+    WatchTable,
 )
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 
@@ -74,6 +75,8 @@
             mock.Mock(),
             self.limits,
         )
+        self.settings = self.nodes._settings
+        self.feed = self.nodes._feed
 
     def receive(self, message, reply_to=ENTRY):
         data = NODE_CODEC.encode(Frame(PROTOCOL_VERSION, "entry-1", 1, reply_to, message))
@@ -89,6 +92,19 @@
         committed.callback(CommandResult(3))
         self.assertEqual(self.sent, [(ENTRY, ProposalResult("p1", CommandResult(3)))])
 
+    def test_a_member_that_catches_up_pushes_older_tables_one_after_another(self):
+        # Guards against routes that entries have already left behind, after a restart.
+        self.settings.control.election_ms = 400
+        self.replicator.last_leader_contact_s = 0.1
+        self.replicator.is_caught_up = False
+        self.receive(WatchTable(0, 0))
+        self.feed.watch.assert_called_once()
+        self.feed.push.assert_not_called()
+        self.assertFalse(self.nodes.may_push)
+        self.replicator.is_caught_up = True
+        self.receive(WatchTable(0, 0))
+        self.feed.push.assert_called_once()
+
     def test_a_node_of_a_fleet_may_not_propose_decisions(self):
         self.receive(Proposal("p1", RecordEndpoints((), (), 0)))
         self.proposer.propose.assert_not_called()
