--- a/packages/hemlockdock-control/hemlockdock_control/consensus/entry_log.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/entry_log.py
@@ -83,13 +83,24 @@
         """
         del self.entries[index - self.base_index - 1 :]
 
-    def compact_to(self, index):
-        """Remove the entries up to and including an index.
+    def compact_to(self, index, kept_entries=0, kept_bytes=0):
+        """Remove the entries up to and including an index, but for some of the last of them.
 
         Parameters
         ----------
         index : int
+        kept_entries : int, optional
+            Number of entries up to the index that are kept.
+        kept_bytes : int, optional
+            Size up to which they are.
         """
+        oldest = max(index - kept_entries, self.base_index)
+        size = 0
+        while index > oldest:
+            size += len(self.entries[index - self.base_index - 1].data)
+            if size > kept_bytes:
+                break
+            index -= 1
         if index <= self.base_index:
             return
         self.base_term = self.term_at(index)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
@@ -88,7 +88,8 @@
     term = state.log.term_at(event.index)
     state.snapshot = Snapshot(event.index, term, configuration, event.data)
     state.write(WriteSnapshot(state.snapshot, installed=False))
-    state.log.compact_to(event.index - state.timing.kept_entries)
+    kept = state.timing
+    state.log.compact_to(event.index, kept.kept_entries, kept.kept_bytes)
     state.configurations.discard_before(event.index)
 
 
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
@@ -29,6 +29,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_PENDING_COMMANDS = 10_000
+# Tail of the log below which no snapshot is due, however small the last one is.
+MIN_TAIL_BYTES = 2 * 1024 * 1024
 
 
 class MemberTask:
@@ -321,10 +323,19 @@
         self._on_leadership(False)
 
     def _take_snapshot(self):
-        if self.applied_index - self.core.state.snapshot.index < self._snapshot_entries:
+        if not self._snapshot_is_due():
             return
         COUNTERS.increment("consensus_snapshots")
         self._step(SnapshotTaken(self.applied_index, self._state_machine.snapshot()))
+        self._applier.tail_bytes = 0
+
+    def _snapshot_is_due(self):
+        snapshot = self.core.state.snapshot
+        if self.applied_index - snapshot.index >= self._snapshot_entries:
+            return True
+        # Writing snapshots then costs about as much as writing the log.
+        due_bytes = max(MIN_TAIL_BYTES, len(snapshot.data))
+        return self._applier.tail_bytes >= due_bytes
 
     def _barrier_failed(self, failure):
         failure.trap(CancelledError)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/timing.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/timing.py
@@ -7,6 +7,7 @@
 BYTES_PER_REQUEST = 1024 * 1024
 REQUESTS_IN_FLIGHT = 32
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
+KEPT_BYTES = 4 * 1024 * 1024
 SLICES_PER_HEARTBEAT = 4
 
 
@@ -28,6 +29,8 @@
     kept_entries : int
         Number of applied entries kept in memory after a snapshot, so that a member that lags by
         fewer entries needs no snapshot.
+    kept_bytes : int
+        Size up to which they are kept.
     """
 
     heartbeat_ms: float
@@ -38,6 +41,7 @@
     requests_in_flight: int = REQUESTS_IN_FLIGHT
     snapshot_chunk_bytes: int = SNAPSHOT_CHUNK_BYTES
     kept_entries: int = 1_000
+    kept_bytes: int = KEPT_BYTES
 
     @property
     def lease_ms(self):
--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from support_consensus import ELECTION_MS, HEARTBEAT_MS, SimulatedCluster
+from support_consensus import ELECTION_MS, HEARTBEAT_MS, SNAPSHOT_ENTRIES, SimulatedCluster
 
 from hemlockdock_control.consensus.errors import ChangeRefusedError, NotLeaderError
 from hemlockdock_control.consensus.member_changes import ChangeRefusal
@@ -229,6 +229,19 @@
             cluster.settle()
             self.assertGreater(len(cluster.acknowledged), 0)
 
+    def test_a_restart_applies_a_tail_of_any_size(self):
+        # Guards against a tail that is bounded by its entries only, whose size operators choose.
+        cluster = SimulatedCluster(8)
+        leader = cluster.elect("a")
+        for number in range(SNAPSHOT_ENTRIES - 3):
+            leader.task.propose(b"%d " % number + b"x" * 400_000)
+            cluster.run(5)
+        log = leader.state.log
+        tail = log.slice(leader.state.snapshot.index + 1, log.last_index)
+        self.assertGreater(leader.state.snapshot.index, 0)
+        self.assertLess(sum(len(entry.data) for entry in tail), 3_000_000)
+        self.assertEqual(len(cluster.settle().state_machine.commands), SNAPSHOT_ENTRIES - 3)
+
     def test_a_full_disk_ends_leadership_until_a_restart(self):
         for place in ("append", "sync"):
             cluster = SimulatedCluster(5)
--- a/packages/hemlockdock-control/tests/test_core.py
+++ b/packages/hemlockdock-control/tests/test_core.py
@@ -9,6 +9,7 @@
 from hemlockdock_control.consensus.durable_state import DurableState
 from hemlockdock_control.consensus.effects import ApplyEntries, Send, TruncateLog, WriteVote
 from hemlockdock_control.consensus.entry import EntryKind, LogEntry
+from hemlockdock_control.consensus.entry_log import EntryLog
 from hemlockdock_control.consensus.events import (
     ConfigurationProposed,
     Proposed,
@@ -218,6 +219,17 @@
         self.assertLess(self.bytes_sent_to(core, "c"), 20_000 + TIMING.snapshot_chunk_bytes)
 
 
+class EntryLogTest(unittest.TestCase):
+    def test_a_compacted_log_keeps_entries_of_any_size(self):
+        # Guards against memory that grows with the size of entries, which operators choose.
+        for size, kept in ((10, 8), (1_000, 3), (5_000, 0)):
+            log = EntryLog()
+            for index in range(1, 11):
+                log.append(LogEntry(index, 1, EntryKind.COMMAND, bytes(size)))
+            log.compact_to(9, kept_entries=8, kept_bytes=3_000)
+            self.assertEqual(len(log.entries), kept + 1)
+
+
 class FollowerTest(unittest.TestCase):
     def append(self, core, term, previous, previous_term, commit, *new):
         request = AppendRequest(term, 0.0, previous, previous_term, commit, new)
