--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
@@ -29,6 +29,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_PENDING_COMMANDS = 10_000
+# Duration of a turn from which on it is logged; an election timeout is a few times longer.
+SLOW_TURN_MS = 100.0
 # Tail of the log below which no snapshot is due, however small the last one is.
 MIN_TAIL_BYTES = 2 * 1024 * 1024
 
@@ -187,6 +189,8 @@
 
     def _turn(self):
         self._turn_call = None
+        started_ms = self._now_ms()
+        applied = self.applied_index
         try:
             self._process_events()
             self._sync()
@@ -197,6 +201,11 @@
         except Exception as error:
             logger.exception("unexpected error in a consensus member")
             self._fail(error)
+        took_ms = self._now_ms() - started_ms
+        if took_ms >= SLOW_TURN_MS:
+            COUNTERS.increment("consensus_slow_turns")
+            extra = {"took_ms": round(took_ms), "applied": self.applied_index - applied}
+            logger.warning("slow turn of a consensus member", extra=extra)
 
     def _process_events(self):
         while self._events:
--- a/packages/hemlockdock-control/hemlockdock_control/state/change_log.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/change_log.py
@@ -34,11 +34,34 @@
         revision : int
         row : Row
         """
-        key = row.key
-        if self.row_by_key.get(key) == row:
-            return
-        self.row_by_key[key] = row
-        self._record(revision, key)
+        self.put_all(revision, (row,))
+
+    def put_all(self, revision, rows):
+        """Insert or replace rows.
+
+        Parameters
+        ----------
+        revision : int
+        rows : iterable of Row
+
+        Returns
+        -------
+        set of str
+            Keys of the rows.
+        """
+        keys = set()
+        row_by_key = self.row_by_key
+        changes = self._changes
+        for row in rows:
+            key = row.key
+            keys.add(key)
+            if row_by_key.get(key) == row:
+                continue
+            row_by_key[key] = row
+            changes.append((revision, key))
+            self.revision = revision
+        self._drop_old()
+        return keys
 
     def delete(self, revision, key):
         """Remove a row; unknown keys are ignored.
@@ -50,7 +73,9 @@
         """
         if self.row_by_key.pop(key, None) is None:
             return
-        self._record(revision, key)
+        self.revision = revision
+        self._changes.append((revision, key))
+        self._drop_old()
 
     def changes_since(self, revision):
         """Return the rows to put and the keys to delete since a revision.
@@ -90,9 +115,7 @@
         self.oldest_revision = revision
         self._changes.clear()
 
-    def _record(self, revision, key):
-        self.revision = revision
-        self._changes.append((revision, key))
+    def _drop_old(self):
         while len(self._changes) > self._limit:
             # The dropped revision may have changed further keys that are still in the log. A delta
             # from before it would be incomplete, so it becomes the oldest usable revision.
--- a/packages/hemlockdock-control/hemlockdock_control/state/context.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/context.py
@@ -52,6 +52,20 @@
         """
         self.changes.put(self.index, row)
 
+    def put_all(self, rows):
+        """Put rows at the current index.
+
+        Parameters
+        ----------
+        rows : iterable of Row
+
+        Returns
+        -------
+        set of str
+            Keys of the rows.
+        """
+        return self.changes.put_all(self.index, rows)
+
     def delete(self, key):
         """Delete a row at the current index.
 
--- a/packages/hemlockdock-control/hemlockdock_control/state/former_values.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/former_values.py
@@ -41,20 +41,24 @@
 
     def __init__(self, context):
         self._context = context
-        # Oldest first: the committed time never decreases.
+        # Oldest first, as the committed time never decreases.
         self._until_ms_by_key = OrderedDict()
         self._values_by_subject = {}
         self.known_since_ms = 0
 
-    def note(self, subject, value):
-        """Note that a subject no longer has a value.
+    def note(self, former):
+        """Note values that subjects no longer have.
 
         Parameters
         ----------
-        subject, value : str
+        former : list of (str, str)
+            Subject and value of each.
         """
+        if not former:
+            return
         self._drop_old()
-        self._add(subject, value, self._context.now_ms)
+        for subject, value in former:
+            self._add(subject, value, self._context.now_ms)
 
     def values_since(self, subject, since_ms):
         """Return the values that a subject has had since a time and no longer has.
@@ -110,9 +114,10 @@
         self.known_since_ms = known_since_ms
 
     def _add(self, subject, value, until_ms):
-        self._until_ms_by_key[subject, value] = until_ms
-        self._until_ms_by_key.move_to_end((subject, value))
-        self._values_by_subject.setdefault(subject, set()).add(value)
+        key = (subject, value)
+        if self._until_ms_by_key.pop(key, None) is None:
+            self._values_by_subject[subject] = (*self._values_by_subject.get(subject, ()), value)
+        self._until_ms_by_key[key] = until_ms
 
     def _drop_old(self):
         oldest_ms = self._context.now_ms - RETENTION_MS
@@ -124,7 +129,6 @@
             self._remove_value(subject, value)
 
     def _remove_value(self, subject, value):
-        values = self._values_by_subject[subject]
-        values.remove(value)
-        if not values:
-            del self._values_by_subject[subject]
+        values = tuple(kept for kept in self._values_by_subject.pop(subject) if kept != value)
+        if values:
+            self._values_by_subject[subject] = values
--- a/packages/hemlockdock-control/hemlockdock_control/state/routes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/routes.py
@@ -28,6 +28,7 @@
     def __init__(self, context):
         self._context = context
         self._route_by_scope = {}
+        self._row_keys = set()
         self.former_pools = FormerValues(context)
         self.manifest = None
         self.document = b""
@@ -52,15 +53,16 @@
         before = self.number
         if before is not None and command.manifest.number <= before:
             return CommandResult(self._context.index, state=OVERTAKEN)
-        old_keys = self._row_keys()
+        new_by_scope = _routes_by_scope(command.manifest)
         if before is not None:
             self.former_pools.note_command(command.at_ms)
-            self._note_former_pools(_routes_by_scope(command.manifest))
-        self._set_manifest(command.manifest)
+            self.former_pools.note(self._former_pools(new_by_scope))
+        self.manifest = command.manifest
         self.document = command.document
-        for row in command.manifest.rows():
-            self._context.put(row)
-        for key in old_keys - self._row_keys():
+        self._route_by_scope = new_by_scope
+        old_keys = self._row_keys
+        self._row_keys = self._context.put_all(self.rows())
+        for key in old_keys - self._row_keys:
             self._context.delete(key)
         after = command.manifest.number
         self._context.record(command.who, "routes", "routes", before, after)
@@ -84,7 +86,8 @@
         former = self.former_pools.values_since(scope, since_ms)
         if former is None:
             return None
-        return former | _used_pools(self._route_by_scope.get(scope))
+        route = self._route_by_scope.get(scope)
+        return former | _used_pools(() if route is None else route.pools)
 
     def restore(self, manifest, document):
         """Restore the route manifest from a snapshot.
@@ -94,41 +97,36 @@
         manifest : RouteManifest or None
         document : bytes
         """
-        self._set_manifest(manifest)
+        self.manifest = manifest
         self.document = document
+        self._route_by_scope = {} if manifest is None else _routes_by_scope(manifest)
+        self._row_keys = {row.key for row in self.rows()}
 
     def rows(self):
         """Yield the routing table rows of the current manifest."""
         if self.manifest is not None:
             yield from self.manifest.rows()
 
-    def _row_keys(self):
-        return {row.key for row in self.rows()}
-
-    def _set_manifest(self, manifest):
-        self.manifest = manifest
-        self._route_by_scope = {} if manifest is None else _routes_by_scope(manifest)
-
-    def _note_former_pools(self, new_by_scope):
+    def _former_pools(self, new_by_scope):
+        """Return the pools that routes have until now, with the routes' scopes."""
+        former = []
+        # Many routes change from and to the same pools.
+        lost_by_change = {}
         for scope, old in self._route_by_scope.items():
-            former = _used_pools(old) - _used_pools(new_by_scope.get(scope))
-            for pool in former:
-                self.former_pools.note(scope, pool)
-            if scope not in new_by_scope:
-                self._note_for_wider_routes(old, former, new_by_scope)
+            new = new_by_scope.get(scope)
+            change = (old.pools, () if new is None else new.pools)
+            pools = lost_by_change.get(change)
+            if pools is None:
+                pools = _used_pools(change[0]) - _used_pools(change[1])
+                lost_by_change[change] = pools
+            for pool in pools:
+                former.append((scope, pool))
+            if new is None:
+                former.extend(_pools_of_wider_routes(old, pools, new_by_scope))
         for scope in new_by_scope:
             if scope not in self._route_by_scope:
-                self.former_pools.note(scope, NO_POOL)
-
-    def _note_for_wider_routes(self, removed, pools, new_by_scope):
-        """Note the pools of a removed route for those that get its requests from now on."""
-        for length in range(len(removed.prefix) + 1):
-            scope = f"{removed.host}{removed.prefix[:length]}"
-            row = new_by_scope.get(scope)
-            if row is None or row.host != removed.host:
-                continue
-            for pool in pools:
-                self.former_pools.note(scope, pool)
+                former.append((scope, NO_POOL))
+        return former
 
 
 class Endpoints:
@@ -213,14 +211,23 @@
             return
         before = (old.pool, old.software_version)
         if new is None or before != (new.pool, new.software_version):
-            self.former_versions.note(*before)
+            self.former_versions.note([before])
 
 
 def _routes_by_scope(manifest):
     return {row.scope: row for row in manifest.routes}
 
 
-def _used_pools(route):
-    if route is None:
-        return set()
-    return {target.pool for target in route.pools if target.weight > 0}
+def _used_pools(weighted_pools):
+    return {target.pool for target in weighted_pools if target.weight > 0}
+
+
+def _pools_of_wider_routes(removed, pools, new_by_scope):
+    """Yield the pools of a removed route for those that get its requests from now on."""
+    for length in range(len(removed.prefix) + 1):
+        scope = f"{removed.host}{removed.prefix[:length]}"
+        row = new_by_scope.get(scope)
+        if row is None or row.host != removed.host:
+            continue
+        for pool in pools:
+            yield scope, pool
--- a/packages/hemlockdock-core/hemlockdock_core/rows/route_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/route_row.py
@@ -15,7 +15,7 @@
     STREAM = "stream"
 
 
-class WeightedPool(msgspec.Struct, frozen=True, array_like=True):
+class WeightedPool(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """A pool of a route and its weight.
 
     Attributes
