core: the limit of a response's head includes the interim responses before it

Cause: CloseTracker's connection took the head as ended with the first blank line, and a 100 has one; the parser behind it went on to collect header lines.

The tests failed before ("False is not true": the connection was not closed), for header lines, for folded ones and for interim responses without end.

Why it works: the tracker reads the status of each head and goes on to count after an interim one, up to 64 KiB for all together.

--- a/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
@@ -7,9 +7,9 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from hemlockdock_core.http.head_tracker import HeadTracker
+
 TLS_SCHEME = b"https"
-HEAD_END = b"\r\n\r\n"
-MAX_HEAD_BYTES = 65_536
 
 
 class CloseTracker:
@@ -88,23 +88,15 @@
 
     def __init__(self, factory, wrapped_protocol):
         super().__init__(factory, wrapped_protocol)
-        self._in_head = True
-        self._head_bytes = 0
-        self._tail = b""
+        self._head = HeadTracker()
 
     def write(self, data):
-        self._in_head = True
-        self._head_bytes = 0
-        self._tail = b""
+        self._head = HeadTracker()
         super().write(data)
 
     def dataReceived(self, data):
-        if self._in_head:
-            self._head_bytes += len(data)
-            received = self._tail + data
-            self._in_head = HEAD_END not in received
-            self._tail = received[1 - len(HEAD_END) :]
-        if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+        self._head.feed(data)
+        if self._head.is_too_long:
             self.transport.abortConnection()
             return
         super().dataReceived(data)
--- a/packages/hemlockdock-core/tests/test_close_tracker.py
+++ b/packages/hemlockdock-core/tests/test_close_tracker.py
@@ -8,7 +8,8 @@
 from twisted.web.client import HTTPConnectionPool
 
 from hemlockdock_core.http.body_receiver import BodyReceiver
-from hemlockdock_core.http.close_tracker import MAX_HEAD_BYTES, CloseTracker
+from hemlockdock_core.http.close_tracker import CloseTracker
+from hemlockdock_core.http.head_tracker import MAX_HEAD_BYTES
 
 URL = b"http://127.0.0.1:80/"
 
@@ -66,16 +67,20 @@
         self.received = []
         self.ended = []
         self.failed = []
-        agent = self.tracker.open_agent(self.reactor, HTTPConnectionPool(self.reactor), 1.0)
-        answered = agent.request(b"GET", URL)
-        answered.addCallback(self.deliver)
-        answered.addErrback(self.failed.append)
-        self.reactor.advance(0)
+        pool = HTTPConnectionPool(self.reactor)
+        self.agent = self.tracker.open_agent(self.reactor, pool, 1.0)
+        self.request()
         factory = self.reactor.tcpClients[0][2]
         self.connection = factory.buildProtocol(None)
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
+    def request(self):
+        answered = self.agent.request(b"GET", URL)
+        answered.addCallback(self.deliver)
+        answered.addErrback(self.failed.append)
+        self.reactor.advance(0)
+
     def deliver(self, response):
         receiver = BodyReceiver(self.tracker, self.received.append, self.ended.append, 100_000)
         response.deliverBody(receiver)
@@ -93,6 +98,33 @@
         self.send_without_end(b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n" * 500)
         self.assertEqual((len(self.failed), self.ended), (1, []))
 
+    def test_a_head_without_end_after_an_interim_response_fills_the_memory(self):
+        # Guards against a limit of heads that ends with the head of a 100.
+        for interim in (b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 102 \n\n", b"HTTP/1.1 100 "):
+            for begin, part in ((b"", b"X-A: 1\r\n" * 500), (b"X-A: 1\r\n", b" folded\r\n" * 500)):
+                with self.subTest(interim=interim, part=part[:4]):
+                    self.setUp()
+                    self.send_without_end(interim + b"HTTP/1.1 200 OK\r\n" + begin, part)
+                    self.assertEqual((len(self.failed), self.ended), (1, []))
+
+    def test_interim_responses_without_end_keep_the_request_open(self):
+        # Guards against a call that never ends, as each 100 begins a head of its own.
+        self.send_without_end(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+        self.assertEqual((len(self.failed), self.ended), (1, []))
+
+    def test_a_long_body_after_an_interim_response_is_received(self):
+        head = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n"
+        for number in range(len(head)):
+            self.connection.dataReceived(head[number : number + 1])
+        self.connection.dataReceived(b"x" * 90_000)
+        self.assertEqual(self.ended, [True])
+
+    def test_bytes_after_an_answer_do_not_accumulate_on_a_kept_connection(self):
+        # Guards against memory for bytes that nobody asked for.
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(self.ended, [True])
+        self.send_without_end(b"", b"x" * 10_000)
+
     def test_a_body_without_end_is_incomplete(self):
         self.send_without_end(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 10_000)
         self.assertEqual(self.ended, [False])
