core: the limit of a response's head holds for each request of a connection

On a kept connection a replica could send header lines without end to the second request; and an answer longer than 64 KiB that began while the request's body was still being sent could be cut off.

Cause: the tracker began anew at `write`, which the HTTP client calls for parts of a body; it writes the head of a request by `writeSequence`.

The tests failed before: the connection was not closed ("False is not true"); the early answer did not end ([] != [True]). Now the tracker begins anew with each request, and only then, so that bytes of a replica while a long body is being sent count together.

--- a/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
@@ -90,9 +90,10 @@
         super().__init__(factory, wrapped_protocol)
         self._head = HeadTracker()
 
-    def write(self, data):
+    def writeSequence(self, data):
+        # The client writes the head of a request so, and its body by ``write``.
         self._head = HeadTracker()
-        super().write(data)
+        super().writeSequence(data)
 
     def dataReceived(self, data):
         self._head.feed(data)
--- a/packages/hemlockdock-core/tests/test_close_tracker.py
+++ b/packages/hemlockdock-core/tests/test_close_tracker.py
@@ -2,10 +2,13 @@
 
 import unittest
 
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 from twisted.web.client import HTTPConnectionPool
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
 
 from hemlockdock_core.http.body_receiver import BodyReceiver
 from hemlockdock_core.http.close_tracker import CloseTracker
@@ -19,6 +22,20 @@
         self.loseConnection()
 
 
+@implementer(IBodyProducer)
+class EndlessBody:
+    """The body of a request that is sent in parts, as the test asks for it."""
+
+    length = 1_000_000
+
+    def startProducing(self, consumer):
+        self.consumer = consumer
+        return Deferred()
+
+    def stopProducing(self):
+        pass
+
+
 class BodyEndTest(unittest.TestCase):
     def receive(self, framing, body, error):
         reactor = MemoryReactorClock()
@@ -75,8 +92,8 @@
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
-    def request(self):
-        answered = self.agent.request(b"GET", URL)
+    def request(self, body=None):
+        answered = self.agent.request(b"GET", URL, bodyProducer=body)
         answered.addCallback(self.deliver)
         answered.addErrback(self.failed.append)
         self.reactor.advance(0)
@@ -107,6 +124,25 @@
                     self.send_without_end(interim + b"HTTP/1.1 200 OK\r\n" + begin, part)
                     self.assertEqual((len(self.failed), self.ended), (1, []))
 
+    def test_a_head_without_end_on_a_kept_connection_fills_the_memory(self):
+        # Guards against a limit for the first response of a connection only.
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(self.ended, [True])
+        self.request()
+        self.send_without_end(b"HTTP/1.1 200 OK\r\n", b"X-A: 1\r\n" * 500)
+        self.assertEqual((len(self.failed), self.ended), (1, [True]))
+
+    def test_an_early_answer_is_received_while_the_request_is_sent(self):
+        # Guards against a long answer that is cut off as its request's body is still being sent.
+        body = EndlessBody()
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.ended.clear()
+        self.request(body)
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n")
+        body.consumer.write(b"more of the body")
+        self.connection.dataReceived(b"x" * 90_000)
+        self.assertEqual(self.ended, [True])
+
     def test_interim_responses_without_end_keep_the_request_open(self):
         # Guards against a call that never ends, as each 100 begins a head of its own.
         self.send_without_end(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
