--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_task.py
@@ -39,7 +39,8 @@
     """Runs one member.
 
     The events and commands of one reactor turn are processed as a batch: their entries are sent
-    in one request and made durable by one sync.
+    in one request and made durable by one sync. Entries are applied, and snapshots taken, in turns
+    of their own.
 
     Parameters
     ----------
@@ -86,6 +87,7 @@
         self._applier = Applier(now_ms, state_machine, self._pending, slice_ms)
         self._leads_from_index = None
         self._turn_call = None
+        self._work_call = None
 
     @property
     def applied_index(self):
@@ -115,9 +117,11 @@
         Queued commands and changes, and reads that wait, fail with NotLeaderError. Commands and
         changes already appended fail with UnknownOutcomeError.
         """
-        if self._turn_call is not None:
-            self._turn_call.cancel()
-            self._turn_call = None
+        for call in (self._turn_call, self._work_call):
+            if call is not None:
+                call.cancel()
+        self._turn_call = None
+        self._work_call = None
         self._fail_waiting()
 
     def post(self, event):
@@ -189,13 +193,31 @@
 
     def _turn(self):
         self._turn_call = None
+        self._run_step("events", self._process_and_sync)
+        self._schedule_work()
+
+    def _process_and_sync(self):
+        self._process_events()
+        self._sync()
+
+    def _schedule_work(self):
+        has_work = self._snapshot_is_due() or not self._applier.is_idle
+        if has_work and self._work_call is None and self.failure is None:
+            self._work_call = self._reactor.callLater(0, self._work)
+
+    def _work(self):
+        """Do one piece of the work that heartbeats and votes need not wait for."""
+        self._work_call = None
+        if self._snapshot_is_due():
+            self._run_step("snapshot", self._take_snapshot)
+        else:
+            self._run_step("apply", self._apply_slice)
+        self._schedule_work()
+
+    def _run_step(self, name, step):
         started_ms = self._now_ms()
-        applied = self.applied_index
         try:
-            self._process_events()
-            self._sync()
-            self._apply_slice()
-            self._take_snapshot()
+            step()
         except StorageFailedError as error:
             self._fail(error)
         except Exception as error:
@@ -204,7 +226,7 @@
         took_ms = self._now_ms() - started_ms
         if took_ms >= SLOW_TURN_MS:
             COUNTERS.increment("consensus_slow_turns")
-            extra = {"took_ms": round(took_ms), "applied": self.applied_index - applied}
+            extra = {"step": name, "took_ms": round(took_ms)}
             logger.warning("slow turn of a consensus member", extra=extra)
 
     def _process_events(self):
@@ -253,8 +275,6 @@
             self._leads_from_index = None
             self.leads = True
             self._on_leadership(True)
-        if not self._applier.is_idle:
-            self._schedule()
 
     def _flush_sends(self):
         sends = self._sends_after_sync
@@ -332,8 +352,6 @@
         self._on_leadership(False)
 
     def _take_snapshot(self):
-        if not self._snapshot_is_due():
-            return
         COUNTERS.increment("consensus_snapshots")
         self._step(SnapshotTaken(self.applied_index, self._state_machine.snapshot()))
         self._applier.tail_bytes = 0
