control, cli: the platform's list and answers to commands are read up to a limit, and within a time

What callers saw: whatever answers at the address of the platform's list could fill the leader's memory with header lines or with a body that did not end, and the leader ended with it; or it could stall in the body, and the list was never read again. The command line read control's answers in the same way.

Cause: both used treq's own client, which bounds no head, with treq.content, which keeps all before the length is looked at; the time limit ended with the head.

Change: read_body (core) reads a body up to a limit; the agent and the entries' client of plain services had the same lines twice and use it too. The list and the command line use it behind CloseTracker's client, with a time limit for the body of its own. An answer that breaks off, or stalls in its head, is one more member that cannot be reached for the command line; it was a traceback.

--- a/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/engine/client.py
@@ -5,8 +5,7 @@
 
 import msgspec
 import treq
-from twisted.internet.defer import Deferred, inlineCallbacks, succeed
-from twisted.internet.error import ConnectionLost
+from twisted.internet.defer import inlineCallbacks, succeed
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -14,7 +13,7 @@
 
 from hemlockdock_agent.engine.inventory import EngineInventory
 from hemlockdock_agent.engine.order_reply import OrderReply
-from hemlockdock_core.http.body_receiver import BodyReceiver
+from hemlockdock_core.http.body_receiver import read_body
 from hemlockdock_core.http.close_tracker import CloseTracker
 
 logger = logging.getLogger(__name__)
@@ -214,19 +213,8 @@
         return self._agent.request(b"GET", url.encode())
 
     def _read(self, response):
-        parts = []
-
-        def end(is_complete):
-            if is_complete:
-                body.callback(b"".join(parts))
-                return
-            body.errback(ConnectionLost("the answer is incomplete"))
-
-        receiver = BodyReceiver(self.close_tracker, parts.append, end, MAX_CONTROL_BYTES)
-        body = Deferred(lambda _: receiver.close())
-        body.addTimeout(PROBE_TIMEOUT_S, self._reactor)
-        response.deliverBody(receiver)
-        return body
+        body = read_body(response, self.close_tracker, MAX_CONTROL_BYTES)
+        return body.addTimeout(PROBE_TIMEOUT_S, self._reactor)
 
     def _track(self, call):
         self._calls.add(call)
--- a/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
@@ -5,18 +5,22 @@
 import sys
 
 import treq
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectionLost
 from twisted.internet.task import react
-from twisted.web.client import ResponseNeverReceived
+from twisted.web.client import HTTPConnectionPool, ResponseFailed
 
 from hemlockdock_cli.command_error import CommandError
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_core.errors import ErrorKind
+from hemlockdock_core.http.body_receiver import read_body
+from hemlockdock_core.http.close_tracker import CloseTracker
 
 ADMIN_VARIABLE = "HEMLOCKDOCK_ADMIN"
 TOKEN_VARIABLE = "HEMLOCKDOCK_TOKEN"
 DEFAULT_ADMIN = "127.0.0.1:7080"
 TIMEOUT_S = 30
+CONNECT_TIMEOUT_S = 30.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 HTTP_BAD_REQUEST = 400
 
 
@@ -89,11 +93,15 @@
         ------
         CommandError
         """
+        # Imported here, as importing it installs it, which ``call`` leaves to the command.
+        from twisted.internet import reactor
+
         last_error = "no address given"
         for address in self._addresses:
             try:
-                status, document = await self._send_request(address, method, path, body, params)
-            except (ConnectError, ResponseNeverReceived, TimeoutError) as error:
+                call = self._send_request(reactor, address, method, path, body, params)
+                status, document = await call
+            except (ConnectError, ConnectionLost, ResponseFailed, TimeoutError) as error:
                 last_error = f"{address}: {error}"
                 continue
             if status < HTTP_BAD_REQUEST:
@@ -105,10 +113,12 @@
             raise CommandError(_exit_code(status), _error_message(status, document))
         raise CommandError(ExitCode.UNREACHABLE, f"control cannot be reached: {last_error}")
 
-    async def _send_request(self, address, method, path, body, params):
+    async def _send_request(self, reactor, address, method, path, body, params):
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
         if body is not None:
             headers["Content-Type"] = "application/json"
+        tracker = CloseTracker()
+        pool = HTTPConnectionPool(reactor, persistent=False)
         response = await treq.request(
             method,
             f"http://{address}{path}",
@@ -116,9 +126,10 @@
             data=body,
             params=params,
             timeout=TIMEOUT_S,
-            persistent=False,
+            agent=tracker.open_agent(reactor, pool, CONNECT_TIMEOUT_S),
+            unbuffered=True,
         )
-        text = await response.content()
+        text = await read_body(response, tracker, MAX_ANSWER_BYTES).addTimeout(TIMEOUT_S, reactor)
         try:
             return response.code, json.loads(text)
         except ValueError:
--- a/packages/hemlockdock-cli/tests/test_commands.py
+++ b/packages/hemlockdock-cli/tests/test_commands.py
@@ -7,13 +7,21 @@
 from pathlib import Path
 from unittest import mock
 
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.trial import unittest as trial_unittest
+
+from hemlockdock_cli.admin_client import AdminClient
+from hemlockdock_cli.command_error import CommandError
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_cli.main import main
 from hemlockdock_cli.tables import section_lines
 from hemlockdock_core.routes import RouteManifest
 from hemlockdock_core.rows import LimitsRow, PoolRow, RouteKind, RouteRow, WeightedPool
 from hemlockdock_core.wire import own
+from hemlockdock_standins.endless_peer import EndlessPeer
 
+ANSWER_BYTES = 1024 * 1024
 SETTINGS = """
 [process]
 node_id = control-1
@@ -111,5 +119,23 @@
         self.assertEqual(section_lines(document), expected)
 
 
+class EndlessAnswerTest(trial_unittest.TestCase):
+    timeout = 120
+
+    @inlineCallbacks
+    def test_an_answer_without_end_fills_the_memory_of_the_command(self):
+        # Guards against a member, or what answers in its place, whose bytes are kept until it ends.
+        ok = b"HTTP/1.1 200 OK\r\n"
+        for begin, part in ((ok, b"X-A: 1\r\n"), (ok + b"\r\n", b"z" * 1_000)):
+            peer = EndlessPeer(reactor, begin, part, 50 * ANSWER_BYTES)
+            client = AdminClient(peer.address)
+            with mock.patch("hemlockdock_cli.admin_client.MAX_ANSWER_BYTES", ANSWER_BYTES):
+                call = Deferred.fromCoroutine(client.request("GET", "/v1/status"))
+                error = yield self.assertFailure(call, CommandError)
+            yield peer.stop()
+            self.assertIs(error.code, ExitCode.UNREACHABLE)
+            self.assertLess(peer.sent_bytes, 20 * ANSWER_BYTES)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
+++ b/packages/hemlockdock-control/hemlockdock_control/membership/platform_list.py
@@ -6,8 +6,11 @@
 import msgspec
 import treq
 from twisted.internet.defer import inlineCallbacks
+from twisted.web.client import HTTPConnectionPool
 
 from hemlockdock_core.foreign import decode_foreign
+from hemlockdock_core.http.body_receiver import read_body
+from hemlockdock_core.http.close_tracker import CloseTracker
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.periodic_call import PeriodicCall
 
@@ -76,6 +79,9 @@
         self._reading = None
         self._loop = PeriodicCall(reactor, self._poll)
         self._reactor = reactor
+        self._tracker = CloseTracker()
+        pool = HTTPConnectionPool(reactor, persistent=False)
+        self._agent = self._tracker.open_agent(reactor, pool, LIST_TIMEOUT_S)
         self.state_by_host = {}
 
     def start(self):
@@ -103,12 +109,13 @@
     def _read(self):
         response = yield treq.get(
             self._settings.platform_list,
-            reactor=self._reactor,
+            agent=self._agent,
             timeout=LIST_TIMEOUT_S,
-            persistent=False,
+            unbuffered=True,
         )
-        data = yield treq.content(response)
-        if response.code != 200 or len(data) > MAX_LIST_BYTES:
+        body = read_body(response, self._tracker, MAX_LIST_BYTES)
+        data = yield body.addTimeout(LIST_TIMEOUT_S, self._reactor)
+        if response.code != 200:
             raise ValueError(f"unexpected response: status {response.code}, {len(data)} bytes")
         listed = decode_foreign(LIST_DECODER, data)
         self.state_by_host = {item.host: item.state for item in listed.hosts}
--- a/packages/hemlockdock-control/tests/test_membership.py
+++ b/packages/hemlockdock-control/tests/test_membership.py
@@ -5,6 +5,7 @@
 
 from support import StateDriver, node_info, settings
 from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import Clock, deferLater
 from twisted.trial import unittest as trial_unittest
 from twisted.web.resource import Resource
@@ -19,8 +20,11 @@
     membership_commands,
 )
 from hemlockdock_control.membership.detector import MembershipView
+from hemlockdock_control.membership.platform_list import LIST_TIMEOUT_S, MAX_LIST_BYTES
 from hemlockdock_control.service.leader_contact import LeaderContact
 from hemlockdock_core.commands import NodeLeaving, NodeLost, RegisterNode
+from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_standins.endless_peer import EndlessPeer
 
 MEMBERSHIP = settings().membership
 LOST_MS = MEMBERSHIP.lost_after_ms
@@ -203,6 +207,40 @@
 
         return wait({"h1": HostState.LEAVING}).addCallback(send_invalid_list)
 
+    @inlineCallbacks
+    def test_a_list_without_end_fills_the_memory_of_the_leader(self):
+        # Guards against a platform whose bytes are kept until its answer ends.
+        ok = b"HTTP/1.1 200 OK\r\n"
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        kinds = ((ok, b"X-A: 1\r\n"), (interim + ok, b"X-A: 1\r\n"), (ok + b"\r\n", b"z" * 1_000))
+        for begin, part in kinds:
+            peer = EndlessPeer(reactor, begin, part, 20 * MAX_LIST_BYTES)
+            url = f"http://{peer.address}/hosts"
+            extra = f"[membership]\nplatform_list = {url}\nplatform_poll_ms = 60000"
+            platform = PlatformList(reactor, settings(extra=extra), lambda: True)
+            failures = COUNTERS.value("platform_list_failures")
+            platform.start()
+            while COUNTERS.value("platform_list_failures") == failures:
+                yield deferLater(reactor, 0.02)
+            platform.stop()
+            yield peer.stop()
+            # The list's limit, and what the kernel holds for a connection.
+            self.assertLess(peer.sent_bytes, 5 * MAX_LIST_BYTES)
+
+    @inlineCallbacks
+    def test_a_list_that_stalls_in_its_body_is_never_read_again(self):
+        # Guards against a time limit that ends with the head of the answer.
+        peer = EndlessPeer(reactor, b"HTTP/1.1 200 OK\r\n\r\n{", b" ", 1)
+        self.addCleanup(peer.stop)
+        url = f"http://{peer.address}/hosts"
+        extra = f"[membership]\nplatform_list = {url}\nplatform_poll_ms = 60000"
+        platform = PlatformList(reactor, settings(extra=extra), lambda: True)
+        failures = COUNTERS.value("platform_list_failures")
+        platform.start()
+        self.addCleanup(platform.stop)
+        yield deferLater(reactor, 1.5 * LIST_TIMEOUT_S)
+        self.assertEqual(COUNTERS.value("platform_list_failures"), failures + 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-core/hemlockdock_core/http/body_receiver.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/body_receiver.py
@@ -1,5 +1,7 @@
 """Receive the body of a response from twisted's HTTP client."""
 
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionLost
 from twisted.internet.protocol import Protocol
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
@@ -58,3 +60,33 @@
         has_unmarked_end = reason.check(PotentialDataLoss) is not None
         is_whole = reason.check(ResponseDone) is not None
         self._on_end(is_whole or (has_unmarked_end and self._tracker.closed_cleanly))
+
+
+def read_body(response, tracker, max_bytes=MAX_BODY_BYTES):
+    """Read the whole body of a response.
+
+    Parameters
+    ----------
+    response : twisted.web.iweb.IResponse
+    tracker : CloseTracker
+        Of the client that received the response.
+    max_bytes : int, optional
+        A longer body is incomplete.
+
+    Returns
+    -------
+    Deferred of bytes
+        Fails with ConnectionLost if the body is incomplete. To cancel it closes the connection.
+    """
+    parts = []
+
+    def end(is_complete):
+        if is_complete:
+            body.callback(b"".join(parts))
+            return
+        body.errback(ConnectionLost("the answer is incomplete"))
+
+    receiver = BodyReceiver(tracker, parts.append, end, max_bytes)
+    body = Deferred(lambda _: receiver.close())
+    response.deliverBody(receiver)
+    return body
--- a/packages/hemlockdock-entry/hemlockdock_entry/services/service_client.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/services/service_client.py
@@ -1,12 +1,11 @@
 """Send HTTP requests to plain services."""
 
 import treq
-from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError, ConnectionLost
+from twisted.internet.error import ConnectError
 from twisted.web.client import HTTPConnectionPool
 
 from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
-from hemlockdock_core.http.body_receiver import BodyReceiver
+from hemlockdock_core.http.body_receiver import read_body
 from hemlockdock_core.http.close_tracker import CloseTracker
 from hemlockdock_entry.services.headers import forwarded_headers
 from hemlockdock_entry.services.service_answer import ServiceAnswer
@@ -77,18 +76,8 @@
 
     def _read(self, response):
         headers = forwarded_headers(response.headers)
-        parts = []
-
-        def end(is_complete):
-            if is_complete:
-                body.callback(ServiceAnswer(response.code, headers, b"".join(parts)))
-                return
-            body.errback(ConnectionLost("the answer is incomplete"))
-
-        receiver = BodyReceiver(self._close_tracker, parts.append, end)
-        body = Deferred(lambda _: receiver.close())
-        response.deliverBody(receiver)
-        return body
+        body = read_body(response, self._close_tracker)
+        return body.addCallback(lambda data: ServiceAnswer(response.code, headers, data))
 
 
 def _failed(failure):
