control: a member whose disk was full works again once it has room, also outside of a fleet

Cause: a failed write ends a member until its folder is opened again, as what is on the disk is unknown. The replicator did that only in a fleet; elsewhere a member that had failed once had failed until it was restarted, and two such members are no quorum. Of the same class: an identity that met the full disk while a cluster is formed ended the loop of ticks, and was taken as written in memory.

Change: after a failed write, of the task or of the identity, the folder is opened again each second with the discovery that the settings ask for. A member whose identity isn't written yet goes on forming. The identity counts as written only once it is.

Votes go the way of entries. test_a_full_disk_ends_leadership_until_a_restart stays: the simulated member has no replicator.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -30,7 +30,7 @@
 from hemlockdock_control.consensus.static_discovery import StaticDiscovery
 from hemlockdock_control.consensus.timing import Timing
 from hemlockdock_control.storage.disk import Disk
-from hemlockdock_control.storage.errors import StorageError
+from hemlockdock_control.storage.errors import StorageError, StorageFailedError
 from hemlockdock_control.storage.member_storage import MemberStorage
 from hemlockdock_core.wall_clock import wall_ms
 
@@ -59,8 +59,7 @@
     settings : Settings
     state_machine : object
         ``apply(index, data)`` returns the result for the proposer, ``snapshot()`` returns the state
-        as bytes, ``restore(index, data)`` replaces the state, and ``reset()`` empties it, which is
-        needed only in a fleet.
+        as bytes, ``restore(index, data)`` replaces the state, and ``reset()`` empties it.
     tls : LinkTls, optional
     now_ms : callable, optional
         Returns the time of a monotonic clock.
@@ -132,7 +131,9 @@
         """Return the error that stopped this member, or None while it works."""
         if self._discovery is not None and self._discovery.refusal is not None:
             return self._discovery.refusal
-        return self._task.failure if self._task is not None else None
+        if self._task is not None and self._task.failure is not None:
+            return self._task.failure
+        return self._storage.failure if self._storage is not None else None
 
     @property
     def last_leader_contact_s(self):
@@ -344,18 +345,27 @@
             self._discovery.update_seeds(settings)
 
     def _open(self, disk):
+        settings = self._settings
+        self._storage = self._open_storage(disk)
+        if settings.in_fleet:
+            self._open_seeded_links()
+        else:
+            self._links = PeerLinks(self._reactor, settings, wall_ms(), self._receive, self._tls)
+        self._discovery = self._new_discovery()
+
+    def _open_storage(self, disk):
         if self._settings.in_fleet:
-            self._open_seeded(disk)
-            return
+            return open_seeded_storage(disk, self._settings)
+        return MemberStorage(disk, self._settings.control.cluster, self._member_id)
+
+    def _new_discovery(self):
         settings = self._settings
-        self._storage = MemberStorage(disk, settings.control.cluster, self._member_id)
-        incarnation = wall_ms()
-        self._links = PeerLinks(self._reactor, settings, incarnation, self._receive, self._tls)
-        self._discovery = StaticDiscovery(settings, self._storage, self._links, self._start_member)
+        if settings.in_fleet:
+            return SeedDiscovery(settings, self._storage, self._links)
+        return StaticDiscovery(settings, self._storage, self._links, self._start_member)
 
-    def _open_seeded(self, disk):
+    def _open_seeded_links(self):
         settings = self._settings
-        self._storage = open_seeded_storage(disk, settings)
         self._member_id = self._storage.identity.member_id
         ip = process_ip(settings)
         self._links = PeerLinks(
@@ -367,18 +377,17 @@
             self._member_id,
             settings.seed_address(ip).peer_address,
         )
-        self._discovery = SeedDiscovery(settings, self._storage, self._links)
 
     def _tick(self):
         if self._task is not None:
             self._task.post(Tick())
         now_ms = self._now_ms()
-        if not self._settings.in_fleet:
-            self._discovery.tick(self.configuration, now_ms)
-            return
-        if self._task.failure is not None and now_ms - self._reopened_ms >= REOPEN_INTERVAL_MS:
+        if self._must_reopen(now_ms):
             self._reopened_ms = now_ms
             self._reopen()
+        if not self._settings.in_fleet:
+            self._run_discovery(self._discovery.tick, self.configuration, now_ms)
+            return
         self._discovery.tick(self.configuration, now_ms, self.last_leader_contact_s * MS_PER_S)
         self._links.reconnect_silent(now_ms, LINK_SILENCE_TIMEOUT_MS)
         if self.is_leader:
@@ -386,23 +395,40 @@
                 self._task.core.state, self._discovery.received_hello_by_id, now_ms
             )
 
+    def _must_reopen(self, now_ms):
+        if now_ms - self._reopened_ms < REOPEN_INTERVAL_MS:
+            return False
+        has_failed = self._task is not None and self._task.failure is not None
+        return has_failed or self._storage.failure is not None
+
+    def _run_discovery(self, step, *arguments):
+        """Run a step that may write the member's identity."""
+        try:
+            step(*arguments)
+        except StorageFailedError as error:
+            # The folder is reopened, and the step repeated, with one of the next ticks.
+            logger.warning("identity not written", extra={"problem": str(error)})
+
     def _reopen(self):
         """Restart the member after a failed write, from the state that is really on the disk."""
-        self._task.stop()
+        if self._task is not None:
+            self._task.stop()
         self._storage.close()
         disk = None
         try:
             disk = Disk(self._settings.process.data_folder)
-            storage = open_seeded_storage(disk, self._settings)
+            storage = self._open_storage(disk)
         except (OSError, StorageError) as error:
             if disk is not None:
                 disk.close()
             logger.warning("data folder still unusable", extra={"problem": str(error)})
             return
         self._storage = storage
-        self._discovery = SeedDiscovery(self._settings, storage, self._links)
+        self._discovery = self._new_discovery()
         self._state_machine.reset()
-        self._start_member()
+        self._task = None
+        if not self._discovery.is_forming:
+            self._start_member()
         logger.info("data folder reopened", extra={"applied": self.applied_index})
 
     def _receive(self, sender, message):
@@ -419,7 +445,7 @@
         if self._settings.in_fleet:
             self._discovery.handle_hello(sender, hello, self.configuration, self._now_ms())
             return
-        self._discovery.handle_hello(sender, hello, self.configuration)
+        self._run_discovery(self._discovery.handle_hello, sender, hello, self.configuration)
 
     def _start_member(self):
         durable = self._storage.initial_durable_state()
--- a/packages/hemlockdock-control/hemlockdock_control/storage/errors.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/errors.py
@@ -113,5 +113,7 @@
     """
 
     def __init__(self, cause):
-        super().__init__(f"write failed: {cause}; mend the disk, then restart the process")
+        super().__init__(
+            f"write failed: {cause}; free or mend the disk, which is then opened again"
+        )
         self.cause = cause
--- a/packages/hemlockdock-control/hemlockdock_control/storage/member_storage.py
+++ b/packages/hemlockdock-control/hemlockdock_control/storage/member_storage.py
@@ -34,6 +34,8 @@
     identity : Identity
     durable : DurableState
         State on the disk when the storage was opened.
+    failure : StorageFailedError or None
+        First failed write; the folder has to be reopened after it.
 
     Raises
     ------
@@ -43,7 +45,7 @@
     def __init__(self, disk, cluster, member_id, segment_bytes=SEGMENT_BYTES, new_identity=None):
         self._disk = disk
         self._pending_records = []
-        self._failure = None
+        self.failure = None
         self.identity = identity_file.load(disk, cluster, member_id)
         is_new = self.identity is None
         if is_new:
@@ -51,7 +53,7 @@
             self.identity = new_identity or prepared
             Wal(disk, self.identity.folder_id).start_segment(0, "")
             # The identity is written last: a folder without it counts as never used.
-            self._save_identity()
+            identity_file.save(disk, self.identity)
         self._wal = Wal(disk, self.identity.folder_id, segment_bytes)
         self.durable = self._recover()
         self._term = self.durable.term
@@ -104,8 +106,8 @@
         StorageFailedError
         """
         changed = msgspec.structs.replace(self.identity, standing=standing, founders=founders)
+        self._run_step(identity_file.save, self._disk, changed)
         self.identity = changed
-        self._run_step(self._save_identity)
 
     def initial_durable_state(self):
         """Return the initial durable state, with the founders as members if there was no snapshot.
@@ -155,14 +157,11 @@
             self._wal.start_segment(self._term, self._voted_for)
             self._wal.remove_segments_through(self._snapshot_index)
 
-    def _save_identity(self):
-        identity_file.save(self._disk, self.identity)
-
     def _run_step(self, step, *arguments):
-        if self._failure is not None:
-            raise self._failure
+        if self.failure is not None:
+            raise self.failure
         try:
             step(*arguments)
         except OSError as error:
-            self._failure = StorageFailedError(error)
-            raise self._failure from error
+            self.failure = StorageFailedError(error)
+            raise self.failure from error
