control: a row of an endpoint costs as much as its own loads, not those of all endpoints

A change that names all endpoints costs the product of its rows and of all loads in progress, on all members and again after a restart.

Cause: ModelLoads.note_row walked all loads twice for each row, once for those that have ended and once for the row's own.

Now the loads are also held by endpoint, and those that have ended are looked for once the first of them can have.

Looked at and left: RunOnce and Jobs walk all records once for each command of a node, Crashes its suspects (4,096 at most) once for each crash, PlacementHistory all events once for each; each is one walk a command, and a command is applied in a slice.

--- a/packages/hemlockdock-control/hemlockdock_control/state/model_loads.py
+++ b/packages/hemlockdock-control/hemlockdock_control/state/model_loads.py
@@ -53,6 +53,8 @@
 
     def __init__(self, context):
         self._context = context
+        self._models_by_endpoint = {}
+        self._next_end_ms = float("inf")
         self.load_by_key = {}
         self.store_loads = 0
 
@@ -74,10 +76,10 @@
                 continue
             key = (row.endpoint_id, arriving.name)
             begun_ms = self._context.now_ms
-            self.load_by_key[key] = ModelLoad(row.pool, *key, begun_ms, arriving.takes_ms)
-        for key in list(self.load_by_key):
-            if key[0] == row.endpoint_id and _has_weights(row, key[1]):
-                del self.load_by_key[key]
+            self._add(ModelLoad(row.pool, *key, begun_ms, arriving.takes_ms))
+        for model in list(self._models_by_endpoint.get(row.endpoint_id, ())):
+            if _has_weights(row, model):
+                self._remove((row.endpoint_id, model))
 
     def restore(self, loads, store_loads=0):
         """Restore the loads from a snapshot.
@@ -88,12 +90,34 @@
         store_loads : int, optional
         """
         self.store_loads = store_loads
-        self.load_by_key = {load.key: load for load in loads}
+        self.load_by_key = {}
+        self._models_by_endpoint = {}
+        self._next_end_ms = float("inf")
+        for load in loads:
+            self._add(load)
+
+    def _add(self, load):
+        self.load_by_key[load.key] = load
+        self._models_by_endpoint.setdefault(load.endpoint_id, set()).add(load.model)
+        self._next_end_ms = min(self._next_end_ms, load.planned_end_ms)
+
+    def _remove(self, key):
+        del self.load_by_key[key]
+        endpoint_id, model = key
+        models = self._models_by_endpoint[endpoint_id]
+        models.remove(model)
+        if not models:
+            del self._models_by_endpoint[endpoint_id]
 
     def _remove_ended(self):
+        now_ms = self._context.now_ms
+        if now_ms < self._next_end_ms:
+            return
         for key, load in list(self.load_by_key.items()):
-            if self._context.now_ms >= load.planned_end_ms:
-                del self.load_by_key[key]
+            if now_ms >= load.planned_end_ms:
+                self._remove(key)
+        ends_ms = [load.planned_end_ms for load in self.load_by_key.values()]
+        self._next_end_ms = min(ends_ms, default=float("inf"))
 
 
 def _has_weights(row, model):
--- a/packages/hemlockdock-control/tests/test_model_loads.py
+++ b/packages/hemlockdock-control/tests/test_model_loads.py
@@ -3,6 +3,7 @@
 import unittest
 
 import msgspec
+from support import lines_run
 from support import settings as control_settings
 
 from hemlockdock_control.state import ClusterStateMachine, encode_command
@@ -46,6 +47,16 @@
         self.record(row(models=("m",)), after_ms=8_000)
         self.assertEqual(self.begun_ms(), {})
 
+    def test_each_row_of_a_change_walks_the_loads_of_all_endpoints(self):
+        # Guards against a cost that is the product of a change's rows and the loads in progress.
+        lines = {}
+        for size in (100, 200):
+            rows = [row(f"m{number}", endpoint_id=f"e{number}") for number in range(size)]
+            self.record(*rows)
+            command = encode_command(RecordEndpoints(rows, (), self.now_ms))
+            lines[size] = lines_run(lambda data=command: self.machine.apply(self.index + 1, data))
+        self.assertLess(lines[200], 3 * lines[100])
+
     def test_a_load_whose_time_left_is_stated_anew_has_not_begun_anew(self):
         self.record(row("m"), after_ms=100)
         stated = ArrivingModel("m", TAKES_MS, 5_000)
