core: a response has 512 headers at most

A head within its 64 KiB that consists of very short lines takes 1.2 MB in an entry, for as long as its sender stalls: some 250 connections are an entry's limit.

Change: the parser of the entries' proxy and of control's calls refuses more than 512 headers, and the tracker before twisted's client more than 1,024 lines in all heads of a response.

The tests failed before ("False is not true": the connection was not closed), one for each client.

--- a/packages/hemlockdock-core/hemlockdock_core/http/head_tracker.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/head_tracker.py
@@ -9,8 +9,10 @@
 # Status line of a response that is followed by another one, until the final response.
 INTERIM_STATUS = re.compile(rb"HTTP/\d\.\d 1\d\d")
 STATUS_BYTES = len(b"HTTP/1.1 100")
-# Of a final response and of all interim ones before it.
+# Of a final response and of all interim ones before it. Many short lines take many times the memory
+# of their bytes.
 MAX_HEAD_BYTES = 65_536
+MAX_HEAD_LINES = 1_024
 
 
 class HeadTracker:
@@ -19,13 +21,14 @@
     def __init__(self):
         self._in_head = True
         self._bytes = 0
+        self._lines = 0
         self._status = b""
         self._tail = b""
 
     @property
     def is_too_long(self):
-        """Return whether the head has more than ``MAX_HEAD_BYTES`` and has not ended."""
-        return self._in_head and self._bytes > MAX_HEAD_BYTES
+        """Return whether the head has more bytes or lines than a head may have."""
+        return self._bytes > MAX_HEAD_BYTES or self._lines > MAX_HEAD_LINES
 
     def feed(self, data):
         """Add the next bytes of the connection.
@@ -42,13 +45,13 @@
         self._status += data[: STATUS_BYTES - len(self._status)]
         received = self._tail + data
         end = HEAD_END.search(received)
+        head = data if end is None else data[: end.end() - len(self._tail)]
+        self._bytes += len(head)
+        self._lines += head.count(b"\n")
         if end is None:
-            self._bytes += len(data)
             self._tail = received[-TAIL_BYTES:]
             return b""
-        rest = received[end.end() :]
-        self._bytes += len(data) - len(rest)
         self._tail = b""
         self._in_head = INTERIM_STATUS.match(self._status) is not None
         self._status = b""
-        return rest
+        return data[len(head) :]
--- a/packages/hemlockdock-core/hemlockdock_core/http/response_reader.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/response_reader.py
@@ -12,6 +12,8 @@
 LOWEST_FINAL_STATUS = 200
 # Head, interim responses, chunk sizes and trailers, between two parts of a body.
 MAX_OVERHEAD_BYTES = 65_536
+# Many short headers take many times the memory of their bytes.
+MAX_HEADERS = 512
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -159,6 +161,8 @@
 
     def on_header(self, name, value):
         """Handle a header (called by httptools)."""
+        if len(self._headers) >= MAX_HEADERS:
+            raise MalformedResponseError(f"more than {MAX_HEADERS} headers")
         self._headers.append((name, value))
 
     def on_headers_complete(self):
--- a/packages/hemlockdock-core/tests/test_close_tracker.py
+++ b/packages/hemlockdock-core/tests/test_close_tracker.py
@@ -124,6 +124,13 @@
                     self.send_without_end(interim + b"HTTP/1.1 200 OK\r\n" + begin, part)
                     self.assertEqual((len(self.failed), self.ended), (1, []))
 
+    def test_a_head_of_many_short_lines_fills_the_memory(self):
+        # Guards against heads that are short in bytes and take many times as much.
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 10_000 + b"\r\n")
+        self.assertTrue(self.transport.disconnecting)
+        self.connection.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual((len(self.failed), self.ended), (1, []))
+
     def test_a_head_without_end_on_a_kept_connection_fills_the_memory(self):
         # Guards against a limit for the first response of a connection only.
         self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
--- a/packages/hemlockdock-core/tests/test_http_client.py
+++ b/packages/hemlockdock-core/tests/test_http_client.py
@@ -54,6 +54,14 @@
         self.call()
         self.assertEqual((self.bodies, self.connections), ([b"a"], 2))
 
+    def test_a_head_of_many_short_lines_fills_the_memory(self):
+        # Guards against heads that are short in bytes and take many times as much.
+        self.call()
+        protocol = self.connect()
+        protocol.dataReceived(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 10_000)
+        self.assertTrue(protocol.transport.disconnecting)
+        self.assertEqual(self.bodies, [])
+
     def test_a_connection_is_kept_for_the_next_request(self):
         self.call()
         protocol = self.connect()
