entry: the body of a response is dropped with its request, not by the garbage collector

Cause: a response that is held back for its end counts against the entry's 64 MiB until its attempt is given up. The count was given back, but the parts stayed with the exchange, whose objects refer to each other, until the garbage collector came by; it counts objects, not bytes.

The test runs without the garbage collector and failed before: 28,704,770 != 0 bytes held by ended requests. The parts, and the incomplete event of a stream, are now dropped when an attempt ends and no other one has begun.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -93,6 +93,7 @@
         self._release_endpoint(self._try)
         self._try.cancel()
         self._try = None
+        self._buffer.clear()
 
     # Called by EndpointTry.
 
@@ -174,6 +175,7 @@
             self._exchange.end_stream(head)
             return
         self._exchange.deliver(head, self._buffer.body)
+        self._buffer.clear()
 
     def on_run_lost(self, endpoint_try):
         """Note that an endpoint closed the connection of a request that it may have been running.
@@ -219,6 +221,9 @@
         move = next_move(outcome, state, self._spend_retry)
         self._log.try_ended(outcome, problem, move, state.left_s)
         self._apply_move(move, endpoint_try)
+        if self._try is None:
+            self._buffer.clear()
+            self._response_writer.discard_partial_event()
 
     def _can_name_last_event(self):
         return not self._response_writer.started or bool(self._response_writer.last_event_id)
--- a/packages/hemlockdock-entry/tests/test_gateway_endless.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_endless.py
@@ -1,5 +1,6 @@
 """Test endpoints that send bytes without end, and clients that never read."""
 
+import gc
 import unittest
 
 from support_gateway import (
@@ -13,6 +14,8 @@
 
 from hemlockdock_entry.gateway.client_connection import MAX_UNSENT_BYTES
 from hemlockdock_entry.gateway.gateway import MAX_HELD_BYTES
+from hemlockdock_entry.gateway.response_buffer import ResponseBuffer
+from hemlockdock_entry.gateway.response_writer import ResponseWriter
 
 MODEL = b"X-Use-Model: m\r\n"
 SEGMENT_BYTES = 65_536
@@ -102,6 +105,29 @@
         self.assertEqual(self.client.status, 200)
         self.assertLessEqual(sent, SEGMENT_BYTES)
 
+    def test_bodies_without_end_stay_in_memory_after_their_requests(self):
+        # Guards against bodies that wait for the garbage collector with the request they belong to.
+        gc.disable()
+        self.addCleanup(gc.enable)
+        stream = b"Content-Type: text/event-stream\r\n\r\n"
+        for end, path in ((b"\r\n", AT_MOST_ONCE_PATH), (stream, NON_RESUMABLE_STREAM_PATH)):
+            for _ in range(3):
+                client = self.harness.client()
+                client.send_request(path, extra=MODEL)
+                self.send_without_end(self.harness.connect(), HEAD + end, SEGMENT)
+                self.assertEqual(client.status, 502)
+        client = self.harness.client()
+        client.send_request(IDEMPOTENT_PATH)
+        self.harness.connect().answer()
+        self.assertEqual(client.status, 200)
+        held = 0
+        for item in gc.get_objects():
+            if isinstance(item, ResponseBuffer):
+                held += len(item.body)
+            if isinstance(item, ResponseWriter):
+                held += item.partial_event_bytes
+        self.assertEqual(held, 0)
+
     def test_many_bodies_without_end_share_one_limit(self):
         servers = []
         for number in range(20):
