--- a/packages/hemlockdock-control/tests/support.py
+++ b/packages/hemlockdock-control/tests/support.py
@@ -106,6 +106,7 @@
         self.term = 0
         self.failure = None
         self.last_leader_contact_s = float("inf")
+        self.is_caught_up = True
 
     def start(self):
         """Become the leader."""
--- a/tools/benchmarks/link_processes.py
+++ b/tools/benchmarks/link_processes.py
@@ -49,6 +49,7 @@
             has_lease=ip == leader_ip,
             leader_id=leader_ip,
             last_leader_contact_s=0.0,
+            is_caught_up=True,
             configuration=SimpleNamespace(
                 members=[SimpleNamespace(member_id=member) for member in MEMBERS]
             ),
