--- a/packages/hemlockdock-control/tests/support_consensus.py
+++ b/packages/hemlockdock-control/tests/support_consensus.py
@@ -255,7 +255,9 @@
         self.rate = rate
 
     def on_leadership(self, leads):
-        pass
+        missed = set(self.cluster.acknowledged).difference(self.task._state_machine.commands)
+        if leads and missed:
+            self.cluster.stale_reads.append(f"{self.member_id} leads without {missed}")
 
     def update_addresses(self, configuration):
         pass
--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -222,13 +222,33 @@
             cluster = SimulatedCluster(seed)
             cluster.apply_ms = HEARTBEAT_MS
             for _ in range(3):
-                cluster.run(40, loss=0.05, busy=True)
+                for _ in range(8):
+                    cluster.propose_at_leaders(4)
+                    cluster.run(5, loss=0.05, busy=True)
                 for member in cluster.up:
                     member.crash()
                 cluster.restart_stopped()
             cluster.settle()
             self.assertGreater(len(cluster.acknowledged), 0)
 
+    def test_a_leader_with_a_lease_lacks_what_a_follower_may_have_applied(self):
+        # Guards against decisions and reads of a state that others have already left behind.
+        cluster = SimulatedCluster(9)
+        leader = cluster.elect("a")
+        cluster.apply_ms = HEARTBEAT_MS
+        reads = []
+        for number in range(6):
+            leader.task.propose(b"%d " % number + b"x" * 100_000)
+        for _ in range(50):
+            cluster.run(1, step_ms=1.0)
+            if not leader.task.is_caught_up:
+                self.assertFalse(leader.task.has_lease)
+                begun = leader.task.read_barrier().addErrback(lambda _: None)
+                self.assertFalse(begun.called)
+                reads.append(begun)
+        self.assertGreater(len(reads), 0)
+        self.assertTrue(all(read.called for read in reads))
+
     def test_a_restart_applies_a_tail_of_any_size(self):
         # Guards against a tail that is bounded by its entries only, whose size operators choose.
         cluster = SimulatedCluster(8)
