cli: an answer that stalls ends the command with a line, not a traceback

The test (stalls before the head, in it and in the body) failed before: twisted.internet.defer.TimeoutError.

--- a/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/admin_client.py
@@ -5,6 +5,7 @@
 import sys
 
 import treq
+from twisted.internet import defer
 from twisted.internet.error import ConnectError, ConnectionLost
 from twisted.internet.task import react
 from twisted.web.client import HTTPConnectionPool, ResponseFailed
@@ -101,7 +102,7 @@
             try:
                 call = self._send_request(reactor, address, method, path, body, params)
                 status, document = await call
-            except (ConnectError, ConnectionLost, ResponseFailed, TimeoutError) as error:
+            except (ConnectError, ConnectionLost, ResponseFailed, defer.TimeoutError) as error:
                 last_error = f"{address}: {error}"
                 continue
             if status < HTTP_BAD_REQUEST:
--- a/packages/hemlockdock-cli/tests/test_commands.py
+++ b/packages/hemlockdock-cli/tests/test_commands.py
@@ -136,6 +136,19 @@
             self.assertIs(error.code, ExitCode.UNREACHABLE)
             self.assertLess(peer.sent_bytes, 20 * ANSWER_BYTES)
 
+    @inlineCallbacks
+    def test_an_answer_that_stalls_ends_the_command_with_a_traceback(self):
+        # Guards against a time limit whose error is not that of the HTTP client.
+        ok = b"HTTP/1.1 200 OK\r\n"
+        for begin in (b"", ok, ok + b"\r\n{"):
+            peer = EndlessPeer(reactor, begin, b" ", 0)
+            client = AdminClient(peer.address)
+            with mock.patch("hemlockdock_cli.admin_client.TIMEOUT_S", 0.3):
+                call = Deferred.fromCoroutine(client.request("GET", "/v1/status"))
+                error = yield self.assertFailure(call, CommandError)
+            yield peer.stop()
+            self.assertIs(error.code, ExitCode.UNREACHABLE)
+
 
 if __name__ == "__main__":
     unittest.main()
