--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -202,7 +202,7 @@
             self.assertGreater(len(cluster.acknowledged), 6)
 
 
-class FailedDiskTest(unittest.TestCase):
+class LongTailTest(unittest.TestCase):
     def test_members_are_silent_while_they_apply_a_long_tail(self):
         # Guards against a restart whose tail is applied in one turn, longer than an election.
         cluster = SimulatedCluster(7)
@@ -262,6 +262,8 @@
         self.assertLess(sum(len(entry.data) for entry in tail), 3_000_000)
         self.assertEqual(len(cluster.settle().state_machine.commands), SNAPSHOT_ENTRIES - 3)
 
+
+class FailedDiskTest(unittest.TestCase):
     def test_a_full_disk_ends_leadership_until_a_restart(self):
         for place in ("append", "sync"):
             cluster = SimulatedCluster(5)
