--- a/packages/hemlockdock-core/hemlockdock_core/errors/kind.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/kind.py
@@ -22,6 +22,7 @@
     CONFLICT = "conflict"
     STALE_REVISION = "stale_revision"
     RATE_LIMITED = "rate_limited"
+    QUOTA_EXCEEDED = "quota_exceeded"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_PASSED = "deadline_passed"
--- a/packages/hemlockdock-core/hemlockdock_core/errors/table.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/table.py
@@ -25,6 +25,7 @@
     ErrorKind.CONFLICT: ErrorResponse(409, NotRun.TRUE, None),
     ErrorKind.STALE_REVISION: ErrorResponse(503, NotRun.TRUE, SHORT_RETRY_MS),
     ErrorKind.RATE_LIMITED: ErrorResponse(429, NotRun.TRUE, LONG_RETRY_MS),
+    ErrorKind.QUOTA_EXCEEDED: ErrorResponse(429, NotRun.TRUE, SHORT_RETRY_MS),
     ErrorKind.QUEUE_FULL: ErrorResponse(503, NotRun.TRUE, LONG_RETRY_MS),
     ErrorKind.DEADLINE_UNREACHABLE: ErrorResponse(503, NotRun.TRUE, LONG_RETRY_MS),
     ErrorKind.DEADLINE_PASSED: ErrorResponse(504, NotRun.UNKNOWN, SHORT_RETRY_MS),
--- a/packages/hemlockdock-core/hemlockdock_core/routes/manifest.py
+++ b/packages/hemlockdock-core/hemlockdock_core/routes/manifest.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hemlockdock_core.rows import LimitsRow, PoolRow, RouteRow
+from hemlockdock_core.rows import CustomerRow, LimitsRow, PoolRow, RouteRow
 
 
 class RouteManifest(msgspec.Struct, frozen=True, array_like=True):
@@ -14,11 +14,13 @@
         Contains the manifest's number; the manifest with the highest number is active.
     routes : tuple of RouteRow
     pools : tuple of PoolRow
+    customers : tuple of CustomerRow
     """
 
     limits: LimitsRow
     routes: tuple[RouteRow, ...]
     pools: tuple[PoolRow, ...]
+    customers: tuple[CustomerRow, ...] = ()
 
     @property
     def number(self):
@@ -30,3 +32,4 @@
         yield self.limits
         yield from self.routes
         yield from self.pools
+        yield from self.customers
--- a/packages/hemlockdock-core/hemlockdock_core/rows/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/__init__.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_core.rows.adapter_row import AdapterRow
 from hemlockdock_core.rows.class_row import ClassRow
+from hemlockdock_core.rows.customer_row import CustomerRow, TokenQuota
 from hemlockdock_core.rows.endpoint_row import ArrivingModel, EndpointRow, ResidentModel
 from hemlockdock_core.rows.job_row import JobRow
 from hemlockdock_core.rows.limits_row import LimitsRow
@@ -20,6 +21,7 @@
     "AdapterRow",
     "ArrivingModel",
     "ClassRow",
+    "CustomerRow",
     "EndpointRow",
     "EngineSpec",
     "JobRow",
@@ -38,5 +40,6 @@
     "RoutingTable",
     "Row",
     "ServiceRow",
+    "TokenQuota",
     "WeightedPool",
 ]
--- a/packages/hemlockdock-core/hemlockdock_core/rows/limits_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/limits_row.py
@@ -18,6 +18,8 @@
         Maximum time in which a client must send a complete header.
     idle_timeout_ms : int
         Maximum time for which a client's connection may be idle.
+    requires_keys : bool
+        Whether requests need a customer's key, unless their route is public.
     """
 
     number: int
@@ -25,6 +27,7 @@
     body_bytes: int
     header_timeout_ms: int
     idle_timeout_ms: int
+    requires_keys: bool = False
 
     @property
     def key(self):
--- a/packages/hemlockdock-core/hemlockdock_core/rows/route_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/route_row.py
@@ -55,6 +55,8 @@
         Whether a stream may be resumed at another endpoint.
     gap_ms : int
         Maximum gap between events for which a stream counts as on time; 0 for no limit.
+    is_public : bool
+        Whether its requests need no customer's key.
     """
 
     name: str
@@ -69,6 +71,7 @@
     has_sessions: bool = False
     resumable: bool = False
     gap_ms: int = 0
+    is_public: bool = False
 
     @property
     def key(self):
--- a/packages/hemlockdock-core/hemlockdock_core/rows/table.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/table.py
@@ -4,6 +4,7 @@
 
 from hemlockdock_core.rows.adapter_row import AdapterRow
 from hemlockdock_core.rows.class_row import ClassRow
+from hemlockdock_core.rows.customer_row import CustomerRow
 from hemlockdock_core.rows.endpoint_row import EndpointRow
 from hemlockdock_core.rows.job_row import JobRow
 from hemlockdock_core.rows.limits_row import LimitsRow
@@ -27,7 +28,7 @@
     class_by_name, model_by_name, adapter_by_name, service_by_name : dict
     node_by_id, replica_by_id, quarantine_by_fingerprint, job_by_id : dict
     replica_ids_by_model : dict of str to set of str
-    route_by_name, pool_by_name, endpoint_by_id, limits_by_scope : dict
+    route_by_name, pool_by_name, endpoint_by_id, limits_by_scope, customer_by_name : dict
     """
 
     def __init__(self):
@@ -51,6 +52,7 @@
         self.pool_by_name = {}
         self.endpoint_by_id = {}
         self.limits_by_scope = {}
+        self.customer_by_name = {}
 
     def put(self, row):
         """Insert or replace a row.
@@ -102,6 +104,7 @@
             "pool",
             "endpoint",
             "limits",
+            "customer",
         ):
             yield from self._collection(prefix).values()
 
@@ -138,6 +141,7 @@
             "pool": self.pool_by_name,
             "endpoint": self.endpoint_by_id,
             "limits": self.limits_by_scope,
+            "customer": self.customer_by_name,
         }[prefix]
 
     @singledispatchmethod
@@ -191,3 +195,7 @@
     @_locate.register
     def _(self, row: LimitsRow):
         return self.limits_by_scope, "all"
+
+    @_locate.register
+    def _(self, row: CustomerRow):
+        return self.customer_by_name, row.name
--- a/packages/hemlockdock-core/hemlockdock_core/rows/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/union.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_core.rows.adapter_row import AdapterRow
 from hemlockdock_core.rows.class_row import ClassRow
+from hemlockdock_core.rows.customer_row import CustomerRow
 from hemlockdock_core.rows.endpoint_row import EndpointRow
 from hemlockdock_core.rows.job_row import JobRow
 from hemlockdock_core.rows.limits_row import LimitsRow
@@ -28,4 +29,5 @@
     | PoolRow
     | LimitsRow
     | EndpointRow
+    | CustomerRow
 )
--- a/packages/hemlockdock-core/hemlockdock_core/wire/headers.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/headers.py
@@ -38,6 +38,10 @@
         In responses, the requests per second that the endpoint takes from all entries together.
     priority : bytes
         Priority at an engine; 0 is the highest.
+    customer_key : bytes
+        Key of the customer that sends the request.
+    customer : bytes
+        In forwarded requests, name of that customer.
     reserved : frozenset of bytes
         Headers that only hemlockdock sets; they are removed from clients' requests.
     """
@@ -56,4 +60,6 @@
     leaving: bytes
     request_limit: bytes
     priority: bytes
+    customer_key: bytes
+    customer: bytes
     reserved: frozenset
--- a/packages/hemlockdock-core/hemlockdock_core/wire/own.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/own.py
@@ -33,6 +33,8 @@
     leaving=b"x-endpoint-leaving",
     request_limit=b"x-endpoint-limit",
     priority=b"x-engine-priority",
+    customer_key=b"x-customer-key",
+    customer=b"x-customer",
     reserved=frozenset((b"x-expected-endpoint", b"x-engine-priority")),
 )
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -288,7 +288,7 @@
 
 
 def _queue_order(exchange):
-    return (exchange.route.urgency, exchange.deadline_s)
+    return (exchange.urgency, exchange.deadline_s)
 
 
 def _earliest(*times_s):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -32,6 +32,8 @@
     ----------
     content : RequestContent
     route : RouteRow or None
+    customer : CustomerRow or None
+        None if the request was sent without a customer's key.
     pool : PoolRow or None
     model, adapter : str
         Empty if the request names none.
@@ -59,6 +61,7 @@
         self._ended = False
         self.request = request
         self.route = None
+        self.customer = None
         self.pool = None
         self.model = ""
         self.adapter = ""
@@ -108,6 +111,12 @@
         latest_s = max(self.target_s, self.now_s() + SHORT_WAIT_S)
         return max(0.0, min(latest_s, self.deadline_s) - self.now_s())
 
+    @property
+    def urgency(self):
+        """Return the key by which requests are ordered; the lowest is the most urgent."""
+        customer_urgency = 0 if self.customer is None else self.customer.urgency
+        return (customer_urgency, self.route.urgency)
+
     @property
     def patience(self):
         """Return the Patience of the client of a request that names a model."""
