core, entry, platform: customers are known by keys, and routes may be public

The routing table has rows of customers that nothing used. The platform's `tenants` and `public` are decoded and checked, the entry refuses requests without a known key with 401, sends endpoints the customer's name instead of the key, ranks urgencies for the priority header, and checks requests that wait again when customers change.

`rate_per_s` joins the ordinary names of tools/check_imports.py: the project's own rate limiter, eviction order and lab had the name before the platform's wire.

Unit tests of the entry, of control's routes and of the platform adapter pass.

--- a/packages/hemlockdock-control/tests/test_routes.py
+++ b/packages/hemlockdock-control/tests/test_routes.py
@@ -1,5 +1,6 @@
 """Test route manifests in the replicated state, and their validation."""
 
+import math
 import unittest
 
 from support import lines_run
@@ -7,8 +8,18 @@
 
 from hemlockdock_control.state import ClusterStateMachine, encode_command
 from hemlockdock_core.commands import RecordEndpoints, SubmitRoutes
+from hemlockdock_core.customer_keys import key_digest
 from hemlockdock_core.routes import RouteManifest, route_errors
-from hemlockdock_core.rows import EndpointRow, LimitsRow, PoolRow, RouteKind, RouteRow, WeightedPool
+from hemlockdock_core.rows import (
+    CustomerRow,
+    EndpointRow,
+    LimitsRow,
+    PoolRow,
+    RouteKind,
+    RouteRow,
+    TokenQuota,
+    WeightedPool,
+)
 
 
 def route(name="r", prefix="/a/", pool="p", weight=1.0, timeout_ms=1_000):
@@ -16,9 +27,13 @@
     return RouteRow(name, "h", prefix, RouteKind.IDEMPOTENT, timeout_ms, 100, 1, pools)
 
 
-def manifest(number, *routes):
-    limits = LimitsRow(number, 1, 1, 1, 1)
-    return RouteManifest(limits, routes or (route(),), (PoolRow("p", "/", 1),))
+def manifest(number, *routes, customers=()):
+    limits = LimitsRow(number, 1, 1, 1, 1, bool(customers))
+    return RouteManifest(limits, routes or (route(),), (PoolRow("p", "/", 1),), customers)
+
+
+def customer(name, *keys, quota=None):
+    return CustomerRow(name, tuple(key_digest(key) for key in keys), 1, quota)
 
 
 class RouteErrorsTest(unittest.TestCase):
@@ -48,6 +63,39 @@
         )
 
 
+class CustomerErrorsTest(unittest.TestCase):
+    def paths(self, *customers):
+        errors = route_errors(manifest(1, customers=customers), "test")
+        return [error.path for error in errors]
+
+    def test_valid_customers_have_no_errors(self):
+        quota = TokenQuota(1.0, 0.0, 0.0)
+        self.assertEqual(self.paths(customer("a", b"k", quota=quota), customer("b")), [])
+
+    def test_every_invalid_field_of_a_customer_is_reported(self):
+        # Guards against a manifest in force in which a key belongs to two customers or to none.
+        found = self.paths(
+            customer("a", b"k"),
+            customer("a", b"k"),
+            customer("", b""),
+            CustomerRow("c", ("",)),
+            customer("d", quota=TokenQuota(math.inf, math.nan, -1.0)),
+        )
+        self.assertEqual(
+            found,
+            [
+                "customers[1].name",
+                "customers[1].key_digests[0]",
+                "customers[2].name",
+                "customers[2].key_digests[0]",
+                "customers[3].key_digests[0]",
+                "customers[4].quota.per_s",
+                "customers[4].quota.burst",
+                "customers[4].quota.default_tokens",
+            ],
+        )
+
+
 class RoutesTest(unittest.TestCase):
     def setUp(self):
         self.machine = ClusterStateMachine(control_settings())
@@ -57,9 +105,10 @@
         self.index += 1
         return self.machine.apply(self.index, encode_command(command))
 
-    def submit(self, number, *routes):
+    def submit(self, number, *routes, customers=()):
         document = f"text {number}".encode()
-        return self.apply(SubmitRoutes(manifest(number, *routes), document, "me", 1))
+        submitted = manifest(number, *routes, customers=customers)
+        return self.apply(SubmitRoutes(submitted, document, "me", 1))
 
     def test_the_manifest_with_the_highest_number_is_current(self):
         self.assertEqual(self.submit(4).state, "accepted")
@@ -82,6 +131,36 @@
         self.assertEqual(deletes, ["route/b"])
         self.assertEqual([row.key for row in puts], ["limits/all"])
 
+    def test_removed_customers_are_deleted_and_changed_ones_put_in_one_revision(self):
+        # Guards against a key that stays valid, and against a table with half of a manifest.
+        self.submit(1, customers=(customer("ann", b"k"), customer("bob", b"l", b"m")))
+        before = self.machine.state.changes.revision
+        self.submit(2, customers=(customer("bob", b"l"), customer("eve", b"m")))
+        puts, deletes = self.machine.state.changes.changes_since(before)
+        self.assertEqual(deletes, ["customer/ann"])
+        keys = sorted(row.key for row in puts)
+        self.assertEqual(keys, ["customer/bob", "customer/eve", "limits/all"])
+
+    def test_a_snapshot_restores_customers_and_their_removal(self):
+        # Guards against a key that a new member of control serves or forgets.
+        quota = TokenQuota(10.0, 20.0, 700.0)
+        self.submit(1, customers=(customer("ann", b"k", quota=quota), customer("bob", b"l")))
+        restored = ClusterStateMachine(control_settings())
+        restored.restore(self.index, self.machine.snapshot())
+        rows = restored.state.changes.row_by_key
+        self.assertEqual(rows, self.machine.state.changes.row_by_key)
+        self.assertEqual(rows["customer/ann"], customer("ann", b"k", quota=quota))
+        self.machine = restored
+        self.submit(2, customers=(customer("bob", b"l"),))
+        self.assertNotIn("customer/ann", restored.state.changes.row_by_key)
+
+    def test_the_audit_trail_contains_neither_keys_nor_digests(self):
+        # Guards against keys that operators without access to the manifest can read.
+        self.submit(1, customers=(customer("ann", b"secret"),))
+        text = str(self.machine.state.audit.all())
+        self.assertNotIn("secret", text)
+        self.assertNotIn(key_digest(b"secret"), text)
+
     def test_endpoints_are_added_and_removed_and_a_snapshot_restores_all(self):
         self.submit(3)
         row = EndpointRow("e", "p", "127.0.0.1:1", "d", 4, False)
--- a/packages/hemlockdock-core/hemlockdock_core/routes/check.py
+++ b/packages/hemlockdock-core/hemlockdock_core/routes/check.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from hemlockdock_core.errors import FieldError, InvalidInputError
+from hemlockdock_core.routes.customer_check import CustomerFields, customer_errors
 
 
 def parse_routes(wire, data, source):
@@ -62,6 +63,7 @@
         if first_route_name != route.name:
             expected = f"another host or prefix than route {first_route_name!r}"
             errors.append(FieldError(source, f"{path}.prefix", expected))
+    errors.extend(customer_errors(manifest.customers, source, CustomerFields()))
     return errors
 
 
--- a/packages/hemlockdock-core/hemlockdock_core/rows/customer_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/customer_row.py
@@ -38,7 +38,7 @@
     urgency : int
         Goes before the urgency of the route; 0 is the highest urgency.
     quota : TokenQuota or None
-        None if its use is not limited.
+        None if its use is not limited; so does a rate of 0.
     """
 
     name: str
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/__init__.py
@@ -0,0 +1,15 @@
+"""Customers: which of them sends a request, and in which order their requests are served."""
+
+from hemlockdock_entry.customers.customer_directory import CustomerDirectory
+from hemlockdock_entry.customers.customer_index import CustomerIndex
+from hemlockdock_entry.customers.key_check import KeyCheck, KeyResult, check_key
+from hemlockdock_entry.customers.request_key import RequestKey
+
+__all__ = [
+    "CustomerDirectory",
+    "CustomerIndex",
+    "KeyCheck",
+    "KeyResult",
+    "RequestKey",
+    "check_key",
+]
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/forwarded_request.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/forwarded_request.py
@@ -5,7 +5,6 @@
 MS_PER_S = 1_000
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"Content-Length"
-LOWEST_PRIORITY = 9
 
 
 def build_forwarded_request(exchange, row, gateway, last_event_id):
@@ -28,12 +27,15 @@
     names = gateway.headers
     request = exchange.request
     connection_value = request.value_by_name.get(CONNECTION, b"")
-    headers = forwarded_headers(request.headers, connection_value, gateway.dropped_headers)
+    dropped = gateway.dropped_headers | exchange.key.dropped_headers
+    headers = forwarded_headers(request.headers, connection_value, dropped)
     left_ms = max(1, int(exchange.left_s * MS_PER_S))
     headers.append((names.time_left_ms, b"%d" % left_ms))
     headers.append((names.expected_endpoint, row.endpoint_id.encode()))
     if exchange.model:
-        headers.append((names.priority, b"%d" % min(LOWEST_PRIORITY, exchange.route.urgency)))
+        headers.append((names.priority, b"%d" % gateway.customers.index.priority(exchange)))
+    if exchange.customer is not None:
+        headers.append((names.customer, exchange.customer.name.encode()))
     if request.body or b"content-length" in request.value_by_name:
         headers.append((CONTENT_LENGTH, b"%d" % len(request.body)))
     elif b"transfer-encoding" in request.value_by_name:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -5,6 +5,7 @@
 import secrets
 
 from hemlockdock_core.rows import LimitsRow
+from hemlockdock_entry.customers import CustomerDirectory
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
 from hemlockdock_entry.gateway.endpoint_gate import EndpointGate
@@ -53,6 +54,7 @@
     routes : RouteIndex or None
         None until the first routing table is received.
     limits : LimitsRow
+    customers : CustomerDirectory
     health : EndpointHealthTracker
     endpoints : PoolEndpoints
     pauses : EndpointPauses
@@ -81,6 +83,7 @@
         self.dropped_headers = wire.headers.reserved | {wire.headers.time_left_ms}
         self.routes = None
         self.limits = DEFAULT_LIMITS
+        self.customers = CustomerDirectory(DEFAULT_LIMITS)
         self.clients = ClientRegistry()
         self.startup_queue = StartupQueue(reactor)
         self.buffer_budget = BufferBudget(MAX_HELD_BYTES)
@@ -283,11 +286,15 @@
             logger.info(
                 "routes applied", extra={"number": self.limits.number, "revision": self.revision}
             )
+        customers_changed = self.customers.update(table)
         self.endpoints.update(table.endpoint_by_id)
         self.health.remove_absent(table.endpoint_by_id)
         self.permits.remove_absent(table.endpoint_by_id)
         self.endpoint_limits.update(table.endpoint_by_id)
         self.quarantine.table_changed()
+        if customers_changed:
+            for exchange in list(self._exchanges):
+                exchange.customers_changed()
         self.model_queue.table_changed()
         self.startup_queue.start_all()
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
@@ -22,6 +22,7 @@
 REASON_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
+from hemlockdock_entry.customers import RequestKey
 from hemlockdock_entry.gateway.continuation import can_continue
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.patience import Patience
@@ -31,9 +32,8 @@
     Attributes
     ----------
     content : RequestContent
+    key : RequestKey
     route : RouteRow or None
-    customer : CustomerRow or None
-        None if the request was sent without a customer's key.
     pool : PoolRow or None
     model, adapter : str
         Empty if the request names none.
@@ -60,8 +60,8 @@
         self._deadline_call = None
         self._ended = False
         self.request = request
+        self.key = RequestKey(gateway, request)
         self.route = None
-        self.customer = None
         self.pool = None
         self.model = ""
         self.adapter = ""
@@ -111,6 +111,11 @@
         latest_s = max(self.target_s, self.now_s() + SHORT_WAIT_S)
         return max(0.0, min(latest_s, self.deadline_s) - self.now_s())
 
+    @property
+    def customer(self):
+        """Return the CustomerRow of the request's key; None if it was sent without one."""
+        return self.key.customer
+
     @property
     def urgency(self):
         """Return the key by which requests are ordered; the lowest is the most urgent."""
@@ -146,6 +151,10 @@
         if self.route is None:
             self.refuse(Refusal.of(ErrorKind.UNKNOWN_ROUTE, "no route for this host and path"))
             return
+        refusal = self.key.refusal(self.route)
+        if refusal is not None:
+            self.refuse(refusal)
+            return
         self._set_times()
         if self.binding.is_resumption:
             self.binding.find(self._begin)
@@ -222,6 +231,14 @@
         self._response_writer.write_refusal(refusal, self.content.request_id)
         self._finish()
 
+    def customers_changed(self):
+        """Refuse the request if it waits and its key was removed."""
+        if self._ended or self.route is None or self._tries.in_progress:
+            return
+        refusal = self.key.removal_refusal(self)
+        if refusal is not None:
+            self.refuse(refusal)
+
     def refuse_unsendable(self):
         """Refuse the request if no endpoint may get it.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/refusals.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/refusals.py
@@ -40,8 +40,11 @@
     Returns
     -------
     Refusal or None
-        If it crashed endpoints, or if the entry stops before it would end.
+        If its key was removed, if it crashed endpoints, or if the entry stops before it would end.
     """
+    refusal = exchange.key.removal_refusal(exchange)
+    if refusal is not None:
+        return refusal
     refusal = gateway.quarantine.refusal(exchange)
     if refusal is not None or gateway.stop_schedule.allows(exchange):
         return refusal
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -110,6 +110,8 @@
         """
         if not self._gateway.stop_schedule.allows(self._exchange):
             return False
+        if self._exchange.key.is_removed(self._exchange):
+            return False
         return self._gateway.gate.may_send(endpoint_try.row.endpoint_id, endpoint_try.permit)
 
     def now_s(self):
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -30,6 +30,7 @@
     "max_body_bytes",
     "max_connections",
     "on_disk",
+    "rate_per_s",
     "timeout_ms",
     "weights_mb",
     "x-deadline-ms",
