entry: the demand reported to the leader ranks customers too

Leaders order loads by the urgency that entries report, which was the route's alone, so a model could be loaded first for a less urgent customer. Entries report the rank of (customer's, route's) urgency that the priority header carries; without customers it is the route's urgency as before.

--- a/packages/hemlockdock-entry/hemlockdock_entry/customers/customer_index.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/customer_index.py
@@ -1,7 +1,7 @@
 """Look up the customer to whom a key belongs."""
 
 from hemlockdock_core.customer_keys import key_digest
-from hemlockdock_entry.customers.priority_ranks import LOWEST_PRIORITY, PriorityRanks
+from hemlockdock_entry.customers.urgency_ranks import UrgencyRanks
 
 
 class CustomerIndex:
@@ -23,7 +23,7 @@
     def __init__(self, limits, customers, routes):
         self.requires_keys = limits.requires_keys
         self.customers = tuple(customers)
-        self._ranks = PriorityRanks(self.customers, routes)
+        self._ranks = UrgencyRanks(self.customers, routes)
         self._customer_by_digest = {}
         for customer in self.customers:
             for digest in customer.key_digests:
@@ -45,8 +45,8 @@
             return None
         return self._customer_by_digest.get(key_digest(key))
 
-    def priority(self, exchange):
-        """Return the priority at engines of a request; 0 is the highest.
+    def rank(self, exchange):
+        """Return the rank of a request's urgency; 0 is the most urgent.
 
         Parameters
         ----------
@@ -55,7 +55,8 @@
         Returns
         -------
         int
+            The urgency of its route if requests need no keys.
         """
         if self.requires_keys:
-            return self._ranks.priority(exchange.urgency)
-        return min(LOWEST_PRIORITY, exchange.route.urgency)
+            return self._ranks.rank(exchange.urgency)
+        return exchange.route.urgency
--- a/packages/hemlockdock-entry/hemlockdock_entry/customers/priority_ranks.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/urgency_ranks.py
@@ -1,12 +1,10 @@
-"""Priority at engines of requests whose order depends on their customers and routes."""
+"""Rank of requests whose order depends on their customers and routes."""
 
-# Engines know the priorities 0 to 9.
-LOWEST_PRIORITY = 9
 # Customers' part of the urgency of a request that was sent without a key.
 NO_CUSTOMER_URGENCY = 0
 
 
-class PriorityRanks:
+class UrgencyRanks:
     """Rank each urgency that requests can have among all that the manifest allows.
 
     Parameters
@@ -24,8 +22,8 @@
                 pairs.add((NO_CUSTOMER_URGENCY, route.urgency))
         self._rank_by_urgency = {pair: rank for rank, pair in enumerate(sorted(pairs))}
 
-    def priority(self, urgency):
-        """Return the priority of requests of an urgency; 0 is the highest.
+    def rank(self, urgency):
+        """Return the rank of an urgency; 0 is the most urgent.
 
         Parameters
         ----------
@@ -35,7 +33,6 @@
         Returns
         -------
         int
-            The lowest priority for all urgencies that don't fit, and for those that the manifest
-            no longer allows.
+            The last one for an urgency that the manifest no longer allows.
         """
-        return min(LOWEST_PRIORITY, self._rank_by_urgency.get(urgency, LOWEST_PRIORITY))
+        return self._rank_by_urgency.get(urgency, len(self._rank_by_urgency))
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/forwarded_request.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/forwarded_request.py
@@ -5,6 +5,8 @@
 MS_PER_S = 1_000
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"Content-Length"
+# Engines know the priorities 0 to 9; further ranks share the lowest one.
+LOWEST_PRIORITY = 9
 
 
 def build_forwarded_request(exchange, row, gateway, last_event_id):
@@ -33,7 +35,7 @@
     headers.append((names.time_left_ms, b"%d" % left_ms))
     headers.append((names.expected_endpoint, row.endpoint_id.encode()))
     if exchange.model:
-        headers.append((names.priority, b"%d" % gateway.customers.index.priority(exchange)))
+        headers.append((names.priority, b"%d" % min(LOWEST_PRIORITY, exchange.urgency_rank)))
     if exchange.customer is not None:
         headers.append((names.customer, exchange.customer.name.encode()))
     if request.body or b"content-length" in request.value_by_name:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/local_demand.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/local_demand.py
@@ -81,7 +81,7 @@
             self.in_flight,
             len(left),
             target_left_ms,
-            min((item.route.urgency for item in self.waiting), default=0),
+            min((item.urgency_rank for item in self.waiting), default=0),
             len(self.return_times_s),
             self.lately.at(now_s),
         )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -2,7 +2,7 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
-from hemlockdock_entry.customers import RequestKey
+from hemlockdock_entry.customers import NO_CUSTOMER_URGENCY, RequestKey
 from hemlockdock_entry.gateway.continuation import can_continue
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.patience import Patience
@@ -119,9 +119,14 @@
     @property
     def urgency(self):
         """Return the key by which requests are ordered; the lowest is the most urgent."""
-        customer_urgency = 0 if self.customer is None else self.customer.urgency
+        customer_urgency = NO_CUSTOMER_URGENCY if self.customer is None else self.customer.urgency
         return (customer_urgency, self.route.urgency)
 
+    @property
+    def urgency_rank(self):
+        """Return the rank of the request's urgency among all that the manifest allows."""
+        return self._gateway.customers.index.rank(self)
+
     @property
     def patience(self):
         """Return the Patience of the client of a request that names a model."""
--- a/packages/hemlockdock-entry/tests/test_gateway_customers.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_customers.py
@@ -12,6 +12,7 @@
 )
 
 from hemlockdock_core.customer_keys import key_digest
+from hemlockdock_core.messages import DemandReport
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.rows import CustomerRow
 
@@ -177,6 +178,20 @@
         self.put_route_urgency(live=7)
         self.assertEqual(self.priority_of(b""), b"7")
 
+    def test_the_demand_reported_to_the_leader_has_the_rank_of_customer_and_route(self):
+        # Guards against models that are loaded first for less urgent customers.
+        self.put_route_urgency(live=0, report=2)
+        self.harness.put_rows(endpoint("x", "lm", 3))
+        self.send(STREAM_PATH, extra=KEY + MODEL, left_ms=12_000)
+        self.reactor.advance(0.01)
+        reports = [m for m in self.harness.link.sent if isinstance(m, DemandReport)]
+        self.assertEqual(reports[-1].demands[0].urgency, 3)
+
+    def test_a_request_without_a_key_ranks_with_the_most_urgent_customers(self):
+        # Guards against a public route whose requests engines serve last.
+        self.put_customers(customer("ann", b"key-a", urgency=1), public=("live",))
+        self.assertEqual(self.priority_of(b""), b"0")
+
     def test_a_waiting_request_of_a_more_urgent_customer_goes_first(self):
         # Guards against an order by the route alone.
         self.harness.put_rows(endpoint("x", "lm", 3))
