core, control, entry: quotas of tokens that customers use over all entries together

Cause: a customer's quota was a row that nothing applied. Change: the leader keeps an account per customer (GCRA) and answers entries' asks (QuotaRequest, QuotaReply, QuotaReturn); an entry charges each request of a customer with a quota before it is dispatched, from credit granted in advance or by asking. Over the quota: 429 with a time for which the leader withholds the tokens. Out of touch, an entry keeps to its equal share and refuses the rest with 503. OwnPace and the times by which the leader is judged move out of the gateway package, as both users need them.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -8,6 +8,7 @@
 from hemlockdock_control.fleet.entry_lists import EntryLists
 from hemlockdock_control.fleet.registry import AgentReport
 from hemlockdock_control.fleet.stream_origins import StreamOrigins
+from hemlockdock_control.quotas import QuotaLedger
 from hemlockdock_control.service.node_proposals import NodeProposals
 from hemlockdock_core.commands import RecordCrash, ReleaseQuarantine
 from hemlockdock_core.messages import (
@@ -20,6 +21,8 @@
     PermitRequest,
     PermitReturn,
     Proposal,
+    QuotaRequest,
+    QuotaReturn,
     StreamStarted,
     WatchTable,
 )
@@ -74,6 +77,10 @@
     on_change : callable
         Called without arguments when a report has arrived that may change placement decisions.
     limits : RequestLimits
+
+    Attributes
+    ----------
+    quotas : QuotaLedger
     """
 
     def __init__(
@@ -100,6 +107,7 @@
         self._send = send
         self._on_change = on_change
         self._limits = limits
+        self.quotas = QuotaLedger(clock.seconds())
         self._proposals = NodeProposals(proposer, send, PROPOSABLE)
         self._node_by_address = {}
         self._entry_lists = EntryLists(send)
@@ -217,6 +225,22 @@
     def _(self, body: PermitReturn, frame):
         self._limits.give_back(body)
 
+    @_on_message.register
+    def _(self, body: QuotaRequest, frame):
+        # Without a valid lease, another member may already lead and grant tokens.
+        if not self._replicator.has_lease:
+            return
+        now_s = self._clock.seconds()
+        self._limits.roster.record_message(frame.sender, now_s)
+        self._limits.roster.record_reported(body.entries)
+        self.quotas.update(self._machine.state.routes.manifest)
+        counts = self._limits.roster.counts(now_s)
+        self._send(frame.reply_to, self.quotas.answer(body, counts, now_s))
+
+    @_on_message.register
+    def _(self, body: QuotaReturn, frame):
+        self.quotas.give_back(body, self._clock.seconds())
+
     @_on_message.register
     def _(self, body: Proposal, frame):
         self._proposals.on_proposal(body, frame.reply_to)
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -243,6 +243,7 @@
         self._registry.clear(self._reactor.seconds())
         self._demand.clear()
         self._limits.clear(self._reactor.seconds())
+        self._nodes.quotas.clear(self._reactor.seconds())
         self._placement.clear()
         self._commit_pending = False
         # A new leader has no endpoints for entries until it has read the directory.
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -31,6 +31,13 @@
     UnloadOrder,
 )
 from hemlockdock_core.messages.proposals import Proposal, ProposalResult
+from hemlockdock_core.messages.quotas import (
+    QuotaAsk,
+    QuotaOffer,
+    QuotaReply,
+    QuotaRequest,
+    QuotaReturn,
+)
 from hemlockdock_core.messages.refused import Refused
 from hemlockdock_core.messages.request_limits import (
     LimitNamed,
@@ -94,6 +101,11 @@
     "PermitReturn",
     "Proposal",
     "ProposalResult",
+    "QuotaAsk",
+    "QuotaOffer",
+    "QuotaReply",
+    "QuotaRequest",
+    "QuotaReturn",
     "Refused",
     "Resume",
     "SoundNotice",
--- a/packages/hemlockdock-core/hemlockdock_core/messages/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/union.py
@@ -27,6 +27,7 @@
     UnloadOrder,
 )
 from hemlockdock_core.messages.proposals import Proposal, ProposalResult
+from hemlockdock_core.messages.quotas import QuotaReply, QuotaRequest, QuotaReturn
 from hemlockdock_core.messages.refused import Refused
 from hemlockdock_core.messages.request_limits import (
     LimitNamed,
@@ -83,6 +84,9 @@
     | EntryList
     | CrashNotice
     | SoundNotice
+    | QuotaRequest
+    | QuotaReply
+    | QuotaReturn
 )
 
 NODE_CODEC = Codec(NodeMessage)
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/__init__.py
@@ -0,0 +1,5 @@
+"""What an entry knows of customers' use."""
+
+from hemlockdock_entry.customers.quota_accounts import QuotaAccounts
+
+__all__ = ["QuotaAccounts"]
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_permits.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_permits.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from hemlockdock_entry.gateway.own_pace import OwnPace
 from hemlockdock_entry.gateway.permit import PERMIT_S, Permit
+from hemlockdock_entry.own_pace import OwnPace
 
 # What the leader said of the next permit holds for this long.
 SAID_VALID_S = 0.25
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -5,6 +5,7 @@
 import secrets
 
 from hemlockdock_core.rows import LimitsRow
+from hemlockdock_entry.customers.quota_accounts import QuotaAccounts
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
 from hemlockdock_entry.gateway.endpoint_gate import EndpointGate
@@ -58,6 +59,7 @@
     pauses : EndpointPauses
     endpoint_limits : EndpointLimits
     permits : PermitTracker
+    quotas : QuotaAccounts
     quarantine : Quarantine
     gate : EndpointGate
     stop_schedule : StopSchedule
@@ -103,6 +105,7 @@
         )
         self.endpoint_limits = EndpointLimits(self, self._limit_changed)
         self.permits = PermitTracker(self, self.endpoint_limits, self._random)
+        self.quotas = QuotaAccounts(self, self._random)
         self.other_entries = OtherEntries(reactor, send)
         self.quarantine = Quarantine(self, settings.process.node_id)
         self.stop_schedule = StopSchedule(reactor)
@@ -286,6 +289,7 @@
         self.endpoints.update(table.endpoint_by_id)
         self.health.remove_absent(table.endpoint_by_id)
         self.permits.remove_absent(table.endpoint_by_id)
+        self.quotas.table_changed()
         self.endpoint_limits.update(table.endpoint_by_id)
         self.quarantine.table_changed()
         self.model_queue.table_changed()
@@ -301,6 +305,7 @@
         self.pauses.remove_expired()
         self.endpoint_limits.run_maintenance()
         self.permits.run_maintenance()
+        self.quotas.run_maintenance()
         self.model_queue.repeat_report()
 
     def _limit_changed(self, endpoint_id, before_per_s, after_per_s):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
@@ -6,11 +6,11 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_entry.retry_after import MAX_RETRY_AFTER_FRACTION
+
 MS_PER_S = 1_000
 # Time from the end of a model load to the first event: notification, prefill and one decode step.
 FIRST_EVENT_S = 0.25
-# A client delays the retry of a refused request by at most this fraction of its time left.
-MAX_RETRY_AFTER_FRACTION = 1 / 3
 MIN_RETRY_AFTER_S = 0.2
 # A model whose load is not decided yet is usually scheduled within this time.
 DEFAULT_RETRY_AFTER_S = 1.5
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/permit_tracker.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/permit_tracker.py
@@ -4,15 +4,10 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.request_limit import MAX_RETURN_S, effective_per_s, is_much_lower
 from hemlockdock_entry.gateway.endpoint_permits import AskedPermits, EndpointPermits
-from hemlockdock_entry.gateway.own_pace import OwnPace
+from hemlockdock_entry.leader_times import OWN_PACE_AFTER_S, REPLY_TIMEOUT_S, RETRY_S
+from hemlockdock_entry.own_pace import OwnPace
 
 MS_PER_S = 1_000
-# Several round trips to the leader.
-REPLY_TIMEOUT_S = 0.15
-# Pause after a wish for a permit that the leader did not answer.
-RETRY_S = 0.25
-# Later than the leader counts an entry as silent, also if only its acknowledgements are lost.
-OWN_PACE_AFTER_S = 3.5
 
 
 class PermitTracker:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -2,6 +2,7 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
+from hemlockdock_entry.customers.token_wish import TokenWish
 from hemlockdock_entry.gateway.continuation import can_continue
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.patience import Patience
@@ -47,6 +48,7 @@
     reserved_endpoint_id : str
         Endpoint at which a slot is reserved while the request waits for an adapter.
     wish : PermitWish
+    tokens : TokenWish
     """
 
     def __init__(self, gateway, connection, request):
@@ -72,6 +74,7 @@
         self.was_queued = False
         self.reserved_endpoint_id = ""
         self.wish = PermitWish()
+        self.tokens = TokenWish()
 
     @property
     def ended(self):
@@ -327,7 +330,8 @@
         if pool.engine is not None:
             value = self.request.header(self._gateway.headers.model).decode("latin-1")
             self.model, _, self.adapter = value.partition("/")
-        self.dispatch()
+        if gateway.quotas.charge(self):
+            self.dispatch()
 
     def _on_deadline(self):
         self._deadline_call = None
@@ -357,4 +361,5 @@
             self._deadline_call = None
         self._gateway.model_queue.dequeue(self)
         self._gateway.permits.give_back(self.take_permit())
+        self._gateway.quotas.release(self)
         self._gateway.remove_exchange(self)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_times.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_times.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from hemlockdock_entry.gateway.patience import MAX_RETRY_AFTER_FRACTION
+from hemlockdock_entry.retry_after import MAX_RETRY_AFTER_FRACTION
 
 MS_PER_S = 1_000
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -13,6 +13,7 @@
     CrashNotice,
     EntryList,
     PermitReply,
+    QuotaReply,
     SoundNotice,
     StreamOriginReply,
 )
@@ -181,6 +182,9 @@
         if isinstance(frame.body, PermitReply):
             self.gateway.permits.on_reply(frame.body)
             return
+        if isinstance(frame.body, QuotaReply):
+            self.gateway.quotas.on_reply(frame.body)
+            return
         if isinstance(frame.body, StreamOriginReply):
             self.gateway.origin_lookup.on_reply(frame.sender, frame.body)
             return
--- a/packages/hemlockdock-entry/hemlockdock_entry/retry_after.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/retry_after.py
@@ -1,8 +1,10 @@
-"""Read the Retry-After header of a response that asks for a pause."""
+"""Retry-After: read it in responses of endpoints, and how far clients honour it."""
 
 from math import isfinite
 
 SERVICE_UNAVAILABLE = 503
+# A client delays the retry of a refused request by at most this fraction of its time left.
+MAX_RETRY_AFTER_FRACTION = 1 / 3
 # An endpoint that asks for a longer pause is asked again.
 MAX_PAUSE_S = 600.0
 
