entry: a refused connection no longer ends a request that may go on elsewhere

Cause: a client's patience was counted from its request also after its stream had started, so that a longer stream ended at the first refused connection after its endpoint was lost. Six refused connections of any endpoints ended a request, also with an endpoint left that would take it. An endpoint that was used and later refused a connection no longer counted as used.

Change: patience counts from the latest event; only repeated refusals by the same endpoints are limited, and not for a started stream that waits in its model's queue; used endpoints stay so. The limits of connection attempts and the health record of an attempt move out of try_sequence.py.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Patience:
-    """Time until which a client waits for the first event.
+    """Time until which a client waits for the first event, or for the next one of a stream.
 
     Attributes
     ----------
@@ -31,7 +31,7 @@
     until_s: float
 
     @classmethod
-    def of(cls, route, fleet, received_s, deadline_s):
+    def of(cls, route, fleet, since_s, deadline_s):
         """Compute the patience of a client.
 
         Parameters
@@ -39,7 +39,9 @@
         route : RouteRow
         fleet : FleetSection
             Provides ``patience_ms``, ``patience_targets`` and ``patience_gaps``.
-        received_s, deadline_s : float
+        since_s : float
+            Time of the request, or of the latest event that the client received.
+        deadline_s : float
 
         Returns
         -------
@@ -50,7 +52,7 @@
             fleet.patience_targets * route.target_ms,
             fleet.patience_gaps * route.gap_ms,
         )
-        return cls(min(deadline_s, received_s + patience_ms / MS_PER_S))
+        return cls(min(deadline_s, since_s + patience_ms / MS_PER_S))
 
     def left_s(self, now_s):
         """Return how long a request may wait for an endpoint that has its model.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -120,8 +120,10 @@
     @property
     def patience(self):
         """Return the Patience of the client of a request that names a model."""
-        fleet = self._gateway.fleet
-        return Patience.of(self.route, fleet, self.request.received_s, self.deadline_s)
+        since_s = self._response_writer.last_event_s
+        if since_s is None:
+            since_s = self.request.received_s
+        return Patience.of(self.route, self._gateway.fleet, since_s, self.deadline_s)
 
     @property
     def waits_for_permit(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_writer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_writer.py
@@ -31,8 +31,8 @@
         Whether the connection stays open after the response.
     started : bool
         Whether part of a streamed response was written.
-    first_event_s : float or None
-        Time at which a stream's first event was written.
+    first_event_s, last_event_s : float or None
+        Times at which a stream's first and latest events were written.
     longest_gap_s : float
         Longest time between two writes of a stream.
     """
@@ -41,12 +41,12 @@
         self.keep_alive = connection.keeps_alive(request)
         self.started = False
         self.first_event_s = None
+        self.last_event_s = None
         self.longest_gap_s = 0.0
         self._gateway = gateway
         self._connection = connection
         self._request = request
         self._splitter = None
-        self._last_event_s = 0.0
 
     @property
     def last_event_id(self):
@@ -159,8 +159,8 @@
             waited_s = now_s - self._request.received_s
             LATENCIES.record("gateway_first_event", route.kind.value, waited_s)
         else:
-            self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_event_s)
-        self._last_event_s = now_s
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self.last_event_s)
+        self.last_event_s = now_s
 
     def _connection_headers(self):
         self.keep_alive = self.keep_alive and not self._gateway.draining
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -10,11 +10,8 @@
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
 from hemlockdock_entry.gateway.response_buffer import ResponseBuffer
 from hemlockdock_entry.gateway.response_check import check_head, stream_problem
-
-# An endpoint is avoided for this long after it had no capacity or accepted no connection.
-FULL_PAUSE_S = 0.25
-# Failed connection attempts of one request before the client is told to retry later.
-MAX_UNSENT_TRIES = 6
+from hemlockdock_entry.gateway.try_health import record_try
+from hemlockdock_entry.gateway.unsent_tries import UnsentTries
 
 
 class TrySequence:
@@ -46,7 +43,8 @@
         self._progress = AttemptProgress()
         self._runs_apart = False
         self._buffer = ResponseBuffer(gateway.buffer_budget)
-        self._unsent_tries = 0
+        self._unsent = UnsentTries()
+        self._was_used_before = False
         self._used_connections = set()
         self.tried_ids = set()
         self.may_have_run = False
@@ -64,6 +62,7 @@
         row : EndpointRow
         """
         exchange = self._exchange
+        self._was_used_before = row.endpoint_id in self.tried_ids
         self.tried_ids.add(row.endpoint_id)
         self._log.last_row = row
         self._log.last_framing = None
@@ -203,10 +202,12 @@
             return
         self._try = None
         self._release_endpoint(endpoint_try)
-        self._record_health(endpoint_try, outcome)
+        health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
+        record_try(health, outcome, self.now_s())
         if outcome in (TryOutcome.NOT_SENT, TryOutcome.WITHHELD):
-            self._unsent_tries += outcome is TryOutcome.NOT_SENT
-            self.tried_ids.discard(endpoint_try.row.endpoint_id)
+            self._unsent.record(endpoint_try.row.endpoint_id, outcome)
+            if not self._was_used_before:
+                self.tried_ids.discard(endpoint_try.row.endpoint_id)
         elif outcome is not TryOutcome.NOT_RUN:
             self.may_have_run = True
         state = RequestState(
@@ -215,7 +216,7 @@
             self._response_writer.started,
             len(self.tried_ids),
             exchange.route.most_endpoints,
-            self._unsent_tries < MAX_UNSENT_TRIES,
+            self._unsent.may_connect(self._response_writer.started, exchange.model),
             exchange.left_s,
         )
         move = next_move(outcome, state, self._spend_retry)
@@ -289,15 +290,6 @@
         if self._exchange.model:
             self._gateway.model_queue.request_finished(self._exchange)
 
-    def _record_health(self, endpoint_try, outcome):
-        if outcome is TryOutcome.WITHHELD:
-            return
-        health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
-        if outcome in (TryOutcome.NOT_RUN, TryOutcome.NOT_SENT):
-            health.record_full(self.now_s(), FULL_PAUSE_S)
-        if outcome is not TryOutcome.NOT_RUN:
-            health.record_failure(self.now_s())
-
     def _spend_retry(self):
         budget = self._gateway.endpoints.retry_budget(self._exchange.pool.name)
         return budget.try_spend(self.now_s(), self._gateway.entries)
