entry: waiting requests are ordered by their customers' shares

Cause: requests of equal urgency were ordered by deadline only, so that one customer that sends several times its usual load took the others' service; a slot that became free went to the model whose request had ended.

Without customers, the order and the dispatch of each model's queue are as before. The refusal of requests that can't be served in time moves out of model_queue.py.

--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which waiting request is served next, and where."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -5,14 +5,14 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.messages import DemandReport
 from hemlockdock_entry.gateway.adapter_tracker import AdapterTracker
-from hemlockdock_entry.gateway.continuation import can_continue, may_run_at
+from hemlockdock_entry.gateway.continuation import may_run_at
+from hemlockdock_entry.gateway.customer_shares import CustomerShares
 from hemlockdock_entry.gateway.local_demand import LocalDemand
 from hemlockdock_entry.gateway.model_availability import ModelAvailability
-from hemlockdock_entry.gateway.patience import may_wait, return_after_ms
+from hemlockdock_entry.gateway.unservable_requests import UnservableRequests
 
 logger = logging.getLogger(__name__)
 
-MS_PER_S = 1_000
 REPORT_DELAY_S = 0.004
 REPORT_REPEAT_S = 0.25
 # Fraction of an endpoint's slots that one entry uses, because other entries use it too.
@@ -35,6 +35,8 @@
         self._adapters = AdapterTracker(gateway, self._on_adapter_settled)
         self._last_report_s = 0.0
         self._supply = ModelAvailability()
+        self._unservable = UnservableRequests(gateway, self._supply)
+        self._shares = CustomerShares(gateway.headers)
 
     def enqueue(self, exchange):
         """Queue a request until an endpoint can run it.
@@ -52,10 +54,12 @@
         if not exchange.was_queued:
             exchange.was_queued = True
             use.record_arrival(self._gateway.clock.seconds())
+            self._shares.add(exchange)
         use.waiting.append(exchange)
-        use.waiting.sort(key=_queue_order)
         self._mark_changed(use)
-        self._dispatch_waiting(use)
+        self._dispatch_shared(use.pool)
+        if use.waiting:
+            self._dispatch_waiting(use)
 
     def resume(self, exchange):
         """Dispatch a waiting request that has waited for a permit.
@@ -94,24 +98,22 @@
         use = self._local_demand(exchange)
         use.in_flight -= 1
         self._mark_changed(use)
-        if use.waiting:
+        if self._shares.are_used(use.pool):
+            self._gateway.clock.callLater(0, self._dispatch_shared, use.pool)
+        elif use.waiting:
             self._gateway.clock.callLater(0, self._dispatch_waiting, use)
 
     def table_changed(self):
         """Update model availability, and dispatch or refuse waiting requests."""
         self._supply.update(self._gateway.endpoint_rows(), self._gateway.clock.seconds())
         self._adapters.remove_absent()
-        for use in self._demand_by_model.values():
-            if use.waiting:
-                self._dispatch_waiting(use)
+        self._dispatch_all()
 
     def check_waiting(self):
         """Dispatch waiting requests, and refuse those that can't be served in time."""
-        for use in self._demand_by_model.values():
-            if use.waiting:
-                self._dispatch_waiting(use)
+        self._dispatch_all()
         for exchange in self._adapters.waiting_exchanges():
-            self._refuse_unservable(self._local_demand(exchange), [exchange])
+            self._unservable.refuse(self._local_demand(exchange), [exchange])
 
     def refuse_all(self, refusal):
         """Refuse all waiting requests.
@@ -154,12 +156,40 @@
             self._demand_by_model[key] = use
         return use
 
+    def _dispatch_all(self):
+        for pool in self._shares.pools:
+            self._dispatch_shared(pool)
+        for use in self._demand_by_model.values():
+            if use.waiting:
+                self._dispatch_waiting(use)
+
+    def _dispatch_shared(self, pool):
+        """Dispatch requests of all models of a pool in the order of its customers' shares."""
+        if not self._shares.are_used(pool):
+            return
+        exchanges = []
+        for use in self._demand_by_model.values():
+            if use.pool == pool and use.waiting:
+                exchanges.extend(self._dispatchable(use))
+        self._shares.sort(pool, exchanges)
+        full = set()
+        for exchange in exchanges:
+            use = self._local_demand(exchange)
+            if exchange not in use.waiting or use.model in full:
+                continue
+            self._dispatch(use, [exchange])
+            if exchange in use.waiting and exchange.binding.origin is None:
+                full.add(use.model)
+
     def _dispatch_waiting(self, use):
-        exchanges = use.waiting
-        if not self._gateway.selection.has_unlimited(use.pool, use.model):
-            # Nothing changes for those that wait for a permit.
-            exchanges = [item for item in use.waiting if not item.waits_for_permit]
-        self._dispatch(use, exchanges)
+        self._shares.sort(use.pool, use.waiting)
+        self._dispatch(use, self._dispatchable(use))
+
+    def _dispatchable(self, use):
+        if self._gateway.selection.has_unlimited(use.pool, use.model):
+            return use.waiting
+        # Nothing changes for those that wait for a permit.
+        return [item for item in use.waiting if not item.waits_for_permit]
 
     def _dispatch(self, use, exchanges):
         unplaced = []
@@ -181,35 +211,10 @@
             use.waiting.remove(exchange)
             use.in_flight += 1
             self._mark_changed(use)
+            self._shares.record_dispatch(exchange)
             self._send(exchange, row)
         if unplaced:
-            self._refuse_unservable(use, unplaced)
-
-    def _refuse_unservable(self, use, exchanges):
-        """Refuse the requests of a model that can't be served within their clients' patience."""
-        now_s = self._gateway.clock.seconds()
-        pool = exchanges[0].pool
-        ready_s = self._supply.ready_s(pool, use.model, now_s)
-        least_s = self._supply.least_s(pool, use.model)
-        for exchange in exchanges:
-            rows = self._gateway.endpoints.of_pool(pool.name)
-            if not can_continue(exchange.binding.origin, exchange.model, rows):
-                exchange.refuse_continuation()
-                continue
-            served_s = _earliest(ready_s, self._gateway.selection.room_s(exchange))
-            if not may_wait(exchange.patience, served_s, now_s, least_s):
-                self._refuse_with_retry_time(use, exchange, served_s, least_s)
-
-    def _refuse_with_retry_time(self, use, exchange, ready_s, least_s):
-        now_s = self._gateway.clock.seconds()
-        if exchange.may_have_run:
-            kind, why = ErrorKind.ENDPOINT_LOST, "no other endpoint can go on with it in time"
-        else:
-            kind, why = ErrorKind.DEADLINE_UNREACHABLE, "the model is not there in time"
-        after_ms = return_after_ms(exchange.deadline_s, ready_s, now_s, least_s)
-        if exchange.is_first_request:
-            use.return_times_s.append(now_s + after_ms / MS_PER_S)
-        exchange.refuse(Refusal.of(kind, why, retry_after_ms=after_ms))
+            self._unservable.refuse(use, unplaced)
 
     def _choose(self, exchange):
         gateway = self._gateway
@@ -285,12 +290,3 @@
         self._changed_keys = set()
         self._last_report_s = now_s
         self._gateway.send_to_leader(DemandReport(demands))
-
-
-def _queue_order(exchange):
-    return (exchange.urgency, exchange.deadline_s)
-
-
-def _earliest(*times_s):
-    known_s = [time_s for time_s in times_s if time_s is not None]
-    return min(known_s, default=None)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -44,6 +44,8 @@
     is_first_request : bool
         Whether this is the client's first request, judging by its time left.
     was_queued : bool
+    ticket : QueueTicket or None
+        Place among those that wait; None until the request is queued for its model.
     reserved_endpoint_id : str
         Endpoint at which a slot is reserved while the request waits for an adapter.
     wish : PermitWish
@@ -70,6 +72,7 @@
         self.target_s = 0.0
         self.is_first_request = True
         self.was_queued = False
+        self.ticket = None
         self.reserved_endpoint_id = ""
         self.wish = PermitWish()
 
