--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -45,6 +45,8 @@
     is_first_request : bool
         Whether this is the client's first request, judging by its time left.
     was_queued : bool
+    ticket : QueueTicket or None
+        Place among those that wait; None until the request is queued for its model.
     reserved_endpoint_id : str
         Endpoint at which a slot is reserved while the request waits for an adapter.
     wish : PermitWish
@@ -72,6 +74,7 @@
         self.target_s = 0.0
         self.is_first_request = True
         self.was_queued = False
+        self.ticket = None
         self.reserved_endpoint_id = ""
         self.wish = PermitWish()
         self.tokens = TokenWish()
@@ -133,8 +136,10 @@
     @property
     def patience(self):
         """Return the Patience of the client of a request that names a model."""
-        fleet = self._gateway.fleet
-        return Patience.of(self.route, fleet, self.request.received_s, self.deadline_s)
+        since_s = self._response_writer.last_event_s
+        if since_s is None:
+            since_s = self.request.received_s
+        return Patience.of(self.route, self._gateway.fleet, since_s, self.deadline_s)
 
     @property
     def waits_for_permit(self):
