agent: measure the engine's speed and report it

Cause: control and entries can't tell engines that run at 0.6 of the usual speed from those at 1.6. Change: the running requests of an engine's report are decoded (EngineReport.runs); the agent averages the events made per running request and second (EngineSpeed) and sends it as the last field of EndpointReport. The single requests stay at the agent. Result: unit tests of agent and platform pass; not measured on a deployment yet.

--- a/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/fleet/service.py
@@ -7,6 +7,7 @@
 
 from hemlockdock_agent.fleet.adapters import HOLD_S, AdapterScheduler
 from hemlockdock_agent.fleet.engine_client import FleetEngineClient
+from hemlockdock_agent.fleet.engine_speed import EngineSpeed
 from hemlockdock_agent.fleet.memory import EngineMemory
 from hemlockdock_agent.fleet.model_change import ChangeStep, ModelChange
 from hemlockdock_agent.fleet.reachability import EngineReachability
@@ -68,6 +69,7 @@
         self._facts_number = 0
         self._paused_until_s = 0.0
         self._reachability = EngineReachability()
+        self._speed = EngineSpeed()
         self._adapters = AdapterScheduler()
         self._order_in_flight = False
         self._polling = False
@@ -168,7 +170,8 @@
             logger.info("engine restarted", extra={"started_ms": report.started_ms})
             self._adapters.clear()
             self._reported_endpoint_id = ""
-        self._report = report
+        self._speed.observe(report, self._reactor.seconds())
+        self._report = report.without_runs()
         self._identify_engine()
         self._advance()
         self._serve_adapters()
@@ -288,6 +291,7 @@
             self._reachability.is_reachable,
             self._reported_endpoint_id,
             "" if self._change is None else self._change.message.load,
+            self._speed.per_s,
         )
         if message == self._sent_report and now_s - self._sent_s < REPORT_REPEAT_S:
             return
--- a/packages/hemlockdock-agent/tests/test_fleet.py
+++ b/packages/hemlockdock-agent/tests/test_fleet.py
@@ -16,7 +16,16 @@
 from hemlockdock_core.wire import AdapterName, EngineReport, LoadedModel, OrderAction
 
 
-def report(models=(), sequence=0, busy=False, leaving=False, started_ms=1, arriving=(), disk=()):
+def report(
+    models=(),
+    sequence=0,
+    busy=False,
+    leaving=False,
+    started_ms=1,
+    arriving=(),
+    disk=(),
+    runs=(),
+):
     loaded = []
     for text in models:
         name, _, adapters = text.partition("/")
@@ -35,6 +44,7 @@
         0,
         0,
         0,
+        runs,
     )
 
 
--- a/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/fleet.py
@@ -30,6 +30,9 @@
         Endpoint id that the engine reports; empty until it has been probed.
     changing_to : str
         Model that the change in progress loads; empty if there is none.
+    speed : float or None
+        Events that a running request makes per second, as the agent has measured it; None if not
+        known.
     """
 
     expects_answer: ClassVar[bool] = False
@@ -43,6 +46,7 @@
     answers: bool = True
     endpoint_id: str = ""
     changing_to: str = ""
+    speed: float | None = None
 
 
 class EngineFacts(Message, frozen=True):
--- a/packages/hemlockdock-core/hemlockdock_core/wire/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/__init__.py
@@ -11,6 +11,7 @@
     EngineOrder,
     EngineOrderResponse,
     EngineReport,
+    EngineRun,
     LoadedModel,
     OrderAction,
 )
@@ -24,6 +25,7 @@
     "EngineOrder",
     "EngineOrderResponse",
     "EngineReport",
+    "EngineRun",
     "HeaderNames",
     "ListedEndpoint",
     "LoadedModel",
--- a/packages/hemlockdock-core/hemlockdock_core/wire/engine.py
+++ b/packages/hemlockdock-core/hemlockdock_core/wire/engine.py
@@ -1,6 +1,6 @@
 """Status reports of engines, and orders to engines."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 
@@ -33,6 +33,27 @@
     adapters: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class EngineRun:
+    """A request that an engine runs.
+
+    Attributes
+    ----------
+    run_id : str
+    cache_tokens : int
+        Number of its tokens in the cache.
+    events : int
+        Number of events made so far.
+    urgency : int
+        0 is the highest.
+    """
+
+    run_id: str
+    cache_tokens: int
+    events: int
+    urgency: int
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """The status that an engine reports.
@@ -62,6 +83,8 @@
     cache_used_tokens : int
         Number of tokens in the cache that can't be evicted.
     cache_tokens : int
+    runs : tuple of EngineRun
+        The running requests; empty if not reported.
     """
 
     started_ms: int
@@ -77,12 +100,17 @@
     running: int
     cache_used_tokens: int
     cache_tokens: int
+    runs: tuple[EngineRun, ...] = ()
 
     @property
     def on_host(self):
         """Return the models whose weights are cached in the host's memory or on its disk."""
         return self.in_host_memory | self.on_host_disk
 
+    def without_runs(self):
+        """Return the report without the single requests, which would double its size on links."""
+        return replace(self, runs=())
+
     def model(self, name):
         """Return a loaded model, or None if it isn't loaded.
 
