control: tell entries the loads of endpoints

Cause: an entry knows only its own requests in flight, which say little of the total at an endpoint. Change: the leader sends entries LoadSummary every 400 ms, with the loads that changed most and the oldest, their age, and at most 300 bytes of values. Settings share_load and quota_window_s of [fleet] decide whether.

--- /dev/null
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/load_summaries.py
@@ -0,0 +1,147 @@
+"""Decide which endpoints' loads the leader tells entries next."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from hemlockdock_core.messages import EndpointLoad, LoadSummary, load_key
+from hemlockdock_core.metrics import COUNTERS, GAUGES
+
+MS_PER_S = 1_000
+SUMMARY_MS = 400
+# What control sends a node stays under 2 KB a second; half of that is left for everything else.
+BYTES_PER_S = 1_000
+# Frame, headers of the link and of TCP, as measured with the codec (71 bytes) and rounded up.
+OVERHEAD_BYTES = 100
+# Some 20 loads of 13 to 16 bytes.
+MAX_LOADS_BYTES = BYTES_PER_S * SUMMARY_MS // MS_PER_S - OVERHEAD_BYTES
+# An unchanged load is as urgent after this time as one that has changed by a request.
+REPEAT_S = 0.4
+MAX_PERCENT = 999
+MAX_SPEED_MILLI = 65_535
+
+
+@dataclass(frozen=True, slots=True)
+class SentLoad:
+    """What entries were told last of an endpoint.
+
+    Attributes
+    ----------
+    requests : int
+        Running and waiting requests.
+    sent_s : float
+    """
+
+    requests: int
+    sent_s: float
+
+
+class LoadSummaries:
+    """Decide which loads are in the next summary: those that changed most, and the oldest.
+
+    All entries are sent the same summary. This handles up to about 50 endpoints whose loads all
+    change within a second; of more, each is told less often.
+
+    Parameters
+    ----------
+    fleet : FleetSection
+    """
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._sent_by_id = {}
+
+    def clear(self):
+        """Discard what was sent, because another member may have led in the meantime."""
+        self._sent_by_id = {}
+
+    def is_shared(self, capacities_differ):
+        """Return whether entries are told loads.
+
+        Parameters
+        ----------
+        capacities_differ : bool
+            Whether the entries state different capacities.
+
+        Returns
+        -------
+        bool
+        """
+        if self._fleet.share_load == "always":
+            return True
+        if self._fleet.share_load == "never":
+            return False
+        # Quotas come with a few large customers, whose traffic doesn't spread over entries evenly.
+        return capacities_differ or self._fleet.quota_window_s > 0.0
+
+    def next_summary(self, registry, now_s):
+        """Return the next summary for all entries, or None if there is no load to tell.
+
+        Parameters
+        ----------
+        registry : EndpointRegistry
+        now_s : float
+
+        Returns
+        -------
+        LoadSummary or None
+        """
+        reports_by_id = self._answering(registry, now_s)
+        for endpoint_id in list(self._sent_by_id):
+            if endpoint_id not in reports_by_id:
+                del self._sent_by_id[endpoint_id]
+        ranked = sorted(
+            reports_by_id,
+            key=lambda endpoint_id: self._rank(endpoint_id, reports_by_id[endpoint_id], now_s),
+            reverse=True,
+        )
+        loads = []
+        size = 0
+        for endpoint_id in ranked:
+            report = reports_by_id[endpoint_id]
+            load = _load(endpoint_id, report, now_s)
+            size += len(msgspec.msgpack.encode(load))
+            if size > MAX_LOADS_BYTES:
+                break
+            loads.append(load)
+            self._sent_by_id[endpoint_id] = SentLoad(_requests(report), now_s)
+        if not loads:
+            return None
+        COUNTERS.increment("control_loads_shared", len(loads))
+        GAUGES.set("control_loads_oldest_seconds", self._oldest_s(now_s))
+        return LoadSummary(tuple(loads))
+
+    def _answering(self, registry, now_s):
+        reports_by_id = {}
+        for listed in (registry.listed_by_id or {}).values():
+            report = registry.current_report(listed.endpoint_id, listed.address, now_s)
+            if report is not None and report.body.answers:
+                reports_by_id[listed.endpoint_id] = report
+        return reports_by_id
+
+    def _rank(self, endpoint_id, report, now_s):
+        sent = self._sent_by_id.get(endpoint_id)
+        if sent is None:
+            return float("inf")
+        return abs(_requests(report) - sent.requests) + (now_s - sent.sent_s) / REPEAT_S
+
+    def _oldest_s(self, now_s):
+        return max(now_s - sent.sent_s for sent in self._sent_by_id.values())
+
+
+def _requests(report):
+    return report.body.report.running + report.body.report.waiting
+
+
+def _load(endpoint_id, report, now_s):
+    engine = report.body.report
+    used_percent = round(100 * engine.cache_used_tokens / max(1, engine.cache_tokens))
+    speed_milli = round((report.body.speed or 0.0) * 1_000)
+    return EndpointLoad(
+        load_key(endpoint_id),
+        engine.running,
+        engine.waiting,
+        min(MAX_PERCENT, used_percent),
+        min(MAX_SPEED_MILLI, speed_milli),
+        round((now_s - report.received_s) * MS_PER_S),
+    )
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -110,6 +110,17 @@
         """Return the number of entries that send heartbeats to this member."""
         return sum(1 for node in self._node_by_address.values() if node.role == ENTRY_ROLE)
 
+    @property
+    def entry_addresses(self):
+        """Return the addresses of the entries that send heartbeats to this member."""
+        nodes = self._node_by_address.values()
+        return [node.address for node in nodes if node.role == ENTRY_ROLE]
+
+    @property
+    def capacities_differ(self):
+        """Tell whether the entries state different capacities."""
+        return False
+
     @property
     def is_fresh(self):
         """Tell whether this member, leader or follower, has a leader in recent contact."""
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -9,6 +9,7 @@
 from hemlockdock_control.consensus.seeding import process_ip
 from hemlockdock_control.fleet.demand import DemandAggregator
 from hemlockdock_control.fleet.directory import DirectoryReader
+from hemlockdock_control.fleet.load_summaries import SUMMARY_MS, LoadSummaries
 from hemlockdock_control.fleet.nodes import FleetNodes
 from hemlockdock_control.fleet.operator_api import RouteApi
 from hemlockdock_control.fleet.peers import FleetPeers
@@ -65,6 +66,7 @@
         self._registry = EndpointRegistry(settings.fleet)
         self._demand = DemandAggregator()
         self._limits = RequestLimits(reactor.seconds())
+        self._load_summaries = LoadSummaries(settings.fleet)
         self.machine = ClusterStateMachine(settings)
         self.replicator = Replicator(reactor, settings, self.machine, self._tls)
         self._proposer = Proposer(reactor, self.replicator, self.machine)
@@ -117,6 +119,7 @@
         self._admin.start()
         self._every(PUSH_MS, self._push)
         self._every(DECIDE_MS, self._decide)
+        self._every(SUMMARY_MS, self._share_loads)
         self._every(CLEANUP_MS, self._forget_silent_nodes)
         self._every(self._settings.fleet.directory_poll_ms, self._read_directory)
         logger.info("control started", extra={"member": self.replicator.member_id})
@@ -155,6 +158,18 @@
         if self._nodes.may_push:
             self._feed.push(self.machine.state.epoch, self.machine.state.changes)
 
+    def _share_loads(self):
+        # Without a valid lease, another member may already lead and get newer reports.
+        if not self.replicator.has_lease:
+            return
+        if not self._load_summaries.is_shared(self._nodes.capacities_differ):
+            return
+        summary = self._load_summaries.next_summary(self._registry, self._reactor.seconds())
+        if summary is None:
+            return
+        for address in self._nodes.entry_addresses:
+            self._send(address, summary)
+
     def _forget_silent_nodes(self):
         self._limits.record_use(self._reactor.seconds())
         for address in self._nodes.remove_silent():
@@ -243,6 +258,7 @@
         self._registry.clear(self._reactor.seconds())
         self._demand.clear()
         self._limits.clear(self._reactor.seconds())
+        self._load_summaries.clear()
         self._placement.clear()
         self._commit_pending = False
         # A new leader has no endpoints for entries until it has read the directory.
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -22,6 +22,7 @@
 from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
 from hemlockdock_core.messages.inventory import Inventory, InventoryModel
 from hemlockdock_core.messages.leaving import Leaving
+from hemlockdock_core.messages.load import EndpointLoad, LoadSummary, load_key
 from hemlockdock_core.messages.orders import (
     LoadAdapterOrder,
     LoadOrder,
@@ -67,6 +68,7 @@
     "CrashReport",
     "DemandReport",
     "Dispatch",
+    "EndpointLoad",
     "EndpointReport",
     "EngineFacts",
     "EntryList",
@@ -80,6 +82,7 @@
     "LimitNamed",
     "LoadAdapterOrder",
     "LoadOrder",
+    "LoadSummary",
     "MalformedFrameError",
     "ModelDemand",
     "ModelTraffic",
@@ -105,4 +108,5 @@
     "UnloadOrder",
     "WatchTable",
     "Wish",
+    "load_key",
 ]
--- a/packages/hemlockdock-core/hemlockdock_core/messages/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/union.py
@@ -19,6 +19,7 @@
 from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
 from hemlockdock_core.messages.inventory import Inventory
 from hemlockdock_core.messages.leaving import Leaving
+from hemlockdock_core.messages.load import LoadSummary
 from hemlockdock_core.messages.orders import (
     LoadAdapterOrder,
     LoadOrder,
@@ -83,6 +84,7 @@
     | EntryList
     | CrashNotice
     | SoundNotice
+    | LoadSummary
 )
 
 NODE_CODEC = Codec(NodeMessage)
--- a/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
@@ -262,6 +262,18 @@
     engine: HostPort = key("", "ip:port of the agent's engine (agent).")
     pool: str = key("", "Pool of that engine (agent).")
     report_ms: int = key(100, "Time between reads of the engine's report.", "ms", ge=20, le=60_000)
+    share_load: Literal["never", "uneven", "always"] = key(
+        "never",
+        "When the leader tells entries the loads of endpoints; uneven: while the entries state "
+        "different capacities, or if quota_window_s is set (control).",
+    )
+    quota_window_s: float = key(
+        0.0,
+        "Time window in which customers' quotas are kept; 0 if the deployment has none (control).",
+        "s",
+        ge=0,
+        le=3_600,
+    )
     retry_ratio: float = key(
         0.2,
         "Sends allowed beyond the first, as a fraction of requests, over all entries.",
