entry: choose endpoints by reported loads

Cause: entries rank endpoints by their own requests in flight (0 or 1) and may use 0.6 of the slots each, so that endpoints are full while others are idle. Change: while there are fresh reports, the endpoint is the one with the least expected load of three random candidates (weighted by speed); engines that are expected to be full get no requests. Without reports the choice is as before.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
@@ -77,6 +77,43 @@
         if pause_s:
             self._gateway.pauses.begin(endpoint_id, pause_s)
 
+    def record_sent(self, endpoint_id):
+        """Record that a request is sent to an endpoint.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        """
+        self._gateway.endpoint_limits.record_sent(endpoint_id)
+        self._gateway.selection.loads.record_sent(endpoint_id, self._gateway.clock.seconds())
+
+    def record_ended(self, endpoint_try):
+        """Record that an attempt has ended, and give back its permit if it was not sent.
+
+        Parameters
+        ----------
+        endpoint_try : EndpointTry
+        """
+        if not endpoint_try.was_sent:
+            self._gateway.permits.give_back(endpoint_try.permit)
+        has_run = endpoint_try.was_sent and endpoint_try.outcome is None
+        sent_s = endpoint_try.sent_s if has_run else None
+        now_s = self._gateway.clock.seconds()
+        self._gateway.selection.loads.record_ended(endpoint_try.row, sent_s, now_s)
+
+    def record_full(self, endpoint_id, pause_s):
+        """Record that an endpoint had no capacity.
+
+        Parameters
+        ----------
+        endpoint_id : str
+        pause_s : float
+            Time for which it is avoided.
+        """
+        now_s = self._gateway.clock.seconds()
+        self._gateway.health.for_endpoint(endpoint_id).record_full(now_s, pause_s)
+        self._gateway.selection.loads.record_rejected(endpoint_id, now_s)
+
     def forget(self, endpoint_id):
         """Forget what an endpoint asked for, because its process has ended.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
@@ -104,11 +104,16 @@
     failure_domain : str
         Failure domain of this entry.
     random_source : random.Random
+
+    Attributes
+    ----------
+    failure_domain : str
+    random_source : random.Random
     """
 
     def __init__(self, failure_domain, random_source):
-        self._failure_domain = failure_domain
-        self._random = random_source
+        self.failure_domain = failure_domain
+        self.random_source = random_source
         self.health_by_id = {}
 
     def for_endpoint(self, endpoint_id):
@@ -160,7 +165,7 @@
             if row.endpoint_id in preferred_ids:
                 cost /= 2
             is_avoided = max(health.ejected_until_s, health.full_until_s) > now_s
-            rank = (is_avoided, health.suspects_in_flight > 0, cost, self._random.random())
+            rank = (is_avoided, health.suspects_in_flight > 0, cost, self.random_source.random())
             if apart:
                 rank = (is_avoided, row.endpoint_id)
             if best_rank is None or rank < best_rank:
@@ -181,7 +186,7 @@
 
     def _cost(self, row, health, now_s):
         load = (health.in_flight + 1) / max(1, row.slots)
-        if row.failure_domain != self._failure_domain:
+        if row.failure_domain != self.failure_domain:
             load *= OTHER_DOMAIN_LOAD_FACTOR
         success_rate = 1.0 - min(health.failure_rate, MAX_FAILURE_RATE)
         return load * (health.latency_s or 1.0) / (success_rate * success_rate)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -3,6 +3,7 @@
 from math import ceil
 
 from hemlockdock_core.errors import ErrorKind
+from hemlockdock_entry.balancing import LoadBalancer, LoadView
 from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.refusals import truthful_refusal
 
@@ -15,10 +16,28 @@
     Parameters
     ----------
     gateway : Gateway
+
+    Attributes
+    ----------
+    loads : LoadView
+    balancer : LoadBalancer
     """
 
     def __init__(self, gateway):
         self._gateway = gateway
+        self.loads = LoadView()
+        self.balancer = LoadBalancer(self.loads, gateway.health)
+
+    def record_loads(self, summary):
+        """Record what the leader told of endpoints' loads.
+
+        Parameters
+        ----------
+        summary : LoadSummary
+        """
+        gateway = self._gateway
+        rows = gateway.endpoint_rows()
+        self.loads.record(summary, rows, gateway.table.pool_by_name, gateway.clock.seconds())
 
     def usable(self, exchange):
         """Return the endpoints of a request's pool that may take it, or give it a permit.
@@ -135,15 +154,15 @@
         -------
         EndpointRow or None
         """
-        health = self._gateway.health
+        balancer = self.balancer
         now_s = self._gateway.clock.seconds()
         apart = self._gateway.quarantine.runs_apart(exchange)
         usable = [row for row in self.usable(exchange) if not row.retiring]
         usable = [row for row in usable if may_run_at(exchange.binding.origin, row)]
         usable = self.unconfirmed_or_all(usable)
-        row = health.choose(usable, now_s, exchange.tried_ids, apart=apart)
+        row = balancer.choose(usable, now_s, exchange.tried_ids, apart=apart)
         if row is None:
-            row = health.choose(usable, now_s, apart=apart)
+            row = balancer.choose(usable, now_s, apart=apart)
         return row
 
     def in_doubt(self, pool):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -15,7 +15,7 @@
 MS_PER_S = 1_000
 REPORT_DELAY_S = 0.004
 REPORT_REPEAT_S = 0.25
-# Fraction of an endpoint's slots that one entry uses, because other entries use it too.
+# Fraction of an endpoint's slots that one entry uses while it does not know what others use.
 MAX_SLOT_SHARE = 0.6
 
 
@@ -220,7 +220,8 @@
             if not row.has_model(exchange.model) or not may_run_at(exchange.binding.origin, row):
                 continue
             health = gateway.health.for_endpoint(row.endpoint_id)
-            if health.in_flight < max_in_flight and health.full_until_s <= now_s:
+            has_room = gateway.selection.balancer.has_room(row, max_in_flight, now_s)
+            if has_room and health.full_until_s <= now_s:
                 usable.append(row)
         # One that is about to leave gets what no other endpoint can take.
         usable = [row for row in usable if not row.retiring] or usable
@@ -229,9 +230,13 @@
         if exchange.adapter:
             preferred_ids = self._endpoints_with_adapter(exchange, usable)
         apart = gateway.quarantine.runs_apart(exchange)
-        row = gateway.health.choose(usable, now_s, exchange.tried_ids, preferred_ids, apart)
+        row = gateway.selection.balancer.choose(
+            usable, now_s, exchange.tried_ids, preferred_ids, apart
+        )
         if row is None and exchange.tried_ids:
-            row = gateway.health.choose(usable, now_s, frozenset(), preferred_ids, apart)
+            row = gateway.selection.balancer.choose(
+                usable, now_s, frozenset(), preferred_ids, apart
+            )
         return row
 
     def _endpoints_with_adapter(self, exchange, rows):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -12,6 +12,7 @@
     AdapterHeld,
     CrashNotice,
     EntryList,
+    LoadSummary,
     PermitReply,
     SoundNotice,
     StreamOriginReply,
@@ -187,6 +188,9 @@
         if isinstance(frame.body, EntryList):
             self.gateway.other_entries.update(frame.body.addresses)
             return
+        if isinstance(frame.body, LoadSummary):
+            self.gateway.selection.record_loads(frame.body)
+            return
         if isinstance(frame.body, CrashNotice | SoundNotice):
             handle_notice(frame.body, frame.sender, self.gateway.quarantine)
             return
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -78,7 +78,7 @@
         self._try = EndpointTry(self, row, request_id, data, permit, self._used_connections)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
-        self._gateway.endpoint_limits.record_sent(row.endpoint_id)
+        self._gateway.gate.record_sent(row.endpoint_id)
         self._runs_apart = self._gateway.quarantine.runs_apart(exchange)
         health.suspects_in_flight += self._runs_apart
         self._try.begin(self._gateway.endpoints.connections_to(row), self.now_s())
@@ -284,8 +284,7 @@
         health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
         health.in_flight -= 1
         health.suspects_in_flight -= self._runs_apart
-        if not endpoint_try.was_sent:
-            self._gateway.permits.give_back(endpoint_try.permit)
+        self._gateway.gate.record_ended(endpoint_try)
         if self._exchange.model:
             self._gateway.model_queue.request_finished(self._exchange)
 
@@ -294,7 +293,7 @@
             return
         health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
         if outcome in (TryOutcome.NOT_RUN, TryOutcome.NOT_SENT):
-            health.record_full(self.now_s(), FULL_PAUSE_S)
+            self._gateway.gate.record_full(endpoint_try.row.endpoint_id, FULL_PAUSE_S)
         if outcome is not TryOutcome.NOT_RUN:
             health.record_failure(self.now_s())
 
