--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -22,6 +22,7 @@
 from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
 from hemlockdock_core.messages.inventory import Inventory, InventoryModel
 from hemlockdock_core.messages.leaving import Leaving
+from hemlockdock_core.messages.load import EndpointLoad, LoadSummary, load_key
 from hemlockdock_core.messages.orders import (
     LoadAdapterOrder,
     LoadOrder,
@@ -74,6 +75,7 @@
     "CrashReport",
     "DemandReport",
     "Dispatch",
+    "EndpointLoad",
     "EndpointReport",
     "EngineFacts",
     "EntryList",
@@ -87,6 +89,7 @@
     "LimitNamed",
     "LoadAdapterOrder",
     "LoadOrder",
+    "LoadSummary",
     "MalformedFrameError",
     "ModelDemand",
     "ModelTraffic",
@@ -117,4 +120,5 @@
     "UnloadOrder",
     "WatchTable",
     "Wish",
+    "load_key",
 ]
--- a/packages/hemlockdock-core/hemlockdock_core/messages/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/union.py
@@ -19,6 +19,7 @@
 from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
 from hemlockdock_core.messages.inventory import Inventory
 from hemlockdock_core.messages.leaving import Leaving
+from hemlockdock_core.messages.load import LoadSummary
 from hemlockdock_core.messages.orders import (
     LoadAdapterOrder,
     LoadOrder,
@@ -87,6 +88,7 @@
     | QuotaRequest
     | QuotaReply
     | QuotaReturn
+    | LoadSummary
 )
 
 NODE_CODEC = Codec(NodeMessage)
