entry: a waiting request's key is checked again only after a change of customers

Queues ask before each dispatch of each waiting request, and each question made a digest. A request remembers the index with which it was checked.

--- a/packages/hemlockdock-entry/hemlockdock_entry/customers/request_key.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/request_key.py
@@ -29,6 +29,8 @@
         self._gateway = gateway
         self._request = request
         self._was_required = False
+        # Index with which the key was checked last.
+        self._index = None
         self.customer = None
 
     @property
@@ -69,7 +71,7 @@
         Refusal or None
             If its key was removed. None if it may have run, as it continues then.
         """
-        if exchange.may_have_run or exchange.has_started:
+        if not self._needs_check(exchange):
             return None
         check = self._check(self._route_in_force(exchange))
         self._apply(check)
@@ -88,9 +90,12 @@
         -------
         bool
         """
-        if exchange.may_have_run or exchange.has_started:
+        return self._needs_check(exchange) and self._check(self._route_in_force(exchange)).refuses
+
+    def _needs_check(self, exchange):
+        if self._index is self._gateway.customers.index:
             return False
-        return self._check(self._route_in_force(exchange)).refuses
+        return not exchange.may_have_run and not exchange.has_started
 
     def _route_in_force(self, exchange):
         route = exchange.route
@@ -101,6 +106,7 @@
         return check_key(self._gateway.customers.index, route, key)
 
     def _apply(self, check):
+        self._index = self._gateway.customers.index
         if check.result is not KeyResult.NOT_REQUIRED:
             self._was_required = True
         if not check.refuses:
--- a/packages/hemlockdock-entry/tests/test_gateway_customers.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_customers.py
@@ -221,6 +221,16 @@
         self.remove_key()
         self.assertEqual(client.status, 401)
 
+    def test_a_request_that_waits_for_an_adapter_is_refused_once_its_key_is_removed(self):
+        # Guards against a check of only those requests that wait in the queue of a model.
+        self.harness.put_rows(endpoint("x", "lm", 3, models=("m",), agent="tcp://127.0.0.1:9"))
+        extra = KEY + b"X-Use-Model: m/a\r\n"
+        client = self.send(STREAM_PATH, extra=extra, left_ms=12_000)
+        self.assertEqual((self.waiting_ports, client.status), ([], None))
+        self.remove_key()
+        self.assertEqual(client.status, 401)
+        self.assertEqual(self.harness.gateway.health.for_endpoint("x").in_flight, 0)
+
     def test_a_request_whose_connection_is_being_opened_is_not_sent_with_a_removed_key(self):
         # Guards against a request that reaches an endpoint after its key was removed.
         client = self.send(extra=KEY)
