control, entry: an account withholds what it has promised, also of a small customer, and shows what is left

A raised quota dropped promises. Change: a full account withholds too; the least burst is 2,000 tokens where tokens are counted; promises outlast a quota that is raised; returned tokens no longer accrue at the whole rate while entries are silent; entries that don't know how many there are ask for no credit; gauge control_customer_tokens_left.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -239,7 +239,7 @@
 
     @_on_message.register
     def _(self, body: QuotaReturn, frame):
-        self.quotas.give_back(body, self._clock.seconds())
+        self.quotas.give_back(body)
 
     @_on_message.register
     def _(self, body: Proposal, frame):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -157,6 +157,7 @@
 
     def _forget_silent_nodes(self):
         self._limits.record_use(self._reactor.seconds())
+        self._nodes.quotas.record_use()
         for address in self._nodes.remove_silent():
             self._transport.forget(address)
 
--- a/packages/hemlockdock-control/hemlockdock_control/quotas/quota_account.py
+++ b/packages/hemlockdock-control/hemlockdock_control/quotas/quota_account.py
@@ -61,6 +61,11 @@
         self._promised_s = now_s
         self._promises = []
 
+    @property
+    def tokens(self):
+        """Return the tokens that were left when the account was last used."""
+        return min(self._tokens, usable_burst(self.quota))
+
     def change(self, quota, now_s):
         """Apply a changed quota at once.
 
@@ -70,10 +75,12 @@
         now_s : float
         """
         self._count(self.quota.per_s, now_s)
+        if quota.per_s < self.quota.per_s:
+            # The lower rate can't keep what was promised under the higher one.
+            self._promised_s = now_s
+            self._promises = []
         self.quota = quota
         self._tokens = min(self._tokens, usable_burst(quota))
-        self._promised_s = now_s
-        self._promises = []
 
     def grant(self, tokens, longest_wait_s, mark, per_s, now_s):
         """Grant the tokens of one request.
@@ -101,7 +108,7 @@
             self._promises.remove(promise)
         elif not self._leaves_promised(tokens, per_s, now_s):
             return None
-        self._tokens = min(self._tokens, usable_burst(self.quota)) - tokens
+        self._tokens = self.tokens - tokens
         return now_s + wait_s
 
     def grant_credit(self, tokens, per_s, now_s):
@@ -116,11 +123,10 @@
         bool
         """
         self._count(per_s, now_s)
-        burst = usable_burst(self.quota)
-        left = min(self._tokens, burst) - tokens
-        if left < burst / 2 or not self._leaves_promised(tokens, per_s, now_s):
+        left = self.tokens - tokens
+        if left < usable_burst(self.quota) / 2 or not self._leaves_promised(tokens, per_s, now_s):
             return False
-        self._tokens = min(self._tokens, burst) - tokens
+        self._tokens = left
         return True
 
     def promise(self, tokens, longest_s, mark, per_s, now_s):
@@ -148,16 +154,14 @@
             self._promises.append(Promise(mark, due_s, tokens))
         return due_s
 
-    def give_back(self, tokens, is_credit, now_s):
+    def give_back(self, tokens, is_credit):
         """Take back tokens that were not used.
 
         Parameters
         ----------
         tokens : float
         is_credit : bool
-        now_s : float
         """
-        self._count(self.quota.per_s, now_s)
         if is_credit:
             tokens = min(tokens, most_credit(self.quota))
         else:
@@ -191,9 +195,6 @@
         """Return whether each client that was told when to return finds its tokens then."""
         while self._promises and self._promises[0].due_s + PROMISE_VALID_S < now_s:
             self._promises.pop(0)
-        if self._tokens >= usable_burst(self.quota):
-            # What is not granted now is lost.
-            return True
         left = self._tokens - tokens
         for promise in self._promises:
             at_due = left + per_s * max(0.0, promise.due_s - now_s)
--- a/packages/hemlockdock-control/hemlockdock_control/quotas/quota_ledger.py
+++ b/packages/hemlockdock-control/hemlockdock_control/quotas/quota_ledger.py
@@ -4,10 +4,11 @@
 
 from hemlockdock_control.quotas.quota_account import QuotaAccount
 from hemlockdock_core.messages import QuotaOffer, QuotaReply
-from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.metrics import COUNTERS, GAUGES
 from hemlockdock_core.quota_sizes import is_limited, largest_request
 
 MS_PER_S = 1_000
+TOKENS_GAUGE = "control_customer_tokens_left"
 # A request that can never be served is refused by its entry; this one knew an earlier quota.
 NEVER_MS = 60_000
 
@@ -24,6 +25,7 @@
     """
 
     def __init__(self, now_s):
+        self._shown_names = set()
         self.clear(now_s)
 
     def clear(self, now_s):
@@ -77,17 +79,24 @@
             offers.append(_offer(account, ask, counts, now_s))
         return QuotaReply(request.customer, request.number, tuple(offers))
 
-    def give_back(self, message, now_s):
+    def give_back(self, message):
         """Take back tokens that an entry did not use.
 
         Parameters
         ----------
         message : QuotaReturn
-        now_s : float
         """
         account = self._account_by_name.get(message.customer)
         if account is not None:
-            account.give_back(message.tokens, message.is_credit, now_s)
+            account.give_back(message.tokens, message.is_credit)
+
+    def record_use(self):
+        """Update the gauges of all accounts."""
+        for name in self._shown_names - self._account_by_name.keys():
+            GAUGES.remove(TOKENS_GAUGE, customer=name)
+        self._shown_names = set(self._account_by_name)
+        for name, account in self._account_by_name.items():
+            GAUGES.set(TOKENS_GAUGE, account.tokens, customer=name)
 
     def _account(self, name, now_s):
         customer = self._customer_by_name.get(name)
--- a/packages/hemlockdock-core/hemlockdock_core/quota_sizes.py
+++ b/packages/hemlockdock-core/hemlockdock_core/quota_sizes.py
@@ -1,14 +1,16 @@
 """Sizes that follow from a customer's quota, for the leader and for entries.
 
 Over a window of 8 s, a customer may use 1.1 times (8 s of its rate and its burst), and 7,400 tokens
-more. Of the 0.8 s of its rate, a tenth of its burst and 7,400 tokens above the quota itself,
-``MIN_BURST_S`` and the credit take 0.55 s and a twentieth of the burst. What requests larger than
-the burst and returned tokens may add is bounded at the leader.
+more. That leaves 0.8 s of its rate, a tenth of its burst and 7,400 tokens above the quota itself.
+The least burst takes 0.25 s or 2,000 tokens of it, credit 0.3 s and a twentieth of the burst,
+requests larger than the burst 3,000 tokens, and tokens that are returned late 0.2 s and 2,100
+tokens.
 """
 
 # A customer with a small burst may use as much at once as in this time, so that tokens which come
 # while nobody asks for them are not lost.
 MIN_BURST_S = 0.25
+MIN_BURST_TOKENS = 2_000.0
 # Credit of all entries together.
 CREDIT_S = 0.3
 CREDIT_BURST_FRACTION = 0.05
@@ -30,7 +32,8 @@
     -------
     float
     """
-    return max(quota.burst, MIN_BURST_S * quota.per_s)
+    least = MIN_BURST_TOKENS if quota.counts_tokens else 0.0
+    return max(quota.burst, MIN_BURST_S * quota.per_s, least)
 
 
 def most_credit(quota):
--- a/packages/hemlockdock-entry/hemlockdock_entry/customers/customer_credit.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/customer_credit.py
@@ -115,7 +115,7 @@
         ----------
         quota : TokenQuota
         entries : int
-            Number of entries that share what may be granted in advance.
+            Number of entries that share what may be granted in advance; 0 if unknown.
         now_s : float
 
         Returns
@@ -123,8 +123,10 @@
         float
             0 while half of what is needed is held.
         """
+        if not entries:
+            return 0.0
         needed = self._demand.at(now_s) * AHEAD_S / DEMAND_S
-        needed = min(needed, most_credit(quota) / max(1, entries))
+        needed = min(needed, most_credit(quota) / entries)
         held = self.held(now_s)
         # Less than a request of average size is not worth a message.
         if held >= needed / 2 or needed < quota.default_tokens:
