control: tokens that a client claims early are valid from its time on

Cause: a client that came back up to 0.1 s early got its tokens at once, so that another whose time came before could be declined (found by reading, shown by the new test). Change: tokens that were promised are valid no earlier than promised, and a claim is not declined for others' early ones; credit of all entries together takes 0.2 s of the rate instead of 0.3 s, to keep the sum within what is allowed.

--- a/packages/hemlockdock-control/hemlockdock_control/quotas/quota_account.py
+++ b/packages/hemlockdock-control/hemlockdock_control/quotas/quota_account.py
@@ -14,6 +14,9 @@
 PROMISED_SHARE = 0.5
 # Tokens are withheld for this long after the time at which a client was told to return.
 PROMISE_VALID_S = 0.2
+# A client that returns may claim its tokens ahead of time by the longest wait of a request. Others
+# whose time comes before must not be declined for that.
+EARLY_S = 0.1
 # Tokens of requests that were never sent belong to an earlier window. Those that count again are
 # limited: as many as in this time and some more, refilled within a window.
 MAX_RETURNED_S = 0.1
@@ -101,12 +104,12 @@
         """
         self._count(per_s, now_s)
         wait_s = self._wait_s(tokens, per_s)
-        if wait_s > longest_wait_s:
-            return None
         promise = self._find_promise(mark, now_s + longest_wait_s)
-        if promise is not None:
+        if promise is not None and wait_s <= longest_wait_s + EARLY_S:
             self._promises.remove(promise)
-        elif not self._leaves_promised(tokens, per_s, now_s):
+            # Tokens that others claimed early are valid only later.
+            wait_s = max(promise.due_s - now_s, min(wait_s, longest_wait_s))
+        elif wait_s > longest_wait_s or not self._leaves_promised(tokens, per_s, now_s):
             return None
         self._tokens = self.tokens - tokens
         return now_s + wait_s
--- a/packages/hemlockdock-control/tests/test_quotas.py
+++ b/packages/hemlockdock-control/tests/test_quotas.py
@@ -85,6 +85,13 @@
                     self.assertIsNotNone(self.grant(300, now_s, mark=mark))
             self.grant(100, now_s, mark=99)
 
+    def test_who_claims_early_takes_nothing_from_who_is_before(self):
+        self.grant(100, 0.1)
+        dues_s = [self.promise(60, 0.1, mark) for mark in (1, 2)]
+        now_s = dues_s[0] - 0.001
+        self.assertAlmostEqual(self.grant(60, now_s, wait_s=0.15, mark=2), dues_s[1])
+        self.assertIsNotNone(self.grant(60, dues_s[0], mark=1))
+
     def test_tokens_of_who_does_not_return_go_to_others(self):
         due_s = self.promise(2_000, 0.0, 1)
         self.assertIsNone(self.grant(500, due_s - 0.1))
--- a/packages/hemlockdock-core/hemlockdock_core/quota_sizes.py
+++ b/packages/hemlockdock-core/hemlockdock_core/quota_sizes.py
@@ -2,9 +2,9 @@
 
 Over a window of 8 s, a customer may use 1.1 times (8 s of its rate and its burst), and 7,400 tokens
 more. That leaves 0.8 s of its rate, a tenth of its burst and 7,400 tokens above the quota itself.
-The least burst takes 0.25 s or 2,000 tokens of it, credit 0.3 s and a twentieth of the burst,
-requests larger than the burst 3,000 tokens, and tokens that are returned late 0.2 s and 2,100
-tokens.
+The least burst takes 0.25 s or 2,000 tokens of it, credit 0.2 s and a twentieth of the burst,
+requests larger than the burst 3,000 tokens, tokens that are returned late 0.2 s and 2,100 tokens,
+and tokens that are claimed early 0.1 s.
 """
 
 # A customer with a small burst may use as much at once as in this time, so that tokens which come
@@ -12,7 +12,7 @@
 MIN_BURST_S = 0.25
 MIN_BURST_TOKENS = 2_000.0
 # Credit of all entries together.
-CREDIT_S = 0.3
+CREDIT_S = 0.2
 CREDIT_BURST_FRACTION = 0.05
 # Credit that was not used within this time expires.
 CREDIT_VALID_S = 1.0
