--- a/tools/benchmarks/quota_rounds.py
+++ b/tools/benchmarks/quota_rounds.py
@@ -302,6 +302,7 @@
         client = exchange.client
         self._arrivals.append((exchange.received_s, self.now_s(), client.tokens))
         self._result.sent += 1
+        self._result.returned += client.was_told
         self._result.kept += client.was_told
 
     def refused(self, exchange, refusal):
@@ -311,6 +312,7 @@
         is_over = refusal.kind is ErrorKind.QUOTA_EXCEEDED
         self._result.refused += is_over
         self._result.unanswered += not is_over
+        self._result.returned += client.was_told
         held_s = now_s - exchange.received_s
         self._result.slowest_refusal_s = max(self._result.slowest_refusal_s, held_s)
         told_s = refusal.retry_after_ms / 1_000
@@ -321,7 +323,6 @@
 
     def _send(self, client):
         entry = self._entries[0] if self._scenario.uneven else self._random.choice(self._entries)
-        self._result.returned += client.was_told
         entry.clock.callLater(0, QuotaExchange(self, entry, client).begin)
 
     def _happen(self):
