entry: draw endpoints by weights that keep stale reports from making loads swing

Cause: with the least expected load of three candidates, many entries that have the same reports followed them together. The package also failed to import before the gateway. Change: reports set the weights of a draw, which even out differences over a time that grows with their age; of two drawn, the one with the least own cost is chosen. An engine is full only one standard deviation past its slots.

--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/draw_weights.py
@@ -0,0 +1,74 @@
+"""Weights by which endpoints are drawn, so that reported differences even out without overshoot."""
+
+from dataclasses import dataclass
+
+# All entries correct a difference that is in a report until they see the effect. A correction
+# spread over less than e times that delay makes the loads swing.
+DELAY_FACTOR = 2.72
+# Time between the reports of one endpoint, which adds to their age.
+REPORT_INTERVAL_S = 0.4
+# Own requests are known at once.
+MIN_HORIZON_S = 0.05
+# A full endpoint still gets a few requests, as its report may be wrong.
+MIN_WEIGHT = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointState:
+    """What is known of an endpoint.
+
+    Attributes
+    ----------
+    own : int
+        Requests of this entry.
+    others : float
+        Requests of other entries, as last reported.
+    slots : int
+    speed : float
+        As a multiple of the pool's mean.
+    cache_share : float
+    age_s : float
+        Age of the report.
+    """
+
+    own: int
+    others: float
+    slots: int
+    speed: float
+    cache_share: float
+    age_s: float
+
+
+def draw_weights(states, run_s):
+    """Return the weights of endpoints.
+
+    Usually an endpoint gets as many requests as end there: in proportion to its mean load and its
+    speed. What it has more or less than the mean is evened out over a time that grows with the age
+    of reports and with the others' share of all requests: others see the same difference and
+    correct it too. This handles any number of entries, and reports a few seconds old.
+
+    Parameters
+    ----------
+    states : list of EndpointState
+    run_s : float
+        Mean run time of a request.
+
+    Returns
+    -------
+    list of float
+    """
+    slots = sum(state.slots for state in states)
+    own = sum(state.own for state in states)
+    others = sum(state.others for state in states)
+    mean_share = max((own + others) / slots, 1.0 / slots)
+    others_part = others / max(1.0, own + others)
+    weights = []
+    for state in states:
+        mean = mean_share * state.slots
+        delay_s = state.age_s + REPORT_INTERVAL_S
+        horizon_s = MIN_HORIZON_S + DELAY_FACTOR * others_part * delay_s
+        usual = mean * horizon_s / run_s
+        requests = max(state.own + state.others, state.cache_share * state.slots)
+        weight = max(MIN_WEIGHT * usual, usual + mean - requests) / horizon_s
+        weights.append(weight * state.speed)
+    return weights
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
@@ -1,25 +1,28 @@
-"""Choose endpoints by the wait that is expected there."""
+"""Choose endpoints by reported loads, however many entries have the same reports."""
 
 from math import sqrt
 from statistics import median
 
-from hemlockdock_entry.gateway.endpoint_health import MAX_FAILURE_RATE, OTHER_DOMAIN_LOAD_FACTOR
+from hemlockdock_entry.balancing.cost_factors import MAX_FAILURE_RATE, OTHER_DOMAIN_LOAD_FACTOR
+from hemlockdock_entry.balancing.draw_weights import EndpointState, draw_weights
 
-# Endpoints drawn at random for a request. With more, entries that have the same reports agree too
-# often; with one, the choice is random.
-CANDIDATES = 3
+# Endpoints drawn at random for a request.
+CANDIDATES = 2
 # A report may claim a speed within this factor of the pool's mean.
 MAX_SPEED_FACTOR = 3.0
 # First bytes that take this many times as long as is usual in the pool contradict a low load.
 SLOW_FACTOR = 3.0
+# An endpoint counts as full if its expected requests exceed its slots by this many standard
+# deviations. At 0, many entries leave and come back to it together: with 300 entries, 3 endpoints
+# and reports 1 s old, loads swung to twice the mean.
+FULL_DEVIATIONS = 1.0
 
 
 class LoadBalancer:
-    """Choose, of a few random endpoints, the one at which a request is expected to wait least.
+    """Draw a few endpoints by reported loads, and choose one by what this entry observed itself.
 
-    Many entries that have the same reports spread their requests: candidates are random, and so is
-    the number of requests that others are assumed to have sent since a report. Without fresh
-    reports, endpoints are chosen by what this entry observed itself.
+    Many entries that have the same reports spread their requests, as reports only set the weights
+    of the draw. Without fresh reports, endpoints are chosen by the own observations alone.
 
     Parameters
     ----------
@@ -53,7 +56,8 @@
         if self._view.is_full(row.endpoint_id, now_s):
             return False
         others = self._view.others(row, load.slots, now_s)
-        return in_flight + others.mean + 1.0 <= load.slots
+        least = others.mean - FULL_DEVIATIONS * sqrt(others.variance)
+        return in_flight + least + 1.0 <= load.slots
 
     def choose(self, rows, now_s, excluded_ids=frozenset(), preferred_ids=frozenset(), apart=False):
         """Choose an endpoint; see ``EndpointHealthTracker.choose``.
@@ -73,15 +77,21 @@
         if apart or not self._view.is_informed(rows, now_s):
             return self._health.choose(rows, now_s, frozenset(), preferred_ids, apart)
         rows = self._least_avoided(rows, now_s)
-        usual_latency_s = self._usual_latency_s(rows)
-        candidates = self._draw(rows, now_s)
-        preferred = [row for row in rows if row.endpoint_id in preferred_ids]
+        if len(rows) == 1:
+            return rows[0]
+        trusts = self._trusts(rows)
+        weights = self._weights(rows, now_s)
+        weights = [weight * trust for weight, trust in zip(weights, trusts, strict=True)]
+        candidates = self._random.choices(range(len(rows)), weights, k=CANDIDATES)
+        preferred = [number for number, row in enumerate(rows) if row.endpoint_id in preferred_ids]
         if preferred:
-            candidates += self._draw(preferred, now_s)
+            preferred_weights = [weights[number] for number in preferred]
+            candidates += self._random.choices(preferred, preferred_weights)
         best = None
         best_cost = None
-        for row in candidates:
-            cost = self._cost(row, usual_latency_s, now_s)
+        for number in candidates:
+            row = rows[number]
+            cost = self._own_cost(row) / trusts[number]
             if row.endpoint_id in preferred_ids:
                 cost /= 2
             if best_cost is None or cost < best_cost:
@@ -99,38 +109,45 @@
             rows_by_rank.setdefault(rank, []).append(row)
         return rows_by_rank[min(rows_by_rank)]
 
-    def _draw(self, rows, now_s):
-        if len(rows) == 1:
-            return list(rows)
-        weights = [self._speed(row, now_s) for row in rows]
-        return self._random.choices(rows, weights, k=CANDIDATES)
-
-    def _speed(self, row, now_s):
+    def _weights(self, rows, now_s):
+        states = []
+        for row in rows:
+            load = self._view.load(row.endpoint_id, now_s)
+            in_flight = self._health.for_endpoint(row.endpoint_id).in_flight
+            if load is None:
+                slots = max(1, row.slots)
+                others = self._view.pool_load(row.pool).others_share * slots
+                states.append(EndpointState(in_flight, others, slots, 1.0, 0.0, 0.0))
+                continue
+            speed = self._speed(load, row.pool)
+            age_s = now_s - load.at_s
+            states.append(
+                EndpointState(in_flight, load.others, load.slots, speed, load.cache_share, age_s)
+            )
+        return draw_weights(states, self._view.run_s(rows[0].pool))
+
+    def _speed(self, load, pool):
         """Return an endpoint's speed as a multiple of the pool's mean."""
-        mean = self._view.pool_load(row.pool).speed
-        load = self._view.load(row.endpoint_id, now_s)
-        if not mean or load is None or not load.speed:
+        mean = self._view.pool_load(pool).speed
+        if not mean or not load.speed:
             return 1.0
         return min(MAX_SPEED_FACTOR, max(1.0 / MAX_SPEED_FACTOR, load.speed / mean))
 
-    def _usual_latency_s(self, rows):
-        known_s = [self._health.for_endpoint(row.endpoint_id).latency_s for row in rows]
-        return median([latency_s for latency_s in known_s if latency_s] or [0.0])
-
-    def _cost(self, row, usual_latency_s, now_s):
+    def _trusts(self, rows):
+        """Return factors by which endpoints get less, as their responses contradict reports."""
+        healths = [self._health.for_endpoint(row.endpoint_id) for row in rows]
+        known_s = [health.latency_s for health in healths if health.latency_s]
+        slow_s = SLOW_FACTOR * median(known_s) if known_s else float("inf")
+        trusts = []
+        for health in healths:
+            success_rate = 1.0 - min(health.failure_rate, MAX_FAILURE_RATE)
+            slowness = max(1.0, health.latency_s / slow_s)
+            trusts.append(success_rate * success_rate / (slowness * slowness))
+        return trusts
+
+    def _own_cost(self, row):
         health = self._health.for_endpoint(row.endpoint_id)
-        load = self._view.load(row.endpoint_id, now_s)
-        slots = max(1, row.slots) if load is None else load.slots
-        others = self._view.others(row, slots, now_s)
-        drawn = max(0.0, self._random.gauss(others.mean, sqrt(others.variance)))
-        share = (health.in_flight + drawn + 1.0) / slots
-        if load is not None:
-            share = max(share, load.cache_share)
-        # Running requests don't slow each other much; those beyond the slots wait for their ends.
-        cost = share if share <= 1.0 else 1.0 + (share - 1.0) / self._speed(row, now_s)
+        cost = (health.in_flight + 1) / max(1, row.slots)
         if row.failure_domain != self._health.failure_domain:
             cost *= OTHER_DOMAIN_LOAD_FACTOR
-        if usual_latency_s and health.latency_s > SLOW_FACTOR * usual_latency_s:
-            cost *= health.latency_s / usual_latency_s
-        success_rate = 1.0 - min(health.failure_rate, MAX_FAILURE_RATE)
-        return cost / (success_rate * success_rate)
+        return cost
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -73,7 +73,7 @@
         self._own(row.endpoint_id).add(-1, now_s)
         if sent_s is None:
             return
-        run_s = self._run_s(row.pool)
+        run_s = self.run_s(row.pool)
         self._run_s_by_pool[row.pool] = run_s + EWMA_WEIGHT * (now_s - sent_s - run_s)
 
     def record_rejected(self, endpoint_id, now_s):
@@ -146,6 +146,19 @@
         """
         return self._pool_by_name.get(pool, UNKNOWN_POOL)
 
+    def run_s(self, pool):
+        """Return the mean run time of the requests of a pool, as this entry has seen it.
+
+        Parameters
+        ----------
+        pool : str
+
+        Returns
+        -------
+        float
+        """
+        return max(MIN_RUN_S, self._run_s_by_pool.get(pool, DEFAULT_RUN_S))
+
     def others(self, row, slots, now_s):
         """Return the requests of other entries that are expected at an endpoint.
 
@@ -160,7 +173,7 @@
         ExpectedOthers
         """
         load = self.load(row.endpoint_id, now_s)
-        run_s = max(MIN_RUN_S, self._run_s(row.pool))
+        run_s = self.run_s(row.pool)
         return expected_others(load, self.pool_load(row.pool), slots, run_s, now_s)
 
     def _record(self, row, told, pool, now_s):
@@ -187,9 +200,6 @@
             self._own_by_id[endpoint_id] = own
         return own
 
-    def _run_s(self, pool):
-        return self._run_s_by_pool.get(pool, DEFAULT_RUN_S)
-
     def _remove_absent(self, row_by_key):
         present = {row.endpoint_id for row in row_by_key.values()}
         for endpoint_id in self._load_by_id.keys() - present:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_entry.balancing.cost_factors import MAX_FAILURE_RATE, OTHER_DOMAIN_LOAD_FACTOR
 from hemlockdock_entry.ejection import ejection_s
 
 # Weight of the latest sample in the exponentially weighted moving averages.
@@ -9,9 +10,6 @@
 FAILURES_BEFORE_EJECTION = 2
 BASE_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
-# An endpoint in another failure domain is selected only if its load is lower by this factor.
-OTHER_DOMAIN_LOAD_FACTOR = 1.15
-MAX_FAILURE_RATE = 0.9
 # Nearly all responses start within this multiple of the average latency.
 FIRST_BYTE_TIMEOUT_FACTOR = 6.0
 
