--- a/packages/hemlockdock-control/hemlockdock_control/fleet/load_summaries.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/load_summaries.py
@@ -1,5 +1,6 @@
 """Decide which endpoints' loads the leader tells entries next."""
 
+import logging
 from dataclasses import dataclass
 
 import msgspec
@@ -7,6 +8,8 @@
 from hemlockdock_core.messages import EndpointLoad, LoadSummary, load_key
 from hemlockdock_core.metrics import COUNTERS, GAUGES
 
+logger = logging.getLogger(__name__)
+
 MS_PER_S = 1_000
 SUMMARY_MS = 400
 # What control sends a node stays under 2 KB a second; half of that is left for everything else.
@@ -50,6 +53,7 @@
     def __init__(self, fleet):
         self._fleet = fleet
         self._sent_by_id = {}
+        self._was_shared = False
 
     def clear(self):
         """Discard what was sent, because another member may have led in the meantime."""
@@ -67,12 +71,14 @@
         -------
         bool
         """
-        if self._fleet.share_load == "always":
-            return True
-        if self._fleet.share_load == "never":
-            return False
-        # Quotas come with a few large customers, whose traffic doesn't spread over entries evenly.
-        return capacities_differ or self._fleet.quota_window_s > 0.0
+        is_shared = self._fleet.share_load == "always"
+        if self._fleet.share_load == "uneven":
+            # Quotas come with a few large customers, whose traffic isn't even over entries.
+            is_shared = capacities_differ or self._fleet.quota_window_s > 0.0
+        if is_shared != self._was_shared:
+            logger.info("loads of endpoints are shared" if is_shared else "loads are not shared")
+        self._was_shared = is_shared
+        return is_shared
 
     def next_summary(self, registry, now_s):
         """Return the next summary for all entries, or None if there is no load to tell.
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
@@ -3,6 +3,7 @@
 from math import sqrt
 from statistics import median
 
+from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.balancing.cost_factors import MAX_FAILURE_RATE, OTHER_DOMAIN_LOAD_FACTOR
 from hemlockdock_entry.balancing.draw_weights import EndpointState, draw_weights
 
@@ -55,6 +56,9 @@
             return in_flight < max_in_flight
         if self._view.is_full(row.endpoint_id, now_s):
             return False
+        usual = self._view.pool_load(row.pool).others_share * load.slots
+        if in_flight + max(load.others, usual) + 1.0 <= load.slots:
+            return True
         others = self._view.others(row, load.slots, now_s)
         least = others.mean - FULL_DEVIATIONS * sqrt(others.variance)
         return in_flight + least + 1.0 <= load.slots
@@ -76,6 +80,7 @@
         rows = [row for row in rows if row.endpoint_id not in excluded_ids and not row.leaving]
         if apart or not self._view.is_informed(rows, now_s):
             return self._health.choose(rows, now_s, frozenset(), preferred_ids, apart)
+        COUNTERS.increment("gateway_choices_by_load")
         rows = self._least_avoided(rows, now_s)
         if len(rows) == 1:
             return rows[0]
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -1,10 +1,16 @@
 """An entry's view of the loads of endpoints."""
 
+import logging
+
 from hemlockdock_core.messages import load_key
 from hemlockdock_core.metrics import COUNTERS, GAUGES
 from hemlockdock_entry.balancing.endpoint_load import PoolLoad, ReportedLoad, expected_others
 from hemlockdock_entry.balancing.own_requests import KEPT_S, OwnRequests
 
+logger = logging.getLogger(__name__)
+
+UNEVENNESS_GAUGE = "gateway_load_unevenness"
+AGE_GAUGE = "gateway_load_report_age_seconds"
 MS_PER_S = 1_000
 MILLI = 1_000
 # Weight of the latest request in the average run time.
@@ -28,6 +34,7 @@
         self._rejected_s_by_id = {}
         self._pool_by_name = {}
         self._run_s_by_pool = {}
+        self._recorded_s = float("-inf")
 
     def record(self, summary, rows, pool_by_name, now_s):
         """Record the loads of a summary.
@@ -40,6 +47,9 @@
         pool_by_name : dict of str to PoolRow
         now_s : float
         """
+        if now_s - self._recorded_s > KEPT_S:
+            logger.info("loads of endpoints arrive", extra={"loads": len(summary.loads)})
+        self._recorded_s = now_s
         row_by_key = _row_by_key(rows)
         self._remove_absent(row_by_key)
         for told in summary.loads:
@@ -216,6 +226,9 @@
             load = self.load(row.endpoint_id, now_s)
             if load is not None:
                 loads_by_pool.setdefault(row.pool, []).append(load)
+        for pool in self._pool_by_name.keys() - loads_by_pool.keys():
+            GAUGES.remove(UNEVENNESS_GAUGE, pool=pool)
+            GAUGES.remove(AGE_GAUGE, pool=pool)
         self._pool_by_name = {}
         for pool, loads in loads_by_pool.items():
             shares = [load.requests / load.slots for load in loads]
@@ -223,9 +236,9 @@
             others_share = sum(load.others for load in loads) / slots
             self._pool_by_name[pool] = PoolLoad(others_share, _mean_speed(loads))
             mean = sum(shares) / len(shares)
-            GAUGES.set("gateway_load_unevenness", max(shares) / mean if mean else 1.0, pool=pool)
+            GAUGES.set(UNEVENNESS_GAUGE, max(shares) / mean if mean else 1.0, pool=pool)
             oldest_s = max(now_s - load.at_s for load in loads)
-            GAUGES.set("gateway_load_report_age_seconds", oldest_s, pool=pool)
+            GAUGES.set(AGE_GAUGE, oldest_s, pool=pool)
 
 
 def _row_by_key(rows):
