--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/endpoint_load.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/endpoint_load.py
@@ -20,8 +20,6 @@
         Number of requests that the endpoint runs concurrently.
     cache_share : float
         Share of the cache that can't be evicted.
-    speed : float or None
-        Events that a running request makes per second.
     """
 
     at_s: float
@@ -29,7 +27,6 @@
     others: int
     slots: int
     cache_share: float
-    speed: float | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +38,7 @@
     others_share : float
         Requests of other entries per slot.
     speed : float or None
+        Events that a running request makes per second.
     """
 
     others_share: float = 0.0
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
@@ -6,9 +6,10 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.balancing.cost_factors import MAX_FAILURE_RATE, OTHER_DOMAIN_LOAD_FACTOR
 from hemlockdock_entry.balancing.draw_weights import EndpointState, draw_weights
+from hemlockdock_entry.balancing.own_requests import KEPT_S
 
 # Endpoints drawn at random for a request.
-CANDIDATES = 2
+CANDIDATES = 4
 # A report may claim a speed within this factor of the pool's mean.
 MAX_SPEED_FACTOR = 3.0
 # First bytes that take this many times as long as is usual in the pool contradict a low load.
@@ -119,24 +120,25 @@
         for row in rows:
             load = self._view.load(row.endpoint_id, now_s)
             in_flight = self._health.for_endpoint(row.endpoint_id).in_flight
+            speed = self._speed(row)
             if load is None:
                 slots = max(1, row.slots)
                 others = self._view.pool_load(row.pool).others_share * slots
-                states.append(EndpointState(in_flight, others, slots, 1.0, 0.0, 0.0))
+                states.append(EndpointState(in_flight, others, slots, speed, 0.0, KEPT_S))
                 continue
-            speed = self._speed(load, row.pool)
             age_s = now_s - load.at_s
             states.append(
                 EndpointState(in_flight, load.others, load.slots, speed, load.cache_share, age_s)
             )
         return draw_weights(states, self._view.run_s(rows[0].pool))
 
-    def _speed(self, load, pool):
+    def _speed(self, row):
         """Return an endpoint's speed as a multiple of the pool's mean."""
-        mean = self._view.pool_load(pool).speed
-        if not mean or not load.speed:
+        mean = self._view.pool_load(row.pool).speed
+        speed = self._view.speed(row.endpoint_id)
+        if not mean or not speed:
             return 1.0
-        return min(MAX_SPEED_FACTOR, max(1.0 / MAX_SPEED_FACTOR, load.speed / mean))
+        return min(MAX_SPEED_FACTOR, max(1.0 / MAX_SPEED_FACTOR, speed / mean))
 
     def _trusts(self, rows):
         """Return factors by which endpoints get less, as their responses contradict reports."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -25,11 +25,13 @@
     """The last report of each endpoint, and what this entry sent to it.
 
     This handles reports of some hundred endpoints, a few seconds old. Reports older than 3 s, and
-    those of an endpoint that has refused a request since as it was full, are not used.
+    those of an endpoint that has refused a request since as it was full, are not used. Speeds are
+    kept, as they hardly change.
     """
 
     def __init__(self):
         self._load_by_id = {}
+        self._speed_by_id = {}
         self._own_by_id = {}
         self._rejected_s_by_id = {}
         self._pool_by_name = {}
@@ -143,6 +145,19 @@
         load = self.load(endpoint_id, now_s)
         return load is not None and self._rejected_s_by_id.get(endpoint_id, 0.0) > load.at_s
 
+    def speed(self, endpoint_id):
+        """Return the speed that was last reported of an endpoint, or None if there was none.
+
+        Parameters
+        ----------
+        endpoint_id : str
+
+        Returns
+        -------
+        float or None
+        """
+        return self._speed_by_id.get(endpoint_id)
+
     def pool_load(self, pool):
         """Return the mean load of a pool.
 
@@ -200,8 +215,9 @@
             max(0, requests - own),
             max(1, slots),
             told.cache_used_percent / 100,
-            told.speed_milli / MILLI or None,
         )
+        if told.speed_milli:
+            self._speed_by_id[row.endpoint_id] = told.speed_milli / MILLI
 
     def _own(self, endpoint_id):
         own = self._own_by_id.get(endpoint_id)
@@ -214,6 +230,8 @@
         present = {row.endpoint_id for row in row_by_key.values()}
         for endpoint_id in self._load_by_id.keys() - present:
             del self._load_by_id[endpoint_id]
+        for endpoint_id in self._speed_by_id.keys() - present:
+            del self._speed_by_id[endpoint_id]
         for endpoint_id in self._rejected_s_by_id.keys() - present:
             del self._rejected_s_by_id[endpoint_id]
         for endpoint_id, own in list(self._own_by_id.items()):
@@ -222,7 +240,11 @@
 
     def _update_pools(self, rows, now_s):
         loads_by_pool = {}
+        speeds_by_pool = {}
         for row in rows:
+            speed = self._speed_by_id.get(row.endpoint_id)
+            if speed is not None:
+                speeds_by_pool.setdefault(row.pool, []).append(speed)
             load = self.load(row.endpoint_id, now_s)
             if load is not None:
                 loads_by_pool.setdefault(row.pool, []).append(load)
@@ -234,7 +256,7 @@
             shares = [load.requests / load.slots for load in loads]
             slots = sum(load.slots for load in loads)
             others_share = sum(load.others for load in loads) / slots
-            self._pool_by_name[pool] = PoolLoad(others_share, _mean_speed(loads))
+            self._pool_by_name[pool] = PoolLoad(others_share, _mean(speeds_by_pool.get(pool)))
             mean = sum(shares) / len(shares)
             GAUGES.set(UNEVENNESS_GAUGE, max(shares) / mean if mean else 1.0, pool=pool)
             oldest_s = max(now_s - load.at_s for load in loads)
@@ -255,6 +277,5 @@
     return row_by_key
 
 
-def _mean_speed(loads):
-    speeds = [load.speed for load in loads if load.speed]
-    return sum(speeds) / len(speeds) if speeds else None
+def _mean(values):
+    return sum(values) / len(values) if values else None
