--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -1,10 +1,16 @@
 """An entry's view of the loads of endpoints."""
 
+import logging
+
 from hemlockdock_core.messages import load_key
 from hemlockdock_core.metrics import COUNTERS, GAUGES
 from hemlockdock_entry.balancing.endpoint_load import PoolLoad, ReportedLoad, expected_others
 from hemlockdock_entry.balancing.own_requests import KEPT_S, OwnRequests
 
+logger = logging.getLogger(__name__)
+
+UNEVENNESS_GAUGE = "gateway_load_unevenness"
+AGE_GAUGE = "gateway_load_report_age_seconds"
 MS_PER_S = 1_000
 MILLI = 1_000
 # Weight of the latest request in the average run time.
@@ -19,15 +25,18 @@
     """The last report of each endpoint, and what this entry sent to it.
 
     This handles reports of some hundred endpoints, a few seconds old. Reports older than 3 s, and
-    those of an endpoint that has refused a request since as it was full, are not used.
+    those of an endpoint that has refused a request since as it was full, are not used. Speeds are
+    kept, as they hardly change.
     """
 
     def __init__(self):
         self._load_by_id = {}
+        self._speed_by_id = {}
         self._own_by_id = {}
         self._rejected_s_by_id = {}
         self._pool_by_name = {}
         self._run_s_by_pool = {}
+        self._recorded_s = float("-inf")
 
     def record(self, summary, rows, pool_by_name, now_s):
         """Record the loads of a summary.
@@ -40,6 +49,9 @@
         pool_by_name : dict of str to PoolRow
         now_s : float
         """
+        if now_s - self._recorded_s > KEPT_S:
+            logger.info("loads of endpoints arrive", extra={"loads": len(summary.loads)})
+        self._recorded_s = now_s
         row_by_key = _row_by_key(rows)
         self._remove_absent(row_by_key)
         for told in summary.loads:
@@ -73,7 +85,7 @@
         self._own(row.endpoint_id).add(-1, now_s)
         if sent_s is None:
             return
-        run_s = self._run_s(row.pool)
+        run_s = self.run_s(row.pool)
         self._run_s_by_pool[row.pool] = run_s + EWMA_WEIGHT * (now_s - sent_s - run_s)
 
     def record_rejected(self, endpoint_id, now_s):
@@ -133,6 +145,19 @@
         load = self.load(endpoint_id, now_s)
         return load is not None and self._rejected_s_by_id.get(endpoint_id, 0.0) > load.at_s
 
+    def speed(self, endpoint_id):
+        """Return the speed that was last reported of an endpoint, or None if there was none.
+
+        Parameters
+        ----------
+        endpoint_id : str
+
+        Returns
+        -------
+        float or None
+        """
+        return self._speed_by_id.get(endpoint_id)
+
     def pool_load(self, pool):
         """Return the mean load of a pool.
 
@@ -146,6 +171,19 @@
         """
         return self._pool_by_name.get(pool, UNKNOWN_POOL)
 
+    def run_s(self, pool):
+        """Return the mean run time of the requests of a pool, as this entry has seen it.
+
+        Parameters
+        ----------
+        pool : str
+
+        Returns
+        -------
+        float
+        """
+        return max(MIN_RUN_S, self._run_s_by_pool.get(pool, DEFAULT_RUN_S))
+
     def others(self, row, slots, now_s):
         """Return the requests of other entries that are expected at an endpoint.
 
@@ -160,7 +198,7 @@
         ExpectedOthers
         """
         load = self.load(row.endpoint_id, now_s)
-        run_s = max(MIN_RUN_S, self._run_s(row.pool))
+        run_s = self.run_s(row.pool)
         return expected_others(load, self.pool_load(row.pool), slots, run_s, now_s)
 
     def _record(self, row, told, pool, now_s):
@@ -177,8 +215,9 @@
             max(0, requests - own),
             max(1, slots),
             told.cache_used_percent / 100,
-            told.speed_milli / MILLI or None,
         )
+        if told.speed_milli:
+            self._speed_by_id[row.endpoint_id] = told.speed_milli / MILLI
 
     def _own(self, endpoint_id):
         own = self._own_by_id.get(endpoint_id)
@@ -187,13 +226,12 @@
             self._own_by_id[endpoint_id] = own
         return own
 
-    def _run_s(self, pool):
-        return self._run_s_by_pool.get(pool, DEFAULT_RUN_S)
-
     def _remove_absent(self, row_by_key):
         present = {row.endpoint_id for row in row_by_key.values()}
         for endpoint_id in self._load_by_id.keys() - present:
             del self._load_by_id[endpoint_id]
+        for endpoint_id in self._speed_by_id.keys() - present:
+            del self._speed_by_id[endpoint_id]
         for endpoint_id in self._rejected_s_by_id.keys() - present:
             del self._rejected_s_by_id[endpoint_id]
         for endpoint_id, own in list(self._own_by_id.items()):
@@ -202,20 +240,27 @@
 
     def _update_pools(self, rows, now_s):
         loads_by_pool = {}
+        speeds_by_pool = {}
         for row in rows:
+            speed = self._speed_by_id.get(row.endpoint_id)
+            if speed is not None:
+                speeds_by_pool.setdefault(row.pool, []).append(speed)
             load = self.load(row.endpoint_id, now_s)
             if load is not None:
                 loads_by_pool.setdefault(row.pool, []).append(load)
+        for pool in self._pool_by_name.keys() - loads_by_pool.keys():
+            GAUGES.remove(UNEVENNESS_GAUGE, pool=pool)
+            GAUGES.remove(AGE_GAUGE, pool=pool)
         self._pool_by_name = {}
         for pool, loads in loads_by_pool.items():
             shares = [load.requests / load.slots for load in loads]
             slots = sum(load.slots for load in loads)
             others_share = sum(load.others for load in loads) / slots
-            self._pool_by_name[pool] = PoolLoad(others_share, _mean_speed(loads))
+            self._pool_by_name[pool] = PoolLoad(others_share, _mean(speeds_by_pool.get(pool)))
             mean = sum(shares) / len(shares)
-            GAUGES.set("gateway_load_unevenness", max(shares) / mean if mean else 1.0, pool=pool)
+            GAUGES.set(UNEVENNESS_GAUGE, max(shares) / mean if mean else 1.0, pool=pool)
             oldest_s = max(now_s - load.at_s for load in loads)
-            GAUGES.set("gateway_load_report_age_seconds", oldest_s, pool=pool)
+            GAUGES.set(AGE_GAUGE, oldest_s, pool=pool)
 
 
 def _row_by_key(rows):
@@ -232,6 +277,5 @@
     return row_by_key
 
 
-def _mean_speed(loads):
-    speeds = [load.speed for load in loads if load.speed]
-    return sum(speeds) / len(speeds) if speeds else None
+def _mean(values):
+    return sum(values) / len(values) if values else None
