core, control, entry, platform: shares of limits follow the entries' capacities

Cause: connection limits, the slack of retry budgets and the pace of an entry out of touch were divided equally among entries, whose hosts differ by a factor of three on the fonts deployment.

FleetNodes.capacities_differ tells whether entries state different ones. New fields stand at the end with defaults. Equal or unknown: exactly as before. An entry out of touch never takes more than an equal share, since the leader withholds no more for it.

--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 
 from hemlockdock_control.consensus.seeding import member_ip
+from hemlockdock_control.fleet.entry_capacities import EntryCapacities
 from hemlockdock_control.fleet.entry_lists import EntryLists
 from hemlockdock_control.fleet.registry import AgentReport
 from hemlockdock_control.fleet.stream_origins import StreamOrigins
@@ -102,6 +103,7 @@
         self._limits = limits
         self._proposals = NodeProposals(proposer, send, PROPOSABLE)
         self._node_by_address = {}
+        self._capacities = EntryCapacities()
         self._entry_lists = EntryLists(send)
         self._stream_origins = StreamOrigins(replicator, machine, clock)
 
@@ -110,6 +112,11 @@
         """Return the number of entries that send heartbeats to this member."""
         return sum(1 for node in self._node_by_address.values() if node.role == ENTRY_ROLE)
 
+    @property
+    def capacities_differ(self):
+        """Return whether entries that send heartbeats to this member state different capacities."""
+        return self._capacities.differ
+
     @property
     def is_fresh(self):
         """Tell whether this member, leader or follower, has a leader in recent contact."""
@@ -148,6 +155,7 @@
                 del self._node_by_address[address]
                 self._demand.forget_entry(node.node_id)
                 self._entry_lists.remove(address)
+                self._capacities.remove(address, now_s)
                 silent.append(address)
         self._stream_origins.remove_expired()
         self._feed.remove_silent(now_s * MS_PER_S, NODE_TIMEOUT_S * MS_PER_S)
@@ -167,6 +175,8 @@
         node.heard_s = now_s
         if body.info is not None:
             node.role = body.info.role
+            if node.role == ENTRY_ROLE:
+                self._capacities.set(frame.reply_to, body.info.capacity, now_s)
         if node.role == ENTRY_ROLE:
             self._limits.roster.record_heartbeat(node.node_id, now_s, body.leaving)
         self._feed.touch(frame.reply_to, now_s * MS_PER_S)
@@ -174,7 +184,7 @@
             # Without an answer, the node switches to a member that is in contact with a leader.
             COUNTERS.increment("control_heartbeats_unanswered")
             return
-        self._send(frame.reply_to, self._acknowledgement(body, bool(node.role)))
+        self._send(frame.reply_to, self._acknowledgement(body, node))
         if node.role == ENTRY_ROLE and self._replicator.has_lease:
             self._entry_lists.heartbeat(frame.reply_to, now_s, is_new=body.info is not None)
 
@@ -229,7 +239,10 @@
     def _(self, body: FindStreamOrigin, frame):
         self._send(frame.reply_to, self._stream_origins.reply_to(body))
 
-    def _acknowledgement(self, heartbeat, known):
+    def _acknowledgement(self, heartbeat, node):
+        capacity_ratio = 0.0
+        if self._replicator.is_leader:
+            capacity_ratio = self._capacities.ratio(node.address, self._clock.seconds())
         leader_id = self._replicator.leader_id
         leader_address = ""
         if leader_id:
@@ -237,13 +250,14 @@
         return HeartbeatAck(
             heartbeat.sequence,
             self._machine.state.changes.revision,
-            known,
+            bool(node.role),
             fresh=True,
             members=self._member_addresses(),
             leader_address=leader_address,
             entries=self.entry_count if self._replicator.is_leader else 0,
             keeps_stream_origins=True,
             issues_permits=self._replicator.has_lease,
+            capacity_ratio=capacity_ratio,
         )
 
     def _member_addresses(self):
--- a/packages/hemlockdock-core/hemlockdock_core/messages/heartbeat.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/heartbeat.py
@@ -56,6 +56,9 @@
         Whether the member understands the messages about where streams began.
     issues_permits : bool
         Whether the member is the leader and issues permits for endpoints with a limit.
+    capacity_ratio : float
+        Capacity of the entry in relation to the mean of the live entries, so that its share of a
+        total is ``capacity_ratio / entries``; 0 if not given.
     """
 
     expects_answer: ClassVar[bool] = False
@@ -69,3 +72,4 @@
     entries: int = 0
     keeps_stream_origins: bool = False
     issues_permits: bool = False
+    capacity_ratio: float = 0.0
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_contact.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_contact.py
@@ -24,6 +24,8 @@
         first report.
     reported_entries : int
         The same, but 0 before the first report.
+    capacity_ratio : float
+        Capacity of this entry in relation to the mean of all, as last reported; 1 before.
     """
 
     def __init__(self):
@@ -33,6 +35,7 @@
         self.issues_permits = False
         self.entries = ASSUMED_ENTRY_COUNT
         self.reported_entries = 0
+        self.capacity_ratio = 1.0
 
     def seconds_since_heartbeat(self, now_s):
         """Return the seconds since the last confirmed heartbeat was sent; None if there is none.
@@ -95,6 +98,8 @@
         # never decreases.
         self.entries = max(self.entries, ack.entries)
         self.reported_entries = max(self.reported_entries, ack.entries)
+        # Followers, and a leader that does not know all entries yet, report none.
+        self.capacity_ratio = ack.capacity_ratio or self.capacity_ratio
         self.issues_permits = ack.issues_permits
         sent_s = self._sent_s_by_sequence.get(ack.sequence)
         for older in [key for key in self._sent_s_by_sequence if key <= ack.sequence]:
--- a/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/control_link.py
@@ -94,6 +94,11 @@
         """Return the number of entries that control reported; see ``ControlContact``."""
         return self.contact.reported_entries
 
+    @property
+    def capacity_ratio(self):
+        """Return this entry's capacity in relation to the mean; see ``ControlContact``."""
+        return self.contact.capacity_ratio
+
     @property
     def issues_permits(self):
         """Return whether the selected member issues permits for endpoints with a limit."""
--- a/packages/hemlockdock-core/hemlockdock_core/node/local_node.py
+++ b/packages/hemlockdock-core/hemlockdock_core/node/local_node.py
@@ -58,4 +58,7 @@
         http_address,
         group,
         memory_mb,
+        process.cores * (process.cpu_share or 1.0),
+        process.memory_mb,
+        process.link_mbps,
     )
--- a/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
@@ -13,6 +13,7 @@
     HostPort,
     LinkAddress,
     NameList,
+    OptionalNumber,
     TextList,
     split_list,
 )
@@ -78,6 +79,16 @@
         ge=0,
         le=86_400_000,
     )
+    cpu_share: OptionalNumber = key(
+        1.0, "Share of the cores that the process may use; multiplied with cores.", ge=0, le=1_000
+    )
+    cores: OptionalNumber = key(0.0, "Cores of an entry's host; 0 if unknown.", ge=0, le=10_000)
+    memory_mb: OptionalNumber = key(
+        0.0, "Memory of an entry's host; 0 if unknown.", "MB", ge=0, le=1_000_000_000
+    )
+    link_mbps: OptionalNumber = key(
+        0.0, "Capacity of an entry's link; 0 if unknown.", "Mbit/s", ge=0, le=10_000_000
+    )
 
 
 class ListenSection(Section):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 
+from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
@@ -113,8 +114,12 @@
 
     @property
     def entries(self):
-        """Return the number of entries that share retry budgets and connection limits."""
-        return self._link.entries
+        """Return by what to divide retry budgets and connection limits that entries share.
+
+        It is the number of entries, or this entry's capacity in all of theirs if that differs.
+        """
+        ratio = self._link.capacity_ratio
+        return self._link.entries if ratio == 1.0 else self._link.entries / ratio
 
     @property
     def link(self):
@@ -302,6 +307,7 @@
         self.endpoint_limits.run_maintenance()
         self.permits.run_maintenance()
         self.model_queue.repeat_report()
+        GAUGES.set("gateway_capacity_ratio", self._link.capacity_ratio)
 
     def _limit_changed(self, endpoint_id, before_per_s, after_per_s):
         self.permits.limit_changed(endpoint_id, before_per_s, after_per_s)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/permit_tracker.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/permit_tracker.py
@@ -280,7 +280,9 @@
         if not entries:
             declined_until_s_by_id[endpoint_id] = now_s + RETRY_S
             return
-        interval_s = entries / effective_per_s(self._limits.per_s(endpoint_id))
+        # The leader withholds an equal share for each entry that is silent, not a larger one.
+        ratio = min(1.0, self._gateway.link.capacity_ratio)
+        interval_s = entries / (effective_per_s(self._limits.per_s(endpoint_id)) * ratio)
         booked_s = permits.own_pace.book(exchange.may_wait_s, interval_s, now_s)
         if booked_s is None:
             declined_until_s_by_id[endpoint_id] = permits.own_pace.next_s
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
@@ -124,8 +124,8 @@
         Parameters
         ----------
         pool : PoolRow
-        entries : int
-            Number of entries that share the limit.
+        entries : float
+            By what to divide the limit, see ``Gateway.entries``.
 
         Returns
         -------
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/windowed_retry_budget.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/windowed_retry_budget.py
@@ -45,8 +45,8 @@
         Parameters
         ----------
         now_s : float
-        entries : int
-            Entries that share the slack.
+        entries : float
+            By what to divide the slack, see ``Gateway.entries``.
 
         Returns
         -------
@@ -63,7 +63,7 @@
         Parameters
         ----------
         now_s : float
-        entries : int
+        entries : float
 
         Returns
         -------
--- a/packages/hemlockdock-entry/tests/support_gateway.py
+++ b/packages/hemlockdock-entry/tests/support_gateway.py
@@ -50,6 +50,7 @@
         self.table = RoutingTable()
         self.entries = 1
         self.reported_entries = 1
+        self.capacity_ratio = 1.0
         self.issues_permits = False
         self.sent = []
         self.proposed = []
--- a/packages/hemlockdock-entry/tests/test_permit_tracker.py
+++ b/packages/hemlockdock-entry/tests/test_permit_tracker.py
@@ -230,6 +230,23 @@
                 server.answer(extra=b"X-Endpoint-Limit: 0\r\n" + CLOSE)
         self.assertIn(sent, range(4, 8))
 
+    def test_an_entry_paces_itself_by_its_capacity_but_no_faster_than_an_equal_share(self):
+        # The leader withholds an equal share for each entry that it has lost touch with.
+        sent_by_ratio = {}
+        for ratio in (0.5, 1.0, 2.0):
+            self.setUp()
+            self.link.capacity_ratio = ratio
+            self.name_limit()
+            sent_by_ratio[ratio] = 0
+            for _ in range(400):
+                self.send()
+                self.reactor.advance(0.1)
+                while self.reactor.connecting:
+                    sent_by_ratio[ratio] += 1
+                    self.harness.connect().answer(extra=LIMIT + CLOSE)
+        self.assertAlmostEqual(sent_by_ratio[0.5] / sent_by_ratio[1.0], 0.5, delta=0.05)
+        self.assertAlmostEqual(sent_by_ratio[2.0] / sent_by_ratio[1.0], 1.0, delta=0.05)
+
 
 class LiftedLimitTest(PermitTestCase):
     def test_an_answer_to_a_request_sent_before_does_not_lift_the_limit(self):
--- a/tools/benchmarks/crash_rounds.py
+++ b/tools/benchmarks/crash_rounds.py
@@ -68,6 +68,7 @@
         self.table = RoutingTable()
         self.entries = entries
         self.reported_entries = entries
+        self.capacity_ratio = 1.0
         self.issues_permits = False
         self.origin_members = []
         self._rounds = rounds
--- a/tools/benchmarks/limit_control.py
+++ b/tools/benchmarks/limit_control.py
@@ -31,6 +31,7 @@
         self.table = RoutingTable()
         self.entries = 0
         self.reported_entries = 0
+        self.capacity_ratio = 1.0
         self.origin_members = []
         self.in_touch = True
         self.gateway = None
