entry: less urgent requests leave room, and refused clients return in turn

Cause: a request that can wait took each slot that became free, while urgent ones that can't wait were refused; clients refused in one shortage were told one time and returned together.

Change: while the entry has load summaries (gateway.loads, absent so far), a free slot goes to the most urgent request of all models of the pool; a less urgent one leaves endpoints to models of which more urgent ones wait, or were refused in the last second, for half of the time until it must start; refused clients are booked one after the other at the rate of service. Pure decisions in balancing/.

No effect under load measured.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -6,7 +6,9 @@
 
 from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
+from hemlockdock_entry.balancing.absent_loads import AbsentLoads
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
+from hemlockdock_entry.gateway.class_order import ClassOrder
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
 from hemlockdock_entry.gateway.endpoint_gate import EndpointGate
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
@@ -63,6 +65,9 @@
     gate : EndpointGate
     stop_schedule : StopSchedule
     selection : EndpointSelection
+    loads : AbsentLoads
+        Has ``is_fresh``, whether the entry knows the loads of endpoints.
+    class_order : ClassOrder
     model_queue : ModelQueue
     origin_lookup : OriginLookup
     other_entries : OtherEntries
@@ -109,6 +114,8 @@
         self.stop_schedule = StopSchedule(reactor)
         self.gate = EndpointGate(self)
         self.selection = EndpointSelection(self)
+        self.loads = AbsentLoads()
+        self.class_order = ClassOrder(self, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -35,7 +35,7 @@
         self._adapters = AdapterTracker(gateway, self._on_adapter_settled)
         self._last_report_s = 0.0
         self._supply = ModelAvailability()
-        self._unservable = UnservableRequests(gateway, self._supply)
+        self._unservable = UnservableRequests(gateway, self._supply, gateway.class_order)
         self._shares = CustomerShares(gateway.headers)
 
     def enqueue(self, exchange):
@@ -98,7 +98,7 @@
         use = self._local_demand(exchange)
         use.in_flight -= 1
         self._mark_changed(use)
-        if self._shares.are_used(use.pool):
+        if self._orders_pool(use.pool):
             self._gateway.clock.callLater(0, self._dispatch_shared, use.pool)
         elif use.waiting:
             self._gateway.clock.callLater(0, self._dispatch_waiting, use)
@@ -164,8 +164,8 @@
                 self._dispatch_waiting(use)
 
     def _dispatch_shared(self, pool):
-        """Dispatch requests of all models of a pool in the order of its customers' shares."""
-        if not self._shares.are_used(pool):
+        """Dispatch requests of all models of a pool by urgency and its customers' shares."""
+        if not self._orders_pool(pool):
             return
         exchanges = []
         for use in self._demand_by_model.values():
@@ -181,6 +181,9 @@
             if exchange in use.waiting and exchange.binding.origin is None:
                 full.add(use.model)
 
+    def _orders_pool(self, pool):
+        return self._shares.are_used(pool) or self._gateway.loads.is_fresh
+
     def _dispatch_waiting(self, use):
         self._shares.sort(use.pool, use.waiting)
         self._dispatch(use, self._dispatchable(use))
@@ -227,6 +230,7 @@
             health = gateway.health.for_endpoint(row.endpoint_id)
             if health.in_flight < max_in_flight and health.full_until_s <= now_s:
                 usable.append(row)
+        usable = gateway.class_order.leave_room(exchange, usable, self._demand_by_model.values())
         # One that is about to leave gets what no other endpoint can take.
         usable = [row for row in usable if not row.retiring] or usable
         usable = gateway.selection.unconfirmed_or_all(usable)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
@@ -106,9 +106,23 @@
     -------
     int
     """
-    longest_s = max(0.0, (deadline_s - now_s) * MAX_RETRY_AFTER_FRACTION - RETRY_AFTER_MARGIN_S)
+    longest_s = longest_return_s(deadline_s, now_s)
     if ready_s is None:
         wanted_s = max(DEFAULT_RETRY_AFTER_S, least_s + READY_MARGIN_S)
     else:
         wanted_s = ready_s + READY_MARGIN_S - now_s
-    return round(min(max(wanted_s, MIN_RETRY_AFTER_S), max(longest_s, 0.0)) * MS_PER_S)
+    return round(min(max(wanted_s, MIN_RETRY_AFTER_S), longest_s) * MS_PER_S)
+
+
+def longest_return_s(deadline_s, now_s):
+    """Return the longest delay after which a refused client would retry, in seconds.
+
+    Parameters
+    ----------
+    deadline_s, now_s : float
+
+    Returns
+    -------
+    float
+    """
+    return max(0.0, (deadline_s - now_s) * MAX_RETRY_AFTER_FRACTION - RETRY_AFTER_MARGIN_S)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -131,6 +131,8 @@
         self._is_streaming = verdict.is_stream
         if endpoint_try.outcome is not TryOutcome.NOT_RUN:
             self.may_have_run = True
+        if endpoint_try.outcome is None:
+            self._gateway.class_order.record_accepted(self._exchange)
 
     def on_response_data(self, endpoint_try, data):
         """Forward part of a stream, or buffer part of any other response.
@@ -267,6 +269,8 @@
         elif move is NextMove.BREAK_OFF:
             exchange.abort_response("the endpoint aborted its response")
         elif move is NextMove.REFUSE_NOT_RUN:
+            if endpoint_try.outcome is TryOutcome.NOT_RUN:
+                self._gateway.class_order.record_refusal(exchange)
             exchange.refuse(self._gateway.selection.refusal(exchange))
         else:
             message = "the endpoint gave no whole answer"
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/unservable_requests.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/unservable_requests.py
@@ -14,10 +14,12 @@
     ----------
     gateway : Gateway
     supply : ModelAvailability
+    class_order : ClassOrder
     """
 
-    def __init__(self, gateway, supply):
+    def __init__(self, gateway, supply, class_order):
         self._gateway = gateway
+        self._class_order = class_order
         self._supply = supply
 
     def refuse(self, use, exchanges):
@@ -48,6 +50,10 @@
         else:
             kind, why = ErrorKind.DEADLINE_UNREACHABLE, "the model is not there in time"
         after_ms = return_after_ms(exchange.deadline_s, ready_s, now_s, least_s)
+        if not least_s:
+            # Its model is loaded: what it lacks is a free slot.
+            after_ms = self._class_order.return_after_ms(exchange, after_ms)
+            self._class_order.record_refusal(exchange)
         if exchange.is_first_request:
             use.return_times_s.append(now_s + after_ms / MS_PER_S)
         exchange.refuse(Refusal.of(kind, why, retry_after_ms=after_ms))
--- /dev/null
+++ b/packages/hemlockdock-entry/tests/test_class_order.py
@@ -0,0 +1,166 @@
+"""Test that less urgent requests leave room, and that refused clients return one after another."""
+
+import random
+import unittest
+from types import SimpleNamespace
+
+import msgspec
+from support_gateway import STREAM_PATH, GatewayTestCase, endpoint, route
+
+from hemlockdock_core.rows import RouteKind
+from hemlockdock_entry.balancing.return_spread import ReturnSpread
+from hemlockdock_entry.balancing.urgent_needs import REFUSED_LATELY_S, UrgentNeeds, may_yield
+from hemlockdock_entry.gateway.route_index import RouteIndex
+
+URGENT_PATH = "/urgent/"
+NOT_RUN = b"X-Not-Run: 1\r\nConnection: close\r\n"
+
+
+class UrgentNeedsTest(unittest.TestCase):
+    def test_only_more_urgent_requests_of_the_pool_count_for_a_second(self):
+        needs = UrgentNeeds()
+        needs.record_refusal("lm", "m", (0, 0), 5.0)
+        for pool, urgency, now_s, models in (
+            ("lm", (0, 2), 5.0, {"m"}),
+            ("lm", (1, 0), 5.5, {"m"}),
+            ("lm", (0, 0), 5.0, set()),
+            ("shop", (0, 2), 5.0, set()),
+            ("lm", (0, 2), 5.01 + REFUSED_LATELY_S, set()),
+        ):
+            self.assertEqual(needs.models(pool, urgency, now_s), models)
+
+    def test_a_request_yields_only_while_it_can_be_in_time_later(self):
+        self.assertTrue(may_yield(10.0, 14.0, 11.9))
+        self.assertFalse(may_yield(10.0, 14.0, 12.0))
+        self.assertFalse(may_yield(10.0, 9.9, 10.0))
+
+
+class ReturnSpreadTest(unittest.TestCase):
+    def setUp(self):
+        self.spread = ReturnSpread(random.Random(3))
+
+    def serve(self, per_s):
+        for number in range(2 * per_s):
+            self.spread.record_served(number / per_s)
+
+    def test_refused_clients_return_at_the_rate_of_service(self):
+        # Clients that are told one time are refused again together.
+        self.serve(20)
+        booked = [self.spread.book_s(2.5, 12.0, 2.0) for _ in range(100)]
+        self.assertGreaterEqual(min(booked), 2.5)
+        for second in range(3, 7):
+            count = sum(second <= at_s < second + 1 for at_s in booked)
+            self.assertTrue(18 <= count <= 22, count)
+
+    def test_nobody_is_told_a_time_after_which_it_does_not_return(self):
+        self.serve(20)
+        booked = [self.spread.book_s(2.5, 4.0, 2.0) for _ in range(500)]
+        self.assertTrue(all(2.5 <= at_s <= 4.0 for at_s in booked))
+        late = [at_s for at_s in booked[50:] if at_s > 3.6]
+        self.assertTrue(0.4 < len(late) / 450 < 0.7, len(late))
+
+    def test_without_any_service_clients_return_within_what_they_accept(self):
+        self.assertTrue(2.0 <= self.spread.book_s(2.5, 2.4, 2.0) <= 2.4)
+
+
+class RoomTest(GatewayTestCase):
+    """An endpoint that has two models and takes one request at a time."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness.link.entries = 10
+        live = msgspec.structs.replace(self.live("live", STREAM_PATH), urgency=2, target_ms=5_000)
+        urgent = msgspec.structs.replace(self.live("urgent", URGENT_PATH), urgency=0)
+        self.harness.gateway.routes = RouteIndex([live, urgent])
+        self.harness.gateway.loads = SimpleNamespace(is_fresh=True)
+        self.harness.put_rows(endpoint("x", "lm", 3, models=("m", "n")))
+
+    def live(self, name, prefix):
+        return route(name, prefix, RouteKind.STREAM, "lm", True, timeout_ms=20_000)
+
+    def send_for(self, model, path=STREAM_PATH):
+        extra = b"X-Use-Model: %b\r\n" % model
+        return self.send(path, extra, left_ms=19_000)
+
+    def refuse_urgent(self):
+        """Let an urgent request be refused, because the only endpoint is full all the time."""
+        client = self.send_for(b"m", URGENT_PATH)
+        for _ in range(30):
+            if client.status is not None:
+                break
+            while self.waiting_ports:
+                server = self.harness.connect()
+                server.answer(b"", 503, b"1", NOT_RUN, signed=False)
+            self.reactor.advance(0.1)
+            self.harness.gateway.model_queue.check_waiting()
+        self.assertEqual(client.status, 503)
+        self.reactor.advance(0.3)
+
+    def test_a_less_urgent_request_leaves_room_after_an_urgent_one_was_refused(self):
+        self.refuse_urgent()
+        client = self.send_for(b"n")
+        self.assertEqual((client.status, self.waiting_ports), (None, []))
+        urgent = self.send_for(b"m", URGENT_PATH)
+        self.assertEqual((urgent.status, self.waiting_ports), (None, [3]))
+
+    def test_it_is_served_once_no_urgent_one_was_refused_for_a_second(self):
+        self.refuse_urgent()
+        self.send_for(b"n")
+        self.reactor.advance(REFUSED_LATELY_S)
+        self.harness.gateway.model_queue.check_waiting()
+        self.assertEqual(self.waiting_ports, [3])
+
+    def test_it_is_served_before_it_would_be_late(self):
+        self.refuse_urgent()
+        client = self.send_for(b"n")
+        needs = self.harness.gateway.class_order
+        sent_s = None
+        urgent = SimpleNamespace(
+            model="m", pool=SimpleNamespace(name="lm"), urgency=(0, 0), may_have_run=False
+        )
+        start_s = self.reactor.seconds()
+        while sent_s is None and self.reactor.seconds() < start_s + 5.0:
+            needs.record_refusal(urgent)
+            self.reactor.advance(0.1)
+            self.harness.gateway.model_queue.check_waiting()
+            if self.waiting_ports:
+                sent_s = self.reactor.seconds() - start_s
+        self.assertTrue(client.status is None and 0.5 < sent_s < 4.75, sent_s)
+
+    def test_refused_clients_are_told_different_times_while_loads_are_known(self):
+        for is_fresh in (True, False):
+            self.setUp()
+            self.harness.gateway.loads = SimpleNamespace(is_fresh=is_fresh)
+            clients = [self.send_for(b"m", URGENT_PATH) for _ in range(12)]
+            for _ in range(30):
+                while self.waiting_ports:
+                    server = self.harness.connect()
+                    number = server.header(b"x-request-id")
+                    server.answer(b"", 503, number, NOT_RUN, signed=False)
+                self.reactor.advance(0.1)
+                self.harness.gateway.model_queue.check_waiting()
+            times = {client.received.partition(b"Retry-After: ")[2][:4] for client in clients}
+            self.assertEqual(len(times) > 9, is_fresh, times)
+
+    def test_a_free_slot_goes_to_the_most_urgent_request_of_all_models(self):
+        # Otherwise it goes to the model whose request has ended.
+        for is_fresh, number in ((True, b"3"), (False, b"2")):
+            self.setUp()
+            self.harness.gateway.loads = SimpleNamespace(is_fresh=is_fresh)
+            self.send_for(b"n")
+            self.send_for(b"n")
+            self.send_for(b"m", URGENT_PATH)
+            server = self.harness.connect()
+            server.answer(b"data: x\n\n", extra=b"Connection: close\r\n")
+            self.reactor.advance(0)
+            self.assertEqual(self.harness.connect().header(b"x-request-id"), number)
+
+    def test_without_loads_no_room_is_left(self):
+        self.refuse_urgent()
+        self.harness.gateway.loads = SimpleNamespace(is_fresh=False)
+        self.send_for(b"n")
+        self.assertEqual(self.waiting_ports, [3])
+
+
+if __name__ == "__main__":
+    unittest.main()
