--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -115,6 +115,19 @@
             return None
         return load
 
+    def is_fresh(self, now_s):
+        """Return whether loads were told lately.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        bool
+        """
+        return now_s - self._recorded_s <= KEPT_S
+
     def is_informed(self, rows, now_s):
         """Return whether the load of any of some endpoints is known.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -4,10 +4,12 @@
 import random
 import secrets
 
+from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
-from hemlockdock_entry.customers import CustomerDirectory
-from hemlockdock_entry.customers.quota_accounts import QuotaAccounts
+from hemlockdock_entry.balancing.load_freshness import LoadFreshness
+from hemlockdock_entry.customers import CustomerDirectory, QuotaAccounts
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
+from hemlockdock_entry.gateway.class_order import ClassOrder
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
 from hemlockdock_entry.gateway.endpoint_gate import EndpointGate
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
@@ -66,6 +68,9 @@
     gate : EndpointGate
     stop_schedule : StopSchedule
     selection : EndpointSelection
+    loads : LoadFreshness
+        Has ``is_fresh``, whether the entry knows the loads of endpoints.
+    class_order : ClassOrder
     model_queue : ModelQueue
     origin_lookup : OriginLookup
     other_entries : OtherEntries
@@ -114,13 +119,19 @@
         self.stop_schedule = StopSchedule(reactor)
         self.gate = EndpointGate(self)
         self.selection = EndpointSelection(self)
+        self.loads = LoadFreshness(self.selection.loads, reactor)
+        self.class_order = ClassOrder(self, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
 
     @property
     def entries(self):
-        """Return the number of entries that share retry budgets and connection limits."""
-        return self._link.entries
+        """Return by what to divide retry budgets and connection limits that entries share.
+
+        It is the number of entries, or this entry's capacity in all of theirs if that differs.
+        """
+        ratio = self._link.capacity_ratio
+        return self._link.entries if ratio == 1.0 else self._link.entries / ratio
 
     @property
     def link(self):
@@ -314,6 +325,7 @@
         self.permits.run_maintenance()
         self.quotas.run_maintenance()
         self.model_queue.repeat_report()
+        GAUGES.set("gateway_capacity_ratio", self._link.capacity_ratio)
 
     def _limit_changed(self, endpoint_id, before_per_s, after_per_s):
         self.permits.limit_changed(endpoint_id, before_per_s, after_per_s)
