--- a/packages/hemlockdock-entry/tests/test_fair_queue.py
+++ b/packages/hemlockdock-entry/tests/test_fair_queue.py
@@ -7,7 +7,8 @@
 from support_gateway import STREAM_PATH, GatewayTestCase, endpoint
 from twisted.internet.task import Clock
 
-from hemlockdock_core.rows import CustomerRow, TokenQuota
+from hemlockdock_core.customer_keys import key_digest
+from hemlockdock_core.rows import CustomerRow, LimitsRow, TokenQuota
 from hemlockdock_entry.balancing.fair_queue import FairQueue
 from hemlockdock_entry.balancing.queue_ticket import QueueTicket, stated_tokens
 
@@ -206,24 +207,20 @@
         super().setUp()
         self.harness.link.entries = 10
         self.sent_names = []
+        self.limits = LimitsRow(2, 1_000, 10_000, 3_000, 15_000, requires_keys=True)
 
     def put_endpoint(self):
         self.harness.put_rows(endpoint("x", "lm", 3, models=("m", "n")))
 
     def send_as(self, name, model=MODEL, tokens=b"10,10", urgency=0):
-        customer = None if name is None else CustomerRow(name, (), urgency)
-        create = self.harness.gateway.create_exchange
-
-        def create_with_customer(connection, request):
-            exchange = create(connection, request)
-            exchange.customer = customer
-            return exchange
-
-        self.harness.gateway.create_exchange = create_with_customer
+        key = b""
+        if name is not None:
+            digest = key_digest(name.encode())
+            self.harness.put_rows(CustomerRow(name, (digest,), urgency), self.limits)
+            key = b"X-Customer-Key: %b\r\n" % name.encode()
         # Deadlines differ, so that ties have an order.
         self.reactor.advance(0.001)
-        client = self.send(STREAM_PATH, model + b"X-Tokens: %b\r\n" % tokens, left_ms=12_000)
-        self.harness.gateway.create_exchange = create
+        client = self.send(STREAM_PATH, key + model + b"X-Tokens: %b\r\n" % tokens, left_ms=12_000)
         return client
 
     def served_numbers(self, count):
