--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -9,6 +9,7 @@
 from hemlockdock_control.fleet.entry_lists import EntryLists
 from hemlockdock_control.fleet.registry import AgentReport
 from hemlockdock_control.fleet.stream_origins import StreamOrigins
+from hemlockdock_control.quotas import QuotaLedger
 from hemlockdock_control.service.node_proposals import NodeProposals
 from hemlockdock_core.commands import RecordCrash, ReleaseQuarantine
 from hemlockdock_core.messages import (
@@ -21,6 +22,8 @@
     PermitRequest,
     PermitReturn,
     Proposal,
+    QuotaRequest,
+    QuotaReturn,
     StreamStarted,
     WatchTable,
 )
@@ -75,6 +78,10 @@
     on_change : callable
         Called without arguments when a report has arrived that may change placement decisions.
     limits : RequestLimits
+
+    Attributes
+    ----------
+    quotas : QuotaLedger
     """
 
     def __init__(
@@ -101,6 +108,7 @@
         self._send = send
         self._on_change = on_change
         self._limits = limits
+        self.quotas = QuotaLedger(clock.seconds())
         self._proposals = NodeProposals(proposer, send, PROPOSABLE)
         self._node_by_address = {}
         self._capacities = EntryCapacities()
@@ -112,6 +120,12 @@
         """Return the number of entries that send heartbeats to this member."""
         return sum(1 for node in self._node_by_address.values() if node.role == ENTRY_ROLE)
 
+    @property
+    def entry_addresses(self):
+        """Return the addresses of the entries that send heartbeats to this member."""
+        nodes = self._node_by_address.values()
+        return [node.address for node in nodes if node.role == ENTRY_ROLE]
+
     @property
     def capacities_differ(self):
         """Return whether entries that send heartbeats to this member state different capacities."""
@@ -227,6 +241,22 @@
     def _(self, body: PermitReturn, frame):
         self._limits.give_back(body)
 
+    @_on_message.register
+    def _(self, body: QuotaRequest, frame):
+        # Without a valid lease, another member may already lead and grant tokens.
+        if not self._replicator.has_lease:
+            return
+        now_s = self._clock.seconds()
+        self._limits.roster.record_message(frame.sender, now_s)
+        self._limits.roster.record_reported(body.entries)
+        self.quotas.update(self._machine.state.routes.manifest)
+        counts = self._limits.roster.counts(now_s)
+        self._send(frame.reply_to, self.quotas.answer(body, counts, now_s))
+
+    @_on_message.register
+    def _(self, body: QuotaReturn, frame):
+        self.quotas.give_back(body)
+
     @_on_message.register
     def _(self, body: Proposal, frame):
         self._proposals.on_proposal(body, frame.reply_to)
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -22,6 +22,7 @@
 from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
 from hemlockdock_core.messages.inventory import Inventory, InventoryModel
 from hemlockdock_core.messages.leaving import Leaving
+from hemlockdock_core.messages.load import EndpointLoad, LoadSummary, load_key
 from hemlockdock_core.messages.orders import (
     LoadAdapterOrder,
     LoadOrder,
@@ -31,6 +32,13 @@
     UnloadOrder,
 )
 from hemlockdock_core.messages.proposals import Proposal, ProposalResult
+from hemlockdock_core.messages.quotas import (
+    QuotaAsk,
+    QuotaOffer,
+    QuotaReply,
+    QuotaRequest,
+    QuotaReturn,
+)
 from hemlockdock_core.messages.refused import Refused
 from hemlockdock_core.messages.request_limits import (
     LimitNamed,
@@ -67,6 +75,7 @@
     "CrashReport",
     "DemandReport",
     "Dispatch",
+    "EndpointLoad",
     "EndpointReport",
     "EngineFacts",
     "EntryList",
@@ -80,6 +89,7 @@
     "LimitNamed",
     "LoadAdapterOrder",
     "LoadOrder",
+    "LoadSummary",
     "MalformedFrameError",
     "ModelDemand",
     "ModelTraffic",
@@ -94,6 +104,11 @@
     "PermitReturn",
     "Proposal",
     "ProposalResult",
+    "QuotaAsk",
+    "QuotaOffer",
+    "QuotaReply",
+    "QuotaRequest",
+    "QuotaReturn",
     "Refused",
     "Resume",
     "SoundNotice",
@@ -105,4 +120,5 @@
     "UnloadOrder",
     "WatchTable",
     "Wish",
+    "load_key",
 ]
--- a/packages/hemlockdock-core/hemlockdock_core/messages/union.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/union.py
@@ -19,6 +19,7 @@
 from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
 from hemlockdock_core.messages.inventory import Inventory
 from hemlockdock_core.messages.leaving import Leaving
+from hemlockdock_core.messages.load import LoadSummary
 from hemlockdock_core.messages.orders import (
     LoadAdapterOrder,
     LoadOrder,
@@ -27,6 +28,7 @@
     UnloadOrder,
 )
 from hemlockdock_core.messages.proposals import Proposal, ProposalResult
+from hemlockdock_core.messages.quotas import QuotaReply, QuotaRequest, QuotaReturn
 from hemlockdock_core.messages.refused import Refused
 from hemlockdock_core.messages.request_limits import (
     LimitNamed,
@@ -83,6 +85,10 @@
     | EntryList
     | CrashNotice
     | SoundNotice
+    | QuotaRequest
+    | QuotaReply
+    | QuotaReturn
+    | LoadSummary
 )
 
 NODE_CODEC = Codec(NodeMessage)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_health.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_entry.balancing.cost_factors import MAX_FAILURE_RATE, OTHER_DOMAIN_LOAD_FACTOR
 from hemlockdock_entry.ejection import ejection_s
 
 # Weight of the latest sample in the exponentially weighted moving averages.
@@ -9,9 +10,6 @@
 FAILURES_BEFORE_EJECTION = 2
 BASE_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
-# An endpoint in another failure domain is selected only if its load is lower by this factor.
-OTHER_DOMAIN_LOAD_FACTOR = 1.15
-MAX_FAILURE_RATE = 0.9
 # Nearly all responses start within this multiple of the average latency.
 FIRST_BYTE_TIMEOUT_FACTOR = 6.0
 
@@ -104,11 +102,16 @@
     failure_domain : str
         Failure domain of this entry.
     random_source : random.Random
+
+    Attributes
+    ----------
+    failure_domain : str
+    random_source : random.Random
     """
 
     def __init__(self, failure_domain, random_source):
-        self._failure_domain = failure_domain
-        self._random = random_source
+        self.failure_domain = failure_domain
+        self.random_source = random_source
         self.health_by_id = {}
 
     def for_endpoint(self, endpoint_id):
@@ -160,7 +163,7 @@
             if row.endpoint_id in preferred_ids:
                 cost /= 2
             is_avoided = max(health.ejected_until_s, health.full_until_s) > now_s
-            rank = (is_avoided, health.suspects_in_flight > 0, cost, self._random.random())
+            rank = (is_avoided, health.suspects_in_flight > 0, cost, self.random_source.random())
             if apart:
                 rank = (is_avoided, row.endpoint_id)
             if best_rank is None or rank < best_rank:
@@ -181,7 +184,7 @@
 
     def _cost(self, row, health, now_s):
         load = (health.in_flight + 1) / max(1, row.slots)
-        if row.failure_domain != self._failure_domain:
+        if row.failure_domain != self.failure_domain:
             load *= OTHER_DOMAIN_LOAD_FACTOR
         success_rate = 1.0 - min(health.failure_rate, MAX_FAILURE_RATE)
         return load * (health.latency_s or 1.0) / (success_rate * success_rate)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -7,6 +7,8 @@
 from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.balancing.absent_loads import AbsentLoads
+from hemlockdock_entry.customers import CustomerDirectory
+from hemlockdock_entry.customers.quota_accounts import QuotaAccounts
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
 from hemlockdock_entry.gateway.class_order import ClassOrder
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
@@ -56,11 +58,13 @@
     routes : RouteIndex or None
         None until the first routing table is received.
     limits : LimitsRow
+    customers : CustomerDirectory
     health : EndpointHealthTracker
     endpoints : PoolEndpoints
     pauses : EndpointPauses
     endpoint_limits : EndpointLimits
     permits : PermitTracker
+    quotas : QuotaAccounts
     quarantine : Quarantine
     gate : EndpointGate
     stop_schedule : StopSchedule
@@ -87,6 +91,7 @@
         self.dropped_headers = wire.headers.reserved | {wire.headers.time_left_ms}
         self.routes = None
         self.limits = DEFAULT_LIMITS
+        self.customers = CustomerDirectory(DEFAULT_LIMITS)
         self.clients = ClientRegistry()
         self.startup_queue = StartupQueue(reactor)
         self.buffer_budget = BufferBudget(MAX_HELD_BYTES)
@@ -109,6 +114,7 @@
         )
         self.endpoint_limits = EndpointLimits(self, self._limit_changed)
         self.permits = PermitTracker(self, self.endpoint_limits, self._random)
+        self.quotas = QuotaAccounts(self, self._random)
         self.other_entries = OtherEntries(reactor, send)
         self.quarantine = Quarantine(self, settings.process.node_id)
         self.stop_schedule = StopSchedule(reactor)
@@ -295,11 +301,16 @@
             logger.info(
                 "routes applied", extra={"number": self.limits.number, "revision": self.revision}
             )
+        customers_changed = self.customers.update(table)
         self.endpoints.update(table.endpoint_by_id)
         self.health.remove_absent(table.endpoint_by_id)
         self.permits.remove_absent(table.endpoint_by_id)
+        self.quotas.table_changed()
         self.endpoint_limits.update(table.endpoint_by_id)
         self.quarantine.table_changed()
+        if customers_changed:
+            for exchange in list(self._exchanges):
+                exchange.customers_changed()
         self.model_queue.table_changed()
         self.startup_queue.start_all()
 
@@ -313,6 +324,7 @@
         self.pauses.remove_expired()
         self.endpoint_limits.run_maintenance()
         self.permits.run_maintenance()
+        self.quotas.run_maintenance()
         self.model_queue.repeat_report()
         GAUGES.set("gateway_capacity_ratio", self._link.capacity_ratio)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -2,6 +2,8 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
+from hemlockdock_entry.customers import NO_CUSTOMER_URGENCY, RequestKey
+from hemlockdock_entry.customers.token_wish import TokenWish
 from hemlockdock_entry.gateway.continuation import can_continue
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.patience import Patience
@@ -31,9 +33,8 @@
     Attributes
     ----------
     content : RequestContent
+    key : RequestKey
     route : RouteRow or None
-    customer : CustomerRow or None
-        None if the request was sent without a customer's key.
     pool : PoolRow or None
     model, adapter : str
         Empty if the request names none.
@@ -49,6 +50,7 @@
     reserved_endpoint_id : str
         Endpoint at which a slot is reserved while the request waits for an adapter.
     wish : PermitWish
+    tokens : TokenWish
     """
 
     def __init__(self, gateway, connection, request):
@@ -62,8 +64,8 @@
         self._deadline_call = None
         self._ended = False
         self.request = request
+        self.key = RequestKey(gateway, request)
         self.route = None
-        self.customer = None
         self.pool = None
         self.model = ""
         self.adapter = ""
@@ -75,6 +77,7 @@
         self.ticket = None
         self.reserved_endpoint_id = ""
         self.wish = PermitWish()
+        self.tokens = TokenWish()
 
     @property
     def ended(self):
@@ -114,12 +117,22 @@
         latest_s = max(self.target_s, self.now_s() + SHORT_WAIT_S)
         return max(0.0, min(latest_s, self.deadline_s) - self.now_s())
 
+    @property
+    def customer(self):
+        """Return the CustomerRow of the request's key; None if it was sent without one."""
+        return self.key.customer
+
     @property
     def urgency(self):
         """Return the key by which requests are ordered; the lowest is the most urgent."""
-        customer_urgency = 0 if self.customer is None else self.customer.urgency
+        customer_urgency = NO_CUSTOMER_URGENCY if self.customer is None else self.customer.urgency
         return (customer_urgency, self.route.urgency)
 
+    @property
+    def urgency_rank(self):
+        """Return the rank of the request's urgency among all that the manifest allows."""
+        return self._gateway.customers.index.rank(self)
+
     @property
     def patience(self):
         """Return the Patience of the client of a request that names a model."""
@@ -151,6 +164,10 @@
         if self.route is None:
             self.refuse(Refusal.of(ErrorKind.UNKNOWN_ROUTE, "no route for this host and path"))
             return
+        refusal = self.key.refusal(self.route)
+        if refusal is not None:
+            self.refuse(refusal)
+            return
         self._set_times()
         if self.binding.is_resumption:
             self.binding.find(self._begin)
@@ -227,6 +244,14 @@
         self._response_writer.write_refusal(refusal, self.content.request_id)
         self._finish()
 
+    def customers_changed(self):
+        """Refuse the request if it waits and its key was removed."""
+        if self._ended or self.route is None or self._tries.in_progress:
+            return
+        refusal = self.key.removal_refusal(self)
+        if refusal is not None:
+            self.refuse(refusal)
+
     def refuse_unsendable(self):
         """Refuse the request if no endpoint may get it.
 
@@ -332,7 +357,8 @@
         if pool.engine is not None:
             value = self.request.header(self._gateway.headers.model).decode("latin-1")
             self.model, _, self.adapter = value.partition("/")
-        self.dispatch()
+        if gateway.quotas.charge(self):
+            self.dispatch()
 
     def _on_deadline(self):
         self._deadline_call = None
@@ -362,4 +388,5 @@
             self._deadline_call = None
         self._gateway.model_queue.dequeue(self)
         self._gateway.permits.give_back(self.take_permit())
+        self._gateway.quotas.release(self)
         self._gateway.remove_exchange(self)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -12,7 +12,9 @@
     AdapterHeld,
     CrashNotice,
     EntryList,
+    LoadSummary,
     PermitReply,
+    QuotaReply,
     SoundNotice,
     StreamOriginReply,
 )
@@ -181,12 +183,18 @@
         if isinstance(frame.body, PermitReply):
             self.gateway.permits.on_reply(frame.body)
             return
+        if isinstance(frame.body, QuotaReply):
+            self.gateway.quotas.on_reply(frame.body)
+            return
         if isinstance(frame.body, StreamOriginReply):
             self.gateway.origin_lookup.on_reply(frame.sender, frame.body)
             return
         if isinstance(frame.body, EntryList):
             self.gateway.other_entries.update(frame.body.addresses)
             return
+        if isinstance(frame.body, LoadSummary):
+            self.gateway.selection.record_loads(frame.body)
+            return
         if isinstance(frame.body, CrashNotice | SoundNotice):
             handle_notice(frame.body, frame.sender, self.gateway.quarantine)
             return
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_health.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_health.py
@@ -6,18 +6,18 @@
 FULL_PAUSE_S = 0.25
 
 
-def record_try(health, outcome, now_s):
+def record_try(gateway, endpoint_id, outcome):
     """Record an attempt that produced no usable response.
 
     Parameters
     ----------
-    health : EndpointHealth
+    gateway : Gateway
+    endpoint_id : str
     outcome : TryOutcome
-    now_s : float
     """
     if outcome is TryOutcome.WITHHELD:
         return
     if outcome in (TryOutcome.NOT_RUN, TryOutcome.NOT_SENT):
-        health.record_full(now_s, FULL_PAUSE_S)
+        gateway.gate.record_full(endpoint_id, FULL_PAUSE_S)
     if outcome is not TryOutcome.NOT_RUN:
-        health.record_failure(now_s)
+        gateway.health.for_endpoint(endpoint_id).record_failure(gateway.clock.seconds())
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -77,7 +77,7 @@
         self._try = EndpointTry(self, row, request_id, data, permit, self._used_connections)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
-        self._gateway.endpoint_limits.record_sent(row.endpoint_id)
+        self._gateway.gate.record_sent(row.endpoint_id)
         self._runs_apart = self._gateway.quarantine.runs_apart(exchange)
         health.suspects_in_flight += self._runs_apart
         self._try.begin(self._gateway.endpoints.connections_to(row), self.now_s())
@@ -109,6 +109,8 @@
         """
         if not self._gateway.stop_schedule.allows(self._exchange):
             return False
+        if self._exchange.key.is_removed(self._exchange):
+            return False
         return self._gateway.gate.may_send(endpoint_try.row.endpoint_id, endpoint_try.permit)
 
     def now_s(self):
@@ -204,8 +206,7 @@
             return
         self._try = None
         self._release_endpoint(endpoint_try)
-        health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
-        record_try(health, outcome, self.now_s())
+        record_try(self._gateway, endpoint_try.row.endpoint_id, outcome)
         if outcome in (TryOutcome.NOT_SENT, TryOutcome.WITHHELD):
             self._unsent.record(endpoint_try.row.endpoint_id, outcome)
             if not self._was_used_before:
@@ -289,8 +290,7 @@
         health = self._gateway.health.for_endpoint(endpoint_try.row.endpoint_id)
         health.in_flight -= 1
         health.suspects_in_flight -= self._runs_apart
-        if not endpoint_try.was_sent:
-            self._gateway.permits.give_back(endpoint_try.permit)
+        self._gateway.gate.record_ended(endpoint_try)
         if self._exchange.model:
             self._gateway.model_queue.request_finished(self._exchange)
 
