entry: the order between classes applies while load summaries arrive

Change: gateway.loads tells whether the LoadView recorded a summary in the last 3 s, the age at which its reports are no longer used.

--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -49,7 +49,7 @@
         pool_by_name : dict of str to PoolRow
         now_s : float
         """
-        if now_s - self._recorded_s > KEPT_S:
+        if not self.is_told(now_s):
             logger.info("loads of endpoints arrive", extra={"loads": len(summary.loads)})
         self._recorded_s = now_s
         row_by_key = _row_by_key(rows)
@@ -62,6 +62,19 @@
             self._record(row, told, pool_by_name.get(row.pool), now_s)
         self._update_pools(row_by_key.values(), now_s)
 
+    def is_told(self, now_s):
+        """Return whether a summary was recorded lately.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        bool
+        """
+        return now_s - self._recorded_s <= KEPT_S
+
     def record_sent(self, endpoint_id, now_s):
         """Record that this entry sends a request to an endpoint.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -6,7 +6,7 @@
 
 from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
-from hemlockdock_entry.balancing.absent_loads import AbsentLoads
+from hemlockdock_entry.balancing.load_freshness import LoadFreshness
 from hemlockdock_entry.customers import CustomerDirectory
 from hemlockdock_entry.customers.quota_accounts import QuotaAccounts
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
@@ -69,8 +69,7 @@
     gate : EndpointGate
     stop_schedule : StopSchedule
     selection : EndpointSelection
-    loads : AbsentLoads
-        Has ``is_fresh``, whether the entry knows the loads of endpoints.
+    loads : LoadFreshness
     class_order : ClassOrder
     model_queue : ModelQueue
     origin_lookup : OriginLookup
@@ -120,7 +119,7 @@
         self.stop_schedule = StopSchedule(reactor)
         self.gate = EndpointGate(self)
         self.selection = EndpointSelection(self)
-        self.loads = AbsentLoads()
+        self.loads = LoadFreshness(reactor, self.selection.loads)
         self.class_order = ClassOrder(self, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
--- a/packages/hemlockdock-entry/tests/test_class_order.py
+++ b/packages/hemlockdock-entry/tests/test_class_order.py
@@ -5,11 +5,15 @@
 from types import SimpleNamespace
 
 import msgspec
-from support_gateway import STREAM_PATH, GatewayTestCase, endpoint, route
+from support_gateway import SETTINGS, STREAM_PATH, GatewayTestCase, endpoint, route
 
+from hemlockdock_core.messages import LoadSummary
 from hemlockdock_core.rows import RouteKind
+from hemlockdock_core.settings import parse_settings
+from hemlockdock_core.wire import own
 from hemlockdock_entry.balancing.return_spread import ReturnSpread
 from hemlockdock_entry.balancing.urgent_needs import REFUSED_LATELY_S, UrgentNeeds, may_yield
+from hemlockdock_entry.gateway.gateway import Gateway
 from hemlockdock_entry.gateway.route_index import RouteIndex
 
 URGENT_PATH = "/urgent/"
@@ -155,6 +159,15 @@
             self.reactor.advance(0)
             self.assertEqual(self.harness.connect().header(b"x-request-id"), number)
 
+    def test_loads_are_known_for_three_seconds_after_a_summary(self):
+        gateway = Gateway(self.reactor, parse_settings(SETTINGS, "t"), own.WIRE, None)
+        gateway.attach_link(self.harness.link)
+        self.assertFalse(gateway.loads.is_fresh)
+        gateway.selection.record_loads(LoadSummary(()))
+        self.assertTrue(gateway.loads.is_fresh)
+        self.reactor.advance(3.1)
+        self.assertFalse(gateway.loads.is_fresh)
+
     def test_without_loads_no_room_is_left(self):
         self.refuse_urgent()
         self.harness.gateway.loads = SimpleNamespace(is_fresh=False)
