--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_freshness.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_freshness.py
@@ -1,20 +1,20 @@
-"""Tell whether control sends this entry the loads of endpoints."""
+"""Tell whether an entry knows the loads of endpoints."""
 
 
 class LoadFreshness:
-    """Whether the rules apply that need the loads of endpoints.
+    """Whether control tells this entry loads of endpoints, at the present time.
 
     Parameters
     ----------
-    view : LoadView
     clock : twisted reactor
+    loads : LoadView
     """
 
-    def __init__(self, view, clock):
-        self._view = view
+    def __init__(self, clock, loads):
         self._clock = clock
+        self._loads = loads
 
     @property
     def is_fresh(self):
-        """Return whether any endpoint's load was reported lately."""
-        return self._view.is_fresh(self._clock.seconds())
+        """Return whether a summary of loads arrived in the last seconds."""
+        return self._loads.is_told(self._clock.seconds())
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -69,7 +69,6 @@
     stop_schedule : StopSchedule
     selection : EndpointSelection
     loads : LoadFreshness
-        Has ``is_fresh``, whether the entry knows the loads of endpoints.
     class_order : ClassOrder
     model_queue : ModelQueue
     origin_lookup : OriginLookup
@@ -119,7 +118,7 @@
         self.stop_schedule = StopSchedule(reactor)
         self.gate = EndpointGate(self)
         self.selection = EndpointSelection(self)
-        self.loads = LoadFreshness(self.selection.loads, reactor)
+        self.loads = LoadFreshness(reactor, self.selection.loads)
         self.class_order = ClassOrder(self, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -221,6 +221,7 @@
 
     def _choose(self, exchange):
         gateway = self._gateway
+        balancer = gateway.selection.balancer
         now_s = gateway.clock.seconds()
         max_in_flight = max(2, int(exchange.pool.engine.slots * MAX_SLOT_SHARE))
         usable = []
@@ -228,7 +229,7 @@
             if not row.has_model(exchange.model) or not may_run_at(exchange.binding.origin, row):
                 continue
             health = gateway.health.for_endpoint(row.endpoint_id)
-            has_room = gateway.selection.balancer.has_room(row, max_in_flight, now_s)
+            has_room = balancer.has_room(row, max_in_flight, now_s)
             if has_room and health.full_until_s <= now_s:
                 usable.append(row)
         usable = gateway.class_order.leave_room(exchange, usable, self._demand_by_model.values())
@@ -239,13 +240,9 @@
         if exchange.adapter:
             preferred_ids = self._endpoints_with_adapter(exchange, usable)
         apart = gateway.quarantine.runs_apart(exchange)
-        row = gateway.selection.balancer.choose(
-            usable, now_s, exchange.tried_ids, preferred_ids, apart
-        )
+        row = balancer.choose(usable, now_s, exchange.tried_ids, preferred_ids, apart)
         if row is None and exchange.tried_ids:
-            row = gateway.selection.balancer.choose(
-                usable, now_s, frozenset(), preferred_ids, apart
-            )
+            row = balancer.choose(usable, now_s, frozenset(), preferred_ids, apart)
         return row
 
     def _endpoints_with_adapter(self, exchange, rows):
--- a/packages/hemlockdock-entry/tests/test_fair_queue.py
+++ b/packages/hemlockdock-entry/tests/test_fair_queue.py
@@ -207,21 +207,20 @@
         super().setUp()
         self.harness.link.entries = 10
         self.sent_names = []
-        self.limits = LimitsRow(2, 1_000, 10_000, 3_000, 15_000, requires_keys=True)
 
     def put_endpoint(self):
         self.harness.put_rows(endpoint("x", "lm", 3, models=("m", "n")))
 
     def send_as(self, name, model=MODEL, tokens=b"10,10", urgency=0):
-        key = b""
+        extra = b"X-Tokens: %b\r\n" % tokens
         if name is not None:
+            limits = LimitsRow(1, 1_000, 10_000, 3_000, 15_000, requires_keys=True)
             digest = key_digest(name.encode())
-            self.harness.put_rows(CustomerRow(name, (digest,), urgency), self.limits)
-            key = b"X-Customer-Key: %b\r\n" % name.encode()
+            self.harness.put_rows(limits, CustomerRow(name, (digest,), urgency))
+            extra += b"X-Customer-Key: %b\r\n" % name.encode()
         # Deadlines differ, so that ties have an order.
         self.reactor.advance(0.001)
-        client = self.send(STREAM_PATH, key + model + b"X-Tokens: %b\r\n" % tokens, left_ms=12_000)
-        return client
+        return self.send(STREAM_PATH, model + extra, left_ms=12_000)
 
     def served_numbers(self, count):
         """Serve requests one after the other; return their ids."""
