--- a/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
@@ -1,5 +1,7 @@
 """Stand-in for one engine of a fleet: executes load orders and streams events."""
 
+import re
+
 import msgspec
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -17,6 +19,9 @@
 LEDGER_PATH = "/ledger"
 # Tests set here the limit that the engine names; an empty body for none.
 LIMIT_PATH = "/limit"
+# A path with this suffix asks for a response of that many kilobytes.
+LONG_RESPONSE = re.compile(rb"/kilobytes-(\d+)$")
+KILOBYTE = b"x" * 1_000
 
 ORDER_DECODER = msgspec.json.Decoder(EngineOrder)
 
@@ -144,9 +149,15 @@
         self.ledger.runs.append(request_id)
         signature = f"{self._endpoint_id}.{len(self.ledger.runs)}"
         request.setHeader(HEADERS.signature, signature)
+        long_response = LONG_RESPONSE.search(request.path)
+        kilobytes = 0 if long_response is None else int(long_response.group(1))
         if model is None:
-            return b"ran " + request_id.encode()
+            return KILOBYTE * kilobytes or b"ran " + request_id.encode()
         request.setHeader(b"Content-Type", b"text/event-stream")
+        if kilobytes:
+            return b"".join(
+                b"id: %d\ndata: %b\n\n" % (n, KILOBYTE) for n in range(1, kilobytes + 1)
+            )
         self._send_event(request, int(request.getHeader(HEADERS.last_event_id) or 0) + 1)
         return NOT_DONE_YET
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,6 +12,7 @@
 HASH_SEED = os.environ.get("FUZZ_SEED", "0")
 RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 BAD = re.compile(r"(?:failures|errors|unexpected successes)=(\d+)")
+ALONE = Path("tools/tests_processes")
 KNOWN_RED = Path("KNOWN-RED.txt")
 
 
@@ -52,6 +53,9 @@
     folders += [p for p in [Path("platform/tests"), Path("tools/tests")] if p.is_dir()]
     with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
         results = list(pool.map(run_folder, folders))
+    # These measure the memory of processes under load, so they run by themselves.
+    folders.append(ALONE)
+    results.append(run_folder(ALONE))
     ran = 0
     failed = 0
     broken = False
