entry: request bodies of all clients share a budget of memory

Cause: each connection kept its body as a list of parts, which takes up to twenty times the bytes of small chunks, without a limit over all connections and without a limit of time.

A body is now one growing buffer. What the requests of all client connections take counts in one budget, a quarter of the memory that the process may use, at most 64 MB and never less than one request of the largest size. When it is full, the connection that holds most of those without progress is refused with 503, Retry-After and Connection: close, else the newcomer. A body without a byte for 15 s gets 408. A connection with a refused body stays open for 0.5 s, so that the refusal is read before the reset. The platform's memory limit is passed on where it states one.

--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/process_memory.py
@@ -0,0 +1,39 @@
+"""Find out how much memory the process may use."""
+
+import os
+import resource
+from pathlib import Path
+
+BYTES_PER_MB = 1_024 * 1_024
+CGROUP_LIMITS = ("/sys/fs/cgroup/memory.max", "/sys/fs/cgroup/memory/memory.limit_in_bytes")
+
+
+def usable_memory_bytes(settings):
+    """Return the memory that the process may use, in bytes.
+
+    Parameters
+    ----------
+    settings : Settings
+
+    Returns
+    -------
+    int
+        As set, else the lowest of the limits of the operating system.
+    """
+    if settings.clients.memory_mb:
+        return int(settings.clients.memory_mb * BYTES_PER_MB)
+    limits = [os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")]
+    for kind in (resource.RLIMIT_AS, resource.RLIMIT_DATA):
+        soft, _ = resource.getrlimit(kind)
+        if soft != resource.RLIM_INFINITY:
+            limits.append(soft)
+    limits.extend(filter(None, map(_cgroup_limit, CGROUP_LIMITS)))
+    return min(limits)
+
+
+def _cgroup_limit(path):
+    try:
+        text = Path(path).read_text().strip()
+    except OSError:
+        return 0
+    return int(text) if text.isdigit() else 0
--- /dev/null
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
@@ -0,0 +1,39 @@
+"""Keys of the limits for what untrusted clients make a process hold."""
+
+from pydantic import model_validator
+
+from hemlockdock_core.settings.sections import Section, key
+
+
+class ClientsSection(Section):
+    """Limits for all clients of the process together; 0 derives a limit from the process's own."""
+
+    @model_validator(mode="before")
+    @classmethod
+    def drop_empty(cls, values):
+        """Drop keys with an empty value: a platform leaves keys empty for which it has no value."""
+        return {name: value for name, value in values.items() if value != ""}
+
+    memory_mb: float = key(
+        0,
+        "Memory that the process may use; 0 takes it from the limits of the operating system.",
+        "MB",
+        ge=0,
+        le=100_000_000,
+    )
+    request_budget_mb: int = key(
+        0,
+        "Memory for the requests of all clients of an entry; 0 for a quarter of the process's, at "
+        "most 64 MB. A single request inside the manifest's limits always fits.",
+        "MB",
+        ge=0,
+        le=100_000_000,
+    )
+    body_stall_ms: int = key(
+        15_000,
+        "Time without a byte after which an incomplete request body is refused; the manifest's "
+        "idle timeout if that is longer.",
+        "ms",
+        ge=100,
+        le=3_600_000,
+    )
--- a/packages/hemlockdock-core/hemlockdock_core/settings/settings.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/settings.py
@@ -4,6 +4,7 @@
 
 from pydantic import Field
 
+from hemlockdock_core.settings.clients_section import ClientsSection
 from hemlockdock_core.settings.member_address import MemberAddress
 from hemlockdock_core.settings.sections import (
     AgentSection,
@@ -35,6 +36,7 @@
     store : StoreSection
     tls : TlsSection
     fleet : FleetSection
+    clients : ClientsSection
     """
 
     process: ProcessSection
@@ -46,6 +48,7 @@
     store: StoreSection = Field(default_factory=StoreSection)
     tls: TlsSection = Field(default_factory=TlsSection)
     fleet: FleetSection = Field(default_factory=FleetSection)
+    clients: ClientsSection = Field(default_factory=ClientsSection)
 
     @property
     def members(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -3,21 +3,21 @@
 import logging
 from collections import deque
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_entry.gateway.messages import ClientRequest, refusal_response
+from hemlockdock_entry.gateway.messages import refusal_response
+from hemlockdock_entry.gateway.request_reader import RequestReader
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1_000
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-EXPECT = b"expect"
-CONNECTION = b"connection"
+# The client may still be sending the body of a request that is refused; if the connection is closed
+# at once, the reset overtakes the refusal.
+LINGER_S = 0.5
 # Complete requests that may be queued behind the one in progress.
 MAX_PIPELINED_REQUESTS = 16
 # Written while the send buffer was full; a client that lets more wait does not read.
@@ -36,18 +36,13 @@
 
     def __init__(self, gateway):
         self._gateway = gateway
-        self._parser = HttpRequestParser(self)
-        self._headers = []
-        self._target = b""
-        self._body = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._in_message = False
-        self._head_complete = False
+        self._reader = RequestReader(gateway, self._queue_request, self._write_interim)
+        # Memory of the complete requests that are queued or being answered.
+        self._requests_bytes = 0
+        self._current_bytes = 0
         self._pending_requests = deque()
         self._exchange = None
         self._header_timer = None
-        self._refusal = None
         self._closing = False
         self._is_send_buffer_full = False
         self._unsent_bytes = 0
@@ -57,7 +52,7 @@
     @property
     def is_idle(self):
         """Return whether no request is being received, queued or answered."""
-        return self._exchange is None and not self._in_message and not self._pending_requests
+        return self._exchange is None and not self._reader.in_message and not self._pending_requests
 
     def connectionMade(self):
         """Register the connection with the gateway."""
@@ -69,7 +64,7 @@
         """Abort the exchange in progress."""
         self.is_lost = True
         self._cancel_header_timer()
-        self._pending_requests.clear()
+        self._release_requests()
         self._gateway.clients.remove(self)
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
@@ -79,83 +74,13 @@
         """Parse received bytes."""
         if self._closing:
             return
-        if not self._head_complete:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._refusal = Refusal.of(ErrorKind.BAD_REQUEST, "no protocol upgrade is offered")
-        except HttpParserError as error:
-            if self._refusal is None:
-                self._refusal = Refusal.of(ErrorKind.BAD_REQUEST, f"malformed request: {error}")
-        if not self._head_complete and self._head_bytes > self._gateway.limits.header_bytes:
-            self._refusal = Refusal.of(ErrorKind.HEADER_TOO_LARGE, "the header is too large")
-        if self._refusal is not None:
-            self._refuse_and_close(self._refusal)
+        refusal = self._reader.feed(data) or self._hold_requests()
+        if refusal is not None:
+            self._refuse_and_close(refusal)
             return
         self._update_header_timer()
         self._start_next_request()
 
-    # Callbacks of the HTTP parser.
-
-    def on_message_begin(self):
-        """Reset the state for a new request."""
-        self._headers = []
-        self._target = b""
-        self._body = []
-        self._body_bytes = 0
-        self._in_message = True
-        self._head_complete = False
-
-    def on_url(self, url):
-        """Append to the request target."""
-        self._target += url
-
-    def on_header(self, name, value):
-        """Store a header."""
-        self._headers.append((name, value))
-
-    def on_headers_complete(self):
-        """Check the size of the head, and send 100 Continue if the client expects it."""
-        self._head_complete = True
-        self._head_bytes = 0
-        size = len(self._target) + sum(len(name) + len(value) for name, value in self._headers)
-        if size > self._gateway.limits.header_bytes:
-            self._refusal = Refusal.of(ErrorKind.HEADER_TOO_LARGE, "the header is too large")
-            raise ValueError("the header is too large")
-        for name, value in self._headers:
-            if name.lower() == EXPECT and value.lower() == b"100-continue":
-                self.transport.write(CONTINUE)
-
-    def on_body(self, data):
-        """Append to the body, up to the size limit."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self._gateway.limits.body_bytes:
-            self._refusal = Refusal.of(ErrorKind.TOO_LARGE, "the body is too large")
-            raise ValueError("the body is too large")
-        self._body.append(data)
-
-    def on_message_complete(self):
-        """Queue the complete request."""
-        self._in_message = False
-        self._head_complete = False
-        if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
-            self._refusal = Refusal.of(ErrorKind.RATE_LIMITED, "too many requests sent ahead")
-            return
-        value_by_name = {name.lower(): value for name, value in self._headers}
-        self._pending_requests.append(
-            ClientRequest(
-                self._parser.get_method(),
-                self._target,
-                self._headers,
-                value_by_name,
-                b"".join(self._body),
-                self._parser.should_keep_alive(),
-                self._gateway.clock.seconds(),
-                self._parser.get_http_version(),
-            )
-        )
-
     # Called by ProxyExchange and Gateway.
 
     def write(self, data):
@@ -192,6 +117,9 @@
         keep_alive : bool
         """
         self._exchange = None
+        self._requests_bytes -= self._current_bytes
+        self._current_bytes = 0
+        self._hold_requests()
         self.idle_since_s = self._gateway.clock.seconds()
         if not keep_alive or self._gateway.draining:
             # Close even if the response announced keep-alive: a further request would be cut off.
@@ -200,10 +128,25 @@
             return
         self._start_next_request()
 
+    @property
+    def may_drop_body(self):
+        """Return whether the connection receives a body while no response is in progress."""
+        return self._exchange is None and self._reader.is_receiving_body and not self._closing
+
+    def drop_body(self, refusal):
+        """Refuse the request whose body is incomplete, and close the connection.
+
+        Parameters
+        ----------
+        refusal : Refusal
+        """
+        self._refuse_and_close(refusal)
+
     def abort_response(self):
         """Abort the connection, so that the client sees an incomplete response."""
         self._exchange = None
         self._closing = True
+        self._release_requests()
         self.transport.abortConnection()
 
     def close_idle(self):
@@ -236,11 +179,33 @@
         if self._exchange is not None or not self._pending_requests or self._closing:
             return
         request = self._pending_requests.popleft()
+        self._current_bytes = request.held_bytes
         self._exchange = self._gateway.create_exchange(self, request)
         self._exchange.start()
 
+    def _queue_request(self, request):
+        if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
+            return Refusal.of(ErrorKind.RATE_LIMITED, "too many requests sent ahead")
+        self._pending_requests.append(request)
+        self._requests_bytes += request.held_bytes
+        return None
+
+    def _write_interim(self, data):
+        self.transport.write(data)
+
+    def _hold_requests(self):
+        held_bytes = self._requests_bytes + self._reader.held_bytes
+        return self._gateway.client_limits.hold_requests(self, held_bytes)
+
+    def _release_requests(self):
+        self._reader.discard()
+        self._pending_requests.clear()
+        self._requests_bytes = 0
+        self._current_bytes = 0
+        self._gateway.client_limits.hold_requests(self, 0)
+
     def _update_header_timer(self):
-        if not self._in_message:
+        if not self._reader.in_message:
             self._cancel_header_timer()
             return
         if self._header_timer is None:
@@ -249,14 +214,20 @@
 
     def _on_header_timeout(self):
         self._header_timer = None
-        if self._in_message and not self._head_complete:
+        if not self._reader.in_message:
+            return
+        if not self._reader.head_complete:
             COUNTERS.increment("gateway_slow_clients")
             self._refuse_and_close(
                 Refusal.of(ErrorKind.HEADER_TIMEOUT, "the header did not come in time")
             )
             return
-        if self._in_message:
-            self._update_header_timer()
+        stalled_s = self._gateway.clock.seconds() - self._reader.progress_s
+        if self._exchange is None and stalled_s >= self._gateway.client_limits.body_stall_s:
+            COUNTERS.increment("gateway_bodies_stalled")
+            self._refuse_and_close(Refusal.of(ErrorKind.HEADER_TIMEOUT, "the body stopped"))
+            return
+        self._update_header_timer()
 
     def _cancel_header_timer(self):
         if self._header_timer is not None:
@@ -268,6 +239,8 @@
             return
         self._closing = True
         self._cancel_header_timer()
+        is_receiving_body = self._reader.is_receiving_body
+        self._release_requests()
         if self._exchange is not None:
             # A response is in progress, so no error response may be written into it.
             exchange, self._exchange = self._exchange, None
@@ -276,5 +249,15 @@
             return
         COUNTERS.increment("gateway_refusals", kind=refusal.kind.value)
         logger.info("request refused", extra={"kind": refusal.kind.value, "why": refusal.message})
-        self.transport.write(refusal_response(refusal, [(b"Connection", b"close")]))
+        headers = [(b"Connection", b"close")]
+        if refusal.retry_after_ms is not None:
+            headers.append((b"Retry-After", b"%.2f" % (refusal.retry_after_ms / MS_PER_S)))
+        self.transport.write(refusal_response(refusal, headers))
+        if is_receiving_body:
+            self._gateway.clock.callLater(LINGER_S, self._end_lingering)
+            return
         self.transport.loseConnection()
+
+    def _end_lingering(self):
+        if not self.is_lost:
+            self.transport.loseConnection()
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
@@ -0,0 +1,79 @@
+"""Apply the limits for all client connections of an entry together."""
+
+import logging
+
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_entry.gateway.client_budget import ClientBudget, derived_budget_bytes
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1_000
+LOG_INTERVAL_S = 10.0
+# The headers of a head of the largest size may take this many times its bytes as objects.
+HEAD_FACTOR = 64
+
+
+class ClientLimits:
+    """The limits that the client connections of an entry share.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    settings : Settings
+    """
+
+    def __init__(self, gateway, settings):
+        self._gateway = gateway
+        self._settings = settings.clients
+        self._requests = ClientBudget(
+            gateway.clock, derived_budget_bytes(settings, self._settings.request_budget_mb)
+        )
+        self._logged_s = None
+
+    @property
+    def body_stall_s(self):
+        """Return the time without a byte after which an incomplete body is refused."""
+        limit_ms = max(self._settings.body_stall_ms, self._gateway.limits.idle_timeout_ms)
+        return limit_ms / MS_PER_S
+
+    def hold_requests(self, connection, held_bytes):
+        """Set what the requests of one connection take, and make room if that is too much.
+
+        Parameters
+        ----------
+        connection : ClientConnection
+        held_bytes : int
+
+        Returns
+        -------
+        Refusal or None
+            Of the connection's request, if no other connection can be dropped.
+        """
+        limits = self._gateway.limits
+        least_bytes = limits.body_bytes + HEAD_FACTOR * limits.header_bytes
+        while not self._requests.change(connection, held_bytes, least_bytes):
+            if not held_bytes:
+                return None
+            stalled = self._requests.largest_stalled(
+                lambda other: other is not connection and other.may_drop_body
+            )
+            if stalled is None:
+                self._record("gateway_requests_over_budget")
+                return self._refusal()
+            self._record("gateway_bodies_dropped")
+            stalled.drop_body(self._refusal())
+        return None
+
+    def _refusal(self):
+        return Refusal.of(ErrorKind.NO_CAPACITY, "the entry's memory for requests is in use")
+
+    def _record(self, counter):
+        COUNTERS.increment(counter)
+        now_s = self._gateway.clock.seconds()
+        if self._logged_s is None or now_s - self._logged_s >= LOG_INTERVAL_S:
+            self._logged_s = now_s
+            logger.warning(
+                "memory for clients' requests is in use",
+                extra={"counter": counter, "held_bytes": self._requests.held_bytes},
+            )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
+from hemlockdock_entry.gateway.client_limits import ClientLimits
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
 from hemlockdock_entry.gateway.endpoint_gate import EndpointGate
 from hemlockdock_entry.gateway.endpoint_health import EndpointHealthTracker
@@ -66,6 +67,7 @@
     origin_lookup : OriginLookup
     other_entries : OtherEntries
     clients : ClientRegistry
+    client_limits : ClientLimits
     startup_queue : StartupQueue
     buffer_budget : BufferBudget
     draining : bool
@@ -82,6 +84,7 @@
         self.routes = None
         self.limits = DEFAULT_LIMITS
         self.clients = ClientRegistry()
+        self.client_limits = ClientLimits(self, settings)
         self.startup_queue = StartupQueue(reactor)
         self.buffer_budget = BufferBudget(MAX_HELD_BYTES)
         self.draining = False
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/messages.py
@@ -47,21 +47,24 @@
         With names as received.
     value_by_name : dict of bytes to bytes
         The last value of each header, by lower-case name.
-    body : bytes
+    body : bytearray
     keep_alive : bool
     received_s : float
         Time at which the request was completely received.
     http_version : str
+    held_bytes : int
+        Memory that the request takes.
     """
 
     method: bytes
     target: bytes
     headers: list
     value_by_name: dict
-    body: bytes
+    body: bytearray
     keep_alive: bool
     received_s: float
     http_version: str
+    held_bytes: int = 0
 
     @property
     def accepts_chunks(self):
--- /dev/null
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_reader.py
@@ -0,0 +1,151 @@
+"""Parse the pipelined requests of one client connection within the limits."""
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_entry.gateway.messages import ClientRequest
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+EXPECT = b"expect"
+# What Python's objects for a header take beside its bytes.
+HEADER_OVERHEAD_BYTES = 160
+
+
+class RequestReader:
+    """Parse the requests of one client connection.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    on_request : callable
+        Takes each complete ClientRequest, returns whether it is accepted.
+    write : callable
+        Writes an interim response.
+
+    Attributes
+    ----------
+    in_message : bool
+        Whether a request has begun and is incomplete.
+    head_complete : bool
+        Whether the head of that request is complete.
+    held_bytes : int
+        Memory that the incomplete request takes.
+    progress_s : float
+        Time at which bytes of it were last received.
+    """
+
+    def __init__(self, gateway, on_request, write):
+        self._gateway = gateway
+        self._on_request = on_request
+        self._write = write
+        self._parser = HttpRequestParser(self)
+        self._headers = []
+        self._target = b""
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._refusal = None
+        self.in_message = False
+        self.head_complete = False
+        self.held_bytes = 0
+        self.progress_s = 0.0
+
+    @property
+    def is_receiving_body(self):
+        """Return whether an incomplete body is being received."""
+        return self.in_message and self.head_complete
+
+    def feed(self, data):
+        """Parse received bytes.
+
+        Parameters
+        ----------
+        data : bytes
+
+        Returns
+        -------
+        Refusal or None
+        """
+        self.progress_s = self._gateway.clock.seconds()
+        if not self.head_complete:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            return Refusal.of(ErrorKind.BAD_REQUEST, "no protocol upgrade is offered")
+        except HttpParserError as error:
+            if self._refusal is None:
+                self._refusal = Refusal.of(ErrorKind.BAD_REQUEST, f"malformed request: {error}")
+        if not self.head_complete and self._head_bytes > self._gateway.limits.header_bytes:
+            return Refusal.of(ErrorKind.HEADER_TOO_LARGE, "the header is too large")
+        return self._refusal
+
+    def discard(self):
+        """Discard the incomplete request."""
+        self._headers = []
+        self._body = bytearray()
+        self.held_bytes = 0
+        self.in_message = False
+
+    # Callbacks of the HTTP parser.
+
+    def on_message_begin(self):
+        """Reset the state for a new request."""
+        self._headers = []
+        self._target = b""
+        self._body = bytearray()
+        self.held_bytes = 0
+        self.in_message = True
+        self.head_complete = False
+
+    def on_url(self, url):
+        """Append to the request target."""
+        self._target += url
+
+    def on_header(self, name, value):
+        """Store a header."""
+        self._headers.append((name, value))
+        self.held_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+
+    def on_headers_complete(self):
+        """Check the size of the head, and send 100 Continue if the client expects it."""
+        self.head_complete = True
+        self._head_bytes = 0
+        size = len(self._target) + sum(len(name) + len(value) for name, value in self._headers)
+        if size > self._gateway.limits.header_bytes:
+            self._fail(Refusal.of(ErrorKind.HEADER_TOO_LARGE, "the header is too large"))
+        for name, value in self._headers:
+            if name.lower() == EXPECT and value.lower() == b"100-continue":
+                self._write(CONTINUE)
+
+    def on_body(self, data):
+        """Append to the body, up to the size limit."""
+        if len(self._body) + len(data) > self._gateway.limits.body_bytes:
+            self._fail(Refusal.of(ErrorKind.TOO_LARGE, "the body is too large"))
+        # One growing buffer: a list of parts takes up to twenty times the bytes of small chunks.
+        self._body += data
+        self.held_bytes += len(data)
+
+    def on_message_complete(self):
+        """Pass on the complete request."""
+        self.in_message = False
+        self.head_complete = False
+        request = ClientRequest(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            {name.lower(): value for name, value in self._headers},
+            self._body,
+            self._parser.should_keep_alive(),
+            self._gateway.clock.seconds(),
+            self._parser.get_http_version(),
+            self.held_bytes,
+        )
+        self._headers = []
+        self._body = bytearray()
+        self.held_bytes = 0
+        if self._refusal is None:
+            self._refusal = self._on_request(request)
+
+    def _fail(self, refusal):
+        self._refusal = refusal
+        raise ValueError(refusal.message)
--- /dev/null
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -0,0 +1,139 @@
+"""Test the limits that the client connections of an entry share."""
+
+import unittest
+
+from support_gateway import IDEMPOTENT_PATH, SingleClientTestCase
+from twisted.internet.task import Clock
+
+from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_core.process_memory import usable_memory_bytes
+from hemlockdock_core.settings import parse_settings
+from hemlockdock_entry.gateway.client_budget import (
+    BYTES_PER_MB,
+    MAX_DERIVED_BYTES,
+    PROGRESS_BYTES,
+    STALLED_S,
+    ClientBudget,
+    derived_budget_bytes,
+)
+
+PROCESS = "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n[clients]\n"
+HEAD = b"POST /read/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: 1\r\n"
+
+
+def settings_of(text):
+    return parse_settings(
+        PROCESS + text + "[listen]\nlinks = tcp://127.0.0.1:1\nready = 127.0.0.1:2\n"
+        "[fleet]\nseeds = 127.0.0.9:1\n",
+        "test",
+    )
+
+
+class ClientBudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.budget = ClientBudget(self.clock, 100 * PROGRESS_BYTES)
+
+    def test_a_single_request_fits_a_smaller_budget(self):
+        self.assertFalse(self.budget.change("a", 101 * PROGRESS_BYTES))
+        self.assertTrue(self.budget.change("a", 101 * PROGRESS_BYTES, 101 * PROGRESS_BYTES))
+
+    def test_released_bytes_are_free_again(self):
+        self.assertFalse(self.budget.change("a", 101 * PROGRESS_BYTES))
+        self.assertTrue(self.budget.change("a", 0))
+        self.assertEqual(self.budget.held_bytes, 0)
+
+    def test_single_bytes_do_not_count_as_progress(self):
+        """Clients that trickle a body would otherwise keep the budget from ordinary ones."""
+        self.budget.change("trickles", 50 * PROGRESS_BYTES)
+        self.budget.change("sends", 20 * PROGRESS_BYTES)
+        self.clock.advance(STALLED_S)
+        self.budget.change("trickles", 50 * PROGRESS_BYTES + 1)
+        self.budget.change("sends", 60 * PROGRESS_BYTES)
+        self.assertEqual(self.budget.largest_stalled(lambda _: True), "trickles")
+        self.assertIsNone(self.budget.largest_stalled(lambda holder: holder != "trickles"))
+
+    def test_the_largest_is_dropped_and_of_equals_the_one_that_stopped_first(self):
+        self.budget.change("small", PROGRESS_BYTES)
+        self.budget.change("first", 2 * PROGRESS_BYTES)
+        self.clock.advance(0.1)
+        self.budget.change("second", 2 * PROGRESS_BYTES)
+        self.clock.advance(STALLED_S)
+        self.assertEqual(self.budget.largest_stalled(lambda _: True), "first")
+
+    def test_budgets_are_a_share_of_the_memory_that_is_set_or_limited(self):
+        settings = settings_of("memory_mb = 160\n")
+        self.assertEqual(derived_budget_bytes(settings, 0), 40 * BYTES_PER_MB)
+        self.assertEqual(derived_budget_bytes(settings, 3), 3 * BYTES_PER_MB)
+        settings = settings_of("memory_mb =\n")
+        self.assertGreater(usable_memory_bytes(settings), 0)
+        self.assertLessEqual(derived_budget_bytes(settings, 0), MAX_DERIVED_BYTES)
+
+
+class RequestMemoryTest(SingleClientTestCase):
+    def setUp(self):
+        super().setUp()
+        self.limits = self.harness.gateway.client_limits
+        # Below what a single request may take, so one fits and two do not.
+        self.limits._requests = ClientBudget(self.harness.reactor, 1)
+
+    def fill(self, client, size):
+        client.connection.dataReceived(HEAD + b"Content-Length: 9000\r\n\r\n" + b"x" * size)
+
+    def fill_budget(self):
+        """Let clients hold all but the budget's last bytes in incomplete bodies."""
+        holders = [self.harness.client() for _ in range(8)]
+        for holder in holders:
+            self.fill(holder, 8_000)
+        return holders
+
+    def test_a_newcomer_is_refused_while_others_make_progress(self):
+        holders = self.fill_budget()
+        self.wait(0.5)
+        newcomer = self.harness.client()
+        self.fill(newcomer, 8_999)
+        self.assertEqual([holder.status for holder in holders], [None] * 8)
+        self.assertEqual(newcomer.status, 503)
+        self.assertIn(b"Retry-After: ", newcomer.received)
+        self.assertIn(b"Connection: close", newcomer.received)
+
+    def test_a_body_that_stopped_is_dropped_for_a_newcomer(self):
+        holders = self.fill_budget()
+        self.wait(STALLED_S)
+        newcomer = self.harness.client()
+        self.fill(newcomer, 8_999)
+        self.fill(self.client, 9_000)
+        self.assertIsNone(newcomer.status)
+        self.assertIn(503, [holder.status for holder in holders])
+        self.assertEqual(self.client.received, b"")
+
+    def test_memory_is_released_after_the_response_and_with_the_connection(self):
+        self.client.send_request(IDEMPOTENT_PATH, body=b"x" * 9_000)
+        self.assertGreater(self.limits._requests.held_bytes, 9_000)
+        self.connect().answer()
+        self.assertEqual(self.limits._requests.held_bytes, 0)
+        self.fill(self.client, 5_000)
+        self.client.disconnect_client()
+        self.assertEqual(self.limits._requests.held_bytes, 0)
+
+    def test_a_body_that_stops_is_refused_after_the_time_out(self):
+        """A connection that stops one byte short of its body was held for ever."""
+        before = COUNTERS.value("gateway_bodies_stalled")
+        self.fill(self.client, 8_999)
+        self.wait(14)
+        self.assertIsNone(self.client.status)
+        for _ in range(3):
+            self.wait(3)
+        self.assertEqual(self.client.status, 408)
+        self.assertEqual(COUNTERS.value("gateway_bodies_stalled"), before + 1)
+
+    def test_a_refusal_can_be_read_before_the_connection_is_closed(self):
+        self.client.connection.dataReceived(HEAD + b"Content-Length: 20000\r\n\r\n" + b"x" * 11_000)
+        self.assertEqual((self.client.status, self.client.transport.disconnecting), (413, False))
+        self.client.connection.dataReceived(b"x" * 9_000)
+        self.wait(0.5)
+        self.assertTrue(self.client.transport.disconnecting)
+
+
+if __name__ == "__main__":
+    unittest.main()
