entry: chunk extensions and trailers without end are refused

Cause: httptools passes trailers on as headers, which were stored without a limit, and passes on nothing for chunk extensions, so that neither the limit of heads nor that of bodies saw them.

Trailers are no longer stored. What is received behind the head without a byte of the body is limited like a head, and all of it to sixteen times the body, so that bodies in chunks of one byte are still served; past that the request gets 431.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_reader.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_reader.py
@@ -3,12 +3,15 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.gateway.messages import ClientRequest
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 EXPECT = b"expect"
 # What Python's objects for a header take beside its bytes.
 HEADER_OVERHEAD_BYTES = 160
+# Chunks of one byte take six bytes for each byte of the body.
+MAX_FRAMING_FACTOR = 16
 
 
 class RequestReader:
@@ -43,6 +46,10 @@
         self._target = b""
         self._body = bytearray()
         self._head_bytes = 0
+        # Bytes since the last byte of the body: chunk extensions and trailers.
+        self._idle_bytes = 0
+        # All bytes received behind the head, to compare with those of the body.
+        self._framed_bytes = 0
         self._refusal = None
         self.in_message = False
         self.head_complete = False
@@ -68,6 +75,8 @@
         self.progress_s = self._gateway.clock.seconds()
         if not self.head_complete:
             self._head_bytes += len(data)
+        was_receiving_body = self.is_receiving_body
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -77,6 +86,8 @@
                 self._refusal = Refusal.of(ErrorKind.BAD_REQUEST, f"malformed request: {error}")
         if not self.head_complete and self._head_bytes > self._gateway.limits.header_bytes:
             return Refusal.of(ErrorKind.HEADER_TOO_LARGE, "the header is too large")
+        if was_receiving_body and self.is_receiving_body and self._refusal is None:
+            self._count_framing(len(data), len(self._body) > body_bytes)
         return self._refusal
 
     def discard(self):
@@ -102,7 +113,9 @@
         self._target += url
 
     def on_header(self, name, value):
-        """Store a header."""
+        """Store a header; trailers are not forwarded and therefore not stored."""
+        if self.head_complete:
+            return
         self._headers.append((name, value))
         self.held_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
 
@@ -110,6 +123,8 @@
         """Check the size of the head, and send 100 Continue if the client expects it."""
         self.head_complete = True
         self._head_bytes = 0
+        self._idle_bytes = 0
+        self._framed_bytes = 0
         size = len(self._target) + sum(len(name) + len(value) for name, value in self._headers)
         if size > self._gateway.limits.header_bytes:
             self._fail(Refusal.of(ErrorKind.HEADER_TOO_LARGE, "the header is too large"))
@@ -146,6 +161,17 @@
         if self._refusal is None:
             self._refusal = self._on_request(request)
 
+    def _count_framing(self, received_bytes, has_body):
+        # The parser reports neither chunk extensions nor, while their line is incomplete, trailers.
+        limit = self._gateway.limits.header_bytes
+        self._idle_bytes = 0 if has_body else self._idle_bytes + received_bytes
+        self._framed_bytes += received_bytes
+        allowed_bytes = limit + MAX_FRAMING_FACTOR * len(self._body)
+        if self._idle_bytes > limit or self._framed_bytes > allowed_bytes:
+            COUNTERS.increment("gateway_framing_refused")
+            message = "chunk extensions or trailers are too long"
+            self._refusal = Refusal.of(ErrorKind.HEADER_TOO_LARGE, message)
+
     def _fail(self, refusal):
         self._refusal = refusal
         raise ValueError(refusal.message)
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -19,6 +19,7 @@
 
 PROCESS = "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n[clients]\n"
 HEAD = b"POST /read/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: 1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 def settings_of(text):
@@ -135,5 +136,48 @@
         self.assertTrue(self.client.transport.disconnecting)
 
 
+class FramingTest(SingleClientTestCase):
+    """Bytes behind the head that are no body, without end, kept a connection and its memory."""
+
+    def setUp(self):
+        super().setUp()
+        self.send(CHUNKED + b"1\r\nx\r\n")
+
+    def send(self, data):
+        self.client.connection.dataReceived(data)
+
+    def test_chunk_extension_without_end_is_refused(self):
+        self.send(b"1;a=")
+        for _ in range(11):
+            self.send(b"a" * 100)
+        self.assertEqual(self.client.status, 431)
+
+    def test_trailers_without_end_are_refused_and_not_stored(self):
+        self.send(b"0\r\n")
+        held_bytes = self.client.connection._reader.held_bytes
+        for _ in range(9):
+            self.send(b"a: b\r\n" * 17)
+            self.assertEqual(self.client.connection._reader.held_bytes, held_bytes)
+        self.assertIsNone(self.client.status)
+        self.send(b"a: b\r\n" * 17)
+        self.assertEqual(self.client.status, 431)
+
+    def test_long_extensions_between_bytes_of_the_body_are_refused(self):
+        for _ in range(4):
+            self.send(b"1;a=%b\r\nx\r\n" % (b"a" * 500))
+        self.assertEqual(self.client.status, 431)
+
+    def test_a_body_in_chunks_of_one_byte_is_forwarded(self):
+        self.send(b"1;a=b\r\nx\r\n" * 4_999)
+        self.send(b"1\r\nx\r\n" * 5_000)
+        self.send(b"0\r\nx-trailer: 1\r\n\r\n")
+        self.assertTrue(self.connect().received.endswith(b"\r\n\r\n" + b"x" * 10_000))
+
+    def test_a_long_pipelined_request_does_not_count_as_framing(self):
+        self.send(b"0\r\n\r\n" + HEAD + b"Content-Length: 9000\r\n\r\n" + b"x" * 8_000)
+        self.send(b"x" * 1_000)
+        self.assertIsNone(self.client.status)
+
+
 if __name__ == "__main__":
     unittest.main()
