entry: responses that clients do not read share a budget of memory

Cause: a response of any length was handed to the transport at once and stayed there without a limit over all connections, also behind pipelined requests, and for as long as the client liked. A connection whose last response filled the send buffer was never closed, as a paused producer keeps Twisted from closing.

Long responses are held beside the transport, which gets pieces of 16 KB as the client reads. What is held counts in a budget, half of that for responses; when it is full, the connection that holds most of those without progress is dropped, else the one that is written to. A client that reads nothing for 60 s is dropped. The next pipelined request starts once the response before it was taken. The budget for responses that endpoints complete, 64 MB so far, is the other half, and a response is held in one buffer.

The tests in test_gateway_endless.py that pause the connection pause the transport's producer now; their bound on what is held is 32 MB instead of 64.

--- a/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
@@ -37,3 +37,18 @@
         ge=100,
         le=3_600_000,
     )
+    response_budget_mb: int = key(
+        0,
+        "Memory for responses, half for those that endpoints have not completed and half for those "
+        "that clients have not read; 0 for a quarter of the process's, at most 64 MB.",
+        "MB",
+        ge=0,
+        le=100_000_000,
+    )
+    response_stall_ms: int = key(
+        60_000,
+        "Time after which a client that reads nothing of what is held for it is dropped.",
+        "ms",
+        ge=100,
+        le=3_600_000,
+    )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
@@ -33,6 +33,20 @@
     return min(int(usable_memory_bytes(settings) * MEMORY_SHARE), MAX_DERIVED_BYTES)
 
 
+def response_budget_bytes(settings):
+    """Return the budget for responses that endpoints complete, and that for unread ones.
+
+    Parameters
+    ----------
+    settings : Settings
+
+    Returns
+    -------
+    int
+    """
+    return derived_budget_bytes(settings, settings.clients.response_budget_mb) // 2
+
+
 @dataclass(slots=True)
 class _Share:
     held_bytes: int
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -3,12 +3,11 @@
 import logging
 from collections import deque
 
-from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol
-from zope.interface import implementer
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_entry.gateway.client_output import ClientOutput
 from hemlockdock_entry.gateway.messages import refusal_response
 from hemlockdock_entry.gateway.request_reader import RequestReader
 
@@ -20,11 +19,8 @@
 LINGER_S = 0.5
 # Complete requests that may be queued behind the one in progress.
 MAX_PIPELINED_REQUESTS = 16
-# Written while the send buffer was full; a client that lets more wait does not read.
-MAX_UNSENT_BYTES = 1024 * 1024
 
 
-@implementer(IPushProducer)
 class ClientConnection(Protocol):
     """Parse the requests of one client connection, and write their responses in order.
 
@@ -44,27 +40,29 @@
         self._exchange = None
         self._header_timer = None
         self._closing = False
-        self._is_send_buffer_full = False
-        self._unsent_bytes = 0
+        self._is_aborted = False
+        self._output = ClientOutput(gateway.clock, self._hold_response, self._on_drained)
         self.idle_since_s = gateway.clock.seconds()
         self.is_lost = False
 
     @property
     def is_idle(self):
-        """Return whether no request is being received, queued or answered."""
-        return self._exchange is None and not self._reader.in_message and not self._pending_requests
+        """Return whether no request is being received, queued or answered, and all was sent."""
+        if self._exchange is not None or self._pending_requests:
+            return False
+        return not self._reader.in_message and self._output.is_drained
 
     def connectionMade(self):
         """Register the connection with the gateway."""
         self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
+        self._output.attach(self.transport)
         self._gateway.clients.add(self)
 
     def connectionLost(self, reason):
         """Abort the exchange in progress."""
         self.is_lost = True
         self._cancel_header_timer()
-        self._release_requests()
+        self._release()
         self._gateway.clients.remove(self)
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
@@ -90,24 +88,8 @@
         ----------
         data : bytes
         """
-        if self._is_send_buffer_full:
-            self._unsent_bytes += len(data)
-        if self._unsent_bytes > MAX_UNSENT_BYTES:
-            self._gateway.clock.callLater(0, self._drop_slow_client)
-            return
-        self.transport.write(data)
-
-    def pauseProducing(self):
-        """Count what is written from now on, since the send buffer is full."""
-        self._is_send_buffer_full = True
-
-    def resumeProducing(self):
-        """Stop counting, since the send buffer has drained."""
-        self._is_send_buffer_full = False
-        self._unsent_bytes = 0
-
-    def stopProducing(self):
-        """Do nothing; ``connectionLost`` handles the end of the connection."""
+        if not self._output.write(data):
+            self._gateway.clock.callLater(0, self.drop_slow_client)
 
     def response_finished(self, keep_alive):
         """Start the next request, or close the connection, after a complete response.
@@ -124,7 +106,7 @@
         if not keep_alive or self._gateway.draining:
             # Close even if the response announced keep-alive: a further request would be cut off.
             self._closing = True
-            self.transport.loseConnection()
+            self._output.close()
             return
         self._start_next_request()
 
@@ -145,39 +127,54 @@
     def abort_response(self):
         """Abort the connection, so that the client sees an incomplete response."""
         self._exchange = None
-        self._closing = True
-        self._release_requests()
-        self.transport.abortConnection()
+        self._abort()
 
     def close_idle(self):
         """Close the connection, which must be idle."""
         self._closing = True
-        self.transport.loseConnection()
+        self._output.close()
 
-    def keeps_alive(self, request):
-        """Return whether the connection stays open after a request's response.
+    def reads_too_slowly(self, now_s, limit_s):
+        """Return whether the client has read nothing of what is held for it for too long.
 
         Parameters
         ----------
-        request : ClientRequest
+        now_s, limit_s : float
 
         Returns
         -------
         bool
         """
-        return request.keep_alive and not self._gateway.draining
+        is_waiting = self._closing or not self._output.is_drained
+        return is_waiting and now_s - self._output.progress_s > limit_s
 
-    def _drop_slow_client(self):
-        if self.is_lost or self._closing:
+    def drop_slow_client(self):
+        """Abort the connection of a client that does not read."""
+        if self.is_lost or self._is_aborted:
             return
-        self._closing = True
+        self._abort()
         COUNTERS.increment("gateway_slow_clients_dropped")
         logger.info("client does not read, connection aborted")
-        self.transport.abortConnection()
+
+    def keeps_alive(self, request):
+        """Return whether the connection stays open after a request's response.
+
+        Parameters
+        ----------
+        request : ClientRequest
+
+        Returns
+        -------
+        bool
+        """
+        return request.keep_alive and not self._gateway.draining
 
     def _start_next_request(self):
         if self._exchange is not None or not self._pending_requests or self._closing:
             return
+        # A client that does not read its responses gets no further ones.
+        if not self._output.is_drained:
+            return
         request = self._pending_requests.popleft()
         self._current_bytes = request.held_bytes
         self._exchange = self._gateway.create_exchange(self, request)
@@ -204,6 +201,24 @@
         self._current_bytes = 0
         self._gateway.client_limits.hold_requests(self, 0)
 
+    def _hold_response(self, held_bytes):
+        self._gateway.client_limits.hold_response(self, held_bytes)
+
+    def _on_drained(self):
+        self.idle_since_s = self._gateway.clock.seconds()
+        self._start_next_request()
+
+    def _release(self):
+        self._release_requests()
+        self._output.discard()
+        self._hold_response(0)
+
+    def _abort(self):
+        self._closing = True
+        self._is_aborted = True
+        self._release()
+        self.transport.abortConnection()
+
     def _update_header_timer(self):
         if not self._reader.in_message:
             self._cancel_header_timer()
@@ -244,7 +259,7 @@
         if self._exchange is not None:
             # A response is in progress, so no error response may be written into it.
             exchange, self._exchange = self._exchange, None
-            self.transport.abortConnection()
+            self._abort()
             exchange.on_client_disconnected()
             return
         COUNTERS.increment("gateway_refusals", kind=refusal.kind.value)
@@ -252,12 +267,12 @@
         headers = [(b"Connection", b"close")]
         if refusal.retry_after_ms is not None:
             headers.append((b"Retry-After", b"%.2f" % (refusal.retry_after_ms / MS_PER_S)))
-        self.transport.write(refusal_response(refusal, headers))
+        self._output.write(refusal_response(refusal, headers))
         if is_receiving_body:
             self._gateway.clock.callLater(LINGER_S, self._end_lingering)
             return
-        self.transport.loseConnection()
+        self._output.close()
 
     def _end_lingering(self):
         if not self.is_lost:
-            self.transport.loseConnection()
+            self._output.close()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
@@ -4,7 +4,12 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_entry.gateway.client_budget import ClientBudget, derived_budget_bytes
+from hemlockdock_entry.gateway.client_budget import (
+    ClientBudget,
+    derived_budget_bytes,
+    response_budget_bytes,
+)
+from hemlockdock_entry.gateway.response_buffer import MAX_BODY_BYTES
 
 logger = logging.getLogger(__name__)
 
@@ -12,6 +17,8 @@
 LOG_INTERVAL_S = 10.0
 # The headers of a head of the largest size may take this many times its bytes as objects.
 HEAD_FACTOR = 64
+# The longest response that is no stream.
+LEAST_RESPONSE_BYTES = 2 * MAX_BODY_BYTES
 
 
 class ClientLimits:
@@ -29,8 +36,15 @@
         self._requests = ClientBudget(
             gateway.clock, derived_budget_bytes(settings, self._settings.request_budget_mb)
         )
+        # Beside the budget for responses that endpoints have not completed, see ``Gateway``.
+        self._responses = ClientBudget(gateway.clock, response_budget_bytes(settings))
         self._logged_s = None
 
+    @property
+    def response_stall_s(self):
+        """Return the time after which a client that reads nothing is dropped."""
+        return self._settings.response_stall_ms / MS_PER_S
+
     @property
     def body_stall_s(self):
         """Return the time without a byte after which an incomplete body is refused."""
@@ -65,6 +79,32 @@
             stalled.drop_body(self._refusal())
         return None
 
+    def hold_response(self, connection, held_bytes):
+        """Set what is held for one client that has not read it, and make room if that is too much.
+
+        Parameters
+        ----------
+        connection : ClientConnection
+        held_bytes : int
+        """
+        while not self._responses.change(connection, held_bytes, LEAST_RESPONSE_BYTES):
+            if not held_bytes:
+                return
+            stalled = self._responses.largest_stalled(lambda other: other is not connection)
+            self._record("gateway_responses_over_budget")
+            if stalled is None:
+                # Later, since the connection is in the middle of a write.
+                self._gateway.clock.callLater(0, connection.drop_slow_client)
+                return
+            stalled.drop_slow_client()
+
+    def drop_slow_clients(self):
+        """Drop the clients that have read nothing for too long."""
+        now_s = self._gateway.clock.seconds()
+        for connection in self._gateway.clients.all():
+            if connection.reads_too_slowly(now_s, self.response_stall_s):
+                connection.drop_slow_client()
+
     def _refusal(self):
         return Refusal.of(ErrorKind.NO_CAPACITY, "the entry's memory for requests is in use")
 
@@ -74,6 +114,10 @@
         if self._logged_s is None or now_s - self._logged_s >= LOG_INTERVAL_S:
             self._logged_s = now_s
             logger.warning(
-                "memory for clients' requests is in use",
-                extra={"counter": counter, "held_bytes": self._requests.held_bytes},
+                "memory for clients is in use",
+                extra={
+                    "counter": counter,
+                    "requests_bytes": self._requests.held_bytes,
+                    "responses_bytes": self._responses.held_bytes,
+                },
             )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_registry.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_registry.py
@@ -25,6 +25,15 @@
         """
         self._connections.discard(connection)
 
+    def all(self):
+        """Return the open client connections, as a list.
+
+        Returns
+        -------
+        list of ClientConnection
+        """
+        return list(self._connections)
+
     def close_idle(self):
         """Close all idle client connections."""
         for connection in list(self._connections):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
+from hemlockdock_entry.gateway.client_budget import response_budget_bytes
 from hemlockdock_entry.gateway.client_limits import ClientLimits
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
 from hemlockdock_entry.gateway.endpoint_gate import EndpointGate
@@ -20,6 +21,7 @@
 from hemlockdock_entry.gateway.pool_endpoints import PoolEndpoints
 from hemlockdock_entry.gateway.proxy_exchange import ProxyExchange
 from hemlockdock_entry.gateway.quarantine import Quarantine
+from hemlockdock_entry.gateway.response_buffer import MAX_BODY_BYTES
 from hemlockdock_entry.gateway.route_index import RouteIndex
 from hemlockdock_entry.gateway.startup_queue import StartupQueue
 from hemlockdock_entry.gateway.stop_schedule import StopSchedule
@@ -29,8 +31,6 @@
 MS_PER_S = 1_000
 # Limits that apply until the first routing table is received.
 DEFAULT_LIMITS = LimitsRow(0, 16_384, 4_194_304, 3_000, 15_000)
-# A fraction of the memory of a thin host.
-MAX_HELD_BYTES = 64 * 1024 * 1024
 
 
 class Gateway:
@@ -86,7 +86,7 @@
         self.clients = ClientRegistry()
         self.client_limits = ClientLimits(self, settings)
         self.startup_queue = StartupQueue(reactor)
-        self.buffer_budget = BufferBudget(MAX_HELD_BYTES)
+        self.buffer_budget = BufferBudget(max(MAX_BODY_BYTES, response_budget_bytes(settings)))
         self.draining = False
         self.refuses_new_requests = False
         self.send = send
@@ -299,6 +299,7 @@
         now_s = self.clock.seconds()
         limit_s = self.limits.idle_timeout_ms / MS_PER_S
         self.clients.close_expired(now_s, limit_s)
+        self.client_limits.drop_slow_clients()
         self.endpoints.close_expired_connections()
         self.quarantine.run_maintenance()
         self.pauses.remove_expired()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_buffer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_buffer.py
@@ -14,13 +14,13 @@
 
     def __init__(self, budget):
         self._budget = budget
-        self._parts = []
+        self._body = bytearray()
         self._held_bytes = 0
 
     @property
     def body(self):
         """Return the body so far."""
-        return b"".join(self._parts)
+        return self._body
 
     def add(self, data):
         """Add a part of the body.
@@ -34,7 +34,7 @@
         bool
             Whether it may be held back.
         """
-        self._parts.append(data)
+        self._body += data
         return self._hold(self._held_bytes + len(data), MAX_BODY_BYTES)
 
     def hold_event(self, partial_bytes):
@@ -57,7 +57,7 @@
 
     def clear(self):
         """Discard the body."""
-        self._parts = []
+        self._body = bytearray()
         self.release()
 
     def _hold(self, held_bytes, max_bytes):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_writer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/response_writer.py
@@ -14,6 +14,7 @@
 CONNECTION = b"connection"
 LAST_CHUNK = b"0\r\n\r\n"
 NO_DROPPED_HEADERS = frozenset()
+LONG_BODY_BYTES = 16_384
 
 
 class ResponseWriter:
@@ -101,7 +102,13 @@
         headers = forwarded_headers(head.headers, head.value(CONNECTION), NO_DROPPED_HEADERS)
         headers.append((b"Content-Length", b"%d" % len(body)))
         headers.extend(self._connection_headers())
-        self._connection.write(format_head(status_line(head.status), headers) + body)
+        head_bytes = format_head(status_line(head.status), headers)
+        if len(body) > LONG_BODY_BYTES:
+            # Not copied behind the head.
+            self._connection.write(head_bytes)
+            self._connection.write(body)
+            return
+        self._connection.write(head_bytes + body)
 
     def write_stream_data(self, head, data, route):
         """Write the complete events of a part of a stream.
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -1,6 +1,7 @@
 """Test the limits that the client connections of an entry share."""
 
 import unittest
+from functools import partial
 
 from support_gateway import IDEMPOTENT_PATH, SingleClientTestCase
 from twisted.internet.task import Clock
@@ -16,6 +17,7 @@
     ClientBudget,
     derived_budget_bytes,
 )
+from hemlockdock_entry.gateway.response_buffer import MAX_BODY_BYTES
 
 PROCESS = "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n[clients]\n"
 HEAD = b"POST /read/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: 1\r\n"
@@ -179,5 +181,76 @@
         self.assertIsNone(self.client.status)
 
 
+class UnreadResponseTest(SingleClientTestCase):
+    """Responses that clients did not read were held by the transport without a limit or an end."""
+
+    BODY = b"y" * 200_000
+
+    def setUp(self):
+        super().setUp()
+        self.limits = self.harness.gateway.client_limits
+
+    def answer(self, client, request_id):
+        """Let a request of a client be answered; the client's transport takes one piece."""
+        client.send_request(IDEMPOTENT_PATH, request_id=request_id)
+        client.transport.write = partial(self.write_one, client.transport, client.transport.write)
+        self.connect().answer(self.BODY, request_id=request_id)
+
+    def write_one(self, transport, write, data):
+        write(data)
+        if transport.producer is not None:
+            transport.producer.pauseProducing()
+
+    def read_all(self, client):
+        while client.transport.producer is not None and self.is_held(client):
+            client.transport.producer.resumeProducing()
+
+    def is_held(self, client):
+        return client.connection in self.limits._responses._share_by_holder
+
+    def test_a_slow_reader_gets_the_whole_response(self):
+        self.answer(self.client, b"1")
+        self.assertGreater(self.limits._responses.held_bytes, 150_000)
+        self.read_all(self.client)
+        self.assertEqual(self.client.response(), (200, self.BODY, True))
+        self.assertEqual(self.limits._responses.held_bytes, 0)
+
+    def test_a_response_that_closes_its_connection_is_sent_whole_first(self):
+        """A transport whose producer was paused did not close the connection at all."""
+        self.harness.gateway.draining = True
+        self.answer(self.client, b"1")
+        self.assertFalse(self.client.transport.disconnecting)
+        self.read_all(self.client)
+        self.assertEqual(self.client.response(), (200, self.BODY, True))
+        self.assertTrue(self.client.transport.disconnecting)
+
+    def test_a_pipelined_request_waits_until_the_response_is_read(self):
+        self.answer(self.client, b"1")
+        self.client.send_request(IDEMPOTENT_PATH, request_id=b"2")
+        self.assertEqual(self.pending_connections, 0)
+        self.read_all(self.client)
+        self.connect().answer(b"second", request_id=b"2")
+        self.read_all(self.client)
+        self.assertTrue(self.client.received.endswith(b"second"))
+
+    def test_the_client_that_reads_nothing_is_dropped_for_one_that_reads(self):
+        self.limits._responses = ClientBudget(self.harness.reactor, 2 * MAX_BODY_BYTES)
+        self.answer(self.client, b"1")
+        self.wait(STALLED_S)
+        reader = self.harness.client()
+        self.limits._responses.change("others", 2 * MAX_BODY_BYTES - 300_000)
+        self.answer(reader, b"2")
+        self.assertTrue(self.client.transport.aborted)
+        self.assertFalse(reader.transport.aborted)
+
+    def test_a_client_that_reads_nothing_is_dropped_after_the_time_out(self):
+        self.answer(self.client, b"1")
+        for _ in range(61):
+            self.assertFalse(self.client.transport.aborted)
+            self.wait(1)
+            self.harness.gateway.run_maintenance()
+        self.assertTrue(self.client.transport.aborted)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-entry/tests/test_gateway_endless.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_endless.py
@@ -12,8 +12,8 @@
     endpoint,
 )
 
-from hemlockdock_entry.gateway.client_connection import MAX_UNSENT_BYTES
-from hemlockdock_entry.gateway.gateway import MAX_HELD_BYTES
+from hemlockdock_entry.gateway.client_budget import MAX_DERIVED_BYTES
+from hemlockdock_entry.gateway.client_output import MAX_UNSENT_BYTES
 from hemlockdock_entry.gateway.response_buffer import ResponseBuffer
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
 
@@ -141,7 +141,7 @@
                 if not server.transport.aborted:
                     server.send_bytes(SEGMENT)
             held = self.harness.gateway.buffer_budget._held_bytes
-            self.assertLessEqual(held, MAX_HELD_BYTES)
+            self.assertLessEqual(held, MAX_DERIVED_BYTES // 2)
         self.assertEqual(self.harness.gateway.buffer_budget._held_bytes, 0)
 
 
@@ -153,7 +153,7 @@
         client.send_request(STREAM_PATH, left_ms=10_000, extra=MODEL)
         server = harness.connect()
         server.begin_stream()
-        client.connection.pauseProducing()
+        client.transport.producer.pauseProducing()
         sent = 0
         while not client.transport.aborted and sent < 4 * MAX_UNSENT_BYTES:
             server.chunk(EVENT * 1_000)
@@ -172,9 +172,9 @@
         server = harness.connect()
         server.begin_stream()
         for _ in range(40):
-            client.connection.pauseProducing()
+            client.transport.producer.pauseProducing()
             server.chunk(EVENT * 5_000)
-            client.connection.resumeProducing()
+            client.transport.producer.resumeProducing()
             harness.reactor.advance(0)
         self.assertFalse(client.transport.aborted)
 
