entry: a request body is not copied for endpoints

Cause: each attempt joined the head and the body into a new value, which the transport copied once more and again with every partial write.

A connection that is to close after an early response still sends the rest first. Two tests of unread responses no longer depend on which endpoint is chosen.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_connection.py
@@ -8,6 +8,7 @@
 
 from hemlockdock_core.http import MalformedResponseError, ResponseReader
 from hemlockdock_core.metrics import COUNTERS
+from hemlockdock_entry.gateway.body_sender import BodySender
 
 # A connection whose sent data stays unacknowledged for longer is considered dead.
 TCP_USER_TIMEOUT_MS = 1_500
@@ -20,8 +21,8 @@
 KEEP_ALIVE_MARGIN_S = 0.8
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 KEEP_ALIVE = b"keep-alive"
-# A longer request may still be in transit when an early response is complete.
-LONG_REQUEST_BYTES = 32_768
+# A longer body is sent in pieces, and may still be in transit when an early response is complete.
+LONG_BODY_BYTES = 16_384
 FIRST_ERROR_STATUS = 400
 # A response to another request that is longer than this keeps its connection busy for nothing.
 MAX_DISCARDED_BYTES = 1024 * 1024
@@ -158,7 +159,7 @@
         endpoint_try, self._complete_try = self._complete_try, None
         if endpoint_try is None:
             return
-        is_long = len(endpoint_try.data) > LONG_REQUEST_BYTES
+        is_long = len(endpoint_try.body) > LONG_BODY_BYTES
         is_reusable = self._is_reusable and self._reader.idle and not self._unsafe_to_reuse
         if is_reusable and not is_long:
             self._pool.release(self)
@@ -169,7 +170,11 @@
     def _send(self):
         self._requests += 1
         self._try.used_connections.add(self)
-        self.transport.write(self._try.data)
+        if len(self._try.body) > LONG_BODY_BYTES:
+            self.transport.write(self._try.request_head)
+            BodySender(self.transport, self._try.body).start()
+        else:
+            self.transport.write(self._try.request_head + self._try.body)
         self._try.request_sent()
 
     def _read_keep_alive_timeout(self, head):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_try.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_try.py
@@ -11,8 +11,10 @@
     exchange : ProxyExchange
     row : EndpointRow
     request_id : bytes
-    data : bytes
-        The complete serialized request.
+    request_head : bytes
+        The serialized head of the request.
+    body : bytearray
+        The client's, which is not copied.
     permit : Permit or None
     used_connections : set of EndpointConnection, optional
         Connections over which the request was sent before.
@@ -30,12 +32,15 @@
         Whether the response may be one to another request.
     """
 
-    def __init__(self, exchange, row, request_id, data, permit, used_connections=None):
+    def __init__(
+        self, exchange, row, request_id, request_head, body, permit, used_connections=None
+    ):
         self._exchange = exchange
         self._connection = None
         self.row = row
         self.request_id = request_id
-        self.data = data
+        self.request_head = request_head
+        self.body = body
         self.permit = permit
         self.used_connections = set() if used_connections is None else used_connections
         self.head = None
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/forwarded_request.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/forwarded_request.py
@@ -1,4 +1,4 @@
-"""Build the HTTP request that is forwarded to an endpoint."""
+"""Build the head of the HTTP request that is forwarded to an endpoint."""
 
 from hemlockdock_entry.gateway.messages import format_head, forwarded_headers
 
@@ -8,8 +8,8 @@
 LOWEST_PRIORITY = 9
 
 
-def build_forwarded_request(exchange, row, gateway, last_event_id):
-    """Serialize a client's request for one endpoint.
+def build_forwarded_head(exchange, row, gateway, last_event_id):
+    """Serialize the head of a client's request for one endpoint; the body follows as received.
 
     Parameters
     ----------
@@ -42,4 +42,4 @@
         headers = [item for item in headers if item[0].lower() != names.last_event_id]
         headers.append((names.last_event_id, last_event_id))
     line = request.method + b" " + request.target + b" HTTP/1.1"
-    return format_head(line, headers) + request.body
+    return format_head(line, headers)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -6,7 +6,7 @@
 from hemlockdock_entry.gateway.crash_watch import RunProgress
 from hemlockdock_entry.gateway.endpoint_try import EndpointTry
 from hemlockdock_entry.gateway.first_byte_timer import FirstByteTimer
-from hemlockdock_entry.gateway.forwarded_request import build_forwarded_request
+from hemlockdock_entry.gateway.forwarded_request import build_forwarded_head
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
 from hemlockdock_entry.gateway.response_buffer import ResponseBuffer
 from hemlockdock_entry.gateway.response_check import check_head, stream_problem
@@ -70,12 +70,13 @@
         self._is_streaming = False
         self._progress = AttemptProgress(self._response_writer.event_count)
         self._buffer.clear()
-        data = build_forwarded_request(
+        head = build_forwarded_head(
             exchange, row, self._gateway, self._response_writer.last_event_id
         )
         permit = exchange.take_permit()
         request_id = exchange.content.request_id
-        self._try = EndpointTry(self, row, request_id, data, permit, self._used_connections)
+        body = exchange.request.body
+        self._try = EndpointTry(self, row, request_id, head, body, permit, self._used_connections)
         health = self._gateway.health.for_endpoint(row.endpoint_id)
         health.in_flight += 1
         self._gateway.endpoint_limits.record_sent(row.endpoint_id)
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -8,7 +8,9 @@
 
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.process_memory import usable_memory_bytes
+from hemlockdock_core.rows import LimitsRow
 from hemlockdock_core.settings import parse_settings
+from hemlockdock_entry.gateway.body_sender import PIECE_BYTES
 from hemlockdock_entry.gateway.client_budget import (
     BYTES_PER_MB,
     MAX_DERIVED_BYTES,
@@ -189,12 +191,16 @@
     def setUp(self):
         super().setUp()
         self.limits = self.harness.gateway.client_limits
+        # With one endpoint, all requests share one connection to it.
+        self.harness.delete_row("endpoint/b")
+        self.server = None
 
     def answer(self, client, request_id):
         """Let a request of a client be answered; the client's transport takes one piece."""
         client.send_request(IDEMPOTENT_PATH, request_id=request_id)
         client.transport.write = partial(self.write_one, client.transport, client.transport.write)
-        self.connect().answer(self.BODY, request_id=request_id)
+        self.server = self.server or self.connect()
+        self.server.answer(self.BODY, request_id=request_id)
 
     def write_one(self, transport, write, data):
         write(data)
@@ -227,9 +233,10 @@
     def test_a_pipelined_request_waits_until_the_response_is_read(self):
         self.answer(self.client, b"1")
         self.client.send_request(IDEMPOTENT_PATH, request_id=b"2")
-        self.assertEqual(self.pending_connections, 0)
+        self.assertNotIn(b"X-Request-Id: 2", self.server.received)
         self.read_all(self.client)
-        self.connect().answer(b"second", request_id=b"2")
+        self.assertIn(b"X-Request-Id: 2", self.server.received)
+        self.server.answer(b"second", request_id=b"2")
         self.read_all(self.client)
         self.assertTrue(self.client.received.endswith(b"second"))
 
@@ -252,5 +259,43 @@
         self.assertTrue(self.client.transport.aborted)
 
 
+class LongBodyTest(SingleClientTestCase):
+    """A body was copied for each attempt, and once more by the transport."""
+
+    BODY = b"z" * (2 * PIECE_BYTES + 1)
+
+    def setUp(self):
+        super().setUp()
+        self.harness.put_rows(LimitsRow(2, 1_000, 1_000_000, 3_000, 15_000))
+        self.client.send_request(IDEMPOTENT_PATH, body=self.BODY)
+        self.server = self.connect()
+
+    def pull(self):
+        while self.server.transport.producer is not None:
+            self.server.transport.producer.resumeProducing()
+
+    def test_a_long_body_is_sent_piece_by_piece(self):
+        self.assertTrue(self.server.received.endswith(b"\r\n\r\n"))
+        self.pull()
+        self.assertTrue(self.server.received.endswith(b"\r\n\r\n" + self.BODY))
+        self.server.answer()
+        self.assertEqual(self.client.status, 200)
+
+    def test_the_rest_of_the_body_follows_an_early_response(self):
+        """Closing at once would cut off a request that the endpoint has answered."""
+        self.server.answer()
+        self.assertEqual(self.client.status, 200)
+        self.assertTrue(self.server.transport.disconnecting)
+        self.pull()
+        self.assertTrue(self.server.received.endswith(b"\r\n\r\n" + self.BODY))
+
+    def test_a_repeated_request_is_sent_whole(self):
+        self.server.transport.producer.resumeProducing()
+        self.server.close()
+        self.server = self.connect()
+        self.pull()
+        self.assertTrue(self.server.received.endswith(b"\r\n\r\n" + self.BODY))
+
+
 if __name__ == "__main__":
     unittest.main()
