entry, core: connections of clients, probes and scrapes are limited below the descriptors

Cause: nothing limited connections, so that clients which stayed connected used up the descriptors that links, logs and connections to endpoints need.

An entry accepts half of its soft limit of descriptors as clients' connections, or the setting [clients] connections. A further one replaces the one that is idle for longest; if none is idle, it gets 503 with Retry-After. Budgets that are derived are at most 40 MB, the thinnest host's share, as a process cannot see a memory limit that the platform applies from outside.

--- a/packages/hemlockdock-core/hemlockdock_core/metrics/listener.py
+++ b/packages/hemlockdock-core/hemlockdock_core/metrics/listener.py
@@ -5,6 +5,7 @@
 from twisted.web.server import Site
 
 from hemlockdock_core.addresses import SocketAddress
+from hemlockdock_core.connection_limits import LimitedConnectionsFactory
 from hemlockdock_core.metrics.counters import COUNTERS
 from hemlockdock_core.metrics.gauges import GAUGES
 from hemlockdock_core.metrics.latencies import LATENCIES
@@ -50,7 +51,8 @@
         site = Site(MetricsResource())
         site.noisy = False
         site.log = lambda request: None
-        self._port = self._reactor.listenTCP(address.port, site, interface=address.host)
+        factory = LimitedConnectionsFactory(site, "metrics_connections_dropped")
+        self._port = self._reactor.listenTCP(address.port, factory, interface=address.host)
 
     def stop(self):
         """Stop listening.
--- a/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
@@ -24,7 +24,7 @@
     request_budget_mb: int = key(
         0,
         "Memory for the requests of all clients of an entry; 0 for a quarter of the process's, at "
-        "most 64 MB. A single request inside the manifest's limits always fits.",
+        "most 40 MB. A single request inside the manifest's limits always fits.",
         "MB",
         ge=0,
         le=100_000_000,
@@ -40,7 +40,7 @@
     response_budget_mb: int = key(
         0,
         "Memory for responses, half for those that endpoints have not completed and half for those "
-        "that clients have not read; 0 for a quarter of the process's, at most 64 MB.",
+        "that clients have not read; 0 for a quarter of the process's, at most 40 MB.",
         "MB",
         ge=0,
         le=100_000_000,
@@ -52,3 +52,11 @@
         ge=100,
         le=3_600_000,
     )
+    connections: int = key(
+        0,
+        "Maximum number of clients' connections of an entry; 0 for half the soft limit of open "
+        "descriptors.",
+        "connections",
+        ge=0,
+        le=1_000_000,
+    )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
@@ -5,10 +5,11 @@
 from hemlockdock_core.process_memory import usable_memory_bytes
 
 BYTES_PER_MB = 1_024 * 1_024
-# A quarter of the thinnest host's 160 MB is ten of the largest bodies; what an idle process takes
-# and the budget for responses fit beside it.
+# A quarter of the thinnest host's 160 MB is ten of the largest bodies; what an idle process takes,
+# 66 MB, and the budget for responses fit beside it.
 MEMORY_SHARE = 0.25
-MAX_DERIVED_BYTES = 64 * 1_024 * 1_024
+# That host's share, since the operating system may not know the limit of the platform.
+MAX_DERIVED_BYTES = 40 * 1_024 * 1_024
 # A holder makes progress with this many bytes; single bytes do not keep it from being dropped.
 PROGRESS_BYTES = 16_384
 # Longer than the round trips in which a client on a slow link sends or reads that many bytes.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -56,7 +56,9 @@
         """Register the connection with the gateway."""
         self.transport.setTcpNoDelay(True)
         self._output.attach(self.transport)
-        self._gateway.clients.add(self)
+        refusal = self._gateway.client_limits.admit(self)
+        if refusal is not None:
+            self._refuse_and_close(refusal)
 
     def connectionLost(self, reason):
         """Abort the exchange in progress."""
@@ -134,6 +136,10 @@
         self._closing = True
         self._output.close()
 
+    def abort_idle(self):
+        """Abort the connection, which must be idle, to make room for another one."""
+        self._abort()
+
     def reads_too_slowly(self, now_s, limit_s):
         """Return whether the client has read nothing of what is held for it for too long.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from hemlockdock_core.connection_limits import client_connections_limit
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.gateway.client_budget import (
@@ -38,6 +39,7 @@
         )
         # Beside the budget for responses that endpoints have not completed, see ``Gateway``.
         self._responses = ClientBudget(gateway.clock, response_budget_bytes(settings))
+        self._max_connections = client_connections_limit(settings)
         self._logged_s = None
 
     @property
@@ -51,6 +53,25 @@
         limit_ms = max(self._settings.body_stall_ms, self._gateway.limits.idle_timeout_ms)
         return limit_ms / MS_PER_S
 
+    def admit(self, connection):
+        """Register a new connection; if there are too many, the one idle for longest is closed.
+
+        Parameters
+        ----------
+        connection : ClientConnection
+
+        Returns
+        -------
+        Refusal or None
+            If there are too many connections and none is idle.
+        """
+        clients = self._gateway.clients
+        if clients.count >= self._max_connections and not clients.abort_longest_idle():
+            self._record("gateway_connections_refused")
+            return Refusal.of(ErrorKind.NO_CAPACITY, "the entry has too many connections")
+        clients.add(connection)
+        return None
+
     def hold_requests(self, connection, held_bytes):
         """Set what the requests of one connection take, and make room if that is too much.
 
@@ -114,10 +135,11 @@
         if self._logged_s is None or now_s - self._logged_s >= LOG_INTERVAL_S:
             self._logged_s = now_s
             logger.warning(
-                "memory for clients is in use",
+                "limits for clients are reached",
                 extra={
                     "counter": counter,
                     "requests_bytes": self._requests.held_bytes,
                     "responses_bytes": self._responses.held_bytes,
+                    "connections": self._gateway.clients.count,
                 },
             )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_registry.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_registry.py
@@ -1,5 +1,7 @@
 """Keep track of an entry's client connections."""
 
+from hemlockdock_core.metrics import COUNTERS
+
 
 class ClientRegistry:
     """The open client connections of an entry."""
@@ -25,6 +27,28 @@
         """
         self._connections.discard(connection)
 
+    @property
+    def count(self):
+        """Return the number of open client connections."""
+        return len(self._connections)
+
+    def abort_longest_idle(self):
+        """Abort the connection that has been idle for longest.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        idle = [connection for connection in self._connections if connection.is_idle]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda connection: connection.idle_since_s)
+        self._connections.discard(oldest)
+        COUNTERS.increment("gateway_idle_connections_dropped")
+        oldest.abort_idle()
+        return True
+
     def all(self):
         """Return the open client connections, as a list.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -6,6 +6,7 @@
 from twisted.internet.protocol import Factory
 
 from hemlockdock_core.addresses import SocketAddress
+from hemlockdock_core.connection_limits import LimitedConnectionsFactory
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.links import LinkTls
 from hemlockdock_core.messages import (
@@ -84,8 +85,10 @@
         )
         self.gateway.attach_link(self._link)
         self._listen(self._settings.listen.http, ClientConnectionFactory(self.gateway))
+        readiness = ReadinessFactory(self._wire.ready_path, self._ready)
         self._listen(
-            self._settings.listen.ready, ReadinessFactory(self._wire.ready_path, self._ready)
+            self._settings.listen.ready,
+            LimitedConnectionsFactory(readiness, "ready_connections_dropped"),
         )
         self._link.start()
         self._maintenance = PeriodicCall(self._reactor, self._run_maintenance)
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -1,11 +1,14 @@
 """Test the limits that the client connections of an entry share."""
 
+import resource
 import unittest
 from functools import partial
 
-from support_gateway import IDEMPOTENT_PATH, SingleClientTestCase
+from support_gateway import IDEMPOTENT_PATH, ClientTransport, SingleClientTestCase
+from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
 
+from hemlockdock_core.connection_limits import LimitedConnectionsFactory, client_connections_limit
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.process_memory import usable_memory_bytes
 from hemlockdock_core.rows import LimitsRow
@@ -259,6 +262,52 @@
         self.assertTrue(self.client.transport.aborted)
 
 
+class ConnectionLimitTest(SingleClientTestCase):
+    """Clients that stayed connected used up the descriptors that links and endpoints need."""
+
+    def setUp(self):
+        super().setUp()
+        self.limits = self.harness.gateway.client_limits
+        self.limits._max_connections = 2
+
+    def test_the_connection_that_is_idle_for_longest_makes_room(self):
+        self.wait(1)
+        other = self.harness.client()
+        self.client.send_request(IDEMPOTENT_PATH)
+        third = self.harness.client()
+        self.assertTrue(other.transport.aborted)
+        self.assertFalse(self.client.transport.aborted)
+        self.assertIsNone(third.status)
+
+    def test_a_newcomer_is_refused_if_none_is_idle(self):
+        self.client.send_request(IDEMPOTENT_PATH)
+        self.harness.client().connection.dataReceived(b"GET / HT")
+        third = self.harness.client()
+        self.assertEqual((third.status, third.transport.disconnecting), (503, True))
+        self.assertIn(b"Retry-After: ", third.received)
+
+    def test_half_the_descriptors_are_for_clients(self):
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.assertEqual(client_connections_limit(settings_of("")), soft // 2)
+        self.assertEqual(client_connections_limit(settings_of("connections = 7\n")), 7)
+
+
+class LimitedFactoryTest(unittest.TestCase):
+    def test_the_oldest_connection_makes_room(self):
+        factory = LimitedConnectionsFactory(Factory.forProtocol(Protocol), "test_dropped", 2)
+        transports = []
+        protocols = []
+        for _ in range(3):
+            protocols.append(factory.buildProtocol(None))
+            transports.append(ClientTransport())
+            protocols[-1].makeConnection(transports[-1])
+        self.assertEqual([item.aborted for item in transports], [True, False, False])
+        protocols[0].connectionLost(None)
+        protocols[1].connectionLost(None)
+        factory.buildProtocol(None).makeConnection(ClientTransport())
+        self.assertFalse(transports[2].aborted)
+
+
 class LongBodyTest(SingleClientTestCase):
     """A body was copied for each attempt, and once more by the transport."""
 
