entry: freed buffers go back to the operating system

Cause: glibc raises the size from which it maps buffers by themselves, up to 32 MB, as such buffers are freed. Bodies that grow beside each other then leave gaps in the heap, which are not returned.

An entry fixes that size at its first value, 128 KB.

--- a/packages/hemlockdock-core/hemlockdock_core/process_memory.py
+++ b/packages/hemlockdock-core/hemlockdock_core/process_memory.py
@@ -1,10 +1,16 @@
 """Find out how much memory the process may use."""
 
+import ctypes
 import os
 import resource
 from pathlib import Path
 
 BYTES_PER_MB = 1_024 * 1_024
+# Parameter of mallopt in malloc.h.
+M_MMAP_THRESHOLD = -3
+# The library's own first value. It raises it to 32 MB as longer buffers are freed, and growing
+# buffers then leave gaps of their size in the heap.
+MMAP_THRESHOLD_BYTES = 128 * 1_024
 CGROUP_LIMITS = ("/sys/fs/cgroup/memory.max", "/sys/fs/cgroup/memory/memory.limit_in_bytes")
 
 
@@ -37,3 +43,17 @@
     except OSError:
         return 0
     return int(text) if text.isdigit() else 0
+
+
+def return_freed_memory():
+    """Make the C library return long buffers to the operating system as soon as they are freed.
+
+    Returns
+    -------
+    bool
+        Whether it has been told so; other libraries than the GNU one have no such parameter.
+    """
+    try:
+        return ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES) == 1
+    except (OSError, AttributeError):
+        return False
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -20,6 +20,7 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import ControlLink, local_node_info, open_local_transport
 from hemlockdock_core.periodic_call import PeriodicCall
+from hemlockdock_core.process_memory import return_freed_memory
 from hemlockdock_core.wire import load_wire
 from hemlockdock_entry.gateway.client_connection import ClientConnection
 from hemlockdock_entry.gateway.gateway import Gateway
@@ -74,6 +75,7 @@
 
     def start(self):
         """Start listening, and connect to control."""
+        return_freed_memory()
         self._transport = open_local_transport(
             self._reactor, self._settings, self._on_frame, self._tls
         )
