--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -6,6 +6,7 @@
 from twisted.internet.protocol import Factory
 
 from hemlockdock_core.addresses import SocketAddress
+from hemlockdock_core.connection_limits import LimitedConnectionsFactory
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.links import LinkTls
 from hemlockdock_core.messages import (
@@ -21,6 +22,7 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import ControlLink, local_node_info, open_local_transport
 from hemlockdock_core.periodic_call import PeriodicCall
+from hemlockdock_core.process_memory import return_freed_memory
 from hemlockdock_core.wire import load_wire
 from hemlockdock_entry.gateway.client_connection import ClientConnection
 from hemlockdock_entry.gateway.gateway import Gateway
@@ -75,6 +77,7 @@
 
     def start(self):
         """Start listening, and connect to control."""
+        return_freed_memory()
         self._transport = open_local_transport(
             self._reactor, self._settings, self._on_frame, self._tls
         )
@@ -86,8 +89,10 @@
         )
         self.gateway.attach_link(self._link)
         self._listen(self._settings.listen.http, ClientConnectionFactory(self.gateway))
+        readiness = ReadinessFactory(self._wire.ready_path, self._ready)
         self._listen(
-            self._settings.listen.ready, ReadinessFactory(self._wire.ready_path, self._ready)
+            self._settings.listen.ready,
+            LimitedConnectionsFactory(readiness, "ready_connections_dropped"),
         )
         self._link.start()
         self._maintenance = PeriodicCall(self._reactor, self._run_maintenance)
