entry: requests of customers wait, or use half of the own share, while the leader does not answer

Cause: a leader that is being replaced does not answer for a second or two. Requests without credit were refused with 503 after 0.15 s, and their clients, who return once, were mostly refused again.

Change: such a request is charged to half of the entry's equal share of the rate, or the leader is asked again for as long as the client can wait. The other half stays free as the leader may still grant to others.

--- a/packages/hemlockdock-entry/hemlockdock_entry/customers/quota_accounts.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/quota_accounts.py
@@ -19,6 +19,9 @@
 # Requests wait for tokens no longer, and no longer than half of the time to their target: one that
 # may wait for longer would take the tokens of one that may not.
 MAX_WAIT_S = 0.1
+# While the leader does not answer, but is not known to be out of touch, an entry uses this part of
+# its equal share: others may still be granted all of the rate.
+UNANSWERED_SHARE = 0.5
 # After the leader has declined a request, further ones are asked for together, so that the answers
 # stay within 2 KB/s.
 DECLINED_FOR_S = 0.25
@@ -83,7 +86,10 @@
             account.wanting.append(exchange)
             self._ask_soon(exchange.customer, account)
             return False
-        return self._charge_own(exchange, account, now_s)
+        if self._book_own(exchange, account, 1.0):
+            return exchange.tokens.is_charged and not exchange.tokens.is_delayed
+        self._refuse_unanswered(exchange, account)
+        return False
 
     def release(self, exchange):
         """Return the tokens of a request that has ended, if it was never sent to an endpoint.
@@ -156,22 +162,35 @@
             logger.info("quotas are paced", extra={"by": "leader" if in_touch else "this entry"})
         return in_touch
 
-    def _charge_own(self, exchange, account, now_s):
+    def _book_own(self, exchange, account, share):
+        """Charge a request to this entry's own share of the rate, now or in a moment.
+
+        Parameters
+        ----------
+        exchange : ProxyExchange
+        account : CustomerAccount
+        share : float
+            Part of the equal share that may be used.
+
+        Returns
+        -------
+        bool
+            Whether it was charged.
+        """
         entries = self._gateway.link.reported_entries
         if not entries:
-            self._refuse_unanswered(exchange, RETRY_S)
             return False
-        interval_s = exchange.tokens.tokens * entries / account.quota.per_s
+        now_s = self._gateway.clock.seconds()
+        interval_s = exchange.tokens.tokens * entries / (account.quota.per_s * share)
         booked_s = account.own_pace.book(self._longest_wait_s(exchange), interval_s, now_s)
         if booked_s is None:
-            self._refuse_unanswered(exchange, account.own_pace.next_s - now_s)
             return False
         COUNTERS.increment("gateway_quota_own_share")
         self._mark_charged(exchange, False)
-        if booked_s <= now_s:
-            return True
-        self._gateway.clock.callLater(booked_s - now_s, exchange.dispatch)
-        return False
+        if booked_s > now_s:
+            exchange.tokens.is_delayed = True
+            self._gateway.clock.callLater(booked_s - now_s, exchange.dispatch)
+        return True
 
     def _ask_soon(self, customer, account):
         now_s = self._gateway.clock.seconds()
@@ -223,7 +242,24 @@
             return
         COUNTERS.increment("gateway_quota_requests_timed_out")
         for exchange in asked.exchanges:
-            self._refuse_unanswered(exchange, RETRY_S)
+            if not exchange.ended:
+                self._continue_unanswered(exchange, account)
+
+    def _continue_unanswered(self, exchange, account):
+        """Serve a request that the leader did not answer, ask again, or refuse it.
+
+        A leader is replaced within a second or two. Clients that can wait for as long would gain
+        nothing from a refusal.
+        """
+        if self._book_own(exchange, account, UNANSWERED_SHARE):
+            if not exchange.tokens.is_delayed:
+                exchange.dispatch()
+            return
+        if exchange.may_wait_s > REPLY_TIMEOUT_S:
+            account.wanting.append(exchange)
+            self._ask_soon(exchange.customer, account)
+            return
+        self._refuse_unanswered(exchange, account)
 
     def _apply_offer(self, exchange, account, offer, now_s):
         if not offer.is_granted:
@@ -244,9 +280,12 @@
         exchange.tokens.is_charged = True
         exchange.tokens.is_granted = is_granted
 
-    def _refuse_unanswered(self, exchange, after_s):
+    def _refuse_unanswered(self, exchange, account):
         # Only the leader knows whether the quota is used up.
         message = "the leader does not answer for the customer's quota"
+        after_s = RETRY_S
+        if account.own_pace.next_s is not None:
+            after_s = max(RETRY_S, account.own_pace.next_s - self._gateway.clock.seconds())
         retry_after_ms = max(1, ceil(after_s * MS_PER_S))
         exchange.refuse(Refusal.of(ErrorKind.NO_CONTROL, message, retry_after_ms=retry_after_ms))
 
--- a/tools/benchmarks/quota_rounds.py
+++ b/tools/benchmarks/quota_rounds.py
@@ -198,6 +198,11 @@
         """Return the time left, in seconds."""
         return self.deadline_s - self.now_s()
 
+    @property
+    def may_wait_s(self):
+        """Return how long the request may wait for an endpoint, in seconds."""
+        return max(0.0, min(self.target_s, self.deadline_s) - self.now_s())
+
     def now_s(self):
         """Return the time, in seconds."""
         return self._entry.clock.seconds()
