entry: what clients still read ends before the process does, and shares one budget

It now waits, within the grace period, until nothing is held for them.

Unread responses and those that endpoints complete share the whole response budget, of which 8 MB are left to the latter; with halves, four slow readers of 8 MB would have been too many.

--- a/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
@@ -39,7 +39,7 @@
     )
     response_budget_mb: int = key(
         0,
-        "Memory for responses, half for those that endpoints have not completed and half for those "
+        "Memory for responses that endpoints have not completed and, but for 8 MB of it, for those "
         "that clients have not read; 0 for a quarter of the process's, at most 40 MB.",
         "MB",
         ge=0,
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
@@ -35,7 +35,7 @@
 
 
 def response_budget_bytes(settings):
-    """Return the budget for responses that endpoints complete, and that for unread ones.
+    """Return the budget for responses that endpoints complete and those that are not read.
 
     Parameters
     ----------
@@ -45,7 +45,7 @@
     -------
     int
     """
-    return derived_budget_bytes(settings, settings.clients.response_budget_mb) // 2
+    return derived_budget_bytes(settings, settings.clients.response_budget_mb)
 
 
 @dataclass(slots=True)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -52,6 +52,11 @@
             return False
         return not self._reader.in_message and self._output.is_drained
 
+    @property
+    def has_unsent(self):
+        """Return whether part of a response is held until the client reads on."""
+        return not self._output.is_drained
+
     def connectionMade(self):
         """Register the connection with the gateway."""
         self.transport.setTcpNoDelay(True)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
@@ -37,11 +37,17 @@
         self._requests = ClientBudget(
             gateway.clock, derived_budget_bytes(settings, self._settings.request_budget_mb)
         )
-        # Beside the budget for responses that endpoints have not completed, see ``Gateway``.
-        self._responses = ClientBudget(gateway.clock, response_budget_bytes(settings))
+        # Unread responses leave room for one that an endpoint has not completed.
+        unread_bytes = response_budget_bytes(settings) - MAX_BODY_BYTES
+        self._responses = ClientBudget(gateway.clock, unread_bytes)
         self._max_connections = client_connections_limit(settings)
         self._logged_s = None
 
+    @property
+    def unread_bytes(self):
+        """Return what is held of responses that clients have not read."""
+        return self._responses.held_bytes
+
     @property
     def response_stall_s(self):
         """Return the time after which a client that reads nothing is dropped."""
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_registry.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_registry.py
@@ -32,6 +32,11 @@
         """Return the number of open client connections."""
         return len(self._connections)
 
+    @property
+    def has_unsent(self):
+        """Return whether responses are held for clients that have not read them yet."""
+        return any(connection.has_unsent for connection in self._connections)
+
     def abort_longest_idle(self):
         """Abort the connection that has been idle for longest.
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -86,7 +86,11 @@
         self.clients = ClientRegistry()
         self.client_limits = ClientLimits(self, settings)
         self.startup_queue = StartupQueue(reactor)
-        self.buffer_budget = BufferBudget(max(MAX_BODY_BYTES, response_budget_bytes(settings)))
+        self.buffer_budget = BufferBudget(
+            response_budget_bytes(settings),
+            MAX_BODY_BYTES,
+            lambda: self.client_limits.unread_bytes,
+        )
         self.draining = False
         self.refuses_new_requests = False
         self.send = send
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -154,7 +154,14 @@
         self._ports = []
         self.gateway.refuses_new_requests = True
         self.gateway.clients.close_idle()
-        self.gateway.call_when_idle(self._abort_requests)
+        self.gateway.call_when_idle(self._end_when_sent)
+
+    def _end_when_sent(self):
+        # Responses that are complete are still being read; the grace period limits the wait.
+        if self._transport is not None and self.gateway.clients.has_unsent:
+            self._reactor.callLater(FLUSH_S, self._end_when_sent)
+            return
+        self._abort_requests()
 
     def _refuse_waiting(self):
         self.gateway.model_queue.refuse_all(Refusal.of(ErrorKind.DRAINING, "the entry stops"))
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -233,6 +233,15 @@
         self.assertEqual(self.client.response(), (200, self.BODY, True))
         self.assertTrue(self.client.transport.disconnecting)
 
+    def test_an_entry_that_stops_can_see_what_is_not_sent_yet(self):
+        """It ended while clients were still reading complete responses."""
+        clients = self.harness.gateway.clients
+        self.assertFalse(clients.has_unsent)
+        self.answer(self.client, b"1")
+        self.assertTrue(clients.has_unsent)
+        self.read_all(self.client)
+        self.assertFalse(clients.has_unsent)
+
     def test_a_pipelined_request_waits_until_the_response_is_read(self):
         self.answer(self.client, b"1")
         self.client.send_request(IDEMPOTENT_PATH, request_id=b"2")
