entry: a body is freed when its request ends

Cause: an exchange and its attempts refer to each other, so that the body stayed in memory until the garbage collector came by, while the budget had already given its bytes to others.

The connection clears the body once the exchange has ended, unless its rest is still being sent.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/body_sender.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/body_sender.py
@@ -4,6 +4,7 @@
 from zope.interface import implementer
 
 PIECE_BYTES = 65_536
+NOTHING = memoryview(b"")
 
 
 @implementer(IPullProducer)
@@ -31,8 +32,9 @@
         piece, self._rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
         self._transport.write(bytes(piece))
         if not self._rest:
+            self._rest = NOTHING
             self._transport.unregisterProducer()
 
     def stopProducing(self):
         """Let go of the body, since the connection is lost."""
-        self._rest = memoryview(b"")
+        self._rest = NOTHING
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -1,5 +1,6 @@
 """Parse pipelined HTTP/1.1 requests of one client connection, and write responses in order."""
 
+import contextlib
 import logging
 from collections import deque
 
@@ -35,7 +36,7 @@
         self._reader = RequestReader(gateway, self._queue_request, self._write_interim)
         # Memory of the complete requests that are queued or being answered.
         self._requests_bytes = 0
-        self._current_bytes = 0
+        self._current = None
         self._pending_requests = deque()
         self._exchange = None
         self._header_timer = None
@@ -106,8 +107,7 @@
         keep_alive : bool
         """
         self._exchange = None
-        self._requests_bytes -= self._current_bytes
-        self._current_bytes = 0
+        self._free_current()
         self._hold_requests()
         self.idle_since_s = self._gateway.clock.seconds()
         if not keep_alive or self._gateway.draining:
@@ -187,7 +187,7 @@
         if not self._output.is_drained:
             return
         request = self._pending_requests.popleft()
-        self._current_bytes = request.held_bytes
+        self._current = request
         self._exchange = self._gateway.create_exchange(self, request)
         self._exchange.start()
 
@@ -205,11 +205,22 @@
         held_bytes = self._requests_bytes + self._reader.held_bytes
         return self._gateway.client_limits.hold_requests(self, held_bytes)
 
+    def _free_current(self):
+        if self._current is None:
+            return
+        request, self._current = self._current, None
+        self._requests_bytes -= request.held_bytes
+        # Otherwise the body waits for the garbage collector with its exchange.
+        with contextlib.suppress(BufferError):
+            # Raised if the rest of it is still being sent to an endpoint.
+            request.body.clear()
+
     def _release_requests(self):
         self._reader.discard()
         self._pending_requests.clear()
         self._requests_bytes = 0
-        self._current_bytes = 0
+        # Its exchange may still run until the connection is lost.
+        self._current = None
         self._gateway.client_limits.hold_requests(self, 0)
 
     def _hold_response(self, held_bytes):
