--- a/packages/hemlockdock-cli/hemlockdock_cli/check.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/check.py
@@ -4,9 +4,10 @@
 
 from hemlockdock_cli.command_error import CommandError
 from hemlockdock_cli.exit_codes import ExitCode
+from hemlockdock_cli.findings import show_findings
 from hemlockdock_core.errors import InvalidInputError
 from hemlockdock_core.manifest import manifest_digest, parse_manifest
-from hemlockdock_core.routes import parse_routes
+from hemlockdock_core.routes import parse_routes, review_routes
 from hemlockdock_core.settings import load_settings
 from hemlockdock_core.wire import find_wire
 
@@ -56,22 +57,30 @@
         manifest = self.parse(file)
         print(f"{file}: manifest {manifest.number} is valid, digest {manifest_digest(manifest)}")
 
-    def routes(self, file, wire=OWN_WIRE):
-        """Validate the routes, pools and limits of a fleet, and list every invalid field.
+    def routes(self, file, wire=OWN_WIRE, against=None, json=False):
+        """Check the routes, pools and limits of a fleet, as control will, and list doubts.
+
+        Keys and their digests are not printed.
 
         Parameters
         ----------
         file : str
         wire : str, optional
-            Module of the wire adapter that decodes the file.
+            Module of the wire adapter that decodes the files.
+        against : str, optional
+            File with the manifest in force; lists what differs, and what it does to callers.
+        json : bool, optional
+            Print one JSON object a line for each finding.
         """
         try:
             adapter = find_wire(wire)
         except ImportError as error:
             raise CommandError(ExitCode.BAD_INPUT, f"wire {wire}: {error}") from None
-        manifest = _parse_file(file, lambda data: parse_routes(adapter, data, str(file)))
-        routes, pools = len(manifest.routes), len(manifest.pools)
-        print(f"{file}: number {manifest.number} is valid, {routes} routes, {pools} pools")
+        in_force = None
+        if against is not None:
+            in_force = _parse_file(against, lambda data: parse_routes(adapter, data, str(against)))
+        manifest, findings = review_routes(adapter, _read_file(file), str(file), in_force)
+        show_findings(str(file), manifest, findings, json)
 
     def parse(self, file):
         """Read a manifest file and return the validated manifest.
@@ -93,13 +102,19 @@
 
 def _parse_file(file, parse):
     """Parse the content of a file; the error has one line for each problem."""
+    data = _read_file(file)
     try:
-        return parse(Path(file).read_bytes())
-    except OSError as error:
-        raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from None
+        return parse(data)
     except InvalidInputError as error:
         raise CommandError(ExitCode.BAD_INPUT, _problem_lines(error)) from None
 
 
+def _read_file(file):
+    try:
+        return Path(file).read_bytes()
+    except OSError as error:
+        raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from None
+
+
 def _problem_lines(error):
     return "\n".join(str(problem) for problem in error.errors)
--- a/packages/hemlockdock-cli/hemlockdock_cli/exit_codes.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/exit_codes.py
@@ -8,6 +8,7 @@
 
     OK = 0
     FAILED = 1
+    WARNINGS = 1
     BAD_INPUT = 2
     REFUSED = 3
     UNREACHABLE = 4
--- a/packages/hemlockdock-cli/tests/test_commands.py
+++ b/packages/hemlockdock-cli/tests/test_commands.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import json
 import tempfile
 import unittest
 from pathlib import Path
@@ -75,12 +76,12 @@
         self.assertIn("format_version: ", errors)
         self.assertIn("deployment: ", errors)
 
-    def routes(self, number=3, pool="p"):
+    def routes(self, number=3, pool="p", prefix="/a/", name="routes.json"):
         limits = LimitsRow(number, 1_000, 10_000, 3_000, 15_000)
         target = (WeightedPool(pool, 1.0),)
-        route = RouteRow("r", "shop", "/a/", RouteKind.IDEMPOTENT, 500, 100, 1, target)
+        route = RouteRow("r", "shop", prefix, RouteKind.IDEMPOTENT, 500, 100, 1, target)
         manifest = RouteManifest(limits, (route,), (PoolRow("p", "/", 10),))
-        return self.write("routes.json", own.WIRE.encode_routes(manifest).decode())
+        return self.write(name, own.WIRE.encode_routes(manifest).decode())
 
     def test_valid_routes_are_reported_as_valid(self):
         code, output, _ = run("check", "routes", self.routes())
@@ -100,6 +101,36 @@
             self.assertEqual(code, ExitCode.BAD_INPUT)
             self.assertIn(named, errors)
 
+    def test_warnings_about_routes_have_an_exit_code_of_their_own(self):
+        code, output, errors = run("check", "routes", self.routes(prefix="/a"))
+        self.assertEqual(code, ExitCode.WARNINGS)
+        self.assertIn("warning: routes[0].prefix: ", output)
+        self.assertIn("is valid", output)
+        self.assertIn("warnings: 1", errors)
+
+    def test_findings_as_json_are_one_object_a_line(self):
+        path = self.routes(number=2, prefix="/a")
+        against = self.routes(name="in_force.json")
+        code, output, _ = run("check", "routes", path, "--against", against, "--json")
+        self.assertEqual(code, ExitCode.BAD_INPUT)
+        found = [json.loads(line) for line in output.splitlines()]
+        self.assertEqual(
+            [(finding["level"], finding["path"]) for finding in found],
+            [
+                ("warning", "routes[0].prefix"),
+                ("error", "limits.number"),
+                ("warning", "route/r"),
+            ],
+        )
+        code, output, _ = run("check", "routes", against, "--json")
+        self.assertEqual((code, output), (ExitCode.OK, ""))
+
+    def test_errors_of_the_manifest_in_force_name_its_file(self):
+        against = self.routes(name="in_force.json", pool="unknown")
+        code, _, errors = run("check", "routes", self.routes(), "--against", against)
+        self.assertEqual(code, ExitCode.BAD_INPUT)
+        self.assertIn("in_force.json: routes[0].pools: ", errors)
+
     def test_a_bad_manifest_is_refused_before_control_is_called(self):
         path = self.write("bad.json", "no json")
         code, _, errors = run("--admin", "127.0.0.1:9", "submit", path)
