--- a/packages/hemlockdock-core/hemlockdock_core/routes/customer_changes.py
+++ b/packages/hemlockdock-core/hemlockdock_core/routes/customer_changes.py
@@ -36,14 +36,14 @@
             continue
         added = len(set(new.key_digests) - set(old.key_digests))
         if added:
-            yield Finding(FindingLevel.NOTE, old.key, f"{added} keys added")
+            yield Finding(FindingLevel.NOTE, old.key, f"keys added: {added}")
         yield from _quota_changes(old, new)
         if old.urgency != new.urgency:
             message = f"urgency {old.urgency} -> {new.urgency}"
             yield Finding(FindingLevel.NOTE, old.key, message)
     for new in manifest.customers:
         if new.name not in old_names:
-            yield Finding(FindingLevel.NOTE, new.key, f"added with {len(new.key_digests)} keys")
+            yield Finding(FindingLevel.NOTE, new.key, f"added, keys: {len(new.key_digests)}")
 
 
 def _key_changes(old, owner_by_digest, keys_needed):
@@ -56,10 +56,10 @@
         elif owner != old.name:
             count_by_owner[owner] = count_by_owner.get(owner, 0) + 1
     if removed:
-        effect = ": their callers get 401, also on open connections" if keys_needed else ""
-        yield Finding(FindingLevel.WARNING, old.key, f"{removed} keys removed{effect}")
+        effect = "; their callers get 401, also on open connections" if keys_needed else ""
+        yield Finding(FindingLevel.WARNING, old.key, f"keys removed: {removed}{effect}")
     for owner, count in sorted(count_by_owner.items()):
-        message = f"{count} keys moved: their callers now count for customer {owner!r}"
+        message = f"keys moved to customer {owner!r}, for which their callers then count: {count}"
         yield Finding(FindingLevel.WARNING, old.key, message)
 
 
--- a/packages/hemlockdock-core/tests/test_route_review.py
+++ b/packages/hemlockdock-core/tests/test_route_review.py
@@ -199,7 +199,7 @@
     def test_removed_and_moved_keys_are_counted_and_not_shown(self):
         less = replace(CUSTOMER, key_digests=(DIGEST,))
         (removed,) = self.changes(customers=(less,))
-        self.assertIn("1 keys removed", removed.message)
+        self.assertIn("keys removed: 1", removed.message)
         other = CustomerRow("d", (OTHER_DIGEST,))
         moved = self.changes(customers=(less, other))
         self.assertIn("'d'", moved[0].message)
