--- a/packages/hemlockdock-cli/hemlockdock_cli/check.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/check.py
@@ -5,9 +5,10 @@
 from hemlockdock_cli.command_error import CommandError
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_cli.findings import show_findings
+from hemlockdock_control.admin.limited_site import MAX_BODY_BYTES
 from hemlockdock_core.errors import InvalidInputError
 from hemlockdock_core.manifest import manifest_digest, parse_manifest
-from hemlockdock_core.routes import parse_routes, review_routes
+from hemlockdock_core.routes import Finding, FindingLevel, parse_routes, review_routes
 from hemlockdock_core.settings import load_settings
 from hemlockdock_core.wire import find_wire
 
@@ -79,7 +80,11 @@
         in_force = None
         if against is not None:
             in_force = _parse_file(against, lambda data: parse_routes(adapter, data, str(against)))
-        manifest, findings = review_routes(adapter, _read_file(file), str(file), in_force)
+        data = _read_file(file)
+        manifest, findings = review_routes(adapter, data, str(file), in_force)
+        if len(data) > MAX_BODY_BYTES:
+            message = f"at most {MAX_BODY_BYTES} bytes, got {len(data)}"
+            findings.append(Finding(FindingLevel.ERROR, "(text)", message))
         show_findings(str(file), manifest, findings, json)
 
     def parse(self, file):
--- a/packages/hemlockdock-cli/tests/test_commands.py
+++ b/packages/hemlockdock-cli/tests/test_commands.py
@@ -17,6 +17,7 @@
 from hemlockdock_cli.exit_codes import ExitCode
 from hemlockdock_cli.main import main
 from hemlockdock_cli.tables import section_lines
+from hemlockdock_control.admin.limited_site import MAX_BODY_BYTES
 from hemlockdock_core.routes import RouteManifest
 from hemlockdock_core.rows import LimitsRow, PoolRow, RouteKind, RouteRow, WeightedPool
 from hemlockdock_core.wire import own
@@ -125,6 +126,15 @@
         code, output, _ = run("check", "routes", against, "--json")
         self.assertEqual((code, output), (ExitCode.OK, ""))
 
+    def test_routes_that_control_refuses_for_their_size_are_an_error(self):
+        path = Path(self.routes())
+        path.write_bytes(path.read_bytes().ljust(MAX_BODY_BYTES))
+        self.assertEqual(run("check", "routes", str(path))[0], ExitCode.OK)
+        path.write_bytes(path.read_bytes() + b" ")
+        code, _, errors = run("check", "routes", str(path))
+        self.assertEqual(code, ExitCode.BAD_INPUT)
+        self.assertIn(f"(text): at most {MAX_BODY_BYTES} bytes", errors)
+
     def test_errors_of_the_manifest_in_force_name_its_file(self):
         against = self.routes(name="in_force.json", pool="unknown")
         code, _, errors = run("check", "routes", self.routes(), "--against", against)
