--- a/packages/hemlockdock-control/hemlockdock_control/quotas/quota_ledger.py
+++ b/packages/hemlockdock-control/hemlockdock_control/quotas/quota_ledger.py
@@ -3,21 +3,22 @@
 from math import ceil
 
 from hemlockdock_control.quotas.quota_account import QuotaAccount
-from hemlockdock_core.messages import QuotaOffer, QuotaReply
+from hemlockdock_core.messages import QuotaReply, TokenDecision
 from hemlockdock_core.metrics import COUNTERS, GAUGES
-from hemlockdock_core.quota_sizes import is_limited, largest_request
+from hemlockdock_core.quota_bounds import is_limited, largest_request
 
 MS_PER_S = 1_000
 TOKENS_GAUGE = "control_customer_tokens_left"
-# A request that can never be served is refused by its entry; this one knew an earlier quota.
-NEVER_MS = 60_000
+# Entries refuse requests larger than the quota can ever grant. One that gets here came from an
+# entry that did not know the quota in force yet.
+TOO_LARGE_RETRY_MS = 60_000
 
 
 class QuotaLedger:
     """The accounts of all customers, kept while this member leads.
 
-    This handles customers whose requests come to entries unevenly: whoever has a request asks for
-    its tokens. What entries that are out of touch may use by themselves is not granted to others.
+    Entries claim the tokens of each request, so that a customer's requests may be spread over
+    entries in any way. The shares of entries that are out of touch are not granted to others.
 
     Parameters
     ----------
@@ -70,14 +71,14 @@
         QuotaReply
         """
         account = self._account(request.customer, now_s)
-        offers = []
-        for ask in request.asks:
+        decisions = []
+        for claim in request.claims:
             if account is None:
-                # The manifest in force limits this customer no more.
-                offers.append(QuotaOffer(True, 0))
+                # The manifest in force does not limit this customer.
+                decisions.append(TokenDecision(True, 0))
                 continue
-            offers.append(_offer(account, ask, counts, now_s))
-        return QuotaReply(request.customer, request.number, tuple(offers))
+            decisions.append(_decide(account, claim, counts, now_s))
+        return QuotaReply(request.customer, request.number, tuple(decisions))
 
     def give_back(self, message):
         """Take back tokens that an entry did not use.
@@ -111,22 +112,24 @@
         return account
 
 
-def _offer(account, ask, counts, now_s):
-    # The last entry may not be heard of while its message is read.
+def _decide(account, claim, counts, now_s):
+    # The roster may count the only entry as silent while its message is handled.
     active = max(1, counts.total - counts.silent)
     per_s = account.quota.per_s * active / max(1, counts.total)
-    if not ask.return_ms:
-        return QuotaOffer(account.grant_credit(ask.tokens, per_s, now_s), 0)
-    if ask.tokens > largest_request(account.quota):
-        return QuotaOffer(False, NEVER_MS)
-    valid_s = account.grant(ask.tokens, ask.wait_ms / MS_PER_S, ask.mark, per_s, now_s)
+    if claim.is_credit:
+        return TokenDecision(account.grant_credit(claim.tokens, per_s, now_s), 0)
+    if claim.tokens > largest_request(account.quota):
+        return TokenDecision(False, TOO_LARGE_RETRY_MS)
+    longest_wait_s = claim.wait_ms / MS_PER_S
+    fingerprint = claim.client_fingerprint
+    valid_s = account.grant(claim.tokens, longest_wait_s, fingerprint, per_s, now_s)
     if valid_s is not None:
         COUNTERS.increment("control_quota_grants")
-        return QuotaOffer(True, _ceil_ms(valid_s - now_s))
+        return TokenDecision(True, _ceil_ms(valid_s - now_s))
     COUNTERS.increment("control_quota_declines")
-    longest_s = ask.return_ms / MS_PER_S
-    due_s = account.promise(ask.tokens, longest_s, ask.mark, per_s, now_s)
-    return QuotaOffer(False, max(1, _ceil_ms(due_s - now_s)))
+    longest_s = claim.max_retry_after_ms / MS_PER_S
+    due_s = account.reserve(claim.tokens, longest_s, fingerprint, per_s, now_s)
+    return TokenDecision(False, max(1, _ceil_ms(due_s - now_s)))
 
 
 def _ceil_ms(seconds):
--- a/packages/hemlockdock-control/tests/test_quotas.py
+++ b/packages/hemlockdock-control/tests/test_quotas.py
@@ -12,13 +12,13 @@
 from hemlockdock_control.fleet.entry_roster import SILENT_AFTER_S, EntryCounts
 from hemlockdock_control.fleet.nodes import FleetNodes
 from hemlockdock_control.fleet.request_limits import RequestLimits
-from hemlockdock_control.quotas.quota_account import PROMISE_VALID_S, QuotaAccount
+from hemlockdock_control.quotas.quota_account import RESERVATION_VALID_S, QuotaAccount
 from hemlockdock_control.quotas.quota_ledger import QuotaLedger
 from hemlockdock_control.state import ClusterStateMachine
-from hemlockdock_core.messages import NODE_CODEC, QuotaAsk, QuotaReply, QuotaRequest, QuotaReturn
+from hemlockdock_core.messages import NODE_CODEC, QuotaReply, QuotaRequest, QuotaReturn, TokenClaim
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.metrics import GAUGES
-from hemlockdock_core.quota_sizes import largest_request
+from hemlockdock_core.quota_bounds import largest_request
 from hemlockdock_core.routes.manifest import RouteManifest
 from hemlockdock_core.rows import CustomerRow, LimitsRow, TokenQuota
 
@@ -41,11 +41,11 @@
     def setUp(self):
         self.account = QuotaAccount(QUOTA, 0.0)
 
-    def grant(self, tokens, now_s, wait_s=0.0, mark=0):
-        return self.account.grant(tokens, wait_s, mark, QUOTA.per_s, now_s)
+    def grant(self, tokens, now_s, wait_s=0.0, fingerprint=0):
+        return self.account.grant(tokens, wait_s, fingerprint, QUOTA.per_s, now_s)
 
-    def promise(self, tokens, now_s, mark, longest_s=9.0):
-        return self.account.promise(tokens, longest_s, mark, QUOTA.per_s, now_s)
+    def reserve(self, tokens, now_s, fingerprint, longest_s=9.0):
+        return self.account.reserve(tokens, longest_s, fingerprint, QUOTA.per_s, now_s)
 
     def test_it_begins_without_tokens(self):
         """A new leader does not know what the last one granted."""
@@ -72,33 +72,33 @@
         self.assertIsNotNone(self.grant(largest, 11.0))
 
     def test_refused_clients_return_one_after_the_other(self):
-        dues_s = [self.promise(100, 0.0, mark) for mark in (1, 2, 3)]
+        dues_s = [self.reserve(100, 0.0, fingerprint) for fingerprint in (1, 2, 3)]
         self.assertEqual(sorted(dues_s), dues_s)
         self.assertEqual(len(set(dues_s)), 3)
 
     def test_who_returns_when_told_finds_its_tokens_though_others_ask_all_the_time(self):
-        dues_s = {mark: self.promise(300, 0.0, mark) for mark in range(1, 6)}
+        dues_s = {fingerprint: self.reserve(300, 0.0, fingerprint) for fingerprint in range(1, 6)}
         for step in range(1, 500):
             now_s = step / 100
-            for mark, due_s in dues_s.items():
+            for fingerprint, due_s in dues_s.items():
                 if now_s - 0.01 < due_s <= now_s:
-                    self.assertIsNotNone(self.grant(300, now_s, mark=mark))
-            self.grant(100, now_s, mark=99)
+                    self.assertIsNotNone(self.grant(300, now_s, fingerprint=fingerprint))
+            self.grant(100, now_s, fingerprint=99)
 
     def test_who_claims_early_takes_nothing_from_who_is_before(self):
         self.grant(100, 0.1)
-        dues_s = [self.promise(60, 0.1, mark) for mark in (1, 2)]
+        dues_s = [self.reserve(60, 0.1, fingerprint) for fingerprint in (1, 2)]
         now_s = dues_s[0] - 0.001
-        self.assertAlmostEqual(self.grant(60, now_s, wait_s=0.15, mark=2), dues_s[1])
-        self.assertIsNotNone(self.grant(60, dues_s[0], mark=1))
+        self.assertAlmostEqual(self.grant(60, now_s, wait_s=0.15, fingerprint=2), dues_s[1])
+        self.assertIsNotNone(self.grant(60, dues_s[0], fingerprint=1))
 
     def test_tokens_of_who_does_not_return_go_to_others(self):
-        due_s = self.promise(2_000, 0.0, 1)
+        due_s = self.reserve(2_000, 0.0, 1)
         self.assertIsNone(self.grant(500, due_s - 0.1))
-        self.assertIsNotNone(self.grant(2_000, due_s + PROMISE_VALID_S + 0.01))
+        self.assertIsNotNone(self.grant(2_000, due_s + RESERVATION_VALID_S + 0.01))
 
     def test_nothing_is_withheld_for_who_returns_too_early(self):
-        self.promise(2_000, 0.0, 1, longest_s=0.5)
+        self.reserve(2_000, 0.0, 1, longest_s=0.5)
         self.assertIsNotNone(self.grant(100, 0.1))
 
     def test_credit_comes_out_of_what_is_left_of_the_burst(self):
@@ -112,10 +112,10 @@
         self.assertIsNotNone(self.grant(500, 60.0))
 
     def test_promises_outlast_a_quota_that_is_raised(self):
-        due_s = self.promise(500, 0.0, 1)
+        due_s = self.reserve(500, 0.0, 1)
         self.account.change(TokenQuota(2_000.0, 2_000.0, 100.0), 0.1)
         self.assertIsNone(self.grant(100, 0.2))
-        self.assertIsNotNone(self.grant(500, due_s, mark=1))
+        self.assertIsNotNone(self.grant(500, due_s, fingerprint=1))
 
     def test_a_lower_quota_applies_at_once(self):
         self.account = QuotaAccount(TokenQuota(1_000.0, 9_000.0, 100.0), 0.0)
@@ -138,10 +138,10 @@
             tokens = source.choice((100.0, 600.0, 2_900.0, 9_000.0))
             if tokens > largest_request(quota):
                 continue
-            mark = source.randrange(20)
-            valid_s = account.grant(tokens, 0.1, mark, quota.per_s, now_s)
+            fingerprint = source.randrange(20)
+            valid_s = account.grant(tokens, 0.1, fingerprint, quota.per_s, now_s)
             if valid_s is None:
-                account.promise(tokens, 4.0, mark, quota.per_s, now_s)
+                account.reserve(tokens, 4.0, fingerprint, quota.per_s, now_s)
             elif source.random() < 0.3:
                 held.append(tokens)
             else:
@@ -159,10 +159,10 @@
         self.ledger.update(manifest(QUOTA))
 
     def ask(self, tokens, now_s, counts=ONE, customer="acme", wait_ms=0):
-        asks = (QuotaAsk(tokens, wait_ms, 1_000, 1),)
-        reply = self.ledger.answer(QuotaRequest(customer, 7, asks, 1), counts, now_s)
-        self.assertEqual((reply.customer, reply.number, len(reply.offers)), (customer, 7, 1))
-        return reply.offers[0]
+        claims = (TokenClaim(tokens, wait_ms, 1_000, 1),)
+        reply = self.ledger.answer(QuotaRequest(customer, 7, claims, 1), counts, now_s)
+        self.assertEqual((reply.customer, reply.number, len(reply.decisions)), (customer, 7, 1))
+        return reply.decisions[0]
 
     def test_a_customer_that_comes_late_has_its_burst(self):
         """Its account begins when the leader does, not with its first request."""
@@ -231,12 +231,12 @@
         self.nodes.on_frame(NODE_CODEC.decode(data))
 
     def ask(self):
-        self.receive(QuotaRequest("acme", 1, (QuotaAsk(2_000, 0, 1_000, 1),), 1))
+        self.receive(QuotaRequest("acme", 1, (TokenClaim(2_000, 0, 1_000, 1),), 1))
 
     def granted(self):
         replies = [NODE_CODEC.decode(NODE_CODEC.encode(self._frame(m))).body for m in self.sent]
         self.sent.clear()
-        return [reply.offers[0].is_granted for reply in replies if isinstance(reply, QuotaReply)]
+        return [reply.decisions[0].is_granted for reply in replies if isinstance(reply, QuotaReply)]
 
     def _frame(self, message):
         return Frame(PROTOCOL_VERSION, "member", 1, "", message)
@@ -246,7 +246,7 @@
         self.ask()
         self.assertEqual(self.granted(), [True, False])
         self.receive(QuotaReturn("acme", 1_000, False))
-        self.receive(QuotaRequest("acme", 1, (QuotaAsk(1_000, 0, 1_000, 1),), 1))
+        self.receive(QuotaRequest("acme", 1, (TokenClaim(1_000, 0, 1_000, 1),), 1))
         self.assertEqual(self.granted(), [True])
 
     def test_a_member_without_a_lease_does_not_answer(self):
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -33,11 +33,11 @@
 )
 from hemlockdock_core.messages.proposals import Proposal, ProposalResult
 from hemlockdock_core.messages.quotas import (
-    QuotaAsk,
-    QuotaOffer,
     QuotaReply,
     QuotaRequest,
     QuotaReturn,
+    TokenClaim,
+    TokenDecision,
 )
 from hemlockdock_core.messages.refused import Refused
 from hemlockdock_core.messages.request_limits import (
@@ -104,8 +104,8 @@
     "PermitReturn",
     "Proposal",
     "ProposalResult",
-    "QuotaAsk",
-    "QuotaOffer",
+    "TokenClaim",
+    "TokenDecision",
     "QuotaReply",
     "QuotaRequest",
     "QuotaReturn",
--- a/packages/hemlockdock-core/hemlockdock_core/messages/quotas.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/quotas.py
@@ -7,24 +7,27 @@
 from hemlockdock_core.messages.message import Message
 
 
-class QuotaAsk(msgspec.Struct, frozen=True, array_like=True):
-    """Wish for the tokens of one request, or for credit for requests to come.
+class TokenClaim(msgspec.Struct, frozen=True, array_like=True):
+    """Claim to the tokens of one request, or to credit for future requests.
 
     Attributes
     ----------
     tokens : float
     wait_ms : int
         Longest time that the request may wait for its tokens.
-    return_ms : int
-        Longest time after which its client would return; 0 for credit.
-    mark : int
-        Number that the request has in common with its repetitions.
+    max_retry_after_ms : int
+        Longest ``Retry-After`` that the client of the request honours.
+    client_fingerprint : int
+        Prefix of the request's fingerprint, so that the retry is recognised at any entry.
+    is_credit : bool
+        Whether these are tokens for future requests; only ``tokens`` applies then.
     """
 
     tokens: float
     wait_ms: int
-    return_ms: int = 0
-    mark: int = 0
+    max_retry_after_ms: int = 0
+    client_fingerprint: int = 0
+    is_credit: bool = False
 
 
 class QuotaRequest(Message, frozen=True):
@@ -35,25 +38,25 @@
     customer : str
     number : int
         Increases with each message of the entry's process; the reply repeats it.
-    asks : tuple of QuotaAsk
+    claims : tuple of TokenClaim
     entries : int
         Largest number of entries that the entry has heard of; 0 for none.
     """
 
     customer: str
     number: int
-    asks: tuple[QuotaAsk, ...]
+    claims: tuple[TokenClaim, ...]
     entries: int
 
 
-class QuotaOffer(msgspec.Struct, frozen=True, array_like=True):
-    """Answer to one QuotaAsk.
+class TokenDecision(msgspec.Struct, frozen=True, array_like=True):
+    """Decision of the leader on one TokenClaim.
 
     Attributes
     ----------
     is_granted : bool
     after_ms : int
-        Time until the tokens are valid; if not granted, until there will be tokens.
+        Time until the tokens are valid; if they were not granted, until the client should retry.
     """
 
     is_granted: bool
@@ -68,15 +71,15 @@
     customer : str
     number : int
         Number of the request.
-    offers : tuple of QuotaOffer
-        One for each ask, in their order.
+    decisions : tuple of TokenDecision
+        One for each claim, in their order.
     """
 
     expects_answer: ClassVar[bool] = False
 
     customer: str
     number: int
-    offers: tuple[QuotaOffer, ...]
+    decisions: tuple[TokenDecision, ...]
 
 
 class QuotaReturn(Message, frozen=True):
--- a/packages/hemlockdock-core/hemlockdock_core/rows/customer_row.py
+++ b/packages/hemlockdock-core/hemlockdock_core/rows/customer_row.py
@@ -36,9 +36,9 @@
     key_digests : tuple of str
         Digests of its keys, see `key_digest`; the keys themselves are not replicated to entries.
     urgency : int
-        Goes before the urgency of the route; 0 is the highest urgency.
+        Compared before the urgency of the route; 0 is the highest urgency.
     quota : TokenQuota or None
-        None if its use is not limited; so does a rate of 0.
+        None, or a rate of 0, means no limit.
     """
 
     name: str
--- a/packages/hemlockdock-entry/hemlockdock_entry/customers/__init__.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/__init__.py
@@ -3,7 +3,7 @@
 from hemlockdock_entry.customers.customer_directory import CustomerDirectory
 from hemlockdock_entry.customers.customer_index import CustomerIndex
 from hemlockdock_entry.customers.key_check import KeyCheck, KeyResult, check_key
-from hemlockdock_entry.customers.quota_accounts import QuotaAccounts
+from hemlockdock_entry.customers.quota_client import QuotaClient
 from hemlockdock_entry.customers.request_key import RequestKey
 from hemlockdock_entry.customers.urgency_ranks import NO_CUSTOMER_URGENCY
 
@@ -13,7 +13,7 @@
     "CustomerIndex",
     "KeyCheck",
     "KeyResult",
-    "QuotaAccounts",
+    "QuotaClient",
     "RequestKey",
     "check_key",
 ]
--- a/packages/hemlockdock-entry/hemlockdock_entry/customers/customer_credit.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/customers/customer_credit.py
@@ -1,10 +1,10 @@
-"""Tokens of one customer that the leader granted an entry in advance."""
+"""Tokens granted to this entry in advance for one customer, and the customer's recent demand."""
 
 from collections import deque
 from dataclasses import dataclass
 
 from hemlockdock_core.decaying_count import DecayingCount
-from hemlockdock_core.quota_sizes import CREDIT_VALID_S, most_credit
+from hemlockdock_core.quota_bounds import CREDIT_VALID_S, most_credit
 
 # Credit covers the demand of this time: several round trips to the leader.
 AHEAD_S = 0.25
@@ -13,7 +13,7 @@
 
 
 @dataclass(slots=True)
-class Credit:
+class CreditGrant:
     """Tokens that were granted together.
 
     Attributes
@@ -26,10 +26,10 @@
 
 
 class CustomerCredit:
-    """Tokens of one customer that no request has yet, and how many its requests need."""
+    """Credit of one customer that no request has used yet, and the demand that it covers."""
 
     def __init__(self):
-        self._credits = deque()
+        self._grants = deque()
         self._demand = DecayingCount(DEMAND_S)
 
     def held(self, now_s):
@@ -43,7 +43,7 @@
         -------
         float
         """
-        return sum(credit.tokens for credit in self._credits if credit.until_s > now_s)
+        return sum(grant.tokens for grant in self._grants if grant.until_s > now_s)
 
     def record_demand(self, tokens, now_s):
         """Record the tokens of a request that has come.
@@ -61,9 +61,9 @@
         ----------
         tokens : float
         now_s : float
-            Time at which they were asked for.
+            Time at which they were claimed.
         """
-        self._credits.append(Credit(tokens, now_s + CREDIT_VALID_S))
+        self._grants.append(CreditGrant(tokens, now_s + CREDIT_VALID_S))
 
     def take(self, tokens, now_s):
         """Take the tokens of a request, the oldest first.
@@ -79,11 +79,11 @@
         """
         if self.held(now_s) < tokens:
             return False
-        for credit in self._credits:
-            if credit.until_s <= now_s:
+        for grant in self._grants:
+            if grant.until_s <= now_s:
                 continue
-            part = min(tokens, credit.tokens)
-            credit.tokens -= part
+            part = min(tokens, grant.tokens)
+            grant.tokens -= part
             tokens -= part
         return True
 
@@ -100,16 +100,16 @@
             How many have.
         """
         expired = 0.0
-        while self._credits and self._credits[0].until_s <= now_s:
-            expired += self._credits.popleft().tokens
+        while self._grants and self._grants[0].until_s <= now_s:
+            expired += self._grants.popleft().tokens
         return expired
 
     def drop_all(self):
         """Drop all tokens: they were granted under another quota."""
-        self._credits.clear()
+        self._grants.clear()
 
     def wanted(self, quota, entries, now_s):
-        """Return how much credit to ask for.
+        """Return how much credit to claim.
 
         Parameters
         ----------
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -7,7 +7,7 @@
 from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_entry.balancing.load_freshness import LoadFreshness
-from hemlockdock_entry.customers import CustomerDirectory, QuotaAccounts
+from hemlockdock_entry.customers import CustomerDirectory, QuotaClient
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
 from hemlockdock_entry.gateway.class_order import ClassOrder
 from hemlockdock_entry.gateway.client_budget import response_budget_bytes
@@ -64,7 +64,7 @@
     pauses : EndpointPauses
     endpoint_limits : EndpointLimits
     permits : PermitTracker
-    quotas : QuotaAccounts
+    quotas : QuotaClient
     quarantine : Quarantine
     gate : EndpointGate
     stop_schedule : StopSchedule
@@ -119,7 +119,7 @@
         )
         self.endpoint_limits = EndpointLimits(self, self._limit_changed)
         self.permits = PermitTracker(self, self.endpoint_limits, self._random)
-        self.quotas = QuotaAccounts(self, self._random)
+        self.quotas = QuotaClient(self, self._random)
         self.other_entries = OtherEntries(reactor, send)
         self.quarantine = Quarantine(self, settings.process.node_id)
         self.stop_schedule = StopSchedule(reactor)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -3,7 +3,7 @@
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_entry.customers import NO_CUSTOMER_URGENCY, RequestKey
-from hemlockdock_entry.customers.token_wish import TokenWish
+from hemlockdock_entry.customers.token_charge import TokenCharge
 from hemlockdock_entry.gateway.continuation import can_continue
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.patience import Patience
@@ -50,7 +50,7 @@
     reserved_endpoint_id : str
         Endpoint at which a slot is reserved while the request waits for an adapter.
     wish : PermitWish
-    tokens : TokenWish
+    token_charge : TokenCharge
     """
 
     def __init__(self, gateway, connection, request):
@@ -77,7 +77,7 @@
         self.ticket = None
         self.reserved_endpoint_id = ""
         self.wish = PermitWish()
-        self.tokens = TokenWish()
+        self.token_charge = TokenCharge()
 
     @property
     def ended(self):
--- a/packages/hemlockdock-entry/hemlockdock_entry/own_pace.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/own_pace.py
@@ -1,11 +1,12 @@
-"""Pace the requests of an entry that can't ask for permits."""
+"""Space an entry's requests evenly while it can't ask the leader for permits or tokens."""
 
-# Longer, and those that many entries keep for a burst would exceed the endpoint's limit.
-KEPT_S = 1.0
+# Times of requests that have been unused for longer are lost. Otherwise, a burst of many entries
+# together would exceed the limit of an endpoint or the quota of a customer.
+MAX_BURST_AGE_S = 1.0
 
 
 class OwnPace:
-    """Spreads an entry's requests to one endpoint evenly, without knowing those of other entries.
+    """Spaces requests to one endpoint, or of one customer, without knowing those of other entries.
 
     Entries that begin together are spread over the interval by chance.
 
@@ -35,7 +36,7 @@
         float or None
             None if that is too late; see ``next_s``.
         """
-        if self._next_s is None or self._next_s < now_s - KEPT_S:
+        if self._next_s is None or self._next_s < now_s - MAX_BURST_AGE_S:
             earliest_s = now_s
             if self._booked_s is not None:
                 earliest_s = max(now_s, self._booked_s + interval_s)
--- a/packages/hemlockdock-entry/tests/test_customer_quotas.py
+++ b/packages/hemlockdock-entry/tests/test_customer_quotas.py
@@ -5,10 +5,10 @@
 from support_gateway import AT_MOST_ONCE_PATH, GatewayTestCase
 
 from hemlockdock_core.customer_keys import key_digest
-from hemlockdock_core.messages import QuotaOffer, QuotaReply, QuotaRequest, QuotaReturn
-from hemlockdock_core.quota_sizes import CREDIT_VALID_S
+from hemlockdock_core.messages import QuotaReply, QuotaRequest, QuotaReturn, TokenDecision
+from hemlockdock_core.quota_bounds import CREDIT_VALID_S
 from hemlockdock_core.rows import CustomerRow, LimitsRow, TokenQuota
-from hemlockdock_entry.customers.quota_accounts import COLLECT_S
+from hemlockdock_entry.customers.quota_client import COLLECT_S
 from hemlockdock_entry.customers.request_tokens import request_tokens
 from hemlockdock_entry.leader_times import REPLY_TIMEOUT_S
 
@@ -53,33 +53,33 @@
         self.reactor.advance(0)
         return self.sent(QuotaRequest)[-1]
 
-    def reply(self, *offers, credit=None):
+    def reply(self, *decisions, credit=None):
         """Answer the latest request; credit that it asks for is declined unless told otherwise."""
         asked = self.asked()
-        offers = list(offers)
-        if len(asked.asks) > len(offers):
-            offers.append(QuotaOffer(bool(credit), 0))
-        self.quotas.on_reply(QuotaReply("acme", asked.number, tuple(offers)))
+        decisions = list(decisions)
+        if len(asked.claims) > len(decisions):
+            decisions.append(TokenDecision(bool(credit), 0))
+        self.quotas.on_reply(QuotaReply("acme", asked.number, tuple(decisions)))
 
 
 class QuotaTest(QuotaTestCase):
     def test_a_request_is_sent_once_the_leader_grants_its_tokens(self):
         self.request()
         self.assertEqual(self.waiting_ports, [])
-        self.assertEqual(self.asked().asks[0].tokens, 1_000)
-        self.reply(QuotaOffer(True, 0))
+        self.assertEqual(self.asked().claims[0].tokens, 1_000)
+        self.reply(TokenDecision(True, 0))
         self.assertEqual(len(self.waiting_ports), 1)
 
     def test_a_request_waits_for_the_time_of_its_tokens(self):
         self.request()
-        self.reply(QuotaOffer(True, 80))
+        self.reply(TokenDecision(True, 80))
         self.assertEqual(self.waiting_ports, [])
         self.reactor.advance(0.08)
         self.assertEqual(len(self.waiting_ports), 1)
 
     def test_a_request_over_the_quota_is_refused_at_once_with_the_leader_s_time(self):
         client = self.request()
-        self.reply(QuotaOffer(False, 1_400))
+        self.reply(TokenDecision(False, 1_400))
         self.assertEqual(client.status, 429)
         self.assertIn(b"Retry-After: 1.40", client.received)
         self.assertEqual(self.waiting_ports, [])
@@ -87,13 +87,13 @@
     def test_requests_that_come_together_are_asked_for_together(self):
         self.request()
         self.request()
-        self.assertGreaterEqual(len(self.asked().asks), 2)
+        self.assertGreaterEqual(len(self.asked().claims), 2)
         self.assertEqual(len(self.sent(QuotaRequest)), 1)
 
     def test_after_a_refusal_requests_are_collected(self):
         """Replies to each of them would exceed what control may send to a node."""
         self.request()
-        self.reply(QuotaOffer(False, 1_400))
+        self.reply(TokenDecision(False, 1_400))
         for _ in range(3):
             self.request()
             self.reactor.advance(COLLECT_S / 4)
@@ -118,7 +118,7 @@
         self.asked()
         self.reactor.advance(REPLY_TIMEOUT_S)
         self.assertEqual(client.status, None)
-        self.reply(QuotaOffer(True, 0))
+        self.reply(TokenDecision(True, 0))
         self.assertEqual(len(self.waiting_ports), 1)
 
     def test_a_leader_that_does_not_answer_leaves_half_of_the_own_share(self):
@@ -136,10 +136,10 @@
     def test_late_and_repeated_replies_are_void(self):
         client = self.request()
         asked = self.asked()
-        offers = (QuotaOffer(True, 0),) * len(asked.asks)
+        decisions = (TokenDecision(True, 0),) * len(asked.claims)
         self.reactor.advance(REPLY_TIMEOUT_S)
         for _ in range(2):
-            self.quotas.on_reply(QuotaReply("acme", asked.number, offers))
+            self.quotas.on_reply(QuotaReply("acme", asked.number, decisions))
         self.assertEqual((client.status, self.waiting_ports), (None, []))
         self.request()
         self.assertEqual(self.waiting_ports, [])
@@ -157,13 +157,13 @@
 
     def test_a_request_that_was_not_sent_gives_its_tokens_back(self):
         client = self.request()
-        self.reply(QuotaOffer(True, 80))
+        self.reply(TokenDecision(True, 80))
         client.disconnect_client()
         self.assertEqual(self.sent(QuotaReturn), [QuotaReturn("acme", 1_000.0, False)])
 
     def test_a_request_that_may_have_run_keeps_its_tokens(self):
         client = self.request()
-        self.reply(QuotaOffer(True, 0))
+        self.reply(TokenDecision(True, 0))
         self.harness.connect()
         client.disconnect_client()
         self.assertEqual(self.sent(QuotaReturn), [])
@@ -174,7 +174,7 @@
         super().setUp()
         for _ in range(4):
             self.request()
-        self.reply(*[QuotaOffer(True, 0)] * 4, credit=True)
+        self.reply(*[TokenDecision(True, 0)] * 4, credit=True)
         self.before = len(self.waiting_ports)
 
     def test_a_request_is_sent_at_once_where_there_is_credit(self):
--- a/tools/benchmarks/quota_rounds.py
+++ b/tools/benchmarks/quota_rounds.py
@@ -13,8 +13,8 @@
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.rows import CustomerRow, TokenQuota
 from hemlockdock_core.wire.own import HEADERS
-from hemlockdock_entry.customers.quota_accounts import QuotaAccounts
-from hemlockdock_entry.customers.token_wish import TokenWish
+from hemlockdock_entry.customers.quota_client import QuotaClient
+from hemlockdock_entry.customers.token_charge import TokenCharge
 
 NAME = "acme"
 TICK_S = 0.005
@@ -158,7 +158,7 @@
         self.link = QuotaLink(control, f"entry-{number}", self.clock)
         self.link.gateway = self
         self.headers = HEADERS
-        self.quotas = QuotaAccounts(self, random_source)
+        self.quotas = QuotaClient(self, random_source)
         control.links.append(self.link)
 
     @property
@@ -184,7 +184,7 @@
         self.client = client
         self.received_s = rounds.now_s()
         self.customer = entry.table.customer_by_name[NAME]
-        self.tokens = TokenWish()
+        self.token_charge = TokenCharge()
         self.ended = False
         self.may_have_run = False
         self.tried_ids = set()
