entry: one parser of the tokens that a request states

Quotas and shares parsed the same header by different rules. Shares now count numbers of 9 to 12 digits at the most that a request may count, where they counted the default.

--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/queue_ticket.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/queue_ticket.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_entry.customers.request_tokens import stated_tokens
+
 # Requests that state more are counted as if they stated this.
 MAX_TOKENS = 10_000_000
 
@@ -30,28 +32,22 @@
     start_tag: int | None = None
 
 
-def stated_tokens(value, quota=None):
+def share_tokens(header, quota=None):
     """Return the tokens by which a request counts in its customer's share.
 
     Parameters
     ----------
-    value : bytes
-        Numbers of prompt tokens and of output tokens at most, separated by a comma.
+    header : bytes
+        See ``stated_tokens``.
     quota : TokenQuota, optional
         Its ``default_tokens`` count for a request that states none.
 
     Returns
     -------
     int
-        At least 1.
+        From 1 to ``MAX_TOKENS``.
     """
-    counts = value.split(b",")
-    if len(counts) == 2 and all(_is_count(count) for count in counts):
-        tokens = sum(int(count) for count in counts)
-    else:
+    tokens = stated_tokens(header)
+    if tokens is None:
         tokens = 1 if quota is None else round(quota.default_tokens)
     return min(max(1, tokens), MAX_TOKENS)
-
-
-def _is_count(value):
-    return value.strip().isdigit() and len(value) <= len(str(MAX_TOKENS))
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/customer_shares.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/customer_shares.py
@@ -2,7 +2,7 @@
 
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.balancing.fair_queue import FairQueue
-from hemlockdock_entry.balancing.queue_ticket import QueueTicket, stated_tokens
+from hemlockdock_entry.balancing.queue_ticket import QueueTicket, share_tokens
 
 
 class CustomerShares:
@@ -31,7 +31,7 @@
         if customer is not None:
             flow, quota = customer.name, customer.quota
             self._queue_by_pool.setdefault(exchange.pool.name, FairQueue())
-        tokens = stated_tokens(exchange.request.header(self._names.token_counts), quota)
+        tokens = share_tokens(exchange.request.header(self._names.token_counts), quota)
         exchange.ticket = QueueTicket(exchange.urgency, flow, tokens, exchange.deadline_s)
 
     @property
--- a/packages/hemlockdock-entry/tests/test_customer_quotas.py
+++ b/packages/hemlockdock-entry/tests/test_customer_quotas.py
@@ -9,7 +9,7 @@
 from hemlockdock_core.quota_bounds import CREDIT_VALID_S
 from hemlockdock_core.rows import CustomerRow, LimitsRow, TokenQuota
 from hemlockdock_entry.customers.quota_client import COLLECT_S
-from hemlockdock_entry.customers.request_tokens import request_tokens
+from hemlockdock_entry.customers.request_tokens import request_tokens, stated_tokens
 from hemlockdock_entry.leader_times import REPLY_TIMEOUT_S
 
 QUOTA = TokenQuota(10_000.0, 20_000.0, 100.0)
@@ -23,6 +23,7 @@
 
     def test_a_request_that_states_none_counts_the_default(self):
         for value in (b"", b"700", b"a,b", b"-1,2", b"1,2,3", b"9" * 13 + b",1"):
+            self.assertIsNone(stated_tokens(value))
             self.assertEqual(request_tokens(QUOTA, value), 100)
 
     def test_requests_count_alike_where_tokens_are_not_the_unit(self):
--- a/packages/hemlockdock-entry/tests/test_fair_queue.py
+++ b/packages/hemlockdock-entry/tests/test_fair_queue.py
@@ -10,7 +10,7 @@
 from hemlockdock_core.customer_keys import key_digest
 from hemlockdock_core.rows import CustomerRow, LimitsRow, TokenQuota
 from hemlockdock_entry.balancing.fair_queue import FairQueue
-from hemlockdock_entry.balancing.queue_ticket import QueueTicket, stated_tokens
+from hemlockdock_entry.balancing.queue_ticket import MAX_TOKENS, QueueTicket, share_tokens
 
 MODEL = b"X-Use-Model: m\r\n"
 EVENT_1 = b"id: 1\ndata: x\n\n"
@@ -192,12 +192,23 @@
         self.assertEqual(self.order(queue, other, ticket), [0, 1])
         self.assertEqual(self.order(queue, QueueTicket((0, 0), "a", 1, 0.1), ticket), [1, 0])
 
-    def test_stated_tokens(self):
+    def test_a_request_counts_the_tokens_that_it_states_within_limits(self):
+        """Guards against headers that give a request no weight, or a weight without bound."""
         quota = TokenQuota(10.0, 10.0, 60.0)
-        cases = ((b"715,280", 995), (b" 715 , 280 ", 995), (b"", 60), (b"7", 60), (b"-1,5", 60))
-        for value, tokens in (*cases, (b"0,0", 1), (b"9" * 400 + b",1", 60), (b"1,2,3", 60)):
-            self.assertEqual(stated_tokens(value, quota), tokens, value)
-        self.assertEqual(stated_tokens(b""), 1)
+        cases = (
+            (b"715,280", 995),
+            (b" 715 , 280 ", 995),
+            (b"", 60),
+            (b"7", 60),
+            (b"-1,5", 60),
+            (b"0,0", 1),
+            (b"9" * 12 + b",1", MAX_TOKENS),
+            (b"9" * 400 + b",1", 60),
+            (b"1,2,3", 60),
+        )
+        for value, tokens in cases:
+            self.assertEqual(share_tokens(value, quota), tokens, value)
+        self.assertEqual(share_tokens(b""), 1)
 
 
 class GatewayOrderTest(GatewayTestCase):
