--- a/tools/benchmarks/bench_quotas.py
+++ b/tools/benchmarks/bench_quotas.py
@@ -3,7 +3,7 @@
 import logging
 
 from benchmarks.figure import Figure
-from benchmarks.quota_rounds import QuotaRounds, QuotaScenario
+from benchmarks.quota_rounds import QuotaEvent, QuotaRounds, QuotaScenario
 
 VIRTUAL_TIME = True
 SEED = 401
@@ -11,9 +11,9 @@
 # Tokens per second and burst: small and larger customers, without a burst and with one. A request
 # of the smallest takes a second of its rate.
 QUOTAS = ((1_000.0, 0.0), (10_000.0, 0.0), (10_000.0, 40_000.0))
-EVENTS = ("freeze", "leader", "cut", "no_control", "lower", "raise")
+EVENTS = tuple(event for event in QuotaEvent if event is not QuotaEvent.NONE)
 USED_BOUND = 0.9
-# Of the clients that return when told, while the leader stays and the quota is not lowered.
+# Of the clients that retry when told, while the leader stays and the quota is not lowered.
 KEPT_BOUND = 1.0
 REFUSAL_BOUND_S = 0.25
 REPLY_BOUND_B_PER_S = 2_000.0
@@ -77,7 +77,7 @@
     for uneven in (False, True):
         result = play(_scenario(entries, 10_000.0, 40_000.0, load=BELOW, uneven=uneven))
         refused += result.refused + result.unanswered
-        messages = max(messages, result.asks_per_request)
+        messages = max(messages, result.messages_per_request)
     name = f"quotas.{entries}_entries.below_quota"
     yield _figure(f"{name}.refused", refused, "requests", 0.0, "lower")
     # A message for the request, and one for credit.
--- a/tools/benchmarks/quota_rounds.py
+++ b/tools/benchmarks/quota_rounds.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass
+from enum import StrEnum
 from types import SimpleNamespace
 
 from benchmarks.crash_network import Network
@@ -11,6 +12,7 @@
 from hemlockdock_core.errors import ErrorKind
 from hemlockdock_core.messages import NODE_CODEC, QuotaRequest, QuotaReturn
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
+from hemlockdock_core.quota_bounds import OVERUSE_FACTOR, OVERUSE_TOKENS, WINDOW_S
 from hemlockdock_core.rows import CustomerRow, TokenQuota
 from hemlockdock_core.wire.own import HEADERS
 from hemlockdock_entry.customers.quota_client import QuotaClient
@@ -20,13 +22,10 @@
 TICK_S = 0.005
 MAINTENANCE_S = 0.5
 WARM_UP_S = 4.0
-WINDOW_S = 8.0
 FREEZE_S = 3.0
 DRAIN_S = 2.0
 # A lower quota is enforced within one window.
 CHANGE_FACTOR = 0.4
-ALLOWED_FACTOR = 1.1
-ALLOWED_EXTRA = 7_400.0
 # Tokens, time to the target and deadline of the requests of a customer, by how many there are.
 REQUESTS = (
     (995.0, 0.505, 12.1),
@@ -38,9 +37,25 @@
 MIN_LEFT_S = 0.05
 
 
+class QuotaEvent(StrEnum):
+    """What happens in the middle of a play.
+
+    A CUT disconnects one entry from control, NO_CONTROL all of them. LOWER and RAISE change the
+    quota.
+    """
+
+    NONE = ""
+    FREEZE = "freeze"
+    LEADER = "leader"
+    CUT = "cut"
+    NO_CONTROL = "no_control"
+    LOWER = "lower"
+    RAISE = "raise"
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaScenario:
-    """What is played.
+    """Quota and traffic of a customer, and an event.
 
     Attributes
     ----------
@@ -54,9 +69,7 @@
     returning : bool
         Whether clients that are refused come back.
     play_s : float
-    event : str
-        What happens in the middle: ``freeze`` (an entry), ``leader``, ``cut`` (one entry),
-        ``no_control`` (all entries), ``lower``, ``raise``, or nothing.
+    event : QuotaEvent
     """
 
     entries: int
@@ -66,12 +79,12 @@
     uneven: bool = False
     returning: bool = True
     play_s: float = 32.0
-    event: str = ""
+    event: QuotaEvent = QuotaEvent.NONE
 
 
 @dataclass(slots=True)
 class QuotaResult:
-    """What a play showed.
+    """Figures of a play.
 
     Attributes
     ----------
@@ -82,9 +95,9 @@
     sent, refused, unanswered : int
         Requests that reached an endpoint, and those that were refused with 429 and with 503.
     returned, kept : int
-        Requests of clients that came back when told, and how many of these were served.
+        Requests of clients that retried when told, and how many of these were served.
     slowest_refusal_s : float
-    asks_per_request : float
+    messages_per_request : float
         Messages to the leader.
     reply_bytes_per_s : float
         Most that the leader sent any entry, on average.
@@ -98,7 +111,7 @@
     returned: int = 0
     kept: int = 0
     slowest_refusal_s: float = 0.0
-    asks_per_request: float = 0.0
+    messages_per_request: float = 0.0
     reply_bytes_per_s: float = 0.0
 
 
@@ -122,7 +135,7 @@
         super().__init__(network)
         self._ledger = QuotaLedger(0.0)
         self._manifest = None
-        self.asked = 0
+        self.received = 0
 
     def set_quota(self, quota):
         """Activate a manifest with a quota."""
@@ -138,7 +151,7 @@
         if isinstance(message, QuotaReturn):
             self._ledger.give_back(message)
         elif isinstance(message, QuotaRequest):
-            self.asked += 1
+            self.received += 1
             roster = self._limits.roster
             roster.record_message(link.entry_id, now_s)
             roster.record_reported(message.entries)
@@ -151,7 +164,7 @@
 
 
 class QuotaEntry:
-    """What the account of an entry needs of its gateway."""
+    """The parts of an entry's gateway that its QuotaClient uses."""
 
     def __init__(self, control, number, random_source):
         self.clock = EntryReactor(control.network)
@@ -176,7 +189,7 @@
 
 
 class QuotaExchange:
-    """A request of a client at an entry, as far as its account sees it."""
+    """A request of a client at an entry, as far as the QuotaClient uses it."""
 
     def __init__(self, rounds, entry, client):
         self._rounds = rounds
@@ -332,15 +345,15 @@
 
     def _happen(self):
         event = self._scenario.event
-        if event == "freeze":
+        if event is QuotaEvent.FREEZE:
             self._entries[0].clock.frozen_until_s = self.now_s() + FREEZE_S
-        elif event == "leader":
+        elif event is QuotaEvent.LEADER:
             self._control.change_leader()
-        elif event in ("cut", "no_control"):
-            for link in self._control.links[: 1 if event == "cut" else None]:
+        elif event in (QuotaEvent.CUT, QuotaEvent.NO_CONTROL):
+            for link in self._control.links[: 1 if event is QuotaEvent.CUT else None]:
                 link.in_touch = False
-        elif event in ("lower", "raise"):
-            factor = CHANGE_FACTOR if event == "lower" else 1 / CHANGE_FACTOR
+        elif event in (QuotaEvent.LOWER, QuotaEvent.RAISE):
+            factor = CHANGE_FACTOR if event is QuotaEvent.LOWER else 1 / CHANGE_FACTOR
             self._quota = TokenQuota(
                 self._quota.per_s * factor, self._quota.burst * factor, self._quota.default_tokens
             )
@@ -353,13 +366,13 @@
         before = TokenQuota(scenario.per_s, scenario.burst, 0.0)
         result.excess = _excess(self._arrivals, before, 0.0, middle_s)
         # A lower quota is enforced within one window; nothing else has such a time.
-        settled_s = middle_s + WINDOW_S if scenario.event == "lower" else 0.0
+        settled_s = middle_s + WINDOW_S if scenario.event is QuotaEvent.LOWER else 0.0
         later = _excess(self._arrivals, self._quota, settled_s, end_s + DRAIN_S)
         result.excess = max(result.excess, later)
         begin_s = WARM_UP_S + 1.0
         used = sum(tokens for _, at_s, tokens in self._arrivals if begin_s <= at_s < end_s)
         result.used = used / (scenario.per_s * (end_s - begin_s))
-        result.asks_per_request = self._control.asked / max(1, result.sent + result.refused)
+        result.messages_per_request = self._control.received / max(1, result.sent + result.refused)
         most = max(link.reply_bytes for link in self._control.links)
         result.reply_bytes_per_s = most / scenario.play_s
         return result
@@ -377,5 +390,5 @@
                 break
             tokens += each * (at_s < window_s + WINDOW_S)
         most = max(most, tokens)
-    allowed = (quota.per_s * WINDOW_S + quota.burst) * ALLOWED_FACTOR + ALLOWED_EXTRA
+    allowed = (quota.per_s * WINDOW_S + quota.burst) * OVERUSE_FACTOR + OVERUSE_TOKENS
     return most / allowed
--- a/tools/tests/test_quota_rounds.py
+++ b/tools/tests/test_quota_rounds.py
@@ -9,6 +9,7 @@
 
 from benchmarks.bench_quotas import (
     BELOW,
+    EVENTS,
     KEPT_BOUND,
     REFUSAL_BOUND_S,
     SEED,
@@ -32,6 +33,7 @@
         return result
 
     def test_the_quota_is_used_and_not_exceeded_however_the_traffic_is_spread(self):
+        """Guards against shares per entry, which uneven traffic cannot use or exceeds together."""
         for entries in (1, 5, 30):
             for uneven in (False, True):
                 with self.subTest(entries=entries, uneven=uneven):
@@ -40,24 +42,27 @@
                     self.assertLessEqual(result.slowest_refusal_s, REFUSAL_BOUND_S)
                     self.assertEqual(result.unanswered, 0)
 
-    def test_who_returns_when_told_is_served(self):
+    def test_a_client_that_retries_when_told_is_served(self):
+        """Guards against a Retry-After that does not hold."""
         result = self.play(entries=5)
         self.assertGreater(result.returned, 0)
         self.assertGreaterEqual(result.kept, KEPT_BOUND * result.returned)
 
-    def test_nobody_is_refused_below_the_quota(self):
+    def test_no_request_is_refused_below_the_quota(self):
+        """Guards against tokens that are lost to credit, reservations or messages."""
         for uneven in (False, True):
             result = self.play(entries=30, uneven=uneven, load=BELOW)
             self.assertEqual((result.refused, result.unanswered), (0, 0))
 
-    def test_the_bound_holds_whatever_fails(self):
-        for event in ("freeze", "leader", "cut", "no_control", "lower", "raise"):
+    def test_the_bound_holds_after_each_event(self):
+        """Guards against a second use of tokens by a new leader, or by entries without one."""
+        for event in EVENTS:
             for uneven in (False, True):
                 with self.subTest(event=event, uneven=uneven):
                     self.play(entries=5, uneven=uneven, event=event)
 
-    def test_the_quota_is_used_though_no_client_returns(self):
-        """What is withheld for clients that were told a time must not be lost."""
+    def test_the_quota_is_used_though_no_client_retries(self):
+        """Guards against reservations that are lost to other requests."""
         result = self.play(entries=5, returning=False)
         self.assertGreaterEqual(result.used, USED_BOUND)
 
