--- a/packages/hemlockdock-core/hemlockdock_core/process_memory.py
+++ b/packages/hemlockdock-core/hemlockdock_core/process_memory.py
@@ -24,10 +24,10 @@
     Returns
     -------
     int
-        As set, else the lowest of the limits of the operating system.
+        The setting ``[process] memory_mb``, else the lowest limit of the operating system.
     """
-    if settings.clients.memory_mb:
-        return int(settings.clients.memory_mb * BYTES_PER_MB)
+    if settings.process.memory_mb:
+        return int(settings.process.memory_mb * BYTES_PER_MB)
     limits = [os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")]
     for kind in (resource.RLIMIT_AS, resource.RLIMIT_DATA):
         soft, _ = resource.getrlimit(kind)
--- a/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
@@ -1,4 +1,4 @@
-"""Keys of the limits for what untrusted clients make a process hold."""
+"""Settings that limit the memory and connections that clients can take."""
 
 from pydantic import model_validator
 
@@ -14,13 +14,6 @@
         """Drop keys with an empty value: a platform leaves keys empty for which it has no value."""
         return {name: value for name, value in values.items() if value != ""}
 
-    memory_mb: float = key(
-        0,
-        "Memory that the process may use; 0 takes it from the limits of the operating system.",
-        "MB",
-        ge=0,
-        le=100_000_000,
-    )
     request_budget_mb: int = key(
         0,
         "Memory for the requests of all clients of an entry; 0 for a quarter of the process's, at "
--- a/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
@@ -84,7 +84,12 @@
     )
     cores: OptionalNumber = key(0.0, "Cores of an entry's host; 0 if unknown.", ge=0, le=10_000)
     memory_mb: OptionalNumber = key(
-        0.0, "Memory of an entry's host; 0 if unknown.", "MB", ge=0, le=1_000_000_000
+        0.0,
+        "Memory that the process may use; 0 takes the limits of the operating system. Entries also "
+        "state it as part of their capacity.",
+        "MB",
+        ge=0,
+        le=1_000_000_000,
     )
     link_mbps: OptionalNumber = key(
         0.0, "Capacity of an entry's link; 0 if unknown.", "Mbit/s", ge=0, le=10_000_000
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -24,7 +24,7 @@
 )
 from hemlockdock_entry.gateway.response_buffer import MAX_BODY_BYTES
 
-PROCESS = "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n[clients]\n"
+PROCESS = "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n"
 HEAD = b"POST /read/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: 1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -73,9 +73,11 @@
         settings = settings_of("memory_mb = 160\n")
         self.assertEqual(derived_budget_bytes(settings, 0), 40 * BYTES_PER_MB)
         self.assertEqual(derived_budget_bytes(settings, 3), 3 * BYTES_PER_MB)
-        settings = settings_of("memory_mb =\n")
-        self.assertGreater(usable_memory_bytes(settings), 0)
-        self.assertLessEqual(derived_budget_bytes(settings, 0), MAX_DERIVED_BYTES)
+        for unstated in ("", "memory_mb =\n", "memory_mb = {{limits.memory_mb}}\n"):
+            settings = settings_of(unstated)
+            self.assertEqual(settings.process.memory_mb, 0.0)
+            self.assertGreater(usable_memory_bytes(settings), 0)
+            self.assertLessEqual(derived_budget_bytes(settings, 0), MAX_DERIVED_BYTES)
 
 
 class RequestMemoryTest(SingleClientTestCase):
@@ -298,7 +300,7 @@
     def test_half_the_descriptors_are_for_clients(self):
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.assertEqual(client_connections_limit(settings_of("")), soft // 2)
-        self.assertEqual(client_connections_limit(settings_of("connections = 7\n")), 7)
+        self.assertEqual(client_connections_limit(settings_of("[clients]\nconnections = 7\n")), 7)
 
 
 class LimitedFactoryTest(unittest.TestCase):
--- a/tools/tests_processes/support_untrusted_clients.py
+++ b/tools/tests_processes/support_untrusted_clients.py
@@ -23,7 +23,6 @@
 )
 
 from hemlockdock_core.rows import LimitsRow  # noqa: E402
-from hemlockdock_core.settings import Settings  # noqa: E402
 from hemlockdock_core.wire.own import WIRE  # noqa: E402
 
 KB = 1_024
@@ -46,8 +45,8 @@
 QUIET_LIMIT_S = 60
 SEND_TIMEOUT_S = 5
 CONNECT_TIMEOUT_S = 15
-# Lowered settings of the limits under test, written once the code has the section.
-CLIENT_SETTINGS = {"memory_mb": 64}
+# Memory that each process is told it may use, in MB: its budgets are then soon exhausted.
+MEMORY_MB = 64
 REQUEST_NUMBERS = itertools.count()
 VALUE = re.compile(r"^(VmHWM|VmRSS):\s+(\d+) kB", re.MULTILINE)
 
@@ -88,11 +87,8 @@
 
     def _settings(self, role, ip, is_first):
         text = super()._settings(role, ip, is_first)
-        text = text.replace("[listen]\n", f"[listen]\nmetrics = {ip}:{METRICS_PORT}\n")
-        if "clients" in Settings.model_fields:
-            lines = [f"{name} = {value}" for name, value in CLIENT_SETTINGS.items()]
-            text += "\n".join(["[clients]", *lines, ""])
-        return text
+        text = text.replace("[process]\n", f"[process]\nmemory_mb = {MEMORY_MB}\n")
+        return text.replace("[listen]\n", f"[listen]\nmetrics = {ip}:{METRICS_PORT}\n")
 
 
 class ProcessWatch:
