--- a/packages/hemlockdock-control/hemlockdock_control/fleet/load_summaries.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/load_summaries.py
@@ -73,8 +73,7 @@
         """
         is_shared = self._fleet.share_load == "always"
         if self._fleet.share_load == "uneven":
-            # Quotas come with a few large customers, whose traffic isn't even over entries.
-            is_shared = capacities_differ or self._fleet.quota_window_s > 0.0
+            is_shared = capacities_differ
         if is_shared != self._was_shared:
             logger.info("loads of endpoints are shared" if is_shared else "loads are not shared")
         self._was_shared = is_shared
--- a/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
@@ -281,14 +281,7 @@
     share_load: Literal["never", "uneven", "always"] = key(
         "never",
         "When the leader tells entries the loads of endpoints; uneven: while the entries state "
-        "different capacities, or if quota_window_s is set (control).",
-    )
-    quota_window_s: float = key(
-        0.0,
-        "Time window in which customers' quotas are kept; 0 if the deployment has none (control).",
-        "s",
-        ge=0,
-        le=3_600,
+        "different capacities (control).",
     )
     retry_ratio: float = key(
         0.2,
