--- a/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/clients_section.py
@@ -1,19 +1,11 @@
 """Settings that limit the memory and connections that clients can take."""
 
-from pydantic import model_validator
+from hemlockdock_core.settings.sections import PlatformSection, key
 
-from hemlockdock_core.settings.sections import Section, key
 
-
-class ClientsSection(Section):
+class ClientsSection(PlatformSection):
     """Limits for all clients of the process together; 0 derives a limit from the process's own."""
 
-    @model_validator(mode="before")
-    @classmethod
-    def drop_empty(cls, values):
-        """Drop keys with an empty value: a platform leaves keys empty for which it has no value."""
-        return {name: value for name, value in values.items() if value != ""}
-
     request_budget_mb: int = key(
         0,
         "Memory for the requests of all clients of an entry; 0 for a quarter of the process's, at "
--- a/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/sections.py
@@ -13,11 +13,12 @@
     HostPort,
     LinkAddress,
     NameList,
-    OptionalNumber,
     TextList,
     split_list,
 )
 
+PLACEHOLDER_START = "{{"
+
 
 class Role(StrEnum):
     """The roles of a process."""
@@ -40,6 +41,26 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
+class PlatformSection(Section):
+    """Base class of sections that a platform fills from a template.
+
+    A key whose value is empty or an unfilled placeholder has its default, because a platform may
+    leave either where it has no value.
+    """
+
+    @model_validator(mode="before")
+    @classmethod
+    def drop_unfilled(cls, values):
+        """Drop keys whose value is empty or an unfilled placeholder."""
+        if not isinstance(values, dict):
+            return values
+        return {name: value for name, value in values.items() if not _is_unfilled(value)}
+
+
+def _is_unfilled(value):
+    return isinstance(value, str) and (not value.strip() or value.startswith(PLACEHOLDER_START))
+
+
 def key(default, doc, unit="", **limits):
     """Return the pydantic field of one key.
 
@@ -59,7 +80,7 @@
     return Field(default, description=doc, json_schema_extra={"unit": unit}, **limits)
 
 
-class ProcessSection(Section):
+class ProcessSection(PlatformSection):
     """Identity and location of the process."""
 
     node_id: Name = key(..., "Unique name of the process, the same after a restart.")
@@ -79,20 +100,32 @@
         ge=0,
         le=86_400_000,
     )
-    cpu_share: OptionalNumber = key(
-        1.0, "Share of the cores that the process may use; multiplied with cores.", ge=0, le=1_000
+    cpu_share: float = key(
+        1.0,
+        "Share of the cores that the process may use; multiplied with cores.",
+        ge=0,
+        le=1_000,
+        allow_inf_nan=False,
     )
-    cores: OptionalNumber = key(0.0, "Cores of an entry's host; 0 if unknown.", ge=0, le=10_000)
-    memory_mb: OptionalNumber = key(
+    cores: float = key(
+        0.0, "Cores of an entry's host; 0 if unknown.", ge=0, le=10_000, allow_inf_nan=False
+    )
+    memory_mb: float = key(
         0.0,
         "Memory that the process may use; 0 takes the limits of the operating system. Entries also "
         "state it as part of their capacity.",
         "MB",
         ge=0,
         le=1_000_000_000,
+        allow_inf_nan=False,
     )
-    link_mbps: OptionalNumber = key(
-        0.0, "Capacity of an entry's link; 0 if unknown.", "Mbit/s", ge=0, le=10_000_000
+    link_mbps: float = key(
+        0.0,
+        "Capacity of an entry's link; 0 if unknown.",
+        "Mbit/s",
+        ge=0,
+        le=10_000_000,
+        allow_inf_nan=False,
     )
 
 
@@ -235,21 +268,14 @@
     poll_ms: int = key(500, "Time between reads of the engine's load.", "ms", ge=50, le=60_000)
 
 
-class FleetSection(Section):
+class FleetSection(PlatformSection):
     """Operation of the process as part of a fleet.
 
     In a fleet, control members discover each other through seeds, endpoints are listed in the
     platform's directory, entries send requests directly to them, and agents only send orders to
-    engines. A key with an empty value has its default, because a platform leaves keys empty for
-    which it has no value.
+    engines.
     """
 
-    @model_validator(mode="before")
-    @classmethod
-    def drop_empty(cls, values):
-        """Drop keys with an empty value, so that they have their default."""
-        return {name: value for name, value in values.items() if value != ""}
-
     seeds: TextList = key(
         [],
         "Comma-separated ip:port of the operators' HTTP of some control members. If set, the "
@@ -349,6 +375,7 @@
     "ListenSection",
     "MembershipSection",
     "NameList",
+    "PlatformSection",
     "ProcessSection",
     "Role",
     "Section",
--- a/packages/hemlockdock-core/hemlockdock_core/settings/types.py
+++ b/packages/hemlockdock-core/hemlockdock_core/settings/types.py
@@ -3,7 +3,7 @@
 import ipaddress
 from typing import Annotated
 
-from pydantic import AfterValidator, BeforeValidator, Field
+from pydantic import AfterValidator, BeforeValidator
 
 from hemlockdock_core.names import Name
 
@@ -38,25 +38,6 @@
     return value
 
 
-def unknown_as_zero(value):
-    """Return 0 for a number that is not given.
-
-    A launcher's template may leave a value empty, or its placeholder in place, where the deployment
-    states none.
-
-    Parameters
-    ----------
-    value : object
-
-    Returns
-    -------
-    object
-    """
-    if isinstance(value, str) and (not value.strip() or value.startswith("{{")):
-        return 0.0
-    return value
-
-
 def check_link(value):
     """Check ``tcp://ip:port`` or ``tls+tcp://ip:port``.
 
@@ -101,5 +82,3 @@
 LinkAddress = Annotated[str, AfterValidator(check_link)]
 NameList = Annotated[list[Name], BeforeValidator(split_list)]
 TextList = Annotated[list[str], BeforeValidator(split_list)]
-
-OptionalNumber = Annotated[float, BeforeValidator(unknown_as_zero), Field(allow_inf_nan=False)]
