--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
@@ -79,7 +79,7 @@
         EndpointRow or None
         """
         rows = [row for row in rows if row.endpoint_id not in excluded_ids and not row.leaving]
-        if apart or not self._view.is_informed(rows, now_s):
+        if apart or not self._view.has_recent_report(rows, now_s):
             return self._health.choose(rows, now_s, frozenset(), preferred_ids, apart)
         COUNTERS.increment("gateway_choices_by_load")
         rows = self._least_avoided(rows, now_s)
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -49,7 +49,7 @@
         pool_by_name : dict of str to PoolRow
         now_s : float
         """
-        if not self.is_told(now_s):
+        if not self.has_recent_summary(now_s):
             logger.info("loads of endpoints arrive", extra={"loads": len(summary.loads)})
         self._recorded_s = now_s
         row_by_key = _row_by_key(rows)
@@ -62,8 +62,8 @@
             self._record(row, told, pool_by_name.get(row.pool), now_s)
         self._update_pools(row_by_key.values(), now_s)
 
-    def is_told(self, now_s):
-        """Return whether a summary was recorded lately.
+    def has_recent_summary(self, now_s):
+        """Return whether a summary was recorded in the last seconds.
 
         Parameters
         ----------
@@ -128,8 +128,8 @@
             return None
         return load
 
-    def is_informed(self, rows, now_s):
-        """Return whether the load of any of some endpoints is known.
+    def has_recent_report(self, rows, now_s):
+        """Return whether there is a recent report of any of some endpoints.
 
         Parameters
         ----------
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/class_order.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/class_order.py
@@ -37,9 +37,11 @@
         list of EndpointRow
             Without those that have a model of which more urgent requests wait, or were refused.
         """
-        if not self._gateway.loads.is_fresh or exchange.may_have_run or not rows:
-            return rows
         now_s = self._gateway.clock.seconds()
+        if not self._gateway.load_view.has_recent_summary(now_s):
+            return rows
+        if exchange.may_have_run or not rows:
+            return rows
         latest_start_s = exchange.target_s - FIRST_EVENT_S
         if not may_yield(exchange.request.received_s, latest_start_s, now_s):
             return rows
@@ -60,8 +62,9 @@
         ----------
         exchange : ProxyExchange
         """
-        if self._gateway.loads.is_fresh:
-            self._spread(exchange).record_served(self._gateway.clock.seconds())
+        now_s = self._gateway.clock.seconds()
+        if self._gateway.load_view.has_recent_summary(now_s):
+            self._spread(exchange).record_served(now_s)
 
     def record_refusal(self, exchange):
         """Record that a request is refused for lack of capacity.
@@ -70,8 +73,8 @@
         ----------
         exchange : ProxyExchange
         """
-        if self._gateway.loads.is_fresh and exchange.model:
-            now_s = self._gateway.clock.seconds()
+        now_s = self._gateway.clock.seconds()
+        if self._gateway.load_view.has_recent_summary(now_s) and exchange.model:
             pool = exchange.pool.name
             self._needs.record_refusal(pool, exchange.model, exchange.urgency, now_s)
 
@@ -89,9 +92,9 @@
         int or None
             ``after_ms`` while the loads of endpoints are not known.
         """
-        if not self._gateway.loads.is_fresh:
-            return after_ms
         now_s = self._gateway.clock.seconds()
+        if not self._gateway.load_view.has_recent_summary(now_s):
+            return after_ms
         earliest_s = now_s + max((after_ms or 0) / MS_PER_S, MIN_RETRY_AFTER_S)
         latest_s = now_s + longest_return_s(exchange.deadline_s, now_s)
         booked_s = self._spread(exchange).book_s(earliest_s, latest_s, now_s)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
@@ -85,7 +85,7 @@
         endpoint_id : str
         """
         self._gateway.endpoint_limits.record_sent(endpoint_id)
-        self._gateway.selection.loads.record_sent(endpoint_id, self._gateway.clock.seconds())
+        self._gateway.load_view.record_sent(endpoint_id, self._gateway.clock.seconds())
 
     def record_ended(self, endpoint_try):
         """Record that an attempt has ended, and give back its permit if it was not sent.
@@ -99,7 +99,7 @@
         has_run = endpoint_try.was_sent and endpoint_try.outcome is None
         sent_s = endpoint_try.sent_s if has_run else None
         now_s = self._gateway.clock.seconds()
-        self._gateway.selection.loads.record_ended(endpoint_try.row, sent_s, now_s)
+        self._gateway.load_view.record_ended(endpoint_try.row, sent_s, now_s)
 
     def record_full(self, endpoint_id, pause_s):
         """Record that an endpoint had no capacity.
@@ -112,7 +112,7 @@
         """
         now_s = self._gateway.clock.seconds()
         self._gateway.health.for_endpoint(endpoint_id).record_full(now_s, pause_s)
-        self._gateway.selection.loads.record_rejected(endpoint_id, now_s)
+        self._gateway.load_view.record_rejected(endpoint_id, now_s)
 
     def forget(self, endpoint_id):
         """Forget what an endpoint asked for, because its process has ended.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -3,7 +3,7 @@
 from math import ceil
 
 from hemlockdock_core.errors import ErrorKind
-from hemlockdock_entry.balancing import LoadBalancer, LoadView
+from hemlockdock_entry.balancing import LoadBalancer
 from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.refusals import truthful_refusal
 
@@ -19,14 +19,12 @@
 
     Attributes
     ----------
-    loads : LoadView
     balancer : LoadBalancer
     """
 
     def __init__(self, gateway):
         self._gateway = gateway
-        self.loads = LoadView()
-        self.balancer = LoadBalancer(self.loads, gateway.health)
+        self.balancer = LoadBalancer(gateway.load_view, gateway.health)
 
     def record_loads(self, summary):
         """Record what the leader told of endpoints' loads.
@@ -37,7 +35,8 @@
         """
         gateway = self._gateway
         rows = gateway.endpoint_rows()
-        self.loads.record(summary, rows, gateway.table.pool_by_name, gateway.clock.seconds())
+        now_s = gateway.clock.seconds()
+        gateway.load_view.record(summary, rows, gateway.table.pool_by_name, now_s)
 
     def usable(self, exchange):
         """Return the endpoints of a request's pool that may take it, or give it a permit.
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -6,7 +6,7 @@
 
 from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
-from hemlockdock_entry.balancing.load_freshness import LoadFreshness
+from hemlockdock_entry.balancing import LoadView
 from hemlockdock_entry.customers import CustomerDirectory, QuotaAccounts
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
 from hemlockdock_entry.gateway.class_order import ClassOrder
@@ -68,8 +68,8 @@
     quarantine : Quarantine
     gate : EndpointGate
     stop_schedule : StopSchedule
+    load_view : LoadView
     selection : EndpointSelection
-    loads : LoadFreshness
     class_order : ClassOrder
     model_queue : ModelQueue
     origin_lookup : OriginLookup
@@ -124,8 +124,8 @@
         self.quarantine = Quarantine(self, settings.process.node_id)
         self.stop_schedule = StopSchedule(reactor)
         self.gate = EndpointGate(self)
+        self.load_view = LoadView()
         self.selection = EndpointSelection(self)
-        self.loads = LoadFreshness(reactor, self.selection.loads)
         self.class_order = ClassOrder(self, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -182,7 +182,9 @@
                 full.add(use.model)
 
     def _orders_pool(self, pool):
-        return self._shares.are_used(pool) or self._gateway.loads.is_fresh
+        if self._shares.are_used(pool):
+            return True
+        return self._gateway.load_view.has_recent_summary(self._gateway.clock.seconds())
 
     def _dispatch_waiting(self, use):
         self._shares.sort(use.pool, use.waiting)
--- a/packages/hemlockdock-entry/tests/test_class_order.py
+++ b/packages/hemlockdock-entry/tests/test_class_order.py
@@ -76,9 +76,12 @@
         live = msgspec.structs.replace(self.live("live", STREAM_PATH), urgency=2, target_ms=5_000)
         urgent = msgspec.structs.replace(self.live("urgent", URGENT_PATH), urgency=0)
         self.harness.gateway.routes = RouteIndex([live, urgent])
-        self.harness.gateway.loads = SimpleNamespace(is_fresh=True)
+        self.set_recent_summary(True)
         self.harness.put_rows(endpoint("x", "lm", 3, models=("m", "n")))
 
+    def set_recent_summary(self, is_recent):
+        self.harness.gateway.load_view.has_recent_summary = lambda _now_s: is_recent
+
     def live(self, name, prefix):
         return route(name, prefix, RouteKind.STREAM, "lm", True, timeout_ms=20_000)
 
@@ -132,9 +135,9 @@
         self.assertTrue(client.status is None and 0.5 < sent_s < 4.75, sent_s)
 
     def test_refused_clients_are_told_different_times_while_loads_are_known(self):
-        for is_fresh in (True, False):
+        for is_recent in (True, False):
             self.setUp()
-            self.harness.gateway.loads = SimpleNamespace(is_fresh=is_fresh)
+            self.set_recent_summary(is_recent)
             clients = [self.send_for(b"m", URGENT_PATH) for _ in range(12)]
             for _ in range(30):
                 while self.waiting_ports:
@@ -144,13 +147,13 @@
                 self.reactor.advance(0.1)
                 self.harness.gateway.model_queue.check_waiting()
             times = {client.received.partition(b"Retry-After: ")[2][:4] for client in clients}
-            self.assertEqual(len(times) > 9, is_fresh, times)
+            self.assertEqual(len(times) > 9, is_recent, times)
 
     def test_a_free_slot_goes_to_the_most_urgent_request_of_all_models(self):
         # Otherwise it goes to the model whose request has ended.
-        for is_fresh, number in ((True, b"3"), (False, b"2")):
+        for is_recent, number in ((True, b"3"), (False, b"2")):
             self.setUp()
-            self.harness.gateway.loads = SimpleNamespace(is_fresh=is_fresh)
+            self.set_recent_summary(is_recent)
             self.send_for(b"n")
             self.send_for(b"n")
             self.send_for(b"m", URGENT_PATH)
@@ -162,15 +165,15 @@
     def test_loads_are_known_for_three_seconds_after_a_summary(self):
         gateway = Gateway(self.reactor, parse_settings(SETTINGS, "t"), own.WIRE, None)
         gateway.attach_link(self.harness.link)
-        self.assertFalse(gateway.loads.is_fresh)
+        self.assertFalse(gateway.load_view.has_recent_summary(self.reactor.seconds()))
         gateway.selection.record_loads(LoadSummary(()))
-        self.assertTrue(gateway.loads.is_fresh)
+        self.assertTrue(gateway.load_view.has_recent_summary(self.reactor.seconds()))
         self.reactor.advance(3.1)
-        self.assertFalse(gateway.loads.is_fresh)
+        self.assertFalse(gateway.load_view.has_recent_summary(self.reactor.seconds()))
 
     def test_without_loads_no_room_is_left(self):
         self.refuse_urgent()
-        self.harness.gateway.loads = SimpleNamespace(is_fresh=False)
+        self.set_recent_summary(False)
         self.send_for(b"n")
         self.assertEqual(self.waiting_ports, [3])
 
