entry: names for priority and retry times

ClassOrder becomes PriorityPolicy, UrgentNeeds UrgentRefusals and ReturnSpread RetryPacer; the counter gateway_room_left becomes gateway_yields_to_urgent.

--- a/packages/hemlockdock-cli/hemlockdock_cli/lab/entry.py
+++ b/packages/hemlockdock-cli/hemlockdock_cli/lab/entry.py
@@ -9,7 +9,7 @@
 from hemlockdock_core.messages import ModelDemand
 from hemlockdock_core.settings.sections import FleetSection
 from hemlockdock_entry.gateway.model_availability import ModelAvailability
-from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
+from hemlockdock_entry.gateway.patience import Patience, may_wait, retry_after_ms
 
 MS_PER_S = 1_000.0
 FIRST_EVENT_S = 0.055
@@ -172,7 +172,7 @@
             self.result_by_class[request.traffic.name].refused += 1
             return
         request.refusals += 1
-        after_ms = return_after_ms(
+        after_ms = retry_after_ms(
             self._deadline_s(request),
             self._model_ready_s(request.model),
             self._events.now_s,
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/return_spread.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/retry_pacer.py
@@ -1,7 +1,8 @@
-"""Spread the returns of refused clients over the time in which they can be served.
+"""Spread the retries of refused clients over the time in which they can be served.
 
-Made for some hundred refusals a second: without it all clients that are refused in one shortage are
-told the same time, and most of them are refused again.
+Notes
+-----
+Intended for some hundred refusals per second: clients that retry at one time are refused again.
 """
 
 from collections import deque
@@ -10,8 +11,8 @@
 RATE_WINDOW_S = 2.0
 
 
-class ReturnSpread:
-    """Times at which refused clients are told to return, one after the other.
+class RetryPacer:
+    """Assign refused clients retry times, one after the other.
 
     Parameters
     ----------
@@ -33,15 +34,15 @@
         self._served_s.append(now_s)
         self._remove_old(now_s)
 
-    def book_s(self, earliest_s, latest_s, now_s):
-        """Return when the next refused client should return.
+    def next_retry_s(self, earliest_s, latest_s, now_s):
+        """Return the time at which the next refused client should retry.
 
         Parameters
         ----------
         earliest_s : float
             Time from which there will be capacity.
         latest_s : float
-            Latest time at which the client would return.
+            Latest time at which the client would retry.
         now_s : float
 
         Returns
@@ -50,13 +51,13 @@
         """
         self._remove_old(now_s)
         interval_s = RATE_WINDOW_S / max(1, len(self._served_s))
-        booked_s = max(self._next_s, earliest_s)
-        if booked_s + interval_s > latest_s:
-            # More were refused than can be served until then; these return evenly before it.
+        retry_s = max(self._next_s, earliest_s)
+        if retry_s + interval_s > latest_s:
+            # More were refused than can be served until then; these retry evenly before it.
             first_s = min(earliest_s, latest_s)
             return self._random.uniform((first_s + latest_s) / 2, latest_s)
-        self._next_s = booked_s + interval_s
-        return booked_s + self._random.uniform(0.0, interval_s)
+        self._next_s = retry_s + interval_s
+        return retry_s + self._random.uniform(0.0, interval_s)
 
     def _remove_old(self, now_s):
         while self._served_s and self._served_s[0] <= now_s - RATE_WINDOW_S:
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -222,6 +222,6 @@
         after_ms = None
         if room_s is not None:
             after_ms = ceil((room_s - self._gateway.clock.seconds()) * MS_PER_S)
-        after_ms = self._gateway.class_order.return_after_ms(exchange, after_ms)
+        after_ms = self._gateway.priority_policy.retry_after_ms(exchange, after_ms)
         message = "no endpoint of the pool can take it"
         return truthful_refusal(exchange, ErrorKind.NO_CAPACITY, message, after_ms)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -9,7 +9,6 @@
 from hemlockdock_entry.balancing import LoadView
 from hemlockdock_entry.customers import CustomerDirectory, QuotaAccounts
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
-from hemlockdock_entry.gateway.class_order import ClassOrder
 from hemlockdock_entry.gateway.client_budget import response_budget_bytes
 from hemlockdock_entry.gateway.client_limits import ClientLimits
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
@@ -23,6 +22,7 @@
 from hemlockdock_entry.gateway.other_entries import OtherEntries
 from hemlockdock_entry.gateway.permit_tracker import PermitTracker
 from hemlockdock_entry.gateway.pool_endpoints import PoolEndpoints
+from hemlockdock_entry.gateway.priority_policy import PriorityPolicy
 from hemlockdock_entry.gateway.proxy_exchange import ProxyExchange
 from hemlockdock_entry.gateway.quarantine import Quarantine
 from hemlockdock_entry.gateway.response_buffer import MAX_BODY_BYTES
@@ -70,7 +70,7 @@
     stop_schedule : StopSchedule
     load_view : LoadView
     selection : EndpointSelection
-    class_order : ClassOrder
+    priority_policy : PriorityPolicy
     model_queue : ModelQueue
     origin_lookup : OriginLookup
     other_entries : OtherEntries
@@ -126,7 +126,7 @@
         self.gate = EndpointGate(self)
         self.load_view = LoadView()
         self.selection = EndpointSelection(self)
-        self.class_order = ClassOrder(self, self._random)
+        self.priority_policy = PriorityPolicy(self, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -35,7 +35,7 @@
         self._adapters = AdapterTracker(gateway, self._on_adapter_settled)
         self._last_report_s = 0.0
         self._supply = ModelAvailability()
-        self._unservable = UnservableRequests(gateway, self._supply, gateway.class_order)
+        self._unservable = UnservableRequests(gateway, self._supply, gateway.priority_policy)
         self._shares = CustomerShares(gateway.headers)
 
     def enqueue(self, exchange):
@@ -234,7 +234,9 @@
             has_room = balancer.has_room(row, max_in_flight, now_s)
             if has_room and health.full_until_s <= now_s:
                 usable.append(row)
-        usable = gateway.class_order.leave_room(exchange, usable, self._demand_by_model.values())
+        usable = gateway.priority_policy.endpoints_after_yielding(
+            exchange, usable, self._demand_by_model.values()
+        )
         # One that is about to leave gets what no other endpoint can take.
         usable = [row for row in usable if not row.retiring] or usable
         usable = gateway.selection.unconfirmed_or_all(usable)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/patience.py
@@ -90,7 +90,7 @@
     return max(0.0, ready_s - now_s) < patience.left_s(now_s)
 
 
-def return_after_ms(deadline_s, ready_s, now_s, least_s=0.0):
+def retry_after_ms(deadline_s, ready_s, now_s, least_s=0.0):
     """Return the delay after which a refused client should retry, in milliseconds.
 
     Parameters
@@ -106,7 +106,7 @@
     -------
     int
     """
-    longest_s = longest_return_s(deadline_s, now_s)
+    longest_s = longest_retry_after_s(deadline_s, now_s)
     if ready_s is None:
         wanted_s = max(DEFAULT_RETRY_AFTER_S, least_s + READY_MARGIN_S)
     else:
@@ -114,7 +114,7 @@
     return round(min(max(wanted_s, MIN_RETRY_AFTER_S), longest_s) * MS_PER_S)
 
 
-def longest_return_s(deadline_s, now_s):
+def longest_retry_after_s(deadline_s, now_s):
     """Return the longest delay after which a refused client would retry, in seconds.
 
     Parameters
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/class_order.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/priority_policy.py
@@ -1,15 +1,19 @@
-"""Leave room for more urgent requests, and tell refused clients when to return."""
+"""Let less urgent requests yield to more urgent ones, and spread the retries of refused clients."""
 
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_entry.balancing.return_spread import ReturnSpread
-from hemlockdock_entry.balancing.urgent_needs import UrgentNeeds, may_yield
-from hemlockdock_entry.gateway.patience import FIRST_EVENT_S, MIN_RETRY_AFTER_S, longest_return_s
+from hemlockdock_entry.balancing.retry_pacer import RetryPacer
+from hemlockdock_entry.balancing.urgent_refusals import UrgentRefusals, may_yield
+from hemlockdock_entry.gateway.patience import (
+    FIRST_EVENT_S,
+    MIN_RETRY_AFTER_S,
+    longest_retry_after_s,
+)
 
 MS_PER_S = 1_000
 
 
-class ClassOrder:
-    """The order between classes of requests, while the entry knows the loads of endpoints.
+class PriorityPolicy:
+    """The priority of more urgent requests, while the entry knows the loads of endpoints.
 
     Parameters
     ----------
@@ -20,10 +24,10 @@
     def __init__(self, gateway, random_source):
         self._gateway = gateway
         self._random = random_source
-        self._needs = UrgentNeeds()
-        self._spread_by_model = {}
+        self._refusals = UrgentRefusals()
+        self._pacer_by_model = {}
 
-    def leave_room(self, exchange, rows, uses):
+    def endpoints_after_yielding(self, exchange, rows, uses):
         """Return the endpoints that a request may take without delaying more urgent ones.
 
         Parameters
@@ -45,14 +49,14 @@
         latest_start_s = exchange.target_s - FIRST_EVENT_S
         if not may_yield(exchange.request.received_s, latest_start_s, now_s):
             return rows
-        models = self._needs.models(exchange.pool.name, exchange.urgency, now_s)
+        models = self._refusals.models(exchange.pool.name, exchange.urgency, now_s)
         for use in uses:
             is_urgent = any(other.urgency < exchange.urgency for other in use.waiting)
             if use.pool == exchange.pool.name and is_urgent:
                 models.add(use.model)
         allowed = [row for row in rows if not any(row.has_model(model) for model in models)]
         if len(allowed) < len(rows):
-            COUNTERS.increment("gateway_room_left")
+            COUNTERS.increment("gateway_yields_to_urgent")
         return allowed
 
     def record_accepted(self, exchange):
@@ -64,7 +68,7 @@
         """
         now_s = self._gateway.clock.seconds()
         if self._gateway.load_view.has_recent_summary(now_s):
-            self._spread(exchange).record_served(now_s)
+            self._pacer(exchange).record_served(now_s)
 
     def record_refusal(self, exchange):
         """Record that a request is refused for lack of capacity.
@@ -76,10 +80,10 @@
         now_s = self._gateway.clock.seconds()
         if self._gateway.load_view.has_recent_summary(now_s) and exchange.model:
             pool = exchange.pool.name
-            self._needs.record_refusal(pool, exchange.model, exchange.urgency, now_s)
+            self._refusals.record_refusal(pool, exchange.model, exchange.urgency, now_s)
 
-    def return_after_ms(self, exchange, after_ms):
-        """Return when a refused client should return, spread over clients.
+    def retry_after_ms(self, exchange, after_ms):
+        """Return the delay after which a refused client should retry, spread over clients.
 
         Parameters
         ----------
@@ -96,14 +100,14 @@
         if not self._gateway.load_view.has_recent_summary(now_s):
             return after_ms
         earliest_s = now_s + max((after_ms or 0) / MS_PER_S, MIN_RETRY_AFTER_S)
-        latest_s = now_s + longest_return_s(exchange.deadline_s, now_s)
-        booked_s = self._spread(exchange).book_s(earliest_s, latest_s, now_s)
-        return round((booked_s - now_s) * MS_PER_S)
+        latest_s = now_s + longest_retry_after_s(exchange.deadline_s, now_s)
+        retry_s = self._pacer(exchange).next_retry_s(earliest_s, latest_s, now_s)
+        return round((retry_s - now_s) * MS_PER_S)
 
-    def _spread(self, exchange):
+    def _pacer(self, exchange):
         key = (exchange.pool.name, exchange.model)
-        spread = self._spread_by_model.get(key)
-        if spread is None:
-            spread = ReturnSpread(self._random)
-            self._spread_by_model[key] = spread
-        return spread
+        pacer = self._pacer_by_model.get(key)
+        if pacer is None:
+            pacer = RetryPacer(self._random)
+            self._pacer_by_model[key] = pacer
+        return pacer
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -135,7 +135,7 @@
         if endpoint_try.outcome is not TryOutcome.NOT_RUN:
             self.may_have_run = True
         if endpoint_try.outcome is None:
-            self._gateway.class_order.record_accepted(self._exchange)
+            self._gateway.priority_policy.record_accepted(self._exchange)
 
     def on_response_data(self, endpoint_try, data):
         """Forward part of a stream, or buffer part of any other response.
@@ -272,7 +272,7 @@
             exchange.abort_response("the endpoint aborted its response")
         elif move is NextMove.REFUSE_NOT_RUN:
             if endpoint_try.outcome is TryOutcome.NOT_RUN:
-                self._gateway.class_order.record_refusal(exchange)
+                self._gateway.priority_policy.record_refusal(exchange)
             exchange.refuse(self._gateway.selection.refusal(exchange))
         else:
             message = "the endpoint gave no whole answer"
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/unservable_requests.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/unservable_requests.py
@@ -2,7 +2,7 @@
 
 from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_entry.gateway.continuation import can_continue
-from hemlockdock_entry.gateway.patience import may_wait, return_after_ms
+from hemlockdock_entry.gateway.patience import may_wait, retry_after_ms
 
 MS_PER_S = 1_000
 
@@ -14,12 +14,12 @@
     ----------
     gateway : Gateway
     supply : ModelAvailability
-    class_order : ClassOrder
+    priority_policy : PriorityPolicy
     """
 
-    def __init__(self, gateway, supply, class_order):
+    def __init__(self, gateway, supply, priority_policy):
         self._gateway = gateway
-        self._class_order = class_order
+        self._priority_policy = priority_policy
         self._supply = supply
 
     def refuse(self, use, exchanges):
@@ -49,11 +49,11 @@
             kind, why = ErrorKind.ENDPOINT_LOST, "no other endpoint can go on with it in time"
         else:
             kind, why = ErrorKind.DEADLINE_UNREACHABLE, "the model is not there in time"
-        after_ms = return_after_ms(exchange.deadline_s, ready_s, now_s, least_s)
+        after_ms = retry_after_ms(exchange.deadline_s, ready_s, now_s, least_s)
         if not least_s:
             # Its model is loaded: what it lacks is a free slot.
-            after_ms = self._class_order.return_after_ms(exchange, after_ms)
-            self._class_order.record_refusal(exchange)
+            after_ms = self._priority_policy.retry_after_ms(exchange, after_ms)
+            self._priority_policy.record_refusal(exchange)
         if exchange.is_first_request:
             use.return_times_s.append(now_s + after_ms / MS_PER_S)
         exchange.refuse(Refusal.of(kind, why, retry_after_ms=after_ms))
--- a/packages/hemlockdock-entry/tests/test_gateway_decisions.py
+++ b/packages/hemlockdock-entry/tests/test_gateway_decisions.py
@@ -14,7 +14,7 @@
 )
 from hemlockdock_entry.gateway.event_stream import EventSplitter
 from hemlockdock_entry.gateway.outcome import NextMove, RequestState, TryOutcome, next_move
-from hemlockdock_entry.gateway.patience import Patience, may_wait, return_after_ms
+from hemlockdock_entry.gateway.patience import Patience, may_wait, retry_after_ms
 from hemlockdock_entry.gateway.route_index import RouteIndex
 from hemlockdock_entry.gateway.windowed_retry_budget import WindowedRetryBudget
 
@@ -119,14 +119,14 @@
         self.assertTrue(may_wait(self.patience(), 101.5, 100.0, least_s=6.0))
 
     def test_retry_time_follows_the_minimum_load_time(self):
-        self.assertEqual(return_after_ms(120.0, None, 100.0, least_s=6.0), 6_200)
-        self.assertEqual(return_after_ms(112.0, None, 100.0, least_s=6.0), 3_900)
+        self.assertEqual(retry_after_ms(120.0, None, 100.0, least_s=6.0), 6_200)
+        self.assertEqual(retry_after_ms(112.0, None, 100.0, least_s=6.0), 3_900)
 
     def test_retry_time_is_limited_to_what_clients_accept(self):
-        self.assertEqual(return_after_ms(112.0, 103.0, 100.0), 3_200)
-        self.assertEqual(return_after_ms(112.0, 106.0, 100.0), 3_900)
-        self.assertEqual(return_after_ms(112.0, None, 100.0), 1_500)
-        self.assertEqual(return_after_ms(103.0, None, 100.0), 900)
+        self.assertEqual(retry_after_ms(112.0, 103.0, 100.0), 3_200)
+        self.assertEqual(retry_after_ms(112.0, 106.0, 100.0), 3_900)
+        self.assertEqual(retry_after_ms(112.0, None, 100.0), 1_500)
+        self.assertEqual(retry_after_ms(103.0, None, 100.0), 900)
 
 
 class EventSplitterTest(unittest.TestCase):
