--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/draw_weights.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/draw_weights.py
@@ -1,14 +1,15 @@
-"""Weights by which endpoints are drawn, so that reported differences even out without overshoot."""
+"""Weights for the random choice of endpoints, which correct uneven loads without overshoot."""
 
+import math
 from dataclasses import dataclass
 
 # All entries correct a difference that is in a report until they see the effect. A correction
 # spread over less than e times that delay makes the loads swing.
-DELAY_FACTOR = 2.72
+DELAY_FACTOR = math.e
 # Time between the reports of one endpoint, which adds to their age.
 REPORT_INTERVAL_S = 0.4
 # Own requests are known at once.
-MIN_HORIZON_S = 0.05
+MIN_CORRECTION_S = 0.05
 # A full endpoint still gets a few requests, as its report may be wrong.
 MIN_WEIGHT = 0.02
 
@@ -24,9 +25,11 @@
     others : float
         Requests of other entries, as last reported.
     slots : int
+        Number of requests that it runs concurrently.
     speed : float
         As a multiple of the pool's mean.
     cache_share : float
+        Share of the cache that can't be evicted.
     age_s : float
         Age of the report.
     """
@@ -39,18 +42,18 @@
     age_s: float
 
 
-def draw_weights(states, run_s):
+def draw_weights(states, mean_run_s):
     """Return the weights of endpoints.
 
-    Usually an endpoint gets as many requests as end there: in proportion to its mean load and its
-    speed. What it has more or less than the mean is evened out over a time that grows with the age
+    An endpoint gets as many requests as are expected to end there, in proportion to its mean load
+    and its speed. Its surplus over the mean is corrected over a time that grows with the age
     of reports and with the others' share of all requests: others see the same difference and
     correct it too. This handles any number of entries, and reports a few seconds old.
 
     Parameters
     ----------
     states : list of EndpointState
-    run_s : float
+    mean_run_s : float
         Mean run time of a request.
 
     Returns
@@ -66,9 +69,10 @@
     for state in states:
         mean = mean_share * state.slots
         delay_s = state.age_s + REPORT_INTERVAL_S
-        horizon_s = MIN_HORIZON_S + DELAY_FACTOR * others_part * delay_s
-        usual = mean * horizon_s / run_s
+        correction_s = MIN_CORRECTION_S + DELAY_FACTOR * others_part * delay_s
+        expected_ends = mean * correction_s / mean_run_s
         requests = max(state.own + state.others, state.cache_share * state.slots)
-        weight = max(MIN_WEIGHT * usual, usual + mean - requests) / horizon_s
+        surplus = requests - mean
+        weight = max(MIN_WEIGHT * expected_ends, expected_ends - surplus) / correction_s
         weights.append(weight * state.speed)
     return weights
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
@@ -6,7 +6,7 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.balancing.cost_factors import MAX_FAILURE_RATE, OTHER_DOMAIN_LOAD_FACTOR
 from hemlockdock_entry.balancing.draw_weights import EndpointState, draw_weights
-from hemlockdock_entry.balancing.own_requests import KEPT_S
+from hemlockdock_entry.balancing.reported_load import MAX_REPORT_AGE_S
 
 # Endpoints drawn at random for a request.
 CANDIDATES = 4
@@ -15,8 +15,7 @@
 # First bytes that take this many times as long as is usual in the pool contradict a low load.
 SLOW_FACTOR = 3.0
 # An endpoint counts as full if its expected requests exceed its slots by this many standard
-# deviations. At 0, many entries leave and come back to it together: with 300 entries, 3 endpoints
-# and reports 1 s old, loads swung to twice the mean.
+# deviations. At 0, entries with the same report leave and return together.
 FULL_DEVIATIONS = 1.0
 
 
@@ -57,8 +56,8 @@
             return in_flight < max_in_flight
         if self._view.is_full(row.endpoint_id, now_s):
             return False
-        usual = self._view.pool_load(row.pool).others_share * load.slots
-        if in_flight + max(load.others, usual) + 1.0 <= load.slots:
+        mean_others = self._view.pool_load(row.pool).others_share * load.slots
+        if in_flight + max(load.others, mean_others) + 1.0 <= load.slots:
             return True
         others = self._view.others(row, load.slots, now_s)
         least = others.mean - FULL_DEVIATIONS * sqrt(others.variance)
@@ -82,12 +81,12 @@
         if apart or not self._view.has_recent_report(rows, now_s):
             return self._health.choose(rows, now_s, frozenset(), preferred_ids, apart)
         COUNTERS.increment("gateway_choices_by_load")
-        rows = self._least_avoided(rows, now_s)
+        rows = self._best_ranked(rows, now_s)
         if len(rows) == 1:
             return rows[0]
-        trusts = self._trusts(rows)
+        factors = self._reliability_factors(rows)
         weights = self._weights(rows, now_s)
-        weights = [weight * trust for weight, trust in zip(weights, trusts, strict=True)]
+        weights = [weight * factor for weight, factor in zip(weights, factors, strict=True)]
         candidates = self._random.choices(range(len(rows)), weights, k=CANDIDATES)
         preferred = [number for number, row in enumerate(rows) if row.endpoint_id in preferred_ids]
         if preferred:
@@ -97,15 +96,18 @@
         best_cost = None
         for number in candidates:
             row = rows[number]
-            cost = self._own_cost(row) / trusts[number]
+            cost = self._own_cost(row) / factors[number]
             if row.endpoint_id in preferred_ids:
                 cost /= 2
             if best_cost is None or cost < best_cost:
                 best, best_cost = row, cost
         return best
 
-    def _least_avoided(self, rows, now_s):
-        """Return the endpoints that are neither ejected nor full nor at risk, or else the next."""
+    def _best_ranked(self, rows, now_s):
+        """Return the endpoints of the best rank.
+
+        Available ones come first, then those without suspect requests.
+        """
         rows_by_rank = {}
         for row in rows:
             health = self._health.for_endpoint(row.endpoint_id)
@@ -124,13 +126,13 @@
             if load is None:
                 slots = max(1, row.slots)
                 others = self._view.pool_load(row.pool).others_share * slots
-                states.append(EndpointState(in_flight, others, slots, speed, 0.0, KEPT_S))
+                states.append(EndpointState(in_flight, others, slots, speed, 0.0, MAX_REPORT_AGE_S))
                 continue
             age_s = now_s - load.at_s
             states.append(
                 EndpointState(in_flight, load.others, load.slots, speed, load.cache_share, age_s)
             )
-        return draw_weights(states, self._view.run_s(rows[0].pool))
+        return draw_weights(states, self._view.mean_run_s(rows[0].pool))
 
     def _speed(self, row):
         """Return an endpoint's speed as a multiple of the pool's mean."""
@@ -140,17 +142,26 @@
             return 1.0
         return min(MAX_SPEED_FACTOR, max(1.0 / MAX_SPEED_FACTOR, speed / mean))
 
-    def _trusts(self, rows):
-        """Return factors by which endpoints get less, as their responses contradict reports."""
+    def _reliability_factors(self, rows):
+        """Return factors that lower the weight of endpoints whose responses contradict reports.
+
+        Parameters
+        ----------
+        rows : list of EndpointRow
+
+        Returns
+        -------
+        list of float
+        """
         healths = [self._health.for_endpoint(row.endpoint_id) for row in rows]
         known_s = [health.latency_s for health in healths if health.latency_s]
         slow_s = SLOW_FACTOR * median(known_s) if known_s else float("inf")
-        trusts = []
+        factors = []
         for health in healths:
             success_rate = 1.0 - min(health.failure_rate, MAX_FAILURE_RATE)
             slowness = max(1.0, health.latency_s / slow_s)
-            trusts.append(success_rate * success_rate / (slowness * slowness))
-        return trusts
+            factors.append(success_rate * success_rate / (slowness * slowness))
+        return factors
 
     def _own_cost(self, row):
         health = self._health.for_endpoint(row.endpoint_id)
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_view.py
@@ -4,8 +4,13 @@
 
 from hemlockdock_core.messages import load_key
 from hemlockdock_core.metrics import COUNTERS, GAUGES
-from hemlockdock_entry.balancing.endpoint_load import PoolLoad, ReportedLoad, expected_others
-from hemlockdock_entry.balancing.own_requests import KEPT_S, OwnRequests
+from hemlockdock_entry.balancing.own_requests import OwnRequests
+from hemlockdock_entry.balancing.reported_load import (
+    MAX_REPORT_AGE_S,
+    PoolLoad,
+    ReportedLoad,
+    expected_others,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -35,7 +40,7 @@
         self._own_by_id = {}
         self._rejected_s_by_id = {}
         self._pool_by_name = {}
-        self._run_s_by_pool = {}
+        self._mean_run_s_by_pool = {}
         self._recorded_s = float("-inf")
 
     def record(self, summary, rows, pool_by_name, now_s):
@@ -54,12 +59,12 @@
         self._recorded_s = now_s
         row_by_key = _row_by_key(rows)
         self._remove_absent(row_by_key)
-        for told in summary.loads:
-            row = row_by_key.get(told.key)
+        for load in summary.loads:
+            row = row_by_key.get(load.key)
             if row is None:
                 COUNTERS.increment("gateway_loads_unknown")
                 continue
-            self._record(row, told, pool_by_name.get(row.pool), now_s)
+            self._record(row, load, pool_by_name.get(row.pool), now_s)
         self._update_pools(row_by_key.values(), now_s)
 
     def has_recent_summary(self, now_s):
@@ -73,7 +78,7 @@
         -------
         bool
         """
-        return now_s - self._recorded_s <= KEPT_S
+        return now_s - self._recorded_s <= MAX_REPORT_AGE_S
 
     def record_sent(self, endpoint_id, now_s):
         """Record that this entry sends a request to an endpoint.
@@ -98,8 +103,9 @@
         self._own(row.endpoint_id).add(-1, now_s)
         if sent_s is None:
             return
-        run_s = self.run_s(row.pool)
-        self._run_s_by_pool[row.pool] = run_s + EWMA_WEIGHT * (now_s - sent_s - run_s)
+        mean_run_s = self.mean_run_s(row.pool)
+        change_s = now_s - sent_s - mean_run_s
+        self._mean_run_s_by_pool[row.pool] = mean_run_s + EWMA_WEIGHT * change_s
 
     def record_rejected(self, endpoint_id, now_s):
         """Record that an endpoint has refused a request because it is full.
@@ -124,7 +130,7 @@
         ReportedLoad or None
         """
         load = self._load_by_id.get(endpoint_id)
-        if load is None or now_s - load.at_s > KEPT_S:
+        if load is None or now_s - load.at_s > MAX_REPORT_AGE_S:
             return None
         return load
 
@@ -184,7 +190,7 @@
         """
         return self._pool_by_name.get(pool, UNKNOWN_POOL)
 
-    def run_s(self, pool):
+    def mean_run_s(self, pool):
         """Return the mean run time of the requests of a pool, as this entry has seen it.
 
         Parameters
@@ -195,7 +201,7 @@
         -------
         float
         """
-        return max(MIN_RUN_S, self._run_s_by_pool.get(pool, DEFAULT_RUN_S))
+        return max(MIN_RUN_S, self._mean_run_s_by_pool.get(pool, DEFAULT_RUN_S))
 
     def others(self, row, slots, now_s):
         """Return the requests of other entries that are expected at an endpoint.
@@ -211,26 +217,26 @@
         ExpectedOthers
         """
         load = self.load(row.endpoint_id, now_s)
-        run_s = self.run_s(row.pool)
-        return expected_others(load, self.pool_load(row.pool), slots, run_s, now_s)
+        mean_run_s = self.mean_run_s(row.pool)
+        return expected_others(load, self.pool_load(row.pool), slots, mean_run_s, now_s)
 
-    def _record(self, row, told, pool, now_s):
-        at_s = now_s - told.age_ms / MS_PER_S
+    def _record(self, row, load, pool, now_s):
+        at_s = now_s - load.age_ms / MS_PER_S
         known = self._load_by_id.get(row.endpoint_id)
         if known is not None and known.at_s > at_s:
             return
         slots = row.slots if pool is None or pool.engine is None else pool.engine.slots
-        requests = told.running + told.waiting
+        requests = load.running + load.waiting
         own = self._own(row.endpoint_id).at(at_s)
         self._load_by_id[row.endpoint_id] = ReportedLoad(
             at_s,
             requests,
             max(0, requests - own),
             max(1, slots),
-            told.cache_used_percent / 100,
+            load.cache_used_percent / 100,
         )
-        if told.speed_milli:
-            self._speed_by_id[row.endpoint_id] = told.speed_milli / MILLI
+        if load.speed_milli:
+            self._speed_by_id[row.endpoint_id] = load.speed_milli / MILLI
 
     def _own(self, endpoint_id):
         own = self._own_by_id.get(endpoint_id)
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/own_requests.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/own_requests.py
@@ -1,13 +1,12 @@
-"""This entry's own requests at one endpoint, now and lately."""
+"""This entry's own requests at one endpoint, now and in the last seconds."""
 
 from collections import deque
 
-# Reports older than this are not used.
-KEPT_S = 3.0
+from hemlockdock_entry.balancing.reported_load import MAX_REPORT_AGE_S
 
 
 class OwnRequests:
-    """Count the requests of this entry at one endpoint, and remember the changes of the last time.
+    """Count the requests of this entry at one endpoint, and keep the changes of the last seconds.
 
     Attributes
     ----------
@@ -29,11 +28,11 @@
         """
         self.in_flight += change
         self._changes.append((now_s, change))
-        while self._changes[0][0] <= now_s - KEPT_S:
+        while self._changes[0][0] <= now_s - MAX_REPORT_AGE_S:
             self._changes.popleft()
 
     def at(self, time_s):
-        """Return how many requests were in flight at a time, at most ``KEPT_S`` ago.
+        """Return how many requests were in flight at a time, at most ``MAX_REPORT_AGE_S`` ago.
 
         Parameters
         ----------
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/endpoint_load.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/reported_load.py
@@ -1,8 +1,11 @@
-"""What is known of the load of one endpoint, and what it is expected to be now."""
+"""Reported loads of endpoints, and the loads that are expected now."""
 
 from dataclasses import dataclass
 from math import exp
 
+# Reports older than this are not used.
+MAX_REPORT_AGE_S = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
@@ -58,7 +61,7 @@
     variance: float
 
 
-def expected_others(load, pool, slots, run_s, now_s):
+def expected_others(load, pool, slots, mean_run_s, now_s):
     """Return the requests of other entries that are expected at an endpoint now.
 
     Those that were reported end one by one, by the mean run time, and others take their place as
@@ -70,7 +73,7 @@
         None if nothing is known; then the mean of the pool is expected.
     pool : PoolLoad
     slots : int
-    run_s : float
+    mean_run_s : float
         Mean run time of a request.
     now_s : float
 
@@ -78,10 +81,10 @@
     -------
     ExpectedOthers
     """
-    usual = pool.others_share * slots
+    mean_others = pool.others_share * slots
     if load is None:
-        return ExpectedOthers(usual, usual)
-    kept = exp(-max(0.0, now_s - load.at_s) / run_s)
-    mean = load.others * kept + usual * (1.0 - kept)
-    variance = load.others * kept * (1.0 - kept) + usual * (1.0 - kept)
+        return ExpectedOthers(mean_others, mean_others)
+    kept = exp(-max(0.0, now_s - load.at_s) / mean_run_s)
+    mean = load.others * kept + mean_others * (1.0 - kept)
+    variance = load.others * kept * (1.0 - kept) + mean_others * (1.0 - kept)
     return ExpectedOthers(mean, variance)
