--- a/packages/hemlockdock-control/hemlockdock_control/fleet/entry_capacities.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/entry_capacities.py
@@ -1,4 +1,4 @@
-"""Compare the capacities of the entries that send heartbeats to this member."""
+"""Keep the capacities that entries state, and their ratios to the mean."""
 
 from hemlockdock_core.entry_capacity import capacity_ratios
 
@@ -15,7 +15,7 @@
         self._changed_s = 0.0
 
     @property
-    def differ(self):
+    def are_uneven(self):
         """Return whether entries state different capacities."""
         return any(ratio != 1.0 for ratio in self._ratio_by_address.values())
 
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/load_summaries.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/load_summaries.py
@@ -1,32 +1,34 @@
-"""Decide which endpoints' loads the leader tells entries next."""
+"""Choose the endpoint loads of the next summary that the leader sends to entries."""
 
 import logging
 from dataclasses import dataclass
 
 import msgspec
 
-from hemlockdock_core.messages import EndpointLoad, LoadSummary, load_key
+from hemlockdock_core.messages import (
+    SUMMARY_INTERVAL_S,
+    EndpointLoad,
+    LoadSummary,
+    load_key,
+)
 from hemlockdock_core.metrics import COUNTERS, GAUGES
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1_000
-SUMMARY_MS = 400
 # What control sends a node stays under 2 KB a second; half of that is left for everything else.
 BYTES_PER_S = 1_000
-# Frame, headers of the link and of TCP, as measured with the codec (71 bytes) and rounded up.
+# Frame, link and TCP headers.
 OVERHEAD_BYTES = 100
 # Some 20 loads of 13 to 16 bytes.
-MAX_LOADS_BYTES = BYTES_PER_S * SUMMARY_MS // MS_PER_S - OVERHEAD_BYTES
-# An unchanged load is as urgent after this time as one that has changed by a request.
-REPEAT_S = 0.4
+MAX_LOADS_BYTES = round(BYTES_PER_S * SUMMARY_INTERVAL_S) - OVERHEAD_BYTES
 MAX_PERCENT = 999
 MAX_SPEED_MILLI = 65_535
 
 
 @dataclass(frozen=True, slots=True)
 class SentLoad:
-    """What entries were told last of an endpoint.
+    """The load of an endpoint that was last sent to entries.
 
     Attributes
     ----------
@@ -59,12 +61,12 @@
         """Discard what was sent, because another member may have led in the meantime."""
         self._sent_by_id = {}
 
-    def is_shared(self, capacities_differ):
+    def is_shared(self, are_capacities_uneven):
         """Return whether entries are told loads.
 
         Parameters
         ----------
-        capacities_differ : bool
+        are_capacities_uneven : bool
             Whether the entries state different capacities.
 
         Returns
@@ -73,9 +75,14 @@
         """
         is_shared = self._fleet.share_load == "always"
         if self._fleet.share_load == "uneven":
-            is_shared = capacities_differ
+            is_shared = are_capacities_uneven
         if is_shared != self._was_shared:
-            logger.info("loads of endpoints are shared" if is_shared else "loads are not shared")
+            reason = f"share_load is {self._fleet.share_load}"
+            if self._fleet.share_load == "uneven":
+                state = "uneven" if are_capacities_uneven else "even"
+                reason += f", capacities of entries are {state}"
+            message = "load sharing on" if is_shared else "load sharing off"
+            logger.info(message, extra={"reason": reason})
         self._was_shared = is_shared
         return is_shared
 
@@ -128,7 +135,9 @@
         sent = self._sent_by_id.get(endpoint_id)
         if sent is None:
             return float("inf")
-        return abs(_requests(report) - sent.requests) + (now_s - sent.sent_s) / REPEAT_S
+        # An unchanged load counts after one interval like one that has changed by a request.
+        age = (now_s - sent.sent_s) / SUMMARY_INTERVAL_S
+        return abs(_requests(report) - sent.requests) + age
 
     def _oldest_s(self, now_s):
         return max(now_s - sent.sent_s for sent in self._sent_by_id.values())
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/nodes.py
@@ -127,9 +127,9 @@
         return [node.address for node in nodes if node.role == ENTRY_ROLE]
 
     @property
-    def capacities_differ(self):
+    def are_capacities_uneven(self):
         """Return whether entries that send heartbeats to this member state different capacities."""
-        return self._capacities.differ
+        return self._capacities.are_uneven
 
     @property
     def is_fresh(self):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -9,7 +9,7 @@
 from hemlockdock_control.consensus.seeding import process_ip
 from hemlockdock_control.fleet.demand import DemandAggregator
 from hemlockdock_control.fleet.directory import DirectoryReader
-from hemlockdock_control.fleet.load_summaries import SUMMARY_MS, LoadSummaries
+from hemlockdock_control.fleet.load_summaries import LoadSummaries
 from hemlockdock_control.fleet.nodes import FleetNodes
 from hemlockdock_control.fleet.operator_api import RouteApi
 from hemlockdock_control.fleet.peers import FleetPeers
@@ -22,7 +22,7 @@
 from hemlockdock_core.commands import RecordEndpoints
 from hemlockdock_core.http import HttpClient
 from hemlockdock_core.links import LinkTls, MessageTransport
-from hemlockdock_core.messages import NODE_CODEC
+from hemlockdock_core.messages import NODE_CODEC, SUMMARY_INTERVAL_S
 from hemlockdock_core.periodic_call import PeriodicCall
 from hemlockdock_core.wall_clock import wall_ms
 from hemlockdock_core.wire import load_wire
@@ -119,7 +119,7 @@
         self._admin.start()
         self._every(PUSH_MS, self._push)
         self._every(DECIDE_MS, self._decide)
-        self._every(SUMMARY_MS, self._share_loads)
+        self._every(round(SUMMARY_INTERVAL_S * MS_PER_S), self._share_loads)
         self._every(CLEANUP_MS, self._forget_silent_nodes)
         self._every(self._settings.fleet.directory_poll_ms, self._read_directory)
         logger.info("control started", extra={"member": self.replicator.member_id})
@@ -162,7 +162,7 @@
         # Without a valid lease, another member may already lead and get newer reports.
         if not self.replicator.has_lease:
             return
-        if not self._load_summaries.is_shared(self._nodes.capacities_differ):
+        if not self._load_summaries.is_shared(self._nodes.are_capacities_uneven):
             return
         summary = self._load_summaries.next_summary(self._registry, self._reactor.seconds())
         if summary is None:
--- a/packages/hemlockdock-control/tests/test_entry_capacities.py
+++ b/packages/hemlockdock-control/tests/test_entry_capacities.py
@@ -51,7 +51,7 @@
     def test_entries_are_told_their_capacity_in_relation_to_the_mean(self):
         self.ratio("a", 0.3)
         self.ratio("b", 0.9)
-        self.assertTrue(self.nodes.capacities_differ)
+        self.assertTrue(self.nodes.are_capacities_uneven)
         self.clock.advance(SETTLE_S)
         self.assertAlmostEqual(self.ratio("a"), 0.5)
         self.assertAlmostEqual(self.ratio("b"), 1.5)
@@ -69,7 +69,7 @@
             for name in "abc":
                 self.ratio(name, cores)
             self.clock.advance(SETTLE_S)
-            self.assertEqual((self.ratio("a"), self.nodes.capacities_differ), (1.0, False))
+            self.assertEqual((self.ratio("a"), self.nodes.are_capacities_uneven), (1.0, False))
 
     def test_an_entry_that_is_gone_no_longer_counts(self):
         self.ratio("a", 0.3)
@@ -78,7 +78,7 @@
         self.ratio("a")
         self.nodes.remove_silent()
         self.clock.advance(SETTLE_S)
-        self.assertEqual((self.ratio("a"), self.nodes.capacities_differ), (1.0, False))
+        self.assertEqual((self.ratio("a"), self.nodes.are_capacities_uneven), (1.0, False))
 
     def test_a_follower_tells_nothing(self):
         self.replicator.is_leader = False
--- a/packages/hemlockdock-control/tests/test_load_summaries.py
+++ b/packages/hemlockdock-control/tests/test_load_summaries.py
@@ -7,19 +7,15 @@
 
 from hemlockdock_control.fleet.load_summaries import (
     BYTES_PER_S,
-    MS_PER_S,
     OVERHEAD_BYTES,
-    SUMMARY_MS,
     LoadSummaries,
 )
 from hemlockdock_control.fleet.registry import AgentReport, EndpointRegistry
-from hemlockdock_core.messages import NODE_CODEC, EndpointReport, load_key
+from hemlockdock_core.messages import NODE_CODEC, SUMMARY_INTERVAL_S, EndpointReport, load_key
 from hemlockdock_core.messages.frame import PROTOCOL_VERSION, Frame
 from hemlockdock_core.settings.sections import FleetSection
 from hemlockdock_core.wire import ListedEndpoint
 
-SUMMARY_S = SUMMARY_MS / MS_PER_S
-
 
 class LoadSummariesTest(unittest.TestCase):
     def setUp(self):
@@ -62,7 +58,7 @@
         data = NODE_CODEC.encode(frame)
         per_s = (
             len(data) - len(NODE_CODEC.encode(replace_body(frame))) + OVERHEAD_BYTES
-        ) / SUMMARY_S
+        ) / SUMMARY_INTERVAL_S
         self.assertLess(per_s, BYTES_PER_S)
 
     def test_loads_that_changed_most_go_first_and_none_is_left_out_for_long(self):
@@ -74,8 +70,8 @@
                 self.report(name, 5, now_s)
             for name in self.told(now_s):
                 told_s[name] = now_s
-            now_s += SUMMARY_S
-        self.assertGreater(min(told_s.values()), now_s - 5 * SUMMARY_S)
+            now_s += SUMMARY_INTERVAL_S
+        self.assertGreater(min(told_s.values()), now_s - 5 * SUMMARY_INTERVAL_S)
         changed = self.ids[-7:]
         for name in changed:
             self.report(name, 25, now_s)
@@ -88,16 +84,17 @@
         self.assertIsNone(self.next(0.0))
 
     def test_loads_are_shared_as_the_settings_say(self):
-        for share_load, differ, expected in (
+        """Deployments without the setting, or with an empty one, would otherwise get summaries."""
+        for share_load, is_uneven, expected in (
             ("never", True, False),
             ("uneven", False, False),
             ("uneven", True, True),
             ("always", False, True),
             ("", True, False),
         ):
-            with self.subTest(share_load=share_load, differ=differ):
+            with self.subTest(share_load=share_load, is_uneven=is_uneven):
                 fleet = FleetSection(share_load=share_load)
-                self.assertEqual(LoadSummaries(fleet).is_shared(differ), expected)
+                self.assertEqual(LoadSummaries(fleet).is_shared(is_uneven), expected)
 
 
 def replace_body(frame):
--- a/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/__init__.py
@@ -22,7 +22,12 @@
 from hemlockdock_core.messages.heartbeat import Heartbeat, HeartbeatAck
 from hemlockdock_core.messages.inventory import Inventory, InventoryModel
 from hemlockdock_core.messages.leaving import Leaving
-from hemlockdock_core.messages.load import EndpointLoad, LoadSummary, load_key
+from hemlockdock_core.messages.load import (
+    SUMMARY_INTERVAL_S,
+    EndpointLoad,
+    LoadSummary,
+    load_key,
+)
 from hemlockdock_core.messages.orders import (
     LoadAdapterOrder,
     LoadOrder,
@@ -60,6 +65,7 @@
 from hemlockdock_core.node_info import NodeInfo
 
 __all__ = [
+    "SUMMARY_INTERVAL_S",
     "LATELY_DECAY_S",
     "NODE_CODEC",
     "PROTOCOL_VERSION",
--- a/packages/hemlockdock-core/hemlockdock_core/messages/load.py
+++ b/packages/hemlockdock-core/hemlockdock_core/messages/load.py
@@ -7,6 +7,9 @@
 
 from hemlockdock_core.messages.message import Message
 
+# Interval between load summaries.
+SUMMARY_INTERVAL_S = 0.4
+
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
     """Load of one endpoint, as its engine reported it.
--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/draw_weights.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/draw_weights.py
@@ -3,11 +3,11 @@
 import math
 from dataclasses import dataclass
 
+from hemlockdock_core.messages import SUMMARY_INTERVAL_S
+
 # All entries correct a difference that is in a report until they see the effect. A correction
 # spread over less than e times that delay makes the loads swing.
 DELAY_FACTOR = math.e
-# Time between the reports of one endpoint, which adds to their age.
-REPORT_INTERVAL_S = 0.4
 # Own requests are known at once.
 MIN_CORRECTION_S = 0.05
 # A full endpoint still gets a few requests, as its report may be wrong.
@@ -68,7 +68,7 @@
     weights = []
     for state in states:
         mean = mean_share * state.slots
-        delay_s = state.age_s + REPORT_INTERVAL_S
+        delay_s = state.age_s + SUMMARY_INTERVAL_S
         correction_s = MIN_CORRECTION_S + DELAY_FACTOR * others_part * delay_s
         expected_ends = mean * correction_s / mean_run_s
         requests = max(state.own + state.others, state.cache_share * state.slots)
