--- a/packages/hemlockdock-core/hemlockdock_core/process_memory.py
+++ b/packages/hemlockdock-core/hemlockdock_core/process_memory.py
@@ -1,4 +1,4 @@
-"""Find out how much memory the process may use."""
+"""Memory that the process may use, and how much of it the C library retains."""
 
 import ctypes
 import os
@@ -8,8 +8,8 @@
 BYTES_PER_MB = 1_024 * 1_024
 # Parameter of mallopt in malloc.h.
 M_MMAP_THRESHOLD = -3
-# The library's own first value. It raises it to 32 MB as longer buffers are freed, and growing
-# buffers then leave gaps of their size in the heap.
+# The GNU library's initial value. If it isn't set, the library raises it to as much as 32 MB, and
+# growing buffers then leave gaps in the heap.
 MMAP_THRESHOLD_BYTES = 128 * 1_024
 CGROUP_LIMITS = ("/sys/fs/cgroup/memory.max", "/sys/fs/cgroup/memory/memory.limit_in_bytes")
 
@@ -45,13 +45,13 @@
     return int(text) if text.isdigit() else 0
 
 
-def return_freed_memory():
-    """Make the C library return long buffers to the operating system as soon as they are freed.
+def limit_heap_retention():
+    """Make the C library map long buffers separately, so that they are returned when freed.
 
     Returns
     -------
     bool
-        Whether it has been told so; other libraries than the GNU one have no such parameter.
+        Whether it succeeded; only the GNU library has the parameter.
     """
     try:
         return ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES) == 1
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/customer_shares.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/customer_shares.py
@@ -39,8 +39,8 @@
         """Return the names of the pools for which requests of customers have been queued."""
         return self._queue_by_pool.keys()
 
-    def are_used(self, pool):
-        """Return whether a request of a customer has been queued for a pool.
+    def has_queue(self, pool):
+        """Return whether the pool has a fair queue: a customer's request has been queued for it.
 
         Parameters
         ----------
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -53,7 +53,7 @@
         """
         gateway = self._gateway
         usable = []
-        for row in gateway.endpoints.below_connection_limit(exchange.pool, gateway.entries):
+        for row in gateway.endpoints.below_connection_limit(exchange.pool, gateway.share_divisor):
             if gateway.gate.is_closed(row.endpoint_id):
                 continue
             if not gateway.permits.is_open(exchange, row.endpoint_id):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/first_byte_timer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/first_byte_timer.py
@@ -58,4 +58,4 @@
 
     def _has_retry_left(self):
         budget = self._gateway.endpoints.retry_budget(self._exchange.pool.name)
-        return budget.has_available(self._gateway.clock.seconds(), self._gateway.entries)
+        return budget.has_available(self._gateway.clock.seconds(), self._gateway.share_divisor)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -131,10 +131,10 @@
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
 
     @property
-    def entries(self):
-        """Return by what to divide retry budgets and connection limits that entries share.
+    def share_divisor(self):
+        """Return the number by which to divide a limit that all entries share.
 
-        It is the number of entries, or this entry's capacity in all of theirs if that differs.
+        It is their number, weighted by this entry's capacity.
         """
         ratio = self._link.capacity_ratio
         return self._link.entries if ratio == 1.0 else self._link.entries / ratio
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -57,9 +57,9 @@
             self._shares.add(exchange)
         use.waiting.append(exchange)
         self._mark_changed(use)
-        self._dispatch_shared(use.pool)
+        self._dispatch_pool(use.pool)
         if use.waiting:
-            self._dispatch_waiting(use)
+            self._dispatch_model(use)
 
     def resume(self, exchange):
         """Dispatch a waiting request that has waited for a permit.
@@ -99,9 +99,9 @@
         use.in_flight -= 1
         self._mark_changed(use)
         if self._orders_pool(use.pool):
-            self._gateway.clock.callLater(0, self._dispatch_shared, use.pool)
+            self._gateway.clock.callLater(0, self._dispatch_pool, use.pool)
         elif use.waiting:
-            self._gateway.clock.callLater(0, self._dispatch_waiting, use)
+            self._gateway.clock.callLater(0, self._dispatch_model, use)
 
     def table_changed(self):
         """Update model availability, and dispatch or refuse waiting requests."""
@@ -157,14 +157,22 @@
         return use
 
     def _dispatch_all(self):
+        """Dispatch the pools of customers in one order each, then what is left of each model.
+
+        The second step also refuses requests that the first did not try, if they can't be served.
+        """
         for pool in self._shares.pools:
-            self._dispatch_shared(pool)
+            self._dispatch_pool(pool)
         for use in self._demand_by_model.values():
             if use.waiting:
-                self._dispatch_waiting(use)
+                self._dispatch_model(use)
 
-    def _dispatch_shared(self, pool):
-        """Dispatch requests of all models of a pool by urgency and its customers' shares."""
+    def _dispatch_pool(self, pool):
+        """Dispatch the requests of all models of a pool in one order, if the pool has one.
+
+        It has one once a customer's request was queued for it, and while the entry has the loads of
+        endpoints. A model's requests behind one that found no endpoint are not tried.
+        """
         if not self._orders_pool(pool):
             return
         exchanges = []
@@ -182,11 +190,12 @@
                 full.add(use.model)
 
     def _orders_pool(self, pool):
-        if self._shares.are_used(pool):
+        if self._shares.has_queue(pool):
             return True
         return self._gateway.load_view.has_recent_summary(self._gateway.clock.seconds())
 
-    def _dispatch_waiting(self, use):
+    def _dispatch_model(self, use):
+        """Dispatch the requests of one model, or refuse those that can't be served in time."""
         self._shares.sort(use.pool, use.waiting)
         self._dispatch(use, self._dispatchable(use))
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/pool_endpoints.py
@@ -116,7 +116,7 @@
         """
         return self._rows_by_pool.get(pool, ())
 
-    def below_connection_limit(self, pool, entries):
+    def below_connection_limit(self, pool, share_divisor):
         """Return a pool's endpoints at which this entry is below its connection limit.
 
         An endpoint resets connections beyond its limit, which all entries share.
@@ -124,8 +124,8 @@
         Parameters
         ----------
         pool : PoolRow
-        entries : float
-            By what to divide the limit, see ``Gateway.entries``.
+        share_divisor : float
+            The number by which to divide the limit, see ``Gateway.share_divisor``.
 
         Returns
         -------
@@ -134,7 +134,7 @@
         rows = self.of_pool(pool.name)
         if not pool.most_connections:
             return rows
-        share = max(1, pool.most_connections // max(1, entries))
+        share = max(1, pool.most_connections // max(1, share_divisor))
         return [row for row in rows if self._health.for_endpoint(row.endpoint_id).in_flight < share]
 
     def connections_to(self, row):
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/service.py
@@ -22,7 +22,7 @@
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_core.node import ControlLink, local_node_info, open_local_transport
 from hemlockdock_core.periodic_call import PeriodicCall
-from hemlockdock_core.process_memory import return_freed_memory
+from hemlockdock_core.process_memory import limit_heap_retention
 from hemlockdock_core.wire import load_wire
 from hemlockdock_entry.gateway.client_connection import ClientConnection
 from hemlockdock_entry.gateway.gateway import Gateway
@@ -77,7 +77,8 @@
 
     def start(self):
         """Start listening, and connect to control."""
-        return_freed_memory()
+        if not limit_heap_retention():
+            logger.warning("allocator threshold not set")
         self._transport = open_local_transport(
             self._reactor, self._settings, self._on_frame, self._tls
         )
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/try_sequence.py
@@ -297,4 +297,4 @@
 
     def _spend_retry(self):
         budget = self._gateway.endpoints.retry_budget(self._exchange.pool.name)
-        return budget.try_spend(self.now_s(), self._gateway.entries)
+        return budget.try_spend(self.now_s(), self._gateway.share_divisor)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/windowed_retry_budget.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/windowed_retry_budget.py
@@ -39,31 +39,31 @@
         while self._requests[0][0] <= bucket - BUCKETS:
             self._requests.popleft()
 
-    def try_spend(self, now_s, entries):
+    def try_spend(self, now_s, share_divisor):
         """Spend one retry if available, and return whether it was.
 
         Parameters
         ----------
         now_s : float
-        entries : float
-            By what to divide the slack, see ``Gateway.entries``.
+        share_divisor : float
+            The number by which to divide the slack, see ``Gateway.share_divisor``.
 
         Returns
         -------
         bool
         """
-        if not self.has_available(now_s, entries):
+        if not self.has_available(now_s, share_divisor):
             return False
         self._retry_times_s.append(now_s)
         return True
 
-    def has_available(self, now_s, entries):
+    def has_available(self, now_s, share_divisor):
         """Return whether a retry is available, without spending it.
 
         Parameters
         ----------
         now_s : float
-        entries : float
+        share_divisor : float
 
         Returns
         -------
@@ -72,5 +72,5 @@
         while self._retry_times_s and self._retry_times_s[0] <= now_s - self._window_s:
             self._retry_times_s.popleft()
         requests = sum(count for _, count in self._requests)
-        allowed = self._ratio * requests + self._slack / max(1, entries)
+        allowed = self._ratio * requests + self._slack / max(1, share_divisor)
         return len(self._retry_times_s) + 1 <= allowed
--- a/packages/hemlockdock-entry/tests/test_uneven_entries.py
+++ b/packages/hemlockdock-entry/tests/test_uneven_entries.py
@@ -35,7 +35,7 @@
             self.harness.link.capacity_ratio = ratio
             budget = self.harness.gateway.endpoints.retry_budget("lm")
             spent = 0
-            while budget.try_spend(0.0, self.harness.gateway.entries):
+            while budget.try_spend(0.0, self.harness.gateway.share_divisor):
                 spent += 1
             found.append(spent)
         # 0.8 of the slack of 10 for two entries.
