entry, core: messages and logs say which limit was reached

The log line of a client limit names it and is limited for each by itself. A refused request says whether a slot or the model was missing, and a stalled body for how long nothing arrived. Comments beside constants state reasons.

--- a/packages/hemlockdock-cli/tests/test_trace.py
+++ b/packages/hemlockdock-cli/tests/test_trace.py
@@ -34,7 +34,7 @@
                 request="r1",
                 model="m",
                 outcome="deadline_unreachable",
-                why="the model is not there in time",
+                why="the model can't be loaded in time",
                 held_s=2.0,
             ),
         )
--- a/packages/hemlockdock-core/hemlockdock_core/connection_limits.py
+++ b/packages/hemlockdock-core/hemlockdock_core/connection_limits.py
@@ -6,7 +6,7 @@
 
 from hemlockdock_core.metrics.counters import COUNTERS
 
-# Each client's request may need a connection to an endpoint, and links and logs need some.
+# The other half is for connections to endpoints, links and files.
 CLIENTS_SHARE = 0.5
 # Probes and scrapes come from few callers.
 SMALL_LISTENER_CONNECTIONS = 32
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/body_sender.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/body_sender.py
@@ -1,4 +1,4 @@
-"""Send a long request body to an endpoint without a further copy of it."""
+"""Stream a request body to an endpoint in pieces, without copying it whole."""
 
 from twisted.internet.interfaces import IPullProducer
 from zope.interface import implementer
@@ -36,5 +36,5 @@
             self._transport.unregisterProducer()
 
     def stopProducing(self):
-        """Let go of the body, since the connection is lost."""
+        """Release the body, since the connection is lost."""
         self._rest = NOTHING
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_budget.py
@@ -2,17 +2,15 @@
 
 from dataclasses import dataclass
 
-from hemlockdock_core.process_memory import usable_memory_bytes
+from hemlockdock_core.process_memory import BYTES_PER_MB, usable_memory_bytes
 
-BYTES_PER_MB = 1_024 * 1_024
-# A quarter of the thinnest host's 160 MB is ten of the largest bodies; what an idle process takes,
-# 66 MB, and the budget for responses fit beside it.
+# Two budgets, for requests and for responses, fit beside what an idle process takes.
 MEMORY_SHARE = 0.25
-# That host's share, since the operating system may not know the limit of the platform.
-MAX_DERIVED_BYTES = 40 * 1_024 * 1_024
-# A holder makes progress with this many bytes; single bytes do not keep it from being dropped.
+# The share of a host with 160 MB, since a platform may limit the memory without stating it.
+MAX_DERIVED_BYTES = 40 * BYTES_PER_MB
+# A change of fewer bytes is no progress, so that sending single bytes does not prevent a drop.
 PROGRESS_BYTES = 16_384
-# Longer than the round trips in which a client on a slow link sends or reads that many bytes.
+# Longer than a client on a slow link takes to send or read that many bytes.
 STALLED_S = 1.0
 
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_connection.py
@@ -260,9 +260,11 @@
             )
             return
         stalled_s = self._gateway.clock.seconds() - self._reader.progress_s
-        if self._exchange is None and stalled_s >= self._gateway.client_limits.body_stall_s:
+        limit_s = self._gateway.client_limits.body_stall_s
+        if self._exchange is None and stalled_s >= limit_s:
             COUNTERS.increment("gateway_bodies_stalled")
-            self._refuse_and_close(Refusal.of(ErrorKind.HEADER_TIMEOUT, "the body stopped"))
+            message = f"no byte of the request body arrived for {limit_s:g} s"
+            self._refuse_and_close(Refusal.of(ErrorKind.HEADER_TIMEOUT, message))
             return
         self._update_header_timer()
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/client_limits.py
@@ -41,7 +41,7 @@
         unread_bytes = response_budget_bytes(settings) - MAX_BODY_BYTES
         self._responses = ClientBudget(gateway.clock, unread_bytes)
         self._max_connections = client_connections_limit(settings)
-        self._logged_s = None
+        self._logged_s_by_limit = {}
 
     @property
     def unread_bytes(self):
@@ -73,13 +73,13 @@
         """
         clients = self._gateway.clients
         if clients.count >= self._max_connections and not clients.abort_longest_idle():
-            self._record("gateway_connections_refused")
+            self._record("connections", "gateway_connections_refused")
             return Refusal.of(ErrorKind.NO_CAPACITY, "the entry has too many connections")
         clients.add(connection)
         return None
 
     def hold_requests(self, connection, held_bytes):
-        """Set what the requests of one connection take, and make room if that is too much.
+        """Set the memory of a connection's requests, and drop others if the budget is exceeded.
 
         Parameters
         ----------
@@ -100,14 +100,14 @@
                 lambda other: other is not connection and other.may_drop_body
             )
             if stalled is None:
-                self._record("gateway_requests_over_budget")
+                self._record("request_budget_mb", "gateway_requests_over_budget")
                 return self._refusal()
-            self._record("gateway_bodies_dropped")
+            self._record("request_budget_mb", "gateway_bodies_dropped")
             stalled.drop_body(self._refusal())
         return None
 
     def hold_response(self, connection, held_bytes):
-        """Set what is held for one client that has not read it, and make room if that is too much.
+        """Set the unread bytes of a client, and drop others if the budget is exceeded.
 
         Parameters
         ----------
@@ -118,7 +118,7 @@
             if not held_bytes:
                 return
             stalled = self._responses.largest_stalled(lambda other: other is not connection)
-            self._record("gateway_responses_over_budget")
+            self._record("response_budget_mb", "gateway_responses_over_budget")
             if stalled is None:
                 # Later, since the connection is in the middle of a write.
                 self._gateway.clock.callLater(0, connection.drop_slow_client)
@@ -133,16 +133,20 @@
                 connection.drop_slow_client()
 
     def _refusal(self):
-        return Refusal.of(ErrorKind.NO_CAPACITY, "the entry's memory for requests is in use")
+        return Refusal.of(
+            ErrorKind.NO_CAPACITY, "the entry's budget for request memory is exhausted"
+        )
 
-    def _record(self, counter):
+    def _record(self, limit, counter):
         COUNTERS.increment(counter)
         now_s = self._gateway.clock.seconds()
-        if self._logged_s is None or now_s - self._logged_s >= LOG_INTERVAL_S:
-            self._logged_s = now_s
+        logged_s = self._logged_s_by_limit.get(limit)
+        if logged_s is None or now_s - logged_s >= LOG_INTERVAL_S:
+            self._logged_s_by_limit[limit] = now_s
             logger.warning(
-                "limits for clients are reached",
+                "client limit reached",
                 extra={
+                    "limit": limit,
                     "counter": counter,
                     "requests_bytes": self._requests.held_bytes,
                     "responses_bytes": self._responses.held_bytes,
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_gate.py
@@ -1,4 +1,4 @@
-"""Ask, as a request is about to be sent to an endpoint, whether the endpoint still wants it."""
+"""Track what endpoints asked for, and decide whether a request may be sent to one."""
 
 import logging
 
@@ -12,8 +12,8 @@
 class EndpointGate:
     """What endpoints asked for: no new work, no requests for a while, or fewer per second.
 
-    Every way to an endpoint passes it twice: when a request is dispatched, and when it is written,
-    as connections are opened and adapters are loaded in between.
+    It is checked twice for each request: when it is dispatched, and when it is written, as
+    connections are opened and adapters are loaded in between.
 
     Parameters
     ----------
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_reader.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/request_reader.py
@@ -136,7 +136,7 @@
         """Append to the body, up to the size limit."""
         if len(self._body) + len(data) > self._gateway.limits.body_bytes:
             self._fail(Refusal.of(ErrorKind.TOO_LARGE, "the body is too large"))
-        # One growing buffer: a list of parts takes up to twenty times the bytes of small chunks.
+        # One growing buffer, as a list of small parts takes far more memory.
         self._body += data
         self.held_bytes += len(data)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/unservable_requests.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/unservable_requests.py
@@ -47,11 +47,14 @@
         now_s = self._gateway.clock.seconds()
         if exchange.may_have_run:
             kind, why = ErrorKind.ENDPOINT_LOST, "no other endpoint can go on with it in time"
+        elif not least_s:
+            kind = ErrorKind.DEADLINE_UNREACHABLE
+            why = "no endpoint with the model has a free slot in time"
         else:
-            kind, why = ErrorKind.DEADLINE_UNREACHABLE, "the model is not there in time"
+            kind, why = ErrorKind.DEADLINE_UNREACHABLE, "the model can't be loaded in time"
         after_ms = retry_after_ms(exchange.deadline_s, ready_s, now_s, least_s)
         if not least_s:
-            # Its model is loaded: what it lacks is a free slot.
+            # The model is loaded, so that a free slot is missing.
             after_ms = self._priority_policy.retry_after_ms(exchange, after_ms)
             self._priority_policy.record_refusal(exchange)
         if exchange.is_first_request:
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -10,12 +10,11 @@
 
 from hemlockdock_core.connection_limits import LimitedConnectionsFactory, client_connections_limit
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_core.process_memory import usable_memory_bytes
+from hemlockdock_core.process_memory import BYTES_PER_MB, usable_memory_bytes
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_entry.gateway.body_sender import PIECE_BYTES
 from hemlockdock_entry.gateway.client_budget import (
-    BYTES_PER_MB,
     MAX_DERIVED_BYTES,
     PROGRESS_BYTES,
     STALLED_S,
@@ -117,6 +116,15 @@
         self.assertIn(503, [holder.status for holder in holders])
         self.assertEqual(self.client.received, b"")
 
+    def test_each_limit_is_logged_by_itself(self):
+        """A full budget would otherwise hide that connections are refused too."""
+        with self.assertLogs("hemlockdock_entry.gateway.client_limits", "WARNING") as logs:
+            for _ in range(2):
+                self.limits._record("connections", "gateway_connections_refused")
+                self.limits._record("request_budget_mb", "gateway_bodies_dropped")
+        limits = [record.limit for record in logs.records]
+        self.assertEqual(limits, ["connections", "request_budget_mb"])
+
     def test_memory_is_released_after_the_response_and_with_the_connection(self):
         self.client.send_request(IDEMPOTENT_PATH, body=b"x" * 9_000)
         self.assertGreater(self.limits._requests.held_bytes, 9_000)
