--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/fair_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/fair_queue.py
@@ -1,7 +1,8 @@
 """Share what can be served among customers, by start-time fair queueing in tokens.
 
-Made for a queue that is long for seconds at a time because one customer sends several times its
-usual load. Without a queue, the order has no effect.
+Notes
+-----
+Intended for queues that last for seconds, as one customer sends several times its usual load.
 """
 
 
--- a/tools/benchmarks/balancing_rounds.py
+++ b/tools/benchmarks/balancing_rounds.py
@@ -8,7 +8,13 @@
 
 from hemlockdock_control.fleet.load_summaries import LoadSummaries
 from hemlockdock_control.fleet.registry import AgentReport, EndpointRegistry
-from hemlockdock_core.messages import EndpointLoad, EndpointReport, LoadSummary, load_key
+from hemlockdock_core.messages import (
+    SUMMARY_INTERVAL_S,
+    EndpointLoad,
+    EndpointReport,
+    LoadSummary,
+    load_key,
+)
 from hemlockdock_core.rows import EndpointRow, EngineSpec, PoolRow
 from hemlockdock_core.settings.sections import FleetSection
 from hemlockdock_core.wire import EngineReport, ListedEndpoint
@@ -24,19 +30,18 @@
 EVENTS = (35, 35, 6)
 FIRST_EVENT_S = 0.1
 MS_PER_S = 1_000
-REPORT_S = 0.4
 QUEUE_CHECK_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class BalancingScenario:
-    """What is played.
+    """Entries, endpoints and load of one play.
 
     Attributes
     ----------
     entries, endpoints : int
     age_s : float
-        Age of a report as it arrives; the next one arrives ``REPORT_S`` later.
+        Age of a report as it arrives; the next one arrives ``SUMMARY_INTERVAL_S`` later.
     slots : int
     load : float
         As a share of the endpoints' capacity.
@@ -138,15 +143,15 @@
 
 
 class BalancingRounds:
-    """Play one scenario by one way of choosing.
+    """Play one scenario with one policy.
 
     Parameters
     ----------
     seed : int
     scenario : BalancingScenario
     policy : str
-        ``reports`` (load summaries), ``today`` (``EndpointHealthTracker``), ``own`` (least
-        outstanding requests of the entry itself) or ``ideal`` (least requests now).
+        ``reports`` (load summaries), ``health_tracker`` (``EndpointHealthTracker``),
+        ``least_outstanding`` (requests of the entry itself) or ``ideal`` (least requests now).
     """
 
     def __init__(self, seed, scenario, policy):
@@ -258,7 +263,7 @@
         self._dispatch(entry, request.model)
 
     def _report(self):
-        self._at(self._now_s + REPORT_S, self._report)
+        self._at(self._now_s + SUMMARY_INTERVAL_S, self._report)
         bodies = [_report_of(engine) for engine in self._engines]
         self._at(self._now_s + self._scenario.age_s, self._deliver_reports, bodies, self._now_s)
 
@@ -297,10 +302,10 @@
         rows = [e.row for e in engines if has_room(e.row, self._cap, self._now_s)]
         return entry.balancer.choose(rows, self._now_s)
 
-    def _choose_by_today(self, entry, engines):
+    def _choose_by_health_tracker(self, entry, engines):
         return entry.health.choose(self._below_cap(entry, engines), self._now_s)
 
-    def _choose_by_own(self, entry, engines):
+    def _choose_by_least_outstanding(self, entry, engines):
         rows = self._below_cap(entry, engines)
         if not rows:
             return None
--- a/tools/benchmarks/bench_balancing.py
+++ b/tools/benchmarks/bench_balancing.py
@@ -11,11 +11,11 @@
 # With fewer slots, a play takes a minute and not several. Summaries of limited size tell each
 # endpoint once in 13 s.
 MANY = {"endpoints": 600, "models": 30, "slots": 8, "play_s": 12.0, "warm_up_s": 14.0}
-OTHER_POLICIES = ("today", "own", "ideal")
+OTHER_POLICIES = ("health_tracker", "least_outstanding", "ideal")
 
 
 def measure():
-    """Yield the unevenness by number of entries and endpoints and by age, beside other ways."""
+    """Yield the unevenness by number of entries and endpoints and by age, beside other policies."""
     for endpoints in (3, 29):
         for entries in ENTRY_COUNTS:
             yield from _figures(AGES_S, entries=entries, endpoints=endpoints)
@@ -51,7 +51,7 @@
                 round(result.unevenness, 3),
                 f"busiest over mean (work, requests at once, s waited: {_text(result)})",
                 compared,
-                round(others["today"].unevenness, 3),
+                round(others["health_tracker"].unevenness, 3),
                 None,
                 UNEVENNESS_BOUND,
                 "lower",
--- a/tools/tests/test_balancing_rounds.py
+++ b/tools/tests/test_balancing_rounds.py
@@ -26,25 +26,29 @@
                 result = self.play(age_s=age_s, **values)
                 self.assertLessEqual(result.unevenness, UNEVENNESS_BOUND)
 
-    def test_one_entry(self):
+    def test_one_entry_loads_endpoints_evenly(self):
+        """One entry knows all requests; it must not wait for reports to even out loads."""
         self.assert_even(entries=1, endpoints=3)
 
-    def test_few_entries_and_few_endpoints(self):
+    def test_few_entries_load_endpoints_evenly(self):
+        """Entries that know only their own requests overload slow endpoints."""
         self.assert_even(entries=30, endpoints=3)
 
     def test_many_entries_do_not_follow_the_same_report_together(self):
-        # Guards against loads that swing, as by the least expected load of three candidates.
+        """Loads swing if all entries choose the endpoint that was reported as least loaded."""
         self.assert_even(entries=300, endpoints=3)
         self.assertLess(self.play(entries=300, endpoints=3, age_s=1.0).peak, 1.5)
 
-    def test_summaries_of_limited_size(self):
+    def test_summaries_of_limited_size_keep_loads_even(self):
+        """Endpoints that are in few summaries could be overloaded in between."""
         result = self.play(entries=8, endpoints=29, slots=8, age_s=0.2, is_limited=True)
         self.assertLessEqual(result.unevenness, UNEVENNESS_BOUND)
 
-    def test_requests_wait_less_than_by_the_choice_without_reports(self):
+    def test_requests_wait_less_than_without_reports(self):
+        """The limit for unknown loads makes requests wait while endpoints have free slots."""
         reports = self.play(entries=1, endpoints=3, age_s=1.0)
-        today = self.play("today", entries=1, endpoints=3, age_s=1.0)
-        self.assertLess(reports.wait_s, today.wait_s)
+        health_tracker = self.play("health_tracker", entries=1, endpoints=3, age_s=1.0)
+        self.assertLess(reports.wait_s, health_tracker.wait_s)
 
 
 if __name__ == "__main__":
