--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -3,7 +3,7 @@
 from math import ceil
 
 from hemlockdock_core.errors import ErrorKind
-from hemlockdock_entry.balancing import LoadBalancer, LoadView
+from hemlockdock_entry.balancing import LoadBalancer
 from hemlockdock_entry.gateway.continuation import may_run_at
 from hemlockdock_entry.gateway.refusals import truthful_refusal
 
@@ -19,14 +19,12 @@
 
     Attributes
     ----------
-    loads : LoadView
     balancer : LoadBalancer
     """
 
     def __init__(self, gateway):
         self._gateway = gateway
-        self.loads = LoadView()
-        self.balancer = LoadBalancer(self.loads, gateway.health)
+        self.balancer = LoadBalancer(gateway.load_view, gateway.health)
 
     def record_loads(self, summary):
         """Record what the leader told of endpoints' loads.
@@ -37,7 +35,8 @@
         """
         gateway = self._gateway
         rows = gateway.endpoint_rows()
-        self.loads.record(summary, rows, gateway.table.pool_by_name, gateway.clock.seconds())
+        now_s = gateway.clock.seconds()
+        gateway.load_view.record(summary, rows, gateway.table.pool_by_name, now_s)
 
     def usable(self, exchange):
         """Return the endpoints of a request's pool that may take it, or give it a permit.
@@ -54,7 +53,7 @@
         """
         gateway = self._gateway
         usable = []
-        for row in gateway.endpoints.below_connection_limit(exchange.pool, gateway.entries):
+        for row in gateway.endpoints.below_connection_limit(exchange.pool, gateway.share_divisor):
             if gateway.gate.is_closed(row.endpoint_id):
                 continue
             if not gateway.permits.is_open(exchange, row.endpoint_id):
@@ -223,6 +222,6 @@
         after_ms = None
         if room_s is not None:
             after_ms = ceil((room_s - self._gateway.clock.seconds()) * MS_PER_S)
-        after_ms = self._gateway.class_order.return_after_ms(exchange, after_ms)
+        after_ms = self._gateway.priority_policy.retry_after_ms(exchange, after_ms)
         message = "no endpoint of the pool can take it"
         return truthful_refusal(exchange, ErrorKind.NO_CAPACITY, message, after_ms)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/gateway.py
@@ -6,10 +6,9 @@
 
 from hemlockdock_core.metrics import GAUGES
 from hemlockdock_core.rows import LimitsRow
-from hemlockdock_entry.balancing.load_freshness import LoadFreshness
+from hemlockdock_entry.balancing import LoadView
 from hemlockdock_entry.customers import CustomerDirectory, QuotaClient
 from hemlockdock_entry.gateway.buffer_budget import BufferBudget
-from hemlockdock_entry.gateway.class_order import ClassOrder
 from hemlockdock_entry.gateway.client_budget import response_budget_bytes
 from hemlockdock_entry.gateway.client_limits import ClientLimits
 from hemlockdock_entry.gateway.client_registry import ClientRegistry
@@ -23,6 +22,7 @@
 from hemlockdock_entry.gateway.other_entries import OtherEntries
 from hemlockdock_entry.gateway.permit_tracker import PermitTracker
 from hemlockdock_entry.gateway.pool_endpoints import PoolEndpoints
+from hemlockdock_entry.gateway.priority_policy import PriorityPolicy
 from hemlockdock_entry.gateway.proxy_exchange import ProxyExchange
 from hemlockdock_entry.gateway.quarantine import Quarantine
 from hemlockdock_entry.gateway.response_buffer import MAX_BODY_BYTES
@@ -68,9 +68,9 @@
     quarantine : Quarantine
     gate : EndpointGate
     stop_schedule : StopSchedule
+    load_view : LoadView
     selection : EndpointSelection
-    loads : LoadFreshness
-    class_order : ClassOrder
+    priority_policy : PriorityPolicy
     model_queue : ModelQueue
     origin_lookup : OriginLookup
     other_entries : OtherEntries
@@ -124,17 +124,17 @@
         self.quarantine = Quarantine(self, settings.process.node_id)
         self.stop_schedule = StopSchedule(reactor)
         self.gate = EndpointGate(self)
+        self.load_view = LoadView()
         self.selection = EndpointSelection(self)
-        self.loads = LoadFreshness(reactor, self.selection.loads)
-        self.class_order = ClassOrder(self, self._random)
+        self.priority_policy = PriorityPolicy(self, self._random)
         self.model_queue = ModelQueue(self)
         self.origin_lookup = OriginLookup(reactor, settings.process.node_id, send)
 
     @property
-    def entries(self):
-        """Return by what to divide retry budgets and connection limits that entries share.
+    def share_divisor(self):
+        """Return the number by which to divide a limit that all entries share.
 
-        It is the number of entries, or this entry's capacity in all of theirs if that differs.
+        It is their number, weighted by this entry's capacity.
         """
         ratio = self._link.capacity_ratio
         return self._link.entries if ratio == 1.0 else self._link.entries / ratio
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -10,12 +10,11 @@
 
 from hemlockdock_core.connection_limits import LimitedConnectionsFactory, client_connections_limit
 from hemlockdock_core.metrics import COUNTERS
-from hemlockdock_core.process_memory import usable_memory_bytes
+from hemlockdock_core.process_memory import BYTES_PER_MB, usable_memory_bytes
 from hemlockdock_core.rows import LimitsRow
 from hemlockdock_core.settings import parse_settings
 from hemlockdock_entry.gateway.body_sender import PIECE_BYTES
 from hemlockdock_entry.gateway.client_budget import (
-    BYTES_PER_MB,
     MAX_DERIVED_BYTES,
     PROGRESS_BYTES,
     STALLED_S,
@@ -24,7 +23,7 @@
 )
 from hemlockdock_entry.gateway.response_buffer import MAX_BODY_BYTES
 
-PROCESS = "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n[clients]\n"
+PROCESS = "[process]\nnode_id = e\nroles = entry\nhost = h\nfailure_domain = d\n"
 HEAD = b"POST /read/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: 1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -73,9 +72,11 @@
         settings = settings_of("memory_mb = 160\n")
         self.assertEqual(derived_budget_bytes(settings, 0), 40 * BYTES_PER_MB)
         self.assertEqual(derived_budget_bytes(settings, 3), 3 * BYTES_PER_MB)
-        settings = settings_of("memory_mb =\n")
-        self.assertGreater(usable_memory_bytes(settings), 0)
-        self.assertLessEqual(derived_budget_bytes(settings, 0), MAX_DERIVED_BYTES)
+        for unstated in ("", "memory_mb =\n", "memory_mb = {{limits.memory_mb}}\n"):
+            settings = settings_of(unstated)
+            self.assertEqual(settings.process.memory_mb, 0.0)
+            self.assertGreater(usable_memory_bytes(settings), 0)
+            self.assertLessEqual(derived_budget_bytes(settings, 0), MAX_DERIVED_BYTES)
 
 
 class RequestMemoryTest(SingleClientTestCase):
@@ -115,6 +116,15 @@
         self.assertIn(503, [holder.status for holder in holders])
         self.assertEqual(self.client.received, b"")
 
+    def test_each_limit_is_logged_by_itself(self):
+        """A full budget would otherwise hide that connections are refused too."""
+        with self.assertLogs("hemlockdock_entry.gateway.client_limits", "WARNING") as logs:
+            for _ in range(2):
+                self.limits._record("connections", "gateway_connections_refused")
+                self.limits._record("request_budget_mb", "gateway_bodies_dropped")
+        limits = [record.limit for record in logs.records]
+        self.assertEqual(limits, ["connections", "request_budget_mb"])
+
     def test_memory_is_released_after_the_response_and_with_the_connection(self):
         self.client.send_request(IDEMPOTENT_PATH, body=b"x" * 9_000)
         self.assertGreater(self.limits._requests.held_bytes, 9_000)
@@ -298,7 +308,7 @@
     def test_half_the_descriptors_are_for_clients(self):
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.assertEqual(client_connections_limit(settings_of("")), soft // 2)
-        self.assertEqual(client_connections_limit(settings_of("connections = 7\n")), 7)
+        self.assertEqual(client_connections_limit(settings_of("[clients]\nconnections = 7\n")), 7)
 
 
 class LimitedFactoryTest(unittest.TestCase):
