entry: the most urgent requests don't wait for a reported free slot

Cause: while the entry knows loads, a request waits at its entry if no engine with its model is expected to have a free slot. Engines admit the most urgent requests ahead of others, so that for them the wait for the next report is only a delay.

Change: requests of the highest urgency are sent as without reports, but for engines that have just refused one.

--- a/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/balancing/load_balancer.py
@@ -36,7 +36,7 @@
         self._health = health
         self._random = health.random_source
 
-    def has_room(self, row, max_in_flight, now_s):
+    def has_room(self, row, max_in_flight, now_s, may_preempt=False):
         """Return whether an engine is expected to have a free slot.
 
         Parameters
@@ -45,6 +45,9 @@
         max_in_flight : int
             Requests of this entry that an endpoint gets while its load is not known.
         now_s : float
+        may_preempt : bool, optional
+            Whether the request is of the highest urgency. Engines admit it ahead of all others, so
+            that a wait for a free slot would only delay it.
 
         Returns
         -------
@@ -56,6 +59,8 @@
             return in_flight < max_in_flight
         if self._view.is_full(row.endpoint_id, now_s):
             return False
+        if may_preempt and in_flight < max_in_flight:
+            return True
         mean_others = self._view.pool_load(row.pool).others_share * load.slots
         if in_flight + max(load.others, mean_others) + 1.0 <= load.slots:
             return True
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/model_queue.py
@@ -17,6 +17,7 @@
 REPORT_REPEAT_S = 0.25
 # Fraction of an endpoint's slots that one entry uses while it does not know what others use.
 MAX_SLOT_SHARE = 0.6
+HIGHEST_URGENCY_RANK = 0
 
 
 class ModelQueue:
@@ -235,12 +236,13 @@
         balancer = gateway.selection.balancer
         now_s = gateway.clock.seconds()
         max_in_flight = max(2, int(exchange.pool.engine.slots * MAX_SLOT_SHARE))
+        may_preempt = exchange.urgency_rank == HIGHEST_URGENCY_RANK
         usable = []
         for row in gateway.selection.usable(exchange):
             if not row.has_model(exchange.model) or not may_run_at(exchange.binding.origin, row):
                 continue
             health = gateway.health.for_endpoint(row.endpoint_id)
-            has_room = balancer.has_room(row, max_in_flight, now_s)
+            has_room = balancer.has_room(row, max_in_flight, now_s, may_preempt)
             if has_room and health.full_until_s <= now_s:
                 usable.append(row)
         usable = gateway.priority_policy.endpoints_after_yielding(
--- a/packages/hemlockdock-entry/tests/test_balancing.py
+++ b/packages/hemlockdock-entry/tests/test_balancing.py
@@ -173,6 +173,20 @@
         self.send(self.row, 2, 10.0)
         self.assertFalse(self.balancer.has_room(self.row, 99, 10.0))
 
+    def test_the_most_urgent_requests_do_not_wait_for_a_free_slot(self):
+        """They would wait for a report or two, while engines admit them ahead of all others."""
+        self.record(load("a", 60))
+        self.assertFalse(self.balancer.has_room(self.row, 2, 10.0))
+        self.assertTrue(self.balancer.has_room(self.row, 2, 10.0, may_preempt=True))
+        self.send(self.row, 2, 10.0)
+        self.assertFalse(self.balancer.has_room(self.row, 2, 10.0, may_preempt=True))
+
+    def test_no_request_is_sent_to_an_endpoint_that_has_just_refused_one(self):
+        """The most urgent ones would otherwise be refused again and again."""
+        self.record(load("a", 60, age_ms=50))
+        self.view.record_rejected("a", 10.0)
+        self.assertFalse(self.balancer.has_room(self.row, 9, 10.1, may_preempt=True))
+
     def test_endpoints_that_hold_the_adapter_are_preferred(self):
         """Adapters would otherwise be loaded at every endpoint."""
         self.record(*(load(name, 10) for name in "abcd"))
