--- a/packages/hemlockdock-entry/tests/test_customer_quotas.py
+++ b/packages/hemlockdock-entry/tests/test_customer_quotas.py
@@ -52,18 +52,18 @@
     def sent(self, kind):
         return [message for message in self.link.sent if isinstance(message, kind)]
 
-    def asked(self):
+    def latest_request(self):
         """Return the latest request for tokens."""
         self.reactor.advance(0)
         return self.sent(QuotaRequest)[-1]
 
     def reply(self, *decisions, credit=None):
         """Answer the latest request; credit that it asks for is declined unless told otherwise."""
-        asked = self.asked()
+        request = self.latest_request()
         decisions = list(decisions)
-        if len(asked.claims) > len(decisions):
+        if len(request.claims) > len(decisions):
             decisions.append(TokenDecision(bool(credit), 0))
-        self.quotas.on_reply(QuotaReply("acme", asked.number, tuple(decisions)))
+        self.quotas.on_reply(QuotaReply("acme", request.number, tuple(decisions)))
 
 
 class QuotaTest(QuotaTestCase):
@@ -71,7 +71,7 @@
         """Guards against a dispatch before the leader has decided."""
         self.request()
         self.assertEqual(self.waiting_ports, [])
-        self.assertEqual(self.asked().claims[0].tokens, 1_000)
+        self.assertEqual(self.latest_request().claims[0].tokens, 1_000)
         self.reply(TokenDecision(True, 0))
         self.assertEqual(len(self.waiting_ports), 1)
 
@@ -95,7 +95,7 @@
         """Guards against a message to the leader for each request of a burst."""
         self.request()
         self.request()
-        self.assertGreaterEqual(len(self.asked().claims), 2)
+        self.assertGreaterEqual(len(self.latest_request().claims), 2)
         self.assertEqual(len(self.sent(QuotaRequest)), 1)
 
     def test_requests_after_a_decline_are_claimed_in_one_message(self):
@@ -124,7 +124,7 @@
         """Guards against refusals during the second in which a leader is replaced."""
         self.link.reported_entries = 0
         client = self.request()
-        self.asked()
+        self.latest_request()
         self.reactor.advance(REPLY_TIMEOUT_S)
         self.assertEqual(client.status, None)
         self.reply(TokenDecision(True, 0))
@@ -145,11 +145,11 @@
     def test_late_and_repeated_replies_are_void(self):
         """Guards against a second use of tokens, or one in a later window."""
         client = self.request()
-        asked = self.asked()
-        decisions = (TokenDecision(True, 0),) * len(asked.claims)
+        request = self.latest_request()
+        decisions = (TokenDecision(True, 0),) * len(request.claims)
         self.reactor.advance(REPLY_TIMEOUT_S)
         for _ in range(2):
-            self.quotas.on_reply(QuotaReply("acme", asked.number, decisions))
+            self.quotas.on_reply(QuotaReply("acme", request.number, decisions))
         self.assertEqual((client.status, self.waiting_ports), (None, []))
         self.request()
         self.assertEqual(self.waiting_ports, [])
@@ -188,7 +188,7 @@
             CustomerRow("acme", (), 0, QUOTA), CustomerRow("other", (key_digest(b"k"),), 0, QUOTA)
         )
 
-    def test_a_request_whose_key_moves_returns_its_tokens_to_who_was_charged(self):
+    def test_a_request_whose_key_moves_returns_its_tokens_to_the_customer_charged(self):
         """Guards against tokens of one customer that are returned to another's quota."""
         client = self.request()
         self.reply(TokenDecision(True, 80))
@@ -199,7 +199,7 @@
     def test_a_request_whose_key_moves_before_the_grant_returns_its_tokens_too(self):
         """Guards against a charge that is recorded for the customer at the time of the reply."""
         client = self.request()
-        self.asked()
+        self.latest_request()
         self.move_key()
         client.disconnect_client()
         self.reply(TokenDecision(True, 0))
@@ -209,10 +209,12 @@
         """Guards against a reply that names another customer and is dropped as late."""
         self.link.reported_entries = 0
         self.request()
-        self.asked()
+        self.latest_request()
         self.move_key()
         self.reactor.advance(REPLY_TIMEOUT_S)
-        self.assertEqual([self.asked().customer, len(self.sent(QuotaRequest))], ["acme", 2])
+        self.assertEqual(
+            [self.latest_request().customer, len(self.sent(QuotaRequest))], ["acme", 2]
+        )
         self.reply(TokenDecision(True, 0))
         self.assertEqual(len(self.waiting_ports), 1)
 
