--- a/packages/hemlockdock-control/tests/test_entry_capacities.py
+++ b/packages/hemlockdock-control/tests/test_entry_capacities.py
@@ -1,4 +1,4 @@
-"""Test what the leader tells entries of their capacities."""
+"""Test the capacity ratios that the leader sends to entries."""
 
 import unittest
 from unittest import mock
@@ -49,6 +49,7 @@
         return self.sent[0].capacity_ratio
 
     def test_entries_are_told_their_capacity_in_relation_to_the_mean(self):
+        """Entries with little capacity would otherwise use as much of a limit as others."""
         self.ratio("a", 0.3)
         self.ratio("b", 0.9)
         self.assertTrue(self.nodes.are_capacities_uneven)
@@ -56,14 +57,15 @@
         self.assertAlmostEqual(self.ratio("a"), 0.5)
         self.assertAlmostEqual(self.ratio("b"), 1.5)
 
-    def test_nothing_is_told_while_entries_come(self):
-        # A new leader that knows the largest entry only would take it for the mean.
+    def test_no_ratio_is_sent_while_entries_come(self):
+        """A new leader that knows the largest entry only would take it for the mean."""
         self.assertEqual(self.ratio("a", 0.3), 0.0)
         self.clock.advance(SETTLE_S)
         self.assertEqual(self.ratio("b", 0.9), 0.0)
         self.assertEqual(self.ratio("a"), 0.0)
 
-    def test_equal_or_unknown_capacities_do_not_differ(self):
+    def test_equal_or_unknown_capacities_are_even(self):
+        """Deployments with equal entries would otherwise share loads."""
         for cores in (0.0, 0.387):
             self.setUp()
             for name in "abc":
@@ -72,6 +74,7 @@
             self.assertEqual((self.ratio("a"), self.nodes.are_capacities_uneven), (1.0, False))
 
     def test_an_entry_that_is_gone_no_longer_counts(self):
+        """The mean would otherwise stay wrong after a scale-down."""
         self.ratio("a", 0.3)
         self.ratio("b", 0.9)
         self.clock.advance(NODE_TIMEOUT_S)
@@ -80,7 +83,8 @@
         self.clock.advance(SETTLE_S)
         self.assertEqual((self.ratio("a"), self.nodes.are_capacities_uneven), (1.0, False))
 
-    def test_a_follower_tells_nothing(self):
+    def test_a_follower_sends_no_ratio(self):
+        """A follower knows only some of the entries."""
         self.replicator.is_leader = False
         self.ratio("a", 0.3)
         self.clock.advance(SETTLE_S)
--- a/packages/hemlockdock-control/tests/test_load_summaries.py
+++ b/packages/hemlockdock-control/tests/test_load_summaries.py
@@ -1,4 +1,4 @@
-"""Test which endpoints' loads the leader tells entries."""
+"""Test which endpoint loads the leader sends to entries."""
 
 import unittest
 from dataclasses import replace
@@ -36,11 +36,12 @@
     def next(self, now_s):
         return self.summaries.next_summary(self.registry, now_s)
 
-    def told(self, now_s):
+    def sent_ids(self, now_s):
         name_by_key = {load_key(name): name for name in self.ids}
         return [name_by_key[load.key] for load in self.next(now_s).loads]
 
-    def test_a_load_is_told_with_its_age(self):
+    def test_a_load_is_sent_with_its_age(self):
+        """Entries could otherwise not tell how much has changed since the report."""
         self.list_endpoints(1)
         self.report(self.ids[0], 17, 5.0)
         [load] = self.next(5.25).loads
@@ -48,7 +49,7 @@
         self.assertEqual((load.cache_used_percent, load.speed_milli), (45, 25_432))
 
     def test_an_entry_gets_less_than_1000_bytes_a_second(self):
-        # Guards against values that take more bytes than the budget assumes.
+        """Values could take more bytes than the budget assumes."""
         self.list_endpoints(600)
         for name in self.ids:
             self.report(name, 200, 0.0)
@@ -62,22 +63,24 @@
         self.assertLess(per_s, BYTES_PER_S)
 
     def test_loads_that_changed_most_go_first_and_none_is_left_out_for_long(self):
+        """Entries would otherwise act on old loads of some endpoints."""
         self.list_endpoints(60)
         now_s = 0.0
-        told_s = {}
+        sent_s = {}
         for _ in range(20):
             for name in self.ids:
                 self.report(name, 5, now_s)
-            for name in self.told(now_s):
-                told_s[name] = now_s
+            for name in self.sent_ids(now_s):
+                sent_s[name] = now_s
             now_s += SUMMARY_INTERVAL_S
-        self.assertGreater(min(told_s.values()), now_s - 5 * SUMMARY_INTERVAL_S)
+        self.assertGreater(min(sent_s.values()), now_s - 5 * SUMMARY_INTERVAL_S)
         changed = self.ids[-7:]
         for name in changed:
             self.report(name, 25, now_s)
-        self.assertEqual(set(self.told(now_s)[:7]), set(changed))
+        self.assertEqual(set(self.sent_ids(now_s)[:7]), set(changed))
 
-    def test_engines_that_do_not_answer_or_are_silent_are_not_told(self):
+    def test_engines_that_do_not_answer_or_are_silent_are_left_out(self):
+        """Entries would otherwise choose endpoints by loads that no longer hold."""
         self.list_endpoints(3)
         self.report(self.ids[0], 1, 0.0, answers=False)
         self.report(self.ids[1], 1, -60.0)
--- a/packages/hemlockdock-entry/tests/test_client_limits.py
+++ b/packages/hemlockdock-entry/tests/test_client_limits.py
@@ -42,10 +42,12 @@
         self.budget = ClientBudget(self.clock, 100 * PROGRESS_BYTES)
 
     def test_a_single_request_fits_a_smaller_budget(self):
+        """A process with little memory would otherwise serve no request at all."""
         self.assertFalse(self.budget.change("a", 101 * PROGRESS_BYTES))
         self.assertTrue(self.budget.change("a", 101 * PROGRESS_BYTES, 101 * PROGRESS_BYTES))
 
     def test_released_bytes_are_free_again(self):
+        """A budget that leaks would refuse all requests after some time."""
         self.assertFalse(self.budget.change("a", 101 * PROGRESS_BYTES))
         self.assertTrue(self.budget.change("a", 0))
         self.assertEqual(self.budget.held_bytes, 0)
@@ -61,6 +63,7 @@
         self.assertIsNone(self.budget.largest_stalled(lambda holder: holder != "trickles"))
 
     def test_the_largest_is_dropped_and_of_equals_the_one_that_stopped_first(self):
+        """Dropping small holders would cut off many clients for little memory."""
         self.budget.change("small", PROGRESS_BYTES)
         self.budget.change("first", 2 * PROGRESS_BYTES)
         self.clock.advance(0.1)
@@ -69,6 +72,7 @@
         self.assertEqual(self.budget.largest_stalled(lambda _: True), "first")
 
     def test_budgets_are_a_share_of_the_memory_that_is_set_or_limited(self):
+        """Budgets could otherwise exceed the memory of a small host."""
         settings = settings_of("memory_mb = 160\n")
         self.assertEqual(derived_budget_bytes(settings, 0), 40 * BYTES_PER_MB)
         self.assertEqual(derived_budget_bytes(settings, 3), 3 * BYTES_PER_MB)
@@ -97,6 +101,7 @@
         return holders
 
     def test_a_newcomer_is_refused_while_others_make_progress(self):
+        """Clients that keep sending would otherwise lose their requests to newcomers."""
         holders = self.fill_budget()
         self.wait(0.5)
         newcomer = self.harness.client()
@@ -107,6 +112,7 @@
         self.assertIn(b"Connection: close", newcomer.received)
 
     def test_a_body_that_stopped_is_dropped_for_a_newcomer(self):
+        """Clients that stop sending would otherwise keep out all others."""
         holders = self.fill_budget()
         self.wait(STALLED_S)
         newcomer = self.harness.client()
@@ -126,6 +132,7 @@
         self.assertEqual(limits, ["connections", "request_budget_mb"])
 
     def test_memory_is_released_after_the_response_and_with_the_connection(self):
+        """Memory that is not released would fill the budget for ever."""
         self.client.send_request(IDEMPOTENT_PATH, body=b"x" * 9_000)
         self.assertGreater(self.limits._requests.held_bytes, 9_000)
         self.connect().answer()
@@ -143,9 +150,11 @@
         for _ in range(3):
             self.wait(3)
         self.assertEqual(self.client.status, 408)
+        self.assertIn(b"no byte of the request body arrived for 15 s", self.client.received)
         self.assertEqual(COUNTERS.value("gateway_bodies_stalled"), before + 1)
 
     def test_a_refusal_can_be_read_before_the_connection_is_closed(self):
+        """A reset would overtake the refusal, and the client would not see its reason."""
         self.client.connection.dataReceived(HEAD + b"Content-Length: 20000\r\n\r\n" + b"x" * 11_000)
         self.assertEqual((self.client.status, self.client.transport.disconnecting), (413, False))
         self.client.connection.dataReceived(b"x" * 9_000)
@@ -185,6 +194,7 @@
         self.assertEqual(self.client.status, 431)
 
     def test_a_body_in_chunks_of_one_byte_is_forwarded(self):
+        """The limit of framing must not refuse bodies that are small but complete."""
         self.send(b"1;a=b\r\nx\r\n" * 4_999)
         self.send(b"1\r\nx\r\n" * 5_000)
         self.send(b"0\r\nx-trailer: 1\r\n\r\n")
@@ -228,6 +238,7 @@
         return client.connection in self.limits._responses._share_by_holder
 
     def test_a_slow_reader_gets_the_whole_response(self):
+        """The limit of unread bytes must not cut off clients that read slowly."""
         self.answer(self.client, b"1")
         self.assertGreater(self.limits._responses.held_bytes, 150_000)
         self.read_all(self.client)
@@ -253,6 +264,7 @@
         self.assertFalse(clients.has_unsent)
 
     def test_a_pipelined_request_waits_until_the_response_is_read(self):
+        """A client could otherwise make an entry hold many responses."""
         self.answer(self.client, b"1")
         self.client.send_request(IDEMPOTENT_PATH, request_id=b"2")
         self.assertNotIn(b"X-Request-Id: 2", self.server.received)
@@ -290,6 +302,7 @@
         self.limits._max_connections = 2
 
     def test_the_connection_that_is_idle_for_longest_makes_room(self):
+        """Idle connections would otherwise keep out new clients."""
         self.wait(1)
         other = self.harness.client()
         self.client.send_request(IDEMPOTENT_PATH)
@@ -299,6 +312,7 @@
         self.assertIsNone(third.status)
 
     def test_a_newcomer_is_refused_if_none_is_idle(self):
+        """A request in progress must not be aborted for a newcomer."""
         self.client.send_request(IDEMPOTENT_PATH)
         self.harness.client().connection.dataReceived(b"GET / HT")
         third = self.harness.client()
@@ -306,6 +320,7 @@
         self.assertIn(b"Retry-After: ", third.received)
 
     def test_half_the_descriptors_are_for_clients(self):
+        """Clients could otherwise use up the descriptors of links and endpoints."""
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.assertEqual(client_connections_limit(settings_of("")), soft // 2)
         self.assertEqual(client_connections_limit(settings_of("[clients]\nconnections = 7\n")), 7)
@@ -313,6 +328,7 @@
 
 class LimitedFactoryTest(unittest.TestCase):
     def test_the_oldest_connection_makes_room(self):
+        """Abandoned connections would otherwise keep out probes."""
         factory = LimitedConnectionsFactory(Factory.forProtocol(Protocol), "test_dropped", 2)
         transports = []
         protocols = []
--- a/packages/hemlockdock-entry/tests/test_fair_queue.py
+++ b/packages/hemlockdock-entry/tests/test_fair_queue.py
@@ -103,6 +103,7 @@
 
 class BurstTest(unittest.TestCase):
     def test_six_times_the_load_of_one_customer_leaves_the_others_what_they_got(self):
+        """In the order of deadlines, all customers lose as much as the one that sends more."""
         for bursting in ("c0", "c9"):
             usual = Station(FairQueue()).play(USUAL_PER_S)
             factors = {bursting: 6.0 if bursting == "c0" else 20.0}
@@ -116,26 +117,30 @@
             self.assertLess(burst.served_share(bursting), 0.9)
 
     def test_the_load_is_one_at_which_the_deadline_order_fails(self):
-        # Otherwise the test above would pass with any order.
+        """The test above would otherwise pass with any order."""
         station = Station(FairQueue(), sort=lambda waiting: waiting.sort(key=deadline_of))
         station.play(USUAL_PER_S, {"c0": 6.0})
         others = [station.served_share(flow) for flow in USUAL_PER_S if flow != "c0"]
         self.assertLess(min(others), 0.95)
 
     def test_no_slot_is_idle_while_requests_wait(self):
+        """Fairness must not waste capacity."""
         station = Station(FairQueue()).play(USUAL_PER_S, {"c0": 6.0})
         self.assertEqual(station.idle_with_waiting, 0)
 
     def test_one_customer_alone_gets_everything(self):
+        """A share must not be a limit while nobody else needs the slots."""
         station = Station(FairQueue()).play({"c0": 95.0})
         self.assertGreater(station.served_share("c0"), 0.99)
 
     def test_customers_with_too_much_load_get_equal_tokens(self):
+        """Many small requests must not get more of the capacity than few large ones."""
         station = Station(FairQueue()).play({"small": 80.0, "large": 160.0})
         tokens = [result.tokens for result in station.result_by_flow.values()]
         self.assertLess(max(tokens) / min(tokens), 1.05)
 
     def test_a_more_urgent_class_is_served_first(self):
+        """Shares must not delay urgent requests."""
         urgency = {"urgent": (0, 0), "other": (0, 2)}
         station = Station(FairQueue()).play({"urgent": 80.0, "other": 80.0}, None, urgency)
         self.assertGreater(station.served_share("urgent"), 0.99)
@@ -153,6 +158,7 @@
         return [tickets.index(ticket) for ticket in waiting]
 
     def test_requests_of_one_flow_are_in_the_order_of_deadlines(self):
+        """A customer's own requests would otherwise miss deadlines that they could meet."""
         source = random.Random(5)
         for _ in range(50):
             tickets = [
@@ -164,12 +170,14 @@
             self.assertEqual(waiting, sorted(tickets, key=deadline_of))
 
     def test_customers_take_turns_by_tokens(self):
+        """Turns by requests would favour customers with long ones."""
         large = [QueueTicket((0, 0), "a", 400, 1.0 + number) for number in range(2)]
         small = [QueueTicket((0, 0), "b", 100, 5.0 + number) for number in range(5)]
         found = self.order(FairQueue(), *large, *small)
         self.assertEqual(found, [0, 2, 3, 4, 5, 1, 6])
 
     def test_requests_that_were_not_served_count_for_nothing(self):
+        """A customer that retries would fall behind without having been served."""
         queue = FairQueue()
         refused = [QueueTicket((0, 0), "a", 900, 1.0) for _ in range(9)]
         queue.sort(refused, ticket_of)
@@ -177,6 +185,7 @@
         self.assertEqual(self.order(queue, second, first), [1, 0])
 
     def test_use_without_competition_is_not_held_against_a_customer(self):
+        """It would be starved as soon as others send requests."""
         queue = FairQueue()
         for _ in range(50):
             queue.record_start(QueueTicket((0, 0), "a", 500, 1.0))
@@ -184,6 +193,7 @@
         self.assertEqual(self.order(queue, *waiting), [1, 0, 3, 2, 5, 4, 7, 6])
 
     def test_a_request_that_did_not_run_is_counted_once(self):
+        """A customer would pay for failures of endpoints."""
         queue = FairQueue()
         ticket = QueueTicket((0, 0), "a", 500, 1.0)
         queue.record_start(ticket)
@@ -192,7 +202,8 @@
         self.assertEqual(self.order(queue, other, ticket), [0, 1])
         self.assertEqual(self.order(queue, QueueTicket((0, 0), "a", 1, 0.1), ticket), [1, 0])
 
-    def test_stated_tokens(self):
+    def test_tokens_stated_by_a_request_are_bounded(self):
+        """A malformed or huge number must not stop or block a customer."""
         quota = TokenQuota(10.0, 10.0, 60.0)
         cases = ((b"715,280", 995), (b" 715 , 280 ", 995), (b"", 60), (b"7", 60), (b"-1,5", 60))
         for value, tokens in (*cases, (b"0,0", 1), (b"9" * 400 + b",1", 60), (b"1,2,3", 60)):
@@ -237,21 +248,25 @@
         return numbers
 
     def test_a_customer_with_many_requests_does_not_hold_up_others(self):
+        """The gateway must ask the fair queue for the order."""
         for name in ("a", "a", "a", "a", "b", "c"):
             self.send_as(name)
         self.assertEqual(self.served_numbers(6), [1, 5, 6, 2, 3, 4])
 
     def test_a_customers_requests_for_all_models_count_together(self):
+        """A customer that uses many models would otherwise get a share in each."""
         for name, model in (("a", b"m"), ("a", b"n"), ("a", b"n"), ("b", b"m"), ("b", b"n")):
             self.send_as(name, b"X-Use-Model: %b\r\n" % model)
         self.assertEqual(self.served_numbers(5), [1, 4, 2, 5, 3])
 
     def test_a_more_urgent_customer_comes_first(self):
+        """Shares must not delay urgent customers."""
         for name, urgency in (("a", 1), ("a", 1), ("b", 0), ("b", 0)):
             self.send_as(name, urgency=urgency)
         self.assertEqual(self.served_numbers(4), [3, 4, 1, 2])
 
     def test_without_customers_the_order_is_that_of_deadlines(self):
+        """Deployments without customers would otherwise be served differently."""
         for _ in range(4):
             self.send_as(None)
         self.assertEqual(self.served_numbers(4), [1, 2, 3, 4])
--- a/packages/hemlockdock-entry/tests/test_uneven_entries.py
+++ b/packages/hemlockdock-entry/tests/test_uneven_entries.py
@@ -19,15 +19,18 @@
         return len(self.waiting_ports)
 
     def test_equal_entries_share_connections_equally(self):
+        """Entries would together exceed the limit of an endpoint."""
         self.assertEqual(self.harness.link.table.pool_by_name["shop"], PoolRow("shop", "/", 10))
         for entries, share in ((1, 10), (2, 5), (3, 3), (10, 1), (99, 1)):
             self.assertEqual(self.usable_connections(entries, 1.0), share)
 
     def test_connections_follow_the_capacity(self):
+        """A large entry would have too few connections for its requests."""
         self.assertEqual(self.usable_connections(2, 0.5), 2)
         self.assertEqual(self.usable_connections(2, 1.5), 7)
 
     def test_the_slack_of_the_retry_budget_follows_the_capacity(self):
+        """A large entry would have too few retries for its requests."""
         found = []
         for ratio in (0.5, 1.0, 1.5):
             self.setUp()
