--- a/packages/hemlockdock-entry/tests/test_priority_policy.py
+++ b/packages/hemlockdock-entry/tests/test_priority_policy.py
@@ -115,6 +115,20 @@
         urgent = self.send_for(b"m", URGENT_PATH)
         self.assertEqual((urgent.status, self.waiting_ports), (None, [3]))
 
+    def test_a_refusal_says_whether_a_slot_or_the_model_was_missing(self):
+        """Operators would otherwise look for a model that is loaded."""
+        for model, message in (
+            (b"m", b"no endpoint with the model has a free slot in time"),
+            (b"n", b"the model can't be loaded in time"),
+        ):
+            self.setUp()
+            self.harness.put_rows(endpoint("x", "lm", 3, models=("m",)))
+            clients = [self.send_for(model) for _ in range(4)]
+            for _ in range(200):
+                self.reactor.advance(0.1)
+                self.harness.gateway.model_queue.check_waiting()
+            self.assertIn(message, clients[-1].received)
+
     def test_a_less_urgent_request_is_served_a_second_after_the_last_urgent_refusal(self):
         """A slot would otherwise stay idle after the urgent demand has ended."""
         self.refuse_urgent()
