--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,24 +1,24 @@
-"""A core machine is replaced as planned; a second one is lost for good 1 s after the first left."""
+"""Two of five core machines are lost for good at once; later two others lose their disks."""
 
 import asyncio
 import json
 import os
-import signal
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib2"))
-from fleet import PORTS, CannotRun, Fleet, call, config, put_config, route, run_case, service  # noqa: E402
+from fleet import PORTS, Fleet, call, config, put_config, route, run_case, service  # noqa: E402
 from fleet import wait_until  # noqa: E402
 from standins import Platform, Replica  # noqa: E402
 
-CATCH_UP_S = 4.0
-RECOVER_S = 12.0
-# From the exit of the planned one to the loss of the other, and from that to its successor.
-LOSS_AFTER_S = 1.0
 SUCCESSOR_AFTER_S = 1.0
+# catch_up_s (6) of the successors, and a while more.
+CALM_S = 14.0
+BACK_AFTER_S = 1.0
+RECOVER_S = 15.0
 READ_BACK_S = 10.0
+BOUNDS = {"stable_window_ms": 4000, "ack_timeout_ms": 5000, "catch_up_s": 6, "recover_s": 15}
 
 
 def desired_state(version):
@@ -33,15 +33,12 @@
     return json.loads(answer[2])["version"]
 
 
-async def send_once(ip, version):
-    body = json.dumps(desired_state(version)).encode()
-    headers = [("Content-Type", "application/json")]
-    answer = await call(f"{ip}:{PORTS['control']}", "POST", "/config/put", body, headers, 1.0)
-    return None if answer is None else answer[0]
+async def reads(ip, version):
+    return await read(ip) == version
 
 
 async def case(record, trouble):
-    fleet = Fleet(record, cores=3, fronts=1)
+    fleet = Fleet(record, cores=5, fronts=1, bounds=BOUNDS)
     try:
         return await play(fleet, record, trouble)
     finally:
@@ -55,65 +52,43 @@
     platform.add(replica)
     await platform.start()
     fleet.start_all()
-    first, second, third = fleet.core_ips
     await put_config(fleet, desired_state(1), 30)
-
-    # Planned: the new machine first, then SIGTERM to the old one, which never comes back.
-    new = fleet.add_core(4)
-    fleet.start(new)
-    started_s = time.monotonic()
-    record(f"{new} starts with an empty disk")
-    await wait_until("the new machine reads version 1", lambda: has_version(new, 1), 10)
-    await asyncio.sleep(max(0.0, started_s + CATCH_UP_S + 0.5 - time.monotonic()))
-    record(f"{new} has had {time.monotonic() - started_s:.1f} s; SIGTERM to {third}")
-    fleet.signal(third, signal.SIGTERM)
-    await wait_until("the old machine stops", lambda: has_stopped(fleet, third), 9, 0.05)
-    fleet.kill(third)
-    fleet.core_ips.remove(third)
-    stopped_s = time.monotonic()
-    record(f"{third} has stopped by itself and is removed for good")
-    await put_config(fleet, desired_state(2), 4)
+    await asyncio.sleep(2.0)
+    for ip in fleet.core_ips:
+        await wait_until(f"{ip} reads version 1", lambda ip=ip: reads(ip, 1), 15)
 
     if trouble:
-        await asyncio.sleep(max(0.0, stopped_s + LOSS_AFTER_S - time.monotonic()))
-        fleet.kill(first)
-        fleet.core_ips.remove(first)
-        record(f"{first} is lost for good, {time.monotonic() - stopped_s:.1f} s after {third} left")
+        for ip in fleet.core_ips[3:]:
+            fleet.kill(ip)
+            fleet.core_ips.remove(ip)
+            record(f"{ip} is lost for good")
         await asyncio.sleep(SUCCESSOR_AFTER_S)
-        fleet.seeds = [f"{ip}:{PORTS['control']}" for ip in (second, new)]
-        successor = fleet.add_core(5)
-        fleet.start(successor)
-        record(f"{successor} starts in its place with an empty disk")
-        await asyncio.sleep(CATCH_UP_S + RECOVER_S)
-    record(f"core machines that run: {fleet.core_ips}")
-
-    acknowledged = await change(fleet, record, 3)
-    return not await read_back(fleet, record, 3 if acknowledged else 2)
-
-
-async def has_version(ip, version):
-    return await read(ip) == version
-
-
-async def has_stopped(fleet, ip):
-    return fleet.process_by_ip[ip].poll() is not None
+        for number in (6, 7):
+            ip = fleet.add_core(number)
+            fleet.start(ip)
+            record(f"{ip} starts in its place with an empty disk")
+    await asyncio.sleep(CALM_S)
+    await put_config(fleet, desired_state(2), 6)
+    for ip in fleet.core_ips:
+        await wait_until(f"{ip} reads version 2", lambda ip=ip: reads(ip, 2), 6)
+    record(f"core machines that run, and read version 2: {fleet.core_ips}")
 
-
-async def change(fleet, record, version):
-    """Send a change as the operator does, for twice the time of an acknowledgement."""
-    end_s = time.monotonic() + 2 * fleet.bounds["ack_timeout_ms"] / 1000
-    while time.monotonic() < end_s:
-        for ip in fleet.core_ips:
-            status = await send_once(ip, version)
-            record(f"version {version} sent to {ip}: {status}")
-            if status == 200:
-                return True
-            await asyncio.sleep(0.2)
-    return False
+    if trouble:
+        wiped = fleet.core_ips[1:3]
+        for ip in wiped:
+            fleet.kill(ip)
+            fleet.wipe(ip)
+            record(f"{ip} is killed and loses its disk")
+        await asyncio.sleep(BACK_AFTER_S)
+        for ip in wiped:
+            fleet.start(ip)
+            record(f"{ip} is back with an empty disk")
+        await asyncio.sleep(RECOVER_S)
+    return not await read_back(fleet, record, 2)
 
 
 async def read_back(fleet, record, acknowledged):
-    """Return whether some machine reads back the newest acknowledged version, or a later one."""
+    """Return whether some machine reads back the newest acknowledged version."""
     end_s = time.monotonic() + READ_BACK_S
     while time.monotonic() < end_s:
         for ip in fleet.core_ips:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
-"""An entry gets SIGTERM while requests run, and SIGTERM again 1 s later."""
+"""A core machine is replaced as planned; a second one is lost for good 1 s after the first left."""
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -8,27 +9,35 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib2"))
-from fleet import PORTS, Fleet, call, config, put_config, read_response, request_bytes  # noqa: E402
-from fleet import route, run_case, service, wait_until  # noqa: E402
+from fleet import PORTS, CannotRun, Fleet, call, config, put_config, route, run_case, service  # noqa: E402
+from fleet import wait_until  # noqa: E402
 from standins import Platform, Replica  # noqa: E402
 
-# Far from the last sixth of grace_s (8 s), and from the requests' time limit.
-WORK_S = 3.0
-TIME_LIMIT_MS = 7000
-SECOND_AFTER_S = 1.0
-REQUESTS = 4
+CATCH_UP_S = 4.0
+RECOVER_S = 12.0
+# From the exit of the planned one to the loss of the other, and from that to its successor.
+LOSS_AFTER_S = 1.0
+SUCCESSOR_AFTER_S = 1.0
+READ_BACK_S = 10.0
 
 
-class SlowReplica(Replica):
-    """A sound replica whose work on a request takes some time."""
+def desired_state(version):
+    return config(version, [route("lookup", "/lookup/", "app")], [service("app")])
 
-    async def answer(self, request, reader, writer):
-        self.runs.append((time.monotonic(), request.id))
-        self.record(f"replica runs {request.id}")
-        await asyncio.sleep(0.0 if request.id.startswith("warm") else WORK_S)
-        self.record(f"replica answers {request.id}")
-        writer.write(self.signed(request, b"done " + request.id.encode()))
-        return True
+
+async def read(ip):
+    """Return the version that a machine reads back, or None."""
+    answer = await call(f"{ip}:{PORTS['control']}", "GET", "/config/get", timeout_s=1.0)
+    if answer is None or answer[0] != 200:
+        return None
+    return json.loads(answer[2])["version"]
+
+
+async def send_once(ip, version):
+    body = json.dumps(desired_state(version)).encode()
+    headers = [("Content-Type", "application/json")]
+    answer = await call(f"{ip}:{PORTS['control']}", "POST", "/config/put", body, headers, 1.0)
+    return None if answer is None else answer[0]
 
 
 async def case(record, trouble):
@@ -41,52 +50,79 @@
 
 async def play(fleet, record, trouble):
     platform = Platform(fleet)
-    replicas = [SlowReplica(f"{fleet.prefix}.{41 + n}", "app", n, record) for n in range(2)]
-    for replica in replicas:
-        await replica.start()
-        platform.add(replica)
+    replica = Replica(f"{fleet.prefix}.41", "app", 1, record)
+    await replica.start()
+    platform.add(replica)
     await platform.start()
     fleet.start_all()
-    front = fleet.front_ips[0]
-    order = route("order", "/order/", "app", "non_idempotent", timeout_ms=8000, max_attempts=1)
-    await put_config(fleet, config(1, [order], [service("app")]), 30)
-    await wait_until("requests are served", lambda: is_served(front), 20)
-
-    asks = [asyncio.ensure_future(ask(front, record, f"order-{n}")) for n in range(REQUESTS)]
-    await asyncio.sleep(0.5)
-    record("SIGTERM to the entry")
-    fleet.signal(front, signal.SIGTERM)
+    first, second, third = fleet.core_ips
+    await put_config(fleet, desired_state(1), 30)
+
+    # Planned: the new machine first, then SIGTERM to the old one, which never comes back.
+    new = fleet.add_core(4)
+    fleet.start(new)
+    started_s = time.monotonic()
+    record(f"{new} starts with an empty disk")
+    await wait_until("the new machine reads version 1", lambda: has_version(new, 1), 10)
+    await asyncio.sleep(max(0.0, started_s + CATCH_UP_S + 0.5 - time.monotonic()))
+    record(f"{new} has had {time.monotonic() - started_s:.1f} s; SIGTERM to {third}")
+    fleet.signal(third, signal.SIGTERM)
+    await wait_until("the old machine stops", lambda: has_stopped(fleet, third), 9, 0.05)
+    fleet.kill(third)
+    fleet.core_ips.remove(third)
+    stopped_s = time.monotonic()
+    record(f"{third} has stopped by itself and is removed for good")
+    await put_config(fleet, desired_state(2), 4)
+
     if trouble:
-        await asyncio.sleep(SECOND_AFTER_S)
-        record("SIGTERM to the entry once more")
-        fleet.signal(front, signal.SIGTERM)
-    answered = await asyncio.gather(*asks)
-    lost = answered.count(False)
-    record(f"{lost} of {REQUESTS} requests that a replica ran got no complete answer")
-    return lost > 0
-
-
-async def is_served(front):
-    headers = [("X-Request-Id", f"warm-{time.monotonic_ns()}"), ("X-Deadline-Ms", "1000")]
-    answer = await call(f"{front}:{PORTS['front']}", "POST", "/order/x", b"{}", headers)
-    return answer is not None and answer[0] == 200
-
-
-async def ask(front, record, request_id):
-    """Send one request; return whether its channel brought a complete answer."""
-    reader, writer = await asyncio.open_connection(front, PORTS["front"])
-    headers = [("X-Request-Id", request_id), ("X-Deadline-Ms", str(TIME_LIMIT_MS))]
-    writer.write(request_bytes("POST", "/order/x", b"{}", headers))
-    record(f"{request_id} sent")
-    try:
-        status, fields, body = await asyncio.wait_for(read_response(reader), TIME_LIMIT_MS / 1000)
-    except (OSError, EOFError, ValueError, asyncio.TimeoutError) as error:
-        record(f"{request_id} ends without a complete answer: {type(error).__name__}")
-        return False
-    finally:
-        writer.close()
-    record(f"{request_id} answered {status}, signed {'x-response-signature' in fields}, {body!r}")
-    return True
+        await asyncio.sleep(max(0.0, stopped_s + LOSS_AFTER_S - time.monotonic()))
+        fleet.kill(first)
+        fleet.core_ips.remove(first)
+        record(f"{first} is lost for good, {time.monotonic() - stopped_s:.1f} s after {third} left")
+        await asyncio.sleep(SUCCESSOR_AFTER_S)
+        fleet.seeds = [f"{ip}:{PORTS['control']}" for ip in (second, new)]
+        successor = fleet.add_core(5)
+        fleet.start(successor)
+        record(f"{successor} starts in its place with an empty disk")
+        await asyncio.sleep(CATCH_UP_S + RECOVER_S)
+    record(f"core machines that run: {fleet.core_ips}")
+
+    acknowledged = await change(fleet, record, 3)
+    return not await read_back(fleet, record, 3 if acknowledged else 2)
+
+
+async def has_version(ip, version):
+    return await read(ip) == version
+
+
+async def has_stopped(fleet, ip):
+    return fleet.process_by_ip[ip].poll() is not None
+
+
+async def change(fleet, record, version):
+    """Send a change as the operator does, for twice the time of an acknowledgement."""
+    end_s = time.monotonic() + 2 * fleet.bounds["ack_timeout_ms"] / 1000
+    while time.monotonic() < end_s:
+        for ip in fleet.core_ips:
+            status = await send_once(ip, version)
+            record(f"version {version} sent to {ip}: {status}")
+            if status == 200:
+                return True
+            await asyncio.sleep(0.2)
+    return False
+
+
+async def read_back(fleet, record, acknowledged):
+    """Return whether some machine reads back the newest acknowledged version, or a later one."""
+    end_s = time.monotonic() + READ_BACK_S
+    while time.monotonic() < end_s:
+        for ip in fleet.core_ips:
+            version = await read(ip)
+            record(f"read back from {ip}: {version}")
+            if version is not None and version >= acknowledged:
+                return True
+            await asyncio.sleep(0.2)
+    return False
 
 
 run_case(case, HERE)
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -50,7 +50,7 @@
     for number in range(200):
         prefix = f"127.0.{(first + number) % 250 + 1}"
         try:
-            for last in (1, 2, 3, 4, 5, 11, 12, 31, 41, 200):
+            for last in (1, 2, 3, 4, 5, 6, 7, 11, 12, 31, 41, 200):
                 for port in (NODE_PORT, NODE_PORT + 1, METRICS_PORT, *PORTS.values()):
                     with socket.socket() as probe:
                         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
