--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -50,7 +50,7 @@
     for number in range(200):
         prefix = f"127.0.{(first + number) % 250 + 1}"
         try:
-            for last in (1, 2, 3, 4, 5, 6, 7, 11, 12, 31, 41, 200):
+            for last in (1, 2, 3, 4, 5, 6, 7, 31, 41, 101, 102, 200):
                 for port in (NODE_PORT, NODE_PORT + 1, METRICS_PORT, *PORTS.values()):
                     with socket.socket() as probe:
                         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -117,7 +117,7 @@
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         self.core_ips = [f"{self.prefix}.{1 + n}" for n in range(cores)]
-        self.front_ips = [f"{self.prefix}.{11 + n}" for n in range(fronts)]
+        self.front_ips = [f"{self.prefix}.{101 + n}" for n in range(fronts)]
         self.side_ips = [f"{self.prefix}.{31 + n}" for n in range(sides)]
         self.cloud = f"{self.prefix}.200:{PORTS['cloud']}"
         self.seeds = [f"{ip}:{PORTS['control']}" for ip in self.core_ips[:3]]
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -37,6 +37,8 @@
                 )
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
+        except asyncio.CancelledError:
+            return
         finally:
             writer.close()
 
