--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -176,12 +176,23 @@
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         env["HEMLOCKDOCK_NODE_FILE"] = str(settings)
-        log = open(self.folder / f"{ip}.log", "ab")
+        log = self.open_log(ip)
         self.process_by_ip[ip] = subprocess.Popen(
             role["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
         )
         log.close()
 
+    def log_path(self, ip):
+        return self.folder / f"{ip}.log"
+
+    def open_log(self, ip):
+        """Return the file that the output of a machine's program goes to; the caller closes it."""
+        return open(self.log_path(ip), "ab")
+
+    def is_running(self, ip):
+        process = self.process_by_ip.get(ip)
+        return process is not None and process.poll() is None
+
     def add_core(self, number):
         """Return the address of a further core machine, which has an empty disk."""
         ip = f"{self.prefix}.{number}"
