A joining host was removed as silent before it could reply

Callers saw: nothing so far; a host that joins may be added and removed several times before it can take a lost one's place.

Cause: the silence of a member that has never replied was counted from the leader's election. A leader that had led for 10 s took a non-voter that was added 40 ms ago for one that had been silent for 10 s.

Change: silence counts from when the leader first saw the member in the configuration.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/membership_reconciler.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/membership_reconciler.py
@@ -23,6 +23,7 @@
         self._change = change
         self._checked_ms = float("-inf")
         self._change_pending = False
+        self._known_since_ms_by_id = {}
 
     def reconcile(self, state, received_hello_by_id, tolerated_losses, now_ms):
         """Start the next change if one is needed; called only while this member leads.
@@ -38,7 +39,8 @@
         if self._change_pending or now_ms - self._checked_ms < RECONCILE_INTERVAL_MS:
             return
         self._checked_ms = now_ms
-        view = _membership_view(state, received_hello_by_id, tolerated_losses, now_ms)
+        self._update_known(state.configuration, now_ms)
+        view = self._membership_view(state, received_hello_by_id, tolerated_losses, now_ms)
         change = next_change(view)
         if change is None:
             return
@@ -60,26 +62,34 @@
             extra={"change": repr(change), "problem": failure.getErrorMessage()},
         )
 
+    def _update_known(self, configuration, now_ms):
+        # A member that was added just now has not had the time to reply.
+        known_since_ms_by_id = {}
+        for member in configuration.members:
+            known_since_ms = self._known_since_ms_by_id.get(member.member_id, now_ms)
+            known_since_ms_by_id[member.member_id] = known_since_ms
+        self._known_since_ms_by_id = known_since_ms_by_id
 
-def _membership_view(state, received_hello_by_id, tolerated_losses, now_ms):
-    silent_ms_by_id = {}
-    caught_up = set()
-    for member in state.configuration.members:
-        progress = state.progress_by_id.get(member.member_id)
-        if member.member_id == state.member_id or progress is None:
-            continue
-        heard_ms = max(progress.replied_ms, state.leading_since_ms)
-        silent_ms_by_id[member.member_id] = now_ms - heard_ms
-        is_current = progress.match_index >= state.commit_index
-        if progress.mode is ProgressMode.PIPELINE and is_current:
-            caught_up.add(member.member_id)
-    return MemberSetView(
-        state.member_id,
-        state.configuration,
-        received_hello_by_id,
-        silent_ms_by_id,
-        caught_up,
-        tolerated_losses,
-        state.timing.election_ms,
-        now_ms,
-    )
+    def _membership_view(self, state, received_hello_by_id, tolerated_losses, now_ms):
+        silent_ms_by_id = {}
+        caught_up = set()
+        for member in state.configuration.members:
+            progress = state.progress_by_id.get(member.member_id)
+            if member.member_id == state.member_id or progress is None:
+                continue
+            heard_ms = max(progress.replied_ms, state.leading_since_ms)
+            heard_ms = max(heard_ms, self._known_since_ms_by_id[member.member_id])
+            silent_ms_by_id[member.member_id] = now_ms - heard_ms
+            is_current = progress.match_index >= state.commit_index
+            if progress.mode is ProgressMode.PIPELINE and is_current:
+                caught_up.add(member.member_id)
+        return MemberSetView(
+            state.member_id,
+            state.configuration,
+            received_hello_by_id,
+            silent_ms_by_id,
+            caught_up,
+            tolerated_losses,
+            state.timing.election_ms,
+            now_ms,
+        )
--- a/packages/hemlockdock-control/tests/support_fleet_members.py
+++ b/packages/hemlockdock-control/tests/support_fleet_members.py
@@ -84,6 +84,7 @@
         self.replicator = None
         self.state_machine = None
         self.stopped = None
+        self.started_ms = float("-inf")
         self._fleet = fleet
 
     @property
@@ -104,6 +105,7 @@
 
     def start(self, first_start=False):
         fleet = self._fleet
+        fleet.on_start()
         text = SETTINGS.format(
             ip=self.ip,
             folder=fleet.folder_of(self.ip),
@@ -111,6 +113,7 @@
             first_start=first_start,
             tolerated_losses=fleet.tolerated_losses,
         )
+        self.started_ms = fleet.now_ms
         self.clock = TurnClock()
         self.state_machine = FleetStateMachine()
         settings = parse_settings(text, "test")
@@ -156,6 +159,7 @@
         self.in_flight = []
         self.host_by_ip = {}
         self.acknowledged = []
+        self.on_start = lambda: None
         self._proposed = 0
         self._folder = tempfile.TemporaryDirectory()
         self._patches = (
@@ -200,6 +204,11 @@
         voter_ids = self.leader().replicator.configuration.voter_ids
         return sorted(voter_id.partition("+")[0] for voter_id in voter_ids)
 
+    def member_ips(self):
+        """Return the addresses of the leader's members."""
+        members = self.leader().replicator.configuration.members
+        return sorted(member.member_id.partition("+")[0] for member in members)
+
     def run(self, ms, busy=True):
         """Advance the time; with ``busy``, a command is proposed now and then."""
         end_ms = self.now_ms + ms
--- a/packages/hemlockdock-control/tests/test_member_replacement.py
+++ b/packages/hemlockdock-control/tests/test_member_replacement.py
@@ -4,6 +4,10 @@
 
 from support_fleet_members import FleetSimulation
 
+from hemlockdock_control.consensus.membership_planner import (
+    NON_VOTER_REMOVAL_TIMEOUT_MS,
+)
+
 CATCH_UP_MS = 6_000.0
 SUCCESSOR_AFTER_MS = 1_000.0
 RECOVER_MS = 15_000.0
@@ -56,6 +60,16 @@
         # Guards against the same where the number of voters is derived from that of the members.
         self.lose_two_and_then_two_disks(stated=False)
 
+    def test_a_joining_host_is_removed_as_silent_before_it_could_reply(self):
+        # Guards against silence that is counted from the leader's election.
+        fleet = self.fleet(1)
+        fleet.run(NON_VOTER_REMOVAL_TIMEOUT_MS)
+        joining = self.start_successor(fleet)
+        fleet.run_until(lambda: joining.ip in fleet.member_ips(), CATCH_UP_MS)
+        joining.is_cut = True
+        fleet.run(SUCCESSOR_AFTER_MS)
+        self.assertIn(joining.ip, fleet.member_ips())
+
 
 if __name__ == "__main__":
     unittest.main()
