A control member that stops hands over its vote before its process ends

Callers saw: a control host was replaced as planned, the new one first and SIGTERM to the old one then, and 1 s later one other host was lost.

Cause: SIGTERM said nothing to the leader about the member's vote. On the successor voted beside the three others; four voters need three, and the stopped one was removed after 3 s of silence only. The same came to all that stopped with a successor at hand.

Change: a member that stops says so in its hellos. While it still replies, the leader promotes a successor that has caught up, and then removes it; it ends once another member has told it that a configuration without it is committed, or after ten election timeouts. Without a successor it ends at once and stays a voter, as before: a restart for an upgrade makes no quorum smaller. Where no voter stays, it leads on until one does.

What the log says of members means what it did.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/event_handlers.py
@@ -95,7 +95,7 @@
 
 @handle_event.register
 def _(event: TransferRequested, state, now_ms):
-    leadership_transfer.start(state, now_ms)
+    leadership_transfer.start(state, event.avoided_ids, now_ms)
 
 
 @handle_event.register
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/events.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/events.py
@@ -78,7 +78,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TransferRequested:
-    """A transfer of this member's leadership was requested."""
+    """A transfer of this member's leadership was requested.
+
+    Attributes
+    ----------
+    avoided_ids : frozenset of str
+        Members that must not take over, as they leave as well.
+    """
+
+    avoided_ids: frozenset = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/leadership_transfer.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/leadership_transfer.py
@@ -32,16 +32,19 @@
     return state.leadership_established and not is_in_progress(state)
 
 
-def start(state, now_ms):
+def start(state, avoided_ids, now_ms):
     """Stop accepting proposals and start a leadership transfer.
 
     Parameters
     ----------
     state : MemberState
+    avoided_ids : frozenset of str
+        Members that must not take over.
     now_ms : float
     """
     if not state.is_leader or is_in_progress(state):
         return
+    state.transfer_avoided_ids = avoided_ids
     state.transfer_deadline_ms = now_ms + state.timing.election_ms
     try_transfer(state, now_ms)
 
@@ -57,7 +60,7 @@
     if not is_in_progress(state) or state.lease_released:
         return
     for voter_id in state.configuration.voter_ids:
-        if voter_id == state.member_id:
+        if voter_id == state.member_id or voter_id in state.transfer_avoided_ids:
             continue
         progress = state.progress_by_id.get(voter_id)
         if progress is None or progress.match_index < state.log.last_index:
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
@@ -71,6 +71,8 @@
         Whether another member was asked to take over in this term, which ends the lease.
     transfer_deadline_ms : float
         Deadline of the leadership transfer in progress, NEVER_MS if there is none.
+    transfer_avoided_ids : frozenset of str
+        Members that must not take over in that transfer.
     incoming_snapshot : IncomingSnapshot or None
     effects : list
         Effects of the current step, in order.
@@ -105,6 +107,7 @@
         self.heartbeat_due_ms = NEVER_MS
         self.lease_released = False
         self.transfer_deadline_ms = NEVER_MS
+        self.transfer_avoided_ids = frozenset()
         self.incoming_snapshot = None
         self.effects = []
         self.write_count = 0
@@ -313,6 +316,20 @@
             self.progress_by_id[member_id] = progress
         return progress
 
+    def heard_ms(self, member_id):
+        """Return the time since which this leader has waited for a reply of a member.
+
+        Parameters
+        ----------
+        member_id : str
+
+        Returns
+        -------
+        float
+        """
+        replied_ms = self.progress_of(member_id).replied_ms
+        return self.leading_since_ms if replied_ms == NEVER_MS else replied_ms
+
     def record_reply(self, sender, reply, now_ms):
         """Record a reply of a follower.
 
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/membership_planner.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/membership_planner.py
@@ -1,9 +1,10 @@
 """Rules for automatic membership changes in a fleet.
 
 The number of voters is odd and follows the number of losses to tolerate. Whoever joins is a
-non-voter until there is a place for it: that of a voter that is silent or lost its folder. Such a
-voter is removed first: an odd number of voters has the same quorum without it, and the successor
-may fail as well before it votes.
+non-voter until there is a place for it: that of a voter that leaves, is silent or lost its folder.
+A voter that leaves still replies, so its successor is promoted first. One that does not reply is
+removed first: an odd number of voters has the same quorum without it, and the successor may fail
+as well before it votes.
 """
 
 from dataclasses import dataclass
@@ -22,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberSetView:
-    """The leader's view of the members and of the processes that want to join.
+    """The leader's view of the members and of the processes that want to join or leave.
 
     Attributes
     ----------
@@ -70,7 +71,7 @@
         for member in self.configuration.members:
             if member.voter or member.member_id not in self.caught_up:
                 continue
-            if self.is_responsive(member):
+            if self.is_responsive(member) and not self.is_leaving(member):
                 found.append(member)
         return found
 
@@ -82,6 +83,10 @@
         """Return whether a member has replied within an election timeout."""
         return self.silent_ms(member) < self.election_ms
 
+    def is_leaving(self, member):
+        """Return whether a member has said lately that its process stops."""
+        return member.member_id in leaving_ids(self.received_hello_by_id, self.now_ms)
+
     def has_lost_folder(self, member):
         """Return whether another process uses a member's address, so that its folder is lost."""
         if member.member_id == self.own_id:
@@ -94,11 +99,23 @@
     @property
     def recent_hello_by_id(self):
         """Return the hellos that have not expired, by the id of their sender."""
-        recent = {}
-        for member_id, received in self.received_hello_by_id.items():
-            if self.now_ms - received.received_ms <= HELLO_EXPIRY_MS:
-                recent[member_id] = received.hello
-        return recent
+        return _recent_hellos(self.received_hello_by_id, self.now_ms)
+
+
+def leaving_ids(received_hello_by_id, now_ms):
+    """Return the ids of the processes that have said lately that they stop.
+
+    Parameters
+    ----------
+    received_hello_by_id : dict of str to ReceivedHello
+    now_ms : float
+
+    Returns
+    -------
+    frozenset of str
+    """
+    recent = _recent_hellos(received_hello_by_id, now_ms)
+    return frozenset(member_id for member_id, hello in recent.items() if hello.leaving)
 
 
 def next_change(view):
@@ -119,6 +136,14 @@
     return None
 
 
+def _recent_hellos(received_hello_by_id, now_ms):
+    recent = {}
+    for member_id, received in received_hello_by_id.items():
+        if now_ms - received.received_ms <= HELLO_EXPIRY_MS:
+            recent[member_id] = received.hello
+    return recent
+
+
 def _removal_of_lost_folder(view):
     for member in view.configuration.members:
         if not view.has_lost_folder(member):
@@ -130,7 +155,7 @@
 
 def _addition(view):
     for member_id, hello in view.recent_hello_by_id.items():
-        if view.configuration.find(member_id) is not None:
+        if hello.leaving or view.configuration.find(member_id) is not None:
             continue
         if not _is_stale_hello(member_id, view):
             return AddNonVoter(member_id, hello.folder_id, hello.address)
@@ -142,6 +167,9 @@
     if len(voters) <= view.voter_target:
         return None
     others = [voter for voter in voters if voter.member_id != view.own_id]
+    for voter in others:
+        if view.is_leaving(voter):
+            return Remove(voter.member_id)
     for voter in others:
         if view.silent_ms(voter) >= VOTER_REMOVAL_TIMEOUT_MS:
             return Remove(voter.member_id)
@@ -174,6 +202,17 @@
     return None
 
 
+def _replacement_of_leaving_voter(view):
+    voters = view.voters
+    successors = view.successors
+    if not successors or len(voters) != view.voter_target:
+        return None
+    for voter in voters:
+        if view.is_leaving(voter) and view.is_responsive(voter):
+            return Promote(successors[0].member_id)
+    return None
+
+
 def _removal_of_silent_non_voter(view):
     for member in view.configuration.members:
         if not member.voter and view.silent_ms(member) >= NON_VOTER_REMOVAL_TIMEOUT_MS:
@@ -203,5 +242,6 @@
     _removal_of_surplus_voter,
     _promotion_into_free_place,
     _replacement_of_silent_voter,
+    _replacement_of_leaving_voter,
     _removal_of_silent_non_voter,
 )
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/membership_reconciler.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/membership_reconciler.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from hemlockdock_control.consensus.member_state import NEVER_MS
 from hemlockdock_control.consensus.membership_planner import MemberSetView, next_change
 from hemlockdock_control.consensus.progress import ProgressMode
 
@@ -77,8 +78,9 @@
             progress = state.progress_by_id.get(member.member_id)
             if member.member_id == state.member_id or progress is None:
                 continue
-            heard_ms = max(progress.replied_ms, state.leading_since_ms)
-            heard_ms = max(heard_ms, self._known_since_ms_by_id[member.member_id])
+            heard_ms = state.heard_ms(member.member_id)
+            if progress.replied_ms == NEVER_MS:
+                heard_ms = max(heard_ms, self._known_since_ms_by_id[member.member_id])
             silent_ms_by_id[member.member_id] = now_ms - heard_ms
             is_current = progress.match_index >= state.commit_index
             if progress.mode is ProgressMode.PIPELINE and is_current:
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/messages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/messages.py
@@ -179,6 +179,10 @@
     want_reply : bool
     members : Configuration
         Current members as known to the sender; sent only in a fleet.
+    committed_index : int
+        Log index up to which the sender knows them to be committed; 0 if they are not.
+    leaving : bool
+        Whether the sender's process stops and its place is to be taken by another member.
     """
 
     cluster: str
@@ -188,6 +192,8 @@
     founders: Configuration
     want_reply: bool
     members: Configuration = Configuration()
+    committed_index: int = 0
+    leaving: bool = False
 
 
 class Forward(Message, frozen=True):
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -9,6 +9,7 @@
 
 from hemlockdock_control.consensus.configuration import Configuration
 from hemlockdock_control.consensus.core import Core
+from hemlockdock_control.consensus.departure import Departure, DepartureStep
 from hemlockdock_control.consensus.errors import (
     ChangeRefusedError,
     CommandTooLargeError,
@@ -22,10 +23,11 @@
     Remove,
 )
 from hemlockdock_control.consensus.member_task import MemberTask
+from hemlockdock_control.consensus.membership_planner import leaving_ids
 from hemlockdock_control.consensus.membership_reconciler import MembershipReconciler
 from hemlockdock_control.consensus.messages import Forward, Hello
 from hemlockdock_control.consensus.peer_links import PeerLinks
-from hemlockdock_control.consensus.seed_discovery import SeedDiscovery
+from hemlockdock_control.consensus.seed_discovery import KnownMembers, SeedDiscovery
 from hemlockdock_control.consensus.seeding import open_seeded_storage, process_ip
 from hemlockdock_control.consensus.static_discovery import StaticDiscovery
 from hemlockdock_control.consensus.timing import Timing
@@ -82,7 +84,8 @@
         self._forward_callbacks = []
         self._stopping = False
         self._stop_waiters = []
-        self._close_call = None
+        self._departure = None
+        self._departure_call = None
         self._reconciler = MembershipReconciler(self._change)
         self._reopened_ms = float("-inf")
 
@@ -163,7 +166,7 @@
         self._tick_loop.start(self._timing.heartbeat_ms / TICKS_PER_HEARTBEAT / MS_PER_S)
 
     def stop(self):
-        """Transfer leadership if this member leads, then stop; it may be called more than once.
+        """Hand over leadership and vote, then stop; it may be called more than once.
 
         Returns
         -------
@@ -172,12 +175,11 @@
         """
         stopped = Deferred()
         self._stop_waiters.append(stopped)
-        if self._tick_loop is None or not self._should_transfer_leadership():
+        if self._tick_loop is None or self._task is None:
             self._close()
-        elif self._close_call is None:
-            self._task.post(TransferRequested())
-            delay_s = self._timing.election_ms / MS_PER_S
-            self._close_call = self._reactor.callLater(delay_s, self._close)
+        elif self._departure is None:
+            self._departure = Departure(self._timing, self._settings.in_fleet, self._now_ms())
+            self._advance_departure()
         return stopped
 
     def propose(self, data):
@@ -382,21 +384,30 @@
         if self._task is not None:
             self._task.post(Tick())
         now_ms = self._now_ms()
+        if self._departure is not None:
+            self._links.reconnect_silent(now_ms, LINK_SILENCE_TIMEOUT_MS)
+            self._advance_departure()
+            return
         if self._must_reopen(now_ms):
             self._reopened_ms = now_ms
             self._reopen()
         if not self._settings.in_fleet:
             self._run_discovery(self._discovery.tick, self.configuration, now_ms)
             return
-        self._discovery.tick(self.configuration, now_ms, self.last_leader_contact_s * MS_PER_S)
+        leader_silent_ms = self.last_leader_contact_s * MS_PER_S
+        self._discovery.tick(self._known_members(), now_ms, leader_silent_ms)
         self._links.reconnect_silent(now_ms, LINK_SILENCE_TIMEOUT_MS)
-        if self.is_leader:
-            self._reconciler.reconcile(
-                self._task.core.state,
-                self._discovery.received_hello_by_id,
-                self._settings.fleet.tolerated_losses,
-                now_ms,
-            )
+        self._reconcile(now_ms)
+
+    def _reconcile(self, now_ms):
+        if not self.is_leader:
+            return
+        self._reconciler.reconcile(
+            self._task.core.state,
+            self._discovery.received_hello_by_id,
+            self._settings.fleet.tolerated_losses,
+            now_ms,
+        )
 
     def _must_reopen(self, now_ms):
         if now_ms - self._reopened_ms < REOPEN_INTERVAL_MS:
@@ -446,7 +457,9 @@
 
     def _handle_hello(self, sender, hello):
         if self._settings.in_fleet:
-            self._discovery.handle_hello(sender, hello, self.configuration, self._now_ms())
+            self._discovery.handle_hello(sender, hello, self._known_members(), self._now_ms())
+            if self._departure is not None and self._task is not None:
+                self._departure.record_committed(self._task.core.state, hello)
             return
         self._run_discovery(self._discovery.handle_hello, sender, hello, self.configuration)
 
@@ -475,17 +488,35 @@
     def _leadership_changed(self, leads):
         for callback in self._leadership_callbacks:
             _call_safely(callback, leads)
-        if not leads and self._close_call is not None and self._close_call.active():
-            self._close_call.reset(0)
+        if not leads and self._departure is not None and self._departure_call is None:
+            self._departure_call = self._reactor.callLater(0, self._advance_departure)
 
     def _deliver_forward(self, sender, data):
         for callback in self._forward_callbacks:
             _call_safely(callback, sender, data)
 
-    def _should_transfer_leadership(self):
-        if self._task is None or not self._task.core.state.is_leader:
-            return False
-        return len(self.configuration.voter_ids) > 1
+    def _known_members(self):
+        if self._task is None:
+            return KnownMembers(Configuration(), 0)
+        state = self._task.core.state
+        is_committed = state.configuration_index <= state.commit_index
+        return KnownMembers(state.configuration, state.commit_index if is_committed else 0)
+
+    def _advance_departure(self):
+        self._departure_call = None
+        now_ms = self._now_ms()
+        leaving = frozenset()
+        if self._settings.in_fleet:
+            leaving = leaving_ids(self._discovery.received_hello_by_id, now_ms)
+        step = self._departure.next_step(self._task.core.state, leaving, now_ms)
+        if step is DepartureStep.LEAD:
+            self._reconcile(now_ms)
+        elif step is DepartureStep.TRANSFER_LEADERSHIP:
+            self._task.post(TransferRequested(leaving))
+        elif step is DepartureStep.HAND_OVER_VOTE:
+            self._discovery.announce_leaving(self._known_members())
+        else:
+            self._close()
 
     def _close(self):
         self._stopping = True
@@ -499,8 +530,8 @@
             waiter.callback(None)
 
     def _close_components(self):
-        if self._close_call is not None and self._close_call.active():
-            self._close_call.cancel()
+        if self._departure_call is not None:
+            self._departure_call.cancel()
         if self._task is not None:
             self._task.stop()
         self._links.close()
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/seed_discovery.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/seed_discovery.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from hemlockdock_control.consensus.configuration import Configuration
 from hemlockdock_control.consensus.messages import Hello
 from hemlockdock_control.consensus.seeding import founders_of
 
@@ -22,6 +23,21 @@
     received_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class KnownMembers:
+    """The latest members that a process knows.
+
+    Attributes
+    ----------
+    configuration : Configuration
+    committed_index : int
+        Log index up to which it is known to be committed; 0 if it is not.
+    """
+
+    configuration: Configuration
+    committed_index: int
+
+
 class SeedDiscovery:
     """Sends hellos to the seeds and all known members until this member hears from a leader.
 
@@ -48,6 +64,7 @@
         self._links = links
         self._election_ms = settings.control.election_ms
         self._next_hello_ms = 0.0
+        self._leaving = False
         self._address_by_member_id = {}
         self.update_seeds(settings)
 
@@ -68,37 +85,50 @@
         for member in founders_of(settings).members:
             self._add_address(member.member_id, member.address)
 
-    def tick(self, configuration, now_ms, leader_silent_ms):
+    def tick(self, known, now_ms, leader_silent_ms):
         """Send hellos if they are due.
 
         Parameters
         ----------
-        configuration : Configuration
-            Latest one known here; the other members may have removed this member since.
+        known : KnownMembers
+            The other members may have removed this member since.
         now_ms : float
         leader_silent_ms : float
             Time since the last contact with the leader.
         """
-        is_member = configuration.find(self._storage.identity.member_id) is not None
+        is_member = known.configuration.find(self._storage.identity.member_id) is not None
         if is_member and leader_silent_ms < 2 * self._election_ms:
             return
         if now_ms < self._next_hello_ms:
             return
         self._next_hello_ms = now_ms + self._election_ms / HELLOS_PER_ELECTION
-        for member in configuration.members:
+        for member in known.configuration.members:
             self._add_address(member.member_id, member.address)
         for member_id, address in self._address_by_member_id.items():
             self._links.update_address(member_id, address)
-            self._links.send(member_id, self._make_hello(configuration, want_reply=True))
+            self._links.send(member_id, self._make_hello(known, want_reply=True))
+
+    def announce_leaving(self, known):
+        """Tell all members that this one leaves, and ask what they know to be committed.
+
+        Parameters
+        ----------
+        known : KnownMembers
+        """
+        self._leaving = True
+        hello = self._make_hello(known, want_reply=True)
+        for member in known.configuration.members:
+            if member.address != self._links.address:
+                self._links.send(member.member_id, hello)
 
-    def handle_hello(self, sender, hello, configuration, now_ms):
+    def handle_hello(self, sender, hello, known, now_ms):
         """Process a hello from another member.
 
         Parameters
         ----------
         sender : str
         hello : Hello
-        configuration : Configuration
+        known : KnownMembers
         now_ms : float
         """
         if hello.cluster != self._storage.identity.cluster:
@@ -108,13 +138,13 @@
         for member in hello.members.members:
             self._add_address(member.member_id, member.address)
         if hello.want_reply:
-            self._links.send(sender, self._make_hello(configuration, want_reply=False))
+            self._links.send(sender, self._make_hello(known, want_reply=False))
 
     def _add_address(self, member_id, address):
         if address != self._links.address:
             self._address_by_member_id[member_id] = address
 
-    def _make_hello(self, configuration, want_reply):
+    def _make_hello(self, known, want_reply):
         identity = self._storage.identity
         return Hello(
             identity.cluster,
@@ -123,5 +153,7 @@
             identity.standing,
             identity.founders,
             want_reply,
-            configuration,
+            known.configuration,
+            known.committed_index,
+            self._leaving,
         )
--- a/packages/hemlockdock-control/tests/test_member_replacement.py
+++ b/packages/hemlockdock-control/tests/test_member_replacement.py
@@ -8,6 +8,7 @@
     NON_VOTER_REMOVAL_TIMEOUT_MS,
 )
 
+GRACE_MS = 8_000.0
 CATCH_UP_MS = 6_000.0
 SUCCESSOR_AFTER_MS = 1_000.0
 RECOVER_MS = 15_000.0
@@ -60,6 +61,69 @@
         # Guards against the same where the number of voters is derived from that of the members.
         self.lose_two_and_then_two_disks(stated=False)
 
+    def lose_one_after_a_planned_replacement(self, leaves_as_leader, loss_after_ms):
+        fleet = self.fleet(1)
+        leader = fleet.leader()
+        leaving, lost, staying = sorted(fleet.up, key=lambda host: host.leads == leaves_as_leader)[
+            ::-1
+        ]
+        self.assertEqual(leaving is leader, leaves_as_leader)
+        planned = self.start_successor(fleet)
+        fleet.run(CATCH_UP_MS)
+        leaving.stop()
+        self.assertTrue(fleet.run_until(lambda: not leaving.is_up, GRACE_MS))
+        fleet.run(loss_after_ms)
+        lost.kill()
+        fleet.run(SUCCESSOR_AFTER_MS)
+        successor = self.start_successor(fleet)
+        fleet.run(CATCH_UP_MS)
+        self.assert_in_control(fleet, [planned, staying, successor])
+
+    def test_one_loss_after_a_planned_replacement_ends_control(self):
+        # Guards against a host that stops with a successor at hand and goes on counting.
+        for leaves_as_leader in (False, True):
+            for loss_after_ms in (0.0, 100.0, 1_000.0):
+                with self.subTest(leads=leaves_as_leader, after_ms=loss_after_ms):
+                    self.lose_one_after_a_planned_replacement(leaves_as_leader, loss_after_ms)
+
+    def test_hosts_that_leave_at_the_same_time_pass_the_leadership_among_themselves(self):
+        # Guards against two that leave and lead by turns, so that neither is replaced.
+        fleet = self.fleet(1)
+        leader = fleet.leader()
+        leaving = [leader, *(host for host in fleet.up if host is not leader)][:2]
+        staying = [host for host in fleet.up if host not in leaving]
+        staying += [self.start_successor(fleet) for _ in range(2)]
+        fleet.run(CATCH_UP_MS)
+        for host in leaving:
+            host.stop()
+        stopped = fleet.run_until(lambda: not any(host.is_up for host in leaving), GRACE_MS)
+        self.assertTrue(stopped)
+        self.assert_in_control(fleet, staying)
+
+    def test_all_voters_that_leave_at_the_same_time_leave_their_successors_without_a_leader(self):
+        # Guards against a leader that waits for another voter to take over while all leave.
+        fleet = self.fleet(1)
+        leaving = fleet.up
+        successors = [self.start_successor(fleet) for _ in range(3)]
+        fleet.run(CATCH_UP_MS)
+        for host in leaving:
+            host.stop()
+        stopped = fleet.run_until(lambda: not any(host.is_up for host in leaving), GRACE_MS)
+        self.assertTrue(stopped)
+        self.assert_in_control(fleet, successors)
+
+    def test_a_host_without_a_successor_stops_at_once_and_votes_again(self):
+        # Guards against a restart that waits for a successor, or that costs a vote.
+        fleet = self.fleet(1)
+        hosts = fleet.up
+        follower = next(host for host in hosts if not host.leads)
+        follower.stop()
+        self.assertFalse(follower.is_up)
+        fleet.run(SUCCESSOR_AFTER_MS)
+        follower.start()
+        fleet.run(SUCCESSOR_AFTER_MS)
+        self.assert_in_control(fleet, hosts)
+
     def test_a_joining_host_is_removed_as_silent_before_it_could_reply(self):
         # Guards against silence that is counted from the leader's election.
         fleet = self.fleet(1)
--- a/packages/hemlockdock-control/tests/test_membership_planner.py
+++ b/packages/hemlockdock-control/tests/test_membership_planner.py
@@ -24,7 +24,7 @@
     return Member(member_id, f"folder {member_id}", f"tcp://{member_ip(member_id)}:1", voter)
 
 
-def received(member_id, ago_ms=0.0):
+def received(member_id, ago_ms=0.0, leaving=False):
     hello = Hello(
         "c",
         f"folder {member_id}",
@@ -32,6 +32,7 @@
         MembershipOrigin.JOINER,
         Configuration(),
         True,
+        leaving=leaving,
     )
     return ReceivedHello(hello, NOW_MS - ago_ms)
 
@@ -147,6 +148,16 @@
         silent["c"] -= 1.0
         self.assertIsNone(next_change(view(members, silent=silent, caught_up={"d"})))
 
+    def test_a_leaving_voter_is_removed_after_its_replacement_votes(self):
+        members = [*self.voters, member("d", voter=False)]
+        hellos = {"c": received("c", leaving=True)}
+        self.assertIsNone(next_change(view(members, hellos)))
+        self.assertEqual(next_change(view(members, hellos, caught_up={"d"})), Promote("d"))
+        members = [*self.voters, member("d")]
+        self.assertEqual(next_change(view(members, hellos)), Remove("c"))
+        members = [*self.voters[:2], member("d")]
+        self.assertIsNone(next_change(view(members, hellos)))
+
     def test_seven_voters_with_two_lost_ones_become_five(self):
         # Guards against lost voters that an earlier version kept.
         members = [member(member_id) for member_id in "abcdefg"]
