A transfer of leadership began the wait for a lost member anew

Callers saw: nothing so far; each planned stop of a leader put off the replacement of a lost control member by up to 2 s, and a loss that comes in the meantime ends control.

Cause: silence was counted from the new leader's election at the earliest, as a new leader has heard nobody.

The new test, before the change: three transfers within 2 s, and the lost member still votes 3 s after it was killed.

Change: a leader that asks a member to take over tells it which members are silent, and for how long. A member of the version before sends none and ignores them; silence then counts anew as it did.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/elections.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/elections.py
@@ -37,6 +37,7 @@
     state.become_follower(state.term, "", now_ms)
     state.role = MemberRole.CANDIDATE
     state.transfer_requested = transfer
+    state.silent_since_ms_by_id = {}
     state.votes = set()
     state.set_vote(state.term + 1, state.member_id)
     state.reset_election_timer(now_ms)
@@ -139,6 +140,8 @@
     state.incoming_snapshot = None
     next_index = state.log.last_index + 1
     state.progress_by_id = {peer_id: Progress(next_index) for peer_id in state.peer_ids}
+    for peer_id, progress in state.progress_by_id.items():
+        progress.replied_ms = state.silent_since_ms_by_id.get(peer_id, NEVER_MS)
     state.term_start_index = next_index
     state.append(EntryKind.EMPTY, [b""])
     replication.broadcast_heartbeat(state, now_ms)
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/leadership_transfer.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/leadership_transfer.py
@@ -69,7 +69,8 @@
             continue
         # The message may be delivered arbitrarily late, so the lease is not resumed in this term.
         state.lease_released = True
-        state.send(voter_id, TimeoutNow(state.term), after_sync=False)
+        message = TimeoutNow(state.term, _silent_members(state, now_ms))
+        state.send(voter_id, message, after_sync=False)
         return
 
 
@@ -90,3 +91,12 @@
     if state.lease_released:
         # This term has no lease any more, so reads are served sooner in a new term.
         state.become_follower(state.term, "", now_ms)
+
+
+def _silent_members(state, now_ms):
+    silent_ms_by_id = {}
+    for member_id in state.progress_by_id:
+        silent_ms = now_ms - state.heard_ms(member_id)
+        if silent_ms >= state.timing.election_ms:
+            silent_ms_by_id[member_id] = silent_ms
+    return silent_ms_by_id
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_state.py
@@ -60,6 +60,8 @@
     votes : set of str
     transfer_requested : bool
         Whether the leader asked for the current election.
+    silent_since_ms_by_id : dict of str to float
+        Last replies of silent members, as told by the leader that asked for the election.
     progress_by_id : dict of str to Progress
     term_start_index : int
         Index of the first entry that this leader appended in its term.
@@ -100,6 +102,7 @@
         self.election_due_ms = NEVER_MS
         self.votes = set()
         self.transfer_requested = False
+        self.silent_since_ms_by_id = {}
         self.progress_by_id = {}
         self.term_start_index = 0
         self.leadership_established = False
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/message_handlers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/message_handlers.py
@@ -69,3 +69,7 @@
 def _(message: TimeoutNow, sender, state, now_ms):
     if message.term == state.term and state.may_lead and not state.is_leader:
         elections.start_election(state, now_ms, transfer=True)
+        state.silent_since_ms_by_id = {
+            member_id: now_ms - silent_ms
+            for member_id, silent_ms in message.silent_ms_by_id.items()
+        }
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/messages.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/messages.py
@@ -158,9 +158,13 @@
     Attributes
     ----------
     term : int
+    silent_ms_by_id : dict of str to float
+        Time since the last reply of each member that has not replied within an election timeout,
+        so that the new leader does not begin to wait for them anew.
     """
 
     term: int
+    silent_ms_by_id: dict[str, float] = {}
 
 
 class Hello(Message, frozen=True):
--- a/packages/hemlockdock-control/tests/test_member_replacement.py
+++ b/packages/hemlockdock-control/tests/test_member_replacement.py
@@ -6,6 +6,7 @@
 
 from hemlockdock_control.consensus.membership_planner import (
     NON_VOTER_REMOVAL_TIMEOUT_MS,
+    VOTER_REMOVAL_TIMEOUT_MS,
 )
 
 GRACE_MS = 8_000.0
@@ -124,6 +125,20 @@
         fleet.run(SUCCESSOR_AFTER_MS)
         self.assert_in_control(fleet, hosts)
 
+    def test_each_transfer_of_leadership_delays_the_replacement_of_a_lost_host(self):
+        # Guards against a new leader that begins to wait for a lost host anew.
+        fleet = self.fleet(1)
+        lost = next(host for host in fleet.up if not host.leads)
+        successor = self.start_successor(fleet)
+        fleet.run(CATCH_UP_MS)
+        lost.kill()
+        for _ in range(3):
+            fleet.run(VOTER_REMOVAL_TIMEOUT_MS / 3.0)
+            fleet.leader().transfer()
+            fleet.run_until(lambda: fleet.leader() is not None, RECOVER_MS)
+        fleet.run(SUCCESSOR_AFTER_MS)
+        self.assertIn(successor.ip, fleet.voter_ips())
+
     def test_a_joining_host_is_removed_as_silent_before_it_could_reply(self):
         # Guards against silence that is counted from the leader's election.
         fleet = self.fleet(1)
