Operators' replacement of a lost member: its successor counted beside it

Callers saw: nothing so far. `hemlockdock members replace OLD NEW` promoted NEW before it removed OLD, also where OLD was lost: if NEW failed in between, three of four voters were needed, and two were there.

Cause: the same as in the automatic replacement, a quorum that counts a member which cannot answer.

Change: a member that does not reply is removed first, after a check that the new one could be promoted; one that replies is removed afterwards, as before.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_changes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_changes.py
@@ -128,6 +128,32 @@
     return _require_quorum(state, configuration, now_ms)
 
 
+def replacement_steps(old_id, new_id, state, now_ms):
+    """Return the changes that put a non-voter in the place of a voter.
+
+    A voter that replies is removed after its successor was promoted. One that does not is removed
+    before: the other voters then make the same quorum, and the successor may fail as well.
+
+    Parameters
+    ----------
+    old_id, new_id : str
+    state : MemberState
+    now_ms : float
+
+    Returns
+    -------
+    result.Result of tuple or ChangeRefusal
+    """
+    promotion = Promote(new_id)
+    removal = Remove(old_id)
+    if _is_responsive(state, old_id, now_ms):
+        return Ok((promotion, removal))
+    validated = validate(promotion, state, now_ms)
+    if validated.is_err():
+        return validated
+    return Ok((removal, promotion))
+
+
 def _refusal(state):
     if not state.is_leader or state.commit_index < state.term_start_index:
         return ChangeRefusal.NOT_LEADER
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -21,6 +21,7 @@
     ChangeRefusal,
     Promote,
     Remove,
+    replacement_steps,
 )
 from hemlockdock_control.consensus.member_task import MemberTask
 from hemlockdock_control.consensus.membership_planner import leaving_ids
@@ -312,9 +313,7 @@
         return self._change(Remove(member_id))
 
     def replace_member(self, old_id, new_id):
-        """Promote a non-voter that has caught up, and then remove a member at once.
-
-        In between, a quorum needs one more voter, so the two follow each other directly.
+        """Put a non-voter that has caught up in the place of a member.
 
         Parameters
         ----------
@@ -326,9 +325,14 @@
         Deferred
             As for ``add_member``.
         """
-        promoted = self.promote_member(new_id)
-        promoted.addCallback(lambda _: self.remove_member(old_id))
-        return promoted
+        if self._task is None:
+            return fail(NotLeaderError(self.leader_id))
+        state = self._task.core.state
+        steps = replacement_steps(old_id, new_id, state, self._now_ms())
+        if steps.is_err():
+            return fail(ChangeRefusedError(steps.err()))
+        first, second = steps.ok()
+        return self._change(first).addCallback(lambda _: self._change(second))
 
     def _change(self, change):
         if self._task is None or self._stopping:
--- a/packages/hemlockdock-control/tests/test_consensus_faults.py
+++ b/packages/hemlockdock-control/tests/test_consensus_faults.py
@@ -5,7 +5,12 @@
 from support_consensus import ELECTION_MS, HEARTBEAT_MS, SNAPSHOT_ENTRIES, SimulatedCluster
 
 from hemlockdock_control.consensus.errors import ChangeRefusedError, NotLeaderError
-from hemlockdock_control.consensus.member_changes import ChangeRefusal
+from hemlockdock_control.consensus.member_changes import (
+    ChangeRefusal,
+    Promote,
+    Remove,
+    replacement_steps,
+)
 from hemlockdock_control.consensus.messages import AppendReply, AppendRequest, TimeoutNow
 from hemlockdock_control.storage.errors import StorageFailedError
 
@@ -138,6 +143,36 @@
             cluster.run(200, busy=True)
             self.assertGreater(len(cluster.acknowledged), before)
 
+    def test_a_successor_that_fails_beside_the_lost_member_ends_control(self):
+        # Guards against a lost member and its successor that count at the same time.
+        cluster = SimulatedCluster(3)
+        cluster.elect("a")
+        cluster.member_by_id["c"].crash()
+        cluster.run(10, busy=True)
+        cluster.add("d")
+        cluster.run(30, step_ms=HEARTBEAT_MS)
+        leader = cluster.leader()
+        steps = replacement_steps("c", "d", leader.state, leader.now_ms()).ok()
+        self.assertEqual(cluster.change(steps[0]), [])
+        cluster.run(5)
+        cluster.member_by_id["d"].crash()
+        before = len(cluster.acknowledged)
+        cluster.run(200, busy=True)
+        self.assertGreater(len(cluster.acknowledged), before)
+
+    def test_a_voter_that_replies_is_removed_after_its_successor_was_promoted(self):
+        cluster = SimulatedCluster(3)
+        leader = cluster.elect("a")
+        cluster.add("d")
+        cluster.run(30, step_ms=HEARTBEAT_MS)
+        steps = replacement_steps("c", "d", leader.state, leader.now_ms()).ok()
+        self.assertEqual(steps, (Promote("d"), Remove("c")))
+        cluster.member_by_id["c"].crash()
+        cluster.cut_off("d")
+        cluster.run(30, step_ms=HEARTBEAT_MS)
+        refused = replacement_steps("c", "d", leader.state, leader.now_ms())
+        self.assertIs(refused.err(), ChangeRefusal.CATCHING_UP)
+
     def test_a_member_that_cannot_be_reached_is_not_promoted(self):
         cluster = SimulatedCluster(3)
         cluster.elect("a")
