An answer whose status HTTP doesn't know was waited on, or handed to the client

Callers saw: a replica that answered with the status 000 (or 001, 099), whole and signed, cost them their whole deadline and a 504; the statuses 600 and 999 reached them as the replica sent them.

Cause: ResponseReader took every number under 200 for an interim response, skipped the answer with its body and called itself idle, while the entry went on waiting; and it knew no upper end.

Change: a status outside of 100 to 599 makes a response malformed. The connection is closed at once, an idempotent request is sent to another endpoint, and any other is told 502, unsigned.

--- a/packages/hemlockdock-core/hemlockdock_core/http/response_reader.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/response_reader.py
@@ -9,7 +9,9 @@
 TRANSFER_ENCODING = b"transfer-encoding"
 CONNECTION = b"connection"
 KEEP_ALIVE = b"keep-alive"
+LOWEST_STATUS = 100
 LOWEST_FINAL_STATUS = 200
+HIGHEST_STATUS = 599
 # Head, interim responses, chunk sizes and trailers, between two parts of a body.
 MAX_OVERHEAD_BYTES = 65_536
 # Many short headers take many times the memory of their bytes.
@@ -168,6 +170,8 @@
     def on_headers_complete(self):
         """Handle the end of the headers (called by httptools)."""
         status = self._parser.get_status_code()
+        if not LOWEST_STATUS <= status <= HIGHEST_STATUS:
+            raise MalformedResponseError(f"the status {status:03d} is none of HTTP's")
         if status < LOWEST_FINAL_STATUS:
             return
         self._overhead_bytes = 0
--- a/packages/hemlockdock-core/tests/test_http_client.py
+++ b/packages/hemlockdock-core/tests/test_http_client.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from hemlockdock_core.http import HttpClient
 
@@ -54,6 +56,18 @@
         self.call()
         self.assertEqual((self.bodies, self.connections), ([b"a"], 2))
 
+    def test_a_call_waits_to_its_timeout_for_more_than_an_answer_of_status_000(self):
+        # Guards against a status under 100 that counts as interim.
+        for status in (b"000", b"099", b"600"):
+            failed = []
+            response = self.client.call("POST", ADDRESS, "/orders", timeout_s=5.0)
+            response.addErrback(failed.append)
+            protocol = self.connect()
+            protocol.dataReceived(b"HTTP/1.1 %b X\r\nContent-Length: 1\r\n\r\na" % status)
+            self.assertTrue(protocol.transport.disconnecting)
+            protocol.connectionLost(Failure(ConnectionDone()))
+            self.assertEqual(len(failed), 1)
+
     def test_a_head_of_many_short_lines_fills_the_memory(self):
         # Guards against heads that are short in bytes and take many times as much.
         self.call()
