The status 000 of an engine or service in trouble reached callers of the native interface

Callers saw: an answer with the status 000, or 99, 600 or 2000, where an engine or plain service sent it so (reported of another system).

Cause: twisted's HTTP client delivers whatever number stands in the status line, and an entry (plain services) and an agent (engines) pass on each that is under 500 or that no rule names. 101 counted as interim.

Evidence: the new tests, before the change: a plain service's 000 became the caller's answer; of the client that entries, agents, the leader's list of hosts and the command line share, 8 of 8 odd status lines were delivered, and 101 waited on.

Change: that client's connections are closed on a status line that is none of HTTP's, as on a head without end. The call fails like one that was broken off: 502, or a retry where that is allowed.

--- a/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
+++ b/packages/hemlockdock-core/hemlockdock_core/http/close_tracker.py
@@ -84,7 +84,7 @@
 
 
 class _TrackedConnection(ProtocolWrapper):
-    """Also aborts the connection if the head of a response does not end."""
+    """Also aborts the connection if the head of a response does not end or has no known status."""
 
     def __init__(self, factory, wrapped_protocol):
         super().__init__(factory, wrapped_protocol)
@@ -97,7 +97,7 @@
 
     def dataReceived(self, data):
         self._head.feed(data)
-        if self._head.is_too_long:
+        if self._head.is_malformed:
             self.transport.abortConnection()
             return
         super().dataReceived(data)
--- a/packages/hemlockdock-core/tests/test_close_tracker.py
+++ b/packages/hemlockdock-core/tests/test_close_tracker.py
@@ -179,6 +179,25 @@
         self.connection.dataReceived(b"x" * 90_000)
         self.assertEqual(self.ended, [True])
 
+    def test_an_answer_with_a_status_that_http_does_not_know_is_delivered(self):
+        # Guards against callers that get the status 000 of an engine or service in trouble.
+        for line in (b"HTTP/1.1 000 X", b"HTTP/1.1 099 X", b"HTTP/1.1 600 X", b"HTTP/1.1 2000 X"):
+            for interim in (b"", b"HTTP/1.1 100 Continue\r\n\r\n"):
+                with self.subTest(line=line, interim=interim):
+                    self.setUp()
+                    answer = interim + line + b"\r\nContent-Length: 2\r\n\r\nok"
+                    for number in range(len(answer)):
+                        if not self.transport.disconnecting:
+                            self.connection.dataReceived(answer[number : number + 1])
+                    self.assertTrue(self.transport.disconnecting)
+                    self.connection.connectionLost(Failure(ConnectionDone()))
+                    self.assertEqual((len(self.failed), self.received), (1, []))
+
+    def test_a_switch_of_protocols_that_nobody_asked_for_is_waited_on(self):
+        # Guards against a 101 that counts as an interim response.
+        self.connection.dataReceived(b"HTTP/1.1 101 Switching Protocols\r\n\r\n")
+        self.assertTrue(self.transport.disconnecting)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hemlockdock-entry/tests/test_service_client.py
+++ b/packages/hemlockdock-entry/tests/test_service_client.py
@@ -16,7 +16,7 @@
 
 
 class ServiceClientTest(unittest.TestCase):
-    def call(self):
+    def call(self, answer=b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nbody"):
         reactor = MemoryReactorClock()
         client = ServiceClient(reactor)
         answered = client.call("GET", "http://127.0.0.1:80/", {}, b"")
@@ -24,7 +24,7 @@
         _, _, factory, _, _ = reactor.tcpClients[0]
         connection = factory.buildProtocol(None)
         connection.makeConnection(Transport())
-        connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nbody")
+        connection.dataReceived(answer)
         return answered, connection
 
     def test_an_answer_without_a_length_that_was_reset_is_not_taken_for_complete(self):
@@ -39,6 +39,14 @@
         connection.connectionLost(Failure(ConnectionDone()))
         self.assertEqual(answered.result.body, b"body")
 
+    def test_the_status_000_of_a_service_in_trouble_reaches_the_caller(self):
+        # Guards against an answer whose status HTTP does not know.
+        answered, connection = self.call(b"HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody")
+        connection.connectionLost(Failure(ConnectionDone()))
+        refusal = answered.result.value.refusal
+        self.assertIs(refusal.not_run, NotRun.UNKNOWN)
+        answered.addErrback(lambda failure: failure.trap(ServiceFailedError))
+
     def test_a_cancelled_call_closes_its_connection(self):
         answered, connection = self.call()
         answered.addErrback(lambda _: None)
