The link to a control host that lost its disk was cut every 1.5 s

Callers saw: nothing so far; what a member sent to such a host was dropped each time, heartbeats and entries too.

Cause: a member that is silent for 1.5 s has its connection renewed. A host that comes back with an empty disk is another member at the same address, and the one that was there before is silent for ever.

Evidence: found by reading, beside the members that are gone and still count.

Change: silence counts by address, from the member that was heard last there.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/peer_links.py
@@ -36,7 +36,7 @@
         self._address_by_id = {m.member_id: m.peer_address for m in settings.members}
         self.address = address or self._address_by_id[self._member_id]
         self._heard_ms_by_id = {}
-        self._reconnected_ms_by_id = {}
+        self._reconnected_ms_by_address = {}
         self._cluster = settings.control.cluster
         sender = self._cluster + CLUSTER_SEPARATOR + self._member_id
         self._transport = MessageTransport(
@@ -89,7 +89,7 @@
             self._transport.send(address, message)
 
     def reconnect_silent(self, now_ms, silent_ms):
-        """Reconnect to members from which nothing was received for a while.
+        """Reconnect to addresses from which nothing was received for a while.
 
         A broken connection may stay open without delivering anything, while a new one works.
 
@@ -97,16 +97,23 @@
         ----------
         now_ms, silent_ms : float
         """
-        for member_id, address in self._address_by_id.items():
-            if member_id == self._member_id:
-                continue
-            heard_ms = self._heard_ms_by_id.get(member_id, now_ms)
-            reconnected_ms = self._reconnected_ms_by_id.get(member_id, heard_ms)
+        for address, heard_ms in self._heard_ms_by_address().items():
+            reconnected_ms = self._reconnected_ms_by_address.get(address, heard_ms)
             if now_ms - max(heard_ms, reconnected_ms) < silent_ms:
                 continue
-            self._reconnected_ms_by_id[member_id] = now_ms
+            self._reconnected_ms_by_address[address] = now_ms
             self._transport.disconnect(address)
 
+    def _heard_ms_by_address(self):
+        # A host that lost its folder has another member id at the same address.
+        heard_ms_by_address = {}
+        for member_id, address in self._address_by_id.items():
+            heard_ms = self._heard_ms_by_id.get(member_id)
+            if member_id == self._member_id or heard_ms is None:
+                continue
+            heard_ms_by_address[address] = max(heard_ms, heard_ms_by_address.get(address, heard_ms))
+        return heard_ms_by_address
+
     def record_contact(self, member_id, now_ms):
         """Record that a message of a member was received.
 
