--- a/packages/hemlockdock-control/hemlockdock_control/admin/member_changes.py
+++ b/packages/hemlockdock-control/hemlockdock_control/admin/member_changes.py
@@ -37,19 +37,23 @@
         -------
         Deferred of dict or Refusal
         """
-        return self._change(operator, member_id, self._replicator.add_member, member_id)
+        return self._change(operator, member_id, self._replicator.member_requests.add, member_id)
 
     def promote(self, operator, member_id):
         """Make a non-voter a voter; see ``add``."""
-        return self._change(operator, member_id, self._replicator.promote_member, member_id)
+        return self._change(
+            operator, member_id, self._replicator.member_requests.promote, member_id
+        )
 
     def remove(self, operator, member_id):
         """Remove a member; see ``add``."""
-        return self._change(operator, member_id, self._replicator.remove_member, member_id)
+        return self._change(operator, member_id, self._replicator.member_requests.remove, member_id)
 
     def replace(self, operator, old_id, new_id):
         """Replace a member with a non-voter; see ``add``."""
-        return self._change(operator, old_id, self._replicator.replace_member, old_id, new_id)
+        return self._change(
+            operator, old_id, self._replicator.member_requests.replace, old_id, new_id
+        )
 
     @inlineCallbacks
     def _change(self, operator, member_id, change, *arguments):
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -10,19 +10,10 @@
 from hemlockdock_control.consensus.configuration import Configuration
 from hemlockdock_control.consensus.core import Core
 from hemlockdock_control.consensus.departure import Departure, DepartureStep
-from hemlockdock_control.consensus.errors import (
-    ChangeRefusedError,
-    CommandTooLargeError,
-    NotLeaderError,
-)
+from hemlockdock_control.consensus.errors import CommandTooLargeError, NotLeaderError
 from hemlockdock_control.consensus.events import Received, Tick, TransferRequested
-from hemlockdock_control.consensus.member_changes import (
-    AddNonVoter,
-    ChangeRefusal,
-    Promote,
-    Remove,
-    replacement_steps,
-)
+from hemlockdock_control.consensus.forwards import Forwards
+from hemlockdock_control.consensus.member_requests import MemberRequests
 from hemlockdock_control.consensus.member_task import MemberTask
 from hemlockdock_control.consensus.membership_planner import leaving_ids
 from hemlockdock_control.consensus.membership_reconciler import MembershipReconciler
@@ -66,6 +57,11 @@
     tls : LinkTls, optional
     now_ms : callable, optional
         Returns the time of a monotonic clock.
+
+    Attributes
+    ----------
+    forwards : Forwards
+    member_requests : MemberRequests
     """
 
     def __init__(self, reactor, settings, state_machine, tls=None, now_ms=clock_ms):
@@ -82,12 +78,18 @@
         self._task = None
         self._tick_loop = None
         self._leadership_callbacks = []
-        self._forward_callbacks = []
         self._stopping = False
         self._stop_waiters = []
         self._departure = None
         self._departure_call = None
         self._reconciler = MembershipReconciler(self._change)
+        self.forwards = Forwards(reactor, self, self._send, _call_safely)
+        self.member_requests = MemberRequests(
+            lambda: self._discovery.hello_by_id,
+            self._member_state,
+            self._change,
+            now_ms,
+        )
         self._reopened_ms = float("-inf")
 
     @property
@@ -225,115 +227,6 @@
         """
         self._leadership_callbacks.append(callback)
 
-    def on_forward(self, callback):
-        """Register a callback for the bytes that other members send.
-
-        Parameters
-        ----------
-        callback : callable
-            Called with the sender's member id and the bytes.
-        """
-        self._forward_callbacks.append(callback)
-
-    def send_to_leader(self, data):
-        """Send bytes to the leader, which may be this member, without guaranteed delivery.
-
-        Parameters
-        ----------
-        data : bytes
-
-        Returns
-        -------
-        bool
-            False if no leader is known.
-        """
-        if not self.leader_id:
-            return False
-        self.send_to_member(self.leader_id, data)
-        return True
-
-    def send_to_member(self, member_id, data):
-        """Send bytes to a member, which may be this one, without guaranteed delivery.
-
-        Parameters
-        ----------
-        member_id : str
-        data : bytes
-        """
-        if member_id == self._member_id:
-            self._reactor.callLater(0, self._deliver_forward, member_id, data)
-            return
-        if self._links is not None:
-            self._links.send(member_id, Forward(data))
-
-    def add_member(self, member_id):
-        """Add a running member that has sent a hello, as a non-voter.
-
-        Parameters
-        ----------
-        member_id : str
-
-        Returns
-        -------
-        Deferred
-            Fires with None once committed; fails with ChangeRefusedError, NotLeaderError or
-            UnknownOutcomeError.
-        """
-        hello = self._discovery.hello_by_id.get(member_id)
-        if hello is None:
-            return fail(ChangeRefusedError(ChangeRefusal.NOT_HEARD))
-        return self._change(AddNonVoter(member_id, hello.folder_id, hello.address))
-
-    def promote_member(self, member_id):
-        """Make a non-voter that has caught up a voter.
-
-        Parameters
-        ----------
-        member_id : str
-
-        Returns
-        -------
-        Deferred
-            As for ``add_member``.
-        """
-        return self._change(Promote(member_id))
-
-    def remove_member(self, member_id):
-        """Remove a member.
-
-        Parameters
-        ----------
-        member_id : str
-
-        Returns
-        -------
-        Deferred
-            As for ``add_member``.
-        """
-        return self._change(Remove(member_id))
-
-    def replace_member(self, old_id, new_id):
-        """Put a non-voter that has caught up in the place of a member.
-
-        Parameters
-        ----------
-        old_id : str
-        new_id : str
-
-        Returns
-        -------
-        Deferred
-            As for ``add_member``.
-        """
-        if self._task is None:
-            return fail(NotLeaderError(self.leader_id))
-        state = self._task.core.state
-        steps = replacement_steps(old_id, new_id, state, self._now_ms())
-        if steps.is_err():
-            return fail(ChangeRefusedError(steps.err()))
-        first, second = steps.ok()
-        return self._change(first).addCallback(lambda _: self._change(second))
-
     def _change(self, change):
         if self._task is None or self._stopping:
             return fail(NotLeaderError(self.leader_id))
@@ -455,7 +348,7 @@
         if isinstance(message, Hello):
             self._handle_hello(sender, message)
         elif isinstance(message, Forward):
-            self._deliver_forward(sender, message.data)
+            self.forwards.receive(sender, message.data)
         elif self._task is not None:
             self._task.post(Received(sender, message))
 
@@ -495,9 +388,12 @@
         if not leads and self._departure is not None and self._departure_call is None:
             self._departure_call = self._reactor.callLater(0, self._advance_departure)
 
-    def _deliver_forward(self, sender, data):
-        for callback in self._forward_callbacks:
-            _call_safely(callback, sender, data)
+    def _send(self, member_id, message):
+        if self._links is not None:
+            self._links.send(member_id, message)
+
+    def _member_state(self):
+        return None if self._task is None else self._task.core.state
 
     def _known_members(self):
         if self._task is None:
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/peers.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/peers.py
@@ -80,7 +80,9 @@
         self._proposer.answer(body)
 
     def _answer(self, result, ticket, member_id):
-        self._replicator.send_to_member(member_id, encode_peer(RelayedAnswer(ticket, result)))
+        self._replicator.forwards.send_to_member(
+            member_id, encode_peer(RelayedAnswer(ticket, result))
+        )
 
 
 def _payload(result):
--- a/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/fleet/service.py
@@ -104,7 +104,7 @@
     def start(self):
         """Open the data folder, connect to the other members and start listening."""
         self.replicator.on_leadership(self._leadership_changed)
-        self.replicator.on_forward(self._peers.on_forward)
+        self.replicator.forwards.on_received(self._peers.on_forward)
         self._transport = MessageTransport(
             self._reactor,
             process_ip(self._settings),
--- a/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/control_service.py
@@ -141,7 +141,7 @@
     def start(self):
         """Open the data folder, connect to the other members and start to listen."""
         self.replicator.on_leadership(self._leadership_changed)
-        self.replicator.on_forward(self._peer_handler.on_forward)
+        self.replicator.forwards.on_received(self._peer_handler.on_forward)
         incarnation = self.wall_ms()
         self._transport = MessageTransport(
             self._reactor,
--- a/packages/hemlockdock-control/hemlockdock_control/service/node_message_handler.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/node_message_handler.py
@@ -144,7 +144,7 @@
         heartbeats = self._volatile_state.heartbeats.take_digest(self._clock.now_ms())
         if not self._replicator.is_leader:
             digest = BeatDigest(self._leader_contact.next_sequence(), heartbeats)
-            self._replicator.send_to_leader(encode_peer(digest))
+            self._replicator.forwards.send_to_leader(encode_peer(digest))
 
     def resend_all_to_leader(self):
         """Send a new leader all heartbeats and inventories that this member holds."""
@@ -215,7 +215,7 @@
             self._leader_handler.handle(body, sender, incarnation)
             return
         message = RelayedMessage(sender, incarnation, body)
-        if not self._replicator.send_to_leader(encode_peer(message)):
+        if not self._replicator.forwards.send_to_leader(encode_peer(message)):
             COUNTERS.increment("control_relays_without_leader")
 
     def _record(self, heartbeat, now_ms, relayed_by=""):
--- a/packages/hemlockdock-control/hemlockdock_control/service/peer_message_handler.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/peer_message_handler.py
@@ -59,7 +59,7 @@
     @_on_body.register
     def _(self, body: BeatDigest, member_id):
         self._node_handler.on_digest(member_id, body.beats)
-        self._replicator.send_to_member(member_id, encode_peer(DigestAck(body.sequence)))
+        self._replicator.forwards.send_to_member(member_id, encode_peer(DigestAck(body.sequence)))
 
     @_on_body.register
     def _(self, body: DigestAck, member_id):
@@ -90,4 +90,6 @@
             self._answer(CommandResult(0, refusal), body.ticket, member_id)
 
     def _answer(self, result, ticket, member_id):
-        self._replicator.send_to_member(member_id, encode_peer(RelayedAnswer(ticket, result)))
+        self._replicator.forwards.send_to_member(
+            member_id, encode_peer(RelayedAnswer(ticket, result))
+        )
--- a/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
+++ b/packages/hemlockdock-control/hemlockdock_control/service/proposer.py
@@ -127,7 +127,7 @@
         self._waiting_by_ticket[ticket] = waiting
         waiting.addTimeout(timeout_s, self._reactor)
         waiting.addErrback(lambda _: self._timed_out(ticket))
-        self._replicator.send_to_leader(encode_peer(make_message(ticket)))
+        self._replicator.forwards.send_to_leader(encode_peer(make_message(ticket)))
         return waiting
 
     def _timed_out(self, ticket):
--- a/packages/hemlockdock-control/tests/support.py
+++ b/packages/hemlockdock-control/tests/support.py
@@ -101,6 +101,7 @@
         self._machine = machine
         self._index = 0
         self._callbacks = []
+        self.forwards = FakeForwards()
         self.is_leader = False
         self.leader_id = ""
         self.term = 0
@@ -139,7 +140,11 @@
         """Register a callback for leadership changes."""
         self._callbacks.append(callback)
 
-    def on_forward(self, callback):
+
+class FakeForwards:
+    """Forwards of a member that is alone."""
+
+    def on_received(self, callback):
         """Ignore the callback; there is no other member."""
 
     def send_to_leader(self, data):
--- a/packages/hemlockdock-control/tests/test_replicator.py
+++ b/packages/hemlockdock-control/tests/test_replicator.py
@@ -107,7 +107,7 @@
         while True:
             leader = yield self.leader()
             try:
-                yield getattr(leader, name)(*arguments)
+                yield getattr(leader.member_requests, name)(*arguments)
                 return
             except (ChangeRefusedError, NotLeaderError):
                 yield self.wait()
@@ -147,12 +147,12 @@
         leader = yield self.leader()
         follower = next(r for r in self.replicators if not r.is_leader)
         received = []
-        leader.on_forward(lambda sender, data: received.append((sender, data)))
-        follower.on_forward(lambda sender, data: received.append((sender, data)))
+        leader.forwards.on_received(lambda sender, data: received.append((sender, data)))
+        follower.forwards.on_received(lambda sender, data: received.append((sender, data)))
         yield self.until(lambda: follower.leader_id)
-        self.assertTrue(follower.send_to_leader(b"up"))
+        self.assertTrue(follower.forwards.send_to_leader(b"up"))
         yield self.until(lambda: len(received) == 1)
-        leader.send_to_member(received[0][0], b"down")
+        leader.forwards.send_to_member(received[0][0], b"down")
         yield self.until(lambda: len(received) == 2)
         self.assertEqual(received[1], (leader.leader_id, b"down"))
 
@@ -165,8 +165,8 @@
         lost_id = lost._member_id
         yield self.stop_one(lost)
         joiner = self.start_one("d", "abcd")
-        yield self.change("add_member", "d")
-        yield self.change("replace_member", lost_id, "d")
+        yield self.change("add", "d")
+        yield self.change("replace", lost_id, "d")
         self.assertNotIn(lost_id, leader.configuration.voter_ids)
         self.assertIn("d", leader.configuration.voter_ids)
         yield self.until(lambda: joiner.applied_index == leader.applied_index)
