Operators' replacement of a lost member could end between its two steps

Callers saw: nothing so far; since a lost member is removed first, `hemlockdock members replace` could be refused with "has not caught up" after the removal, and leave one voter less.

Cause: the successor is asked for the moment the removal is committed, which it may not hold yet.

Change: the promotion is tried again for 2 s while the successor catches up.

--- a/packages/hemlockdock-control/hemlockdock_control/consensus/member_requests.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/member_requests.py
@@ -1,6 +1,7 @@
 """Membership changes that operators request."""
 
 from twisted.internet.defer import fail
+from twisted.internet.task import deferLater
 
 from hemlockdock_control.consensus.errors import ChangeRefusedError, NotLeaderError
 from hemlockdock_control.consensus.member_changes import (
@@ -11,6 +12,11 @@
     replacement_steps,
 )
 
+# For the successor of a removed member, which may not hold the removal yet.
+PROMOTION_ATTEMPTS = 20
+PROMOTION_INTERVAL_S = 0.1
+
+
 class MemberRequests:
     """Carries out the membership changes that operators request.
 
@@ -19,6 +25,7 @@
 
     Parameters
     ----------
+    reactor : twisted reactor
     hellos : callable
         Returns the latest hello of each process, by member id.
     state : callable
@@ -28,7 +35,8 @@
     now_ms : callable
     """
 
-    def __init__(self, hellos, state, change, now_ms):
+    def __init__(self, reactor, hellos, state, change, now_ms):
+        self._reactor = reactor
         self._hellos = hellos
         self._state = state
         self._change = change
@@ -95,4 +103,18 @@
         if steps.is_err():
             return fail(ChangeRefusedError(steps.err()))
         first, second = steps.ok()
-        return self._change(first).addCallback(lambda _: self._change(second))
+        changed = self._change(first)
+        return changed.addCallback(lambda _: self._repeat(second, PROMOTION_ATTEMPTS))
+
+    def _repeat(self, change, attempts):
+        changed = self._change(change)
+        if attempts > 1:
+            changed.addErrback(self._try_again, change, attempts - 1)
+        return changed
+
+    def _try_again(self, failure, change, attempts):
+        failure.trap(ChangeRefusedError)
+        if failure.value.reason is not ChangeRefusal.CATCHING_UP:
+            return failure
+        later = deferLater(self._reactor, PROMOTION_INTERVAL_S)
+        return later.addCallback(lambda _: self._repeat(change, attempts))
--- a/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
+++ b/packages/hemlockdock-control/hemlockdock_control/consensus/replicator.py
@@ -85,6 +85,7 @@
         self._reconciler = MembershipReconciler(self._change)
         self.forwards = Forwards(reactor, self, self._send, _call_safely)
         self.member_requests = MemberRequests(
+            reactor,
             lambda: self._discovery.hello_by_id,
             self._member_state,
             self._change,
