--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -9,7 +9,7 @@
 LOG_FOLDER = Path("build/soak")
 
 
-def main(seeds=5, first=1, seconds=12.0):
+def main(seeds=5, first=1, seconds=12.0, controls=3):
     """Run seeds one after the other; exit with 1 if any fails.
 
     Parameters
@@ -20,6 +20,8 @@
         First seed.
     seconds : float, optional
         Period of each run in which faults start.
+    controls : int, optional
+        Number of control members; those beyond three wait for a place.
     """
     sys.path.insert(0, str(ROOT))
     from soak.run import SoakRun
@@ -27,7 +29,7 @@
     failed = []
     for seed in range(first, first + seeds):
         try:
-            result = SoakRun(seed, seconds).run()
+            result = SoakRun(seed, seconds, controls=controls).run()
         except AssertionError as error:
             print(f"seed {seed}: {str(error).splitlines()[0]}", flush=True)
             failed.append(seed)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -32,6 +32,8 @@
 # Ports at which nodes listen if their links run through proxies at the ports above.
 PROXIED_NODE_PORT = 27_410
 PROXIED_PEER_PORT = 27_411
+# Of control members, as at most one is harmed at a time.
+TOLERATED_LOSSES = 1
 WAIT_S = 60
 POLL_S = 0.1
 CALL_TIMEOUT_S = 15
@@ -330,6 +332,7 @@
             "[fleet]",
             "seeds = " + ",".join(f"{seed}:{ADMIN_PORT}" for seed in plan.control_ips[:3]),
             f"first_start = {str(is_first).lower()}",
+            f"tolerated_losses = {TOLERATED_LOSSES}",
             f"node_port = {NODE_PORT}",
             f"peer_port = {PEER_PORT}",
             f"directory = {plan.directory_ip}:{DIRECTORY_PORT}",
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -69,15 +69,17 @@
     duration_s : float
         Period in which faults start.
     entries, agents : int, optional
+    controls : int, optional
+        With more than three, one waits for the place of a member that stops, is lost or wiped.
     """
 
-    def __init__(self, seed, duration_s, entries=2, agents=2):
+    def __init__(self, seed, duration_s, entries=2, agents=2, controls=3):
         self._seed = seed
         self._duration_s = duration_s
         address_prefix = f"127.72.{seed % ADDRESS_BLOCKS}"
         self._plan = FleetPlan(
             address_prefix,
-            3,
+            controls,
             entries,
             agents,
             uses_proxies=True,
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -188,6 +188,11 @@
             self.assertEqual(result.breaches, [], f"seed {seed}: {result.faults}")
             self.assertGreater(result.served, 0)
 
+    def test_members_that_are_replaced_have_no_breaches(self):
+        result = SoakRun(2, DURATION_S, controls=4).run()
+        self.assertEqual(result.breaches, [], f"{result.faults}")
+        self.assertGreater(result.served, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
