--- a/packages/hemlockdock-control/tests/support_fleet_members.py
+++ b/packages/hemlockdock-control/tests/support_fleet_members.py
@@ -157,6 +157,7 @@
         self.loss_limit = tolerated_losses
         self.tolerated_losses = tolerated_losses if stated else 0
         self.in_flight = []
+        self.cut_pairs = set()
         self.host_by_ip = {}
         self.acknowledged = []
         self.on_start = lambda: None
@@ -204,6 +205,12 @@
         voter_ids = self.leader().replicator.configuration.voter_ids
         return sorted(voter_id.partition("+")[0] for voter_id in voter_ids)
 
+    def commits_vote_of(self, host):
+        """Return whether the leader has committed a configuration in which a host votes."""
+        state = self.leader().replicator._task.core.state
+        is_committed = state.configuration_index <= state.commit_index
+        return is_committed and host.ip in self.voter_ips()
+
     def member_ips(self):
         """Return the addresses of the leader's members."""
         members = self.leader().replicator.configuration.members
@@ -261,7 +268,8 @@
             sender = self._host_at(links.address)
             if receiver is None or sender is None or receiver.is_cut or sender.is_cut:
                 continue
-            if receiver.links.member_id != links.member_id:
+            is_cut = frozenset((receiver.ip, sender.ip)) in self.cut_pairs
+            if not is_cut and receiver.links.member_id != links.member_id:
                 receiver.links.on_message(links.member_id, message)
 
     def _host_at(self, address):
--- a/packages/hemlockdock-control/tests/test_member_replacement.py
+++ b/packages/hemlockdock-control/tests/test_member_replacement.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from support_fleet_members import FleetSimulation
+from support_fleet_members import STEP_MS, FleetSimulation
 
 from hemlockdock_control.consensus.membership_planner import (
     NON_VOTER_REMOVAL_TIMEOUT_MS,
@@ -87,13 +87,10 @@
                 with self.subTest(leads=leaves_as_leader, after_ms=loss_after_ms):
                     self.lose_one_after_a_planned_replacement(leaves_as_leader, loss_after_ms)
 
-    def test_hosts_that_leave_at_the_same_time_pass_the_leadership_among_themselves(self):
-        # Guards against two that leave and lead by turns, so that neither is replaced.
-        fleet = self.fleet(1)
-        leader = fleet.leader()
-        leaving = [leader, *(host for host in fleet.up if host is not leader)][:2]
+    def assert_replaced(self, fleet, leaving):
+        """Stop hosts at the same time; check that as many new ones vote in their place."""
         staying = [host for host in fleet.up if host not in leaving]
-        staying += [self.start_successor(fleet) for _ in range(2)]
+        staying += [self.start_successor(fleet) for _ in leaving]
         fleet.run(CATCH_UP_MS)
         for host in leaving:
             host.stop()
@@ -101,17 +98,35 @@
         self.assertTrue(stopped)
         self.assert_in_control(fleet, staying)
 
+    def test_hosts_that_leave_at_the_same_time_pass_the_leadership_among_themselves(self):
+        # Guards against two that leave and lead by turns, so that neither is replaced.
+        fleet = self.fleet(1)
+        leader = fleet.leader()
+        other = next(host for host in fleet.up if host is not leader)
+        self.assert_replaced(fleet, [leader, other])
+
     def test_all_voters_that_leave_at_the_same_time_leave_their_successors_without_a_leader(self):
         # Guards against a leader that waits for another voter to take over while all leave.
         fleet = self.fleet(1)
-        leaving = fleet.up
-        successors = [self.start_successor(fleet) for _ in range(3)]
+        self.assert_replaced(fleet, fleet.up)
+
+    def test_a_host_that_stops_ends_before_its_removal_is_committed(self):
+        # Guards against a removal that only the leader holds, which is lost next.
+        fleet = self.fleet(1)
+        leader = fleet.leader()
+        leaving, staying = (host for host in fleet.up if host is not leader)
+        successor = self.start_successor(fleet)
         fleet.run(CATCH_UP_MS)
-        for host in leaving:
-            host.stop()
-        stopped = fleet.run_until(lambda: not any(host.is_up for host in leaving), GRACE_MS)
-        self.assertTrue(stopped)
-        self.assert_in_control(fleet, successors)
+        leaving.stop()
+        self.assertTrue(fleet.run_until(lambda: fleet.commits_vote_of(successor), GRACE_MS))
+        fleet.cut_pairs = {frozenset((leader.ip, host.ip)) for host in (staying, successor)}
+        self.assertTrue(fleet.run_until(lambda: leaving.ip not in fleet.voter_ips(), GRACE_MS))
+        fleet.run(20 * STEP_MS)
+        leader.kill()
+        fleet.cut_pairs.clear()
+        second = self.start_successor(fleet)
+        fleet.run(RECOVER_MS)
+        self.assert_in_control(fleet, [staying, successor, second])
 
     def test_a_host_without_a_successor_stops_at_once_and_votes_again(self):
         # Guards against a restart that waits for a successor, or that costs a vote.
--- a/tools/mutants/consensus.py
+++ b/tools/mutants/consensus.py
@@ -156,8 +156,8 @@
     Mutant(
         "go on after a failed sync",
         STORAGE + "member_storage.py",
-        "            self._failure = StorageFailedError(error)\n"
-        "            raise self._failure from error\n",
+        "            self.failure = StorageFailedError(error)\n"
+        "            raise self.failure from error\n",
         "            return\n",
         DISK,
     ),
--- a/tools/mutants/fleet.py
+++ b/tools/mutants/fleet.py
@@ -120,7 +120,7 @@
     Mutant(
         "let each entry spend the whole slack of all",
         GATEWAY + "windowed_retry_budget.py",
-        "self._slack / max(1, entries)",
+        "self._slack / max(1, share_divisor)",
         "self._slack",
         DECISIONS,
     ),
--- a/tools/mutants/limits.py
+++ b/tools/mutants/limits.py
@@ -64,7 +64,7 @@
     ),
     Mutant(
         "let entries out of touch begin together",
-        GATEWAY + "own_pace.py",
+        ENTRY + "own_pace.py",
         "earliest_s + self._random.uniform(0.0, interval_s)",
         "earliest_s",
         ROUNDS,
--- a/tools/mutants/streams.py
+++ b/tools/mutants/streams.py
@@ -26,8 +26,9 @@
     Mutant(
         "keep the part of an event that broke off",
         GATEWAY + "try_sequence.py",
-        "            self._response_writer.discard_partial_event()\n",
-        "",
+        "            self._response_writer.discard_partial_event()\n"
+        "            self._gateway.quarantine.repeat(",
+        "            self._gateway.quarantine.repeat(",
         STREAMS,
     ),
     Mutant(
@@ -139,14 +140,14 @@
     Mutant(
         "forget a version that came and went",
         CONTROL + "hemlockdock_control/state/routes.py",
-        "            self.former_versions.note(*before)",
+        "            self.former_versions.note([before])",
         "            pass",
         ORDERS,
     ),
     Mutant(
         "forget the pool that a route led to",
         CONTROL + "hemlockdock_control/state/routes.py",
-        "            for pool in former:\n                self.former_pools.note(scope, pool)",
+        "            self.former_pools.note(self._former_pools(new_by_scope))",
         "            pass",
         ORDERS,
     ),
