--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -8,17 +8,9 @@
 import time
 from dataclasses import dataclass
 
-from hemlockdock_core.routes import RouteManifest
-from hemlockdock_core.rows import (
-    EngineSpec,
-    LimitsRow,
-    ModelSpec,
-    PoolRow,
-    RouteKind,
-    RouteRow,
-    WeightedPool,
-)
 from hemlockdock_core.wire.own import WIRE
+from soak.http_calls import CALL_TIMEOUT_S, OK, exchange
+from soak.manifests import manifest
 
 ADMIN_PORT = 27_401
 NODE_PORT = 27_402
@@ -36,11 +28,7 @@
 TOLERATED_LOSSES = 1
 WAIT_S = 60
 POLL_S = 0.1
-CALL_TIMEOUT_S = 15
-MODELS = ("m0", "m1")
-TIME_LEFT_MS = 9_000
 ROUTES_PATH = WIRE.operator_paths.submit.decode()
-OK = 200
 STANDINS = "standins"
 
 
@@ -113,62 +101,6 @@
         return f"{ip}:{PROXY_PORT if self.uses_proxies else port}"
 
 
-def manifest(number, resumable=False, models=MODELS, added=""):
-    """Return a route manifest with an engine pool and a plain pool.
-
-    Parameters
-    ----------
-    number : int
-    resumable : bool, optional
-        Whether streams may be resumed.
-    models : iterable of str, optional
-    added : str, optional
-        Name of a further route to the plain pool.
-
-    Returns
-    -------
-    RouteManifest
-    """
-    specs = tuple(ModelSpec(name, 30.0, 0, 0.0, 500, 200, 300) for name in models)
-    engine = EngineSpec(8, 1_000, 1, 40.0, 4, 0.0, 0.0, 9.0, specs)
-    routes = (
-        _route("read", RouteKind.IDEMPOTENT, "shop"),
-        _route("write", RouteKind.AT_MOST_ONCE, "shop"),
-        _route("live", RouteKind.STREAM, "lm", resumable),
-        _route("told", RouteKind.STREAM, "lm", resumable=True),
-    )
-    if added:
-        routes += (_route(added, RouteKind.IDEMPOTENT, "shop"),)
-    limits = LimitsRow(number, 16_384, 1_000_000, 3_000, 15_000)
-    return RouteManifest(limits, routes, (PoolRow("shop", "/", 60), PoolRow("lm", "/", 60, engine)))
-
-
-def _route(name, kind, pool, resumable=False):
-    pools = (WeightedPool(pool, 1.0),)
-    prefix = f"/{name}/"
-    return RouteRow(
-        name, "shop.test", prefix, kind, 10_000, 5_000, 1, pools, 2, resumable=resumable
-    )
-
-
-@dataclass(slots=True)
-class Response:
-    """Response to one HTTP call.
-
-    Attributes
-    ----------
-    status : int or None
-        None if no complete response arrived.
-    body : bytes
-    signature : str
-        Signature of the endpoint; empty if absent.
-    """
-
-    status: int | None
-    body: bytes = b""
-    signature: str = ""
-
-
 class LocalFleet:
     """Runs the processes of one fleet.
 
@@ -351,50 +283,3 @@
             )
         self.process_by_name[name] = process
         self._processes.append(process)
-
-
-def request_headers(request_id, model=""):
-    """Return the headers of a client request.
-
-    Parameters
-    ----------
-    request_id : str
-    model : str, optional
-
-    Returns
-    -------
-    dict of str to str
-    """
-    headers = {
-        "Host": "shop.test",
-        "X-Request-Id": request_id,
-        "X-Time-Left-Ms": str(TIME_LEFT_MS),
-    }
-    if model:
-        headers["X-Use-Model"] = model
-    return headers
-
-
-def exchange(connection, method, path, body=None, headers=None):
-    """Make one HTTP call over a connection that may be reused.
-
-    Parameters
-    ----------
-    connection : http.client.HTTPConnection
-    method, path : str
-    body : bytes, optional
-    headers : dict of str to str, optional
-
-    Returns
-    -------
-    Response
-    """
-    try:
-        connection.request(method, path, body, headers or {})
-        response = connection.getresponse()
-        data = response.read()
-    except (OSError, http.client.HTTPException):
-        # Without a complete response the client can't tell whether the request ran.
-        connection.close()
-        return Response(None)
-    return Response(response.status, data, response.getheader("X-Answer-Signature") or "")
--- a/tools/soak/oracle.py
+++ b/tools/soak/oracle.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from soak.clients import RESUMED_KIND, STREAM_KINDS
-from soak.fleet import OK
+from soak.http_calls import OK
 
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -16,7 +16,8 @@
     read_manifest_number,
 )
 from soak.faults import FaultInjector, draw_faults
-from soak.fleet import ENGINE_PORT, OK, PROXY_PORT, SERVICE_PORT, FleetPlan, LocalFleet
+from soak.fleet import ENGINE_PORT, PROXY_PORT, SERVICE_PORT, FleetPlan, LocalFleet
+from soak.http_calls import OK
 from soak.link_proxies import LinkProxies
 from soak.oracle import (
     engine_breaches,
--- a/tools/tests/test_local_fleet.py
+++ b/tools/tests/test_local_fleet.py
@@ -17,9 +17,9 @@
     WAIT_S,
     FleetPlan,
     LocalFleet,
-    manifest,
-    request_headers,
 )
+from soak.http_calls import request_headers  # noqa: E402
+from soak.manifests import manifest  # noqa: E402
 from soak.oracle import STREAM_EVENTS  # noqa: E402
 
 from hemlockdock_core.wire.own import WIRE  # noqa: E402
--- a/tools/tests/test_local_links.py
+++ b/tools/tests/test_local_links.py
@@ -9,7 +9,8 @@
 TOOLS = Path(__file__).parent.parent
 sys.path.insert(0, str(TOOLS))
 
-from soak.fleet import HTTP_PORT, OK, FleetPlan, LocalFleet, request_headers  # noqa: E402
+from soak.fleet import HTTP_PORT, FleetPlan, LocalFleet  # noqa: E402
+from soak.http_calls import OK, request_headers  # noqa: E402
 from soak.link_proxies import LinkProxies  # noqa: E402
 from soak.proxy import ProxyLoop  # noqa: E402
 
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -10,7 +10,8 @@
 
 from soak.clients import Resumption, SentRequest  # noqa: E402
 from soak.faults import FaultKind, draw_faults  # noqa: E402
-from soak.fleet import FleetPlan, Response  # noqa: E402
+from soak.fleet import FleetPlan  # noqa: E402
+from soak.http_calls import Response  # noqa: E402
 from soak.oracle import (  # noqa: E402
     STREAM_EVENTS,
     engine_breaches,
