The search over member orders counted some losses as none, and named hosts that were never listed

Traced: in two a host that had been there for long was killed for good as "joining", since it had been started anew shortly before; its disk was a loss beyond what is tolerated. In one the only seed in the settings of two new hosts was one that left later, as the others were down while the settings were written; the operators' list has those, too.

A host is joining while its disk is new, and settings name hosts of the core that are down where too few run.

--- a/packages/hemlockdock-control/tests/support_fleet_members.py
+++ b/packages/hemlockdock-control/tests/support_fleet_members.py
@@ -84,7 +84,7 @@
         self.replicator = None
         self.state_machine = None
         self.stopped = None
-        self.started_ms = float("-inf")
+        self.disk_since_ms = fleet.now_ms
         self._fleet = fleet
 
     @property
@@ -113,7 +113,6 @@
             first_start=first_start,
             tolerated_losses=fleet.tolerated_losses,
         )
-        self.started_ms = fleet.now_ms
         self.clock = TurnClock()
         self.state_machine = FleetStateMachine()
         settings = parse_settings(text, "test")
@@ -133,6 +132,7 @@
 
     def wipe(self):
         self.disk = MemoryDisk()
+        self.disk_since_ms = self._fleet.now_ms
 
     def stop(self):
         """Send SIGTERM; the process ends once its replicator has stopped."""
--- a/packages/hemlockdock-control/tests/support_member_orders.py
+++ b/packages/hemlockdock-control/tests/support_member_orders.py
@@ -149,10 +149,10 @@
             leader.transfer()
 
     def _kill_joining(self):
-        """Kill a host that has not had its time since it was started."""
+        """Kill a host whose disk has not been there for as long as it takes to catch up."""
         for place in self._places:
             host = place.host
-            is_joining = self._fleet.now_ms - host.started_ms < CATCH_UP_MS
+            is_joining = self._fleet.now_ms - host.disk_since_ms < CATCH_UP_MS
             if self._is_lost(place) and is_joining and host.is_up and host.stopped is None:
                 self._note("kill the joining", host)
                 host.kill()
@@ -175,9 +175,9 @@
                     )
 
     def _list_seeds(self):
-        """Let the settings of a host that starts name hosts that are there."""
-        present = [host.ip for host in self.hosts() if host.is_up]
-        self._fleet.seeds = present[:3] or self._fleet.seeds
+        """Let the settings of a host that starts name hosts of the core, those that run first."""
+        listed = sorted(self.hosts(), key=lambda host: not host.is_up)
+        self._fleet.seeds = [host.ip for host in listed[:3]]
 
     def _sound_place(self):
         """Return a place that may be lost now, or None."""
