--- a/packages/hemlockdock-control/tests/support_fleet_members.py
+++ b/packages/hemlockdock-control/tests/support_fleet_members.py
@@ -151,7 +151,7 @@
 class FleetSimulation:
     """The control hosts of a fleet, which follow one clock and one random source."""
 
-    def __init__(self, seed, tolerated_losses=1, stated=True, hosts=0):
+    def __init__(self, seed, tolerated_losses=1, stated=True):
         self.rng = random.Random(seed)
         self.now_ms = 10_000.0
         self.loss_limit = tolerated_losses
@@ -168,7 +168,7 @@
             mock.patch.object(replicator_module, "PeerLinks", self._open_links),
             mock.patch.object(replicator_module, "random", self._random_module()),
         )
-        first = [self.add_host() for _ in range(hosts or 2 * tolerated_losses + 1)]
+        first = [self.add_host() for _ in range(2 * tolerated_losses + 1)]
         self.seeds = [host.ip for host in first[:3]]
 
     def __enter__(self):
