--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -310,8 +310,8 @@
         self._all_processes.append(process)
         return process
 
-    def write_settings(self, ip, first):
-        """Render the settings file of one machine."""
+    def write_settings(self, ip, first, turned=False):
+        """Render the settings file of one machine; with its seeds in another order if turned."""
         role = self._role_by_ip[ip]
         data = self.folder / f"data-{ip}"
         data.mkdir(exist_ok=True)
@@ -333,6 +333,8 @@
             "bounds": BOUNDS,
             "cloud": {"address": self.platform.address},
         }
+        if turned:
+            fields["seeds"].reverse()
         template = (ROOT / self._roles[role]["template"]).read_text()
         path = self.folder / f"{role}-{ip}.ini"
         partial = path.with_suffix(".new")
@@ -406,17 +408,35 @@
 
 
 def read_answer(reader):
-    """Read one answer with a length; it is whole if all its bytes came."""
+    """Read one answer with a length or in chunks; it is whole if all its bytes came."""
     line = reader.readline()
     if not line:
         raise ConnectionError("the channel ended without an answer")
     status = int(line.split()[1])
     headers = read_headers(reader)
+    if headers.get("transfer-encoding") == "chunked":
+        return Answer(status, headers, *read_chunks(reader))
     length = int(headers.get("content-length", 0))
     body = reader.read(length)
     return Answer(status, headers, body, len(body) == length)
 
 
+def read_chunks(reader):
+    """Read a body in chunks; returns its bytes and whether its end came."""
+    body = b""
+    while True:
+        line = reader.readline().strip()
+        if not line:
+            return body, False
+        length = int(line, 16)
+        data = reader.read(length + 2)
+        body += data[:length]
+        if len(data) < length + 2:
+            return body, False
+        if not length:
+            return body, True
+
+
 def route(name, prefix, kind, service, timeout_ms=12000, **more):
     """Return a route of the desired state."""
     return {
