Review case 15: fronts lose control when a long-lost member comes back

A control member that was down while the four others were replaced tells fronts for 0.8 s after its start that it is fresh, and names the members of its old log; fronts replace all that they know by these.

--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -259,13 +259,16 @@
     record : Record
     controls, fronts : int
     tolerated : int
+    bounds : dict, optional
+        Those of the site, by default of bingkai-thumbs-grown.
     """
 
-    def __init__(self, record, controls=3, fronts=1, tolerated=1):
+    def __init__(self, record, controls=3, fronts=1, tolerated=1, bounds=None):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-3-"))
         self._prefix = f"127.{random.randint(60, 250)}.{random.randint(1, 250)}"
         self._tolerated = tolerated
+        self._bounds = bounds or BOUNDS
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         first = random.randint(21000, 29000)
         self.front_port, self.ready_port, self.control_port = first, first + 1, first + 2
@@ -275,6 +278,8 @@
         self.controls = [f"{self._prefix}.{1 + number}" for number in range(controls)]
         self.fronts = [f"{self._prefix}.{41 + number}" for number in range(fronts)]
         self._replicas = 0
+        self._added_controls = 0
+        self._seeds_by_ip = {}
         self.process_by_ip = {}
         self._all_processes = []
         self._role_by_ip = dict.fromkeys(self.controls, "control")
@@ -310,9 +315,35 @@
         self._all_processes.append(process)
         return process
 
+    def add_control(self):
+        """Start a control member on a new machine, whose seeds are three that run."""
+        self._added_controls += 1
+        ip = f"{self._prefix}.{10 + self._added_controls}"
+        running = [item for item in self.controls if self.process_by_ip[item].poll() is None]
+        self._role_by_ip[ip] = "control"
+        self._seeds_by_ip[ip] = running[-3:]
+        self.controls.append(ip)
+        self.start_program(ip)
+        return ip
+
+    def leader(self):
+        """Return the running control member that says last that it leads; None if none does."""
+        found = None
+        for ip in self.controls:
+            if self.process_by_ip[ip].poll() is not None:
+                continue
+            leads, term = False, -1
+            for line in (self.folder / f"control-{ip}.log").read_text().splitlines():
+                if '"became leader"' in line or '"became follower"' in line:
+                    leads, term = '"became leader"' in line, json.loads(line)["term"]
+            if leads and (found is None or term > found[0]):
+                found = (term, ip)
+        return None if found is None else found[1]
+
     def write_settings(self, ip, first, turned=False):
         """Render the settings file of one machine; with its seeds in another order if turned."""
         role = self._role_by_ip[ip]
+        self._seeds_by_ip.setdefault(ip, self.controls[:3])
         data = self.folder / f"data-{ip}"
         data.mkdir(exist_ok=True)
         fields = {
@@ -320,7 +351,7 @@
             "ip": ip,
             "zone": "zone-a",
             "internal_ports": self._internal_ports,
-            "seeds": [f"{control}:{self.control_port}" for control in self.controls[:3]],
+            "seeds": [f"{seed}:{self.control_port}" for seed in self._seeds_by_ip[ip]],
             "bootstrap": first,
             "data_dir": str(data),
             "listen": {
@@ -330,7 +361,7 @@
             },
             "limits": {"cpu_share": 0.817, "cores": 1, "memory_mb": 300, "link_mbps": 1000.0},
             "fault_tolerance": {"machines": self._tolerated},
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "cloud": {"address": self.platform.address},
         }
         if turned:
