A failure after a run was passed on as a promise that it has not run

Cause: check_head and next_move rightly take such a response for a failure after a possible run, but deliver_failure wrote its status as it was. Nothing asked what a client takes a relayed status for. Refusals of our own asked at each place that makes one, not where they leave.

Fix: ProxyExchange.refuse and deliver_failure, through which all that a client gets must pass, hold the rule. A failure with one of the four statuses becomes a 502 of our own without the endpoint's signature and body; a refusal of a request that may have run loses its promise there, and truthful_refusal, which the makers of refusals had to remember, is gone. For idempotent requests too: their clients repeat after any failure, a false promise is of no use to them.

Why it works: may_have_run is set as soon as a response head that doesn't say "not run" arrives or an attempt is cancelled after it was sent, and both exits look at it or at the status itself.

--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/endpoint_selection.py
@@ -2,10 +2,9 @@
 
 from math import ceil
 
-from hemlockdock_core.errors import ErrorKind
+from hemlockdock_core.errors import ErrorKind, Refusal
 from hemlockdock_entry.balancing import LoadBalancer
 from hemlockdock_entry.gateway.continuation import may_run_at
-from hemlockdock_entry.gateway.refusals import truthful_refusal
 
 MS_PER_S = 1_000
 
@@ -224,4 +223,4 @@
             after_ms = ceil((room_s - self._gateway.clock.seconds()) * MS_PER_S)
         after_ms = self._gateway.priority_policy.retry_after_ms(exchange, after_ms)
         message = "no endpoint of the pool can take it"
-        return truthful_refusal(exchange, ErrorKind.NO_CAPACITY, message, after_ms)
+        return Refusal.of(ErrorKind.NO_CAPACITY, message, retry_after_ms=after_ms)
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/proxy_exchange.py
@@ -1,6 +1,6 @@
 """Process one client request: select an endpoint, forward the request, return the response."""
 
-from hemlockdock_core.errors import ErrorKind, Refusal
+from hemlockdock_core.errors import NOT_RUN_STATUSES, ErrorKind, Refusal
 from hemlockdock_core.metrics import COUNTERS, LATENCIES
 from hemlockdock_entry.customers import NO_CUSTOMER_URGENCY, RequestKey
 from hemlockdock_entry.customers.token_charge import TokenCharge
@@ -8,7 +8,7 @@
 from hemlockdock_entry.gateway.exchange_log import ExchangeLog
 from hemlockdock_entry.gateway.patience import Patience
 from hemlockdock_entry.gateway.permit import PermitWish
-from hemlockdock_entry.gateway.refusals import truthful_refusal, unsendable_refusal
+from hemlockdock_entry.gateway.refusals import unsendable_refusal
 from hemlockdock_entry.gateway.request_content import HOST, RequestContent
 from hemlockdock_entry.gateway.request_times import RequestTimes
 from hemlockdock_entry.gateway.response_writer import ResponseWriter
@@ -233,12 +233,15 @@
         Parameters
         ----------
         refusal : Refusal
+            Loses its promise that the request has not run if an attempt may have run.
         """
         if self._ended:
             return
         if self._response_writer.started:
             self.abort_response(refusal.message)
             return
+        if self.may_have_run:
+            refusal = refusal.without_promise()
         self._log.request_ended(refusal.kind.value, refusal.message)
         COUNTERS.increment("gateway_refusals", kind=refusal.kind.value)
         self._response_writer.write_refusal(refusal, self.content.request_id)
@@ -269,14 +272,14 @@
     def refuse_continuation(self):
         """Refuse the request because no endpoint has the software version of its stream."""
         message = "no endpoint has the software version of the stream"
-        self.refuse(truthful_refusal(self, ErrorKind.STREAM_VERSION_GONE, message))
+        self.refuse(Refusal.of(ErrorKind.STREAM_VERSION_GONE, message))
 
     def shut_down(self):
         """End the request because the process is stopping."""
         if self._ended:
             return
         self._tries.cancel()
-        self.refuse(truthful_refusal(self, ErrorKind.DRAINING, "the entry stops"))
+        self.refuse(Refusal.of(ErrorKind.DRAINING, "the entry stops"))
 
     def on_client_disconnected(self):
         """Cancel the request after its client disconnected."""
@@ -315,11 +318,17 @@
     def deliver_failure(self, head, body):
         """Deliver an endpoint's error response.
 
+        An error whose status clients take as a promise is replaced: the endpoint made no promise.
+
         Parameters
         ----------
         head : ResponseHead
         body : bytes
         """
+        if head.status in NOT_RUN_STATUSES:
+            message = f"the endpoint failed with status {head.status} and may have run the request"
+            self.refuse(Refusal.of(ErrorKind.ENGINE_FAILED, message))
+            return
         self._log.request_ended("failed", f"status {head.status}")
         self._response_writer.write_response(head, body)
         self._finish()
--- a/packages/hemlockdock-entry/hemlockdock_entry/gateway/refusals.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/gateway/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals that are true also for a request which may have run."""
+"""Refusals of requests that no endpoint may get."""
 
 import logging
 
@@ -8,27 +8,6 @@
 logger = logging.getLogger(__name__)
 
 
-def truthful_refusal(exchange, kind, message, retry_after_ms=None):
-    """Return a refusal of a kind that promises that the request has not run, if that is true.
-
-    Parameters
-    ----------
-    exchange : ProxyExchange
-    kind : ErrorKind
-    message : str
-    retry_after_ms : int, optional
-        Overrides the value of the kind.
-
-    Returns
-    -------
-    Refusal
-        Of kind ``endpoint_lost`` if an attempt of the request may have run.
-    """
-    if exchange.may_have_run:
-        return Refusal.of(ErrorKind.ENDPOINT_LOST, message)
-    return Refusal.of(kind, message, retry_after_ms=retry_after_ms)
-
-
 def unsendable_refusal(gateway, exchange):
     """Return the refusal of a request that no endpoint may get, or None.
 
@@ -48,7 +27,7 @@
     refusal = gateway.quarantine.refusal(exchange)
     if refusal is not None or gateway.stop_schedule.allows(exchange):
         return refusal
-    return truthful_refusal(exchange, ErrorKind.DRAINING, "it could outlive the entry, which stops")
+    return Refusal.of(ErrorKind.DRAINING, "it could outlive the entry, which stops")
 
 
 def quarantine_refusal(exchange, key, crash_ids, left_ms, message):
@@ -77,4 +56,4 @@
             "may_have_run": exchange.may_have_run,
         },
     )
-    return truthful_refusal(exchange, ErrorKind.QUARANTINED, message, left_ms)
+    return Refusal.of(ErrorKind.QUARANTINED, message, retry_after_ms=left_ms)
