A failure of a service or engine was told as a promise that it has not run

Callers saw, on the native interface: a 408, 421, 429 or 503 of a plain service or an engine as it was, also from the stored answer of a run-once request and as the status of a job. docs/errors.md gives these the meaning "not run", and no protocol of services or engines does.

Found by reading.

Fix: these three, through which every such answer reaches its caller, tell 502 in place of the four; body and headers stay. Stored answers stay as given, so those that older entries stored are told truly as well.

--- a/packages/hemlockdock-core/hemlockdock_core/errors/refusal.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/refusal.py
@@ -4,11 +4,9 @@
 
 from hemlockdock_core.errors.kind import ErrorKind
 from hemlockdock_core.errors.not_run import NotRun
+from hemlockdock_core.errors.promise import NOT_RUN_STATUSES
 from hemlockdock_core.errors.table import RESPONSE_BY_KIND
 
-# Clients may take these statuses as a promise that the request has not run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-
 
 class Refusal(msgspec.Struct, frozen=True):
     """The reason why a request was refused.
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/http_reply.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/http_reply.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hemlockdock_core.errors import status_without_promise
 from hemlockdock_core.http.event_end import is_event_stream
 from hemlockdock_core.metrics import COUNTERS
 from hemlockdock_entry.callers.responses import write_refusal
@@ -51,13 +52,14 @@
         Parameters
         ----------
         status : int
+            As the engine gave it; the caller gets one that doesn't promise "not run".
         content_type : str
         position : StreamPosition
             Position of the first byte that follows.
         """
         if self.has_started:
             return
-        self._head = (status, content_type, position)
+        self._head = (status_without_promise(status), content_type, position)
         if is_event_stream(content_type):
             self._inserter = EventIdInserter(position.stream_id, position.offset)
 
--- a/packages/hemlockdock-entry/hemlockdock_entry/callers/service_reply.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/callers/service_reply.py
@@ -1,5 +1,6 @@
 """Send a plain HTTP service's response to a caller."""
 
+from hemlockdock_core.errors import status_without_promise
 from hemlockdock_entry.callers.responses import write_refusal
 
 
@@ -21,7 +22,7 @@
         http_request.notifyFinish().addErrback(self._connection_lost)
 
     def answer(self, answer):
-        """Send a response.
+        """Send a response, under a status that doesn't promise that the call has not run.
 
         Parameters
         ----------
@@ -30,7 +31,7 @@
         if self._disconnected:
             return
         self._ended = True
-        self._http.setResponseCode(answer.status)
+        self._http.setResponseCode(status_without_promise(answer.status))
         for name, values in answer.headers.items():
             self._http.responseHeaders.setRawHeaders(name, values)
         self._http.setHeader(b"x-request-id", self._request_id.encode())
--- a/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_client.py
+++ b/packages/hemlockdock-entry/hemlockdock_entry/jobs/job_client.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from hemlockdock_core.commands import ReadJob, SubmitJob
-from hemlockdock_core.errors import ErrorKind, NotRun, Refusal
+from hemlockdock_core.errors import ErrorKind, NotRun, Refusal, status_without_promise
 from hemlockdock_core.node import ControlUnavailableError
 from hemlockdock_entry.jobs.job_body import JobBody
 from hemlockdock_entry.run_once import StoredAnswer
@@ -119,7 +119,7 @@
     view = {"id": job_id, "state": result.state}
     if result.state == "done":
         answer = msgspec.msgpack.decode(result.payload, type=StoredAnswer)
-        view["status"] = answer.status
+        view["status"] = status_without_promise(answer.status)
         view["content_type"] = answer.content_type
         view["result"] = _decode_content(answer)
     if result.state == "failed":
