Refusals of requests that may have run had statuses that promise they have not

Callers saw: without control, a job that may have been accepted, and a call of a plain service whose key may have run, refused with 503 and the body "not_run": "unknown"; a caller that reads the status orders again.

Cause: Refusal.status followed the kind alone. Exchange looked at not_run before it refused, ServiceCall, JobClient and refusal_for_key didn't.

Fix: Refusal.status, from which every interface takes the status, tells 502 where the kind's status would promise what the refusal doesn't say; kind and Retry-After stay. storage_failed, whose kind says "unknown", is 500.

--- a/packages/hemlockdock-core/hemlockdock_core/errors/refusal.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/refusal.py
@@ -4,7 +4,7 @@
 
 from hemlockdock_core.errors.kind import ErrorKind
 from hemlockdock_core.errors.not_run import NotRun
-from hemlockdock_core.errors.promise import NOT_RUN_STATUSES
+from hemlockdock_core.errors.promise import NOT_RUN_STATUSES, status_without_promise
 from hemlockdock_core.errors.table import RESPONSE_BY_KIND
 
 
@@ -56,15 +56,16 @@
         -------
         Refusal
         """
-        if self.status not in NOT_RUN_STATUSES:
+        if RESPONSE_BY_KIND[self.kind].status not in NOT_RUN_STATUSES:
             return self
         not_run = NotRun.UNKNOWN if self.not_run is NotRun.TRUE else self.not_run
         return Refusal.of(ErrorKind.ENDPOINT_LOST, self.message, not_run)
 
     @property
     def status(self):
-        """Return the HTTP status code of this refusal's kind."""
-        return RESPONSE_BY_KIND[self.kind].status
+        """Return the HTTP status code: of the kind, or 502 where that would be a false promise."""
+        status = RESPONSE_BY_KIND[self.kind].status
+        return status if self.not_run is NotRun.TRUE else status_without_promise(status)
 
     def body(self):
         """Return the JSON object that is sent to the client, as a dict."""
--- a/packages/hemlockdock-core/hemlockdock_core/errors/table.py
+++ b/packages/hemlockdock-core/hemlockdock_core/errors/table.py
@@ -40,6 +40,6 @@
     ErrorKind.STREAM_VERSION_GONE: ErrorResponse(503, NotRun.TRUE, None),
     ErrorKind.STREAM_STALLED: ErrorResponse(504, NotRun.FALSE, SHORT_RETRY_MS),
     ErrorKind.CALLER_GONE: ErrorResponse(499, NotRun.UNKNOWN, None),
-    ErrorKind.STORAGE_FAILED: ErrorResponse(503, NotRun.UNKNOWN, LONG_RETRY_MS),
+    ErrorKind.STORAGE_FAILED: ErrorResponse(500, NotRun.UNKNOWN, LONG_RETRY_MS),
     ErrorKind.INTERNAL: ErrorResponse(500, NotRun.UNKNOWN, None),
 }
--- a/tools/generate_pages.py
+++ b/tools/generate_pages.py
@@ -49,6 +49,7 @@
         "Every refusal is JSON: `kind`, `message`, `not_run` (`true`, `false`, `unknown`) and",
         "`retry_after_ms`. `not_run` in the table is what the kind alone says; a refusal may know",
         "more of its own request. Requests that may have run never get 408, 421, 429 or 503.",
+        "A refusal whose kind has one of these gets 502 where `not_run` is not `true`.",
         "An endpoint's failure with such a status that does not state that the request was not run",
         "is replaced by `engine_failed`; its other failures are passed on unchanged.",
         "",
