An engine's bare 503 after a run was taken for "not run"

Callers saw: a run-once request whose engine failed with 404, 409, 429 or 503 after it had begun was told 503, "not run", and its key's claim was freed, so that the entry could send it again and a resend of the key ran a second time.

Fix: the protocol has the header X-Not-Run for it, as endpoints of a fleet do; without it the attempt is engine_refused and "unknown". Repeatable requests still go to another endpoint, as the kind stays. The stand-in sends the header where it rejects, and has the markers #busy (503 after it began) and #reject.

--- a/packages/hemlockdock-agent/hemlockdock_agent/requests/executor.py
+++ b/packages/hemlockdock-agent/hemlockdock_agent/requests/executor.py
@@ -16,8 +16,9 @@
 DEADLINE_GRACE_MS = 2_000
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
-# Statuses with which the engine reports that it did not run the request.
 REFUSING_STATUSES = frozenset((404, 409, 429, 503))
+# Header with which the engine states that it did not run the request.
+NOT_RUN_HEADER = "x-not-run"
 
 
 class RequestExecutor:
@@ -183,8 +184,9 @@
             return
         if response.code in REFUSING_STATUSES:
             self._discard_body(response)
-            refusal = Refusal.of(ErrorKind.ENGINE_REFUSED, f"the engine answered {response.code}")
-            self.fail(run, refusal)
+            message = f"the engine answered {response.code}"
+            not_run = NotRun.TRUE if response.headers.hasHeader(NOT_RUN_HEADER) else NotRun.UNKNOWN
+            self.fail(run, Refusal.of(ErrorKind.ENGINE_REFUSED, message, not_run))
             return
         if response.code >= HTTP_SERVER_ERROR:
             self._discard_body(response)
--- a/packages/hemlockdock-agent/tests/test_service.py
+++ b/packages/hemlockdock-agent/tests/test_service.py
@@ -294,6 +294,26 @@
         self.assertEqual(reports.pop()[1:], ("bystander", "culprit"))
         yield self.until(lambda: not self.control.received[Inventory][-1].loaded)
 
+    @inlineCallbacks
+    def test_a_bare_503_of_an_engine_after_a_run_is_reported_as_not_run(self):
+        # Guards against a run-once request that runs again because an engine failed with 503.
+        yield self.load()
+        self.send("q1", marker="#busy", run_once=True)
+        yield self.until(lambda: self.entry.last(("q1", 1), Refused))
+        refusal = self.entry.last(("q1", 1), Refused).refusal
+        self.assertEqual(self.engine.ledger.most_runs(), 1)
+        self.assertEqual(refusal.kind, ErrorKind.ENGINE_REFUSED)
+        self.assertEqual((refusal.not_run, refusal.status), (NotRun.UNKNOWN, 502))
+
+    @inlineCallbacks
+    def test_an_engine_that_states_that_it_did_not_run_a_request_is_believed(self):
+        yield self.load()
+        self.send("q1", marker="#reject", run_once=True)
+        yield self.until(lambda: self.entry.last(("q1", 1), Refused))
+        refusal = self.entry.last(("q1", 1), Refused).refusal
+        self.assertEqual((refusal.kind, refusal.not_run), (ErrorKind.ENGINE_REFUSED, NotRun.TRUE))
+        self.assertEqual(self.engine.ledger.most_runs(), 0)
+
     @inlineCallbacks
     def test_the_inventory_ends_an_order_whose_reply_is_lost(self):
         self.engine.options.lose_order_answers = 1
--- a/packages/hemlockdock-standins/hemlockdock_standins/engine/requests.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/engine/requests.py
@@ -14,9 +14,11 @@
 STALL_ONCE = b"#stall-once"
 SLOW = b"#slow"
 FAIL = b"#fail"
+BUSY = b"#busy"
+REJECT = b"#reject"
 DROP = b"#drop"
 CUT = b"#cut"
-MARKERS = (POISON, STALL, STALL_ONCE, SLOW, FAIL, DROP, CUT)
+MARKERS = (POISON, STALL, STALL_ONCE, SLOW, FAIL, BUSY, REJECT, DROP, CUT)
 CUT_EVENT_BYTES = 9
 SLOW_FACTOR = 20.0
 MAX_STORED_RUNS = 1_000
@@ -46,7 +48,8 @@
     Markers in the request body inject faults: ``#poison`` crashes the engine, ``#stall`` stops
     the stream half-way, ``#stall-once`` does so for the first reader only, ``#drop`` aborts the
     connection half-way, ``#cut`` ends the response half-way and inside an event, ``#slow`` slows
-    generation, ``#fail`` answers with status 500.
+    generation, ``#fail`` and ``#busy`` answer with status 500 and 503 after the run has begun,
+    ``#reject`` does so with 503 before it.
 
     Parameters
     ----------
@@ -103,15 +106,22 @@
         replica_id = request.getHeader("x-replica-id") or ""
         replica = self._state.replica_by_id.get(replica_id)
         if replica is None or not replica.ready:
-            self._finish(request, 404, b'{"error":"replica not loaded"}')
+            self._reject(request, 404, b'{"error":"replica not loaded"}')
             return
-        run = self._begin(request)
+        body = request.content.read()
+        if REJECT in body:
+            self._reject(request, 503, b'{"error":"queue full"}')
+            return
+        run = self._begin(request, body)
         if POISON in run.faults:
             self._reactor.callLater(0, self._on_poison)
             yield Deferred()
         if FAIL in run.faults:
             self._finish(request, 500, b'{"error":"failed"}')
             return
+        if BUSY in run.faults:
+            self._finish(request, 503, b'{"error":"busy"}')
+            return
         self.running += 1
         yield self._write(request, run)
         self.running = max(self.running - 1, 0)
@@ -142,8 +152,7 @@
         yield self._write(request, run)
         self.running = max(self.running - 1, 0)
 
-    def _begin(self, request):
-        body = request.content.read()
+    def _begin(self, request, body):
         payload = json.loads(body)
         count = int(payload.get("max_tokens", self._options.keep_tokens))
         request_id = request.getHeader("x-request-id") or str(id(request))
@@ -210,6 +219,10 @@
         if skipped < len(data):
             request.write(data[skipped:])
 
+    def _reject(self, request, status, body):
+        request.setHeader(b"x-not-run", b"1")
+        self._finish(request, status, body)
+
     def _finish(self, request, status, body):
         if request.finished or request._disconnected:
             return
