A change of settings while a process starts was never noticed

Callers saw: a process whose settings file changed while it started, with or without a signal, kept the settings from before until the next change; control members and entries so looked for control at addresses that were no longer true.

Cause: the settings are read first, the services are imported for some 0.3 s, and only then SettingsWatcher took the file's version as it was by then for the one that had been read.

Fix: SettingsFile takes the version before it reads the text, at each load, and the watcher compares with that; it checks at its start instead of 1 s later. No moment is left between the version and what was read.

--- a/packages/hemlockdock-daemon/hemlockdock_daemon/main.py
+++ b/packages/hemlockdock-daemon/hemlockdock_daemon/main.py
@@ -7,8 +7,8 @@
 from hemlockdock_core.errors import InvalidInputError
 from hemlockdock_core.logs import configure_logs
 from hemlockdock_core.periodic_call import PeriodicCall
-from hemlockdock_core.settings import load_settings
 from hemlockdock_daemon.monotonic import use_monotonic_clock
+from hemlockdock_daemon.settings_file import SettingsFile
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_START_FAILED = 3
@@ -23,26 +23,27 @@
     settings : str
         Path of the INI file.
     """
+    settings_file = SettingsFile(settings)
     try:
-        parsed_settings = load_settings(settings)
+        parsed_settings = settings_file.load()
     except InvalidInputError as error:
         for problem in error.errors:
             print(problem, file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
     handler = configure_logs(parsed_settings.process.log_level)
-    sys.exit(run_until_signal(parsed_settings, settings, handler))
+    sys.exit(run_until_signal(parsed_settings, settings_file, handler))
 
 
-def run_until_signal(settings, path=None, log_handler=None):
+def run_until_signal(settings, settings_file, log_handler):
     """Start the process and return its exit code once it has stopped.
 
     Parameters
     ----------
     settings : Settings
-    path : str, optional
-        Settings file. If given, it is reloaded when it changes and on SIGHUP.
-    log_handler : BoundedHandler, optional
-        If given, its buffered lines are flushed periodically.
+    settings_file : SettingsFile
+        Reloaded when it changes and on SIGHUP.
+    log_handler : BoundedHandler
+        Its buffered lines are flushed periodically.
 
     Returns
     -------
@@ -60,7 +61,7 @@
     gc.collect()
     gc.freeze()
     exit_codes = [0]
-    watcher = SettingsWatcher(reactor, path, settings, process.reload) if path else None
+    watcher = SettingsWatcher(reactor, settings_file, settings, process.reload)
 
     def fail(failure):
         exit_codes[0] = EXIT_START_FAILED
@@ -68,24 +69,18 @@
         leave()
 
     def leave(*_):
-        if watcher is not None:
-            watcher.stop()
+        watcher.stop()
         process.stop().addBoth(lambda _: reactor.stop())
 
-    log_flusher = None
-    if log_handler is not None:
-        log_flusher = PeriodicCall(reactor, log_handler.flush)
+    log_flusher = PeriodicCall(reactor, log_handler.flush)
 
     def start():
-        if log_flusher is not None:
-            log_flusher.start(LOG_FLUSH_INTERVAL_S)
+        log_flusher.start(LOG_FLUSH_INTERVAL_S)
         process.start().addErrback(fail)
-        if watcher is not None:
-            watcher.start()
+        watcher.start()
 
     reactor.callWhenRunning(start)
-    if watcher is not None:
-        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(watcher.reload))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(watcher.reload))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(leave))
     reactor.run(installSignalHandlers=False)
--- a/packages/hemlockdock-daemon/hemlockdock_daemon/settings_watcher.py
+++ b/packages/hemlockdock-daemon/hemlockdock_daemon/settings_watcher.py
@@ -1,11 +1,9 @@
 """Reload of the settings while the process runs."""
 
 import logging
-import os
 
 from hemlockdock_core.errors import InvalidInputError
 from hemlockdock_core.periodic_call import PeriodicCall
-from hemlockdock_core.settings import load_settings
 
 logger = logging.getLogger(__name__)
 
@@ -20,23 +18,23 @@
     Parameters
     ----------
     reactor : twisted reactor
-    path : str
+    settings_file : SettingsFile
+        Which the current settings were loaded from.
     settings : Settings
         The current settings.
     on_change : callable
         Called with the new Settings.
     """
 
-    def __init__(self, reactor, path, settings, on_change):
-        self._path = path
+    def __init__(self, reactor, settings_file, settings, on_change):
+        self._file = settings_file
         self._settings = settings
         self._on_change = on_change
-        self._file_version = self._read_file_version()
         self._poll_timer = PeriodicCall(reactor, self._check)
 
     def start(self):
-        """Start checking the file for changes."""
-        self._poll_timer.start(POLL_INTERVAL_S, now=False)
+        """Check the file for changes now and from now on."""
+        self._poll_timer.start(POLL_INTERVAL_S)
 
     def stop(self):
         """Stop checking the file for changes."""
@@ -44,9 +42,8 @@
 
     def reload(self):
         """Reload the file."""
-        self._file_version = self._read_file_version()
         try:
-            settings = load_settings(self._path)
+            settings = self._file.load()
         except InvalidInputError as error:
             logger.error(
                 "invalid settings rejected, the current ones remain in force",
@@ -61,12 +58,5 @@
         self._on_change(settings)
 
     def _check(self):
-        if self._read_file_version() != self._file_version:
+        if self._file.has_changed():
             self.reload()
-
-    def _read_file_version(self):
-        try:
-            status = os.stat(self._path)
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_size, status.st_ino
