Soak: endpoints that fail after they began, reloads while processes start

Now an endpoint fails every second run with 408, 429, 500, 502 or 503 for a while; a process that starts again gets up to three changes of its settings with SIGHUP within its first second; and a process that ends by itself breaks a promise. run_soak takes the numbers of entries and agents.

--- a/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
+++ b/packages/hemlockdock-standins/hemlockdock_standins/fleet/engine.py
@@ -19,6 +19,8 @@
 LEDGER_PATH = "/ledger"
 # Tests set here the limit that the engine names; an empty body for none.
 LIMIT_PATH = "/limit"
+# Tests set here the status with which every second run fails once begun; an empty body for none.
+FAILURE_PATH = "/failure"
 # A path with this suffix asks for a response of that many kilobytes.
 LONG_RESPONSE = re.compile(rb"/kilobytes-(\d+)$")
 KILOBYTE = b"x" * 1_000
@@ -71,6 +73,7 @@
         self._sequence = 0
         self._busy = False
         self._limit = b""
+        self._failure = b""
         self.ledger = EngineHistory(endpoint_id, [], [], len(self._models))
 
     def render(self, request):
@@ -83,6 +86,9 @@
         if path == LIMIT_PATH:
             self._limit = request.content.read()
             return b""
+        if path == FAILURE_PATH:
+            self._failure = request.content.read()
+            return b""
         if not self._is_addressed_to_this_endpoint(request):
             request.setResponseCode(MISDIRECTED)
             return b""
@@ -149,6 +155,9 @@
         self.ledger.runs.append(request_id)
         signature = f"{self._endpoint_id}.{len(self.ledger.runs)}"
         request.setHeader(HEADERS.signature, signature)
+        if self._failure and len(self.ledger.runs) % 2:
+            request.setResponseCode(int(self._failure))
+            return b"failed"
         long_response = LONG_RESPONSE.search(request.path)
         kilobytes = 0 if long_response is None else int(long_response.group(1))
         if model is None:
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -9,7 +9,7 @@
 LOG_FOLDER = Path("build/soak")
 
 
-def main(seeds=5, first=1, seconds=12.0, controls=3):
+def main(seeds=5, first=1, seconds=12.0, controls=3, entries=2, agents=2):
     """Run seeds one after the other; exit with 1 if any fails.
 
     Parameters
@@ -22,6 +22,8 @@
         Period of each run in which faults start.
     controls : int, optional
         Number of control members; those beyond three wait for a place.
+    entries, agents : int, optional
+        Number of processes of each role, 40 at most.
     """
     sys.path.insert(0, str(ROOT))
     from soak.run import SoakRun
@@ -29,7 +31,7 @@
     failed = []
     for seed in range(first, first + seeds):
         try:
-            result = SoakRun(seed, seconds, controls=controls).run()
+            result = SoakRun(seed, seconds, entries, agents, controls).run()
         except AssertionError as error:
             print(f"seed {seed}: {str(error).splitlines()[0]}", flush=True)
             failed.append(seed)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -16,6 +16,13 @@
 SILENCE_PROBABILITY = 0.15
 # Probability that a fault kills all entries at once.
 KILL_ENTRIES_PROBABILITY = 0.1
+# Probability that an endpoint fails with a status, after it has begun to run a request.
+FAILURE_PROBABILITY = 0.1
+# Not 421: it states by itself that the request was not run.
+FAILURE_STATUSES = (408, 429, 500, 502, 503)
+# Reloads while a process starts again, and the time in which they come.
+MOST_RELOADS_AT_START = 3
+START_S = 1.0
 # A restarted control member takes part in consensus again within this time.
 CATCH_UP_S = 5.0
 
@@ -33,6 +40,7 @@
     RELOAD = "reload"
     WIPE = "wipe"
     HARM = "harm"
+    FAIL = "fail"
     SILENCE = "silence"
     KILL_ENTRIES = "kill all entries"
 
@@ -50,6 +58,8 @@
         Address of a process, or of the endpoint whose proxy injects the fault; empty for all nodes.
     harm : Harm
         Proxy behaviour of a ``HARM`` fault.
+    status : int
+        Of the responses of a ``FAIL`` fault.
     """
 
     at_s: float
@@ -57,6 +67,7 @@
     kind: FaultKind
     target: str
     harm: Harm = Harm.NONE
+    status: int = 0
 
 
 def draw_faults(plan, seed, duration_s):
@@ -82,7 +93,7 @@
     while True:
         at_s += rng.uniform(*FAULT_INTERVAL_S)
         if at_s >= duration_s:
-            return faults
+            return sorted(faults, key=lambda fault: fault.at_s)
         fault = _draw_fault(plan, rng, at_s)
         is_control = fault.target in plan.control_ips
         key = "control" if is_control else fault.target
@@ -90,6 +101,16 @@
             continue
         busy_until_s[key] = fault.until_s + (CATCH_UP_S if is_control else 0.0)
         faults.append(fault)
+        if fault.kind in (FaultKind.KILL, FaultKind.STOP, FaultKind.WIPE):
+            faults += _draw_reloads_at_start(rng, fault)
+
+
+def _draw_reloads_at_start(rng, fault):
+    reloads = []
+    for _ in range(rng.randint(0, MOST_RELOADS_AT_START)):
+        at_s = fault.until_s + rng.uniform(0.0, START_S)
+        reloads.append(Fault(at_s, at_s, FaultKind.RELOAD, fault.target))
+    return reloads
 
 
 def _draw_fault(plan, rng, at_s):
@@ -101,6 +122,10 @@
         return Fault(at_s, at_s, FaultKind.SILENCE, target)
     if rng.random() < KILL_ENTRIES_PROBABILITY:
         return Fault(at_s, until_s, FaultKind.KILL_ENTRIES, ALL_ENTRIES)
+    if rng.random() < FAILURE_PROBABILITY:
+        target = rng.choice(plan.agent_ips + plan.service_ips)
+        status = rng.choice(FAILURE_STATUSES)
+        return Fault(at_s, until_s, FaultKind.FAIL, target, status=status)
     if rng.random() < PROXY_FAULT_PROBABILITY:
         target = rng.choice(plan.agent_ips + plan.service_ips)
         harm = rng.choice([harm for harm in Harm if harm is not Harm.NONE])
@@ -140,6 +165,8 @@
             self._links.silence_to(self._links.ips if name == ALL_NODES else [name])
         elif fault.kind is FaultKind.HARM:
             self._proxy_by_ip[name].set_harm(fault.harm)
+        elif fault.kind is FaultKind.FAIL:
+            self._fleet.set_failure(name, str(fault.status))
         elif fault.kind is FaultKind.KILL_ENTRIES:
             for ip in self._fleet.plan.entry_ips:
                 self._fleet.signal(ip, signal.SIGKILL)
@@ -152,7 +179,7 @@
         elif fault.kind is FaultKind.PAUSE:
             self._fleet.signal(name, signal.SIGSTOP)
         else:
-            self._fleet.signal(name, signal.SIGHUP)
+            self._fleet.reload(name)
 
     def revert(self, fault):
         """End a fault: restore the proxy, resume the process or restart it.
@@ -167,6 +194,8 @@
             return
         if fault.kind is FaultKind.HARM:
             self._proxy_by_ip[name].set_harm(Harm.NONE)
+        elif fault.kind is FaultKind.FAIL:
+            self._fleet.set_failure(name, "")
         elif fault.kind is FaultKind.PAUSE:
             self._fleet.signal(name, signal.SIGCONT)
         elif fault.kind is FaultKind.KILL_ENTRIES:
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from hemlockdock_core.wire.own import WIRE
+from hemlockdock_standins.fleet.engine import FAILURE_PATH
 from soak.http_calls import CALL_TIMEOUT_S, OK, exchange
 from soak.manifests import manifest
 
@@ -30,6 +31,8 @@
 POLL_S = 0.1
 ROUTES_PATH = WIRE.operator_paths.submit.decode()
 STANDINS = "standins"
+# Exit codes of processes that ended as they were asked to, or were killed.
+ASKED_EXIT_CODES = (None, 0, -signal.SIGTERM, -signal.SIGKILL)
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,8 +124,16 @@
         self.process_by_name = {}
         self._folder = folder
         self._role_by_name = {}
+        self._is_first_by_name = {}
+        self._turned_names = set()
         self._processes = []
 
+    @property
+    def own_ends(self):
+        """Return the exit codes of the processes that ended by themselves."""
+        codes = [process.poll() for process in self._processes]
+        return [code for code in codes if code not in ASKED_EXIT_CODES]
+
     def start(self):
         """Start the stand-ins, then every node."""
         plan = self.plan
@@ -151,11 +162,21 @@
         is_first : bool, optional
             Value of the ``first_start`` setting: whether the whole fleet is being bootstrapped.
         """
-        role = self._role_by_name[name]
-        path = self._folder / f"{role}-{name}.ini"
-        path.write_text(self._settings(role, name, is_first))
+        self._is_first_by_name[name] = is_first
+        path = self._write_settings(name)
         self._start_process(name, "hemlockdock_daemon", f"--settings={path}")
 
+    def reload(self, name):
+        """Change a node's settings, which name the same seeds in another order, and say so."""
+        self._turned_names ^= {name}
+        self._write_settings(name)
+        self.signal(name, signal.SIGHUP)
+
+    def set_failure(self, ip, status):
+        """Let an engine or service fail runs with a status; an empty one ends that."""
+        port = SERVICE_PORT if ip in self.plan.service_ips else ENGINE_PORT
+        self.call(ip, port, "POST", FAILURE_PATH, status.encode())
+
     def wipe(self, name):
         """Delete all files in a member's data folder."""
         for path in self._data_folder(name).iterdir():
@@ -241,10 +262,22 @@
     def _data_folder(self, name):
         return self._folder / f"data-{name}"
 
-    def _settings(self, role, ip, is_first):
+    def _write_settings(self, name):
+        role = self._role_by_name[name]
+        path = self._folder / f"{role}-{name}.ini"
+        partial = path.with_suffix(".new")
+        partial.write_text(self._settings(role, name))
+        partial.replace(path)
+        return path
+
+    def _settings(self, role, ip):
         data = self._data_folder(ip)
         data.mkdir(exist_ok=True)
         plan = self.plan
+        seeds = [f"{seed}:{ADMIN_PORT}" for seed in plan.control_ips[:3]]
+        if ip in self._turned_names:
+            seeds.reverse()
+        is_first = self._is_first_by_name[ip]
         node_port = PROXIED_NODE_PORT if plan.proxies_links else NODE_PORT
         peer_port = PROXIED_PEER_PORT if plan.proxies_links else PEER_PORT
         lines = [
@@ -262,7 +295,7 @@
             f"admin = {ip}:{ADMIN_PORT}",
             f"ready = {ip}:{READY_PORT}",
             "[fleet]",
-            "seeds = " + ",".join(f"{seed}:{ADMIN_PORT}" for seed in plan.control_ips[:3]),
+            f"seeds = {','.join(seeds)}",
             f"first_start = {str(is_first).lower()}",
             f"tolerated_losses = {TOLERATED_LOSSES}",
             f"node_port = {NODE_PORT}",
--- a/tools/soak/oracle.py
+++ b/tools/soak/oracle.py
@@ -126,6 +126,22 @@
             yield Breach("fences never fall", f"{ledger.endpoint_id}: {fences}")
 
 
+def process_breaches(own_ends):
+    """Yield a violation for each process that ended by itself.
+
+    Parameters
+    ----------
+    own_ends : list of int
+        Exit codes.
+
+    Yields
+    ------
+    Breach
+    """
+    for code in own_ends:
+        yield Breach("no process ends by itself", f"exit code {code}")
+
+
 def route_breaches(acknowledged, reads, submitted, final):
     """Yield the violations found in the routes that were read back.
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -1,5 +1,6 @@
 """Run one soak seed: a fleet, clients and an operator under faults, then check the invariants."""
 
+import signal
 import tempfile
 import time
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
 from soak.link_proxies import LinkProxies
 from soak.oracle import (
     engine_breaches,
+    process_breaches,
     request_breaches,
     resumption_breaches,
     route_breaches,
@@ -99,6 +101,14 @@
         -------
         SoakResult
         """
+        # Inherited by the processes, which SIGHUP would end before they catch it.
+        former = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        try:
+            return self._run_fleet()
+        finally:
+            signal.signal(signal.SIGHUP, former)
+
+    def _run_fleet(self):
         with tempfile.TemporaryDirectory() as folder:
             self._fleet = LocalFleet(self._plan, Path(folder))
             loop = ProxyLoop()
@@ -191,6 +201,7 @@
         result.resumed = sum(item.resumed.response.status == OK for item in resumptions)
         result.breaches += resumption_breaches(resumptions, self._plan.version_by_endpoint)
         result.breaches += engine_breaches(ledgers)
+        result.breaches += process_breaches(self._fleet.own_ends)
         result.breaches += route_breaches(
             operator.acknowledged, operator.reads, operator.submitted, self._final_manifest_number()
         )
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -9,12 +9,13 @@
 sys.path.insert(0, str(TOOLS))
 
 from soak.clients import Resumption, SentRequest  # noqa: E402
-from soak.faults import FaultKind, draw_faults  # noqa: E402
+from soak.faults import START_S, FaultKind, draw_faults  # noqa: E402
 from soak.fleet import FleetPlan  # noqa: E402
 from soak.http_calls import Response  # noqa: E402
 from soak.oracle import (  # noqa: E402
     STREAM_EVENTS,
     engine_breaches,
+    process_breaches,
     request_breaches,
     resumption_breaches,
     route_breaches,
@@ -29,7 +30,10 @@
 PROXY_PORT = 27_501
 TARGET_PORT = 27_502
 # One arbitrary seed, and regression seeds that once failed, each with a comment on its cause.
-SEEDS = (1,)
+SEEDS = (
+    1,
+    7301,  # An endpoint's 408 after a run was passed on as a promise.
+)
 DURATION_S = 6.0
 
 
@@ -102,6 +106,11 @@
             ["reads are never old", "nothing acknowledged is lost"],
         )
 
+    def test_detects_a_process_that_ended_by_itself(self):
+        self.assertEqual(list(process_breaches([])), [])
+        found = process_breaches([-1])
+        self.assertEqual([breach.rule for breach in found], ["no process ends by itself"])
+
     def test_detects_manifest_number_never_submitted(self):
         found = route_breaches([], [(0.5, 4)], {3}, 4)
         self.assertEqual([breach.rule for breach in found], ["only what was sent is in force"])
@@ -127,6 +136,17 @@
         self.assertEqual(kinds, set(FaultKind))
         self.assertEqual(harms, set(Harm))
 
+    def test_draws_reloads_of_processes_that_start(self):
+        plan = FleetPlan(entries=2, agents=2)
+        ends = {}
+        reloads = 0
+        for fault in draw_faults(plan, 1, 60.0):
+            if fault.kind in (FaultKind.KILL, FaultKind.STOP, FaultKind.WIPE):
+                ends[fault.target] = fault.until_s
+            elif fault.kind is FaultKind.RELOAD and fault.target in ends:
+                reloads += ends[fault.target] <= fault.at_s <= ends[fault.target] + START_S
+        self.assertGreater(reloads, 0)
+
 
 class ProxyTest(unittest.TestCase):
     def setUp(self):
