Tests: disk and fuzz settings apart from the simulated cluster; the soak's plan apart from its fleet

The disk in memory, the settings of fuzzing and the addresses and ports of a local fleet stand in modules of their own. No test changed.

--- a/packages/hemlockdock-control/tests/support_fleet_members.py
+++ b/packages/hemlockdock-control/tests/support_fleet_members.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 from unittest import mock
 
-from support_consensus import ListStateMachine, MemoryDisk, TurnClock
+from support_consensus import ListStateMachine, TurnClock
+from support_disk import MemoryDisk
 
 from hemlockdock_control.consensus import replicator as replicator_module
 from hemlockdock_control.consensus.events import TransferRequested
--- a/packages/hemlockdock-control/tests/test_consensus_fuzz.py
+++ b/packages/hemlockdock-control/tests/test_consensus_fuzz.py
@@ -4,14 +4,9 @@
 
 from hypothesis import strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from support_consensus import (
-    CLOCK_RATES,
-    ELECTION_MS,
-    Crash,
-    SimulatedCluster,
-    fuzz_settings,
-    seeded,
-)
+from support_consensus import CLOCK_RATES, ELECTION_MS, SimulatedCluster
+from support_disk import Crash
+from support_fuzz import fuzz_settings, seeded
 
 from hemlockdock_control.consensus.messages import TimeoutNow
 
--- a/packages/hemlockdock-control/tests/test_storage.py
+++ b/packages/hemlockdock-control/tests/test_storage.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 
 from hypothesis import given, strategies
-from support_consensus import MemoryDisk, fuzz_settings, seeded
+from support_disk import MemoryDisk
+from support_fuzz import fuzz_settings, seeded
 
 from hemlockdock_control.consensus.configuration import Configuration, Member
 from hemlockdock_control.consensus.effects import (
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 
 from hemlockdock_core.wire.own import WIRE
-from soak.fleet import HTTP_PORT
 from soak.http_calls import CALL_TIMEOUT_S, OK, Response, exchange, request_headers
 from soak.manifests import MODELS
+from soak.plan import HTTP_PORT
 
 PAUSE_S = 0.05
 REQUEST_KINDS = ("read", "write", "live", "told")
--- a/tools/soak/link_proxies.py
+++ b/tools/soak/link_proxies.py
@@ -1,6 +1,6 @@
 """Proxies before the mailboxes of a fleet's nodes."""
 
-from soak.fleet import NODE_PORT, PEER_PORT, PROXIED_NODE_PORT, PROXIED_PEER_PORT
+from soak.plan import NODE_PORT, PEER_PORT, PROXIED_NODE_PORT, PROXIED_PEER_PORT
 from soak.proxy import Proxy
 
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -17,7 +17,7 @@
     read_manifest_number,
 )
 from soak.faults import FaultInjector, draw_faults
-from soak.fleet import ENGINE_PORT, PROXY_PORT, SERVICE_PORT, FleetPlan, LocalFleet
+from soak.fleet import LocalFleet
 from soak.http_calls import OK
 from soak.link_proxies import LinkProxies
 from soak.oracle import (
@@ -27,6 +27,7 @@
     resumption_breaches,
     route_breaches,
 )
+from soak.plan import ENGINE_PORT, PROXY_PORT, SERVICE_PORT, FleetPlan
 from soak.proxy import Proxy, ProxyLoop
 
 CLIENTS = 6
--- a/tools/tests/test_local_fleet.py
+++ b/tools/tests/test_local_fleet.py
@@ -10,17 +10,11 @@
 TOOLS = Path(__file__).parent.parent
 sys.path.insert(0, str(TOOLS))
 
-from soak.fleet import (  # noqa: E402
-    ADMIN_PORT,
-    HTTP_PORT,
-    READY_PORT,
-    WAIT_S,
-    FleetPlan,
-    LocalFleet,
-)
+from soak.fleet import WAIT_S, LocalFleet  # noqa: E402
 from soak.http_calls import request_headers  # noqa: E402
 from soak.manifests import manifest  # noqa: E402
 from soak.oracle import STREAM_EVENTS  # noqa: E402
+from soak.plan import ADMIN_PORT, HTTP_PORT, READY_PORT, FleetPlan  # noqa: E402
 
 from hemlockdock_core.wire.own import WIRE  # noqa: E402
 
--- a/tools/tests/test_local_limits.py
+++ b/tools/tests/test_local_limits.py
@@ -9,8 +9,9 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from soak.fleet import ADMIN_PORT, HTTP_PORT, SERVICE_PORT, FleetPlan, LocalFleet  # noqa: E402
+from soak.fleet import LocalFleet  # noqa: E402
 from soak.http_calls import request_headers  # noqa: E402
+from soak.plan import ADMIN_PORT, HTTP_PORT, SERVICE_PORT, FleetPlan  # noqa: E402
 
 PER_S = 2.0
 REQUESTS = 40
--- a/tools/tests/test_local_links.py
+++ b/tools/tests/test_local_links.py
@@ -9,9 +9,10 @@
 TOOLS = Path(__file__).parent.parent
 sys.path.insert(0, str(TOOLS))
 
-from soak.fleet import HTTP_PORT, FleetPlan, LocalFleet  # noqa: E402
+from soak.fleet import LocalFleet  # noqa: E402
 from soak.http_calls import OK, request_headers  # noqa: E402
 from soak.link_proxies import LinkProxies  # noqa: E402
+from soak.plan import HTTP_PORT, FleetPlan  # noqa: E402
 from soak.proxy import ProxyLoop  # noqa: E402
 
 # Short enough that a node which renews one direction only, or one member after the other, is
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -10,7 +10,6 @@
 
 from soak.clients import Resumption, SentRequest  # noqa: E402
 from soak.faults import START_S, FaultKind, draw_faults  # noqa: E402
-from soak.fleet import FleetPlan  # noqa: E402
 from soak.http_calls import Response  # noqa: E402
 from soak.oracle import (  # noqa: E402
     STREAM_EVENTS,
@@ -20,6 +19,7 @@
     resumption_breaches,
     route_breaches,
 )
+from soak.plan import FleetPlan  # noqa: E402
 from soak.proxy import Harm, Proxy, ProxyLoop  # noqa: E402
 from soak.run import SoakRun  # noqa: E402
 
--- a/tools/tests_processes/support_untrusted_clients.py
+++ b/tools/tests_processes/support_untrusted_clients.py
@@ -13,9 +13,10 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from soak.fleet import ADMIN_PORT, HTTP_PORT, FleetPlan, LocalFleet  # noqa: E402
+from soak.fleet import LocalFleet  # noqa: E402
 from soak.http_calls import request_headers  # noqa: E402
 from soak.manifests import manifest  # noqa: E402
+from soak.plan import ADMIN_PORT, HTTP_PORT, FleetPlan  # noqa: E402
 
 from hemlockdock_core.rows import LimitsRow  # noqa: E402
 from hemlockdock_core.wire.own import WIRE  # noqa: E402
--- a/tools/tests_processes/test_untrusted_clients.py
+++ b/tools/tests_processes/test_untrusted_clients.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 
 import support_untrusted_clients as clients
-from soak.fleet import ADMIN_PORT, HTTP_PORT, READY_PORT, ROUTES_PATH
+from soak.fleet import ROUTES_PATH
 from soak.http_calls import request_headers
+from soak.plan import ADMIN_PORT, HTTP_PORT, READY_PORT
 from support_untrusted_clients import CROWD, LIMITS, METRICS_PORT, Crowd, ProcessWatch
 
 PREFIX = "127.0.83"
