--- a/packages/hemlockdock-daemon/hemlockdock_daemon/main.py
+++ b/packages/hemlockdock-daemon/hemlockdock_daemon/main.py
@@ -1,7 +1,7 @@
 """The main program of hemlockdockd.
 
-Imports little: SIGHUP would end the process until it is caught, and what a process needs takes
-longer to import than the platform may wait before it sends the signal.
+Imports little before SIGHUP is caught: until then the signal ends the process, and the imports of
+the services take long.
 """
 
 import sys
