--- a/tools/tests_processes/support_untrusted_clients.py
+++ b/tools/tests_processes/support_untrusted_clients.py
@@ -81,8 +81,8 @@
         headers = request_headers("ordinary")
         return self.call(entry, HTTP_PORT, "POST", "/read/x", b"body", headers).status == 200
 
-    def _settings(self, role, ip, is_first):
-        text = super()._settings(role, ip, is_first)
+    def _settings(self, role, ip):
+        text = super()._settings(role, ip)
         text = text.replace("[process]\n", f"[process]\nmemory_mb = {MEMORY_MB}\n")
         return text.replace("[listen]\n", f"[listen]\nmetrics = {ip}:{METRICS_PORT}\n")
 
