--- a/packages/hemlockdock-core/tests/test_errors.py
+++ b/packages/hemlockdock-core/tests/test_errors.py
@@ -2,7 +2,9 @@
 
 import unittest
 
-from hemlockdock_core.errors import NOT_RUN_STATUSES, RESPONSE_BY_KIND, ErrorKind, NotRun, Refusal
+from hemlockdock_core.errors import RESPONSE_BY_KIND, ErrorKind, NotRun, Refusal
+
+PROMISES = (408, 421, 429, 503)
 
 
 class ErrorResponseTest(unittest.TestCase):
@@ -15,12 +17,12 @@
         self.assertEqual(refusal.status, 503)
 
     def test_a_refusal_that_may_have_run_has_a_status_that_promises_the_opposite(self):
-        # Guards against a 503 whose body says "not run: unknown", as one without control did.
+        # Guards against a 503 whose body says "not run: unknown".
         for kind in ErrorKind:
             for not_run in (None, *NotRun):
                 with self.subTest(kind=kind, not_run=not_run):
                     refusal = Refusal.of(kind, "test", not_run)
-                    if refusal.status in NOT_RUN_STATUSES:
+                    if refusal.status in PROMISES:
                         self.assertIs(refusal.not_run, NotRun.TRUE)
 
 
